--- /dev/null
+++ b/Wasabi/Core/Address.h
@@ -0,0 +1,34 @@
+/// \file
+/// An IP number and a port.
+#ifndef WASABI_CORE_ADDRESS_H
+#define WASABI_CORE_ADDRESS_H
+
+#include "Wasabi/Core/Verdict.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace wasabi {
+
+/// Where a process listens: an IP number, never a name, and a port.
+struct Address {
+  /// The IP number as text, v4 or v6 without brackets.
+  std::string Host;
+  std::uint16_t Port = 0;
+
+  auto operator<=>(const Address &) const = default;
+  bool empty() const { return Host.empty(); }
+};
+
+/// "IP:PORT", with brackets round a v6 number. Thread-safe.
+std::string toText(const Address &Where);
+
+/// Reads "IP:PORT". Errors: `BadInput` naming `Place`, when there is no IP
+/// number, no port, or a host name. Thread-safe.
+Result<Address> parseAddress(std::string_view Text, std::string_view Place);
+
+} // namespace wasabi
+
+#endif // WASABI_CORE_ADDRESS_H
