--- a/Wasabi/Core/Address.cpp
+++ b/Wasabi/Core/Address.cpp
@@ -26,14 +26,14 @@
   std::from_chars_result read =
       std::from_chars(port.data(), port.data() + port.size(), number);
   if (read.ec != std::errc() || read.ptr != port.data() + port.size())
-    return badInput(std::string(Place), "'" + std::string(port) +
-                                            "' is not a port of 0 to 65535");
+    return badInput(std::string(Place),
+                    "'" + std::string(port) + "' is not a port of 0 to 65535");
 
   boost::system::error_code ec;
   boost::asio::ip::make_address(std::string(host), ec);
   if (ec)
-    return badInput(std::string(Place), "'" + std::string(host) +
-                                            "' is not an IP number");
+    return badInput(std::string(Place),
+                    "'" + std::string(host) + "' is not an IP number");
   return Address{std::string(host), number};
 }
 
--- a/Wasabi/Core/Verdict.h
+++ b/Wasabi/Core/Verdict.h
@@ -78,8 +78,10 @@
 
 /// A new LEAF error that carries a `Failure`; for bad input, which never ran.
 inline boost::leaf::error_id badInput(std::string Place, std::string Reason) {
-  return boost::leaf::new_error(Failure{Verdict::NotRun, FailureCode::BadInput,
-                                        std::move(Place), std::move(Reason),
+  return boost::leaf::new_error(Failure{Verdict::NotRun,
+                                        FailureCode::BadInput,
+                                        std::move(Place),
+                                        std::move(Reason),
                                         {}});
 }
 
@@ -120,8 +122,11 @@
       },
       [](const Failure &Why) { return Outcome<T>(Why); },
       [](const boost::leaf::error_info &) {
-        return Outcome<T>(Failure{Verdict::MayHaveRun, FailureCode::Internal,
-                                  "leaf", "an error without a Failure", {}});
+        return Outcome<T>(Failure{Verdict::MayHaveRun,
+                                  FailureCode::Internal,
+                                  "leaf",
+                                  "an error without a Failure",
+                                  {}});
       });
 }
 
