Interfaces of the parts: configuration, fold, view, control plane, frames

Cause: state, membership, requests and rollouts are built side by side. Change: their headers, the frame schema with its generated code, and the framed socket that all frames travel on (length prefix, size limit, verifier). Conclusion: headers compile; the socket is not yet tested.

--- /dev/null
+++ b/Wasabi/Adapters/Frames/FrameSocket.cpp
@@ -0,0 +1,224 @@
+#include "Wasabi/Adapters/Frames/FrameSocket.h"
+
+#include "Wasabi/Adapters/Frames/Generated/Wire_generated.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <cstring>
+#include <tuple>
+
+namespace wasabi {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr std::size_t PrefixBytes = 4;
+constexpr std::size_t ReadBytes = 64u << 10;
+/// Frames sent in one system call at most.
+constexpr std::size_t MostCoalesced = 64;
+constexpr asio::as_tuple_t<asio::use_awaitable_t<>> Awaited;
+
+std::uint32_t readPrefix(const std::uint8_t *From) {
+  std::uint32_t size = 0;
+  for (std::size_t n = 0; n < PrefixBytes; ++n)
+    size |= static_cast<std::uint32_t>(From[n]) << (8 * n);
+  return size;
+}
+
+std::array<std::uint8_t, PrefixBytes> makePrefix(std::size_t Size) {
+  std::array<std::uint8_t, PrefixBytes> prefix{};
+  for (std::size_t n = 0; n < PrefixBytes; ++n)
+    prefix[n] = static_cast<std::uint8_t>(Size >> (8 * n));
+  return prefix;
+}
+
+bool isValid(const std::uint8_t *Bytes, std::size_t Size) {
+  flatbuffers::Verifier verifier(Bytes, Size);
+  return wire::VerifyFrameBuffer(verifier);
+}
+
+std::string peerText(const tcp::socket &Socket) {
+  boost::system::error_code ec;
+  tcp::endpoint end = Socket.remote_endpoint(ec);
+  if (ec)
+    return "unknown peer";
+  return toText(Address{end.address().to_string(), end.port()});
+}
+
+} // namespace
+
+FrameSocket::FrameSocket(tcp::socket Socket, Settings Limits)
+    : Socket(std::move(Socket)), Limits(Limits) {
+  boost::system::error_code ec;
+  this->Socket.set_option(tcp::no_delay(true), ec);
+  Peer = peerText(this->Socket);
+}
+
+FrameSocket::~FrameSocket() = default;
+
+std::shared_ptr<FrameSocket> FrameSocket::adopt(tcp::socket Socket,
+                                                Settings Limits) {
+  return std::shared_ptr<FrameSocket>(
+      new FrameSocket(std::move(Socket), Limits));
+}
+
+asio::awaitable<Outcome<std::shared_ptr<FrameSocket>>>
+FrameSocket::connect(asio::any_io_executor Executor, Address Where,
+                     Settings Limits) {
+  tcp::socket socket(Executor);
+  boost::system::error_code ec;
+  asio::ip::address host = asio::ip::make_address(Where.Host, ec);
+  if (ec)
+    co_return Failure{Verdict::NotRun, FailureCode::BadInput, toText(Where),
+                      "not an IP number", {}};
+
+  // The timer closes the socket, which ends the connect.
+  asio::steady_timer timer(Executor, Limits.ConnectTimeout);
+  timer.async_wait([&socket](boost::system::error_code Late) {
+    boost::system::error_code ignored;
+    if (!Late)
+      socket.close(ignored);
+  });
+  std::tie(ec) =
+      co_await socket.async_connect(tcp::endpoint(host, Where.Port), Awaited);
+  timer.cancel();
+  if (ec || !socket.is_open())
+    co_return Failure{Verdict::NotRun, FailureCode::Unreachable, toText(Where),
+                      ec.message(), {}};
+  co_return adopt(std::move(socket), Limits);
+}
+
+asio::awaitable<Outcome<FrameBytes>> FrameSocket::receive() {
+  std::shared_ptr<FrameSocket> self = shared_from_this();
+  while (Open) {
+    std::size_t held = Incoming.size() - Parsed;
+    std::size_t wanted = PrefixBytes;
+    if (held >= PrefixBytes) {
+      std::uint32_t size = readPrefix(Incoming.data() + Parsed);
+      if (size > Limits.MaxFrame) {
+        close();
+        co_return Failure{Verdict::MayHaveRun, FailureCode::BadInput,
+                          "frame from " + Peer,
+                          std::to_string(size) + " bytes are more than " +
+                              std::to_string(Limits.MaxFrame),
+                          {}};
+      }
+      wanted = PrefixBytes + size;
+      if (held >= wanted) {
+        const std::uint8_t *begin = Incoming.data() + Parsed + PrefixBytes;
+        FrameBytes frame(begin, begin + size);
+        Parsed += wanted;
+        if (!isValid(frame.data(), frame.size())) {
+          close();
+          co_return Failure{Verdict::MayHaveRun, FailureCode::BadInput,
+                            "frame from " + Peer,
+                            "its " + std::to_string(size) +
+                                " bytes are not a valid frame",
+                            {}};
+        }
+        co_return frame;
+      }
+    }
+
+    // Room for what is missing, but memory only as bytes really arrive.
+    Incoming.erase(Incoming.begin(),
+                   Incoming.begin() + static_cast<std::ptrdiff_t>(Parsed));
+    Parsed = 0;
+    std::size_t old = Incoming.size();
+    Incoming.resize(old + ReadBytes);
+    std::tuple<boost::system::error_code, std::size_t> got =
+        co_await Socket.async_read_some(
+            asio::buffer(Incoming.data() + old, ReadBytes), Awaited);
+    Incoming.resize(old + std::get<1>(got));
+    if (std::get<0>(got)) {
+      std::string reason = std::get<0>(got).message();
+      if (old > 0)
+        reason += ", in the middle of a frame";
+      close();
+      co_return Failure{Verdict::MayHaveRun, FailureCode::ConnectionLost,
+                        "connection to " + Peer, reason, {}};
+    }
+  }
+  co_return Failure{Verdict::MayHaveRun, FailureCode::ConnectionLost,
+                    "connection to " + Peer, "closed", {}};
+}
+
+bool FrameSocket::send(FrameBytes Frame) {
+  if (!Open || Closing)
+    return false;
+  if (Frame.size() > Limits.MaxFrame)
+    return false;
+  if (QueuedBytes + Frame.size() > Limits.MaxQueued) {
+    // A peer that does not read must not hold our memory.
+    close();
+    return false;
+  }
+  QueuedBytes += Frame.size();
+  Queue.push_back(std::move(Frame));
+  startWriting();
+  return true;
+}
+
+void FrameSocket::startWriting() {
+  if (Writing)
+    return;
+  Writing = true;
+  std::shared_ptr<FrameSocket> self = shared_from_this();
+  asio::co_spawn(
+      Socket.get_executor(),
+      [self]() -> asio::awaitable<void> { return self->writeQueued(); },
+      asio::detached);
+}
+
+asio::awaitable<void> FrameSocket::writeQueued() {
+  std::shared_ptr<FrameSocket> self = shared_from_this();
+  while (Open && !Queue.empty()) {
+    // All that is queued goes out in one call; what is queued meanwhile next.
+    std::vector<FrameBytes> batch;
+    std::size_t bytes = 0;
+    while (!Queue.empty() && batch.size() < MostCoalesced) {
+      bytes += Queue.front().size();
+      batch.push_back(std::move(Queue.front()));
+      Queue.pop_front();
+    }
+    std::vector<std::array<std::uint8_t, PrefixBytes>> prefixes;
+    prefixes.reserve(batch.size());
+    std::vector<asio::const_buffer> bufs;
+    bufs.reserve(2 * batch.size());
+    for (const FrameBytes &it : batch) {
+      prefixes.push_back(makePrefix(it.size()));
+      bufs.push_back(asio::buffer(prefixes.back()));
+      bufs.push_back(asio::buffer(it));
+    }
+    std::tuple<boost::system::error_code, std::size_t> sent =
+        co_await asio::async_write(Socket, bufs, Awaited);
+    QueuedBytes -= bytes;
+    if (std::get<0>(sent))
+      close();
+  }
+  Writing = false;
+  if (Open && Closing)
+    close();
+}
+
+void FrameSocket::close() {
+  Open = false;
+  Queue.clear();
+  boost::system::error_code ec;
+  Socket.close(ec);
+}
+
+void FrameSocket::closeAfterSending() {
+  Closing = true;
+  if (!Writing)
+    close();
+}
+
+} // namespace wasabi
--- /dev/null
+++ b/Wasabi/Adapters/PlatformLog/HttpLog.h
@@ -0,0 +1,18 @@
+/// \file
+/// The platform's log service over HTTP (docs/PLATFORM.md, "log").
+#ifndef WASABI_ADAPTERS_PLATFORMLOG_HTTPLOG_H
+#define WASABI_ADAPTERS_PLATFORMLOG_HTTPLOG_H
+
+#include "Wasabi/Adapters/Http/HttpClient.h"
+#include "Wasabi/Ports/LogPort.h"
+
+#include <memory>
+
+namespace wasabi {
+
+/// A log port on `Client`, for the thread of the client's executor.
+LogPort httpLog(std::shared_ptr<http::Client> Client, Address Service);
+
+} // namespace wasabi
+
+#endif // WASABI_ADAPTERS_PLATFORMLOG_HTTPLOG_H
--- /dev/null
+++ b/Wasabi/State/Record.h
@@ -0,0 +1,111 @@
+/// \file
+/// The records of the control stream: what is agreed upon. JSON on the log, so
+/// that operators can read it.
+#ifndef WASABI_STATE_RECORD_H
+#define WASABI_STATE_RECORD_H
+
+#include "Wasabi/Core/Clock.h"
+#include "Wasabi/Core/Ids.h"
+#include "Wasabi/Core/Verdict.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace wasabi {
+
+/// The stream that configuration and claims are on.
+inline constexpr char ControlStream[] = "control";
+/// The newest record schema this program understands.
+inline constexpr std::uint32_t RecordSchema = 1;
+
+/// Identifies a record through lost answers and repeats. The fold takes each
+/// id once; an author has one append in flight.
+struct RecordId {
+  /// The instance, or the operator's client.
+  std::string Author;
+  Incarnation Life = 0;
+  std::uint64_t Sequence = 0;
+  auto operator<=>(const RecordId &) const = default;
+};
+
+/// One object written, or removed when there is no text.
+struct ObjectWrite {
+  /// `kind/name`.
+  std::string Key;
+  std::optional<std::string> Text;
+  bool operator==(const ObjectWrite &) const = default;
+};
+
+/// A change of configuration, committed optimistically.
+struct ConfigChange {
+  /// The author had folded all records before this offset.
+  Offset Base = 0;
+  /// Keys the author's decision depended on, beyond those written.
+  std::vector<std::string> Reads;
+  std::vector<ObjectWrite> Writes;
+  /// Who, and why, for the history.
+  std::string Operator;
+  std::string Message;
+  bool operator==(const ConfigChange &) const = default;
+};
+
+/// Takes a claim on a resource; first in the log wins.
+struct ClaimTake {
+  /// `trainer/NAME`, `weights/MODEL`, `snapshots`.
+  std::string Resource;
+  /// The claim it replaces; 0 when there was none.
+  FencingToken Replaces = 0;
+  /// How long the claim binds after a renewal.
+  Millis Term{10000};
+  bool operator==(const ClaimTake &) const = default;
+};
+
+/// Renews a claim its author holds.
+struct ClaimRenew {
+  std::string Resource;
+  FencingToken Token = 0;
+  bool operator==(const ClaimRenew &) const = default;
+};
+
+/// Gives a claim up, so that a successor need not wait.
+struct ClaimRelease {
+  std::string Resource;
+  FencingToken Token = 0;
+  bool operator==(const ClaimRelease &) const = default;
+};
+
+/// The fold's whole state up to `Before`.
+struct SnapshotRecord {
+  /// State after every record below this offset.
+  Offset Before = 0;
+  /// XXH3-128 of `State`, 32 hex digits.
+  std::string Hash;
+  /// The state's canonical text.
+  std::string State;
+  FencingToken Token = 0;
+  bool operator==(const SnapshotRecord &) const = default;
+};
+
+using RecordBody = std::variant<ConfigChange, ClaimTake, ClaimRenew,
+                                ClaimRelease, SnapshotRecord>;
+
+/// One record of the control stream. An immutable value.
+struct Record {
+  RecordId Id;
+  RecordBody Body;
+  bool operator==(const Record &) const = default;
+};
+
+/// The record's JSON text. Pure.
+std::string encodeRecord(const Record &What);
+
+/// Reads a record. Errors: `BadInput` with the JSON path for what is malformed
+/// or cut short; `NewerSchema` for a schema or kind beyond this program's.
+Result<Record> decodeRecord(std::string_view Text);
+
+} // namespace wasabi
+
+#endif // WASABI_STATE_RECORD_H
