HTTP server and client on Beast

Cause: every process talks HTTP to callers, upstreams and the platform. Change: coroutines on one thread; the server notices a leaving peer while a handler runs, refuses malformed input by name, and drains without resetting a connected client; the client reuses connections and repeats only what was certainly not sent.

--- /dev/null
+++ b/Wasabi/Adapters/Http/HttpMessage.cpp
@@ -0,0 +1,77 @@
+#include "Wasabi/Adapters/Http/HttpServer.h"
+#include "Wasabi/Adapters/Http/HttpWire.h"
+
+#include <charconv>
+
+namespace wasabi::http {
+
+namespace {
+
+std::string_view findHeader(const std::vector<Header> &Headers,
+                            std::string_view Name) {
+  for (const Header &it : Headers) {
+    if (sameName(it.Name, Name))
+      return it.Value;
+  }
+  return {};
+}
+
+/// Decodes "%41" and "+"; a malformed escape stays as it is.
+std::string percentDecoded(std::string_view Text) {
+  constexpr int Hexadecimal = 16;
+  std::string plain;
+  for (std::size_t i = 0; i < Text.size(); ++i) {
+    unsigned char byte = 0;
+    if (Text[i] == '%' && i + 2 < Text.size()) {
+      const char *end = Text.data() + i + 3;
+      std::from_chars_result read =
+          std::from_chars(Text.data() + i + 1, end, byte, Hexadecimal);
+      if (read.ptr == end) {
+        plain += static_cast<char>(byte);
+        i += 2;
+        continue;
+      }
+    }
+    plain += Text[i] == '+' ? ' ' : Text[i];
+  }
+  return plain;
+}
+
+} // namespace
+
+std::string_view Request::header(std::string_view Name) const {
+  return findHeader(Headers, Name);
+}
+
+std::string_view Request::path() const {
+  return std::string_view(Target).substr(0, Target.find('?'));
+}
+
+std::string Request::query(std::string_view Name) const {
+  std::size_t mark = Target.find('?');
+  if (mark == std::string::npos)
+    return {};
+  std::string_view rest = std::string_view(Target).substr(mark + 1);
+  while (!rest.empty()) {
+    std::string_view pair = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+    std::size_t equals = pair.find('=');
+    if (pair.substr(0, equals) != Name)
+      continue;
+    return equals == std::string_view::npos
+               ? std::string()
+               : percentDecoded(pair.substr(equals + 1));
+  }
+  return {};
+}
+
+std::string_view Response::header(std::string_view Name) const {
+  return findHeader(Headers, Name);
+}
+
+Response jsonResponse(unsigned Status, std::string Body) {
+  return Response{
+      Status, {{"Content-Type", "application/json"}}, std::move(Body)};
+}
+
+} // namespace wasabi::http
--- a/Wasabi/Adapters/Http/HttpServer.h
+++ b/Wasabi/Adapters/Http/HttpServer.h
@@ -96,6 +96,9 @@
     Millis IdleTimeout{60000};
     /// A connection must send its whole request head within this.
     Millis HeadTimeout{10000};
+    /// How long a draining server waits for a request that may be on its way
+    /// over an idle connection, before it closes that.
+    Millis DrainGrace{200};
   };
 
   /// Binds and starts to accept. Errors: `Unavailable` naming the address.
@@ -107,8 +110,11 @@
   virtual Address address() const = 0;
   /// Requests being handled now.
   virtual std::size_t inFlight() const = 0;
-  /// Graceful shutdown, step one: stops accepting, closes idle connections, and
-  /// answers with `Connection: close` from now on.
+  /// Connections open now.
+  virtual std::size_t connections() const = 0;
+  /// Graceful shutdown, step one: stops accepting, closes idle connections
+  /// after `DrainGrace`, and answers with `Connection: close` from now on. It
+  /// is complete once `connections` is 0.
   virtual void drain() = 0;
   /// Closes everything at once.
   virtual void stop() = 0;
