--- a/Wasabi/Adapters/Frames/RequestClient.h
+++ b/Wasabi/Adapters/Frames/RequestClient.h
@@ -89,6 +89,11 @@
     Millis ConnectTimeout{2000};
     /// Longest the bounded back-off after failed connects gets.
     Millis MaxBackOff{2000};
+    /// A daemon that sends nothing for this long, not even the load reports
+    /// that it owes, is taken for gone and its connection is closed.
+    Millis SilenceLimit{3000};
+    /// Time between two signs of life sent to each daemon.
+    Millis HeartbeatPeriod{1000};
     std::uint64_t Seed = 1;
   };
 
@@ -102,6 +107,10 @@
   virtual boost::asio::awaitable<Outcome<std::unique_ptr<AnswerStream>>>
   open(Address Where, RequestAttempt Attempt) = 0;
 
+  /// Ends each `open` of this request that still waits for its head: it fails
+  /// with `Cancelled`, and the daemon is told to stop the work.
+  virtual void cancel(const std::string &Request) = 0;
+
   /// Connects ahead of the first request, so that loads begin to flow.
   virtual void prepare(Address Where) = 0;
   /// Called on each load report. Set before use.
--- a/Wasabi/Adapters/Frames/RequestServer.h
+++ b/Wasabi/Adapters/Frames/RequestServer.h
@@ -48,6 +48,9 @@
     std::size_t MaxConnections = 4096;
     /// Time between two load reports on each connection.
     Millis LoadPeriod{200};
+    /// An asker that sends nothing for this long is taken for gone: its work is
+    /// cancelled and its connection closed.
+    Millis SilenceLimit{10000};
   };
 
   using Handler = std::function<boost::asio::awaitable<void>(
