Configuration is read strictly; the control stream folds to one state

Cause: every process must reach the same state and verdicts from the log. For users of these headers: - ClaimTake has a new member Seen: the RenewedAt of the claim it replaces. Without it a successor that lags behind the log could replace a claim that was renewed after what it read, while its holder counts on that renewal.

--- a/Wasabi/Config/Configuration.h
+++ b/Wasabi/Config/Configuration.h
@@ -1,7 +1,24 @@
 /// \file
 /// What operators declare, as typed values. Declarations are JSON objects with
 /// a `kind` and a `name`; together they are one `Configuration`, which is valid
-/// as a whole or not at all.
+/// as a whole or not at all. Names are 1 to 128 of `A-Z a-z 0-9 . _ -`.
+///
+///     {"kind":"service","name":"drafting-llm","type":"engines","model":"draft",
+///      "placements":[{"domain":"lulea-hall","servers":3}],
+///      "routes":[{"method":"GET","path_prefix":"/","idempotent":true}],
+///      "checks_fences":true,"default_deadline_ms":60000}
+///     {"kind":"trainer","name":"permits","model":"draft",
+///      "endpoint":"10.0.0.9:7000","staleness_bound":1,"checks_fences":true}
+///     {"kind":"attachment","name":"permits-drafting","trainer":"permits",
+///      "service":"drafting-llm","share":1}
+///     {"kind":"preset","name":"ordinary","admit_callers":true,
+///      "admit_rollouts":true,"caller_priority":10,"rollout_priority":0,
+///      "rollout_percent":100,"on_version_change":"resume","hedge_tail":true,
+///      "swap_percent":34}
+///     {"kind":"limit","name":"*","requests_per_second":100,"burst":100}
+///     {"kind":"switch","name":"preset","preset":"ordinary"}
+///
+/// A service's `type` is `engines` (then with `model`) or `plain` (without).
 #ifndef WASABI_CONFIG_CONFIGURATION_H
 #define WASABI_CONFIG_CONFIGURATION_H
 
@@ -142,6 +159,13 @@
 /// `BadInput`, place `kind/name: /json/path`. Pure, thread-safe.
 Result<Configuration> buildConfiguration(const ObjectTexts &Objects);
 
+/// `Base` with the objects of `Written` put in and those of `Removed` taken
+/// out, checked as a whole; reads only what is written. The same as building it
+/// anew. Errors as of `buildConfiguration`. Pure, thread-safe.
+Result<Configuration>
+changeConfiguration(const Configuration &Base, const ObjectTexts &Written,
+                    const std::vector<std::string> &Removed);
+
 /// Reads one file's text: one object or an array of them. Returns canonical
 /// texts by key. Errors: `BadInput`, place `File: /json/path`.
 Result<ObjectTexts> parseDeclarations(std::string_view File,
--- a/Wasabi/State/Fold.h
+++ b/Wasabi/State/Fold.h
@@ -19,12 +19,22 @@
 /// One declared object with its last accepted writer.
 struct StoredObject {
   std::string Text;
-  /// Offset of the record that wrote it last.
+  /// Offset of the record that wrote it last, and its operator.
   Offset WrittenAt = 0;
+  std::string By;
   bool operator==(const StoredObject &) const = default;
 };
 
-/// A claim as the log has it. Its `Token` is the offset of its `ClaimTake`.
+/// A key taken out, kept for conflict checks.
+struct RemovedObject {
+  /// Offset of the record that removed it, and its operator.
+  Offset At = 0;
+  std::string By;
+  bool operator==(const RemovedObject &) const = default;
+};
+
+/// A claim as the log has it. Its `Token` is the offset of its `ClaimTake` plus
+/// one, so that 0 is never a token.
 struct Claim {
   InstanceName Holder;
   Incarnation HolderLife = 0;
@@ -77,7 +87,7 @@
   Offset Next = 0;
   std::map<std::string, StoredObject> Objects;
   /// Keys removed, with the offset of the removal, for conflict checks.
-  std::map<std::string, Offset> Removed;
+  std::map<std::string, RemovedObject> Removed;
   std::map<std::string, Claim> Claims;
   std::map<std::string, AuthorMark> Authors;
   std::deque<HistoryLine> History;
@@ -85,9 +95,15 @@
   Offset ConfigRevision = 0;
   /// Offset of the newest snapshot record, plus one; 0 for none.
   Offset SnapshotRevision = 0;
+  /// Digest of every record so far with its fate and what it changed. Two
+  /// processes with the same `Chain` at the same `Next` have the same state.
+  std::uint64_t Chain = 0;
   /// Set when a record of a newer schema was met: nothing is applied from
-  /// there on, and no new decision may be made.
+  /// there on, and no new decision may be made. Never encoded.
   std::optional<Offset> BlockedAt;
+  /// `Chain` at the offsets up to `Next`, the newest last, bounded; what a
+  /// snapshot record is compared with. Never encoded.
+  std::deque<std::uint64_t> RecentChains;
   /// Built from `Objects`; never encoded.
   std::shared_ptr<const Configuration> Config =
       std::make_shared<const Configuration>();
@@ -98,6 +114,11 @@
   RecordFate Fate = RecordFate::Accepted;
   /// Empty when accepted; otherwise why, naming the winner.
   std::string Reason;
+  /// For `Repeated`: where its author's newest id was taken, and its fate. It
+  /// is this record's own when `SameId` is set.
+  Offset FirstAt = 0;
+  RecordFate FirstFate = RecordFate::Accepted;
+  bool SameId = false;
   /// Set when a snapshot record's hash differs from this fold's own state: an
   /// alarm, since one of the two is wrong.
   bool Diverged = false;
@@ -107,6 +128,19 @@
   std::string ClaimChanged;
 };
 
+/// A change is refused when its `Base` lies further back than this, and marks
+/// of authors, removed keys and released claims are forgotten this far back.
+inline constexpr Offset MemoryWindow = 100000;
+/// Offsets at which what is older is dropped.
+inline constexpr Offset SweepPeriod = 1024;
+/// Most lines of history, and most bytes of their texts.
+inline constexpr std::size_t MaxHistoryLines = 512;
+inline constexpr std::size_t MaxHistoryBytes = 128u << 10;
+/// Most bytes of all declarations, so that a snapshot fits into one record.
+inline constexpr std::size_t MaxObjectBytes = 384u << 10;
+/// Offsets whose `Chain` is kept.
+inline constexpr std::size_t MaxRecentChains = 1024;
+
 /// Applies the record at offset `At`, which must be `State.Next`, to `State`.
 /// Pure but for `State`; never fails: what is bad is skipped by all alike.
 Applied apply(FoldState &State, Offset At, std::string_view Text);
@@ -117,6 +151,13 @@
 Result<FoldState> decodeState(std::string_view Text);
 /// XXH3-128 of the canonical text, 32 hex digits.
 std::string hashState(const FoldState &State);
+/// XXH3-128 of a state's text, 32 hex digits.
+std::string hashText(std::string_view Text);
+/// The snapshot record's body for a state. Precondition: not `BlockedAt`.
+SnapshotRecord makeSnapshot(const FoldState &State, FencingToken Token);
+
+/// The word for a fate in texts for people. Thread-safe.
+std::string_view toText(RecordFate Fate);
 
 } // namespace wasabi
 
--- a/Wasabi/State/Record.h
+++ b/Wasabi/State/Record.h
@@ -56,10 +56,14 @@
 struct ClaimTake {
   /// `trainer/NAME`, `weights/MODEL`, `snapshots`.
   std::string Resource;
-  /// The claim it replaces; 0 when there was none.
+  /// Token of the claim it replaces; 0 when there was none.
   FencingToken Replaces = 0;
   /// How long the claim binds after a renewal.
   Millis Term{10000};
+  /// `RenewedAt` of the claim it replaces, as the author waited it out; 0 when
+  /// there was none. A renewal that the author has not read refuses the take,
+  /// since the holder counts on it. Not looked at after a release.
+  Offset Seen = 0;
   bool operator==(const ClaimTake &) const = default;
 };
 
@@ -83,6 +87,8 @@
   Offset Before = 0;
   /// XXH3-128 of `State`, 32 hex digits.
   std::string Hash;
+  /// `Chain` of that state, compared by every process with its own.
+  std::uint64_t Chain = 0;
   /// The state's canonical text.
   std::string State;
   FencingToken Token = 0;
@@ -102,8 +108,16 @@
 /// The record's JSON text. Pure.
 std::string encodeRecord(const Record &What);
 
-/// Reads a record. Errors: `BadInput` with the JSON path for what is malformed
-/// or cut short; `NewerSchema` for a schema or kind beyond this program's.
+/// Longest operator's name and message, in bytes.
+inline constexpr std::size_t MaxOperator = 128;
+inline constexpr std::size_t MaxMessage = 1024;
+/// Most keys that one change may write or read.
+inline constexpr std::size_t MaxChangeKeys = 2000;
+
+/// Reads a record. A schema's members are closed: an unknown one is malformed,
+/// so that programs of all ages agree on it. Errors: `BadInput` with the JSON
+/// path for what is malformed or cut short; `NewerSchema` for a schema or kind
+/// beyond this program's.
 Result<Record> decodeRecord(std::string_view Text);
 
 } // namespace wasabi
