Rollout drivers: owners of trainers and of weight rollouts, platform adapters

Change: RolloutDuty on its own thread; TrainerOwner performs what decide asks for, TrainerLog appends and reads back the trainer's stream, WeightsOwner sends orders in the waves that WavePlan plans; trainer, scorer and weight store over HTTP. The unit test of 600 servers and 64 fetches of 2.5 s each ends within 29 s of model time.

--- /dev/null
+++ b/UnitTests/Weights/WavePlanTest.cpp
@@ -0,0 +1,118 @@
+/// \file
+/// Waves of weight swaps.
+#include "Wasabi/Weights/WavePlan.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+
+namespace wasabi {
+
+namespace {
+
+constexpr TimePoint Start{Micros(1000000)};
+
+std::vector<SwapTarget> servers(std::uint32_t Count, WeightVersion Version) {
+  std::vector<SwapTarget> all;
+  for (std::uint32_t i = 0; i < Count; ++i)
+    all.push_back(SwapTarget{ServerName("s" + std::to_string(i)),
+                             ServiceName("llm"), InstanceName("d"), Version, 0,
+                             1});
+  return all;
+}
+
+} // namespace
+
+TEST_CASE("a wave leaves most of a service serving", "[weights]") {
+  WaveState state;
+  state.Newest = 2;
+  PresetDeclaration preset;
+  CHECK(planWave(state, servers(9, 1), preset, Start).size() == 3);
+  CHECK(planWave(state, servers(9, 1), preset, Start).empty());
+  WaveState all;
+  all.Newest = 2;
+  preset.SwapPercent = 100;
+  CHECK(planWave(all, servers(3, 1), preset, Start).size() == 2);
+  WaveState single;
+  single.Newest = 2;
+  CHECK(planWave(single, servers(1, 1), preset, Start).size() == 1);
+}
+
+TEST_CASE("the nearest to too old go first, then the least busy", "[weights]") {
+  WaveState state;
+  state.Newest = 5;
+  std::vector<SwapTarget> all = servers(9, 4);
+  all[7].Headroom = -1;
+  all[2].Unfinished = 0;
+  for (std::size_t i : {0, 1, 3, 4, 5, 6, 8})
+    all[i].Unfinished = 4;
+  std::vector<SwapOrder> orders =
+      planWave(state, all, PresetDeclaration(), Start);
+  REQUIRE(orders.size() == 3);
+  CHECK(orders[0].Server.Text == "s7");
+  CHECK(orders[1].Server.Text == "s2");
+  CHECK(orders[2].Server.Text == "s0");
+}
+
+TEST_CASE("a swap counts by the engine's report only", "[weights]") {
+  WaveState state;
+  state.Newest = 2;
+  std::vector<SwapTarget> all = servers(1, 1);
+  REQUIRE(planWave(state, all, PresetDeclaration(), Start).size() == 1);
+  CHECK_FALSE(noteAnswer(state, all[0].Server, 1, Start));
+  CHECK(planWave(state, all, PresetDeclaration(), Start).empty());
+  TimePoint later = Start + state.Setup.FirstBackOff;
+  REQUIRE(planWave(state, all, PresetDeclaration(), later).size() == 1);
+  // Its answer is lost, but the next report shows the version.
+  noteFailure(state, all[0].Server, later);
+  all[0].Version = 2;
+  CHECK(
+      planWave(state, all, PresetDeclaration(), later + Millis(60000)).empty());
+}
+
+TEST_CASE("an engine on a version nobody expected is ordered again",
+          "[weights]") {
+  WaveState state;
+  state.Newest = 4;
+  CHECK(planWave(state, servers(1, 9), PresetDeclaration(), Start).size() == 1);
+}
+
+TEST_CASE("under finish a busy server waits until it is too old", "[weights]") {
+  WaveState state;
+  state.Newest = 2;
+  PresetDeclaration preset;
+  preset.OnVersionChange = VersionChange::Finish;
+  std::vector<SwapTarget> all = servers(1, 1);
+  all[0].Unfinished = 1;
+  CHECK(planWave(state, all, preset, Start).empty());
+  all[0].Headroom = -1;
+  CHECK(planWave(state, all, preset, Start).size() == 1);
+}
+
+TEST_CASE("600 servers swap as fast as the store's fetches allow",
+          "[weights]") {
+  // 64 fetches at once of 2.5 s each: 600 / 64 * 2.5 s = 23.4 s at best.
+  constexpr Millis FetchTime{2500};
+  WaveState state;
+  state.Newest = 2;
+  std::vector<SwapTarget> all = servers(600, 1);
+  std::deque<std::pair<TimePoint, std::size_t>> running;
+  TimePoint now = Start;
+  std::size_t done = 0;
+  while (done < all.size()) {
+    for (const SwapOrder &it : planWave(state, all, PresetDeclaration(), now))
+      running.emplace_back(now + FetchTime,
+                           std::stoul(it.Server.Text.substr(1)));
+    REQUIRE_FALSE(running.empty());
+    REQUIRE(running.size() <= 204);
+    now = running.front().first;
+    std::size_t which = running.front().second;
+    running.pop_front();
+    all[which].Version = 2;
+    CHECK(noteAnswer(state, all[which].Server, 2, now));
+    ++done;
+  }
+  CHECK(now - Start <= Millis(29000));
+}
+
+} // namespace wasabi
--- /dev/null
+++ b/Wasabi/Adapters/Platform/HttpScorer.h
@@ -0,0 +1,18 @@
+/// \file
+/// The scoring service over HTTP (docs/PLATFORM.md, "scorer").
+#ifndef WASABI_ADAPTERS_PLATFORM_HTTPSCORER_H
+#define WASABI_ADAPTERS_PLATFORM_HTTPSCORER_H
+
+#include "Wasabi/Adapters/Http/HttpClient.h"
+#include "Wasabi/Ports/ScorerPort.h"
+
+#include <memory>
+
+namespace wasabi {
+
+/// A scorer port on `Client`, for the thread of the client's executor.
+ScorerPort httpScorer(std::shared_ptr<http::Client> Client, Address Where);
+
+} // namespace wasabi
+
+#endif // WASABI_ADAPTERS_PLATFORM_HTTPSCORER_H
--- /dev/null
+++ b/Wasabi/Rollout/RolloutContext.cpp
@@ -0,0 +1,64 @@
+#include "Wasabi/Rollout/RolloutContext.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace wasabi {
+
+namespace {
+
+EngineSeen engineFrom(const Member &Who, const ServerStatus &Server) {
+  EngineSeen seen;
+  seen.Name = Server.Name;
+  seen.Service = Server.Service;
+  seen.Daemon = Who.Instance;
+  seen.Domain = Who.Domain;
+  seen.Where = Who.Requests;
+  seen.Version = Server.Version;
+  seen.Slots = Server.Slots;
+  seen.Serving = Server.Serving;
+  return seen;
+}
+
+/// A load report is younger than the view.
+void correct(EngineSeen &Seen, const LoadSeen &Load) {
+  Seen.Running = Load.Running;
+  Seen.Queued = Load.Queued;
+  Seen.Serving = Seen.Serving && Load.Serving;
+  if (Load.Version != 0)
+    Seen.Version = Load.Version;
+}
+
+} // namespace
+
+std::vector<EngineSeen> enginesOf(RolloutContext &Of,
+                                  const ServiceName &Service) {
+  std::vector<EngineSeen> all;
+  std::shared_ptr<const View> view = Of.Control.view();
+  for (const auto &it : view->Members) {
+    const Member &who = it.second;
+    if (who.Kind != Role::Daemon || !takesWork(who) || who.Requests.empty())
+      continue;
+    for (const ServerStatus &server : who.Servers) {
+      if (server.Service != Service)
+        continue;
+      EngineSeen seen = engineFrom(who, server);
+      auto load = Of.Loads.find(seen.Name);
+      if (load != Of.Loads.end())
+        correct(seen, load->second);
+      else
+        Of.Requests->prepare(who.Requests);
+      all.push_back(std::move(seen));
+    }
+  }
+  return all;
+}
+
+boost::asio::awaitable<void> pause(Millis HowLong) {
+  boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
+                                  HowLong);
+  co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
+} // namespace wasabi
--- /dev/null
+++ b/Wasabi/Rollout/RolloutContext.h
@@ -0,0 +1,54 @@
+/// \file
+/// What the owners of trainers and of weight rollouts share: the duty's thread,
+/// its ports, and what it sees of the engines.
+#ifndef WASABI_ROLLOUT_ROLLOUTCONTEXT_H
+#define WASABI_ROLLOUT_ROLLOUTCONTEXT_H
+
+#include "Wasabi/Adapters/Frames/RequestClient.h"
+#include "Wasabi/Adapters/Http/HttpClient.h"
+#include "Wasabi/Node/ControlPlane.h"
+#include "Wasabi/Ports/LogPort.h"
+#include "Wasabi/Ports/ScorerPort.h"
+#include "Wasabi/Ports/WeightStorePort.h"
+#include "Wasabi/Rollout/Engines.h"
+#include "Wasabi/Rollout/RolloutDuty.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace wasabi {
+
+/// Shared by all owners of one duty; used on the duty's thread only.
+struct RolloutContext {
+  RolloutDuty::Settings Setup;
+  ControlPlane &Control;
+  Timeline &Events;
+  boost::asio::any_io_executor Executor;
+  std::shared_ptr<http::Client> Http;
+  std::shared_ptr<RequestClient> Requests;
+  LogPort Log;
+  ScorerPort Scorer;
+  WeightStorePort Weights;
+  /// The newest load report of each server.
+  std::map<ServerName, LoadSeen> Loads;
+  /// Counts the records that this process appends to trainers' streams.
+  std::uint64_t NextSequence = 1;
+};
+
+/// Engines of a service behind daemons that take work, with their loads. The
+/// connections to daemons not asked before are prepared. Not thread-safe.
+std::vector<EngineSeen> enginesOf(RolloutContext &Of,
+                                  const ServiceName &Service);
+
+/// Waits on the duty's thread.
+boost::asio::awaitable<void> pause(Millis HowLong);
+
+} // namespace wasabi
+
+#endif // WASABI_ROLLOUT_ROLLOUTCONTEXT_H
--- /dev/null
+++ b/Wasabi/Weights/WeightsOwner.h
@@ -0,0 +1,61 @@
+/// \file
+/// The owner of one model's weight rollout under one claim.
+#ifndef WASABI_WEIGHTS_WEIGHTSOWNER_H
+#define WASABI_WEIGHTS_WEIGHTSOWNER_H
+
+#include "Wasabi/Rollout/RolloutContext.h"
+#include "Wasabi/Weights/WavePlan.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <string>
+
+namespace wasabi {
+
+/// The resource that a model's orders are claimed by. Pure.
+std::string weightsResource(const ModelName &Model);
+
+/// Watches the store for new versions, and sends orders in waves until each
+/// engine reports the newest. Not thread-safe: use on the duty's thread.
+class WeightsOwner : public std::enable_shared_from_this<WeightsOwner> {
+public:
+  struct Settings {
+    ModelName Model;
+    FencingToken Fence = 0;
+    Millis TickPeriod{100};
+    Millis PollWait{5000};
+    Millis PollRetry{500};
+    /// How long a swap may take, its fetch included.
+    Millis OrderTimeout{60000};
+  };
+
+  static std::shared_ptr<WeightsOwner> create(RolloutContext &Context,
+                                              Settings Setup);
+  void start();
+  void stop() { Stopped = true; }
+  FencingToken fence() const { return Setup.Fence; }
+  /// A JSON object.
+  std::string statusJson() const;
+
+private:
+  WeightsOwner(RolloutContext &Context, Settings Setup);
+  bool mayAct() const;
+  std::vector<SwapTarget> targets() const;
+  void planNow();
+  void send(const SwapOrder &What);
+  void onAnswer(const SwapOrder &Of, const Outcome<OrderAnswer> &Answer);
+  void note(const std::string &Kind, const SwapOrder &Of,
+            const std::string &Reason);
+  boost::asio::awaitable<void> pollStore(std::shared_ptr<WeightsOwner> Self);
+  boost::asio::awaitable<void> tick(std::shared_ptr<WeightsOwner> Self);
+
+  RolloutContext &Context;
+  const Settings Setup;
+  WaveState State;
+  bool Stopped = false;
+};
+
+} // namespace wasabi
+
+#endif // WASABI_WEIGHTS_WEIGHTSOWNER_H
