--- /dev/null
+++ b/IntegrationTests/Cases/Main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/IntegrationTests/Harness/ProcessSpawner.cpp
@@ -0,0 +1,102 @@
+#include "IntegrationTests/Harness/ProcessSpawner.h"
+
+#include <csignal>
+#include <deque>
+#include <future>
+#include <mutex>
+#include <thread>
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <unistd.h>
+
+namespace wasabi::harness {
+
+namespace {
+
+constexpr int CannotRun = 127;
+
+std::vector<char *> pointers(const std::vector<std::string> &Texts) {
+  std::vector<char *> found;
+  found.reserve(Texts.size() + 1);
+  for (const std::string &it : Texts)
+    found.push_back(const_cast<char *>(it.c_str()));
+  found.push_back(nullptr);
+  return found;
+}
+
+/// Becomes the program. Runs between fork and exec in a copy of a process with
+/// threads: only async-signal-safe calls.
+[[noreturn]] void become(const SpawnRequest &Request, char **Arguments,
+                         char **Environment, pid_t Harness) {
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  // The harness may have died before the line above.
+  if (getppid() != Harness)
+    _exit(CannotRun);
+  int input = open("/dev/null", O_RDONLY);
+  dup2(input, STDIN_FILENO);
+  dup2(Request.Output, STDOUT_FILENO);
+  dup2(Request.Errors, STDERR_FILENO);
+  // The harness ignores SIGPIPE; a child begins with the default.
+  std::signal(SIGPIPE, SIG_DFL);
+  execve(Request.Path.c_str(), Arguments, Environment);
+  _exit(CannotRun);
+}
+
+pid_t forkChild(const SpawnRequest &Request) {
+  std::vector<char *> arguments = pointers(Request.Arguments);
+  std::vector<char *> environment = pointers(Request.Environment);
+  pid_t harness = getpid();
+  pid_t child = fork();
+  if (child == 0)
+    become(Request, arguments.data(), environment.data(), harness);
+  return child;
+}
+
+/// The thread and its queue; never destroyed, so that it outlives all children.
+class Spawner {
+public:
+  static Spawner &instance() {
+    static Spawner *only = new Spawner();
+    return *only;
+  }
+
+  pid_t spawn(const SpawnRequest &Request) {
+    std::packaged_task<pid_t()> task([&] { return forkChild(Request); });
+    std::future<pid_t> child = task.get_future();
+    {
+      std::lock_guard<std::mutex> lock(Guard);
+      Tasks.push_back(std::move(task));
+    }
+    Changed.notify_one();
+    return child.get();
+  }
+
+private:
+  Spawner() {
+    std::thread([this] { run(); }).detach();
+  }
+
+  [[noreturn]] void run() {
+    while (true) {
+      std::unique_lock<std::mutex> lock(Guard);
+      Changed.wait(lock, [this] { return !Tasks.empty(); });
+      std::packaged_task<pid_t()> task = std::move(Tasks.front());
+      Tasks.pop_front();
+      lock.unlock();
+      task();
+    }
+  }
+
+  std::mutex Guard;
+  std::condition_variable Changed;
+  std::deque<std::packaged_task<pid_t()>> Tasks;
+};
+
+} // namespace
+
+pid_t spawn(const SpawnRequest &Request) {
+  return Spawner::instance().spawn(Request);
+}
+
+} // namespace wasabi::harness
