An abandoned claim stays abandoned

Cause: a claim given up for a greater token must not be taken up again, and a trainer declared anew has a new token anyway. Change: no exception. Conclusion: simpler.

--- a/Wasabi/Rollout/RolloutDuty.cpp
+++ b/Wasabi/Rollout/RolloutDuty.cpp
@@ -139,9 +139,6 @@
     });
     std::shared_ptr<const Configuration> config =
         Context.Control.state()->Config;
-    // A trainer that was undeclared stopped its owner, and may come again.
-    if (Trainers.empty() && config->Trainers.empty())
-      Abandoned.clear();
     for (const auto &it : config->Trainers) {
       std::optional<HeldClaim> held =
           Context.Control.held(trainerResource(it.first));
