--- a/UnitTests/Rollout/OwnerWorld.cpp
+++ b/UnitTests/Rollout/OwnerWorld.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-constexpr std::uint32_t Groups = 3;
-constexpr std::uint32_t GroupSize = 3;
+constexpr std::size_t Groups = 3;
+constexpr std::size_t GroupSize = 3;
 constexpr std::uint32_t MaxTokens = 12;
 constexpr std::uint32_t EngineCount = 3;
 
@@ -38,9 +38,10 @@
 void FakeTrainer::openStep(std::uint64_t Step) {
   Wanted.Step = Step;
   Wanted.Groups.clear();
-  for (std::uint32_t g = 0; g < Groups; ++g)
-    Wanted.Groups.push_back(WantedGroup{g, "p" + std::to_string(g), GroupSize,
-                                        MaxTokens, Step * 100 + g * 10});
+  for (std::uint32_t g = 0; g < std::uint32_t(Groups); ++g)
+    Wanted.Groups.push_back(WantedGroup{g, "p" + std::to_string(g),
+                                        std::uint32_t(GroupSize), MaxTokens,
+                                        Step * 100 + std::uint64_t(g) * 10});
   Have.clear();
 }
 
