--- a/Wasabi/Adapters/Frames/Generated/Wire_generated.h
+++ b/Wasabi/Adapters/Frames/Generated/Wire_generated.h
@@ -1696,7 +1696,9 @@
     VT_NEXT = 12,
     VT_FULL = 14,
     VT_HLC_WALL = 16,
-    VT_HLC_COUNT = 18
+    VT_HLC_COUNT = 18,
+    VT_LOG_AGE_MS = 20,
+    VT_DIGESTS = 22
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1722,6 +1724,12 @@
   uint32_t hlc_count() const {
     return GetField<uint32_t>(VT_HLC_COUNT, 0);
   }
+  uint32_t log_age_ms() const {
+    return GetField<uint32_t>(VT_LOG_AGE_MS, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *digests() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_DIGESTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1736,6 +1744,9 @@
            VerifyField<uint8_t>(verifier, VT_FULL, 1) &&
            VerifyField<uint64_t>(verifier, VT_HLC_WALL, 8) &&
            VerifyField<uint32_t>(verifier, VT_HLC_COUNT, 4) &&
+           VerifyField<uint32_t>(verifier, VT_LOG_AGE_MS, 4) &&
+           VerifyOffset(verifier, VT_DIGESTS) &&
+           verifier.VerifyVector(digests()) &&
            verifier.EndTable();
   }
 };
@@ -1768,6 +1779,12 @@
   void add_hlc_count(uint32_t hlc_count) {
     fbb_.AddElement<uint32_t>(Ping::VT_HLC_COUNT, hlc_count, 0);
   }
+  void add_log_age_ms(uint32_t log_age_ms) {
+    fbb_.AddElement<uint32_t>(Ping::VT_LOG_AGE_MS, log_age_ms, 0);
+  }
+  void add_digests(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> digests) {
+    fbb_.AddOffset(Ping::VT_DIGESTS, digests);
+  }
   explicit PingBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1788,11 +1805,15 @@
     uint64_t next = 0,
     bool full = false,
     uint64_t hlc_wall = 0,
-    uint32_t hlc_count = 0) {
+    uint32_t hlc_count = 0,
+    uint32_t log_age_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> digests = 0) {
   PingBuilder builder_(_fbb);
   builder_.add_hlc_wall(hlc_wall);
   builder_.add_next(next);
   builder_.add_sequence(sequence);
+  builder_.add_digests(digests);
+  builder_.add_log_age_ms(log_age_ms);
   builder_.add_hlc_count(hlc_count);
   builder_.add_members(members);
   builder_.add_target(target);
@@ -1815,10 +1836,13 @@
     uint64_t next = 0,
     bool full = false,
     uint64_t hlc_wall = 0,
-    uint32_t hlc_count = 0) {
+    uint32_t hlc_count = 0,
+    uint32_t log_age_ms = 0,
+    const std::vector<uint64_t> *digests = nullptr) {
   auto from__ = from ? _fbb.CreateString(from) : 0;
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<wasabi::wire::MemberState>>(*members) : 0;
+  auto digests__ = digests ? _fbb.CreateVector<uint64_t>(*digests) : 0;
   return wasabi::wire::CreatePing(
       _fbb,
       sequence,
@@ -1828,7 +1852,9 @@
       next,
       full,
       hlc_wall,
-      hlc_count);
+      hlc_count,
+      log_age_ms,
+      digests__);
 }
 
 struct Ack FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1841,7 +1867,9 @@
     VT_NEXT = 10,
     VT_FULL = 12,
     VT_HLC_WALL = 14,
-    VT_HLC_COUNT = 16
+    VT_HLC_COUNT = 16,
+    VT_LOG_AGE_MS = 18,
+    VT_DIGESTS = 20
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1864,6 +1892,12 @@
   uint32_t hlc_count() const {
     return GetField<uint32_t>(VT_HLC_COUNT, 0);
   }
+  uint32_t log_age_ms() const {
+    return GetField<uint32_t>(VT_LOG_AGE_MS, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *digests() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_DIGESTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1876,6 +1910,9 @@
            VerifyField<uint8_t>(verifier, VT_FULL, 1) &&
            VerifyField<uint64_t>(verifier, VT_HLC_WALL, 8) &&
            VerifyField<uint32_t>(verifier, VT_HLC_COUNT, 4) &&
+           VerifyField<uint32_t>(verifier, VT_LOG_AGE_MS, 4) &&
+           VerifyOffset(verifier, VT_DIGESTS) &&
+           verifier.VerifyVector(digests()) &&
            verifier.EndTable();
   }
 };
@@ -1905,6 +1942,12 @@
   void add_hlc_count(uint32_t hlc_count) {
     fbb_.AddElement<uint32_t>(Ack::VT_HLC_COUNT, hlc_count, 0);
   }
+  void add_log_age_ms(uint32_t log_age_ms) {
+    fbb_.AddElement<uint32_t>(Ack::VT_LOG_AGE_MS, log_age_ms, 0);
+  }
+  void add_digests(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> digests) {
+    fbb_.AddOffset(Ack::VT_DIGESTS, digests);
+  }
   explicit AckBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1924,11 +1967,15 @@
     uint64_t next = 0,
     bool full = false,
     uint64_t hlc_wall = 0,
-    uint32_t hlc_count = 0) {
+    uint32_t hlc_count = 0,
+    uint32_t log_age_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> digests = 0) {
   AckBuilder builder_(_fbb);
   builder_.add_hlc_wall(hlc_wall);
   builder_.add_next(next);
   builder_.add_sequence(sequence);
+  builder_.add_digests(digests);
+  builder_.add_log_age_ms(log_age_ms);
   builder_.add_hlc_count(hlc_count);
   builder_.add_members(members);
   builder_.add_from(from);
@@ -1949,9 +1996,12 @@
     uint64_t next = 0,
     bool full = false,
     uint64_t hlc_wall = 0,
-    uint32_t hlc_count = 0) {
+    uint32_t hlc_count = 0,
+    uint32_t log_age_ms = 0,
+    const std::vector<uint64_t> *digests = nullptr) {
   auto from__ = from ? _fbb.CreateString(from) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<wasabi::wire::MemberState>>(*members) : 0;
+  auto digests__ = digests ? _fbb.CreateVector<uint64_t>(*digests) : 0;
   return wasabi::wire::CreateAck(
       _fbb,
       sequence,
@@ -1960,7 +2010,9 @@
       next,
       full,
       hlc_wall,
-      hlc_count);
+      hlc_count,
+      log_age_ms,
+      digests__);
 }
 
 struct PingRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2203,7 +2255,9 @@
     VT_FROM = 4,
     VT_RECORDS = 6,
     VT_NEXT = 8,
-    VT_FIRST = 10
+    VT_FIRST = 10,
+    VT_LOG_AGE_MS = 12,
+    VT_SEQUENCE = 14
   };
   const flatbuffers::String *from() const {
     return GetPointer<const flatbuffers::String *>(VT_FROM);
@@ -2217,6 +2271,12 @@
   uint64_t first() const {
     return GetField<uint64_t>(VT_FIRST, 0);
   }
+  uint32_t log_age_ms() const {
+    return GetField<uint32_t>(VT_LOG_AGE_MS, 0);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_FROM) &&
@@ -2226,6 +2286,8 @@
            verifier.VerifyVectorOfTables(records()) &&
            VerifyField<uint64_t>(verifier, VT_NEXT, 8) &&
            VerifyField<uint64_t>(verifier, VT_FIRST, 8) &&
+           VerifyField<uint32_t>(verifier, VT_LOG_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            verifier.EndTable();
   }
 };
@@ -2246,6 +2308,12 @@
   void add_first(uint64_t first) {
     fbb_.AddElement<uint64_t>(LogPush::VT_FIRST, first, 0);
   }
+  void add_log_age_ms(uint32_t log_age_ms) {
+    fbb_.AddElement<uint32_t>(LogPush::VT_LOG_AGE_MS, log_age_ms, 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(LogPush::VT_SEQUENCE, sequence, 0);
+  }
   explicit LogPushBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2262,10 +2330,14 @@
     flatbuffers::Offset<flatbuffers::String> from = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<wasabi::wire::LogRecord>>> records = 0,
     uint64_t next = 0,
-    uint64_t first = 0) {
+    uint64_t first = 0,
+    uint32_t log_age_ms = 0,
+    uint64_t sequence = 0) {
   LogPushBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
   builder_.add_first(first);
   builder_.add_next(next);
+  builder_.add_log_age_ms(log_age_ms);
   builder_.add_records(records);
   builder_.add_from(from);
   return builder_.Finish();
@@ -2281,7 +2353,9 @@
     const char *from = nullptr,
     const std::vector<flatbuffers::Offset<wasabi::wire::LogRecord>> *records = nullptr,
     uint64_t next = 0,
-    uint64_t first = 0) {
+    uint64_t first = 0,
+    uint32_t log_age_ms = 0,
+    uint64_t sequence = 0) {
   auto from__ = from ? _fbb.CreateString(from) : 0;
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<wasabi::wire::LogRecord>>(*records) : 0;
   return wasabi::wire::CreateLogPush(
@@ -2289,7 +2363,9 @@
       from__,
       records__,
       next,
-      first);
+      first,
+      log_age_ms,
+      sequence);
 }
 
 struct LogAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- /dev/null
+++ b/Wasabi/Membership/MemberNews.h
@@ -0,0 +1,22 @@
+/// \file
+/// One thing told about a member.
+#ifndef WASABI_MEMBERSHIP_MEMBERNEWS_H
+#define WASABI_MEMBERSHIP_MEMBERNEWS_H
+
+#include "Wasabi/Core/Ids.h"
+#include "Wasabi/Membership/View.h"
+
+namespace wasabi {
+
+/// What is told about a member. An immutable value.
+struct MemberNews {
+  /// The member; without addresses and servers where only its health is told.
+  Member About;
+  /// Who suspects it, when it is told as suspect.
+  InstanceName Accuser;
+  bool operator==(const MemberNews &) const = default;
+};
+
+} // namespace wasabi
+
+#endif // WASABI_MEMBERSHIP_MEMBERNEWS_H
--- /dev/null
+++ b/Wasabi/Node/LogFollower.cpp
@@ -0,0 +1,514 @@
+#include "Wasabi/Node/LogFollower.h"
+
+#include "Wasabi/Membership/Fanout.h"
+#include "Wasabi/Membership/Rendezvous.h"
+#include "Wasabi/State/Record.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace wasabi {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr asio::as_tuple_t<asio::use_awaitable_t<>> Awaited;
+/// How often a process that does not read looks whether it should.
+constexpr Millis LookPeriod(250);
+/// How long a peer may take for records or a state.
+constexpr Millis PeerTimeout(2000);
+/// Peers asked for a state before the log is.
+constexpr int StatePeers = 2;
+/// Pause while a newer schema blocks the fold.
+constexpr Millis BlockedPause(5000);
+/// Most records, and bytes of them, in one answer to a peer.
+constexpr std::size_t MaxAnswered = 512;
+constexpr std::size_t MaxAnsweredBytes = 2u << 20;
+
+Millis millisSince(TimePoint Then, TimePoint Now) {
+  if (Then == TimePoint())
+    return Millis::max();
+  return std::chrono::duration_cast<Millis>(Now - Then);
+}
+
+/// The snapshot in a record's text, when it is one whose state matches its
+/// hash.
+std::optional<FoldState> snapshotIn(const std::string &Text) {
+  Outcome<Record> record =
+      toOutcome<Record>([&]() { return decodeRecord(Text); });
+  if (!record)
+    return std::nullopt;
+  const SnapshotRecord *snapshot = std::get_if<SnapshotRecord>(&record->Body);
+  if (snapshot == nullptr)
+    return std::nullopt;
+  Outcome<FoldState> state =
+      toOutcome<FoldState>([&]() { return decodeState(snapshot->State); });
+  if (!state || state->Next != snapshot->Before ||
+      hashState(*state) != snapshot->Hash)
+    return std::nullopt;
+  return std::move(*state);
+}
+
+} // namespace
+
+std::shared_ptr<LogFollower>
+LogFollower::create(asio::any_io_executor Executor, Settings Setup, LogPort Log,
+                    std::shared_ptr<PeerLinks> Links, ControlCounters &Counters,
+                    Timeline &Events, Hooks Calls) {
+  return std::shared_ptr<LogFollower>(
+      new LogFollower(std::move(Executor), Setup, std::move(Log),
+                      std::move(Links), Counters, Events, std::move(Calls)));
+}
+
+LogFollower::LogFollower(asio::any_io_executor Executor, Settings Setup,
+                         LogPort Log, std::shared_ptr<PeerLinks> Links,
+                         ControlCounters &Counters, Timeline &Events,
+                         Hooks Calls)
+    : Executor(std::move(Executor)), Setup(Setup), Log(std::move(Log)),
+      Links(std::move(Links)), Counters(Counters), Events(Events),
+      Calls(std::move(Calls)), Wake(this->Executor), Random(Setup.Seed) {}
+
+void LogFollower::start() {
+  std::shared_ptr<LogFollower> self = shared_from_this();
+  asio::co_spawn(
+      Executor, [self]() -> asio::awaitable<void> { return self->run(); },
+      asio::detached);
+}
+
+void LogFollower::stop() {
+  Stopped = true;
+  Wake.cancel();
+}
+
+Millis LogFollower::logAge() const {
+  return millisSince(FreshAt, monotonicNow());
+}
+
+// ---- following ----
+
+asio::awaitable<void> LogFollower::run() {
+  std::shared_ptr<LogFollower> self = shared_from_this();
+  while (!Stopped) {
+    if (Obtained.load()) {
+      co_await followOnce();
+      continue;
+    }
+    bool got = co_await obtainState();
+    if (!got)
+      co_await pause(backOff());
+  }
+}
+
+asio::awaitable<void> LogFollower::pause(Millis Span) {
+  Wake.expires_after(Span);
+  co_await Wake.async_wait(Awaited);
+}
+
+asio::awaitable<void> LogFollower::followOnce() {
+  if (Fold.BlockedAt) {
+    co_await pause(BlockedPause);
+    co_return;
+  }
+  bool reader = isReader();
+  if (!reader && !ReadWanted && !isSilent()) {
+    co_await pause(LookPeriod);
+    co_return;
+  }
+
+  // A reader waits at the log for news; others only look.
+  bool waits = reader && !ReadWanted;
+  ReadWanted = false;
+  Outcome<LogRange> got = co_await read(Fold.Next, Setup.ReadBatch,
+                                        waits ? Setup.PollWait : Millis(0));
+  if (Stopped)
+    co_return;
+  if (!got) {
+    co_await pause(backOff());
+    co_return;
+  }
+  Failures = 0;
+  if (got->End < Fold.Next) {
+    // An older tail than was seen before: what is in force stays.
+    if (!StaleNoted)
+      Events.record("log.stale_tail",
+                    {{"offset", std::to_string(got->End)},
+                     {"reason", "ends before " + std::to_string(Fold.Next)}});
+    StaleNoted = true;
+    co_await pause(backOff());
+    co_return;
+  }
+  StaleNoted = false;
+  if (got->First > Fold.Next && got->Entries.empty()) {
+    co_await recoverExpired(got->First);
+    co_return;
+  }
+  absorb(got->Entries, true);
+  if (Fold.Next >= got->End)
+    noteFresh(monotonicNow());
+}
+
+asio::awaitable<Outcome<LogRange>>
+LogFollower::read(Offset From, std::size_t Max, Millis Wait) {
+  Counters.LogReads.fetch_add(1);
+  Outcome<LogRange> got = co_await Log.Read(ControlStream, From, Max, Wait);
+  if (got)
+    noteLog(true, "");
+  else
+    noteLog(false, describe(got.failure()));
+  co_return got;
+}
+
+asio::awaitable<void> LogFollower::recoverExpired(Offset First) {
+  // The log has dropped what comes next here: only a whole state helps.
+  spdlog::warn("control: offset {} has expired, the log begins at {}",
+               Fold.Next, First);
+  bool got = co_await stateFromPeer();
+  if (!got)
+    got = co_await stateFromLog();
+  if (!got)
+    co_await pause(backOff());
+}
+
+bool LogFollower::isReader() const {
+  std::shared_ptr<const View> seen = Calls.CurrentView();
+  return isLogReader(*seen, Setup.ReadersPerDomain);
+}
+
+bool LogFollower::isSilent() const {
+  return logAge() > Setup.SilenceLimit + SilenceExtra;
+}
+
+void LogFollower::noteFresh(TimePoint At) {
+  if (At <= FreshAt)
+    return;
+  FreshAt = At;
+  // Each process has its own patience, so that they do not read in step.
+  std::uint64_t most = static_cast<std::uint64_t>(Setup.SilenceLimit.count());
+  SilenceExtra = Millis(static_cast<std::int64_t>(Random() % (most + 1)));
+}
+
+void LogFollower::noteLog(bool Up, const std::string &Reason) {
+  bool was = Reachable.exchange(Up);
+  if (was == Up && LogNoted)
+    return;
+  LogNoted = true;
+  Events.record(Up ? "log.up" : "log.down", {{"reason", Reason}});
+}
+
+Millis LogFollower::backOff() {
+  // Exponential with full jitter: after an outage nobody comes in step.
+  std::int64_t most = Setup.MinBackOff.count()
+                      << std::min<unsigned>(Failures, 10);
+  most = std::min(most, Setup.MaxBackOff.count());
+  ++Failures;
+  std::int64_t drawn = static_cast<std::int64_t>(
+      Random() % static_cast<std::uint64_t>(most + 1));
+  return std::max(Setup.MinBackOff, Millis(drawn));
+}
+
+void LogFollower::readSoon() {
+  ReadWanted = true;
+  Wake.cancel();
+}
+
+// ---- obtaining a state ----
+
+asio::awaitable<bool> LogFollower::obtainState() {
+  bool got = co_await stateFromPeer();
+  if (!got)
+    got = co_await stateFromLog();
+  co_return got;
+}
+
+asio::awaitable<bool> LogFollower::stateFromPeer() {
+  std::shared_ptr<const View> seen = Calls.CurrentView();
+  std::vector<const Member *> peers;
+  for (const auto &[name, member] : seen->Members) {
+    if (name != seen->Self && takesWork(member) && !member.Control.empty())
+      peers.push_back(&member);
+  }
+  std::shuffle(peers.begin(), peers.end(), Random);
+  if (peers.size() > StatePeers)
+    peers.resize(StatePeers);
+  for (const Member *it : peers) {
+    StateAskMessage ask{Links->nextSequence(), seen->Self.Text};
+    Address where = it->Control;
+    ControlMessage question = ask;
+    Outcome<ControlMessage> answer =
+        co_await Links->ask(where, std::move(question), PeerTimeout);
+    const StateGiveMessage *given =
+        answer ? std::get_if<StateGiveMessage>(&*answer) : nullptr;
+    if (Stopped || given == nullptr || given->State.empty())
+      continue;
+    Outcome<FoldState> state =
+        toOutcome<FoldState>([&]() { return decodeState(given->State); });
+    bool whole = state && hashState(*state) == given->Hash;
+    if (!whole) {
+      spdlog::error("control: the state from {} does not match its hash",
+                    it->Instance.Text);
+      continue;
+    }
+    if (adopt(std::move(*state)))
+      co_return true;
+  }
+  co_return false;
+}
+
+asio::awaitable<bool> LogFollower::stateFromLog() {
+  Outcome<LogRange> bounds = co_await read(Fold.Next, 1, Millis(0));
+  if (!bounds || Stopped)
+    co_return false;
+  Offset first = bounds->First;
+  Offset end = bounds->End;
+
+  // The newest snapshot is near the end; the whole tail is the second try.
+  Offset window = Setup.SnapshotWindow;
+  Offset near = end > first + window ? end - window : first;
+  for (Offset from : {near, first}) {
+    if (from == first && first == 0)
+      break;
+    Outcome<std::vector<LogEntry>> tail = co_await readAll(from, end);
+    if (!tail || Stopped)
+      co_return false;
+    for (auto it = tail->rbegin(); it != tail->rend(); ++it) {
+      std::optional<FoldState> state = snapshotIn(it->Text);
+      if (!state || state->Next < first || !adopt(std::move(*state)))
+        continue;
+      // The records that follow the snapshot are at hand already.
+      absorb(*tail, false);
+      co_return true;
+    }
+    if (from == first)
+      break;
+  }
+  if (first == 0) {
+    // Nothing has expired: the whole stream is the state.
+    if (!Obtained.load())
+      adopt(FoldState());
+    co_return true;
+  }
+  spdlog::error("control: the log begins at {} and holds no whole snapshot",
+                first);
+  co_return false;
+}
+
+asio::awaitable<Outcome<std::vector<LogEntry>>>
+LogFollower::readAll(Offset From, Offset End) {
+  std::vector<LogEntry> all;
+  Offset next = From;
+  while (next < End && !Stopped) {
+    Outcome<LogRange> got = co_await read(next, Setup.ReadBatch, Millis(0));
+    if (!got)
+      co_return got.failure();
+    if (got->Entries.empty())
+      break;
+    for (LogEntry &it : got->Entries)
+      all.push_back(std::move(it));
+    next = all.back().At + 1;
+  }
+  co_return all;
+}
+
+bool LogFollower::adopt(FoldState State) {
+  // What is in force here never goes back.
+  if (Obtained.load() && State.Next <= Fold.Next)
+    return false;
+  Fold = std::move(State);
+  Kept.clear();
+  KeptBytes = 0;
+  Calls.OnAdopted(Fold);
+  publish();
+  Obtained.store(true);
+  Failures = 0;
+  return true;
+}
+
+// ---- applying and spreading ----
+
+bool LogFollower::absorb(const std::vector<LogEntry> &Entries, bool Spread) {
+  std::vector<LogEntry> fresh;
+  bool whole = true;
+  for (const LogEntry &it : Entries) {
+    if (it.At < Fold.Next) {
+      Counters.RepeatedRecords.fetch_add(1);
+      continue;
+    }
+    if (it.At > Fold.Next) {
+      whole = false;
+      break;
+    }
+    applyOne(it);
+    if (Fold.BlockedAt)
+      break;
+    fresh.push_back(it);
+  }
+  if (fresh.empty() && !Fold.BlockedAt)
+    return whole;
+  publish();
+  if (Spread && fresh.size() <= Setup.MaxPushed)
+    pushOn(fresh);
+  return whole;
+}
+
+void LogFollower::applyOne(const LogEntry &Entry) {
+  Applied did = apply(Fold, Entry.At, Entry.Text);
+  if (did.Fate == RecordFate::Newer) {
+    Events.record("fold.blocked", {{"offset", std::to_string(Entry.At)},
+                                   {"reason", did.Reason}});
+    spdlog::error("control: offset {} needs a newer program: {}", Entry.At,
+                  did.Reason);
+    return;
+  }
+  keep(Entry);
+  if (did.Diverged) {
+    Events.record("fold.diverged", {{"offset", std::to_string(Entry.At)},
+                                    {"reason", did.Reason}});
+    spdlog::error("control: the snapshot at offset {} differs from the state "
+                  "here",
+                  Entry.At);
+  }
+  if (did.ConfigChanged)
+    Events.record("config.in_force", {{"offset", std::to_string(Entry.At)},
+                                      {"preset", Fold.Config->InForce.Text}});
+  Calls.OnApplied(Entry.At, Fold, did);
+}
+
+void LogFollower::keep(const LogEntry &Entry) {
+  Kept.push_back(Entry);
+  KeptBytes += Entry.Text.size();
+  while (Kept.size() > 1 &&
+         (Kept.size() > Setup.MaxKept || KeptBytes > Setup.MaxKeptBytes)) {
+    KeptBytes -= Kept.front().Text.size();
+    Kept.pop_front();
+  }
+}
+
+void LogFollower::publish() { Shown.set(Fold); }
+
+void LogFollower::pushOn(const std::vector<LogEntry> &Fresh) {
+  if (Fresh.empty())
+    return;
+  std::shared_ptr<const View> seen = Calls.CurrentView();
+  FanoutSettings limits;
+  limits.OtherDomains = isReader();
+  LogPushMessage push;
+  push.From = seen->Self.Text;
+  push.Records = Fresh;
+  push.Next = Fold.Next;
+  push.First = Kept.front().At;
+  push.LogAge = logAge();
+  for (const InstanceName &it : chooseFanout(*seen, limits, Random)) {
+    // A peer that is known to be as far needs nothing.
+    auto known = PeerNext.find(it);
+    if (known != PeerNext.end() && known->second >= Fold.Next)
+      continue;
+    Address where = seen->Members.at(it).Control;
+    if (!where.empty())
+      Links->send(where, push);
+  }
+}
+
+void LogFollower::takeOwn(Offset At, std::string Text) {
+  if (!Obtained.load() || At > Fold.Next) {
+    readSoon();
+    return;
+  }
+  std::vector<LogEntry> entries;
+  entries.push_back(LogEntry{At, std::move(Text)});
+  absorb(entries, true);
+}
+
+void LogFollower::receive(const LogPushMessage &Push) {
+  InstanceName peer(Push.From);
+  if (Obtained.load() && !Fold.BlockedAt)
+    absorb(Push.Records, true);
+  hear(peer, Push.Next, Push.LogAge);
+}
+
+void LogFollower::hear(const InstanceName &Peer, Offset Next, Millis LogAge) {
+  if (Peer.empty() || !Obtained.load())
+    return;
+  PeerNext[Peer] = Next;
+  if (Next <= Fold.Next) {
+    if (Next == Fold.Next && LogAge < Setup.SilenceLimit)
+      noteFresh(monotonicNow() - LogAge);
+    return;
+  }
+  if (GapAsked || Fold.BlockedAt)
+    return;
+  GapAsked = true;
+  std::shared_ptr<LogFollower> self = shared_from_this();
+  asio::co_spawn(
+      Executor,
+      [self, Peer]() -> asio::awaitable<void> { return self->askForGap(Peer); },
+      asio::detached);
+}
+
+asio::awaitable<void> LogFollower::askForGap(InstanceName Peer) {
+  std::shared_ptr<LogFollower> self = shared_from_this();
+  // What is missing may be on its way.
+  asio::steady_timer grace(Executor, Setup.GapGrace);
+  co_await grace.async_wait(Awaited);
+  std::shared_ptr<const View> seen = Calls.CurrentView();
+  auto found = seen->Members.find(Peer);
+  while (!Stopped && found != seen->Members.end() &&
+         PeerNext[Peer] > Fold.Next && !Fold.BlockedAt) {
+    LogAskMessage ask{Links->nextSequence(), seen->Self.Text, Fold.Next};
+    Address where = found->second.Control;
+    ControlMessage question = ask;
+    Outcome<ControlMessage> answer =
+        co_await Links->ask(where, std::move(question), PeerTimeout);
+    const LogPushMessage *push =
+        answer ? std::get_if<LogPushMessage>(&*answer) : nullptr;
+    Offset before = Fold.Next;
+    if (push != nullptr && !Stopped)
+      absorb(push->Records, true);
+    if (Fold.Next == before) {
+      // The peer cannot help: the log itself can.
+      readSoon();
+      break;
+    }
+  }
+  GapAsked = false;
+}
+
+LogPushMessage LogFollower::answer(const LogAskMessage &Ask) const {
+  LogPushMessage push;
+  push.Sequence = Ask.Sequence;
+  push.From = Calls.CurrentView()->Self.Text;
+  push.Next = Fold.Next;
+  push.First = Kept.empty() ? Fold.Next : Kept.front().At;
+  push.LogAge = logAge();
+  if (Ask.Start < push.First)
+    return push;
+  std::size_t bytes = 0;
+  std::size_t skipped = static_cast<std::size_t>(Ask.Start - push.First);
+  for (std::size_t n = skipped; n < Kept.size(); ++n) {
+    bytes += Kept[n].Text.size();
+    if (push.Records.size() == MaxAnswered ||
+        (bytes > MaxAnsweredBytes && !push.Records.empty()))
+      break;
+    push.Records.push_back(Kept[n]);
+  }
+  return push;
+}
+
+StateGiveMessage LogFollower::answer(const StateAskMessage &Ask) const {
+  StateGiveMessage give;
+  give.Sequence = Ask.Sequence;
+  if (!Obtained.load())
+    return give;
+  give.Next = Fold.Next;
+  give.State = encodeState(Fold);
+  give.Hash = hashState(Fold);
+  return give;
+}
+
+} // namespace wasabi
--- /dev/null
+++ b/Wasabi/Node/LogFollower.h
@@ -0,0 +1,165 @@
+/// \file
+/// Follows the control stream: folds it, publishes the state, and spreads new
+/// records. A few processes of each failure domain read the log; all pass on
+/// what is new to them, and ask a peer for what they miss.
+#ifndef WASABI_NODE_LOGFOLLOWER_H
+#define WASABI_NODE_LOGFOLLOWER_H
+
+#include "Wasabi/Core/Clock.h"
+#include "Wasabi/Core/Ids.h"
+#include "Wasabi/Core/Published.h"
+#include "Wasabi/Core/Timeline.h"
+#include "Wasabi/Membership/View.h"
+#include "Wasabi/Node/ControlCounters.h"
+#include "Wasabi/Node/ControlMessage.h"
+#include "Wasabi/Node/PeerLinks.h"
+#include "Wasabi/Ports/LogPort.h"
+#include "Wasabi/State/Fold.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace wasabi {
+
+/// Not thread-safe: use on the executor's thread, but for what says otherwise.
+class LogFollower : public std::enable_shared_from_this<LogFollower> {
+public:
+  struct Settings {
+    std::uint32_t ReadersPerDomain = 2;
+    /// How long a reader's read waits at the log for something new.
+    Millis PollWait{5000};
+    /// Without a sign, for this long, that somebody has read the log to its
+    /// end, a process reads it itself. A random part of as much is added.
+    Millis SilenceLimit{6000};
+    /// How long pushes may lag before a gap is asked for.
+    Millis GapGrace{150};
+    /// Bounds of the back-off while the log does not answer.
+    Millis MinBackOff{100};
+    Millis MaxBackOff{3000};
+    /// Most records taken in one read.
+    std::size_t ReadBatch = 512;
+    /// Records kept for peers that ask, and their bytes.
+    std::size_t MaxKept = 4096;
+    std::size_t MaxKeptBytes = 4u << 20;
+    /// Longest stretch that is pushed on; more is catching up, not news.
+    std::size_t MaxPushed = 64;
+    /// How far from the end a start looks for a snapshot first.
+    std::size_t SnapshotWindow = 2048;
+    std::uint64_t Seed = 1;
+  };
+
+  struct Hooks {
+    /// The members, now.
+    std::function<std::shared_ptr<const View>()> CurrentView;
+    /// Called after each record, before the state is published.
+    std::function<void(Offset At, const FoldState &State, const Applied &Did)>
+        OnApplied;
+    /// Called when a whole state was taken over.
+    std::function<void(const FoldState &State)> OnAdopted;
+  };
+
+  static std::shared_ptr<LogFollower>
+  create(boost::asio::any_io_executor Executor, Settings Setup, LogPort Log,
+         std::shared_ptr<PeerLinks> Links, ControlCounters &Counters,
+         Timeline &Events, Hooks Calls);
+
+  /// Starts to obtain a state and to follow.
+  void start();
+  void stop();
+
+  /// The state published last. Thread-safe.
+  std::shared_ptr<const FoldState> state() const { return Shown.get(); }
+  /// Whether a state was obtained. Thread-safe.
+  bool hasState() const { return Obtained.load(); }
+  /// Whether the log answered when last asked. Thread-safe.
+  bool logReachable() const { return Reachable.load(); }
+  /// The next offset to fold.
+  Offset next() const { return Fold.Next; }
+  /// How long ago the log was known to end at or before `next`.
+  Millis logAge() const;
+
+  /// Takes records that a peer pushed.
+  void receive(const LogPushMessage &Push);
+  /// Notes how far a peer is, and asks it for what is missing here.
+  void hear(const InstanceName &Peer, Offset PeerNext, Millis PeerLogAge);
+  /// Takes a record that the log took from this process at `At`.
+  void takeOwn(Offset At, std::string Text);
+  /// Reads the log soon, reader or not.
+  void readSoon();
+
+  LogPushMessage answer(const LogAskMessage &Ask) const;
+  StateGiveMessage answer(const StateAskMessage &Ask) const;
+
+private:
+  LogFollower(boost::asio::any_io_executor Executor, Settings Setup,
+              LogPort Log, std::shared_ptr<PeerLinks> Links,
+              ControlCounters &Counters, Timeline &Events, Hooks Calls);
+
+  boost::asio::awaitable<void> run();
+  boost::asio::awaitable<void> pause(Millis Span);
+  boost::asio::awaitable<void> followOnce();
+  boost::asio::awaitable<Outcome<LogRange>> read(Offset From, std::size_t Max,
+                                                 Millis Wait);
+  boost::asio::awaitable<bool> obtainState();
+  boost::asio::awaitable<bool> stateFromPeer();
+  boost::asio::awaitable<bool> stateFromLog();
+  boost::asio::awaitable<Outcome<std::vector<LogEntry>>> readAll(Offset From,
+                                                                 Offset End);
+  boost::asio::awaitable<void> askForGap(InstanceName Peer);
+  boost::asio::awaitable<void> recoverExpired(Offset First);
+
+  bool isReader() const;
+  bool isSilent() const;
+  void noteLog(bool Up, const std::string &Reason);
+  void noteFresh(TimePoint At);
+  /// Applies what follows on; false when something before it is missing.
+  bool absorb(const std::vector<LogEntry> &Entries, bool Spread);
+  void applyOne(const LogEntry &Entry);
+  void keep(const LogEntry &Entry);
+  bool adopt(FoldState State);
+  void publish();
+  void pushOn(const std::vector<LogEntry> &Fresh);
+  Millis backOff();
+
+  boost::asio::any_io_executor Executor;
+  const Settings Setup;
+  LogPort Log;
+  std::shared_ptr<PeerLinks> Links;
+  ControlCounters &Counters;
+  Timeline &Events;
+  const Hooks Calls;
+  boost::asio::steady_timer Wake;
+  std::mt19937_64 Random;
+
+  FoldState Fold;
+  Published<FoldState> Shown;
+  std::atomic<bool> Obtained{false};
+  std::atomic<bool> Reachable{false};
+  std::deque<LogEntry> Kept;
+  std::size_t KeptBytes = 0;
+  std::map<InstanceName, Offset> PeerNext;
+  /// When the log was known to end at or before `Fold.Next`.
+  TimePoint FreshAt;
+  Millis SilenceExtra{0};
+  unsigned Failures = 0;
+  bool LogNoted = false;
+  bool StaleNoted = false;
+  bool ReadWanted = false;
+  bool GapAsked = false;
+  bool Stopped = false;
+};
+
+} // namespace wasabi
+
+#endif // WASABI_NODE_LOGFOLLOWER_H
