--- a/Wasabi/Membership/View.h
+++ b/Wasabi/Membership/View.h
@@ -15,7 +15,9 @@
 enum class Role : std::uint8_t { Entry, Daemon };
 
 /// What is believed of a member. For one incarnation it only moves down this
-/// list, except that `Suspect` may be refuted by the member itself.
+/// list, except that the member itself may refute `Suspect` and `Dead` by
+/// saying something newer. `Leaving` is final: who left comes back as a new
+/// one.
 enum class Health : std::uint8_t { Alive, Suspect, Leaving, Dead };
 
 /// A server behind a daemon, as the daemon says.
--- a/Wasabi/Node/ControlPlane.h
+++ b/Wasabi/Node/ControlPlane.h
@@ -73,6 +73,11 @@
     Millis ClaimTerm{10000};
     /// Readers of the log in each failure domain.
     std::uint32_t ReadersPerDomain = 2;
+    /// Time between two readings of the platform's list.
+    Millis ListPeriod{3000};
+    /// How long a claim must have been wanted before it is taken, so that the
+    /// view has filled.
+    Millis ClaimSettle{1500};
     /// Seed of every random choice here.
     std::uint64_t Seed = 1;
   };
@@ -96,6 +101,8 @@
   virtual std::shared_ptr<const FoldState> state() const = 0;
   /// Whether a state was obtained, from the log or a peer. Thread-safe.
   virtual bool ready() const = 0;
+  /// The start of this process, as others know it.
+  virtual Incarnation life() const = 0;
   /// The members. Thread-safe.
   virtual std::shared_ptr<const View> view() const = 0;
   /// Tells the others of this daemon's servers when they changed.
@@ -110,6 +117,16 @@
   /// The claim, if this process holds it and may act now. Thread-safe; checks
   /// the monotonic clock at each call.
   virtual std::optional<HeldClaim> held(const std::string &Resource) const = 0;
+  /// The token of the claim that was last known to be this process' own, also
+  /// past its term. While the log is down nobody can take the claim, so that
+  /// the holder may go on towards targets that refuse an older token; towards
+  /// targets that do not check tokens only `held` counts. Empty once a
+  /// successor or a release was read. Thread-safe.
+  virtual std::optional<FencingToken>
+  tokenDespiteOutage(const std::string &Resource) const = 0;
+  /// Tells that a request to this member could not be delivered: it is probed
+  /// soon. Says nothing of its health by itself. Thread-safe.
+  virtual void noteUnreachable(InstanceName Member) = 0;
   /// Sends an order to the daemon in front of a server. The callback comes on
   /// the control thread, once, within `Timeout`. Thread-safe.
   virtual void order(InstanceName Daemon, Order What, Millis Timeout,
--- a/Wasabi/Node/InstanceList.h
+++ b/Wasabi/Node/InstanceList.h
@@ -5,9 +5,8 @@
 
 #include "Wasabi/Core/Address.h"
 #include "Wasabi/Core/Clock.h"
-#include "Wasabi/Core/Ids.h"
 #include "Wasabi/Core/Verdict.h"
-#include "Wasabi/Membership/View.h"
+#include "Wasabi/Membership/ListedInstance.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -20,20 +19,6 @@
 class Client;
 } // namespace http
 
-/// One line of the list. An immutable value.
-struct ListedInstance {
-  InstanceName Instance;
-  DomainName Domain;
-  Role Kind = Role::Daemon;
-  /// Where it takes control frames.
-  Address Frames;
-  /// Its admin HTTP.
-  Address Http;
-  bool Leaving = false;
-  Incarnation Life = 0;
-  bool operator==(const ListedInstance &) const = default;
-};
-
 /// Reads the body of the list; lines that cannot be read are left out.
 /// Fails with `BadInput` when it is no list at all. Pure.
 Outcome<std::vector<ListedInstance>> parseInstanceList(const std::string &Body);
--- a/Wasabi/Node/LogFollower.cpp
+++ b/Wasabi/Node/LogFollower.cpp
@@ -12,6 +12,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace wasabi {
@@ -158,10 +159,12 @@
 LogFollower::read(Offset From, std::size_t Max, Millis Wait) {
   Counters.LogReads.fetch_add(1);
   Outcome<LogRange> got = co_await Log.Read(ControlStream, From, Max, Wait);
-  if (got)
+  if (got) {
     noteLog(true, "");
-  else
+    LogFirst = std::max(LogFirst, got->First);
+  } else {
     noteLog(false, describe(got.failure()));
+  }
   co_return got;
 }
 
@@ -271,7 +274,8 @@
   // The newest snapshot is near the end; the whole tail is the second try.
   Offset window = Setup.SnapshotWindow;
   Offset near = end > first + window ? end - window : first;
-  for (Offset from : {near, first}) {
+  std::array<Offset, 2> starts = {near, first};
+  for (Offset from : starts) {
     if (from == first && first == 0)
       break;
     Outcome<std::vector<LogEntry>> tail = co_await readAll(from, end);
--- a/Wasabi/Node/LogFollower.h
+++ b/Wasabi/Node/LogFollower.h
@@ -86,6 +86,8 @@
   bool logReachable() const { return Reachable.load(); }
   /// The next offset to fold.
   Offset next() const { return Fold.Next; }
+  /// The oldest offset that the log kept when last read.
+  Offset logFirst() const { return LogFirst; }
   /// How long ago the log was known to end at or before `next`.
   Millis logAge() const;
 
@@ -143,6 +145,7 @@
   std::mt19937_64 Random;
 
   FoldState Fold;
+  Offset LogFirst = 0;
   Published<FoldState> Shown;
   std::atomic<bool> Obtained{false};
   std::atomic<bool> Reachable{false};
--- /dev/null
+++ b/Wasabi/Node/MemberWatch.cpp
@@ -0,0 +1,425 @@
+#include "Wasabi/Node/MemberWatch.h"
+
+#include "Wasabi/Adapters/Http/HttpClient.h"
+#include "Wasabi/Membership/Fanout.h"
+#include "Wasabi/Membership/Rendezvous.h"
+#include "Wasabi/Node/InstanceList.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace wasabi {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr asio::as_tuple_t<asio::use_awaitable_t<>> Awaited;
+/// Time between two looks at suspicions; the view is published as often.
+constexpr Millis TickPeriod(100);
+constexpr Millis ListTimeout(2000);
+constexpr Millis ExchangeTimeout(3000);
+/// First pause after a failed reading of the list.
+constexpr Millis MinListBackOff(200);
+/// Readers per domain that pass urgent news on to other domains.
+constexpr std::uint32_t RelaysPerDomain = 2;
+
+/// One wait for any of several helpers.
+struct HelperWait {
+  explicit HelperWait(const asio::any_io_executor &Executor)
+      : Timer(Executor) {}
+  asio::steady_timer Timer;
+  std::size_t Pending = 0;
+  bool Reached = false;
+  bool Answered = false;
+};
+
+} // namespace
+
+std::shared_ptr<MemberWatch>
+MemberWatch::create(asio::any_io_executor Executor, Settings Setup,
+                    std::shared_ptr<PeerLinks> Links,
+                    std::shared_ptr<http::Client> Client,
+                    ControlCounters &Counters, Timeline &Events, Hooks Calls) {
+  return std::shared_ptr<MemberWatch>(
+      new MemberWatch(std::move(Executor), std::move(Setup), std::move(Links),
+                      std::move(Client), Counters, Events, std::move(Calls)));
+}
+
+MemberWatch::MemberWatch(asio::any_io_executor Executor, Settings Setup,
+                         std::shared_ptr<PeerLinks> Links,
+                         std::shared_ptr<http::Client> Client,
+                         ControlCounters &Counters, Timeline &Events,
+                         Hooks Calls)
+    : Executor(std::move(Executor)), Setup(std::move(Setup)),
+      Links(std::move(Links)), Client(std::move(Client)), Counters(Counters),
+      Events(Events), Calls(std::move(Calls)),
+      Swim(startSwim(this->Setup.Swim, this->Setup.Self, this->Setup.Seed,
+                     monotonicNow())),
+      Shown(viewOf(Swim)), Random(this->Setup.Seed + 1) {}
+
+template <typename Body> void MemberWatch::spawn(Body &&What) {
+  asio::co_spawn(Executor, std::forward<Body>(What), asio::detached);
+}
+
+void MemberWatch::start() {
+  std::shared_ptr<MemberWatch> self = shared_from_this();
+  spawn([self]() -> asio::awaitable<void> { return self->probeLoop(); });
+  spawn([self]() -> asio::awaitable<void> { return self->tickLoop(); });
+  spawn([self]() -> asio::awaitable<void> { return self->digestLoop(); });
+  if (!Setup.Instances.empty())
+    spawn([self]() -> asio::awaitable<void> { return self->listLoop(); });
+  for (const Address &it : Setup.Seeds)
+    spawn([self, it]() -> asio::awaitable<void> { return self->join(it); });
+}
+
+void MemberWatch::stop() { Stopped = true; }
+
+Millis MemberWatch::jittered(Millis Span) {
+  // Half of it up to one and a half: nobody keeps step with anybody.
+  std::uint64_t span = static_cast<std::uint64_t>(Span.count());
+  return Millis(static_cast<std::int64_t>(span / 2 + Random() % (span + 1)));
+}
+
+// ---- loops ----
+
+asio::awaitable<void> MemberWatch::probeLoop() {
+  std::shared_ptr<MemberWatch> self = shared_from_this();
+  asio::steady_timer timer(Executor);
+  while (!Stopped) {
+    // Who is not well probes less often.
+    Millis period = Setup.Swim.ProbePeriod;
+    period += period * Swim.LocalHealth / 4;
+    timer.expires_after(jittered(period));
+    co_await timer.async_wait(Awaited);
+    if (!Stopped)
+      apply(ProbeDue());
+  }
+}
+
+asio::awaitable<void> MemberWatch::tickLoop() {
+  std::shared_ptr<MemberWatch> self = shared_from_this();
+  asio::steady_timer timer(Executor);
+  while (!Stopped) {
+    timer.expires_after(TickPeriod);
+    co_await timer.async_wait(Awaited);
+    if (Stopped)
+      break;
+    apply(TimePassed());
+    if (Dirty)
+      publish();
+  }
+}
+
+asio::awaitable<void> MemberWatch::listLoop() {
+  std::shared_ptr<MemberWatch> self = shared_from_this();
+  asio::steady_timer timer(Executor);
+  Millis failing = MinListBackOff;
+  while (!Stopped) {
+    bool good = true;
+    if (!Announced) {
+      bool leaving = Swim.Members.at(Swim.Self).Left;
+      good = co_await announce(leaving);
+      Announced = good;
+      AnnouncedAt = monotonicNow();
+    }
+    if (good && !Stopped)
+      good = co_await readList();
+    failing =
+        good ? MinListBackOff : std::min(failing * 2, Setup.MaxListBackOff);
+    timer.expires_after(jittered(good ? Setup.ListPeriod : failing));
+    co_await timer.async_wait(Awaited);
+  }
+}
+
+asio::awaitable<void> MemberWatch::digestLoop() {
+  std::shared_ptr<MemberWatch> self = shared_from_this();
+  asio::steady_timer timer(Executor);
+  // The first exchange comes early: it is how a new process learns the rest.
+  Millis span = Setup.Swim.ProbePeriod;
+  while (!Stopped) {
+    timer.expires_after(jittered(span));
+    co_await timer.async_wait(Awaited);
+    std::vector<InstanceName> peer = chooseHelpers(Swim, Swim.Self, 1);
+    if (Stopped)
+      break;
+    if (peer.empty()) {
+      for (const Address &it : Setup.Seeds)
+        co_await join(it);
+      continue;
+    }
+    Address where = Swim.Members.at(peer.front()).Who.Control;
+    co_await exchange(where, peer.front());
+    span = Setup.DigestPeriod;
+  }
+}
+
+asio::awaitable<void> MemberWatch::join(Address Seed) {
+  std::shared_ptr<MemberWatch> self = shared_from_this();
+  co_await exchange(std::move(Seed), InstanceName());
+}
+
+// ---- probes ----
+
+asio::awaitable<bool> MemberWatch::ping(InstanceName Target, Millis Timeout) {
+  auto found = Swim.Members.find(Target);
+  if (found == Swim.Members.end() || found->second.Who.Control.empty())
+    co_return false;
+  Address where = found->second.Who.Control;
+  PingMessage ping;
+  ping.Sequence = Links->nextSequence();
+  ping.From = Swim.Self.Text;
+  ping.Target = Target.Text;
+  ping.Carried = gossipTo(Target);
+  ControlMessage question = std::move(ping);
+  Outcome<ControlMessage> answer =
+      co_await Links->ask(where, std::move(question), Timeout);
+  const AckMessage *ack = answer ? std::get_if<AckMessage>(&*answer) : nullptr;
+  if (ack == nullptr || Stopped)
+    co_return false;
+  hear(ack->From, ack->Carried);
+  co_return true;
+}
+
+asio::awaitable<void> MemberWatch::probe(InstanceName Target) {
+  std::shared_ptr<MemberWatch> self = shared_from_this();
+  auto found = Swim.Members.find(Target);
+  if (found == Swim.Members.end() || !Probing.insert(Target).second)
+    co_return;
+  Incarnation life = found->second.Who.Life;
+  Counters.Probes.fetch_add(1);
+  Millis timeout = Setup.ProbeTimeout;
+  timeout += timeout * Swim.LocalHealth / 2;
+  bool reached = co_await ping(Target, timeout);
+  ProbeEnded ended{Target, life, reached, false};
+
+  if (!reached && !Stopped) {
+    // Others may reach what this process cannot.
+    std::shared_ptr<HelperWait> wait = std::make_shared<HelperWait>(Executor);
+    wait->Timer.expires_after(3 * timeout);
+    for (const InstanceName &it : chooseHelpers(Swim, Target, Setup.Helpers)) {
+      ++wait->Pending;
+      Address where = Swim.Members.at(it).Who.Control;
+      spawn([self, wait, where, Target, timeout]() -> asio::awaitable<void> {
+        PingRequestMessage ask{self->Links->nextSequence(),
+                               self->Swim.Self.Text, Target.Text};
+        ControlMessage question = ask;
+        Outcome<ControlMessage> answer =
+            co_await self->Links->ask(where, std::move(question), 3 * timeout);
+        const PingAnswerMessage *got =
+            answer ? std::get_if<PingAnswerMessage>(&*answer) : nullptr;
+        wait->Answered = wait->Answered || got != nullptr;
+        wait->Reached = wait->Reached || (got != nullptr && got->Reached);
+        --wait->Pending;
+        if (wait->Reached || wait->Pending == 0)
+          wait->Timer.cancel();
+      });
+    }
+    if (wait->Pending > 0)
+      co_await wait->Timer.async_wait(Awaited);
+    ended.Reached = wait->Reached;
+    ended.PeersAnswered = wait->Answered;
+  }
+
+  Probing.erase(Target);
+  if (!ended.Reached)
+    Counters.ProbesFailed.fetch_add(1);
+  if (!Stopped)
+    apply(ended);
+}
+
+void MemberWatch::receive(const PingMessage &Ping,
+                          const ControlServer::Reply &Answer) {
+  // A process that took over the port must not answer for its predecessor.
+  if (!Ping.Target.empty() && Ping.Target != Swim.Self.Text)
+    return;
+  hear(Ping.From, Ping.Carried);
+  if (Ping.Sequence == 0)
+    return;
+  AckMessage ack;
+  ack.Sequence = Ping.Sequence;
+  ack.From = Swim.Self.Text;
+  if (Ping.Carried.Full) {
+    ack.Carried.News = newsBeyond(Swim, Ping.Carried.Digests);
+    ack.Carried.Digests = digestsOf(Swim);
+    ack.Carried.At = Events.now();
+    Calls.FillLog(ack.Carried);
+  } else {
+    ack.Carried = gossipTo(InstanceName(Ping.From));
+  }
+  Answer(ack);
+}
+
+void MemberWatch::receive(const PingRequestMessage &Ask,
+                          ControlServer::Reply Answer) {
+  std::shared_ptr<MemberWatch> self = shared_from_this();
+  spawn([self, Ask, Answer]() -> asio::awaitable<void> {
+    InstanceName target(Ask.Target);
+    bool reached = co_await self->ping(target, self->Setup.ProbeTimeout);
+    PingAnswerMessage answer{Ask.Sequence, Ask.Target, reached};
+    if (!self->Stopped)
+      Answer(answer);
+  });
+}
+
+asio::awaitable<void> MemberWatch::exchange(Address Where, InstanceName Peer) {
+  PingMessage ping;
+  ping.Sequence = Links->nextSequence();
+  ping.From = Swim.Self.Text;
+  ping.Target = Peer.Text;
+  ping.Carried = gossipTo(Peer);
+  ping.Carried.Full = true;
+  ping.Carried.Digests = digestsOf(Swim);
+  // To be known by the other side is the first purpose of joining.
+  MemberNews self;
+  self.About = Swim.Members.at(Swim.Self).Who;
+  ping.Carried.News.push_back(std::move(self));
+  ControlMessage question = std::move(ping);
+  Outcome<ControlMessage> answer =
+      co_await Links->ask(Where, std::move(question), ExchangeTimeout);
+  const AckMessage *ack = answer ? std::get_if<AckMessage>(&*answer) : nullptr;
+  if (ack == nullptr || Stopped)
+    co_return;
+  hear(ack->From, ack->Carried);
+
+  // What the other side lacks goes back without a question.
+  PingMessage notice;
+  notice.From = Swim.Self.Text;
+  notice.Target = ack->From;
+  notice.Carried.News = newsBeyond(Swim, ack->Carried.Digests);
+  notice.Carried.At = Events.now();
+  Calls.FillLog(notice.Carried);
+  if (!notice.Carried.News.empty())
+    Links->send(Where, notice);
+}
+
+// ---- the platform's list ----
+
+asio::awaitable<bool> MemberWatch::readList() {
+  Outcome<std::vector<ListedInstance>> lines =
+      co_await readInstanceList(*Client, Setup.Instances, ListTimeout);
+  if (!lines || Stopped)
+    co_return false;
+  ListRead event{std::move(*lines)};
+  apply(event);
+  co_return true;
+}
+
+asio::awaitable<bool> MemberWatch::announce(bool Leaving) {
+  const Member &self = Swim.Members.at(Swim.Self).Who;
+  ListedInstance line;
+  line.Instance = self.Instance;
+  line.Domain = self.Domain;
+  line.Kind = self.Kind;
+  line.Frames = self.Control;
+  line.Http = self.Admin;
+  line.Leaving = Leaving;
+  line.Life = self.Life;
+  Outcome<Done> done = co_await announceInstance(*Client, Setup.Instances,
+                                                 std::move(line), ListTimeout);
+  if (!done)
+    spdlog::warn("control: announcing failed: {}", describe(done.failure()));
+  co_return static_cast<bool>(done);
+}
+
+// ---- news ----
+
+Gossip MemberWatch::gossipTo(const InstanceName &Peer) {
+  Gossip carried;
+  carried.News = newsFor(Swim, Peer);
+  carried.At = Events.now();
+  Calls.FillLog(carried);
+  return carried;
+}
+
+void MemberWatch::hear(const std::string &From, const Gossip &Carried) {
+  Events.hear(Carried.At);
+  if (!Carried.News.empty())
+    apply(NewsHeard{Carried.News});
+  Calls.HearLog(InstanceName(From), Carried.Next, Carried.LogAge);
+}
+
+void MemberWatch::apply(const SwimEvent &Event) {
+  carryOut(decide(Swim, Event, monotonicNow()));
+}
+
+void MemberWatch::carryOut(SwimEffects Effects) {
+  for (const HealthChange &it : Effects.Changes) {
+    std::string kind = "member." + std::string(toText(it.Now));
+    Events.record(kind, {{"member", it.Instance.Text},
+                         {"incarnation", std::to_string(it.Life)},
+                         {"witness", it.Witness}});
+  }
+  Dirty = Dirty || Effects.ViewChanged;
+  bool lagged = monotonicNow() - AnnouncedAt > Setup.AnnounceAgain;
+  if (Effects.SelfUnlisted && lagged)
+    Announced = false;
+  if (!Effects.Urgent.empty()) {
+    publish();
+    passOn(Effects.Urgent);
+  }
+  std::shared_ptr<MemberWatch> self = shared_from_this();
+  for (const InstanceName &it : Effects.Probes)
+    spawn([self, it]() -> asio::awaitable<void> { return self->probe(it); });
+}
+
+void MemberWatch::passOn(const std::vector<MemberNews> &Urgent) {
+  std::shared_ptr<const View> seen = Shown.get();
+  FanoutSettings limits;
+  bool own = std::any_of(Urgent.begin(), Urgent.end(), [&](const auto &it) {
+    return it.About.Instance == Swim.Self;
+  });
+  limits.OtherDomains = own || isLogReader(*seen, RelaysPerDomain);
+  for (const InstanceName &it : chooseFanout(*seen, limits, Random)) {
+    const Address &where = seen->Members.at(it).Control;
+    if (where.empty())
+      continue;
+    PingMessage notice;
+    notice.From = Swim.Self.Text;
+    notice.Target = it.Text;
+    notice.Carried.News = Urgent;
+    notice.Carried.At = Events.now();
+    Calls.FillLog(notice.Carried);
+    Links->send(where, notice);
+  }
+}
+
+void MemberWatch::publish() {
+  Dirty = false;
+  Shown.set(viewOf(Swim));
+}
+
+void MemberWatch::setServers(std::vector<ServerStatus> Servers) {
+  apply(ServersChanged{std::move(Servers)});
+}
+
+void MemberWatch::noteUnreachable(const InstanceName &Target) {
+  apply(RequestFailed{Target});
+}
+
+asio::awaitable<void> MemberWatch::leave() {
+  std::shared_ptr<MemberWatch> self = shared_from_this();
+  apply(SelfLeaves());
+  if (!Setup.Instances.empty()) {
+    spawn([self]() -> asio::awaitable<void> {
+      bool told = co_await self->announce(true);
+      self->Announced = told;
+    });
+  }
+  // The notices are under way; an answered probe carries the news for certain.
+  std::vector<InstanceName> helpers =
+      chooseHelpers(Swim, Swim.Self, Setup.Helpers);
+  for (const InstanceName &it : helpers) {
+    bool confirmed = co_await ping(it, Setup.ProbeTimeout);
+    if (confirmed || Stopped)
+      break;
+  }
+}
+
+} // namespace wasabi
