--- /dev/null
+++ b/UnitTests/Node/ControlPlaneTest.cpp
@@ -0,0 +1,285 @@
+#include "Wasabi/Node/ControlPlane.h"
+#include "UnitTests/Node/FakePlatform.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace wasabi {
+namespace {
+
+constexpr std::chrono::seconds Deadline(20);
+constexpr std::chrono::milliseconds LookPeriod(5);
+
+/// Waits until a condition holds, or a deadline that only a fault reaches.
+template <typename Condition> bool eventually(Condition &&Holds) {
+  std::chrono::steady_clock::time_point until =
+      std::chrono::steady_clock::now() + Deadline;
+  while (!Holds()) {
+    if (std::chrono::steady_clock::now() > until)
+      return false;
+    std::this_thread::sleep_for(LookPeriod);
+  }
+  return true;
+}
+
+/// One process' control plane with its time line.
+struct Node {
+  std::unique_ptr<Timeline> Events;
+  std::unique_ptr<ControlPlane> Plane;
+  std::atomic<int> Orders{0};
+};
+
+class Cluster {
+public:
+  FakePlatform Platform;
+  std::vector<std::unique_ptr<Node>> Nodes;
+
+  ControlPlane::Settings settings(std::size_t Index) {
+    ControlPlane::Settings setup;
+    setup.Instance = InstanceName("node-" + std::to_string(Index));
+    setup.Domain = DomainName(Index % 2 == 0 ? "lulea-hall" : "umea-hall");
+    setup.Log = Platform.address();
+    setup.Instances = Platform.address();
+    setup.ProbePeriod = Millis(100);
+    setup.ProbeTimeout = Millis(300);
+    setup.ClaimTerm = Millis(1000);
+    setup.ClaimSettle = Millis(200);
+    setup.ListPeriod = Millis(100);
+    setup.ReadersPerDomain = 1;
+    setup.Seed = 100 + Index;
+    return setup;
+  }
+
+  Node &add(ControlPlane::Settings Setup) {
+    std::unique_ptr<Node> node = std::make_unique<Node>();
+    Timeline::Settings limits;
+    node->Events = std::make_unique<Timeline>(Setup.Instance.Text, limits);
+    Node *raw = node.get();
+    ControlPlane::OrderHandler handle =
+        [raw](const Order &What,
+              const std::function<void(Outcome<OrderAnswer>)> &Answer) {
+          raw->Orders.fetch_add(1);
+          Answer(OrderAnswer{What.Version});
+        };
+    Outcome<std::unique_ptr<ControlPlane>> made =
+        toOutcome<std::unique_ptr<ControlPlane>>([&]() {
+          return ControlPlane::create(Setup, *node->Events, handle);
+        });
+    REQUIRE(made);
+    node->Plane = std::move(*made);
+    Nodes.push_back(std::move(node));
+    return *Nodes.back();
+  }
+
+  void start(std::size_t Count) {
+    for (std::size_t n = 0; n < Count; ++n)
+      add(settings(n));
+    REQUIRE(eventually([&]() { return allSee(Count); }));
+  }
+
+  /// Whether all are ready and each sees so many alive.
+  bool allSee(std::size_t Count) const {
+    for (const std::unique_ptr<Node> &it : Nodes) {
+      if (!it->Plane->ready() || countAlive(*it->Plane) != Count)
+        return false;
+    }
+    return true;
+  }
+
+  static std::size_t countAlive(const ControlPlane &Plane) {
+    std::size_t count = 0;
+    for (const auto &[name, member] : Plane.view()->Members)
+      count += member.State == Health::Alive ? 1 : 0;
+    return count;
+  }
+
+  /// The node that holds a claim now; null for none.
+  Node *holder(const std::string &Resource) const {
+    for (const std::unique_ptr<Node> &it : Nodes) {
+      if (it->Plane->held(Resource))
+        return it.get();
+    }
+    return nullptr;
+  }
+
+  void end(const Node *Which) {
+    std::erase_if(Nodes, [&](const auto &it) { return it.get() == Which; });
+  }
+};
+
+ConfigChange limitChange(Offset Base, const std::string &Caller) {
+  ConfigChange change;
+  change.Base = Base;
+  change.Operator = "test";
+  change.Message = "a limit";
+  std::string text = R"({"burst":5,"kind":"limit","name":")" + Caller +
+                     R"(","requests_per_second":5})";
+  change.Writes.push_back(ObjectWrite{"limit/" + Caller, text});
+  return change;
+}
+
+Outcome<Applied> appendAndWait(ControlPlane &Plane, RecordBody Body) {
+  std::shared_ptr<std::promise<Outcome<Applied>>> promise =
+      std::make_shared<std::promise<Outcome<Applied>>>();
+  std::future<Outcome<Applied>> done = promise->get_future();
+  Plane.append(std::move(Body),
+               [promise](Outcome<Applied> Did) { promise->set_value(Did); });
+  REQUIRE(done.wait_for(Deadline) == std::future_status::ready);
+  return done.get();
+}
+
+bool inForce(const ControlPlane &Plane, const std::string &Caller) {
+  return Plane.state()->Objects.contains("limit/" + Caller);
+}
+
+} // namespace
+
+TEST_CASE("An accepted change is in force on every process",
+          "[node][control]") {
+  Cluster cluster;
+  cluster.start(6);
+  ControlPlane &author = *cluster.Nodes.front()->Plane;
+  Outcome<Applied> did =
+      appendAndWait(author, limitChange(author.state()->Next, "crew"));
+  REQUIRE(did);
+  CHECK(did->Fate == RecordFate::Accepted);
+  CHECK(eventually([&]() {
+    return std::all_of(
+        cluster.Nodes.begin(), cluster.Nodes.end(),
+        [](const auto &it) { return inForce(*it->Plane, "crew"); });
+  }));
+}
+
+TEST_CASE("A lost answer is settled by reading, and the record counts once",
+          "[node][control]") {
+  Cluster cluster;
+  cluster.start(1);
+  ControlPlane &author = *cluster.Nodes.front()->Plane;
+  cluster.Platform.LoseAnswers = 2;
+  Outcome<Applied> did =
+      appendAndWait(author, limitChange(author.state()->Next, "planner"));
+  REQUIRE(did);
+  CHECK(did->Fate == RecordFate::Accepted);
+  CHECK(inForce(author, "planner"));
+}
+
+TEST_CASE("A claim has one holder and moves after its holder's death",
+          "[node][claims]") {
+  Cluster cluster;
+  cluster.start(4);
+  for (const std::unique_ptr<Node> &it : cluster.Nodes)
+    it->Plane->want("trainer/drafts");
+  REQUIRE(eventually([&]() { return cluster.holder("trainer/drafts"); }));
+  Node *first = cluster.holder("trainer/drafts");
+  FencingToken token = first->Plane->held("trainer/drafts")->Token;
+  for (const std::unique_ptr<Node> &it : cluster.Nodes)
+    CHECK((it.get() == first) == it->Plane->held("trainer/drafts").has_value());
+
+  cluster.end(first);
+  REQUIRE(eventually([&]() { return cluster.holder("trainer/drafts"); }));
+  CHECK(cluster.holder("trainer/drafts")->Plane->held("trainer/drafts")->Token >
+        token);
+}
+
+TEST_CASE("Leaving is known everywhere while the platform's list lags",
+          "[node][membership]") {
+  Cluster cluster;
+  cluster.start(5);
+  cluster.Platform.ListFrozen = true;
+  std::shared_ptr<std::promise<void>> told =
+      std::make_shared<std::promise<void>>();
+  std::future<void> done = told->get_future();
+  Node &leaver = *cluster.Nodes.front();
+  leaver.Plane->leave([told]() { told->set_value(); });
+  REQUIRE(done.wait_for(Deadline) == std::future_status::ready);
+  InstanceName name("node-0");
+  CHECK(eventually([&]() {
+    return std::all_of(
+        cluster.Nodes.begin(), cluster.Nodes.end(), [&](const auto &it) {
+          return it->Plane->view()->Members.at(name).State == Health::Leaving;
+        });
+  }));
+}
+
+TEST_CASE("During an outage of the log claims lapse and do not move",
+          "[node][claims]") {
+  Cluster cluster;
+  cluster.start(3);
+  for (const std::unique_ptr<Node> &it : cluster.Nodes)
+    it->Plane->want("weights/drafts");
+  REQUIRE(eventually([&]() { return cluster.holder("weights/drafts"); }));
+  Node *owner = cluster.holder("weights/drafts");
+  FencingToken token = owner->Plane->held("weights/drafts")->Token;
+  cluster.Platform.Outage = true;
+  CHECK(eventually([&]() { return !cluster.holder("weights/drafts"); }));
+  // Towards targets that check tokens the owner may go on.
+  CHECK(owner->Plane->tokenDespiteOutage("weights/drafts") == token);
+  for (const std::unique_ptr<Node> &it : cluster.Nodes) {
+    if (it.get() != owner)
+      CHECK(!it->Plane->tokenDespiteOutage("weights/drafts"));
+  }
+  cluster.Platform.Outage = false;
+  CHECK(eventually([&]() { return cluster.holder("weights/drafts"); }));
+}
+
+TEST_CASE("A process starts from a peer's state while the log is down",
+          "[node][control]") {
+  Cluster cluster;
+  cluster.start(2);
+  ControlPlane &author = *cluster.Nodes.front()->Plane;
+  REQUIRE(appendAndWait(author, limitChange(author.state()->Next, "buyer")));
+  cluster.Platform.Outage = true;
+  ControlPlane::Settings setup = cluster.settings(2);
+  setup.Seeds.push_back(author.address());
+  Node &late = cluster.add(setup);
+  CHECK(eventually([&]() { return late.Plane->ready(); }));
+  CHECK(inForce(*late.Plane, "buyer"));
+}
+
+TEST_CASE("A log that serves an older tail takes nothing back",
+          "[node][control]") {
+  Cluster cluster;
+  cluster.start(1);
+  ControlPlane &plane = *cluster.Nodes.front()->Plane;
+  REQUIRE(appendAndWait(plane, limitChange(plane.state()->Next, "one")));
+  cluster.Platform.HideNewest = 1000;
+  REQUIRE(eventually([&]() {
+    for (const TimelineEvent &it : cluster.Nodes.front()->Events->since(0)) {
+      if (it.Kind == "log.stale_tail")
+        return true;
+    }
+    return false;
+  }));
+  CHECK(inForce(plane, "one"));
+  cluster.Platform.HideNewest = 0;
+  REQUIRE(appendAndWait(plane, limitChange(plane.state()->Next, "two")));
+  CHECK(inForce(plane, "two"));
+}
+
+TEST_CASE("An order reaches its daemon and its answer comes back",
+          "[node][control]") {
+  Cluster cluster;
+  cluster.start(2);
+  Order what{ServerName("s"), "weights/m", 7, ModelName("m"), 3};
+  std::shared_ptr<std::promise<Outcome<OrderAnswer>>> promise =
+      std::make_shared<std::promise<Outcome<OrderAnswer>>>();
+  std::future<Outcome<OrderAnswer>> done = promise->get_future();
+  cluster.Nodes[0]->Plane->order(
+      InstanceName("node-1"), what, Millis(5000),
+      [promise](Outcome<OrderAnswer> Did) { promise->set_value(Did); });
+  REQUIRE(done.wait_for(Deadline) == std::future_status::ready);
+  Outcome<OrderAnswer> did = done.get();
+  REQUIRE(did);
+  CHECK(did->Version == 3);
+  CHECK(cluster.Nodes[1]->Orders.load() == 1);
+}
+
+} // namespace wasabi
