--- /dev/null
+++ b/UnitTests/Adapters/PlatformLog/FakeLog.h
@@ -0,0 +1,111 @@
+/// \file
+/// A log in memory with the faults of the platform's.
+#ifndef WASABI_UNITTESTS_ADAPTERS_PLATFORMLOG_FAKELOG_H
+#define WASABI_UNITTESTS_ADAPTERS_PLATFORMLOG_FAKELOG_H
+
+#include "Wasabi/Ports/LogPort.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <optional>
+
+namespace wasabi::logtest {
+
+/// One stream. Used on one thread; outlives its ports.
+struct FakeLog {
+  std::vector<LogEntry> Entries;
+  Offset First = 0;
+  /// The next appends take effect, and their answers are lost.
+  int LoseAnswers = 0;
+  /// The next appends are refused without an effect.
+  int RefuseAppends = 0;
+  /// The next reads hide the newest record.
+  int StaleReads = 0;
+  bool Outage = false;
+  int Appends = 0;
+
+  Outcome<Offset> append(std::string Text) {
+    ++Appends;
+    if (Outage)
+      return Failure{
+          Verdict::NotRun, FailureCode::Unreachable, "log", "down", {}};
+    if (RefuseAppends > 0) {
+      --RefuseAppends;
+      return Failure{Verdict::NotRun, FailureCode::Overloaded, "log", "busy",
+                     Millis(1)};
+    }
+    Offset at = First + Entries.size();
+    Entries.push_back({at, std::move(Text)});
+    if (LoseAnswers > 0) {
+      --LoseAnswers;
+      return Failure{Verdict::MayHaveRun,
+                     FailureCode::ConnectionLost,
+                     "log",
+                     "answer lost",
+                     {}};
+    }
+    return at;
+  }
+
+  Outcome<LogRange> read(Offset From, std::size_t Max) {
+    if (Outage)
+      return Failure{
+          Verdict::NotRun, FailureCode::Unreachable, "log", "down", {}};
+    LogRange out;
+    out.First = First;
+    out.End = First + Entries.size();
+    if (StaleReads > 0 && out.End > out.First) {
+      --StaleReads;
+      --out.End;
+    }
+    for (Offset at = From; at >= First && at < out.End; ++at)
+      if (out.Entries.size() < Max)
+        out.Entries.push_back(Entries[at - First]);
+    return out;
+  }
+
+  /// Drops what is below `To`.
+  void expireBelow(Offset To) {
+    Entries.erase(Entries.begin(),
+                  Entries.begin() + static_cast<std::ptrdiff_t>(To - First));
+    First = To;
+  }
+
+  LogPort port() {
+    LogPort out;
+    out.Append =
+        [this](std::string,
+               std::string Text) -> boost::asio::awaitable<Outcome<Offset>> {
+      co_return append(std::move(Text));
+    };
+    out.Read = [this](std::string, Offset From, std::size_t Max,
+                      Millis) -> boost::asio::awaitable<Outcome<LogRange>> {
+      co_return read(From, Max);
+    };
+    return out;
+  }
+};
+
+/// Keeps what a coroutine gives.
+template <typename T>
+boost::asio::awaitable<void> keepIn(std::optional<T> &Out,
+                                    boost::asio::awaitable<T> Body) {
+  Out = co_await std::move(Body);
+}
+
+/// Runs a coroutine to its end.
+template <typename T> T runToEnd(boost::asio::awaitable<T> Body) {
+  boost::asio::io_context context;
+  std::optional<T> out;
+  boost::asio::co_spawn(context, keepIn(out, std::move(Body)),
+                        boost::asio::detached);
+  context.run();
+  return std::move(*out);
+}
+
+} // namespace wasabi::logtest
+
+#endif // WASABI_UNITTESTS_ADAPTERS_PLATFORMLOG_FAKELOG_H
