--- /dev/null
+++ b/Ctl/Session.cpp
@@ -0,0 +1,57 @@
+#include "Ctl/Session.h"
+
+#include "Wasabi/Adapters/PlatformLog/HttpLog.h"
+
+#include <algorithm>
+
+namespace wasabi::ctl {
+
+namespace {
+
+namespace asio = boost::asio;
+
+/// Most instances asked at once.
+constexpr std::size_t MaxParallel = 64;
+
+/// Takes the next index until there is none.
+asio::awaitable<void>
+work(std::size_t &Next, std::size_t Count,
+     const std::function<asio::awaitable<void>(std::size_t)> &Body) {
+  while (Next < Count) {
+    std::size_t index = Next++;
+    co_await Body(index);
+  }
+}
+
+} // namespace
+
+Session::Session(Settings Given)
+    : Given(std::move(Given)),
+      Client(http::Client::create(Context.get_executor(), {})) {}
+
+Result<LogPort> Session::log() {
+  if (Given.Log.empty())
+    return badInput("--log", "is needed: IP:PORT of the platform's log");
+  return httpLog(Client, Given.Log);
+}
+
+void Session::runEach(
+    std::size_t Count,
+    const std::function<asio::awaitable<void>(std::size_t)> &Body) {
+  std::size_t next = 0;
+  std::size_t running = std::min(Count, MaxParallel);
+  if (running == 0)
+    return;
+  Context.restart();
+  for (std::size_t i = running; i > 0; --i)
+    asio::co_spawn(Context, work(next, Count, Body),
+                   [&](const std::exception_ptr &Problem) {
+                     if (--running == 0)
+                       Context.stop();
+                     if (Problem)
+                       std::rethrow_exception(Problem);
+                   });
+  Context.run();
+}
+
+} // namespace wasabi::ctl
