--- /dev/null
+++ b/Wasabi/Adapters/Admin/AdminServer.cpp
@@ -0,0 +1,155 @@
+#include "Wasabi/Adapters/Admin/AdminServer.h"
+
+#include "Wasabi/Adapters/Http/HttpServer.h"
+#include "Wasabi/Core/Published.h"
+#include "Wasabi/Core/Timeline.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <charconv>
+#include <thread>
+#include <vector>
+
+namespace wasabi {
+namespace {
+
+namespace asio = boost::asio;
+
+http::Response textResponse(unsigned Status, std::string Body) {
+  return http::Response{
+      Status, {{"Content-Type", "text/plain; charset=utf-8"}}, std::move(Body)};
+}
+
+std::string timelineJson(const Timeline &Events, std::uint64_t From) {
+  std::vector<TimelineEvent> kept = Events.since(From);
+  boost::json::array events;
+  for (const TimelineEvent &it : kept) {
+    boost::json::object fields;
+    for (const EventField &field : it.Fields)
+      fields[field.Key] = field.Value;
+    events.push_back(boost::json::object{{"wall", it.At.Wall},
+                                         {"count", it.At.Count},
+                                         {"sequence", it.Sequence},
+                                         {"instance", it.Instance},
+                                         {"kind", it.Kind},
+                                         {"fields", std::move(fields)}});
+  }
+  boost::json::object page;
+  page["instance"] = Events.instance();
+  page["dropped"] = Events.dropped();
+  page["events"] = std::move(events);
+  return boost::json::serialize(page);
+}
+
+class HttpAdminServer final : public AdminServer {
+public:
+  explicit HttpAdminServer(Timeline &Events) : Events(Events) {}
+
+  ~HttpAdminServer() override {
+    if (!Runner.joinable())
+      return;
+    asio::post(Context, [this] { Front->stop(); });
+    Work.reset();
+    Runner.join();
+  }
+
+  Result<Done> start(Address Listen) {
+    http::Server::Settings limits;
+    limits.Listen = std::move(Listen);
+    BOOST_LEAF_ASSIGN(
+        Front,
+        http::Server::create(
+            Context, limits,
+            [this](http::Request Ask, std::shared_ptr<http::Responder> Out)
+                -> asio::awaitable<void> {
+              return handle(std::move(Ask), std::move(Out));
+            }));
+    Bound = Front->address();
+    Runner = std::thread([this] { Context.run(); });
+    return Done{};
+  }
+
+  Address address() const override { return Bound; }
+  void show(AdminSources NewSources) override {
+    Sources.set(std::move(NewSources));
+  }
+
+private:
+  asio::awaitable<void> handle(http::Request Ask,
+                               std::shared_ptr<http::Responder> Out) {
+    http::Response answer = answerTo(Ask);
+    co_await Out->send(std::move(answer));
+  }
+
+  http::Response answerTo(const http::Request &Ask) {
+    std::shared_ptr<const AdminSources> sources = Sources.get();
+    std::string_view path = Ask.path();
+    if (Ask.Method != "GET" && Ask.Method != "HEAD")
+      return textResponse(405, "only GET\n");
+    if (path == "/healthz")
+      return textResponse(200, "alive\n");
+    if (path == "/readyz") {
+      bool ready = sources->Ready && sources->Ready();
+      return ready ? textResponse(200, "ready\n")
+                   : textResponse(503, "not ready\n");
+    }
+    if (path == "/status")
+      return http::jsonResponse(200, status(*sources));
+    if (path == "/metrics")
+      return textResponse(200, sources->Metrics ? sources->Metrics() : "");
+    if (path == "/timeline")
+      return timeline(Ask);
+    return textResponse(
+        404, "there are /healthz, /readyz, /status, /metrics, /timeline\n");
+  }
+
+  static std::string status(const AdminSources &Sources) {
+    boost::json::object merged;
+    if (Sources.Status) {
+      for (const std::string &it : Sources.Status()) {
+        boost::system::error_code ec;
+        boost::json::value part = boost::json::parse(it, ec);
+        if (ec || !part.is_object())
+          continue;
+        for (const boost::json::key_value_pair &member : part.get_object())
+          merged.insert_or_assign(member.key(), member.value());
+      }
+    }
+    return boost::json::serialize(merged);
+  }
+
+  http::Response timeline(const http::Request &Ask) {
+    std::string text = Ask.query("from");
+    std::uint64_t from = 0;
+    std::from_chars_result read =
+        std::from_chars(text.data(), text.data() + text.size(), from);
+    if (!text.empty() &&
+        (read.ec != std::errc() || read.ptr != text.data() + text.size()))
+      return textResponse(400, "from: '" + text + "' is not a count\n");
+    return http::jsonResponse(200, timelineJson(Events, from));
+  }
+
+  Timeline &Events;
+  asio::io_context Context{1};
+  asio::executor_work_guard<asio::io_context::executor_type> Work{
+      Context.get_executor()};
+  std::shared_ptr<http::Server> Front;
+  Address Bound;
+  Published<AdminSources> Sources;
+  std::thread Runner;
+};
+
+} // namespace
+
+Result<std::unique_ptr<AdminServer>> AdminServer::create(Address Listen,
+                                                         Timeline &Events) {
+  std::unique_ptr<HttpAdminServer> server =
+      std::make_unique<HttpAdminServer>(Events);
+  BOOST_LEAF_CHECK(server->start(std::move(Listen)));
+  return std::unique_ptr<AdminServer>(std::move(server));
+}
+
+} // namespace wasabi
--- /dev/null
+++ b/Wasabi/Adapters/Proxy/DaemonProxy.cpp
@@ -0,0 +1,787 @@
+#include "Wasabi/Adapters/Proxy/DaemonProxy.h"
+
+#include "Wasabi/Adapters/Proxy/EngineApi.h"
+#include "Wasabi/Adapters/Proxy/Forwarding.h"
+#include "Wasabi/Adapters/Proxy/ProxyHeaders.h"
+#include "Wasabi/Adapters/Proxy/ServerGate.h"
+#include "Wasabi/Weights/OrderGuard.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <spdlog/spdlog.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <atomic>
+#include <charconv>
+#include <list>
+#include <map>
+
+namespace wasabi {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr asio::as_tuple_t<asio::use_awaitable_t<>> Awaited;
+constexpr std::string_view CompletionsPath = "/v1/completions";
+constexpr char ReserveMethod[] = "RESERVE";
+constexpr char FingerprintHeader[] = "Fingerprint";
+constexpr char RunnerHeader[] = "Runner";
+constexpr char LifeHeader[] = "Life";
+/// When to come back to a daemon that is starting, leaving or without engine.
+constexpr Millis ComeBack{500};
+/// Pause between two looks at the samples that an order waits for.
+constexpr Millis SwapPause{5};
+/// How long a repeat waits at most between two looks at the first one's end.
+constexpr Millis RepeatPause{1000};
+/// Largest answer remembered with a key.
+constexpr std::size_t MaxKeptAnswer = 256u << 10;
+
+/// One server behind this daemon.
+struct Upstream {
+  Upstream(const asio::any_io_executor &Executor, UpstreamServer Setup,
+           Admission::Settings Limits)
+      : Setup(std::move(Setup)),
+        Gate(Executor, this->Setup.Server.Text, Limits) {}
+
+  const UpstreamServer Setup;
+  ServerGate Gate;
+  /// Engines only: what they said last, and how many looks failed since.
+  bool Engine = false;
+  std::optional<EngineState> State;
+  std::uint32_t FailedLooks = 0;
+  /// Whether it takes new work.
+  bool Serving = true;
+  /// The exchanges at hand: true for those of samples.
+  std::map<Forwarding *, bool> Running;
+  /// Orders at hand and waiting; one is carried out at a time.
+  std::list<std::pair<Order, DaemonProxy::OrderCallback>> Orders;
+  bool Ordering = false;
+};
+
+/// One attempt at this daemon.
+struct Work {
+  RequestAttempt Attempt;
+  std::shared_ptr<AnswerSink> Sink;
+  Upstream *At = nullptr;
+  std::uint64_t Id = 0;
+  TimePoint Until;
+  /// Set for a request that a key makes run once.
+  std::string Key;
+  std::uint64_t Fingerprint = 0;
+};
+
+std::uint64_t fingerprintOf(const http::Request &Ask) {
+  std::uint64_t hash = XXH64(Ask.Body.data(), Ask.Body.size(), 0);
+  hash = XXH64(Ask.Target.data(), Ask.Target.size(), hash);
+  return XXH64(Ask.Method.data(), Ask.Method.size(), hash);
+}
+
+std::uint64_t countFrom(std::string_view Text) {
+  std::uint64_t count = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), count);
+  return count;
+}
+
+Failure notRun(FailureCode Code, std::string Place, std::string Reason) {
+  return Failure{Verdict::NotRun, Code, std::move(Place), std::move(Reason),
+                 ComeBack};
+}
+
+/// The counters of a daemon.
+struct DaemonCounts {
+  explicit DaemonCounts(Metrics &Registry)
+      : Attempts(Registry.counter("wasabi_daemon_attempts_total",
+                                  "Attempts received")),
+        Forwarded(Registry.counter("wasabi_daemon_forwarded_total",
+                                   "Attempts given to a server")),
+        Whole(Registry.counter("wasabi_daemon_whole_answers_total",
+                               "Whole answers of servers")),
+        Refused(Registry.counter("wasabi_daemon_refused_total",
+                                 "Attempts refused before their server")),
+        Broken(Registry.counter("wasabi_daemon_broken_total",
+                                "Attempts that failed at their server")),
+        Repeats(Registry.counter("wasabi_daemon_repeats_total",
+                                 "Repeats of a key that were not run")),
+        OrdersTaken(Registry.counter("wasabi_daemon_orders_total",
+                                     "Orders carried out")),
+        OrdersRefused(Registry.counter("wasabi_daemon_orders_refused_total",
+                                       "Orders refused for an old token")) {}
+
+  Counter &Attempts;
+  Counter &Forwarded;
+  Counter &Whole;
+  Counter &Refused;
+  Counter &Broken;
+  Counter &Repeats;
+  Counter &OrdersTaken;
+  Counter &OrdersRefused;
+};
+
+class DaemonProxyImpl final : public DaemonProxy {
+public:
+  DaemonProxyImpl(asio::io_context &Context, Settings Setup, Timeline &Events,
+                  Metrics &Registry)
+      : Context(Context), Setup(std::move(Setup)), Events(Events),
+        Counts(Registry), Keys(keySettings(this->Setup)), Tick(Context) {
+    http::Client::Settings limits;
+    // Every slot of a server may have a connection of its own.
+    limits.MaxIdlePerAddress = 1024;
+    Client = http::Client::create(Context.get_executor(), limits);
+    RequestClient::Settings peers;
+    peers.Instance = this->Setup.Instance;
+    peers.Domain = this->Setup.Domain;
+    peers.Life = this->Setup.Life;
+    peers.Seed = this->Setup.Seed;
+    Peers = RequestClient::create(Context.get_executor(), peers);
+    for (const UpstreamServer &it : this->Setup.Upstreams)
+      Upstreams.push_back(std::make_unique<Upstream>(Context.get_executor(), it,
+                                                     Admission::Settings()));
+  }
+
+  void attach(ControlSource NewSource, ServersCallback NewTell) override {
+    Source = std::move(NewSource);
+    Tell = std::move(NewTell);
+    std::shared_ptr<DaemonProxyImpl> held = self();
+    asio::co_spawn(
+        Context, [held]() -> asio::awaitable<void> { return held->tick(); },
+        asio::detached);
+    for (const std::unique_ptr<Upstream> &it : Upstreams) {
+      Upstream *at = it.get();
+      asio::co_spawn(
+          Context,
+          [held, at]() -> asio::awaitable<void> { return held->watch(*at); },
+          asio::detached);
+    }
+  }
+
+  asio::awaitable<void> handle(RequestAttempt Attempt,
+                               std::shared_ptr<AnswerSink> Sink) override {
+    std::shared_ptr<DaemonProxyImpl> held = self();
+    // Daemons ask each other about keys, also while they leave.
+    if (Attempt.Service.empty()) {
+      handleReserve(Attempt, *Sink);
+      co_return;
+    }
+    InFlight.fetch_add(1, std::memory_order_relaxed);
+    Counts.Attempts.add();
+    Work work;
+    work.Until = monotonicNow() + Attempt.Deadline;
+    work.Attempt = std::move(Attempt);
+    work.Sink = std::move(Sink);
+    work.Id = ++LastId;
+    Outcome<Done> taken = take(work);
+    if (!taken)
+      refuse(work, taken.failure());
+    else if (work.Key.empty())
+      co_await runPlain(work);
+    else
+      co_await runKeyed(work);
+    InFlight.fetch_sub(1, std::memory_order_relaxed);
+  }
+
+  void order(Order What, OrderCallback Callback) override {
+    Upstream *at = find(What.Server);
+    if (!at) {
+      Callback(notRun(FailureCode::NoUpstream, "server " + What.Server.Text,
+                      "it is not behind this daemon"));
+      return;
+    }
+    at->Orders.emplace_back(std::move(What), std::move(Callback));
+    if (at->Ordering)
+      return;
+    at->Ordering = true;
+    std::shared_ptr<DaemonProxyImpl> held = self();
+    asio::co_spawn(
+        Context,
+        [held, at]() -> asio::awaitable<void> { return held->runOrders(*at); },
+        asio::detached);
+  }
+
+  std::vector<LoadSeen> loads() const override {
+    std::vector<LoadSeen> seen;
+    for (const std::unique_ptr<Upstream> &it : Upstreams) {
+      const Admission &gate = it->Gate.admission();
+      LoadSeen load;
+      load.Server = it->Setup.Server;
+      load.Service = it->Setup.Service;
+      load.Running = gate.running();
+      load.Queued = gate.queued();
+      load.Limit = gate.limit();
+      load.Version = it->State ? it->State->Version : 0;
+      load.Serving = it->Serving && !Leaving;
+      seen.push_back(load);
+    }
+    return seen;
+  }
+
+  void leave() override { Leaving = true; }
+
+  std::size_t inFlight() const override {
+    return InFlight.load(std::memory_order_relaxed);
+  }
+
+  void stop() override {
+    Stopped = true;
+    Tick.cancel();
+    Peers->stop();
+  }
+
+private:
+  static IdempotencyKeys::Settings keySettings(const Settings &From) {
+    IdempotencyKeys::Settings settings;
+    settings.Self = Runner{From.Instance, From.Life};
+    settings.MaxAnswer = MaxKeptAnswer;
+    return settings;
+  }
+
+  std::shared_ptr<DaemonProxyImpl> self() {
+    return std::static_pointer_cast<DaemonProxyImpl>(shared_from_this());
+  }
+
+  Upstream *find(const ServerName &Name) {
+    for (const std::unique_ptr<Upstream> &it : Upstreams) {
+      if (it->Setup.Server == Name)
+        return it.get();
+    }
+    return nullptr;
+  }
+
+  //===--- Taking an attempt ----------------------------------------------===//
+
+  /// Chooses the server and looks at the preset.
+  Outcome<Done> take(Work &What) {
+    const RequestAttempt &attempt = What.Attempt;
+    if (Leaving)
+      return notRun(FailureCode::Leaving, Setup.Instance.Text,
+                    "this instance is leaving");
+    if (!Source.State)
+      return notRun(FailureCode::Unavailable, Setup.Instance.Text,
+                    "this instance is starting");
+    What.At = attempt.Server.empty() ? leastLoaded(attempt.Service)
+                                     : find(attempt.Server);
+    if (!What.At || What.At->Setup.Service != attempt.Service)
+      return notRun(FailureCode::NoUpstream, "service " + attempt.Service.Text,
+                    "this instance has no such server of it");
+    if (!What.At->Serving)
+      return notRun(FailureCode::Unavailable,
+                    "server " + What.At->Setup.Server.Text,
+                    "it does not answer, or is draining");
+    std::shared_ptr<const FoldState> state = Source.State();
+    const PresetDeclaration &preset = state->Config->preset();
+    bool sample = !attempt.Trainer.empty();
+    if (!(sample ? preset.AdmitRollouts : preset.AdmitCallers))
+      return notRun(FailureCode::Unavailable,
+                    "preset " + state->Config->InForce.Text,
+                    sample ? "it dispatches no samples"
+                           : "it takes no callers' requests");
+    if (!attempt.Idempotent && !attempt.Key.empty()) {
+      What.Key =
+          attempt.Service.Text + "\n" + attempt.Caller + "\n" + attempt.Key;
+      What.Fingerprint = fingerprintOf(attempt.Http);
+    }
+    return Done{};
+  }
+
+  Upstream *leastLoaded(const ServiceName &Service) {
+    Upstream *best = nullptr;
+    for (const std::unique_ptr<Upstream> &it : Upstreams) {
+      if (it->Setup.Service != Service)
+        continue;
+      bool better = !best || (it->Serving && !best->Serving) ||
+                    (it->Serving == best->Serving &&
+                     it->Gate.admission().expectedWait(0) <
+                         best->Gate.admission().expectedWait(0));
+      if (better)
+        best = it.get();
+    }
+    return best;
+  }
+
+  void record(std::string_view Kind, const Work &What,
+              std::vector<EventField> More) {
+    std::vector<EventField> fields = {
+        {"request", What.Attempt.Request},
+        {"attempt", std::to_string(What.Attempt.Attempt)},
+        {"server",
+         What.At ? What.At->Setup.Server.Text : What.Attempt.Server.Text}};
+    for (EventField &it : More)
+      fields.push_back(std::move(it));
+    Events.record(Kind, std::move(fields));
+  }
+
+  void refuse(const Work &What, const Failure &Why) {
+    Counts.Refused.add();
+    record("attempt.refuse", What,
+           {{"verdict", std::string(toText(Why.Run))}, {"reason", Why.Reason}});
+    What.Sink->fail(Why);
+  }
+
+  AdmissionAsk askOf(const Work &What) {
+    const RequestAttempt &attempt = What.Attempt;
+    AdmissionAsk ask;
+    ask.Id = What.Id;
+    ask.Priority = attempt.Priority;
+    ask.Rollout = !attempt.Trainer.empty();
+    ask.Flow = ask.Rollout ? "trainer/" + attempt.Trainer.Text
+                           : "caller/" + attempt.Caller;
+    ask.Share = ask.Rollout ? shareOf(attempt) : 1;
+    ask.Until = What.Until;
+    return ask;
+  }
+
+  std::uint32_t shareOf(const RequestAttempt &Attempt) {
+    std::shared_ptr<const FoldState> state = Source.State();
+    for (const std::pair<const std::string, Attachment> &it :
+         state->Config->Attachments) {
+      if (it.second.Trainer == Attempt.Trainer &&
+          it.second.Service == Attempt.Service)
+        return it.second.Share;
+    }
+    return 1;
+  }
+
+  //===--- Running one ----------------------------------------------------===//
+
+  asio::awaitable<void> runPlain(Work &What) {
+    Upstream &at = *What.At;
+    What.Sink->onGone([&at, id = What.Id] { at.Gate.wake(id); });
+    AdmissionAsk ask = askOf(What);
+    Outcome<Done> entered = co_await at.Gate.enter(ask, What.Sink);
+    if (!entered) {
+      refuse(What, entered.failure());
+      co_return;
+    }
+    Forwarding exchange(Context.get_executor(), Client);
+    Outcome<Done> end = co_await forward(What, exchange);
+    if (end)
+      What.Sink->end();
+    else
+      What.Sink->fail(end.failure());
+  }
+
+  /// Gives an admitted attempt to its server, and its place to the next.
+  asio::awaitable<Outcome<Done>> forward(Work &What, Forwarding &Exchange) {
+    Upstream &at = *What.At;
+    bool sample = !What.Attempt.Trainer.empty();
+    // A key's run is read to its end, for the caller's next try.
+    if (What.Key.empty() && !What.Sink->gone())
+      What.Sink->onGone([&Exchange] {
+        Exchange.breakOff(Failure{Verdict::MayHaveRun,
+                                  FailureCode::Cancelled,
+                                  "asker",
+                                  "it cancelled or is gone",
+                                  {}});
+      });
+    at.Running.emplace(&Exchange, sample);
+    Counts.Forwarded.add();
+    record("attempt.forward", What,
+           {{"idempotent", What.Attempt.Idempotent ? "true" : "false"},
+            {"key", What.Attempt.Key}});
+    Forwarding::Ask ask = forwardingOf(What);
+    Outcome<Done> end = co_await Exchange.run(std::move(ask), What.Sink);
+    at.Running.erase(&Exchange);
+    if (!What.Sink->gone())
+      What.Sink->onGone([] {});
+    settle(What, end);
+    co_return end;
+  }
+
+  Forwarding::Ask forwardingOf(Work &What) {
+    Forwarding::Ask ask;
+    ask.Where = What.At->Setup.Where;
+    ask.Server = What.At->Setup.Server;
+    ask.Until = What.Until;
+    ask.Engine = What.At->Engine;
+    ask.KeepBytes = What.Key.empty() ? 0 : MaxKeptAnswer;
+    ask.Http = std::move(What.Attempt.Http);
+    removeHopHeaders(ask.Http.Headers);
+    if (ask.Http.header("X-Request-Id").empty())
+      ask.Http.Headers.push_back({"X-Request-Id", What.Attempt.Request});
+    removeHeader(ask.Http.Headers, "X-Attempt");
+    ask.Http.Headers.push_back(
+        {"X-Attempt", std::to_string(What.Attempt.Attempt)});
+    if (ask.Engine && ask.Http.path() == CompletionsPath)
+      ask.Http.Body = withPriority(ask.Http.Body, What.Attempt.Priority);
+    return ask;
+  }
+
+  void settle(const Work &What, const Outcome<Done> &End) {
+    bool whole = static_cast<bool>(End);
+    if (whole) {
+      What.At->Gate.finish(What.Id);
+      Counts.Whole.add();
+    } else {
+      FailureCode code = End.failure().Code;
+      bool overloaded =
+          code == FailureCode::Overloaded || code == FailureCode::TimedOut;
+      What.At->Gate.abandon(What.Id, overloaded);
+      Counts.Broken.add();
+    }
+    Verdict run = whole ? Verdict::Ran : End.failure().Run;
+    record("attempt.end", What,
+           {{"verdict", std::string(toText(run))},
+            {"whole", whole ? "true" : "false"},
+            {"reason", whole ? "" : End.failure().Reason}});
+  }
+
+  //===--- Requests that run once by a key --------------------------------===//
+
+  asio::awaitable<void> runKeyed(Work &What) {
+    KeyDecision decision =
+        Keys.begin(What.Key, What.Fingerprint, monotonicNow());
+    while (decision.Step == KeyStep::Wait) {
+      if (!co_await waitForFirst(What))
+        co_return;
+      decision = Keys.begin(What.Key, What.Fingerprint, monotonicNow());
+    }
+    switch (decision.Step) {
+    case KeyStep::Run:
+      co_await runFirst(What);
+      break;
+    case KeyStep::Answer:
+      Counts.Repeats.add();
+      co_await answerAgain(What, std::move(decision.Answer));
+      break;
+    default:
+      Counts.Repeats.add();
+      refuse(What, decision.Why);
+      break;
+    }
+    wakeRepeats();
+  }
+
+  /// False when the repeat was refused since its time is over.
+  asio::awaitable<bool> waitForFirst(Work &What) {
+    if (What.Sink->gone())
+      co_return false;
+    if (monotonicNow() >= What.Until) {
+      refuse(What,
+             Failure{Verdict::MayHaveRun, FailureCode::TimedOut,
+                     "Idempotency-Key",
+                     "the first request with this key still runs", ComeBack});
+      co_return false;
+    }
+    asio::steady_timer timer(
+        Context, std::min(What.Until, monotonicNow() + RepeatPause));
+    Repeats.push_back(&timer);
+    co_await timer.async_wait(Awaited);
+    std::erase(Repeats, &timer);
+    co_return true;
+  }
+
+  void wakeRepeats() {
+    for (asio::steady_timer *it : Repeats)
+      it->cancel();
+  }
+
+  asio::awaitable<void> answerAgain(Work &What, http::Response Answer) {
+    std::string body = std::move(Answer.Body);
+    Answer.Headers.push_back({"X-Idempotent-Replay", "true"});
+    What.Sink->begin(std::move(Answer), What.At->Setup.Server);
+    Outcome<Done> written = co_await What.Sink->write(std::move(body));
+    if (written)
+      What.Sink->end();
+  }
+
+  asio::awaitable<void> runFirst(Work &What) {
+    Upstream &at = *What.At;
+    What.Sink->onGone([&at, id = What.Id] { at.Gate.wake(id); });
+    AdmissionAsk ask = askOf(What);
+    Outcome<Done> entered = co_await at.Gate.enter(ask, What.Sink);
+    if (!entered) {
+      Keys.notRun(What.Key);
+      refuse(What, entered.failure());
+      co_return;
+    }
+    Outcome<Done> reserved = co_await reserve(What);
+    if (!reserved) {
+      at.Gate.abandon(What.Id, false);
+      Keys.broken(What.Key, reserved.failure());
+      refuse(What, reserved.failure());
+      co_return;
+    }
+    Forwarding exchange(Context.get_executor(), Client);
+    Outcome<Done> end = co_await forward(What, exchange);
+    if (end) {
+      Keys.answered(What.Key, exchange.kept());
+      What.Sink->end();
+    } else {
+      Keys.broken(What.Key, end.failure());
+      What.Sink->fail(end.failure());
+    }
+  }
+
+  /// Lets the key's witnesses know before it runs here.
+  asio::awaitable<Outcome<Done>> reserve(const Work &What) {
+    std::shared_ptr<const View> view = Source.Members();
+    std::vector<Member> witnesses =
+        witnessesOf(What.Key, *view, Setup.Instance);
+    for (const Member &it : witnesses) {
+      RequestAttempt ask;
+      ask.Request = What.Attempt.Request;
+      ask.Http.Method = ReserveMethod;
+      ask.Http.Target = What.Key;
+      ask.Http.Headers = {{FingerprintHeader, std::to_string(What.Fingerprint)},
+                          {RunnerHeader, Setup.Instance.Text},
+                          {LifeHeader, std::to_string(Setup.Life)}};
+      ask.Deadline = Setup.WitnessTimeout;
+      Outcome<std::unique_ptr<AnswerStream>> answer =
+          co_await Peers->open(it.Requests, std::move(ask));
+      if (answer)
+        continue;
+      Failure why = answer.failure();
+      // Its own refusal says what is known; silence says only that this
+      // request was not forwarded.
+      if (why.Place == "Idempotency-Key")
+        co_return why;
+      co_return notRun(FailureCode::Unavailable, "witness " + it.Instance.Text,
+                       why.Reason);
+    }
+    co_return Done{};
+  }
+
+  void handleReserve(const RequestAttempt &Ask, AnswerSink &Sink) {
+    if (Ask.Http.Method != ReserveMethod) {
+      Sink.fail(
+          notRun(FailureCode::BadInput, "request", "it names no service"));
+      return;
+    }
+    Runner who{InstanceName(std::string(Ask.Http.header(RunnerHeader))),
+               countFrom(Ask.Http.header(LifeHeader))};
+    std::optional<Failure> refused = Keys.reserve(
+        Ask.Http.Target, countFrom(Ask.Http.header(FingerprintHeader)), who,
+        monotonicNow());
+    if (refused) {
+      Sink.fail(*refused);
+      return;
+    }
+    Sink.begin(http::Response{}, ServerName());
+    Sink.end();
+  }
+
+  //===--- Watching servers -----------------------------------------------===//
+
+  asio::awaitable<void> tick() {
+    std::shared_ptr<const FoldState> last;
+    while (!Stopped) {
+      std::shared_ptr<const FoldState> state = Source.State();
+      bool changed = state != last;
+      last = state;
+      for (const std::unique_ptr<Upstream> &it : Upstreams) {
+        if (changed)
+          configure(*it, *state->Config);
+        it->Gate.tick();
+      }
+      tellServers();
+      Tick.expires_after(Setup.TickPeriod);
+      co_await Tick.async_wait(Awaited);
+    }
+  }
+
+  void configure(Upstream &At, const Configuration &Declared) {
+    std::map<ServiceName, ServiceDeclaration>::const_iterator it =
+        Declared.Services.find(At.Setup.Service);
+    bool declared = it != Declared.Services.end();
+    At.Engine = declared && it->second.Kind == ServiceKind::Engines;
+    At.Gate.setRolloutPercent(Declared.preset().RolloutPercent);
+  }
+
+  void tellServers() {
+    std::vector<ServerStatus> now;
+    for (const std::unique_ptr<Upstream> &it : Upstreams) {
+      ServerStatus status;
+      status.Name = it->Setup.Server;
+      status.Service = it->Setup.Service;
+      status.Version = it->State ? it->State->Version : 0;
+      status.Slots = it->State ? it->State->Slots : 1;
+      status.Serving = it->Serving;
+      now.push_back(std::move(status));
+    }
+    if (now == Told)
+      return;
+    Told = now;
+    Tell(std::move(now));
+  }
+
+  asio::awaitable<void> watch(Upstream &At) {
+    asio::steady_timer timer(Context);
+    while (!Stopped) {
+      if (At.Engine)
+        co_await look(At);
+      timer.expires_after(Setup.StatePeriod);
+      co_await timer.async_wait(Awaited);
+    }
+  }
+
+  asio::awaitable<Outcome<EngineState>> look(Upstream &At) {
+    Outcome<EngineState> state =
+        co_await readEngineState(*Client, At.Setup.Where, Setup.StateTimeout);
+    if (state) {
+      At.FailedLooks = 0;
+      if (!At.State || At.State->Slots != state->Slots)
+        useSlots(At, state->Slots);
+      At.State = *state;
+      At.Serving = !state->Draining;
+      tellServers();
+      co_return state;
+    }
+    ++At.FailedLooks;
+    if (At.FailedLooks < Setup.StateFailures || !At.Serving)
+      co_return state;
+    At.Serving = false;
+    spdlog::warn("engine {}: {}: out of service", At.Setup.Server.Text,
+                 describe(state.failure()));
+    // What it was given is not answered any more: their askers go elsewhere.
+    breakOffRunning(At, false,
+                    Failure{Verdict::MayHaveRun,
+                            FailureCode::Unavailable,
+                            "server " + At.Setup.Server.Text,
+                            "its engine does not answer",
+                            {}});
+    tellServers();
+    co_return state;
+  }
+
+  static void useSlots(Upstream &At, std::uint32_t Slots) {
+    At.Gate.setSlots(std::max(1u, Slots));
+  }
+
+  static void breakOffRunning(Upstream &At, bool SamplesOnly,
+                              const Failure &Why) {
+    std::vector<Forwarding *> broken;
+    for (const std::pair<Forwarding *const, bool> &it : At.Running) {
+      if (it.second || !SamplesOnly)
+        broken.push_back(it.first);
+    }
+    for (Forwarding *it : broken) {
+      // One may end while another is broken off.
+      if (At.Running.contains(it))
+        it->breakOff(Why);
+    }
+  }
+
+  //===--- Orders ---------------------------------------------------------===//
+
+  asio::awaitable<void> runOrders(Upstream &At) {
+    while (!At.Orders.empty()) {
+      std::pair<Order, OrderCallback> next = std::move(At.Orders.front());
+      At.Orders.pop_front();
+      Outcome<OrderAnswer> answer = co_await runOrder(At, next.first);
+      next.second(std::move(answer));
+    }
+    At.Ordering = false;
+  }
+
+  asio::awaitable<Outcome<OrderAnswer>> runOrder(Upstream &At, Order What) {
+    // The daemon guards for engines that do not, and knows what they said.
+    std::optional<Failure> stale =
+        Guard.admit(What.Server, What.Resource, What.Token);
+    if (!stale && At.State && At.State->Fence > What.Token)
+      stale =
+          notRun(FailureCode::StaleFence, What.Resource,
+                 "the engine holds token " + std::to_string(At.State->Fence));
+    if (stale) {
+      Counts.OrdersRefused.add();
+      recordOrder("order.refuse", What, stale->Reason);
+      co_return *stale;
+    }
+    Outcome<Done> free = co_await clearSamples(At);
+    if (free && Guard.seen(What.Server, What.Resource) > What.Token)
+      free = notRun(FailureCode::StaleFence, What.Resource,
+                    "a newer order came meanwhile");
+    if (!free) {
+      At.Gate.holdRollouts(false);
+      recordOrder("order.refuse", What, free.failure().Reason);
+      co_return free.failure();
+    }
+    Counts.OrdersTaken.add();
+    recordOrder("order.take", What, "");
+    Outcome<Done> done =
+        co_await orderLoad(*Client, At.Setup.Where, What, Setup.OrderTimeout);
+    // The order's own answer may be lost or wrong: the report decides.
+    Outcome<EngineState> state = co_await look(At);
+    At.Gate.holdRollouts(false);
+    if (!done && done.failure().Code == FailureCode::StaleFence)
+      co_return done.failure();
+    if (!state)
+      co_return Failure{Verdict::MayHaveRun,
+                        state.failure().Code,
+                        state.failure().Place,
+                        state.failure().Reason,
+                        {}};
+    co_return OrderAnswer{state->Version};
+  }
+
+  void recordOrder(std::string_view Kind, const Order &What,
+                   const std::string &Reason) {
+    Events.record(Kind, {{"server", What.Server.Text},
+                         {"resource", What.Resource},
+                         {"fence", std::to_string(What.Token)},
+                         {"version", std::to_string(What.Version)},
+                         {"reason", Reason}});
+  }
+
+  /// Does with the running samples what the preset says of a version change.
+  asio::awaitable<Outcome<Done>> clearSamples(Upstream &At) {
+    VersionChange change =
+        Source.State ? Source.State()->Config->preset().OnVersionChange
+                     : VersionChange::Resume;
+    if (change == VersionChange::Resume)
+      co_return Done{};
+    At.Gate.holdRollouts(true);
+    if (change == VersionChange::Restart)
+      breakOffRunning(At, true,
+                      Failure{Verdict::Ran,
+                              FailureCode::Unavailable,
+                              "server " + At.Setup.Server.Text,
+                              "its model's version changes",
+                              {}});
+    TimePoint until = monotonicNow() + Setup.SwapWait;
+    asio::steady_timer timer(Context);
+    while (At.Gate.admission().runningRollouts() > 0) {
+      if (monotonicNow() >= until)
+        co_return notRun(FailureCode::TimedOut,
+                         "server " + At.Setup.Server.Text,
+                         "its running samples did not end in time");
+      timer.expires_after(SwapPause);
+      co_await timer.async_wait(Awaited);
+    }
+    co_return Done{};
+  }
+
+  asio::io_context &Context;
+  const Settings Setup;
+  Timeline &Events;
+  DaemonCounts Counts;
+  ControlSource Source;
+  ServersCallback Tell;
+  IdempotencyKeys Keys;
+  OrderGuard Guard;
+  std::shared_ptr<http::Client> Client;
+  std::shared_ptr<RequestClient> Peers;
+  std::vector<std::unique_ptr<Upstream>> Upstreams;
+  std::vector<ServerStatus> Told;
+  std::vector<asio::steady_timer *> Repeats;
+  asio::steady_timer Tick;
+  std::atomic<std::size_t> InFlight{0};
+  std::uint64_t LastId = 0;
+  bool Leaving = false;
+  bool Stopped = false;
+};
+
+} // namespace
+
+std::shared_ptr<DaemonProxy> DaemonProxy::create(asio::io_context &Context,
+                                                 Settings Setup,
+                                                 Timeline &Events,
+                                                 Metrics &Counts) {
+  return std::make_shared<DaemonProxyImpl>(Context, std::move(Setup), Events,
+                                           Counts);
+}
+
+} // namespace wasabi
--- /dev/null
+++ b/Wasabi/Routing/Choice.cpp
@@ -0,0 +1,317 @@
+#include "Wasabi/Routing/Choice.h"
+
+#include <algorithm>
+#include <set>
+
+namespace wasabi {
+namespace {
+
+/// A fresh server counts for at least this share of its limit.
+constexpr double LeastSlowStartShare = 0.1;
+
+const ServerMemory &memoryOf(const ChoiceState &State, const Candidate &Who) {
+  static const ServerMemory Unknown;
+  std::map<ServerKey, ServerMemory>::const_iterator it =
+      State.Servers.find(Who.Key);
+  return it == State.Servers.end() ? Unknown : it->second;
+}
+
+/// What is open at the server: the own attempts as known now, and those of
+/// others as the daemon last said. The report lags, so the own part of it is
+/// taken out and replaced.
+double openAt(const ServerMemory &Memory) {
+  double reported = 0;
+  if (Memory.HasLoad)
+    reported = static_cast<double>(Memory.Load.Running) + Memory.Load.Queued;
+  double others = std::max(0.0, reported - Memory.InFlightAtLoad);
+  return others + Memory.InFlight;
+}
+
+/// How much of its concurrency a fresh server is given.
+double slowStartShare(const ChoiceSettings &Settings,
+                      const ServerMemory &Memory, TimePoint Now) {
+  double age = std::chrono::duration<double>(Now - Memory.FirstSeen).count();
+  double span = std::chrono::duration<double>(Settings.SlowStart).count();
+  if (span <= 0 || age >= span)
+    return 1.0;
+  return std::max(LeastSlowStartShare, age / span);
+}
+
+bool mayBeAsked(const ServerMemory &Memory, TimePoint Now) {
+  if (Memory.Leaving || Memory.AvoidUntil > Now)
+    return false;
+  return !Memory.HasLoad || Memory.Load.Serving;
+}
+
+bool wasTried(const std::vector<Candidate> &Tried, const Candidate &Who) {
+  return std::any_of(Tried.begin(), Tried.end(),
+                     [&](const Candidate &it) { return it.Key == Who.Key; });
+}
+
+bool domainTried(const std::vector<Candidate> &Tried, const Candidate &Who) {
+  return std::any_of(Tried.begin(), Tried.end(), [&](const Candidate &it) {
+    return it.Domain == Who.Domain;
+  });
+}
+
+using Pool = std::vector<const Candidate *>;
+
+const Candidate *pick(const Pool &From, std::mt19937_64 &Random) {
+  std::uniform_int_distribution<std::size_t> any(0, From.size() - 1);
+  return From[any(Random)];
+}
+
+/// The candidates that may be asked, on an untried failure domain first.
+Pool poolOf(const ChoiceState &State, const std::vector<Candidate> &Of,
+            const std::vector<Candidate> &Tried, TimePoint Now) {
+  Pool fresh;
+  Pool rest;
+  for (const Candidate &it : Of) {
+    if (wasTried(Tried, it) || !mayBeAsked(memoryOf(State, it), Now))
+      continue;
+    (domainTried(Tried, it) ? rest : fresh).push_back(&it);
+  }
+  return fresh.empty() ? rest : fresh;
+}
+
+/// The wait as `choose` weighs it: with the hop, and with what a cached prefix
+/// saves.
+double costOf(const ChoiceState &State, const Candidate &Who,
+              const std::optional<ServerKey> &Cached, TimePoint Now) {
+  double cost = expectedWait(State, Who, Now);
+  if (Who.Domain != State.Own)
+    cost += static_cast<double>(State.Settings.CrossDomain.count());
+  if (Cached && *Cached == Who.Key) {
+    double service = memoryOf(State, Who).ServiceMicros;
+    if (service <= 0)
+      service = static_cast<double>(State.Settings.UnknownService.count());
+    cost -= State.Settings.PrefixSaves * service;
+  }
+  return cost;
+}
+
+std::size_t ejectedAmong(const ChoiceState &State,
+                         const std::vector<Candidate> &Peers, TimePoint Now) {
+  return static_cast<std::size_t>(
+      std::count_if(Peers.begin(), Peers.end(), [&](const Candidate &it) {
+        const ServerMemory &memory = memoryOf(State, it);
+        return memory.Ejected && memory.AvoidUntil > Now;
+      }));
+}
+
+/// Whether a failure says something bad of the server itself.
+bool countsAgainst(const Failure &Why) {
+  switch (Why.Code) {
+  case FailureCode::Overloaded:
+  case FailureCode::Cancelled:
+  case FailureCode::BadInput:
+  case FailureCode::Conflict:
+  case FailureCode::Expired:
+  case FailureCode::Leaving:
+    return false;
+  default:
+    return true;
+  }
+}
+
+void eject(ChoiceState &State, ServerMemory &Memory,
+           const std::vector<Candidate> &Peers, TimePoint Now) {
+  // A bad detector must not empty a service.
+  std::size_t most = Peers.size() * State.Settings.EjectPercent / 100;
+  if (ejectedAmong(State, Peers, Now) >= most)
+    return;
+  constexpr std::uint32_t MostDoublings = 10;
+  Millis span = State.Settings.EjectFor *
+                (1 << std::min(Memory.Ejections, MostDoublings));
+  span = std::min(span, State.Settings.EjectForMost);
+  Memory.AvoidUntil = std::max(Memory.AvoidUntil, Now + span);
+  Memory.Ejected = true;
+  Memory.FailuresInRow = 0;
+  ++Memory.Ejections;
+}
+
+} // namespace
+
+std::map<ServiceName, std::vector<Candidate>>
+candidatesOf(const View &Members) {
+  std::map<ServiceName, std::vector<Candidate>> found;
+  for (const std::pair<const InstanceName, Member> &it : Members.Members) {
+    const Member &member = it.second;
+    if (member.Kind != Role::Daemon || !takesWork(member) ||
+        member.Requests.empty())
+      continue;
+    for (const ServerStatus &server : member.Servers) {
+      if (server.Serving)
+        found[server.Service].push_back(
+            Candidate{ServerKey{member.Instance, server.Name}, member.Life,
+                      member.Domain, member.Requests, server.Slots});
+    }
+  }
+  return found;
+}
+
+double expectedWait(const ChoiceState &State, const Candidate &Who,
+                    TimePoint Now) {
+  const ServerMemory &memory = memoryOf(State, Who);
+  double service = memory.ServiceMicros;
+  if (service <= 0)
+    service = static_cast<double>(State.Settings.UnknownService.count());
+  double limit = memory.HasLoad ? memory.Load.Limit : Who.Slots;
+  limit = std::max(1.0, limit) * slowStartShare(State.Settings, memory, Now);
+  return (openAt(memory) + 1.0) / limit * service;
+}
+
+std::optional<Candidate> choose(const ChoiceState &State,
+                                const std::vector<Candidate> &Of,
+                                const std::vector<Candidate> &Tried,
+                                const std::optional<ServerKey> &Cached,
+                                TimePoint Now, std::mt19937_64 &Random) {
+  Pool pool = poolOf(State, Of, Tried, Now);
+  if (pool.empty())
+    return std::nullopt;
+
+  // One of the own failure domain, one of all, and the one with the prefix.
+  Pool own;
+  const Candidate *holder = nullptr;
+  for (const Candidate *it : pool) {
+    if (it->Domain == State.Own)
+      own.push_back(it);
+    if (Cached && it->Key == *Cached)
+      holder = it;
+  }
+  Pool drawn{pick(own.empty() ? pool : own, Random), pick(pool, Random)};
+  // The second draw differs from the first where it can.
+  if (drawn[0] == drawn[1] && pool.size() > 1) {
+    std::erase(pool, drawn[0]);
+    drawn[1] = pick(pool, Random);
+  }
+  if (holder)
+    drawn.push_back(holder);
+
+  const Candidate *best = drawn.front();
+  double least = costOf(State, *best, Cached, Now);
+  for (const Candidate *it : drawn) {
+    double cost = costOf(State, *it, Cached, Now);
+    if (cost < least) {
+      best = it;
+      least = cost;
+    }
+  }
+  return *best;
+}
+
+Millis untilAvailable(const ChoiceState &State,
+                      const std::vector<Candidate> &Of, TimePoint Now) {
+  Millis least{0};
+  for (const Candidate &it : Of) {
+    const ServerMemory &memory = memoryOf(State, it);
+    if (memory.Leaving || memory.AvoidUntil <= Now)
+      continue;
+    Millis left = std::chrono::ceil<Millis>(memory.AvoidUntil - Now);
+    if (least == Millis(0) || left < least)
+      least = left;
+  }
+  return least;
+}
+
+void noteStart(ChoiceState &State, const Candidate &Who, TimePoint Now) {
+  ServerMemory &memory = State.Servers[Who.Key];
+  if (memory.Life != Who.Life) {
+    std::uint32_t open = memory.InFlight;
+    memory = ServerMemory();
+    memory.InFlight = open;
+    memory.Life = Who.Life;
+    memory.FirstSeen = Now;
+  }
+  ++memory.InFlight;
+}
+
+namespace {
+
+/// Ends one attempt's count.
+ServerMemory &endOne(ChoiceState &State, const Candidate &Who) {
+  ServerMemory &memory = State.Servers[Who.Key];
+  if (memory.InFlight > 0)
+    --memory.InFlight;
+  return memory;
+}
+
+} // namespace
+
+void noteSuccess(ChoiceState &State, const Candidate &Who, Micros Took) {
+  ServerMemory &memory = endOne(State, Who);
+  double sample = static_cast<double>(Took.count());
+  double weight = State.Settings.SampleWeight;
+  memory.ServiceMicros =
+      memory.ServiceMicros <= 0
+          ? sample
+          : (1 - weight) * memory.ServiceMicros + weight * sample;
+  memory.FailuresInRow = 0;
+  memory.Ejections = 0;
+  memory.Ejected = false;
+}
+
+void noteFailure(ChoiceState &State, const Candidate &Who, const Failure &Why,
+                 const std::vector<Candidate> &Peers, TimePoint Now) {
+  ServerMemory &memory = endOne(State, Who);
+  if (Why.Code == FailureCode::Leaving)
+    memory.Leaving = true;
+  // A server that says when to come back is not asked before; a full one frees
+  // a place long before its whole queue is gone.
+  if (Why.Run == Verdict::NotRun && Why.RetryAfter > Millis(0)) {
+    Millis pause = Why.RetryAfter;
+    if (Why.Code == FailureCode::Overloaded)
+      pause = std::min(pause, State.Settings.OverloadPause);
+    memory.AvoidUntil = std::max(memory.AvoidUntil, Now + pause);
+  }
+  if (!countsAgainst(Why))
+    return;
+  ++memory.FailuresInRow;
+  if (memory.FailuresInRow >= State.Settings.EjectAfter)
+    eject(State, memory, Peers, Now);
+}
+
+void noteAbandoned(ChoiceState &State, const Candidate &Who) {
+  endOne(State, Who);
+}
+
+void noteLoad(ChoiceState &State, const ServerKey &Who, const LoadSeen &Load) {
+  ServerMemory &memory = State.Servers[Who];
+  memory.Load = Load;
+  memory.HasLoad = true;
+  memory.InFlightAtLoad = memory.InFlight;
+}
+
+void noteLeaving(ChoiceState &State, const InstanceName &Who) {
+  for (std::pair<const ServerKey, ServerMemory> &it : State.Servers) {
+    if (it.first.Instance == Who)
+      it.second.Leaving = true;
+  }
+}
+
+void retain(ChoiceState &State,
+            const std::map<ServiceName, std::vector<Candidate>> &Known,
+            TimePoint Now) {
+  std::set<ServerKey> kept;
+  for (const std::pair<const ServiceName, std::vector<Candidate>> &service :
+       Known) {
+    for (const Candidate &it : service.second) {
+      kept.insert(it.Key);
+      ServerMemory &memory = State.Servers[it.Key];
+      if (memory.Life == it.Life)
+        continue;
+      // Another incarnation: what was known of the last one is void.
+      std::uint32_t open = memory.InFlight;
+      memory = ServerMemory();
+      memory.InFlight = open;
+      memory.Life = it.Life;
+      memory.FirstSeen = Now;
+    }
+  }
+  std::erase_if(State.Servers,
+                [&](const std::pair<const ServerKey, ServerMemory> &it) {
+                  return it.second.InFlight == 0 && !kept.contains(it.first);
+                });
+}
+
+} // namespace wasabi
--- /dev/null
+++ b/Wasabi/Routing/IdempotencyKeys.cpp
@@ -0,0 +1,218 @@
+#include "Wasabi/Routing/IdempotencyKeys.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace wasabi {
+namespace {
+
+constexpr std::size_t Witnesses = 2;
+constexpr Millis AskAgain{1000};
+
+/// The rendezvous weight of a name for a key.
+std::uint64_t weightOf(std::string_view Key, std::string_view Name) {
+  std::uint64_t seed = XXH64(Key.data(), Key.size(), 0);
+  return XXH64(Name.data(), Name.size(), seed);
+}
+
+Failure refuse(Verdict Run, FailureCode Code, std::string Reason) {
+  return Failure{Run, Code, "Idempotency-Key", std::move(Reason), {}};
+}
+
+} // namespace
+
+std::optional<Candidate> homeOf(std::string_view Key,
+                                const std::vector<Candidate> &Of) {
+  const Candidate *best = nullptr;
+  std::uint64_t most = 0;
+  for (const Candidate &it : Of) {
+    std::uint64_t weight =
+        weightOf(Key, it.Key.Instance.Text + "/" + it.Key.Server.Text);
+    if (!best || weight > most) {
+      best = &it;
+      most = weight;
+    }
+  }
+  if (!best)
+    return std::nullopt;
+  return *best;
+}
+
+std::vector<Member> witnessesOf(std::string_view Key, const View &Members,
+                                const InstanceName &Runner) {
+  struct Ranked {
+    std::uint64_t Weight = 0;
+    const Member *Who = nullptr;
+  };
+  std::vector<Ranked> ranked;
+  for (const std::pair<const InstanceName, Member> &it : Members.Members) {
+    const Member &member = it.second;
+    bool holds = member.State != Health::Dead && !member.Requests.empty();
+    if (member.Kind == Role::Daemon && holds)
+      ranked.push_back({weightOf(Key, member.Instance.Text), &member});
+  }
+  std::size_t count = std::min(Witnesses, ranked.size());
+  std::partial_sort(ranked.begin(),
+                    ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                    ranked.end(), [](const Ranked &One, const Ranked &Other) {
+                      return std::tie(One.Weight, One.Who->Instance) >
+                             std::tie(Other.Weight, Other.Who->Instance);
+                    });
+  std::vector<Member> found;
+  for (std::size_t n = 0; n < count; ++n) {
+    if (ranked[n].Who->Instance != Runner)
+      found.push_back(*ranked[n].Who);
+  }
+  return found;
+}
+
+KeyDecision IdempotencyKeys::begin(const std::string &Key,
+                                   std::uint64_t Fingerprint, TimePoint Now) {
+  expire(Now);
+  std::unordered_map<std::string, Entry>::const_iterator it = Records.find(Key);
+  if (it != Records.end())
+    return decide(it->second, Fingerprint);
+  Entry entry;
+  entry.Who = Setup.Self;
+  entry.Fingerprint = Fingerprint;
+  entry.Since = Now;
+  KeyDecision decision;
+  if (!insert(Key, std::move(entry), Now)) {
+    decision.Step = KeyStep::Refuse;
+    decision.Why = refuse(Verdict::NotRun, FailureCode::Overloaded,
+                          "too many keys are remembered");
+    decision.Why.RetryAfter = AskAgain;
+  }
+  return decision;
+}
+
+KeyDecision IdempotencyKeys::decide(const Entry &Known,
+                                    std::uint64_t Fingerprint) const {
+  KeyDecision decision;
+  decision.Step = KeyStep::Refuse;
+  if (Known.Fingerprint != Fingerprint) {
+    decision.Why = refuse(Verdict::NotRun, FailureCode::Conflict,
+                          "the key was used for another request");
+    return decision;
+  }
+  if (Known.Who != Setup.Self) {
+    decision.Why = refuse(Verdict::MayHaveRun, FailureCode::Conflict,
+                          "the first request went through instance " +
+                              Known.Who.Instance.Text);
+    return decision;
+  }
+  switch (Known.State) {
+  case Stage::Running:
+    decision.Step = KeyStep::Wait;
+    return decision;
+  case Stage::Broken:
+    decision.Why = Known.Why;
+    return decision;
+  case Stage::Answered:
+    break;
+  }
+  if (!Known.Answer) {
+    decision.Why = refuse(Verdict::Ran, FailureCode::Conflict,
+                          "it ran; its answer was too large to be kept");
+    return decision;
+  }
+  decision.Step = KeyStep::Answer;
+  decision.Answer = *Known.Answer;
+  return decision;
+}
+
+void IdempotencyKeys::notRun(const std::string &Key) { drop(Key); }
+
+void IdempotencyKeys::answered(const std::string &Key,
+                               const http::Response &Answer) {
+  std::unordered_map<std::string, Entry>::iterator it = Records.find(Key);
+  if (it == Records.end())
+    return;
+  it->second.State = Stage::Answered;
+  std::size_t size = Answer.Body.size();
+  bool kept =
+      size <= Setup.MaxAnswer && AnswerBytes + size <= Setup.MaxAnswerBytes;
+  if (!kept)
+    return;
+  it->second.Answer = Answer;
+  AnswerBytes += size;
+}
+
+void IdempotencyKeys::broken(const std::string &Key, const Failure &Why) {
+  if (Why.Run == Verdict::NotRun) {
+    drop(Key);
+    return;
+  }
+  std::unordered_map<std::string, Entry>::iterator it = Records.find(Key);
+  if (it == Records.end())
+    return;
+  it->second.State = Stage::Broken;
+  it->second.Why = Why;
+}
+
+std::optional<Failure> IdempotencyKeys::reserve(const std::string &Key,
+                                                std::uint64_t Fingerprint,
+                                                const Runner &Who,
+                                                TimePoint Now) {
+  expire(Now);
+  std::unordered_map<std::string, Entry>::const_iterator it = Records.find(Key);
+  if (it != Records.end()) {
+    if (it->second.Fingerprint != Fingerprint)
+      return refuse(Verdict::NotRun, FailureCode::Conflict,
+                    "the key was used for another request");
+    if (it->second.Who == Who)
+      return std::nullopt;
+    return refuse(Verdict::MayHaveRun, FailureCode::Conflict,
+                  "the first request went through instance " +
+                      it->second.Who.Instance.Text);
+  }
+  Entry entry;
+  entry.Who = Who;
+  entry.Fingerprint = Fingerprint;
+  entry.Since = Now;
+  if (insert(Key, std::move(entry), Now))
+    return std::nullopt;
+  Failure full = refuse(Verdict::NotRun, FailureCode::Overloaded,
+                        "too many keys are remembered");
+  full.RetryAfter = AskAgain;
+  return full;
+}
+
+bool IdempotencyKeys::insert(const std::string &Key, Entry New, TimePoint Now) {
+  if (Records.size() >= Setup.Capacity)
+    return false;
+  Records.emplace(Key, std::move(New));
+  Ages.push_back(Age{Key, Now});
+  return true;
+}
+
+void IdempotencyKeys::expire(TimePoint Now) {
+  while (!Ages.empty() && Now - Ages.front().Since > Setup.Span) {
+    std::unordered_map<std::string, Entry>::const_iterator it =
+        Records.find(Ages.front().Key);
+    bool same = it != Records.end() && it->second.Since == Ages.front().Since;
+    // One that still runs is kept, however old.
+    if (same && it->second.State == Stage::Running &&
+        it->second.Who == Setup.Self) {
+      Ages.push_back(Age{Ages.front().Key, it->second.Since});
+      Ages.pop_front();
+      break;
+    }
+    if (same)
+      drop(Ages.front().Key);
+    Ages.pop_front();
+  }
+}
+
+void IdempotencyKeys::drop(const std::string &Key) {
+  std::unordered_map<std::string, Entry>::iterator it = Records.find(Key);
+  if (it == Records.end())
+    return;
+  if (it->second.Answer)
+    AnswerBytes -= it->second.Answer->Body.size();
+  Records.erase(it);
+}
+
+} // namespace wasabi
--- /dev/null
+++ b/Wasabi/Routing/IdempotencyKeys.h
@@ -0,0 +1,128 @@
+/// \file
+/// What a daemon remembers of requests that carry an `Idempotency-Key`, so that
+/// a caller's repeat runs at most once (docs/design/idempotency-keys.md).
+#ifndef WASABI_ROUTING_IDEMPOTENCYKEYS_H
+#define WASABI_ROUTING_IDEMPOTENCYKEYS_H
+
+#include "Wasabi/Adapters/Http/HttpServer.h"
+#include "Wasabi/Core/Clock.h"
+#include "Wasabi/Core/Ids.h"
+#include "Wasabi/Core/Verdict.h"
+#include "Wasabi/Membership/View.h"
+#include "Wasabi/Routing/Choice.h"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace wasabi {
+
+/// The daemon and server that a key's requests all go to, by rendezvous
+/// hashing: the same through every entry that holds the same view. Pure.
+std::optional<Candidate> homeOf(std::string_view Key,
+                                const std::vector<Candidate> &Of);
+
+/// The daemons besides `Runner` that must know of a key before it runs: the
+/// first two of all by rendezvous hashing. Any one change of the view leaves at
+/// least one of them in place. Pure.
+std::vector<Member> witnessesOf(std::string_view Key, const View &Members,
+                                const InstanceName &Runner);
+
+/// One process that runs requests.
+struct Runner {
+  InstanceName Instance;
+  Incarnation Life = 0;
+  auto operator<=>(const Runner &) const = default;
+};
+
+/// What to do with a request that carries a key.
+enum class KeyStep : std::uint8_t {
+  /// Nothing is known: it may run here.
+  Run,
+  /// The first one runs here now: wait for its end and ask again.
+  Wait,
+  /// The first one's answer is known.
+  Answer,
+  /// It must not run: `Why` says what is known.
+  Refuse,
+};
+
+struct KeyDecision {
+  KeyStep Step = KeyStep::Run;
+  http::Response Answer;
+  Failure Why;
+};
+
+/// The bounded table of one daemon. Not thread-safe; time is passed in.
+class IdempotencyKeys {
+public:
+  struct Settings {
+    Runner Self;
+    /// Keys kept. Further ones are refused `NotRun`: dropping an old one would
+    /// let it run twice.
+    std::size_t Capacity = 100000;
+    /// Bytes of answers kept; beyond it only the verdict is.
+    std::size_t MaxAnswerBytes = 64u << 20;
+    /// Largest single answer kept.
+    std::size_t MaxAnswer = 256u << 10;
+    /// How long a key is remembered.
+    Millis Span{15 * 60 * 1000};
+  };
+
+  explicit IdempotencyKeys(Settings Setup) : Setup(std::move(Setup)) {}
+
+  /// A request with a key arrives; `Fingerprint` is of its method, target and
+  /// body. On `Run` the key is marked as running here.
+  KeyDecision begin(const std::string &Key, std::uint64_t Fingerprint,
+                    TimePoint Now);
+  /// It did not run after all: the key is free again.
+  void notRun(const std::string &Key);
+  /// It ran, and this is the whole answer.
+  void answered(const std::string &Key, const http::Response &Answer);
+  /// It broke: `Why.Run` says what is known.
+  void broken(const std::string &Key, const Failure &Why);
+
+  /// Another daemon is about to run the key: empty when it may, else why not.
+  /// A runner may ask again; another one is refused `MayHaveRun`.
+  std::optional<Failure> reserve(const std::string &Key,
+                                 std::uint64_t Fingerprint, const Runner &Who,
+                                 TimePoint Now);
+
+  std::size_t size() const { return Records.size(); }
+
+private:
+  enum class Stage : std::uint8_t { Running, Answered, Broken };
+  struct Entry {
+    Runner Who;
+    std::uint64_t Fingerprint = 0;
+    Stage State = Stage::Running;
+    /// Set when answered and small enough.
+    std::optional<http::Response> Answer;
+    Failure Why;
+    TimePoint Since;
+  };
+
+  KeyDecision decide(const Entry &Known, std::uint64_t Fingerprint) const;
+  /// False when the table is full.
+  bool insert(const std::string &Key, Entry New, TimePoint Now);
+  void expire(TimePoint Now);
+  void drop(const std::string &Key);
+
+  const Settings Setup;
+  std::unordered_map<std::string, Entry> Records;
+  /// Keys by age; a key that was dropped and came again is in it twice.
+  struct Age {
+    std::string Key;
+    TimePoint Since;
+  };
+  std::deque<Age> Ages;
+  std::size_t AnswerBytes = 0;
+};
+
+} // namespace wasabi
+
+#endif // WASABI_ROUTING_IDEMPOTENCYKEYS_H
--- /dev/null
+++ b/Wasabi/Routing/Problem.cpp
@@ -0,0 +1,89 @@
+#include "Wasabi/Routing/Problem.h"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+
+namespace wasabi {
+namespace {
+
+/// Told when nothing better is known about a refusal that may pass.
+constexpr Millis DefaultRetryAfter{1000};
+
+unsigned notRunStatus(FailureCode Code) {
+  switch (Code) {
+  case FailureCode::BadInput:
+    return 400;
+  case FailureCode::Conflict:
+  case FailureCode::StaleFence:
+    return 409;
+  case FailureCode::Expired:
+  case FailureCode::TimedOut:
+    return 504;
+  case FailureCode::Internal:
+    return 500;
+  default:
+    return 503;
+  }
+}
+
+/// Whether the same request may succeed a little later.
+bool mayPass(const Failure &Why) {
+  if (Why.Run != Verdict::NotRun)
+    return false;
+  return Why.Code != FailureCode::BadInput && Why.Code != FailureCode::Internal;
+}
+
+std::string_view titleOf(const Failure &Why) {
+  switch (Why.Run) {
+  case Verdict::NotRun:
+    return "The request did not run";
+  case Verdict::MayHaveRun:
+    return "The request may have run";
+  case Verdict::Ran:
+    return "The request ran, and its answer was lost";
+  }
+  return "The request may have run";
+}
+
+} // namespace
+
+unsigned statusOf(const Failure &Why) {
+  if (Why.Run == Verdict::NotRun)
+    return notRunStatus(Why.Code);
+  if (Why.Code == FailureCode::Conflict)
+    return 409;
+  bool late =
+      Why.Code == FailureCode::TimedOut || Why.Code == FailureCode::Expired;
+  return late ? 504 : 502;
+}
+
+http::Response problemResponse(const Failure &Why) {
+  Millis retry = Why.RetryAfter;
+  if (retry == Millis(0) && mayPass(Why))
+    retry = DefaultRetryAfter;
+
+  boost::json::object body;
+  body["type"] = "urn:wasabisail:problem:" + std::string(toText(Why.Code));
+  body["title"] = titleOf(Why);
+  body["status"] = statusOf(Why);
+  body["detail"] = Why.Place + ": " + Why.Reason;
+  body["verdict"] = toText(Why.Run);
+  body["retry_after_ms"] = retry.count();
+
+  http::Response response;
+  response.Status = statusOf(Why);
+  response.Headers = {
+      {"Content-Type", "application/problem+json"},
+      {VerdictHeader, std::string(toText(Why.Run))},
+  };
+  if (retry > Millis(0)) {
+    std::chrono::seconds whole = std::chrono::ceil<std::chrono::seconds>(retry);
+    response.Headers.push_back({"Retry-After", std::to_string(whole.count())});
+  }
+  response.Body = boost::json::serialize(body);
+  return response;
+}
+
+} // namespace wasabi
