--- /dev/null
+++ b/UnitTests/Routing/ChoiceTest.cpp
@@ -0,0 +1,230 @@
+/// \file
+/// The choice of an upstream server.
+#include "Wasabi/Routing/Choice.h"
+#include "Wasabi/Routing/PrefixHints.h"
+#include "Wasabi/Routing/RetryBudget.h"
+
+#include <catch2/catch.hpp>
+
+namespace wasabi {
+namespace {
+
+const TimePoint Start{std::chrono::seconds(10000)};
+
+Candidate candidate(std::string Name, std::string Domain = "lulea-hall") {
+  Candidate made;
+  made.Key = ServerKey{InstanceName("i-" + Name), ServerName(Name)};
+  made.Life = 1;
+  made.Domain = DomainName(std::move(Domain));
+  made.Where = Address{"127.0.0.1", 1};
+  made.Slots = 8;
+  return made;
+}
+
+ChoiceState makeState(const std::vector<Candidate> &Known) {
+  ChoiceState state;
+  state.Own = DomainName("lulea-hall");
+  retain(state, {{ServiceName("s"), Known}}, Start - Millis(3600000));
+  return state;
+}
+
+Failure broken() {
+  return Failure{
+      Verdict::MayHaveRun, FailureCode::ConnectionLost, "there", "broke", {}};
+}
+
+/// How often each server is chosen out of 1,000, each answered at once.
+std::map<std::string, int> tally(const ChoiceState &State,
+                                 const std::vector<Candidate> &Of,
+                                 TimePoint Now) {
+  std::mt19937_64 random(7);
+  std::map<std::string, int> counts;
+  for (int n = 0; n < 1000; ++n) {
+    std::optional<Candidate> chosen =
+        choose(State, Of, {}, std::nullopt, Now, random);
+    REQUIRE(chosen);
+    ++counts[chosen->Key.Server.Text];
+  }
+  return counts;
+}
+
+} // namespace
+
+TEST_CASE("A slow server gets little of the work", "[choice]") {
+  std::vector<Candidate> all = {candidate("a"), candidate("b"), candidate("c")};
+  ChoiceState state = makeState(all);
+  for (const Candidate &it : all) {
+    noteStart(state, it, Start);
+    noteSuccess(state, it, Micros(it.Key.Server.Text == "a" ? 50000 : 5000));
+  }
+  std::map<std::string, int> counts = tally(state, all, Start);
+  CHECK(counts["a"] == 0);
+  CHECK(counts["b"] > 300);
+  CHECK(counts["c"] > 300);
+}
+
+TEST_CASE("Own open attempts count at once, late loads without them twice",
+          "[choice]") {
+  std::vector<Candidate> all = {candidate("a"), candidate("b")};
+  ChoiceState state = makeState(all);
+  for (int n = 0; n < 4; ++n)
+    noteStart(state, all[0], Start);
+  CHECK(expectedWait(state, all[0], Start) >
+        expectedWait(state, all[1], Start));
+  // A report that holds the own four changes nothing.
+  double before = expectedWait(state, all[0], Start);
+  LoadSeen load{ServerName("a"), ServiceName("s"), 4, 0, 8, 0, true};
+  noteLoad(state, all[0].Key, load);
+  CHECK(expectedWait(state, all[0], Start) == Approx(before));
+  // Once they ended, the old report stands for others' work only.
+  for (int n = 0; n < 4; ++n)
+    noteAbandoned(state, all[0]);
+  CHECK(expectedWait(state, all[0], Start) ==
+        Approx(expectedWait(state, all[1], Start)));
+}
+
+TEST_CASE("The own failure domain is preferred until it costs", "[choice]") {
+  std::vector<Candidate> all = {candidate("near"),
+                                candidate("far", "umea-hall")};
+  ChoiceState state = makeState(all);
+  for (const Candidate &it : all) {
+    noteStart(state, it, Start);
+    noteSuccess(state, it, Micros(8000));
+  }
+  CHECK(tally(state, all, Start)["near"] == 1000);
+  for (int n = 0; n < 8; ++n)
+    noteStart(state, all[0], Start);
+  CHECK(tally(state, all, Start)["far"] == 1000);
+}
+
+TEST_CASE("A retry goes to another failure domain first", "[choice]") {
+  std::vector<Candidate> all = {candidate("a"), candidate("b"),
+                                candidate("c", "umea-hall")};
+  ChoiceState state = makeState(all);
+  std::mt19937_64 random(1);
+  std::optional<Candidate> second =
+      choose(state, all, {all[0]}, std::nullopt, Start, random);
+  REQUIRE(second);
+  CHECK(second->Key == all[2].Key);
+  std::optional<Candidate> third =
+      choose(state, all, {all[0], all[2]}, std::nullopt, Start, random);
+  REQUIRE(third);
+  CHECK(third->Key == all[1].Key);
+  CHECK_FALSE(choose(state, all, all, std::nullopt, Start, random));
+}
+
+TEST_CASE("Ejection of outliers is bounded and ends", "[choice]") {
+  std::vector<Candidate> all = {candidate("a"), candidate("b"), candidate("c"),
+                                candidate("d")};
+  ChoiceState state = makeState(all);
+  for (const Candidate &it : all) {
+    for (int n = 0; n < 5; ++n) {
+      noteStart(state, it, Start);
+      noteFailure(state, it, broken(), all, Start);
+    }
+  }
+  std::map<std::string, int> counts = tally(state, all, Start);
+  // Two of four may be out at once, though all four failed.
+  CHECK(counts["a"] + counts["b"] == 0);
+  CHECK(counts["c"] + counts["d"] == 1000);
+  CHECK(untilAvailable(state, all, Start) == Millis(1000));
+  std::map<std::string, int> later = tally(state, all, Start + Millis(1000));
+  CHECK(later["a"] > 0);
+}
+
+TEST_CASE("Refusals for overload do not count against a server", "[choice]") {
+  std::vector<Candidate> all = {candidate("a"), candidate("b")};
+  ChoiceState state = makeState(all);
+  Failure full{Verdict::NotRun, FailureCode::Overloaded, "a", "full",
+               Millis(60000)};
+  for (int n = 0; n < 20; ++n) {
+    noteStart(state, all[0], Start);
+    noteFailure(state, all[0], full, all, Start);
+  }
+  CHECK(tally(state, all, Start)["a"] == 0);
+  CHECK(tally(state, all, Start + Millis(21))["a"] > 0);
+}
+
+TEST_CASE("A leaving daemon gets nothing new, its successor does", "[choice]") {
+  std::vector<Candidate> all = {candidate("a"), candidate("b")};
+  ChoiceState state = makeState(all);
+  noteLeaving(state, InstanceName("i-a"));
+  CHECK(tally(state, all, Start)["a"] == 0);
+  all[0].Life = 2;
+  retain(state, {{ServiceName("s"), all}}, Start);
+  CHECK(tally(state, all, Start + Millis(60000))["a"] > 0);
+}
+
+TEST_CASE("A fresh server starts slowly", "[choice]") {
+  std::vector<Candidate> all = {candidate("old"), candidate("new")};
+  ChoiceState state = makeState({all[0]});
+  retain(state, {{ServiceName("s"), all}}, Start);
+  double fresh = expectedWait(state, all[1], Start);
+  double warm = expectedWait(state, all[1], Start + Millis(10000));
+  CHECK(fresh == Approx(10 * warm));
+  CHECK(warm == Approx(expectedWait(state, all[0], Start)));
+}
+
+TEST_CASE("A cached prefix draws work until its server is busy", "[choice]") {
+  std::vector<Candidate> all = {candidate("a"), candidate("b"), candidate("c")};
+  ChoiceState state = makeState(all);
+  std::mt19937_64 random(3);
+  for (int n = 0; n < 100; ++n)
+    CHECK(choose(state, all, {}, all[1].Key, Start, random)->Key == all[1].Key);
+  for (int n = 0; n < 8; ++n)
+    noteStart(state, all[1], Start);
+  for (int n = 0; n < 100; ++n)
+    CHECK(choose(state, all, {}, all[1].Key, Start, random)->Key != all[1].Key);
+}
+
+TEST_CASE("Candidates are the serving servers of members that take work",
+          "[choice]") {
+  View view;
+  Member member;
+  member.Instance = InstanceName("i");
+  member.Requests = Address{"127.0.0.1", 9};
+  member.Servers = {{ServerName("a"), ServiceName("s"), 1, 4, true},
+                    {ServerName("b"), ServiceName("s"), 1, 4, false}};
+  for (Health health :
+       {Health::Alive, Health::Suspect, Health::Leaving, Health::Dead}) {
+    member.State = health;
+    view.Members[member.Instance] = member;
+    bool takes = health == Health::Alive || health == Health::Suspect;
+    CHECK(candidatesOf(view)[ServiceName("s")].size() == (takes ? 1u : 0u));
+  }
+}
+
+TEST_CASE("Prefix hints are bounded and decay", "[choice]") {
+  PrefixHints::Settings limits;
+  limits.Capacity = 2;
+  limits.Span = Millis(100);
+  PrefixHints hints(limits);
+  ServerKey a = candidate("a").Key;
+  hints.place(1, a, Start);
+  hints.place(2, a, Start);
+  hints.place(1, a, Start + Millis(1));
+  hints.place(3, a, Start + Millis(1));
+  CHECK(hints.size() == 2);
+  CHECK(hints.find(1, Start + Millis(2)) == a);
+  CHECK_FALSE(hints.find(2, Start + Millis(2)));
+  CHECK_FALSE(hints.find(1, Start + Millis(102)));
+  CHECK(prefixOf(std::string(64, 'x') + "a") ==
+        prefixOf(std::string(64, 'x') + "b"));
+}
+
+TEST_CASE("Retries are a share of the successes", "[choice]") {
+  RetryBudget budget = makeRetryBudget(RetryBudget::Settings{0.1, 2.0});
+  int retries = 0;
+  for (int n = 0; n < 100; ++n) {
+    if (!canSpend(budget))
+      continue;
+    budget = spend(budget);
+    ++retries;
+  }
+  CHECK(retries == 2);
+  for (int n = 0; n < 100; ++n)
+    budget = earn(budget);
+  CHECK(budget.Tokens == Approx(2.0));
+}
+
+} // namespace wasabi
--- /dev/null
+++ b/UnitTests/Routing/CompletionStreamTest.cpp
@@ -0,0 +1,97 @@
+/// \file
+/// Following an engine's events.
+#include "Wasabi/Routing/CompletionStream.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+namespace wasabi {
+namespace {
+
+std::string chunk(std::uint64_t Position, std::uint64_t Tokens,
+                  std::string Text) {
+  return "data: {\"position\":" + std::to_string(Position) +
+         ",\"tokens\":" + std::to_string(Tokens) + ",\"text\":\"" + Text +
+         "\",\"weights_version\":3}\n\n";
+}
+
+std::string count(std::uint64_t Tokens) {
+  return "data: {\"done\":true,\"tokens\":" + std::to_string(Tokens) +
+         ",\"finish\":\"length\"}\n\n";
+}
+
+const std::string DoneEvent = "data: [DONE]\n\n";
+
+Outcome<CompletionProgress> follow(const std::vector<std::string> &Events) {
+  CompletionProgress progress;
+  for (const std::string &it : Events) {
+    Outcome<CompletionProgress> next = advance(progress, it);
+    if (!next)
+      return next.failure();
+    progress = *next;
+  }
+  return progress;
+}
+
+} // namespace
+
+TEST_CASE("A whole stream is counted to its end", "[stream]") {
+  Outcome<CompletionProgress> end =
+      follow({chunk(0, 2, "ab"), chunk(2, 1, "c"), ": comment\n\n", count(3),
+              DoneEvent});
+  REQUIRE(end);
+  CHECK(end->Position == 3);
+  CHECK(end->Text == "abc");
+  CHECK(end->Done);
+}
+
+TEST_CASE("Events out of order or short are failures", "[stream]") {
+  CHECK_FALSE(follow({chunk(0, 2, "ab"), chunk(3, 1, "c")}));
+  CHECK_FALSE(follow({chunk(0, 2, "ab"), chunk(0, 2, "ab")}));
+  CHECK_FALSE(follow({chunk(0, 2, "ab"), count(3)}));
+  CHECK_FALSE(follow({chunk(0, 2, "ab"), DoneEvent}));
+  CHECK_FALSE(follow({chunk(0, 1, "a"), count(1), chunk(1, 1, "b")}));
+  CHECK_FALSE(follow({"data: nonsense\n\n"}));
+  CHECK_FALSE(follow({"data: {\"position\":0}\n\n"}));
+}
+
+TEST_CASE("A resumed request goes on from the last whole position",
+          "[stream]") {
+  std::string body = R"({"model":"m","prompt":"p","seed":7,"stream":true,)"
+                     R"("resume":{"position":2,"text":"xy"}})";
+  Outcome<CompletionProgress> start = startOf(body);
+  REQUIRE(start);
+  CHECK(start->Position == 2);
+  Outcome<CompletionProgress> next = advance(*start, chunk(2, 1, "z"));
+  REQUIRE(next);
+  boost::json::value resumed = boost::json::parse(resumeBody(body, *next));
+  CHECK(resumed.at("seed").as_int64() == 7);
+  CHECK(resumed.at("resume").at("position").as_int64() == 3);
+  CHECK(resumed.at("resume").at("text").as_string() == "xyz");
+  CHECK_FALSE(startOf("[]"));
+  CHECK_FALSE(startOf(R"({"resume":3})"));
+}
+
+TEST_CASE("Events are cut the same however their bytes arrive", "[stream]") {
+  std::string all = chunk(0, 1, "a") + chunk(1, 1, "b") + count(2) + DoneEvent;
+  rc::check([&](std::vector<std::uint8_t> Steps) {
+    EventSplitter splitter;
+    std::vector<std::string> events;
+    std::string_view left = all;
+    std::size_t n = 0;
+    while (!left.empty()) {
+      std::size_t size = Steps.empty() ? 7 : Steps[n++ % Steps.size()] % 40 + 1;
+      for (std::string &it : splitter.feed(left.substr(0, size)))
+        events.push_back(std::move(it));
+      left.remove_prefix(std::min(size, left.size()));
+    }
+    RC_ASSERT(events.size() == 4u);
+    RC_ASSERT(!splitter.partial());
+    RC_ASSERT(static_cast<bool>(follow(events)));
+  });
+}
+
+} // namespace wasabi
