--- a/UnitTests/Routing/CompletionStreamTest.cpp
+++ b/UnitTests/Routing/CompletionStreamTest.cpp
@@ -28,7 +28,7 @@
 Outcome<CompletionProgress> follow(const std::vector<std::string> &Events) {
   CompletionProgress progress;
   for (const std::string &it : Events) {
-    Outcome<CompletionProgress> next = advance(progress, it);
+    Outcome<CompletionProgress> next = followEvent(progress, it);
     if (!next)
       return next.failure();
     progress = *next;
@@ -65,7 +65,7 @@
   Outcome<CompletionProgress> start = startOf(body);
   REQUIRE(start);
   CHECK(start->Position == 2);
-  Outcome<CompletionProgress> next = advance(*start, chunk(2, 1, "z"));
+  Outcome<CompletionProgress> next = followEvent(*start, chunk(2, 1, "z"));
   REQUIRE(next);
   boost::json::value resumed = boost::json::parse(resumeBody(body, *next));
   CHECK(resumed.at("seed").as_int64() == 7);
--- a/Wasabi/Adapters/Proxy/EntryProxy.cpp
+++ b/Wasabi/Adapters/Proxy/EntryProxy.cpp
@@ -495,7 +495,8 @@
                                   const std::vector<std::string> &Events,
                                   std::string &Passed) {
     for (const std::string &it : Events) {
-      Outcome<CompletionProgress> next = advance(std::move(What.Progress), it);
+      Outcome<CompletionProgress> next =
+          followEvent(std::move(What.Progress), it);
       if (!next)
         return next.failure();
       What.Progress = *std::move(next);
--- a/Wasabi/Routing/CompletionStream.cpp
+++ b/Wasabi/Routing/CompletionStream.cpp
@@ -107,8 +107,8 @@
   return progress;
 }
 
-Outcome<CompletionProgress> advance(CompletionProgress Progress,
-                                    std::string_view Event) {
+Outcome<CompletionProgress> followEvent(CompletionProgress Progress,
+                                        std::string_view Event) {
   // Comments and other fields of an event carry nothing that is counted.
   if (!Event.starts_with(DataPrefix))
     return Progress;
--- a/Wasabi/Routing/CompletionStream.h
+++ b/Wasabi/Routing/CompletionStream.h
@@ -45,8 +45,8 @@
 /// Takes one whole event. Failures: `ConnectionLost`, `Ran`, for one out of its
 /// order or a count that does not match, after which nothing of the event may
 /// be passed on. Pure.
-Outcome<CompletionProgress> advance(CompletionProgress Progress,
-                                    std::string_view Event);
+Outcome<CompletionProgress> followEvent(CompletionProgress Progress,
+                                        std::string_view Event);
 
 /// The request's body that goes on from `Progress`.
 /// Precondition: `startOf(RequestBody)` succeeded. Pure.
