--- a/Wasabi/Node/LogFollower.cpp
+++ b/Wasabi/Node/LogFollower.cpp
@@ -3,6 +3,7 @@
 #include "Wasabi/Membership/Fanout.h"
 #include "Wasabi/Membership/Rendezvous.h"
 #include "Wasabi/State/Record.h"
+#include "Wasabi/State/Recovery.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -39,24 +40,6 @@
   return std::chrono::duration_cast<Millis>(Now - Then);
 }
 
-/// The snapshot in a record's text, when it is one whose state matches its
-/// hash.
-std::optional<FoldState> snapshotIn(const std::string &Text) {
-  Outcome<Record> record =
-      toOutcome<Record>([&]() { return decodeRecord(Text); });
-  if (!record)
-    return std::nullopt;
-  const SnapshotRecord *snapshot = std::get_if<SnapshotRecord>(&record->Body);
-  if (snapshot == nullptr)
-    return std::nullopt;
-  Outcome<FoldState> state =
-      toOutcome<FoldState>([&]() { return decodeState(snapshot->State); });
-  if (!state || state->Next != snapshot->Before ||
-      hashState(*state) != snapshot->Hash)
-    return std::nullopt;
-  return std::move(*state);
-}
-
 } // namespace
 
 std::shared_ptr<LogFollower>
@@ -252,7 +235,8 @@
       continue;
     Outcome<FoldState> state =
         toOutcome<FoldState>([&]() { return decodeState(given->State); });
-    bool whole = state && hashState(*state) == given->Hash;
+    bool whole = state && state->Next == given->Next &&
+                 hashText(given->State) == given->Hash;
     if (!whole) {
       spdlog::error("control: the state from {} does not match its hash",
                     it->Instance.Text);
@@ -271,34 +255,25 @@
   Offset first = bounds->First;
   Offset end = bounds->End;
 
-  // The newest snapshot is near the end; the whole tail is the second try.
+  // The newest snapshot is near the end; all that is kept is the second try.
   Offset window = Setup.SnapshotWindow;
   Offset near = end > first + window ? end - window : first;
   std::array<Offset, 2> starts = {near, first};
   for (Offset from : starts) {
-    if (from == first && first == 0)
-      break;
     Outcome<std::vector<LogEntry>> tail = co_await readAll(from, end);
     if (!tail || Stopped)
       co_return false;
-    for (auto it = tail->rbegin(); it != tail->rend(); ++it) {
-      std::optional<FoldState> state = snapshotIn(it->Text);
-      if (!state || state->Next < first || !adopt(std::move(*state)))
-        continue;
-      // The records that follow the snapshot are at hand already.
-      absorb(*tail, false);
+    Outcome<FoldState> state =
+        toOutcome<FoldState>([&]() { return recoverState(*tail); });
+    if (state && adopt(std::move(*state))) {
+      for (const LogEntry &it : *tail)
+        keep(it);
       co_return true;
     }
-    if (from == first)
+    if (state || from == first)
       break;
   }
-  if (first == 0) {
-    // Nothing has expired: the whole stream is the state.
-    if (!Obtained.load())
-      adopt(FoldState());
-    co_return true;
-  }
-  spdlog::error("control: the log begins at {} and holds no whole snapshot",
+  spdlog::error("control: no state can be had from the log, which begins at {}",
                 first);
   co_return false;
 }
@@ -511,7 +486,7 @@
     return give;
   give.Next = Fold.Next;
   give.State = encodeState(Fold);
-  give.Hash = hashState(Fold);
+  give.Hash = hashText(give.State);
   return give;
 }
 
