--- /dev/null
+++ b/Bench/Benches.h
@@ -0,0 +1,13 @@
+/// \file
+/// The benches by name. Each prints its figures with `report`.
+#ifndef WASABI_BENCH_BENCHES_H
+#define WASABI_BENCH_BENCHES_H
+
+namespace wasabi::bench {
+
+/// Agreement, members and spreading, with real processes.
+void runStateBench();
+
+} // namespace wasabi::bench
+
+#endif // WASABI_BENCH_BENCHES_H
