--- /dev/null
+++ b/IntegrationTests/Chaos/Tally.cpp
@@ -0,0 +1,159 @@
+#include "IntegrationTests/Chaos/Tally.h"
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace wasabi::chaos {
+
+namespace {
+
+using RunsByMark =
+    std::unordered_map<std::string, std::vector<const UpstreamRun *>>;
+
+RunsByMark byMark(const std::vector<UpstreamRun> &runs) {
+  RunsByMark found;
+  for (const UpstreamRun &it : runs)
+    found[it.Mark].push_back(&it);
+  return found;
+}
+
+std::string describe(const CallerRecord &what) {
+  return what.Mark + " status=" + std::to_string(what.Status) +
+         " begun_us=" + std::to_string(what.Begun) +
+         " ended_us=" + std::to_string(what.Ended) + " " + what.Note;
+}
+
+void count(Tally &sum, const CallerRecord &what) {
+  ++sum.Requests;
+  switch (what.End) {
+  case Seen::Whole:
+    ++sum.Whole;
+    break;
+  case Seen::Wrong:
+    ++sum.WrongAnswers;
+    sum.Faults.push_back("wrong answer: " + describe(what));
+    break;
+  case Seen::NotRun:
+    ++sum.NotRun;
+    break;
+  case Seen::MayHaveRun:
+    ++sum.MayHaveRun;
+    break;
+  }
+}
+
+/// "Not run" is false when the request ran before the caller was told so,
+/// or at any time when it never was in doubt otherwise.
+void judgeNotRun(Tally &sum, const std::vector<const CallerRecord *> &asks,
+                 const std::vector<const UpstreamRun *> &runs) {
+  for (const CallerRecord *it : asks) {
+    // An earlier ask of the same key may run at any time after.
+    if (it->End != Seen::NotRun)
+      break;
+    const bool isLast = it == asks.back();
+    for (const UpstreamRun *run : runs) {
+      if (!isLast && run->Started > it->Ended)
+        continue;
+      ++sum.FalseNotRun;
+      sum.Faults.push_back("false not-run: " + describe(*it) + " ran on " +
+                           run->Server + " at " + std::to_string(run->Started));
+      return;
+    }
+  }
+}
+
+} // namespace
+
+void judgeCallers(Tally &Sum, const std::vector<CallerRecord> &Seen,
+                  const std::vector<UpstreamRun> &Runs) {
+  const RunsByMark runs = byMark(Runs);
+  std::unordered_map<std::string, std::vector<const CallerRecord *>> asks;
+  for (const CallerRecord &it : Seen) {
+    count(Sum, it);
+    asks[it.Mark].push_back(&it);
+  }
+  for (const auto &[mark, sent] : asks) {
+    const auto found = runs.find(mark);
+    if (found == runs.end())
+      continue;
+    judgeNotRun(Sum, sent, found->second);
+    if (isIdempotent(sent.front()->Kind) || found->second.size() < 2)
+      continue;
+    ++Sum.DoubleRuns;
+    Sum.Faults.push_back("double run: " + describe(*sent.front()) + " ran " +
+                         std::to_string(found->second.size()) + " times");
+  }
+}
+
+void judgeStops(Tally &Sum, const std::vector<PlannedStop> &Stops,
+                const std::vector<CallerRecord> &Asked,
+                const std::vector<UpstreamRun> &Runs) {
+  for (const PlannedStop &stop : Stops) {
+    for (const CallerRecord &it : Asked) {
+      const bool isCut = it.End == Seen::MayHaveRun &&
+                         it.Ended >= stop.Signalled && it.Begun <= stop.Ended;
+      if (!stop.Alone || !isCut)
+        continue;
+      ++Sum.CutByPlannedStop;
+      Sum.Faults.push_back("cut by a planned stop: " + describe(it));
+    }
+    for (const UpstreamRun &it : Runs) {
+      const bool isMine = std::find(stop.Servers.begin(), stop.Servers.end(),
+                                    it.Server) != stop.Servers.end();
+      if (!isMine || it.Started <= stop.Signalled + LeavingGraceMicros ||
+          it.Started >= stop.Ended)
+        continue;
+      ++Sum.LateToLeaving;
+      Sum.Faults.push_back("work to a leaving upstream: " + it.Mark + " on " +
+                           it.Server + " at " + std::to_string(it.Started));
+    }
+    if (stop.Alone && !stop.InOrder)
+      Sum.Faults.push_back("a planned stop did not end in order, at " +
+                           std::to_string(stop.Signalled));
+  }
+}
+
+void judgeTrainer(Tally &Sum, const TrainerTruth &Truth) {
+  Sum.Samples += Truth.Samples;
+  Sum.Duplicates += Truth.Duplicates;
+  Sum.Stale += Truth.Stale;
+  Sum.Mislabelled += Truth.Mislabelled;
+  // The step that is open last is under way.
+  if (Truth.StepsOpened > Truth.StepsWhole + 1)
+    Sum.Missing += Truth.StepsOpened - Truth.StepsWhole - 1;
+}
+
+bool holds(const Tally &Sum) {
+  const std::uint64_t wrong = Sum.FalseNotRun + Sum.DoubleRuns +
+                              Sum.WrongAnswers + Sum.CutByPlannedStop +
+                              Sum.Duplicates + Sum.Missing + Sum.Mislabelled +
+                              Sum.Stale + Sum.ConfigReverts + Sum.LateToLeaving;
+  return wrong == 0 && Sum.Faults.empty();
+}
+
+std::string describe(const Tally &Sum) {
+  std::string text;
+  const auto add = [&text](std::string_view name, std::uint64_t value) {
+    text += text.empty() ? "" : " ";
+    text += name;
+    text += "=" + std::to_string(value);
+  };
+  add("requests", Sum.Requests);
+  add("whole", Sum.Whole);
+  add("not_run", Sum.NotRun);
+  add("may_have_run", Sum.MayHaveRun);
+  add("false_not_run", Sum.FalseNotRun);
+  add("double_runs", Sum.DoubleRuns);
+  add("wrong_answers", Sum.WrongAnswers);
+  add("cut_by_planned_stop", Sum.CutByPlannedStop);
+  add("samples", Sum.Samples);
+  add("duplicates", Sum.Duplicates);
+  add("missing", Sum.Missing);
+  add("mislabelled", Sum.Mislabelled);
+  add("stale", Sum.Stale);
+  add("config_reverts", Sum.ConfigReverts);
+  add("late_to_leaving", Sum.LateToLeaving);
+  return text;
+}
+
+} // namespace wasabi::chaos
