--- /dev/null
+++ b/IntegrationTests/Chaos/Main.cpp
@@ -0,0 +1,43 @@
+/// \file
+/// wasabi-chaos: real processes of the whole product under faults drawn from a
+/// seed, judged by the stand-ins' own records.
+#include "IntegrationTests/Chaos/Schedule.h"
+#include "Wasabi/Core/Program.h"
+
+#include <gflags/gflags.h>
+
+#include <iostream>
+
+DEFINE_uint64(seed, 1, "what every random choice is drawn from");
+DEFINE_uint32(seconds, 20, "how long faults happen, in seconds");
+DEFINE_string(deployment, "lindqvist", "lindqvist or balikbayan");
+DEFINE_bool(schedule_only, false, "print the schedule of the seed and end");
+
+namespace {
+
+using wasabi::ExitCode;
+using wasabi::Result;
+
+const wasabi::ProgramDescription About{
+    "wasabi-chaos", "",
+    "Runs the whole product behind fault proxies, injects the faults that\n"
+    "--seed gives, and judges by the stand-ins' own records."};
+
+Result<ExitCode> run() {
+  if (FLAGS_deployment != "lindqvist" && FLAGS_deployment != "balikbayan")
+    return wasabi::badInput("--deployment", "neither lindqvist nor balikbayan");
+  const std::vector<wasabi::chaos::Fault> schedule =
+      wasabi::chaos::makeSchedule(FLAGS_seed,
+                                  std::chrono::seconds(FLAGS_seconds));
+  std::cout << wasabi::chaos::describe(schedule) << std::flush;
+  return ExitCode::Success;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  const wasabi::ProgramStart start = wasabi::startProgram(About, argc, argv);
+  if (start.Exit)
+    return static_cast<int>(*start.Exit);
+  return wasabi::runProgram(About, run);
+}
--- /dev/null
+++ b/UnitTests/Replay/TraceTest.cpp
@@ -0,0 +1,87 @@
+/// \file
+/// Reading traces and outcomes: what is malformed is named by its place.
+#include "Wasabi/Replay/Trace.h"
+#include "Wasabi/Replay/Outcomes.h"
+#include "Wasabi/Replay/Spans.h"
+
+#include <catch2/catch.hpp>
+
+using namespace wasabi;
+using namespace wasabi::replay;
+
+namespace {
+
+constexpr char GoodLine[] =
+    R"({"wall":5,"count":1,"seq":2,"instance":"a","kind":"k","fields":{"x":"1"}})";
+
+Failure failureOf(const std::string &text) {
+  const Outcome<Trace> read =
+      toOutcome<Trace>([&] { return readTrace("t.jsonl", text); });
+  REQUIRE_FALSE(read);
+  return read.failure();
+}
+
+Failure outcomesFailure(const std::string &text) {
+  const Outcome<Outcomes> read =
+      toOutcome<Outcomes>([&] { return readOutcomes("o.json", text); });
+  REQUIRE_FALSE(read);
+  return read.failure();
+}
+
+} // namespace
+
+TEST_CASE("A trace is read in the order of hybrid time") {
+  const std::string later =
+      R"({"wall":5,"count":2,"seq":0,"instance":"a","kind":"l","fields":{}})";
+  const Outcome<Trace> read = toOutcome<Trace>(
+      [&] { return readTrace("t", later + "\n\n" + GoodLine + "\r\n"); });
+  REQUIRE(read);
+  REQUIRE(read->Events.size() == 2);
+  CHECK(read->Events[0].Kind == "k");
+  CHECK(read->Events[0].field("x") == "1");
+  CHECK(read->Events[1].Kind == "l");
+}
+
+TEST_CASE("A bad line of a trace is named by its number") {
+  for (
+      const std::string bad :
+      {"{", "[]", "{}", R"({"wall":-1})",
+       R"({"wall":1,"count":1,"seq":1,"instance":"a","kind":3,"fields":{}})",
+       R"({"wall":1,"count":1,"seq":1,"instance":"a","kind":"k"})",
+       R"({"wall":1,"count":1,"seq":1,"instance":"a","kind":"k","fields":{"x":1}})",
+       R"({"wall":1,"count":5000000000,"seq":1,"instance":"a","kind":"k","fields":{}})"}) {
+    const Failure why = failureOf(std::string(GoodLine) + "\n" + bad + "\n");
+    INFO(bad);
+    CHECK(why.Code == FailureCode::BadInput);
+    CHECK(why.Place == "t.jsonl:2");
+    CHECK_FALSE(why.Reason.empty());
+  }
+}
+
+TEST_CASE("Bad outcomes are named by their JSON path") {
+  CHECK(outcomesFailure("{").Place == "o.json: /");
+  CHECK(outcomesFailure(R"({"rule":[]})").Place == "o.json: /rule");
+  CHECK(outcomesFailure(R"({"rules":["fresh","new"]})").Place ==
+        "o.json: /rules/1");
+  CHECK(outcomesFailure(R"({"bounds":{"idle_share":"x"}})").Place ==
+        "o.json: /bounds/idle_share");
+  CHECK(outcomesFailure(R"({"bounds":{"leaving_grace_ms":-1}})").Place ==
+        "o.json: /bounds/leaving_grace_ms");
+  CHECK(outcomesFailure(R"({"expect":[{"fields":{}}]})").Place ==
+        "o.json: /expect/0/kind");
+  CHECK(
+      outcomesFailure(R"({"expect":[{"kind":"k","fields":{"a":1}}]})").Place ==
+      "o.json: /expect/0/fields/a");
+}
+
+TEST_CASE("A label has no gap, no overlap and no empty span") {
+  const std::optional<std::vector<LabelSpan>> label =
+      readSpans("0-12@3,12-40@4");
+  REQUIRE(label);
+  CHECK(*label == std::vector<LabelSpan>{{0, 12, 3}, {12, 40, 4}});
+  CHECK(oldestVersion(*label) == 3);
+  for (const std::string_view bad :
+       {"", "0-12", "0-12@", "1-12@3", "0-12@3,13-40@4", "0-12@3,11-40@4",
+        "0-0@3", "0-12@3,", "-12@3", "0-12@x", "@0-12"})
+    CHECK_FALSE(readSpans(bad));
+}
--- /dev/null
+++ b/UnitTests/State/FoldFixture.h
@@ -0,0 +1,69 @@
+/// \file
+/// Shared by the tests of the fold: short ways to records and states.
+#ifndef WASABI_UNITTESTS_STATE_FOLDFIXTURE_H
+#define WASABI_UNITTESTS_STATE_FOLDFIXTURE_H
+
+#include "Wasabi/State/Claims.h"
+#include "Wasabi/State/Fold.h"
+#include "Wasabi/State/Recovery.h"
+
+#include <string>
+#include <vector>
+
+namespace wasabi::foldtest {
+
+/// The canonical text of a limit.
+inline std::string limitText(const std::string &Name, int Burst) {
+  return R"({"burst":)" + std::to_string(Burst) +
+         R"(,"kind":"limit","name":")" + Name + R"("})";
+}
+
+inline ObjectWrite limit(const std::string &Name, int Burst) {
+  return {"limit/" + Name, limitText(Name, Burst)};
+}
+
+/// A log with the fold that follows it.
+struct Folded {
+  std::vector<LogEntry> Log;
+  FoldState State;
+  std::vector<Applied> Fates;
+  std::uint64_t Sequence = 0;
+
+  const Applied &addText(std::string Text) {
+    Offset at = Log.size();
+    Log.push_back({at, Text});
+    Fates.push_back(apply(State, at, Text));
+    return Fates.back();
+  }
+  const Applied &add(const RecordId &Id, RecordBody Body) {
+    return addText(encodeRecord({Id, std::move(Body)}));
+  }
+  /// By an author with the next number.
+  const Applied &by(const std::string &Author, RecordBody Body,
+                    Incarnation Life = 1) {
+    return add({Author, Life, ++Sequence}, std::move(Body));
+  }
+  const Applied &change(const std::string &Author, Offset Base,
+                        std::vector<ObjectWrite> Writes,
+                        std::vector<std::string> Reads = {}) {
+    return by(Author, ConfigChange{Base, std::move(Reads), std::move(Writes),
+                                   Author, "a test"});
+  }
+  const Claim *claim(const std::string &Resource) const {
+    auto it = State.Claims.find(Resource);
+    return it == State.Claims.end() ? nullptr : &it->second;
+  }
+};
+
+/// Decodes a state that must be sound.
+inline FoldState reloaded(const FoldState &State) {
+  return *toOutcome<FoldState>([&] { return decodeState(encodeState(State)); });
+}
+
+inline Outcome<FoldState> recovered(const std::vector<LogEntry> &Kept) {
+  return toOutcome<FoldState>([&] { return recoverState(Kept); });
+}
+
+} // namespace wasabi::foldtest
+
+#endif // WASABI_UNITTESTS_STATE_FOLDFIXTURE_H
--- /dev/null
+++ b/UnitTests/State/FoldTests.cpp
@@ -0,0 +1,268 @@
+#include "UnitTests/State/FoldFixture.h"
+
+#include <catch2/catch.hpp>
+
+using Catch::Contains;
+using wasabi::Applied;
+using wasabi::ClaimRelease;
+using wasabi::ClaimRenew;
+using wasabi::ClaimTake;
+using wasabi::FencingToken;
+using wasabi::FoldState;
+using wasabi::Millis;
+using wasabi::Offset;
+using wasabi::Outcome;
+using wasabi::RecordFate;
+using wasabi::TimePoint;
+using wasabi::foldtest::Folded;
+using wasabi::foldtest::limit;
+
+TEST_CASE("Of two racing operators exactly the conflicting one is refused") {
+  Folded log;
+  CHECK(log.change("anna", 0, {limit("a", 1), limit("b", 1)}).Fate ==
+        RecordFate::Accepted);
+  // All three had read the first change only.
+  CHECK(log.change("bo", 1, {limit("a", 2)}).Fate == RecordFate::Accepted);
+  CHECK(log.change("carl", 1, {limit("b", 3)}).Fate == RecordFate::Accepted);
+  Applied lost = log.change("dora", 1, {limit("c", 4), limit("a", 4)});
+  CHECK(lost.Fate == RecordFate::Refused);
+  CHECK(lost.Reason == "conflict: limit/a was changed at offset 1 by bo");
+  CHECK_FALSE(lost.ConfigChanged);
+  CHECK(log.State.Config->Limits.at("a").Burst == 2);
+  CHECK(log.State.Config->Limits.at("b").Burst == 3);
+  CHECK_FALSE(log.State.Config->Limits.contains("c"));
+  CHECK(log.State.ConfigRevision == 3);
+  CHECK(log.State.History.size() == 4);
+}
+
+TEST_CASE("A change conflicts by what it read, and with removals") {
+  Folded log;
+  log.change("anna", 0, {limit("a", 1)});
+  log.change("anna", 1, {{"limit/a", std::nullopt}});
+  CHECK_THAT(log.change("bo", 1, {limit("b", 1)}, {"limit/a"}).Reason,
+             Contains("limit/a was removed at offset 1 by anna"));
+  CHECK(log.change("bo", 2, {limit("b", 1)}, {"limit/a"}).Fate ==
+        RecordFate::Accepted);
+  CHECK_THAT(log.change("bo", 4, {{"limit/a", std::nullopt}}).Reason,
+             Contains("no such object"));
+  CHECK_THAT(log.change("bo", 99, {limit("d", 1)}).Reason,
+             Contains("lies ahead"));
+}
+
+TEST_CASE("A change that breaks the whole is refused and leaves nothing") {
+  Folded log;
+  const std::string preset = R"({"kind":"preset","name":"peak"})";
+  const std::string inForce =
+      R"({"kind":"switch","name":"preset","preset":"peak"})";
+  log.change("anna", 0, {{"preset/peak", preset}, {"switch/preset", inForce}});
+  FoldState before = log.State;
+  Applied lost =
+      log.change("bo", 1, {limit("a", 1), {"preset/peak", std::nullopt}});
+  CHECK(lost.Fate == RecordFate::Refused);
+  CHECK_THAT(lost.Reason, Contains("no preset/peak"));
+  CHECK(log.State.Objects == before.Objects);
+  CHECK(log.State.Removed.empty());
+  CHECK_THAT(
+      log.change("bo", 2, {{"limit/a", wasabi::foldtest::limitText("z", 1)}})
+          .Reason,
+      Contains("the object is limit/z"));
+}
+
+TEST_CASE("Each id is taken once, and its first fate stands") {
+  Folded log;
+  wasabi::ConfigChange change{0, {}, {limit("a", 1)}, "anna", ""};
+  CHECK(log.add({"ctl", 5, 1}, change).Fate == RecordFate::Accepted);
+  Applied again = log.add({"ctl", 5, 1}, change);
+  CHECK(again.Fate == RecordFate::Repeated);
+  CHECK(again.SameId);
+  CHECK(again.FirstAt == 0);
+  CHECK(again.FirstFate == RecordFate::Accepted);
+
+  change.Writes = {limit("a", 2)};
+  CHECK(log.add({"ctl", 5, 2}, change).Fate == RecordFate::Refused);
+  CHECK(log.add({"ctl", 5, 2}, change).FirstFate == RecordFate::Refused);
+  CHECK_FALSE(log.add({"ctl", 5, 1}, change).SameId);
+  change.Base = 5;
+  CHECK(log.add({"ctl", 4, 9}, change).Fate == RecordFate::Repeated);
+  CHECK(log.add({"ctl", 6, 0}, change).Fate == RecordFate::Accepted);
+}
+
+TEST_CASE("The first take wins, and only the holder renews and releases") {
+  Folded log;
+  log.addText("not a record");
+  CHECK(log.by("d1", ClaimTake{"trainer/t", 0, Millis(10), 0}).ClaimChanged ==
+        "trainer/t");
+  CHECK_THAT(log.by("d2", ClaimTake{"trainer/t", 0, Millis(10), 0}).Reason,
+             Contains("held by d1 since token 2"));
+  CHECK(log.by("d2", ClaimRenew{"trainer/t", 2}).Fate == RecordFate::Refused);
+  CHECK(log.by("d1", ClaimRenew{"trainer/t", 2}, 7).Fate ==
+        RecordFate::Refused);
+  CHECK(log.by("d1", ClaimRenew{"trainer/t", 2}, 7).Fate ==
+        RecordFate::Refused);
+  REQUIRE(log.claim("trainer/t"));
+  CHECK(log.claim("trainer/t")->Token == 2);
+  CHECK(log.claim("trainer/t")->RenewedAt == 1);
+}
+
+TEST_CASE("A take is refused while its author has missed a renewal") {
+  Folded log;
+  log.by("d1", ClaimTake{"trainer/t", 0, Millis(10), 0});
+  ClaimTake late =
+      wasabi::takeOver("trainer/t", log.claim("trainer/t"), Millis(10));
+  log.by("d1", ClaimRenew{"trainer/t", 1});
+  CHECK_THAT(log.by("d2", late).Reason,
+             Contains("renewed by d1 since token 1"));
+  CHECK(log.by("d2", wasabi::takeOver("trainer/t", log.claim("trainer/t"),
+                                      Millis(10)))
+            .Fate == RecordFate::Accepted);
+  CHECK(log.claim("trainer/t")->Token == 4);
+  CHECK(log.claim("trainer/t")->Holder.Text == "d2");
+  CHECK(log.by("d1", ClaimRenew{"trainer/t", 1}).Fate == RecordFate::Refused);
+  CHECK(log.by("d2", ClaimRelease{"trainer/t", 4}).Fate ==
+        RecordFate::Accepted);
+  CHECK(log.by("d2", ClaimRenew{"trainer/t", 4}).Fate == RecordFate::Refused);
+  CHECK(log.by("d3", ClaimTake{"trainer/t", 4, Millis(10), 0}).Fate ==
+        RecordFate::Accepted);
+}
+
+TEST_CASE("A claim at offset 0 has a token that is not none") {
+  Folded log;
+  log.by("d1", ClaimTake{"snapshots", 0, Millis(10), 0});
+  CHECK(log.claim("snapshots")->Token == 1);
+  CHECK(log.by("d2", ClaimTake{"snapshots", 0, Millis(10), 0}).Fate ==
+        RecordFate::Refused);
+}
+
+TEST_CASE("A holder's authority ends before a successor's wait does") {
+  const TimePoint sent{std::chrono::seconds(100)};
+  const Millis term(10000);
+  wasabi::Claim claim{wasabi::InstanceName("d1"), 1, 1, term, 0, false};
+  // The successor reads the record when it is sent at the soonest.
+  CHECK_FALSE(mayTake(&claim, sent, wasabi::authorityUntil(sent, term)));
+  CHECK_FALSE(mayTake(&claim, sent, sent + term - Millis(1)));
+  CHECK(mayTake(&claim, sent, sent + term));
+  CHECK(wasabi::mayTake(nullptr, sent, sent));
+  claim.Released = true;
+  CHECK(mayTake(&claim, sent, sent));
+}
+
+TEST_CASE("The fold stops before a newer record and applies nothing after") {
+  Folded log;
+  log.change("anna", 0, {limit("a", 1)});
+  std::string before = encodeState(log.State);
+  CHECK(log.addText(R"({"schema":2})").Fate == RecordFate::Newer);
+  CHECK(log.State.BlockedAt == Offset(1));
+  CHECK(apply(log.State, 1, "").Fate == RecordFate::Newer);
+  CHECK(encodeState(log.State) == before);
+  CHECK(log.State.Next == 1);
+}
+
+TEST_CASE("A state comes back whole from its text") {
+  Folded log;
+  log.change("anna", 0, {limit("a", 1), limit("b", 1)});
+  log.change("anna", 1, {{"limit/a", std::nullopt}});
+  log.by("d1", ClaimTake{"weights/m", 0, Millis(10), 0});
+  FoldState back = wasabi::foldtest::reloaded(log.State);
+  CHECK(encodeState(back) == encodeState(log.State));
+  CHECK(*back.Config == *log.State.Config);
+  CHECK(back.Objects == log.State.Objects);
+  CHECK(back.Removed == log.State.Removed);
+  CHECK(back.Claims == log.State.Claims);
+  CHECK(back.Authors == log.State.Authors);
+  CHECK(back.History == log.State.History);
+  CHECK(hashState(back).size() == 32);
+  CHECK_FALSE(wasabi::toOutcome<FoldState>(
+      [] { return wasabi::decodeState("{\"schema\":1}"); }));
+}
+
+TEST_CASE("A snapshot that differs from the own state is noticed") {
+  Folded log;
+  log.by("d1", ClaimTake{"snapshots", 0, Millis(10), 0});
+  wasabi::SnapshotRecord good = makeSnapshot(log.State, 1);
+  log.change("anna", 0, {limit("a", 1)});
+  // Records came between: the chain tells.
+  CHECK_FALSE(log.by("d1", good).Diverged);
+  CHECK(log.State.SnapshotRevision == 3);
+  wasabi::SnapshotRecord other = makeSnapshot(log.State, 1);
+  other.Chain += 1;
+  CHECK(log.by("d1", other).Diverged);
+
+  // None came between: the whole text tells, even where the chain agrees.
+  FoldState forged = log.State;
+  forged.Objects["limit/a"].Text = wasabi::foldtest::limitText("a", 9);
+  CHECK(log.by("d1", makeSnapshot(forged, 1)).Diverged);
+  Applied same = log.by("d1", makeSnapshot(log.State, 1));
+  CHECK(same.Fate == RecordFate::Accepted);
+  CHECK_FALSE(same.Diverged);
+}
+
+TEST_CASE("A snapshot by another, or with a wrong hash, is refused by all") {
+  Folded log;
+  log.by("d1", ClaimTake{"snapshots", 0, Millis(10), 0});
+  CHECK(log.by("d2", makeSnapshot(log.State, 1)).Fate == RecordFate::Refused);
+  wasabi::SnapshotRecord bad = makeSnapshot(log.State, 1);
+  bad.Hash = std::string(32, '0');
+  CHECK_THAT(log.by("d1", bad).Reason, Contains("hash"));
+  bad = makeSnapshot(log.State, 1);
+  bad.Before = 1000;
+  CHECK(log.by("d1", bad).Fate == RecordFate::Refused);
+  CHECK(log.State.SnapshotRevision == 0);
+}
+
+TEST_CASE("Recovery takes the newest sound snapshot, else an older one") {
+  Folded log;
+  log.by("d1", ClaimTake{"snapshots", 0, Millis(10), 0});
+  log.by("d1", makeSnapshot(log.State, 1));
+  log.change("anna", 2, {limit("a", 1)});
+  wasabi::SnapshotRecord bad = makeSnapshot(log.State, 1);
+  bad.State[10] = '9';
+  log.by("d1", bad);
+  log.by("d2", makeSnapshot(log.State, 1));
+  log.change("anna", 3, {limit("b", 1)});
+
+  std::vector<wasabi::LogEntry> kept(log.Log.begin() + 1, log.Log.end());
+  Outcome<FoldState> state = wasabi::foldtest::recovered(kept);
+  REQUIRE(state);
+  CHECK(encodeState(*state) == encodeState(log.State));
+  kept.erase(kept.begin());
+  REQUIRE_FALSE(wasabi::foldtest::recovered(kept));
+  CHECK(wasabi::foldtest::recovered(kept).failure().Code ==
+        wasabi::FailureCode::Unavailable);
+  CHECK(wasabi::foldtest::recovered({})->Next == 0);
+}
+
+TEST_CASE("What is old is forgotten at the same offset everywhere") {
+  Folded log;
+  log.change("anna", 0, {limit("a", 1)});
+  log.change("anna", 1, {{"limit/a", std::nullopt}});
+  log.by("d1", ClaimTake{"trainer/t", 0, Millis(10), 0});
+  log.by("d1", ClaimRelease{"trainer/t", 3});
+  FoldState restarted = wasabi::foldtest::reloaded(log.State);
+  auto skip = [](FoldState &State, Offset Until) {
+    while (State.Next < Until)
+      apply(State, State.Next, "");
+  };
+  const Offset sweptAt =
+      wasabi::MemoryWindow / wasabi::SweepPeriod * wasabi::SweepPeriod +
+      wasabi::SweepPeriod;
+  skip(log.State, sweptAt);
+  CHECK(log.State.Removed.contains("limit/a"));
+  CHECK_THAT(
+      apply(log.State, sweptAt,
+            wasabi::encodeRecord(
+                {{"bo", 1, 1},
+                 wasabi::ConfigChange{0, {}, {limit("a", 2)}, "bo", ""}}))
+          .Reason,
+      Contains("too old"));
+  CHECK(log.State.Removed.empty());
+  CHECK(log.State.Claims.empty());
+  CHECK(log.State.Authors.size() == 1);
+  CHECK(log.State.RecentChains.size() == wasabi::MaxRecentChains);
+
+  skip(restarted, sweptAt);
+  apply(restarted, sweptAt,
+        wasabi::encodeRecord(
+            {{"bo", 1, 1},
+             wasabi::ConfigChange{0, {}, {limit("a", 2)}, "bo", ""}}));
+  CHECK(encodeState(restarted) == encodeState(log.State));
+}
--- a/Wasabi/Config/JsonReader.cpp
+++ b/Wasabi/Config/JsonReader.cpp
@@ -213,8 +213,10 @@
     fail(Key, "must be an array");
     return out;
   }
-  for (std::size_t i = 0; i < items->size(); ++i)
+  for (std::size_t i = 0; i < items->size(); ++i) {
     out.emplace_back((*items)[i], Place, pathOf(Key) + "/" + std::to_string(i));
+    out.back().Open = Open;
+  }
   return out;
 }
 
@@ -242,10 +244,14 @@
 
 JsonReader JsonReader::object(std::string_view Key) {
   const json::value *found = find(Key, true);
-  return {found ? *found : emptyObject(), Place, pathOf(Key)};
+  JsonReader out(found ? *found : emptyObject(), Place, pathOf(Key));
+  out.Open = Open;
+  return out;
 }
 
 void JsonReader::checkUnknown() {
+  if (Open)
+    return;
   for (const json::key_value_pair &member : Value->get_object()) {
     std::string_view key(member.key().data(), member.key().size());
     if (!Known.contains(key))
--- a/Wasabi/Config/JsonReader.h
+++ b/Wasabi/Config/JsonReader.h
@@ -29,6 +29,9 @@
   JsonReader(const boost::json::value &Value, std::string Place,
              std::string Path = "");
 
+  /// Lets other members be there, here and in the parts read from now on: for
+  /// answers of services that may say more than was asked.
+  void allowUnknown() { Open = true; }
   /// Whether the member is there.
   bool has(std::string_view Key) const;
   /// A required string.
@@ -75,6 +78,7 @@
   std::string Path;
   std::set<std::string, std::less<>> Known;
   std::optional<Failure> Fault;
+  bool Open = false;
 };
 
 /// Parses a JSON text. Errors: `BadInput` at `Place`. Thread-safe.
