--- a/Wasabi/Adapters/Platform/HttpTrainer.cpp
+++ b/Wasabi/Adapters/Platform/HttpTrainer.cpp
@@ -123,7 +123,7 @@
   port.Step = [of](std::optional<std::uint64_t> After, Millis Wait) {
     return askStep(of, After, Wait);
   };
-  port.Deliver = [of](Delivery What, Millis Timeout) {
+  port.Deliver = [of](const Delivery &What, Millis Timeout) {
     return deliver(of, deliveryBody(What), Timeout);
   };
   return port;
