Stand-ins for log, engine, service, weight store, trainer, scorer and list

Cause: tests and the demo need the platform's part played, with faults and a record of the truth to judge by. Change: one program, one subcommand a role, as docs/PLATFORM.md says. Batching and the trainer's judgement are functions of the time passed in. The roles are a library, so that tests can check how they judge.

--- /dev/null
+++ b/StandIns/ScorerRole.h
@@ -0,0 +1,18 @@
+/// \file
+/// The stand-in for a service that scores samples.
+#ifndef WASABI_STANDINS_SCORERROLE_H
+#define WASABI_STANDINS_SCORERROLE_H
+
+#include "StandIns/RoleServer.h"
+
+namespace wasabi::standins {
+
+/// Used on one thread.
+std::shared_ptr<Role> createScorerRole();
+
+/// The score of a text, from 0 to below 1. Thread-safe.
+double scoreOf(std::string_view Text);
+
+} // namespace wasabi::standins
+
+#endif // WASABI_STANDINS_SCORERROLE_H
--- /dev/null
+++ b/StandIns/ServiceRole.h
@@ -0,0 +1,24 @@
+/// \file
+/// The stand-in for a plain service.
+#ifndef WASABI_STANDINS_SERVICEROLE_H
+#define WASABI_STANDINS_SERVICEROLE_H
+
+#include "StandIns/RoleServer.h"
+
+namespace wasabi::standins {
+
+struct ServiceSettings {
+  std::string Name = "service";
+  /// How long one run takes.
+  Millis Latency{0};
+  /// Runs at once; further ones wait. 0: no limit.
+  std::uint64_t Slots = 0;
+};
+
+/// Used on the executor's thread.
+std::shared_ptr<Role> createServiceRole(boost::asio::any_io_executor Executor,
+                                        ServiceSettings Settings);
+
+} // namespace wasabi::standins
+
+#endif // WASABI_STANDINS_SERVICEROLE_H
--- /dev/null
+++ b/StandIns/TrainerRole.h
@@ -0,0 +1,27 @@
+/// \file
+/// The stand-in for a trainer.
+#ifndef WASABI_STANDINS_TRAINERROLE_H
+#define WASABI_STANDINS_TRAINERROLE_H
+
+#include "StandIns/RoleServer.h"
+#include "StandIns/TrainerBook.h"
+
+namespace wasabi::standins {
+
+struct TrainerSettings {
+  TrainerBook::Settings Book;
+  /// How long training on a whole step takes.
+  Millis TrainTime{1000};
+  /// Steps in all; 0: no end.
+  std::uint64_t Steps = 0;
+  /// The weight store; empty: it publishes nowhere.
+  Address Store;
+};
+
+/// Used on the executor's thread.
+std::shared_ptr<Role> createTrainerRole(boost::asio::any_io_executor Executor,
+                                        TrainerSettings Settings);
+
+} // namespace wasabi::standins
+
+#endif // WASABI_STANDINS_TRAINERROLE_H
--- /dev/null
+++ b/StandIns/WeightsRole.h
@@ -0,0 +1,25 @@
+/// \file
+/// The stand-in for the rate-limited weight store.
+#ifndef WASABI_STANDINS_WEIGHTSROLE_H
+#define WASABI_STANDINS_WEIGHTSROLE_H
+
+#include "StandIns/RoleServer.h"
+
+namespace wasabi::standins {
+
+struct WeightsSettings {
+  /// Shared between all running fetches.
+  std::uint64_t BytesPerSecond = 1000000000;
+  /// Size of each version.
+  std::uint64_t BlobBytes = 100000000;
+  /// Most fetches at once.
+  std::uint64_t Fetches = 64;
+};
+
+/// Used on the executor's thread.
+std::shared_ptr<Role> createWeightsRole(boost::asio::any_io_executor Executor,
+                                        WeightsSettings Settings);
+
+} // namespace wasabi::standins
+
+#endif // WASABI_STANDINS_WEIGHTSROLE_H
