--- /dev/null
+++ b/Daemon/Main.cpp
@@ -0,0 +1,258 @@
+/// \file
+/// `wasabi-daemon`: the process in the slot beside upstream servers. It is the
+/// only road to them, and may own any duty that is claimed.
+#include "Wasabi/Adapters/Admin/AdminServer.h"
+#include "Wasabi/Adapters/Frames/RequestServer.h"
+#include "Wasabi/Adapters/Proxy/DaemonProxy.h"
+#include "Wasabi/Adapters/Proxy/ProcessSettings.h"
+#include "Wasabi/Adapters/Telemetry/Metrics.h"
+#include "Wasabi/Core/Program.h"
+#include "Wasabi/Core/Timeline.h"
+#include "Wasabi/Node/ControlPlane.h"
+#include "Wasabi/Rollout/RolloutDuty.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <gflags/gflags.h>
+
+#include <atomic>
+#include <iostream>
+
+DEFINE_string(instance, "", "name of this instance");
+DEFINE_string(failure_domain, "", "failure domain that it stands in");
+DEFINE_string(frames, "127.0.0.1:0", "IP:PORT for request frames");
+DEFINE_string(control, "127.0.0.1:0", "IP:PORT for control frames");
+DEFINE_string(admin, "127.0.0.1:0", "IP:PORT for status and metrics");
+DEFINE_string(advertise_frames, "",
+              "request frames' IP:PORT told to others, if not the bound one");
+DEFINE_string(advertise_control, "",
+              "control IP:PORT told to others, if not the bound one");
+DEFINE_string(log, "", "IP:PORT of the platform's log service");
+DEFINE_string(instances, "", "IP:PORT of the platform's instance list");
+DEFINE_string(weights, "", "IP:PORT of the platform's weight store");
+DEFINE_string(scorer, "", "IP:PORT of the service that scores samples");
+DEFINE_string(seeds, "", "control IP:PORT,IP:PORT of instances to begin with");
+DEFINE_string(upstreams, "",
+              "servers behind this daemon: server=service@IP:PORT,...");
+
+namespace wasabi {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t TimelineEvents = 65536;
+/// Time between two looks whether the last request has ended.
+constexpr Millis DrainPause{10};
+/// Time between two refreshes of what load reports say.
+constexpr Millis LoadPause{20};
+
+/// The parts of one daemon, in the order they are built.
+class DaemonProgram {
+public:
+  Result<ExitCode> run() {
+    BOOST_LEAF_CHECK(start());
+    Context.run();
+    Events->record("process.stop", {});
+    // The admin thread must not read what is being taken down.
+    Admin.reset();
+    Rollouts.reset();
+    Control.reset();
+    return ExitCode::Success;
+  }
+
+private:
+  Result<Done> start() {
+    ProcessFlags flags{FLAGS_instance,          FLAGS_failure_domain,
+                       FLAGS_control,           FLAGS_admin,
+                       FLAGS_advertise_control, FLAGS_log,
+                       FLAGS_instances,         FLAGS_seeds};
+    BOOST_LEAF_ASSIGN(Settings, readProcessSettings(flags, wallMicros()));
+    BOOST_LEAF_AUTO(Upstreams, parseUpstreams(FLAGS_upstreams, "--upstreams"));
+    BOOST_LEAF_AUTO(Listen, parseAddress(FLAGS_frames, "--frames"));
+    BOOST_LEAF_AUTO(Advertise, parseOptionalAddress(FLAGS_advertise_frames,
+                                                    "--advertise_frames"));
+    Timeline::Settings ring;
+    ring.Capacity = TimelineEvents;
+    Events = std::make_unique<Timeline>(Settings.Instance.Text, ring);
+    Events->record("process.start",
+                   {{"incarnation", std::to_string(Settings.Life)},
+                    {"role", "daemon"},
+                    {"domain", Settings.Domain.Text}});
+    BOOST_LEAF_ASSIGN(Admin, AdminServer::create(Settings.Admin, *Events));
+    BOOST_LEAF_CHECK(startProxy(std::move(Upstreams), Listen));
+    Address told = Advertise.empty() ? Front->address() : Advertise;
+    BOOST_LEAF_ASSIGN(
+        Control,
+        ControlPlane::create(
+            controlSettings(Settings, Role::Daemon, told, Admin->address()),
+            *Events, [this](Order What, DaemonProxy::OrderCallback Answer) {
+              takeOrder(std::move(What), std::move(Answer));
+            }));
+    Proxy->attach(sourceOf(*Control), [this](std::vector<ServerStatus> Now) {
+      Control->setServers(std::move(Now));
+    });
+    pushLoads();
+    BOOST_LEAF_CHECK(startRollouts());
+    showStatus();
+    Signals = onStopSignal(Context, [this] { beginDrain(); });
+    std::cout << "frames " << toText(Front->address()) << "\n"
+              << "control " << toText(Control->address()) << "\n"
+              << "admin " << toText(Admin->address()) << std::endl;
+    return Done{};
+  }
+
+  Result<Done> startProxy(std::vector<UpstreamServer> Upstreams,
+                          Address Listen) {
+    DaemonProxy::Settings setup;
+    setup.Instance = Settings.Instance;
+    setup.Domain = Settings.Domain;
+    setup.Life = Settings.Life;
+    setup.Upstreams = std::move(Upstreams);
+    setup.Seed = Settings.Seed;
+    Proxy = DaemonProxy::create(Context, setup, *Events, Counts);
+    RequestServer::Settings limits;
+    limits.Listen = std::move(Listen);
+    limits.Instance = Settings.Instance;
+    limits.Domain = Settings.Domain;
+    limits.Life = Settings.Life;
+    std::shared_ptr<DaemonProxy> proxy = Proxy;
+    BOOST_LEAF_ASSIGN(
+        Front,
+        RequestServer::create(
+            Context, limits,
+            [proxy](RequestAttempt Attempt, std::shared_ptr<AnswerSink> Sink) {
+              return proxy->handle(std::move(Attempt), std::move(Sink));
+            }));
+    return Done{};
+  }
+
+  Result<Done> startRollouts() {
+    BOOST_LEAF_AUTO(Weights, parseOptionalAddress(FLAGS_weights, "--weights"));
+    BOOST_LEAF_AUTO(Scorer, parseOptionalAddress(FLAGS_scorer, "--scorer"));
+    // Without the platform's services this daemon owns no trainer.
+    if (Settings.Log.empty() || Weights.empty() || Scorer.empty())
+      return Done{};
+    RolloutDuty::Settings setup;
+    setup.Instance = Settings.Instance;
+    setup.Domain = Settings.Domain;
+    setup.Life = Control->life();
+    setup.Log = Settings.Log;
+    setup.Weights = Weights;
+    setup.Scorer = Scorer;
+    setup.Seed = Settings.Seed;
+    BOOST_LEAF_ASSIGN(Rollouts, RolloutDuty::create(setup, *Control, *Events));
+    return Done{};
+  }
+
+  /// Comes on the control thread: orders are carried out on the serving one.
+  void takeOrder(Order What, DaemonProxy::OrderCallback Answer) {
+    asio::post(Context, [this, What = std::move(What),
+                         Answer = std::move(Answer)]() mutable {
+      Proxy->order(std::move(What), std::move(Answer));
+    });
+  }
+
+  void pushLoads() {
+    Front->setLoads(Proxy->loads(), Leaving);
+    Loads.expires_after(LoadPause);
+    Loads.async_wait([this](boost::system::error_code ec) {
+      if (!ec)
+        pushLoads();
+    });
+  }
+
+  bool ready() const { return Control->ready() && !Leaving; }
+
+  void showStatus() {
+    AdminSources sources;
+    sources.Ready = [this] { return ready(); };
+    sources.Metrics = [this] { return Counts.render(); };
+    sources.Status = [this] {
+      ProcessStatus status;
+      status.Settings = Settings;
+      status.Kind = Role::Daemon;
+      status.Ready = ready();
+      status.Leaving = Leaving;
+      status.InFlight = Proxy->inFlight();
+      std::shared_ptr<const FoldState> state = Control->state();
+      status.Next = state->Next;
+      status.ConfigRevision = state->ConfigRevision;
+      std::string rollouts =
+          Rollouts ? "{\"rollouts\":" + Rollouts->statusJson() + "}" : "{}";
+      return std::vector<std::string>{Control->statusJson(), rollouts,
+                                      statusJson(status)};
+    };
+    Admin->show(std::move(sources));
+  }
+
+  /// The others are told first, over frames and control alike; new work is
+  /// refused as not run, and what runs goes on to its end.
+  void beginDrain() {
+    Leaving = true;
+    Events->record("process.leaving", {});
+    Proxy->leave();
+    Front->setLoads(Proxy->loads(), true);
+    // Owned steps and rollouts are handed over before the claims go.
+    if (Rollouts)
+      Rollouts->leave([this] { tellLeaving(); });
+    else
+      tellLeaving();
+  }
+
+  /// Comes on any thread.
+  void tellLeaving() {
+    Control->leave([this] {
+      asio::post(Context, [this] {
+        Told = true;
+        endWhenIdle();
+      });
+    });
+  }
+
+  void endWhenIdle() {
+    if (Told && Proxy->inFlight() == 0) {
+      Loads.cancel();
+      Front->stop();
+      Proxy->stop();
+      Signals.reset();
+      Context.stop();
+      return;
+    }
+    Drain.expires_after(DrainPause);
+    Drain.async_wait([this](boost::system::error_code) { endWhenIdle(); });
+  }
+
+  asio::io_context Context{1};
+  ProcessSettings Settings;
+  Metrics Counts;
+  std::unique_ptr<Timeline> Events;
+  std::unique_ptr<AdminServer> Admin;
+  std::shared_ptr<DaemonProxy> Proxy;
+  std::shared_ptr<RequestServer> Front;
+  std::unique_ptr<ControlPlane> Control;
+  std::unique_ptr<RolloutDuty> Rollouts;
+  std::shared_ptr<void> Signals;
+  asio::steady_timer Loads{Context};
+  asio::steady_timer Drain{Context};
+  std::atomic<bool> Leaving{false};
+  bool Told = false;
+};
+
+} // namespace
+} // namespace wasabi
+
+int main(int Count, char **Values) {
+  wasabi::ProgramDescription about{
+      "wasabi-daemon", "",
+      "Stands in front of upstream servers on their instance: the only road "
+      "to them.\nPrints its addresses on stdout once it serves."};
+  wasabi::ProgramStart start = wasabi::startProgram(about, Count, Values);
+  if (start.Exit)
+    return static_cast<int>(*start.Exit);
+  return wasabi::runProgram(about, [] {
+    wasabi::DaemonProgram program;
+    return program.run();
+  });
+}
--- a/Wasabi/Adapters/Admin/AdminServer.cpp
+++ b/Wasabi/Adapters/Admin/AdminServer.cpp
@@ -1,6 +1,7 @@
 #include "Wasabi/Adapters/Admin/AdminServer.h"
 
 #include "Wasabi/Adapters/Http/HttpServer.h"
+#include "Wasabi/Adapters/Telemetry/TimelineJson.h"
 #include "Wasabi/Core/Published.h"
 #include "Wasabi/Core/Timeline.h"
 
@@ -23,27 +24,6 @@
       Status, {{"Content-Type", "text/plain; charset=utf-8"}}, std::move(Body)};
 }
 
-std::string timelineJson(const Timeline &Events, std::uint64_t From) {
-  std::vector<TimelineEvent> kept = Events.since(From);
-  boost::json::array events;
-  for (const TimelineEvent &it : kept) {
-    boost::json::object fields;
-    for (const EventField &field : it.Fields)
-      fields[field.Key] = field.Value;
-    events.push_back(boost::json::object{{"wall", it.At.Wall},
-                                         {"count", it.At.Count},
-                                         {"sequence", it.Sequence},
-                                         {"instance", it.Instance},
-                                         {"kind", it.Kind},
-                                         {"fields", std::move(fields)}});
-  }
-  boost::json::object page;
-  page["instance"] = Events.instance();
-  page["dropped"] = Events.dropped();
-  page["events"] = std::move(events);
-  return boost::json::serialize(page);
-}
-
 class HttpAdminServer final : public AdminServer {
 public:
   explicit HttpAdminServer(Timeline &Events) : Events(Events) {}
@@ -129,7 +109,8 @@
     if (!text.empty() &&
         (read.ec != std::errc() || read.ptr != text.data() + text.size()))
       return textResponse(400, "from: '" + text + "' is not a count\n");
-    return http::jsonResponse(200, timelineJson(Events, from));
+    return http::jsonResponse(200,
+                              encodeTimelinePage(timelinePage(Events, from)));
   }
 
   Timeline &Events;
--- a/Wasabi/Adapters/Proxy/EntryProxy.cpp
+++ b/Wasabi/Adapters/Proxy/EntryProxy.cpp
@@ -593,9 +593,11 @@
 
 } // namespace
 
-ControlSource sourceOf(const ControlPlane &Control) {
-  return ControlSource{[&Control] { return Control.state(); },
-                       [&Control] { return Control.view(); }};
+ControlSource sourceOf(ControlPlane &Control) {
+  return ControlSource{
+      [&Control] { return Control.state(); },
+      [&Control] { return Control.view(); },
+      [&Control](InstanceName Who) { Control.noteUnreachable(Who); }};
 }
 
 std::shared_ptr<EntryProxy>
--- a/Wasabi/Adapters/Proxy/EntryProxy.h
+++ b/Wasabi/Adapters/Proxy/EntryProxy.h
@@ -25,10 +25,12 @@
 struct ControlSource {
   std::function<std::shared_ptr<const FoldState>()> State;
   std::function<std::shared_ptr<const View>()> Members;
+  /// Told when a daemon could not be reached. May be empty.
+  std::function<void(InstanceName)> Unreachable;
 };
 
 /// The source that reads a control plane, which must outlive it.
-ControlSource sourceOf(const ControlPlane &Control);
+ControlSource sourceOf(ControlPlane &Control);
 
 /// Not thread-safe, but for what says so: use on the context's thread.
 class EntryProxy : public std::enable_shared_from_this<EntryProxy> {
