Rollouts tested with real daemons and stand-ins

Change: a cluster of trainers, engines and daemons in the harness; ten cases: whole steps, owner killed, owner paused, engine crash, lost delivery answers, wrong, failed and unanswered swaps, unattested chunks, log outage, two trainers on shared engines, a preset that drains. Trainers of both kinds where it matters.

--- /dev/null
+++ b/IntegrationTests/Cases/RolloutTests.cpp
@@ -0,0 +1,189 @@
+/// \file
+/// Rollouts with real daemons and stand-ins: each sample once, fresh and
+/// truthfully labelled by the trainers' own records, whatever fails.
+#include "IntegrationTests/Harness/RolloutCluster.h"
+#include "IntegrationTests/Harness/TestFolder.h"
+#include "IntegrationTests/Harness/Waiting.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+
+namespace wasabi::harness {
+
+namespace {
+
+constexpr Millis Limit{60000};
+constexpr std::uint64_t SamplesPerStep = 12;
+
+std::unique_ptr<RolloutCluster> startCluster(RolloutCluster::Settings Setup) {
+  Outcome<std::unique_ptr<RolloutCluster>> started =
+      toOutcome<std::unique_ptr<RolloutCluster>>(
+          [&] { return RolloutCluster::start(std::move(Setup)); });
+  if (!started)
+    FAIL(describe(started.failure()));
+  return std::move(*started);
+}
+
+RolloutCluster::Settings withTrainer(const ClusterTrainer &Of) {
+  RolloutCluster::Settings setup;
+  setup.Trainers = {Of};
+  return setup;
+}
+
+/// What must hold in every run.
+void checkTruth(const RolloutCluster &Of, std::size_t Trainer) {
+  Outcome<TrainerTruth> truth = Of.truth(Trainer);
+  REQUIRE(truth);
+  CHECK(truth->Duplicates == 0);
+  CHECK(truth->Stale == 0);
+  CHECK(truth->Mislabelled == 0);
+  CHECK(truth->Unknown == 0);
+  CHECK(truth->Taken >= truth->StepsTrained * SamplesPerStep);
+}
+
+bool waitForSamples(const RolloutCluster &Of, std::uint64_t Count) {
+  return waitUntil(
+      [&] {
+        Outcome<TrainerTruth> now = Of.truth(0);
+        return now && now->Taken >= Count;
+      },
+      Limit);
+}
+
+} // namespace
+
+TEST_CASE("Steps become whole and new weights go out", "[rollout]") {
+  for (bool checks : {true, false}) {
+    DYNAMIC_SECTION((checks ? "tokens checked" : "nothing checked")) {
+      ClusterTrainer trainer;
+      trainer.ChecksFences = checks;
+      std::unique_ptr<RolloutCluster> cluster =
+          startCluster(withTrainer(trainer));
+      CHECK(cluster->waitForSteps(0, 3, Limit));
+      checkTruth(*cluster, 0);
+    }
+  }
+}
+
+TEST_CASE("An owner killed amid a step is followed by another", "[rollout]") {
+  for (bool checks : {true, false}) {
+    DYNAMIC_SECTION((checks ? "tokens checked" : "nothing checked")) {
+      ClusterTrainer trainer;
+      trainer.ChecksFences = checks;
+      std::unique_ptr<RolloutCluster> cluster =
+          startCluster(withTrainer(trainer));
+      REQUIRE(waitForSamples(*cluster, SamplesPerStep + 2));
+      std::optional<std::size_t> owner = cluster->ownerOf("t");
+      REQUIRE(owner);
+      std::uint64_t before = cluster->truth(0)->StepsTrained;
+      cluster->killDaemon(*owner);
+      CHECK(cluster->waitForSteps(0, before + 2, Limit));
+      checkTruth(*cluster, 0);
+    }
+  }
+}
+
+TEST_CASE("A paused owner that wakes after its term changes nothing",
+          "[rollout]") {
+  std::unique_ptr<RolloutCluster> cluster =
+      startCluster(withTrainer(ClusterTrainer()));
+  REQUIRE(waitForSamples(*cluster, SamplesPerStep + 2));
+  std::optional<std::size_t> owner = cluster->ownerOf("t");
+  REQUIRE(owner);
+  std::uint64_t before = cluster->truth(0)->StepsTrained;
+  cluster->daemon(*owner).signal(SIGSTOP);
+  CHECK(cluster->waitForSteps(0, before + 2, Limit));
+  cluster->daemon(*owner).signal(SIGCONT);
+  CHECK(cluster->waitForSteps(0, before + 4, Limit));
+  checkTruth(*cluster, 0);
+}
+
+TEST_CASE("A crashed engine's samples go on elsewhere", "[rollout]") {
+  std::unique_ptr<RolloutCluster> cluster =
+      startCluster(withTrainer(ClusterTrainer()));
+  REQUIRE(waitForSamples(*cluster, 2));
+  REQUIRE(cluster->engine(0).setFaults(R"({"crash_after_tokens":20})"));
+  CHECK(cluster->waitForSteps(0, 3, Limit));
+  cluster->replaceEngine(0);
+  std::uint64_t before = cluster->truth(0)->StepsTrained;
+  CHECK(cluster->waitForSteps(0, before + 2, Limit));
+  checkTruth(*cluster, 0);
+}
+
+TEST_CASE("Lost delivery answers repeat nothing", "[rollout]") {
+  for (bool checks : {true, false}) {
+    DYNAMIC_SECTION((checks ? "tokens checked" : "nothing checked")) {
+      ClusterTrainer trainer;
+      trainer.ChecksFences = checks;
+      std::unique_ptr<RolloutCluster> cluster =
+          startCluster(withTrainer(trainer));
+      REQUIRE(cluster->trainer(0).setFaults(R"({"lose_answers":6})"));
+      CHECK(cluster->waitForSteps(0, 3, Limit));
+      checkTruth(*cluster, 0);
+    }
+  }
+}
+
+TEST_CASE("An engine on a wrong version yields true labels or nothing",
+          "[rollout]") {
+  std::unique_ptr<RolloutCluster> cluster =
+      startCluster(withTrainer(ClusterTrainer()));
+  REQUIRE(cluster->engine(0).setFaults(R"({"wrong_version_next_load":2})"));
+  REQUIRE(cluster->engine(1).setFaults(R"({"fail_next_load":1})"));
+  REQUIRE(cluster->engine(2).setFaults(R"({"lose_order_answers":1})"));
+  CHECK(cluster->waitForSteps(0, 4, Limit));
+  checkTruth(*cluster, 0);
+}
+
+TEST_CASE("What no engine attests is generated elsewhere", "[rollout]") {
+  std::unique_ptr<RolloutCluster> cluster =
+      startCluster(withTrainer(ClusterTrainer()));
+  REQUIRE(cluster->engine(0).setFaults(R"({"no_version_report":true})"));
+  CHECK(cluster->waitForSteps(0, 3, Limit));
+  checkTruth(*cluster, 0);
+}
+
+TEST_CASE("A log outage does not stop a trainer that checks tokens",
+          "[rollout]") {
+  std::unique_ptr<RolloutCluster> cluster =
+      startCluster(withTrainer(ClusterTrainer()));
+  REQUIRE(cluster->waitForSteps(0, 1, Limit));
+  REQUIRE(cluster->log().setFaults(R"({"outage":true})"));
+  std::uint64_t before = cluster->truth(0)->StepsTrained;
+  // One version more than the bound would need new weights, whose orders wait
+  // for the claim; within it, steps go on without the log.
+  CHECK(cluster->waitForSteps(0, before + 2, Limit));
+  REQUIRE(cluster->log().setFaults(R"({"outage":false})"));
+  CHECK(cluster->waitForSteps(0, before + 4, Limit));
+  checkTruth(*cluster, 0);
+}
+
+TEST_CASE("Several trainers share the engines", "[rollout]") {
+  RolloutCluster::Settings setup;
+  ClusterTrainer other;
+  other.Name = "u";
+  other.Seed = 2;
+  other.ChecksFences = false;
+  setup.Trainers = {ClusterTrainer(), other};
+  std::unique_ptr<RolloutCluster> cluster = startCluster(std::move(setup));
+  CHECK(cluster->waitForSteps(0, 2, Limit));
+  CHECK(cluster->waitForSteps(1, 2, Limit));
+  checkTruth(*cluster, 0);
+  checkTruth(*cluster, 1);
+}
+
+TEST_CASE("A preset without rollouts drains, and switching back resumes",
+          "[rollout]") {
+  std::unique_ptr<RolloutCluster> cluster =
+      startCluster(withTrainer(ClusterTrainer()));
+  REQUIRE(cluster->waitForSteps(0, 1, Limit));
+  REQUIRE(cluster->declarePreset(R"(,"admit_rollouts":false)"));
+  REQUIRE(waitUntil([&] { return cluster->runningSamples("t") == 0; }, Limit));
+  std::uint64_t drained = cluster->truth(0)->StepsTrained;
+  REQUIRE(cluster->declarePreset(""));
+  CHECK(cluster->waitForSteps(0, drained + 2, Limit));
+  checkTruth(*cluster, 0);
+}
+
+} // namespace wasabi::harness
--- /dev/null
+++ b/IntegrationTests/Harness/RolloutCluster.cpp
@@ -0,0 +1,318 @@
+#include "IntegrationTests/Harness/RolloutCluster.h"
+
+#include "IntegrationTests/Harness/HttpCall.h"
+#include "IntegrationTests/Harness/Waiting.h"
+#include "Wasabi/State/Record.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include <algorithm>
+#include <csignal>
+
+namespace wasabi::harness {
+
+namespace {
+
+constexpr Millis ReadyLimit{30000};
+constexpr char Model[] = "draft";
+constexpr char Service[] = "drafting-llm";
+
+std::string addressFlag(const std::string &Name, const Address &Where) {
+  return "--" + Name + "=" + toText(Where);
+}
+
+std::string numberFlag(const std::string &Name, std::uint64_t Value) {
+  return "--" + Name + "=" + std::to_string(Value);
+}
+
+std::string boolFlag(const std::string &Name, bool Value) {
+  return "--" + Name + "=" + (Value ? "true" : "false");
+}
+
+std::uint64_t numberOf(const boost::json::value &Of, std::string_view Member) {
+  const boost::json::value *found = Of.as_object().if_contains(Member);
+  return found == nullptr ? 0 : found->to_number<std::uint64_t>();
+}
+
+std::string named(const std::string &Kind, const std::string &Name,
+                  const std::string &Members) {
+  return R"({"kind":")" + Kind + R"(","name":")" + Name + R"(")" + Members +
+         "}";
+}
+
+/// How far behind the newest the oldest token of a sample was.
+std::uint64_t stalenessOf(const boost::json::value &Sample) {
+  std::uint64_t newest = numberOf(Sample, "newest_at_arrival");
+  std::uint64_t oldest = newest;
+  for (const boost::json::value &it : Sample.at("spans").as_array())
+    oldest = std::min(oldest, numberOf(it, "weights_version"));
+  return newest - oldest;
+}
+
+void addSample(TrainerTruth &To, const boost::json::value &Sample) {
+  if (!Sample.at("taken").as_bool())
+    return;
+  ++To.Taken;
+  To.Tokens += numberOf(Sample, "tokens");
+  To.Staleness.push_back(stalenessOf(Sample));
+}
+
+} // namespace
+
+Result<std::unique_ptr<RolloutCluster>> RolloutCluster::start(Settings Setup) {
+  std::unique_ptr<RolloutCluster> cluster(new RolloutCluster(std::move(Setup)));
+  BOOST_LEAF_CHECK(cluster->startPlatform());
+  for (std::size_t at = 0; at < cluster->Setup.Engines; ++at) {
+    BOOST_LEAF_AUTO(engine, cluster->startEngine(at, {"127.0.0.1", 0}));
+    cluster->Engines.push_back(std::move(engine));
+  }
+  for (const ClusterTrainer &it : cluster->Setup.Trainers)
+    BOOST_LEAF_CHECK(cluster->startTrainer(it));
+  for (std::size_t at = 0; at < cluster->Setup.Engines; ++at)
+    BOOST_LEAF_CHECK(cluster->startDaemon(at));
+  for (Daemon &it : cluster->Daemons) {
+    BOOST_LEAF_ASSIGN(it.Admin, it.Child->announced("admin"));
+  }
+  Outcome<Done> declared = cluster->declare();
+  if (!declared)
+    return boost::leaf::new_error(declared.failure());
+  return cluster;
+}
+
+Result<void> RolloutCluster::startPlatform() {
+  BOOST_LEAF_ASSIGN(Log, StandIn::start({"log", {}, "", {"127.0.0.1", 0}}));
+  BOOST_LEAF_ASSIGN(Instances,
+                    StandIn::start({"instances", {}, "", {"127.0.0.1", 0}}));
+  BOOST_LEAF_ASSIGN(
+      Weights, StandIn::start({"weights",
+                               {numberFlag("bytes_per_s", Setup.BytesPerSecond),
+                                numberFlag("blob_bytes", Setup.BlobBytes),
+                                numberFlag("fetches", Setup.Fetches)},
+                               "",
+                               {"127.0.0.1", 0}}));
+  BOOST_LEAF_ASSIGN(Scorer,
+                    StandIn::start({"scorer", {}, "", {"127.0.0.1", 0}}));
+  return {};
+}
+
+Result<std::unique_ptr<StandIn>> RolloutCluster::startEngine(std::size_t At,
+                                                             Address Listen) {
+  StandIn::Settings setup;
+  setup.Role = "engine";
+  setup.Listen = std::move(Listen);
+  setup.Flags = {"--name=e" + std::to_string(At),
+                 std::string("--model=") + Model,
+                 numberFlag("slots", Setup.EngineSlots),
+                 "--tokens_per_s=" + std::to_string(Setup.TokensPerSecond),
+                 addressFlag("store", Weights->address())};
+  return StandIn::start(std::move(setup));
+}
+
+Result<void> RolloutCluster::startTrainer(const ClusterTrainer &Of) {
+  StandIn::Settings setup;
+  setup.Role = "trainer";
+  setup.Flags = {"--name=" + Of.Name,
+                 std::string("--model=") + Model,
+                 numberFlag("groups", Of.Groups),
+                 numberFlag("group_size", Of.GroupSize),
+                 numberFlag("max_tokens", Of.MaxTokens),
+                 numberFlag("train_ms", Of.TrainMs),
+                 numberFlag("steps", Of.Steps),
+                 numberFlag("staleness_bound", Of.StalenessBound),
+                 boolFlag("checks_fences", Of.ChecksFences),
+                 numberFlag("seed", Of.Seed),
+                 addressFlag("store", Weights->address())};
+  BOOST_LEAF_AUTO(trainer, StandIn::start(std::move(setup)));
+  Trainers.push_back(std::move(trainer));
+  return {};
+}
+
+Result<void> RolloutCluster::startDaemon(std::size_t At) {
+  Daemon daemon;
+  daemon.Instance = "node-" + std::to_string(At);
+  Process::Settings setup;
+  setup.Program = "wasabi-daemon";
+  setup.Arguments = {"--instance=" + daemon.Instance,
+                     "--failure_domain=" +
+                         Setup.Domains[At % Setup.Domains.size()],
+                     addressFlag("log", Log->address()),
+                     addressFlag("instances", Instances->address()),
+                     addressFlag("weights", Weights->address()),
+                     addressFlag("scorer", Scorer->address()),
+                     "--upstreams=e" + std::to_string(At) + "=" + Service +
+                         "@" + toText(Engines[At]->address())};
+  if (!Setup.ErrorFolder.empty())
+    setup.ErrorFile = Setup.ErrorFolder + "/" + daemon.Instance;
+  BOOST_LEAF_ASSIGN(daemon.Child, Process::start(std::move(setup)));
+  Daemons.push_back(std::move(daemon));
+  return {};
+}
+
+Outcome<Done> RolloutCluster::declare() {
+  std::vector<std::pair<std::string, std::string>> writes;
+  std::string placements;
+  for (const std::string &it : Setup.Domains) {
+    placements += placements.empty() ? "" : ",";
+    placements += R"({"domain":")" + it + R"(","servers":)" +
+                  std::to_string(Setup.Engines) + "}";
+  }
+  writes.emplace_back(std::string("service/") + Service,
+                      named("service", Service,
+                            std::string(R"(,"type":"engines","model":")") +
+                                Model + R"(","placements":[)" + placements +
+                                "]"));
+  for (std::size_t at = 0; at < Trainers.size(); ++at) {
+    const ClusterTrainer &it = Setup.Trainers[at];
+    writes.emplace_back(
+        "trainer/" + it.Name,
+        named("trainer", it.Name,
+              std::string(R"(,"model":")") + Model + R"(","endpoint":")" +
+                  toText(Trainers[at]->address()) + R"(","staleness_bound":)" +
+                  std::to_string(it.StalenessBound) + R"(,"checks_fences":)" +
+                  (it.ChecksFences ? "true" : "false")));
+    writes.emplace_back("attachment/" + it.Name,
+                        named("attachment", it.Name,
+                              R"(,"trainer":")" + it.Name + R"(","service":")" +
+                                  Service + R"(")"));
+  }
+  writes.emplace_back("preset/ordinary",
+                      named("preset", "ordinary", Setup.PresetMembers));
+  writes.emplace_back("switch/preset",
+                      named("switch", "preset", R"(,"preset":"ordinary")"));
+  return change(std::move(writes));
+}
+
+Outcome<Done> RolloutCluster::declarePreset(const std::string &Members) {
+  return change({{"preset/ordinary", named("preset", "ordinary", Members)}});
+}
+
+Outcome<Done> RolloutCluster::change(
+    std::vector<std::pair<std::string, std::string>> Writes) {
+  ConfigChange change;
+  change.Operator = "test";
+  for (std::pair<std::string, std::string> &it : Writes)
+    change.Writes.push_back({it.first, it.second});
+  // The newest base there is: the harness is the only operator.
+  Outcome<boost::json::value> truth = Log->truth();
+  if (!truth)
+    return truth.failure();
+  const boost::json::object &streams = truth->at("streams").as_object();
+  if (const boost::json::value *control = streams.if_contains(ControlStream))
+    change.Base = numberOf(*control, "end");
+  ++Changes;
+  Outcome<http::Response> answer =
+      postJson(Log->address(), "/v1/streams/control/records",
+               encodeRecord(Record{RecordId{"test", 1, Changes}, change}));
+  if (!answer)
+    return answer.failure();
+  return Done{};
+}
+
+boost::json::value RolloutCluster::status(std::size_t At) const {
+  Outcome<boost::json::value> got = getJson(Daemons[At].Admin, "/status");
+  return got ? *got : boost::json::value();
+}
+
+boost::json::value RolloutCluster::ownedBy(std::size_t At,
+                                           const std::string &Trainer) const {
+  if (!Daemons[At].Child->running())
+    return {};
+  boost::json::value told = status(At);
+  if (!told.is_object() || !told.as_object().contains("rollouts"))
+    return {};
+  const boost::json::object &rollouts = told.at("rollouts").as_object();
+  const boost::json::value *owned = rollouts.if_contains("trainers");
+  if (owned == nullptr)
+    return {};
+  for (const boost::json::value &it : owned->as_array()) {
+    if (it.at("trainer").as_string() == Trainer)
+      return it;
+  }
+  return {};
+}
+
+std::optional<std::size_t>
+RolloutCluster::ownerOf(const std::string &Trainer) const {
+  for (std::size_t at = 0; at < Daemons.size(); ++at) {
+    if (!ownedBy(at, Trainer).is_null())
+      return at;
+  }
+  return std::nullopt;
+}
+
+std::optional<std::uint64_t>
+RolloutCluster::runningSamples(const std::string &Trainer) const {
+  std::optional<std::size_t> owner = ownerOf(Trainer);
+  if (!owner)
+    return std::nullopt;
+  boost::json::value told = ownedBy(*owner, Trainer);
+  if (told.is_null())
+    return std::nullopt;
+  return numberOf(told, "running");
+}
+
+void RolloutCluster::killDaemon(std::size_t At) {
+  Daemons[At].Child->signal(SIGKILL);
+  Daemons[At].Child->wait(ReadyLimit);
+  http::Request ask;
+  ask.Method = "DELETE";
+  ask.Target = "/v1/instances/" + Daemons[At].Instance;
+  call(Instances->address(), std::move(ask));
+}
+
+void RolloutCluster::replaceEngine(std::size_t At) {
+  Address where = Engines[At]->address();
+  Engines[At]->process().signal(SIGKILL);
+  Engines[At]->process().wait(ReadyLimit);
+  Outcome<Done> started = toOutcome<Done>([&]() -> Result<Done> {
+    BOOST_LEAF_AUTO(engine, startEngine(At, where));
+    Engines[At] = std::move(engine);
+    return Done{};
+  });
+  static_cast<void>(started);
+}
+
+Outcome<TrainerTruth> RolloutCluster::truth(std::size_t At) const {
+  Outcome<boost::json::value> told = Trainers[At]->truth();
+  if (!told)
+    return told.failure();
+  TrainerTruth truth;
+  truth.IdleUs = numberOf(*told, "idle_us");
+  truth.TrainingUs = numberOf(*told, "training_us");
+  truth.Duplicates = numberOf(*told, "duplicates");
+  truth.Stale = numberOf(*told, "stale");
+  truth.Mislabelled = numberOf(*told, "mislabelled");
+  truth.Unknown = numberOf(*told, "unknown");
+  for (const boost::json::value &it : told->at("steps").as_array()) {
+    truth.StepsTrained += numberOf(it, "trained_us") > 0 ? 1 : 0;
+    if (numberOf(it, "whole_us") > 0)
+      truth.StepUs.push_back(numberOf(it, "whole_us") -
+                             numberOf(it, "opened_us"));
+  }
+  for (const boost::json::value &it : told->at("deliveries").as_array())
+    addSample(truth, it);
+  return truth;
+}
+
+bool RolloutCluster::waitForSteps(std::size_t At, std::uint64_t Steps,
+                                  Millis Limit) const {
+  return waitUntil(
+      [&] {
+        Outcome<TrainerTruth> now = truth(At);
+        return now && now->StepsTrained >= Steps;
+      },
+      Limit);
+}
+
+std::uint64_t RolloutCluster::generatedTokens() const {
+  std::uint64_t tokens = 0;
+  for (const std::unique_ptr<StandIn> &it : Engines) {
+    Outcome<boost::json::value> told = it->truth();
+    if (told)
+      tokens += numberOf(*told, "generated");
+  }
+  return tokens;
+}
+
+} // namespace wasabi::harness
--- /dev/null
+++ b/IntegrationTests/Harness/RolloutCluster.h
@@ -0,0 +1,132 @@
+/// \file
+/// Trainers, engines and daemons as real processes with the platform's
+/// stand-ins: what integration tests and the bench of the rollouts run on.
+#ifndef WASABI_INTEGRATIONTESTS_HARNESS_ROLLOUTCLUSTER_H
+#define WASABI_INTEGRATIONTESTS_HARNESS_ROLLOUTCLUSTER_H
+
+#include "IntegrationTests/Harness/Process.h"
+#include "IntegrationTests/Harness/StandIn.h"
+#include "Wasabi/Core/Verdict.h"
+
+#include <boost/json/value.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace wasabi::harness {
+
+/// One trainer's part of a cluster.
+struct ClusterTrainer {
+  std::string Name = "t";
+  std::uint32_t Groups = 3;
+  std::uint32_t GroupSize = 4;
+  std::uint32_t MaxTokens = 40;
+  std::uint32_t TrainMs = 100;
+  std::uint32_t Steps = 0;
+  std::uint32_t StalenessBound = 1;
+  bool ChecksFences = true;
+  std::uint64_t Seed = 1;
+};
+
+/// A trainer's record of the truth, in figures.
+struct TrainerTruth {
+  std::uint64_t IdleUs = 0;
+  std::uint64_t TrainingUs = 0;
+  std::uint64_t StepsTrained = 0;
+  std::uint64_t Taken = 0;
+  std::uint64_t Duplicates = 0;
+  std::uint64_t Stale = 0;
+  std::uint64_t Mislabelled = 0;
+  std::uint64_t Unknown = 0;
+  /// Versions behind the newest at arrival, one for each sample taken.
+  std::vector<std::uint64_t> Staleness;
+  /// Microseconds from opening to whole, of each whole step.
+  std::vector<std::uint64_t> StepUs;
+  /// Tokens of the samples taken.
+  std::uint64_t Tokens = 0;
+};
+
+/// Not thread-safe.
+class RolloutCluster {
+public:
+  struct Settings {
+    std::vector<ClusterTrainer> Trainers{ClusterTrainer()};
+    std::uint32_t Engines = 3;
+    std::uint32_t EngineSlots = 4;
+    double TokensPerSecond = 200;
+    /// Domains that the daemons, one for each engine, stand in by turns.
+    std::vector<std::string> Domains{"lulea-hall", "umea-hall",
+                                     "sundsvall-hall"};
+    std::uint64_t BytesPerSecond = 1000000000;
+    std::uint64_t BlobBytes = 20000000;
+    std::uint32_t Fetches = 64;
+    /// Further members of the preset in force, as `,"hedge_tail":false`.
+    std::string PresetMembers;
+    /// Folder for the processes' stderr; empty throws it away.
+    std::string ErrorFolder;
+  };
+
+  /// Starts the stand-ins and the daemons and declares all. Errors:
+  /// `Unavailable` naming what did not come up.
+  static Result<std::unique_ptr<RolloutCluster>> start(Settings Setup);
+
+  StandIn &trainer(std::size_t At) { return *Trainers[At]; }
+  StandIn &engine(std::size_t At) { return *Engines[At]; }
+  StandIn &log() { return *Log; }
+  StandIn &scorer() { return *Scorer; }
+  StandIn &weights() { return *Weights; }
+  Process &daemon(std::size_t At) { return *Daemons[At].Child; }
+  std::size_t daemons() const { return Daemons.size(); }
+
+  /// The daemon that owns a trainer, by its own status; empty for none.
+  std::optional<std::size_t> ownerOf(const std::string &Trainer) const;
+  /// Attempts that a trainer's owner has under way; empty without an owner.
+  std::optional<std::uint64_t> runningSamples(const std::string &Trainer) const;
+  /// A daemon's `/status`; null when it does not answer.
+  boost::json::value status(std::size_t At) const;
+  /// Kills a daemon, and takes it off the platform's list.
+  void killDaemon(std::size_t At);
+  /// Starts an engine anew on the address it had.
+  void replaceEngine(std::size_t At);
+  /// Puts a preset in force.
+  Outcome<Done> declarePreset(const std::string &Members);
+  /// What a trainer saw.
+  Outcome<TrainerTruth> truth(std::size_t At) const;
+  /// Waits until a trainer has trained on `Steps` steps.
+  bool waitForSteps(std::size_t At, std::uint64_t Steps, Millis Limit) const;
+  /// Tokens that all engines generated; engines that are gone count nothing.
+  std::uint64_t generatedTokens() const;
+
+private:
+  struct Daemon {
+    std::string Instance;
+    std::unique_ptr<Process> Child;
+    Address Admin;
+  };
+
+  /// What a daemon says of a trainer it owns; null when it does not own it.
+  boost::json::value ownedBy(std::size_t At, const std::string &Trainer) const;
+  explicit RolloutCluster(Settings Setup) : Setup(std::move(Setup)) {}
+  Result<void> startPlatform();
+  Result<std::unique_ptr<StandIn>> startEngine(std::size_t At, Address Listen);
+  Result<void> startTrainer(const ClusterTrainer &Of);
+  Result<void> startDaemon(std::size_t At);
+  Outcome<Done> declare();
+  Outcome<Done> change(std::vector<std::pair<std::string, std::string>> Writes);
+
+  const Settings Setup;
+  std::unique_ptr<StandIn> Log;
+  std::unique_ptr<StandIn> Instances;
+  std::unique_ptr<StandIn> Weights;
+  std::unique_ptr<StandIn> Scorer;
+  std::vector<std::unique_ptr<StandIn>> Trainers;
+  std::vector<std::unique_ptr<StandIn>> Engines;
+  std::vector<Daemon> Daemons;
+  std::uint64_t Changes = 0;
+};
+
+} // namespace wasabi::harness
+
+#endif // WASABI_INTEGRATIONTESTS_HARNESS_ROLLOUTCLUSTER_H
