Fault proxy, and tests of how the stand-ins judge

Cause: failures between processes have to be made at will, and a judge that misses a fault proves nothing. Change: a TCP proxy with delay, loss, cuts, half-open connections and lost answers, which keeps its port while it refuses.

--- /dev/null
+++ b/StandIns/FaultProxy.cpp
@@ -0,0 +1,263 @@
+#include "StandIns/FaultProxy.h"
+
+#include "StandIns/ProxyLink.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <random>
+#include <set>
+
+namespace wasabi::standins {
+
+namespace {
+
+using ErrorCode = boost::system::error_code;
+using Tcp = boost::asio::ip::tcp;
+
+constexpr boost::asio::as_tuple_t<boost::asio::use_awaitable_t<>>
+    Awaited(boost::asio::use_awaitable);
+
+/// Pause after the system has refused to accept.
+constexpr Millis AcceptPause{50};
+constexpr double Percent = 100;
+
+class FaultProxyImpl final
+    : public FaultProxy,
+      public std::enable_shared_from_this<FaultProxyImpl> {
+public:
+  FaultProxyImpl(boost::asio::io_context &Context, Settings What)
+      : FaultProxy({{"delay_ms", 0.0},
+                    {"jitter_ms", 0.0},
+                    {"refuse", false},
+                    {"cut_now", false},
+                    {"half_open", false},
+                    {"answer_loss", 0},
+                    {"bytes_per_s", 0},
+                    {"cut_after_bytes", 0},
+                    {"loss_percent", 0.0},
+                    {"seed", What.Seed}}),
+        Context(Context), What(std::move(What)), Placeholder(Context),
+        Acceptor(Context), Seed(this->What.Seed), Random(Seed) {
+    prepareFaults();
+  }
+
+  ErrorCode bind();
+  ErrorCode listen();
+
+  Address address() const override { return Bound; }
+  boost::json::value truth() const override;
+  boost::asio::awaitable<void> answer(const http::Request &Ask,
+                                      const Answer &To) override;
+  void faultsChanged() override;
+
+private:
+  void prepareFaults();
+  Micros delay();
+  bool losesConnection();
+  boost::asio::awaitable<void> acceptLoop(std::uint64_t Turn);
+  boost::asio::awaitable<void> carry(std::shared_ptr<ProxyLink> Link);
+  void cutAll(bool BrokenOnly);
+
+  boost::asio::io_context &Context;
+  const Settings What;
+  /// Keeps the port while connections are refused: bound, but not listening.
+  Tcp::socket Placeholder;
+  Tcp::acceptor Acceptor;
+  /// Counts the times that it began to listen.
+  std::uint64_t Turns = 0;
+  Tcp::endpoint Endpoint;
+  Address Bound;
+  std::uint64_t Seed;
+  std::minstd_rand Random;
+  ProxyFaults LinkFaults;
+  std::set<std::shared_ptr<ProxyLink>> Links;
+  std::uint64_t CutAfter = 0;
+  std::uint64_t Accepted = 0;
+  std::uint64_t Lost = 0;
+  std::uint64_t EndedUp = 0;
+  std::uint64_t EndedDown = 0;
+};
+
+void FaultProxyImpl::prepareFaults() {
+  LinkFaults.Delay = [this] { return delay(); };
+  LinkFaults.Rate = [this] { return Told.number("bytes_per_s"); };
+  LinkFaults.CutAfter = [this] { return Told.number("cut_after_bytes"); };
+  LinkFaults.HalfOpen = [this] { return Told.isOn("half_open"); };
+  LinkFaults.LoseAnswer = [this] {
+    bool lost = Told.takeOne("answer_loss");
+    Lost += lost ? 1 : 0;
+    return lost;
+  };
+}
+
+Micros FaultProxyImpl::delay() {
+  constexpr double MicrosPerMilli = 1000;
+  double jitter = Told.real("jitter_ms");
+  std::uniform_real_distribution<double> share(0, 1);
+  double millis = Told.real("delay_ms");
+  if (jitter > 0)
+    millis += jitter * share(Random);
+  return Micros(static_cast<std::int64_t>(millis * MicrosPerMilli));
+}
+
+bool FaultProxyImpl::losesConnection() {
+  double percent = Told.real("loss_percent");
+  std::uniform_real_distribution<double> share(0, Percent);
+  return percent > 0 && share(Random) < percent;
+}
+
+ErrorCode FaultProxyImpl::bind() {
+  ErrorCode ec;
+  boost::asio::ip::address host =
+      boost::asio::ip::make_address(What.Listen.Host, ec);
+  if (ec)
+    return ec;
+  Tcp::endpoint wanted(host, What.Listen.Port);
+  Placeholder.open(wanted.protocol(), ec);
+  if (ec)
+    return ec;
+  Placeholder.set_option(Tcp::socket::reuse_address(true), ec);
+  Placeholder.bind(wanted, ec);
+  if (ec)
+    return ec;
+  Endpoint = Placeholder.local_endpoint(ec);
+  Bound = Address{What.Listen.Host, Endpoint.port()};
+  return ec;
+}
+
+ErrorCode FaultProxyImpl::listen() {
+  ErrorCode ec;
+  Acceptor.open(Endpoint.protocol(), ec);
+  if (ec)
+    return ec;
+  Acceptor.set_option(Tcp::acceptor::reuse_address(true), ec);
+  Acceptor.bind(Endpoint, ec);
+  if (ec)
+    return ec;
+  Acceptor.listen(boost::asio::socket_base::max_listen_connections, ec);
+  if (ec)
+    return ec;
+  boost::asio::co_spawn(
+      Context,
+      [self = shared_from_this(), turn = ++Turns] {
+        return self->acceptLoop(turn);
+      },
+      boost::asio::detached);
+  return ec;
+}
+
+boost::asio::awaitable<void> FaultProxyImpl::acceptLoop(std::uint64_t Turn) {
+  while (Acceptor.is_open() && Turn == Turns) {
+    auto [ec, socket] = co_await Acceptor.async_accept(Awaited);
+    if (ec) {
+      if (Acceptor.is_open() && Turn == Turns)
+        co_await pause(AcceptPause);
+      continue;
+    }
+    ++Accepted;
+    std::shared_ptr<ProxyLink> link =
+        std::make_shared<ProxyLink>(std::move(socket), LinkFaults);
+    if (losesConnection()) {
+      link->cut();
+      continue;
+    }
+    Links.insert(link);
+    boost::asio::co_spawn(
+        Context,
+        [self = shared_from_this(), link] { return self->carry(link); },
+        boost::asio::detached);
+  }
+}
+
+boost::asio::awaitable<void>
+FaultProxyImpl::carry(std::shared_ptr<ProxyLink> Link) {
+  co_await Link->run(What.Upstream);
+  // One direction may go on after the other has ended; its coroutines hold the
+  // link, and it can still be cut while it is listed.
+  while (!Link->closed())
+    co_await pause(AcceptPause);
+  Links.erase(Link);
+  EndedUp += Link->bytesUp();
+  EndedDown += Link->bytesDown();
+}
+
+void FaultProxyImpl::cutAll(bool BrokenOnly) {
+  std::set<std::shared_ptr<ProxyLink>> all = Links;
+  for (const std::shared_ptr<ProxyLink> &it : all) {
+    if (!BrokenOnly || it->broken())
+      it->cut();
+  }
+}
+
+void FaultProxyImpl::faultsChanged() {
+  if (Told.number("seed") != Seed) {
+    Seed = Told.number("seed");
+    Random.seed(static_cast<std::minstd_rand::result_type>(Seed));
+  }
+  if (Told.number("cut_after_bytes") != CutAfter) {
+    CutAfter = Told.number("cut_after_bytes");
+    for (const std::shared_ptr<ProxyLink> &it : Links)
+      it->restartCount();
+  }
+  if (Told.isOn("cut_now")) {
+    cutAll(false);
+    Told.turnOff("cut_now");
+  }
+  // What was swallowed cannot be brought back.
+  if (!Told.isOn("half_open"))
+    cutAll(true);
+
+  ErrorCode ec;
+  if (Told.isOn("refuse")) {
+    ++Turns;
+    Acceptor.close(ec);
+  } else if (!Acceptor.is_open()) {
+    ec = listen();
+  }
+  if (ec)
+    throw BadBody("cannot listen again: " + ec.message());
+}
+
+boost::json::value FaultProxyImpl::truth() const {
+  std::uint64_t up = EndedUp;
+  std::uint64_t down = EndedDown;
+  for (const std::shared_ptr<ProxyLink> &it : Links) {
+    up += it->bytesUp();
+    down += it->bytesDown();
+  }
+  boost::json::object all;
+  all["connections"] = Accepted;
+  all["open"] = Links.size();
+  all["answers_lost"] = Lost;
+  all["bytes_up"] = up;
+  all["bytes_down"] = down;
+  return all;
+}
+
+boost::asio::awaitable<void> FaultProxyImpl::answer(const http::Request &,
+                                                    const Answer &To) {
+  co_await sendError(To, NotFound, "no such path");
+}
+
+} // namespace
+
+Result<std::shared_ptr<FaultProxy>>
+FaultProxy::create(boost::asio::io_context &Context, Settings What) {
+  std::string place = "listen " + wasabi::toText(What.Listen);
+  std::shared_ptr<FaultProxyImpl> proxy =
+      std::make_shared<FaultProxyImpl>(Context, std::move(What));
+  ErrorCode ec = proxy->bind();
+  if (!ec)
+    ec = proxy->listen();
+  if (ec) {
+    return boost::leaf::new_error(Failure{
+        Verdict::NotRun, FailureCode::Unavailable, place, ec.message(), {}});
+  }
+  return std::shared_ptr<FaultProxy>(proxy);
+}
+
+} // namespace wasabi::standins
--- a/StandIns/Main.cpp
+++ b/StandIns/Main.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// `wasabi-standin ROLE`: plays a part of the platform in tests and the demo.
 #include "StandIns/EngineRole.h"
+#include "StandIns/FaultProxy.h"
 #include "StandIns/InstancesRole.h"
 #include "StandIns/LogRole.h"
 #include "StandIns/ScorerRole.h"
@@ -46,6 +47,8 @@
 DEFINE_uint64(steps, 0, "trainer: steps in all; 0 = no end");
 DEFINE_uint64(staleness_bound, 2, "trainer: versions a sample may be behind");
 DEFINE_uint64(lag_ms, 0, "instances: how old the list is");
+DEFINE_string(upstream, "", "faultproxy: IP:PORT that it connects to");
+DEFINE_string(control, "127.0.0.1:0", "faultproxy: IP:PORT to set faults on");
 
 namespace wasabi::standins {
 
@@ -121,19 +124,44 @@
   return badInput("command line", "no role '" + std::string(Name) + "'");
 }
 
+void announce(std::string_view What, const Address &Where) {
+  std::printf("%s %s\n", std::string(What).c_str(), toText(Where).c_str());
+  std::fflush(stdout);
+}
+
+Result<std::shared_ptr<http::Server>>
+startProxy(boost::asio::io_context &Context, const Address &Listen) {
+  BOOST_LEAF_AUTO(upstream, parseAddress(FLAGS_upstream, "--upstream"));
+  BOOST_LEAF_AUTO(control, parseAddress(FLAGS_control, "--control"));
+  FaultProxy::Settings settings{Listen, upstream, FLAGS_seed};
+  BOOST_LEAF_AUTO(proxy, FaultProxy::create(Context, settings));
+  BOOST_LEAF_AUTO(server, serveRole(Context, control, proxy));
+  announce("listening", proxy->address());
+  announce("control", server->address());
+  return server;
+}
+
+Result<std::shared_ptr<http::Server>>
+startRole(std::string_view Name, boost::asio::io_context &Context,
+          const Address &Listen) {
+  BOOST_LEAF_AUTO(role, createRole(Name, Context.get_executor()));
+  BOOST_LEAF_AUTO(server, serveRole(Context, Listen, role));
+  announce("listening", server->address());
+  return server;
+}
+
 /// Serves until SIGTERM or SIGINT.
 Result<Done> run(std::string_view Name) {
   boost::asio::io_context context(1);
   boost::asio::signal_set ending(context, SIGTERM, SIGINT);
-  BOOST_LEAF_AUTO(listen, parseAddress(FLAGS_listen, "--listen"));
-  BOOST_LEAF_AUTO(role, createRole(Name, context.get_executor()));
-  BOOST_LEAF_AUTO(server, serveRole(context, listen, role));
-  std::printf("listening %s\n", toText(server->address()).c_str());
-  std::fflush(stdout);
   ending.async_wait([](boost::system::error_code, int) {
     // Nothing is to be saved, and nobody is to wait.
     std::_Exit(EXIT_SUCCESS);
   });
+  BOOST_LEAF_AUTO(listen, parseAddress(FLAGS_listen, "--listen"));
+  BOOST_LEAF_AUTO(server, Name == "faultproxy"
+                              ? startProxy(context, listen)
+                              : startRole(Name, context, listen));
   context.run();
   return Done{};
 }
--- /dev/null
+++ b/StandIns/ProxyLink.cpp
@@ -0,0 +1,183 @@
+#include "StandIns/ProxyLink.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace wasabi::standins {
+
+namespace {
+
+using ErrorCode = boost::system::error_code;
+
+constexpr boost::asio::as_tuple_t<boost::asio::use_awaitable_t<>>
+    Awaited(boost::asio::use_awaitable);
+
+constexpr std::size_t ReadBytes = 16384;
+/// Bytes held back in one direction; a sender then has to wait.
+constexpr std::size_t MaxQueued = 4u << 20;
+/// A limited rate is kept in so many portions a second.
+constexpr std::uint64_t PortionsPerSecond = 50;
+
+void resetSocket(ProxyLink::Socket &What) {
+  ErrorCode ec;
+  What.set_option(boost::asio::socket_base::linger(true, 0), ec);
+  What.close(ec);
+}
+
+} // namespace
+
+ProxyLink::ProxyLink(Socket Client, const ProxyFaults &Faults)
+    : Faults(Faults), Client(std::move(Client)),
+      Upstream(this->Client.get_executor()), Up(this->Client, Upstream),
+      Down(Upstream, this->Client) {}
+
+boost::asio::awaitable<void> ProxyLink::run(Address Where) {
+  std::shared_ptr<ProxyLink> self = shared_from_this();
+  ErrorCode ec;
+  boost::asio::ip::tcp::endpoint peer(
+      boost::asio::ip::make_address(Where.Host, ec), Where.Port);
+  auto [failed] = co_await Upstream.async_connect(peer, Awaited);
+  if (failed || Closed) {
+    cut();
+    co_return;
+  }
+  boost::asio::ip::tcp::no_delay prompt(true);
+  Client.set_option(prompt, ec);
+  Upstream.set_option(prompt, ec);
+  spawn(&ProxyLink::readFrom, Up);
+  spawn(&ProxyLink::readFrom, Down);
+  spawn(&ProxyLink::writeTo, Up);
+  co_await writeTo(Down);
+}
+
+void ProxyLink::spawn(boost::asio::awaitable<void> (ProxyLink::*Body)(Flow &),
+                      Flow &Way) {
+  std::shared_ptr<ProxyLink> self = shared_from_this();
+  boost::asio::co_spawn(
+      Client.get_executor(),
+      [self, Body, &Way]() -> boost::asio::awaitable<void> {
+        co_await ((*self).*Body)(Way);
+      },
+      boost::asio::detached);
+}
+
+void ProxyLink::cut() {
+  if (Closed)
+    return;
+  Closed = true;
+  resetSocket(Client);
+  resetSocket(Upstream);
+  Up.Changed.notify();
+  Down.Changed.notify();
+}
+
+boost::asio::awaitable<void> ProxyLink::readFrom(Flow &Way) {
+  std::array<char, ReadBytes> buf{};
+  bool fromUpstream = &Way == &Down;
+  while (!Closed) {
+    while (Way.Queued > MaxQueued && !Closed)
+      co_await Way.Changed.wait();
+    auto [ec, n] =
+        co_await Way.From.async_read_some(boost::asio::buffer(buf), Awaited);
+    if (Closed)
+      co_return;
+    if (Faults.HalfOpen()) {
+      Swallowed = true;
+      if (ec)
+        co_return;
+      continue;
+    }
+    if (ec == boost::asio::error::eof) {
+      push(Way, {}, true);
+      co_return;
+    }
+    if (ec || (fromUpstream && Faults.LoseAnswer())) {
+      cut();
+      co_return;
+    }
+    push(Way, std::string(buf.data(), n), false);
+  }
+}
+
+void ProxyLink::push(Flow &Way, std::string Bytes, bool Last) {
+  // Bytes never overtake each other, whatever the jitter.
+  Way.LastDue = std::max(Way.LastDue, monotonicNow() + Faults.Delay());
+  Way.Queued += Bytes.size();
+  Way.Queue.push_back(Piece{Way.LastDue, std::move(Bytes), Last});
+  Way.Changed.notify();
+}
+
+boost::asio::awaitable<void> ProxyLink::writeTo(Flow &Way) {
+  while (!Closed) {
+    if (Way.Queue.empty()) {
+      co_await Way.Changed.wait();
+      continue;
+    }
+    TimePoint due = Way.Queue.front().DueAt;
+    if (monotonicNow() < due) {
+      co_await pause(due - monotonicNow());
+      continue;
+    }
+    Piece piece = std::move(Way.Queue.front());
+    Way.Queue.pop_front();
+    Way.Queued -= piece.Bytes.size();
+    Way.Changed.notify();
+    if (Faults.HalfOpen()) {
+      Swallowed = true;
+      continue;
+    }
+    if (!piece.Last) {
+      if (!co_await deliver(Way, std::move(piece.Bytes)))
+        co_return;
+      continue;
+    }
+
+    ErrorCode ec;
+    Way.To.shutdown(Socket::shutdown_send, ec);
+    Way.Ended = true;
+    // Both ends are through: nothing more can come.
+    if (Up.Ended && Down.Ended) {
+      Closed = true;
+      Client.close(ec);
+      Upstream.close(ec);
+    }
+    co_return;
+  }
+}
+
+boost::asio::awaitable<bool> ProxyLink::deliver(Flow &Way, std::string Bytes) {
+  constexpr std::uint64_t MicrosPerSecond = 1000000;
+  std::size_t done = 0;
+  while (done < Bytes.size()) {
+    std::uint64_t portion = Bytes.size() - done;
+    std::uint64_t rate = Faults.Rate();
+    if (rate > 0) {
+      std::uint64_t most = std::max<std::uint64_t>(1, rate / PortionsPerSecond);
+      portion = std::min(portion, most);
+      co_await pause(Micros(portion * MicrosPerSecond / rate));
+    }
+    std::uint64_t last = Faults.CutAfter();
+    if (last > 0)
+      portion = std::min(portion, last - std::min(last, Counted));
+    auto [ec, n] = co_await boost::asio::async_write(
+        Way.To, boost::asio::buffer(Bytes.data() + done, portion), Awaited);
+    done += n;
+    Counted += n;
+    Way.Carried += n;
+    if (Closed)
+      co_return false;
+    if (ec || (last > 0 && Counted >= last)) {
+      cut();
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+} // namespace wasabi::standins
--- /dev/null
+++ b/UnitTests/StandIns/FaultProxyTests.cpp
@@ -0,0 +1,123 @@
+#include "StandIns/FaultProxy.h"
+
+#include "UnitTests/Adapters/Http/HttpFixture.h"
+
+namespace wasabi::standins {
+
+namespace {
+
+constexpr Millis Patience{10000};
+
+/// A proxy before a server that counts its runs.
+struct ProxyFixture : http::HttpFixture {
+  std::shared_ptr<FaultProxy> Proxy;
+  unsigned Runs = 0;
+
+  ProxyFixture() {
+    serve([this](http::Request Ask, Answer To) -> boost::asio::awaitable<void> {
+      ++Runs;
+      co_await http::echo(std::move(Ask), std::move(To));
+    });
+    FaultProxy::Settings settings;
+    settings.Upstream = Serving->address();
+    Result<std::shared_ptr<FaultProxy>> made =
+        FaultProxy::create(Context, settings);
+    REQUIRE(made);
+    Proxy = *made;
+  }
+
+  void tell(boost::json::object Faults) {
+    Proxy->Told.merge(Faults);
+    Proxy->faultsChanged();
+  }
+
+  boost::asio::awaitable<Outcome<http::Response>> ask(Millis Timeout) {
+    http::Request post{"POST", "/", {}, "body"};
+    co_return co_await Calling->call(Proxy->address(), std::move(post),
+                                     Timeout);
+  }
+};
+
+} // namespace
+
+TEST_CASE("A proxy without faults carries all", "[standins]") {
+  ProxyFixture fixture;
+  fixture.tell({{"delay_ms", 2}, {"jitter_ms", 3.5}, {"bytes_per_s", 100000}});
+  fixture.run([&]() -> boost::asio::awaitable<void> {
+    for (unsigned i = 0; i < 3; ++i) {
+      Outcome<http::Response> got = co_await fixture.ask(Patience);
+      REQUIRE(got);
+      CHECK(got->Body == "body");
+    }
+  });
+  CHECK(fixture.Runs == 3);
+  CHECK(fixture.Proxy->truth().at("connections").to_number<unsigned>() == 1);
+}
+
+TEST_CASE("A lost answer leaves the work done", "[standins]") {
+  ProxyFixture fixture;
+  fixture.tell({{"answer_loss", 1}});
+  fixture.run([&]() -> boost::asio::awaitable<void> {
+    Outcome<http::Response> lost = co_await fixture.ask(Patience);
+    REQUIRE_FALSE(lost);
+    CHECK(lost.failure().Code == FailureCode::ConnectionLost);
+    CHECK(fixture.Runs == 1);
+    Outcome<http::Response> got = co_await fixture.ask(Patience);
+    CHECK(got);
+  });
+}
+
+TEST_CASE("A refusing proxy takes its port up again", "[standins]") {
+  ProxyFixture fixture;
+  fixture.run([&]() -> boost::asio::awaitable<void> {
+    for (unsigned i = 0; i < 2; ++i) {
+      fixture.tell({{"refuse", true}, {"cut_now", true}});
+      Outcome<http::Response> refused = co_await fixture.ask(Patience);
+      REQUIRE_FALSE(refused);
+      CHECK(refused.failure().Code == FailureCode::Unreachable);
+      fixture.tell({{"refuse", false}});
+      Outcome<http::Response> got = co_await fixture.ask(Patience);
+      CHECK(got);
+    }
+  });
+  CHECK(fixture.Runs == 2);
+}
+
+TEST_CASE("A half-open connection swallows, and is cut after", "[standins]") {
+  ProxyFixture fixture;
+  fixture.run([&]() -> boost::asio::awaitable<void> {
+    fixture.tell({{"half_open", true}});
+    Outcome<http::Response> late = co_await fixture.ask(Millis(50));
+    REQUIRE_FALSE(late);
+    CHECK(late.failure().Code == FailureCode::TimedOut);
+    fixture.tell({{"half_open", false}});
+    Outcome<http::Response> got = co_await fixture.ask(Patience);
+    CHECK(got);
+  });
+  CHECK(fixture.Runs == 1);
+}
+
+TEST_CASE("A proxy cuts after so many bytes", "[standins]") {
+  ProxyFixture fixture;
+  fixture.tell({{"cut_after_bytes", 10}});
+  fixture.run([&]() -> boost::asio::awaitable<void> {
+    Outcome<http::Response> cut = co_await fixture.ask(Patience);
+    REQUIRE_FALSE(cut);
+    CHECK(cut.failure().Code == FailureCode::ConnectionLost);
+  });
+  CHECK(fixture.Runs == 0);
+  CHECK(fixture.Proxy->truth().at("bytes_up").to_number<unsigned>() == 10);
+}
+
+TEST_CASE("Unknown and unfit faults change nothing", "[standins]") {
+  Faults told({{"slow_ms", 0}, {"outage", false}, {"slow_factor", 1.0}});
+  CHECK_THROWS_AS(told.merge({{"slow_ms", 5}, {"typo", 1}}), BadBody);
+  CHECK_THROWS_AS(told.merge({{"slow_ms", 5}, {"outage", 1}}), BadBody);
+  CHECK_THROWS_AS(told.merge({{"slow_ms", -1}}), BadBody);
+  CHECK(told.number("slow_ms") == 0);
+  told.merge({{"slow_factor", 3}});
+  CHECK(told.real("slow_factor") == 3.0);
+  CHECK(told.number("slow_ms") == 0);
+}
+
+} // namespace wasabi::standins
