--- /dev/null
+++ b/IntegrationTests/Chaos/Injector.cpp
@@ -0,0 +1,314 @@
+#include "IntegrationTests/Chaos/Injector.h"
+
+#include <csignal>
+#include <thread>
+
+namespace wasabi::chaos {
+
+using harness::Process;
+using harness::StandIn;
+
+namespace {
+
+/// How long a planned stop may take before it counts as out of order.
+constexpr Millis StopLimit{30000};
+
+constexpr char ClearLink[] =
+    R"({"delay_ms":0,"jitter_ms":0,"refuse":false,"half_open":false,)"
+    R"("answer_loss":0,"bytes_per_s":0,"loss_percent":0})";
+
+template <typename T> T &pick(std::vector<T> &from, std::uint32_t target) {
+  return from[target % from.size()];
+}
+
+} // namespace
+
+void Injector::waitUntil(TimePoint When) {
+  std::unique_lock<std::mutex> lock(Guard);
+  Never.wait_until(lock, When, [] { return false; });
+}
+
+void Injector::waitFor(Millis Length) { waitUntil(monotonicNow() + Length); }
+
+void Injector::note(const std::string &Problem) {
+  std::lock_guard<std::mutex> lock(Guard);
+  Problems.push_back(Problem);
+}
+
+void Injector::record(const OperatorAct &Act) {
+  std::lock_guard<std::mutex> lock(Guard);
+  Acts.push_back(Act);
+}
+
+void Injector::run(const std::vector<Fault> &Schedule) {
+  const TimePoint begin = monotonicNow();
+  std::vector<std::thread> threads;
+  for (const Fault &it : Schedule)
+    threads.emplace_back([this, it, begin] { inject(it, begin); });
+  for (std::thread &it : threads)
+    it.join();
+}
+
+void Injector::inject(const Fault &What, TimePoint Begin) {
+  waitUntil(Begin + What.At);
+  switch (What.Kind) {
+  case FaultKind::KillDaemon:
+  case FaultKind::PauseDaemon:
+  case FaultKind::StopDaemon:
+    return injectProcess(What, *pick(On.Daemons, What.Target));
+  case FaultKind::KillEntry:
+  case FaultKind::PauseEntry:
+  case FaultKind::StopEntry:
+    return injectProcess(What, *pick(On.Entries, What.Target));
+  case FaultKind::KillEngine:
+    return killEngine(What);
+  case FaultKind::EngineHang:
+  case FaultKind::EngineSlow:
+  case FaultKind::EngineSwapFails:
+  case FaultKind::EngineWrongVersion:
+  case FaultKind::EngineLosesOrderAnswer:
+  case FaultKind::ServiceHang:
+  case FaultKind::ServiceResetsBeforeAnswer:
+  case FaultKind::ServiceResetsMidAnswer:
+    return injectUpstream(What);
+  case FaultKind::LinkDelay:
+  case FaultKind::LinkCut:
+  case FaultKind::LinkHalfOpen:
+  case FaultKind::LinkRefuses:
+  case FaultKind::LinkLosesAnswers:
+  case FaultKind::LinkSlow:
+    return injectLink(What);
+  case FaultKind::OperatorsRace:
+  case FaultKind::SwitchPreset:
+    return injectOperator(What);
+  default:
+    return injectPlatform(What);
+  }
+}
+
+void Injector::injectProcess(const Fault &What, Slot &Which) {
+  // Two faults of one process come one after the other.
+  std::lock_guard<std::mutex> busy(Which.Busy);
+  const std::shared_ptr<Process> process = Cluster::processOf(Which);
+  if (!process)
+    return startAgain(Which);
+  switch (What.Kind) {
+  case FaultKind::PauseDaemon:
+  case FaultKind::PauseEntry:
+    process->signal(SIGSTOP);
+    waitFor(What.For);
+    process->signal(SIGCONT);
+    return;
+  case FaultKind::StopDaemon:
+  case FaultKind::StopEntry:
+    stopSlot(Which, What.Alone);
+    break;
+  default:
+    On.killSlot(Which);
+    break;
+  }
+  waitFor(What.For);
+  startAgain(Which);
+}
+
+void Injector::stopSlot(Slot &Which, bool Alone) {
+  const std::shared_ptr<Process> process = Cluster::processOf(Which);
+  PlannedStop stop;
+  stop.Alone = Alone;
+  if (!Which.Server.empty())
+    stop.Servers.push_back(Which.Server);
+  stop.Signalled = wallMicros();
+  process->signal(SIGTERM);
+  const std::optional<harness::ProcessEnd> end = process->wait(StopLimit);
+  stop.Ended = wallMicros();
+  stop.InOrder = end && end->Code == 0;
+  if (!stop.InOrder)
+    note(Which.Instance + " did not stop in order: " +
+         (end ? "exit code " + std::to_string(end->Code) : "still runs"));
+  On.killSlot(Which);
+  std::lock_guard<std::mutex> lock(Guard);
+  Stops.push_back(stop);
+}
+
+void Injector::startAgain(Slot &Which) {
+  const Outcome<Done> started = toOutcome<Done>([&]() -> Result<Done> {
+    BOOST_LEAF_CHECK(On.startSlot(Which));
+    return Done{};
+  });
+  if (!started)
+    note(Which.Instance + " can't be started: " + describe(started.failure()));
+}
+
+void Injector::killEngine(const Fault &What) {
+  const std::size_t which = What.Target % On.Engines.size();
+  On.killEngine(which);
+  waitFor(What.For);
+  const Outcome<Done> started = toOutcome<Done>([&]() -> Result<Done> {
+    BOOST_LEAF_CHECK(On.startEngine(which));
+    return Done{};
+  });
+  if (!started)
+    note("an engine can't be started: " + describe(started.failure()));
+}
+
+void Injector::setFor(StandIn &Which, const std::string &Faults, Millis Length,
+                      const std::string &Undo) {
+  const Outcome<Done> set = Which.setFaults(Faults);
+  if (!set)
+    note("fault " + Faults + ": " + describe(set.failure()));
+  waitFor(Length);
+  if (!Undo.empty())
+    Which.setFaults(Undo);
+}
+
+void Injector::injectUpstream(const Fault &What) {
+  StandIn &engine = *pick(On.Engines, What.Target);
+  StandIn &service = *pick(On.Services, What.Target);
+  switch (What.Kind) {
+  case FaultKind::EngineHang:
+    return setFor(engine, R"({"hang":true})", What.For, R"({"hang":false})");
+  case FaultKind::EngineSlow:
+    return setFor(engine, R"({"slow_factor":10})", What.For,
+                  R"({"slow_factor":1})");
+  case FaultKind::EngineSwapFails:
+    return setFor(engine, R"({"fail_next_load":1})", What.For, "");
+  case FaultKind::EngineWrongVersion:
+    return setFor(engine, R"({"wrong_version_next_load":1})", What.For, "");
+  case FaultKind::EngineLosesOrderAnswer:
+    return setFor(engine, R"({"lose_order_answers":1})", What.For, "");
+  case FaultKind::ServiceHang:
+    return setFor(service, R"({"hang":true})", What.For, R"({"hang":false})");
+  case FaultKind::ServiceResetsBeforeAnswer:
+    return setFor(service, R"({"reset_before_answer":3})", What.For, "");
+  default:
+    return setFor(service, R"({"reset_mid_answer":3})", What.For, "");
+  }
+}
+
+void Injector::injectPlatform(const Fault &What) {
+  switch (What.Kind) {
+  case FaultKind::LogOutage:
+    return setFor(*On.Log, R"({"outage":true})", What.For,
+                  R"({"outage":false})");
+  case FaultKind::LogSlow:
+    return setFor(*On.Log, R"({"slow_ms":400})", What.For, R"({"slow_ms":0})");
+  case FaultKind::LogLosesAnswers:
+    return setFor(*On.Log, R"({"lose_answers":3})", What.For,
+                  R"({"lose_answers":0})");
+  case FaultKind::LogStaleTail:
+    return setFor(*On.Log, R"({"stale_tail":2})", What.For,
+                  R"({"stale_tail":0})");
+  case FaultKind::StoreOutage:
+    return setFor(*On.Weights, R"({"outage":true})", What.For,
+                  R"({"outage":false})");
+  case FaultKind::InstancesOutage:
+    return setFor(*On.Instances, R"({"outage":true})", What.For,
+                  R"({"outage":false})");
+  case FaultKind::TrainerOutage:
+    return setFor(*On.Trainer, R"({"outage":true})", What.For,
+                  R"({"outage":false})");
+  case FaultKind::TrainerLosesAnswers:
+    return setFor(*On.Trainer, R"({"lose_answers":2})", What.For,
+                  R"({"lose_answers":0})");
+  default:
+    return setFor(*On.Scorer, R"({"fail_next":3})", What.For, "");
+  }
+}
+
+void Injector::injectLink(const Fault &What) {
+  std::vector<StandIn *> links = On.links();
+  StandIn &link = *pick(links, What.Target);
+  switch (What.Kind) {
+  case FaultKind::LinkDelay:
+    return setFor(link, R"({"delay_ms":60,"jitter_ms":60})", What.For,
+                  ClearLink);
+  case FaultKind::LinkCut:
+    return setFor(link, R"({"cut_now":true})", What.For, "");
+  case FaultKind::LinkHalfOpen:
+    return setFor(link, R"({"half_open":true})", What.For, ClearLink);
+  case FaultKind::LinkRefuses:
+    return setFor(link, R"({"refuse":true,"cut_now":true})", What.For,
+                  ClearLink);
+  case FaultKind::LinkLosesAnswers:
+    return setFor(link, R"({"answer_loss":2,"cut_now":true})", What.For,
+                  ClearLink);
+  default:
+    return setFor(link, R"({"bytes_per_s":20000})", What.For, ClearLink);
+  }
+}
+
+void Injector::injectOperator(const Fault &What) {
+  if (What.Kind == FaultKind::SwitchPreset) {
+    const bool toPeak = What.Target % 2 == 0;
+    for (const std::string preset :
+         {toPeak ? "peak" : "maintenance", "ordinary"}) {
+      const Cluster::CommandEnd end =
+          On.control({"preset", preset, "--operator=chaos"});
+      record({0, end.Code, end.Output});
+      if (preset != "ordinary")
+        waitFor(What.For);
+    }
+    return;
+  }
+  // Two operators change the same object from the same state.
+  std::vector<std::thread> operators;
+  for (const std::string name : {"anna", "benigno"}) {
+    std::uint32_t rate = 0;
+    {
+      std::lock_guard<std::mutex> lock(Guard);
+      rate = ++Rates;
+    }
+    operators.emplace_back([this, name, rate] {
+      const std::string folder =
+          On.writeDeclarations("declarations-" + std::to_string(rate), rate);
+      const Cluster::CommandEnd end =
+          On.control({"apply", folder, "--operator=" + name});
+      record({rate, end.Code, end.Output});
+    });
+  }
+  for (std::thread &it : operators)
+    it.join();
+}
+
+void Injector::heal() {
+  for (StandIn *it : On.links())
+    it->setFaults(ClearLink);
+  On.Log->setFaults(R"({"outage":false,"slow_ms":0,"lose_answers":0,)"
+                    R"("stale_tail":0})");
+  On.Weights->setFaults(R"({"outage":false})");
+  On.Instances->setFaults(R"({"outage":false})");
+  On.Trainer->setFaults(R"({"outage":false,"lose_answers":0})");
+  On.Scorer->setFaults(R"({"fail_next":0})");
+  for (const std::unique_ptr<StandIn> &it : On.Services)
+    it->setFaults(R"({"hang":false,"reset_before_answer":0,)"
+                  R"("reset_mid_answer":0})");
+  for (const std::unique_ptr<StandIn> &it : On.Engines)
+    it->setFaults(R"({"hang":false,"slow_factor":1,"fail_next_load":0,)"
+                  R"("wrong_version_next_load":0,"lose_order_answers":0})");
+  for (std::vector<std::unique_ptr<Slot>> *of : {&On.Daemons, &On.Entries}) {
+    for (const std::unique_ptr<Slot> &it : *of) {
+      const std::shared_ptr<Process> process = Cluster::processOf(*it);
+      if (process && process->running())
+        continue;
+      // It should not have ended: what it said last is in its log.
+      if (process)
+        note(it->Instance + " ended by itself");
+      On.killSlot(*it);
+      startAgain(*it);
+    }
+  }
+}
+
+void Injector::stopAll() {
+  std::vector<std::thread> threads;
+  for (std::vector<std::unique_ptr<Slot>> *of : {&On.Daemons, &On.Entries}) {
+    for (const std::unique_ptr<Slot> &it : *of) {
+      if (Cluster::processOf(*it))
+        threads.emplace_back([this, &it] { stopSlot(*it, false); });
+    }
+  }
+  for (std::thread &it : threads)
+    it.join();
+}
+
+} // namespace wasabi::chaos
--- a/IntegrationTests/Chaos/Main.cpp
+++ b/IntegrationTests/Chaos/Main.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// wasabi-chaos: real processes of the whole product under faults drawn from a
 /// seed, judged by the stand-ins' own records.
+#include "IntegrationTests/Chaos/Run.h"
 #include "IntegrationTests/Chaos/Schedule.h"
 #include "Wasabi/Core/Program.h"
 
@@ -21,16 +22,18 @@
 const wasabi::ProgramDescription About{
     "wasabi-chaos", "",
     "Runs the whole product behind fault proxies, injects the faults that\n"
-    "--seed gives, and judges by the stand-ins' own records."};
+    "--seed gives, and judges by the stand-ins' own records. The last line\n"
+    "begins with \"chaos:\"; exit code 0 only if every promise held."};
 
 Result<ExitCode> run() {
-  if (FLAGS_deployment != "lindqvist" && FLAGS_deployment != "balikbayan")
-    return wasabi::badInput("--deployment", "neither lindqvist nor balikbayan");
+  BOOST_LEAF_AUTO(plan, wasabi::chaos::planOf(FLAGS_deployment));
   const std::vector<wasabi::chaos::Fault> schedule =
       wasabi::chaos::makeSchedule(FLAGS_seed,
                                   std::chrono::seconds(FLAGS_seconds));
   std::cout << wasabi::chaos::describe(schedule) << std::flush;
-  return ExitCode::Success;
+  if (FLAGS_schedule_only)
+    return ExitCode::Success;
+  return wasabi::chaos::runOnce(std::move(plan), FLAGS_seed, schedule);
 }
 
 } // namespace
