Rollout bench, and four faults that it and new cases found

Six further integration cases. Mended: an old load report hid slots that had become free; idle slots beyond the share were only taken an event later (a test's expectation was wrong about this and is now as strict the other way); a slow engine was never known as slow, since its attempts only ever lost; a hung engine's order held up all other swaps. Weight orders go on past the claim's term in an outage. Answers of the control plane that come after the duty has ended are dropped.

--- a/Bench/Benches.h
+++ b/Bench/Benches.h
@@ -8,6 +8,9 @@
 /// Agreement, members and spreading, with real processes.
 void runStateBench();
 
+/// Samples, staleness, weights and decision times.
+void runRolloutBench();
+
 } // namespace wasabi::bench
 
 #endif // WASABI_BENCH_BENCHES_H
--- a/Daemon/Main.cpp
+++ b/Daemon/Main.cpp
@@ -34,6 +34,8 @@
 DEFINE_string(weights, "", "IP:PORT of the platform's weight store");
 DEFINE_string(scorer, "", "IP:PORT of the service that scores samples");
 DEFINE_string(seeds, "", "control IP:PORT,IP:PORT of instances to begin with");
+DEFINE_bool(rollout_round_robin, false,
+            "for measurements: samples go to engines by turns");
 DEFINE_string(upstreams, "",
               "servers behind this daemon: server=service@IP:PORT,...");
 
@@ -142,6 +144,7 @@
     setup.Weights = Weights;
     setup.Scorer = Scorer;
     setup.Seed = Settings.Seed;
+    setup.RoundRobin = FLAGS_rollout_round_robin;
     BOOST_LEAF_ASSIGN(Rollouts, RolloutDuty::create(setup, *Control, *Events));
     return Done{};
   }
--- a/IntegrationTests/Cases/RolloutTests.cpp
+++ b/IntegrationTests/Cases/RolloutTests.cpp
@@ -186,4 +186,78 @@
   checkTruth(*cluster, 0);
 }
 
+TEST_CASE("A planned stop of an owner hands the trainer over", "[rollout]") {
+  std::unique_ptr<RolloutCluster> cluster =
+      startCluster(withTrainer(ClusterTrainer()));
+  REQUIRE(waitForSamples(*cluster, SamplesPerStep + 2));
+  std::optional<std::size_t> owner = cluster->ownerOf("t");
+  REQUIRE(owner);
+  cluster->daemon(*owner).signal(SIGTERM);
+  std::optional<ProcessEnd> end = cluster->daemon(*owner).wait(Limit);
+  REQUIRE(end);
+  CHECK(end->Code == 0);
+  std::uint64_t before = cluster->truth(0)->StepsTrained;
+  CHECK(cluster->waitForSteps(0, before + 2, Limit));
+  checkTruth(*cluster, 0);
+}
+
+TEST_CASE("Without checked tokens deliveries wait for the log and follow",
+          "[rollout]") {
+  ClusterTrainer trainer;
+  trainer.ChecksFences = false;
+  std::unique_ptr<RolloutCluster> cluster = startCluster(withTrainer(trainer));
+  REQUIRE(cluster->waitForSteps(0, 1, Limit));
+  REQUIRE(cluster->log().setFaults(R"({"outage":true})"));
+  // All that can be done without the log is done.
+  REQUIRE(waitUntil([&] { return cluster->runningSamples("t") == 0; }, Limit));
+  std::uint64_t before = cluster->truth(0)->StepsTrained;
+  REQUIRE(cluster->log().setFaults(R"({"outage":false})"));
+  CHECK(cluster->waitForSteps(0, before + 2, Limit));
+  checkTruth(*cluster, 0);
+}
+
+TEST_CASE("A log that loses answers and hides its tail repeats nothing",
+          "[rollout]") {
+  ClusterTrainer trainer;
+  trainer.ChecksFences = false;
+  std::unique_ptr<RolloutCluster> cluster = startCluster(withTrainer(trainer));
+  REQUIRE(cluster->waitForSteps(0, 1, Limit));
+  REQUIRE(cluster->log().setFaults(R"({"lose_answers":10,"slow_ms":20})"));
+  std::uint64_t before = cluster->truth(0)->StepsTrained;
+  CHECK(cluster->waitForSteps(0, before + 2, Limit));
+  checkTruth(*cluster, 0);
+}
+
+TEST_CASE("A scorer that fails and loses answers is asked again", "[rollout]") {
+  std::unique_ptr<RolloutCluster> cluster =
+      startCluster(withTrainer(ClusterTrainer()));
+  REQUIRE(cluster->scorer().setFaults(
+      R"({"fail_next":5,"lose_answers":5,"slow_ms":20})"));
+  CHECK(cluster->waitForSteps(0, 3, Limit));
+  checkTruth(*cluster, 0);
+}
+
+TEST_CASE("A weight store that is out for a while is asked again",
+          "[rollout]") {
+  std::unique_ptr<RolloutCluster> cluster =
+      startCluster(withTrainer(ClusterTrainer()));
+  REQUIRE(cluster->waitForSteps(0, 1, Limit));
+  REQUIRE(cluster->weights().setFaults(R"({"outage":true})"));
+  REQUIRE(waitForSamples(*cluster, 2 * SamplesPerStep));
+  REQUIRE(cluster->weights().setFaults(R"({"outage":false})"));
+  std::uint64_t before = cluster->truth(0)->StepsTrained;
+  CHECK(cluster->waitForSteps(0, before + 3, Limit));
+  checkTruth(*cluster, 0);
+}
+
+TEST_CASE("A hung engine's samples are copied elsewhere", "[rollout]") {
+  std::unique_ptr<RolloutCluster> cluster =
+      startCluster(withTrainer(ClusterTrainer()));
+  REQUIRE(waitForSamples(*cluster, 2));
+  REQUIRE(cluster->engine(0).setFaults(R"({"hang":true})"));
+  std::uint64_t before = cluster->truth(0)->StepsTrained;
+  CHECK(cluster->waitForSteps(0, before + 3, Limit));
+  checkTruth(*cluster, 0);
+}
+
 } // namespace wasabi::harness
--- a/IntegrationTests/Harness/RolloutCluster.cpp
+++ b/IntegrationTests/Harness/RolloutCluster.cpp
@@ -142,6 +142,8 @@
                      addressFlag("scorer", Scorer->address()),
                      "--upstreams=e" + std::to_string(At) + "=" + Service +
                          "@" + toText(Engines[At]->address())};
+  setup.Arguments.insert(setup.Arguments.end(), Setup.DaemonFlags.begin(),
+                         Setup.DaemonFlags.end());
   if (!Setup.ErrorFolder.empty())
     setup.ErrorFile = Setup.ErrorFolder + "/" + daemon.Instance;
   BOOST_LEAF_ASSIGN(daemon.Child, Process::start(std::move(setup)));
@@ -305,6 +307,28 @@
       Limit);
 }
 
+std::vector<std::uint64_t> RolloutCluster::swapTimes() const {
+  std::vector<std::uint64_t> times;
+  Outcome<boost::json::value> told = Weights->truth();
+  if (!told)
+    return times;
+  for (const boost::json::value &it : told->at("publications").as_array()) {
+    std::uint64_t last = 0;
+    std::uint64_t count = 0;
+    for (const boost::json::value &fetch : told->at("fetches").as_array()) {
+      if (numberOf(fetch, "version") != numberOf(it, "version") ||
+          !fetch.at("whole").as_bool())
+        continue;
+      ++count;
+      last = std::max(last, numberOf(fetch, "ended_us"));
+    }
+    // A version that was overtaken before all had it has no such time.
+    if (count >= Engines.size())
+      times.push_back(last - numberOf(it, "published_us"));
+  }
+  return times;
+}
+
 std::uint64_t RolloutCluster::generatedTokens() const {
   std::uint64_t tokens = 0;
   for (const std::unique_ptr<StandIn> &it : Engines) {
--- a/IntegrationTests/Harness/RolloutCluster.h
+++ b/IntegrationTests/Harness/RolloutCluster.h
@@ -64,6 +64,8 @@
     std::uint32_t Fetches = 64;
     /// Further members of the preset in force, as `,"hedge_tail":false`.
     std::string PresetMembers;
+    /// Further flags of each daemon.
+    std::vector<std::string> DaemonFlags;
     /// Folder for the processes' stderr; empty throws it away.
     std::string ErrorFolder;
   };
@@ -96,6 +98,8 @@
   Outcome<TrainerTruth> truth(std::size_t At) const;
   /// Waits until a trainer has trained on `Steps` steps.
   bool waitForSteps(std::size_t At, std::uint64_t Steps, Millis Limit) const;
+  /// Microseconds from each version's publication until its last whole fetch.
+  std::vector<std::uint64_t> swapTimes() const;
   /// Tokens that all engines generated; engines that are gone count nothing.
   std::uint64_t generatedTokens() const;
 
--- a/UnitTests/Rollout/DispatchingTest.cpp
+++ b/UnitTests/Rollout/DispatchingTest.cpp
@@ -91,7 +91,10 @@
   EngineState at;
   at.Seen = engine("a", 1, 8);
   EngineShare half{1, 2, 100};
+  CHECK(freeSlots(at, half, Start) == 8);
+  at.Seen.Running = 8;
   CHECK(freeSlots(at, half, Start) == 4);
+  at.Seen.Running = 0;
   at.Own = 4;
   CHECK(freeSlots(at, half, Start) == 4);
   at.Seen.Running = 7;
@@ -105,6 +108,31 @@
   CHECK(freeSlots(at, quarter, Start) == 0);
 }
 
+TEST_CASE("an old load report does not hide a slot that became free",
+          "[dispatch]") {
+  StepEffects out;
+  EngineSeen seen = engine("a", 5, 2);
+  RolloutPolicy half;
+  half.Part = EngineShare{1, 2, 100};
+  StepState state = withStep({seen}, half, out);
+  REQUIRE(only<DispatchAttempt>(out).size() == 2);
+  seen.Running = 2;
+  seen.Report = 1;
+  decide(state, EnginesSeen{{seen}}, Start);
+  decide(state, ChunkSeen{1, Chunk{0, 1, "x", 5}}, Start);
+  decide(state, ChunkSeen{2, Chunk{0, 1, "x", 5}}, Start);
+  // Nothing may begin for the moment, so both slots become free.
+  RolloutPolicy none = half;
+  none.AdmitRollouts = false;
+  decide(state, PolicySeen{none}, Start);
+  decide(state, AttemptEnded{1, 1}, Start);
+  decide(state, AttemptEnded{2, 1}, Start);
+  // The same report is looked at again.
+  decide(state, EnginesSeen{{seen}}, Start);
+  CHECK(only<DispatchAttempt>(decide(state, PolicySeen{half}, Start)).size() ==
+        2);
+}
+
 TEST_CASE("the longest expected go first", "[dispatch]") {
   StepState state;
   decide(state, EnginesSeen{{engine("a", 5, 1)}}, Start);
@@ -157,6 +185,50 @@
   CHECK(only<ScoreSample>(decide(state, AttemptEnded{1, 3}, later)).empty());
 }
 
+TEST_CASE("an engine that lost for slowness gets one sample at a time",
+          "[hedge]") {
+  StepEffects out;
+  StepState state =
+      withStep({engine("a", 5, 2), engine("b", 5, 2)}, {}, out, 2);
+  std::vector<DispatchAttempt> begun = only<DispatchAttempt>(out);
+  REQUIRE(begun.size() == 4);
+  // In one second the engine of the first attempt sends 1 token, others 50.
+  ServerName slow = begun[0].On.Name;
+  TimePoint later = Start + Millis(1000);
+  for (const DispatchAttempt &it : begun) {
+    std::uint32_t tokens = it.On.Name == slow ? 1 : 50;
+    decide(state, ChunkSeen{it.Attempt, Chunk{0, tokens, "x", 5}}, later);
+  }
+  for (const DispatchAttempt &it : begun)
+    decide(state, AttemptEnded{it.Attempt, it.On.Name == slow ? 1U : 50U},
+           later);
+  decide(state, Tick(), later);
+  WantedStep next = wantedStep(2, 5);
+  next.Step = 2;
+  std::size_t onSlow = 0;
+  for (const DispatchAttempt &it :
+       only<DispatchAttempt>(decide(state, StepSeen{next, false}, later)))
+    onSlow += it.On.Name == slow ? 1 : 0;
+  CHECK(onSlow == 1);
+}
+
+TEST_CASE("a silent engine rests once another did its sample", "[hedge]") {
+  StepEffects out;
+  StepState state = withStep(
+      {engine("a", 5, 1), engine("b", 5, 1), engine("c", 5, 1)}, {}, out, 1);
+  std::vector<DispatchAttempt> begun = only<DispatchAttempt>(out);
+  REQUIRE(begun.size() == 2);
+  TimePoint later = Start + state.Setup.StallTimeout + Millis(1);
+  decide(state, ChunkSeen{2, Chunk{0, 3, "abc", 5}}, later);
+  std::vector<DispatchAttempt> hedge =
+      only<DispatchAttempt>(decide(state, Tick(), later));
+  REQUIRE(hedge.size() == 1);
+  AttemptId copy = hedge[0].Attempt;
+  decide(state, ChunkSeen{copy, Chunk{0, 3, "abc", 5}}, later);
+  decide(state, AttemptEnded{copy, 3}, later);
+  CHECK(state.Servers.at(begun[0].On.Name).NotBefore > later);
+}
+
 TEST_CASE("no hedge where the preset has none", "[hedge]") {
   StepEffects out;
   RolloutPolicy policy;
--- a/UnitTests/Weights/WavePlanTest.cpp
+++ b/UnitTests/Weights/WavePlanTest.cpp
@@ -89,6 +89,19 @@
   CHECK(planWave(state, all, preset, Start).size() == 1);
 }
 
+TEST_CASE("a hung engine's order does not hold up the others", "[weights]") {
+  WaveState state;
+  state.Newest = 2;
+  std::vector<SwapTarget> all = servers(3, 1);
+  REQUIRE(planWave(state, all, PresetDeclaration(), Start).size() == 1);
+  CHECK(planWave(state, all, PresetDeclaration(), Start).empty());
+  TimePoint later = Start + state.Setup.MinPatience + Millis(1);
+  CHECK(planWave(state, all, PresetDeclaration(), later).size() == 1);
+  // The last server keeps serving whatever is overdue.
+  CHECK(
+      planWave(state, all, PresetDeclaration(), later + Millis(60000)).empty());
+}
+
 TEST_CASE("600 servers swap as fast as the store's fetches allow",
           "[weights]") {
   // 64 fetches at once of 2.5 s each: 600 / 64 * 2.5 s = 23.4 s at best.
--- a/Wasabi/Rollout/Attempts.cpp
+++ b/Wasabi/Rollout/Attempts.cpp
@@ -38,6 +38,17 @@
     backOff(it->second, Atleast, Now);
 }
 
+/// Engines that sent nothing of a slot which another one has done meanwhile.
+void restSilent(StepState &State, const SlotState &Which, TimePoint Now) {
+  for (AttemptId id : Which.Running) {
+    const AttemptState &loser = State.Attempts.at(id);
+    bool silent = loser.SoFar.Tokens == loser.ResumedAt &&
+                  Now - loser.Started > State.Setup.StallTimeout;
+    if (silent)
+      rest(State, loser.On, State.Setup.StallTimeout, Now);
+  }
+}
+
 bool changedVersion(const Draft &Of) { return Of.Spans.size() > 1; }
 
 } // namespace
@@ -85,8 +96,8 @@
   removeAttempt(State, What.Attempt);
   auto engine = State.Servers.find(won.On);
   if (engine != State.Servers.end())
-    noteRate(engine->second, won.SoFar.Tokens - won.ResumedAt,
-             Now - won.Started);
+    engine->second.Failures = 0;
+  restSilent(State, which, Now);
   observe(State.Lengths, group.Prompt, won.SoFar.Tokens);
   cancelAll(State, which, "another attempt was first", Out);
   which.Kept = Draft();
--- a/Wasabi/Rollout/Dispatching.cpp
+++ b/Wasabi/Rollout/Dispatching.cpp
@@ -47,6 +47,12 @@
       all.push_back(Waiter{it.first, &which, false,
                            tokensLeft(State, which, which.Kept.Tokens)});
   }
+  // By turns, slots go in their own order.
+  if (State.Setup.Order == EngineOrder::RoundRobin) {
+    for (Waiter &it : all)
+      it.Tokens = 0;
+    return all;
+  }
   for (Waiter &it : all)
     it.GroupBegun = begun[it.Which->GroupAt];
   return all;
@@ -77,6 +83,7 @@
   attempt.ResumedAt = attempt.SoFar.Tokens;
   attempt.Hedge = Hedge;
   ++On.At->Own;
+  On.At->TakenAt = ++State.Dispatches;
   ++Which.Attempts;
   Which.Running.push_back(id);
   if (Which.Phase == SlotPhase::Waiting)
--- a/Wasabi/Rollout/EngineChoice.cpp
+++ b/Wasabi/Rollout/EngineChoice.cpp
@@ -18,6 +18,8 @@
 }
 
 double costOf(const StepState &State, const EngineState &At, double Median) {
+  if (State.Setup.Order == EngineOrder::RoundRobin)
+    return static_cast<double>(At.TakenAt);
   double slots = std::max(1U, At.Seen.Slots);
   double load = std::max<double>(At.Own, At.Seen.Running);
   double slowness =
@@ -26,8 +28,17 @@
   return slowness * (1 + load / slots) + far;
 }
 
-bool isSlow(const EngineState &At, double Median) {
-  return At.StreamRate > 0 && At.StreamRate * SlowRatio < Median;
+/// What one more stream adds to an engine's cost.
+double costOfOneMore(const StepState &State, const EngineState &At) {
+  if (State.Setup.Order == EngineOrder::RoundRobin)
+    return static_cast<double>(State.Servers.size());
+  return 1.0 / std::max(1U, At.Seen.Slots);
+}
+
+bool isSlow(const StepState &State, const EngineState &At) {
+  double median =
+      State.Setup.Order == EngineOrder::RoundRobin ? 0 : State.MedianRate;
+  return At.StreamRate > 0 && At.StreamRate * SlowRatio < median;
 }
 
 /// Under `Finish` an outdated engine drains, so that it can swap; but not when
@@ -77,7 +88,7 @@
     if (!isFresh(State.Fresh, at.Seen.Version))
       continue;
     std::uint32_t free = freeSlots(at, State.Policy.Part, Now);
-    if (isSlow(at, State.MedianRate))
+    if (isSlow(State, at))
       free = at.Own == 0 ? std::min(free, 1U) : 0;
     if (free > 0)
       found.push_back(
@@ -102,8 +113,8 @@
     }
     taken = top;
     if (top.Free > 1) {
-      double slots = std::max(1U, top.At->Seen.Slots);
-      unfit.push_back(Candidate{top.At, top.Free - 1, top.Cost + 1 / slots});
+      double more = costOfOneMore(State, *top.At);
+      unfit.push_back(Candidate{top.At, top.Free - 1, top.Cost + more});
     }
   }
   for (const Candidate &it : unfit) {
--- a/Wasabi/Rollout/Engines.h
+++ b/Wasabi/Rollout/Engines.h
@@ -29,6 +29,8 @@
   std::uint32_t Running = 0;
   std::uint32_t Queued = 0;
   bool Serving = true;
+  /// Counts the load reports: the same one again is no news.
+  std::uint64_t Report = 0;
   bool operator==(const EngineSeen &) const = default;
 };
 
@@ -41,6 +43,8 @@
   /// No new attempt before this, after a refusal or a failure.
   TimePoint NotBefore;
   std::uint32_t Failures = 0;
+  /// Counts the dispatches of its owner; the last one that went here.
+  std::uint64_t TakenAt = 0;
   /// Tokens a second of one stream, a moving average; 0 until one ended.
   double StreamRate = 0;
   bool operator==(const EngineState &) const = default;
@@ -68,7 +72,7 @@
 /// further failure, or before `RetryAfter`. Pure but for `At`.
 void backOff(EngineState &At, Millis RetryAfter, TimePoint Now);
 
-/// Notes that a stream ended well with `Tokens` after `Took`.
+/// Notes that a stream sent `Tokens` in `Took`; nothing without any.
 void noteRate(EngineState &At, std::uint32_t Tokens, Micros Took);
 
 /// The median rate of a stream over the engines that have one; 0 for none.
--- a/Wasabi/Rollout/RolloutContext.cpp
+++ b/Wasabi/Rollout/RolloutContext.cpp
@@ -1,5 +1,6 @@
 #include "Wasabi/Rollout/RolloutContext.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -22,7 +23,9 @@
 }
 
 /// A load report is younger than the view.
-void correct(EngineSeen &Seen, const LoadSeen &Load) {
+void correct(EngineSeen &Seen, const LoadReport &Report) {
+  const LoadSeen &Load = Report.Load;
+  Seen.Report = Report.Count;
   Seen.Running = Load.Running;
   Seen.Queued = Load.Queued;
   Seen.Serving = Seen.Serving && Load.Serving;
@@ -55,6 +58,17 @@
   return all;
 }
 
+void DutyGate::post(std::function<void()> Work) {
+  std::lock_guard<std::mutex> lock(Guard);
+  if (Open)
+    boost::asio::post(Executor, std::move(Work));
+}
+
+void DutyGate::close() {
+  std::lock_guard<std::mutex> lock(Guard);
+  Open = false;
+}
+
 boost::asio::awaitable<void> pause(Millis HowLong) {
   boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
                                   HowLong);
--- a/Wasabi/Rollout/RolloutContext.h
+++ b/Wasabi/Rollout/RolloutContext.h
@@ -17,26 +17,53 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
 namespace wasabi {
 
+/// A server's newest load report.
+struct LoadReport {
+  LoadSeen Load;
+  /// How many there were.
+  std::uint64_t Count = 0;
+};
+
+/// Lets other threads' answers onto the duty's thread while that is there.
+/// Thread-safe.
+class DutyGate {
+public:
+  explicit DutyGate(boost::asio::any_io_executor Executor)
+      : Executor(std::move(Executor)) {}
+  /// Runs `Work` on the duty's thread, or drops it once the duty has ended.
+  void post(std::function<void()> Work);
+  /// Nothing is let through any more.
+  void close();
+
+private:
+  std::mutex Guard;
+  bool Open = true;
+  const boost::asio::any_io_executor Executor;
+};
+
 /// Shared by all owners of one duty; used on the duty's thread only.
 struct RolloutContext {
   RolloutDuty::Settings Setup;
   ControlPlane &Control;
   Timeline &Events;
   boost::asio::any_io_executor Executor;
+  std::shared_ptr<DutyGate> Gate;
   std::shared_ptr<http::Client> Http;
   std::shared_ptr<RequestClient> Requests;
   LogPort Log;
   ScorerPort Scorer;
   WeightStorePort Weights;
   /// The newest load report of each server.
-  std::map<ServerName, LoadSeen> Loads;
+  std::map<ServerName, LoadReport> Loads;
   /// Counts the records that this process appends to trainers' streams.
   std::uint64_t NextSequence = 1;
 };
--- a/Wasabi/Rollout/RolloutDuty.cpp
+++ b/Wasabi/Rollout/RolloutDuty.cpp
@@ -30,8 +30,8 @@
   return "trainer/" + Trainer.Text;
 }
 
-RolloutContext makeContext(RolloutDuty::Settings Setup, ControlPlane &Control,
-                           Timeline &Events,
+RolloutContext makeContext(const RolloutDuty::Settings &Setup,
+                           ControlPlane &Control, Timeline &Events,
                            const boost::asio::any_io_executor &Executor) {
   std::shared_ptr<http::Client> client =
       http::Client::create(Executor, http::Client::Settings());
@@ -44,6 +44,7 @@
                         Control,
                         Events,
                         Executor,
+                        std::make_shared<DutyGate>(Executor),
                         client,
                         RequestClient::create(Executor, std::move(asking)),
                         httpLog(client, Setup.Log),
@@ -55,14 +56,14 @@
 
 class RolloutDutyImpl : public RolloutDuty {
 public:
-  RolloutDutyImpl(Settings Setup, ControlPlane &Control, Timeline &Events)
+  RolloutDutyImpl(const Settings &Setup, ControlPlane &Control,
+                  Timeline &Events)
       : Work(boost::asio::make_work_guard(Loop)),
-        Context(makeContext(std::move(Setup), Control, Events,
-                            Loop.get_executor())) {
+        Context(makeContext(Setup, Control, Events, Loop.get_executor())) {
     Context.Requests->onLoad(
         [this](const Address &, const std::vector<LoadSeen> &loads, bool) {
           for (const LoadSeen &it : loads)
-            Context.Loads[it.Server] = it;
+            noteLoad(it);
         });
     boost::asio::co_spawn(Loop, supervise(), boost::asio::detached);
     Thread = std::thread([this] { Loop.run(); });
@@ -71,6 +72,8 @@
   RolloutDutyImpl &operator=(const RolloutDutyImpl &) = delete;
 
   ~RolloutDutyImpl() override {
+    // Answers of the control plane may still be on their way.
+    Context.Gate->close();
     Loop.stop();
     Thread.join();
     // Sockets go before the loop that serves them.
@@ -95,6 +98,12 @@
   std::string statusJson() const override { return *Status.get(); }
 
 private:
+  void noteLoad(const LoadSeen &Load) {
+    LoadReport &report = Context.Loads[Load.Server];
+    report.Load = Load;
+    ++report.Count;
+  }
+
   boost::asio::awaitable<void> supervise() {
     while (true) {
       if (!Leaving && Context.Control.ready())
@@ -157,9 +166,7 @@
 
   void superviseModels() {
     std::erase_if(Models, [this](const auto &it) {
-      std::optional<HeldClaim> held =
-          Context.Control.held(weightsResource(it.first));
-      if (held && held->Token == it.second->fence() && !Leaving)
+      if (it.second->ownsClaim() && !Leaving)
         return false;
       it.second->stop();
       return true;
@@ -238,7 +245,7 @@
     return badInput("rollout settings",
                     "the log, the weight store and the scorer are needed");
   return std::unique_ptr<RolloutDuty>(
-      std::make_unique<RolloutDutyImpl>(std::move(Setup), Control, Events));
+      std::make_unique<RolloutDutyImpl>(Setup, Control, Events));
 }
 
 } // namespace wasabi
--- a/Wasabi/Rollout/RolloutDuty.h
+++ b/Wasabi/Rollout/RolloutDuty.h
@@ -29,6 +29,8 @@
     Address Weights;
     Address Scorer;
     std::uint64_t Seed = 1;
+    /// For measurements: engines by turns in place of the expected finish.
+    bool RoundRobin = false;
   };
 
   /// Starts the thread. `Control` and `Events` must outlive the duty.
--- a/Wasabi/Rollout/SlotMoves.cpp
+++ b/Wasabi/Rollout/SlotMoves.cpp
@@ -47,8 +47,13 @@
   if (it == State.Attempts.end())
     return;
   auto engine = State.Servers.find(it->second.On);
-  if (engine != State.Servers.end() && engine->second.Own > 0)
+  if (engine != State.Servers.end() && engine->second.Own > 0) {
     --engine->second.Own;
+    // Attempts that lost tell as much of an engine as those that won: a slow
+    // engine would never be known by its ended ones.
+    noteRate(engine->second, it->second.SoFar.Tokens - it->second.ResumedAt,
+             it->second.LastChunk - it->second.Started);
+  }
   auto slot = State.Slots.find(it->second.Place);
   if (slot != State.Slots.end())
     std::erase(slot->second.Running, Id);
--- a/Wasabi/Rollout/StepState.cpp
+++ b/Wasabi/Rollout/StepState.cpp
@@ -123,8 +123,11 @@
         at = std::move(had->second);
       else
         at.Own = attemptsOn(State, it.Name);
+      // Own attempts correct the lag since the report, not since this look.
+      bool news = had == State.Servers.end() || it.Report != at.Seen.Report;
+      if (news)
+        at.OwnAtReport = at.Own;
       at.Seen = it;
-      at.OwnAtReport = at.Own;
     }
     State.Servers = std::move(seen);
   }
--- a/Wasabi/Rollout/StepState.h
+++ b/Wasabi/Rollout/StepState.h
@@ -58,6 +58,14 @@
   std::vector<AttemptId> Running;
 };
 
+/// How an engine is chosen for a sample.
+enum class EngineOrder : std::uint8_t {
+  /// The one expected to be done first; slots longest expected first.
+  ExpectedFinish,
+  /// By turns, slots in their order: what measurements compare with.
+  RoundRobin,
+};
+
 /// All that an owner knows of its trainer. A value.
 struct StepState {
   struct Settings {
@@ -65,6 +73,7 @@
     FencingToken Fence = 0;
     /// Engines there are preferred where nothing else differs.
     DomainName Domain;
+    EngineOrder Order = EngineOrder::ExpectedFinish;
     /// Most samples, and most bytes of text, in one commit or delivery.
     std::uint32_t BatchSamples = 64;
     std::size_t BatchBytes = 256u << 10;
@@ -101,6 +110,7 @@
   std::size_t DeliveredCount = 0;
   std::map<AttemptId, AttemptState> Attempts;
   AttemptId NextAttempt = 1;
+  std::uint64_t Dispatches = 0;
 
   /// The delivery under way, kept for its repeats.
   bool Delivering = false;
--- a/Wasabi/Rollout/TrainerOwner.cpp
+++ b/Wasabi/Rollout/TrainerOwner.cpp
@@ -53,6 +53,8 @@
   State.Setup.Trainer = Setup.Trainer;
   State.Setup.Fence = Setup.Fence;
   State.Setup.Domain = Context.Setup.Domain;
+  if (Context.Setup.RoundRobin)
+    State.Setup.Order = EngineOrder::RoundRobin;
 }
 
 void TrainerOwner::start() {
--- a/Wasabi/Weights/WavePlan.cpp
+++ b/Wasabi/Weights/WavePlan.cpp
@@ -14,13 +14,32 @@
 struct ServiceRoom {
   std::uint32_t Servers = 0;
   std::uint32_t Swapping = 0;
+  /// Of these, those whose answer is overdue.
+  std::uint32_t Overdue = 0;
 };
 
-std::uint32_t mostAtOnce(const ServiceRoom &Of, std::uint32_t Percent) {
-  if (Of.Servers <= 1)
-    return 1;
-  std::uint32_t part = Of.Servers * Percent / 100;
-  return std::clamp(part, 1U, Of.Servers - 1);
+bool hasRoom(const ServiceRoom &Of, std::uint32_t Percent) {
+  std::uint32_t most = std::max(1U, Of.Servers - 1);
+  std::uint32_t part =
+      std::clamp<std::uint32_t>(Of.Servers * Percent / 100, 1, most);
+  return Of.Swapping < most && Of.Swapping - Of.Overdue < part;
+}
+
+/// How many times the mean swap an answer may take.
+constexpr int PatienceFactor = 5;
+
+bool isOverdue(const WaveState &State, const SwapState &Of, TimePoint Now) {
+  Micros patience = std::max<Micros>(State.Setup.MinPatience,
+                                     State.MeanSwap * PatienceFactor);
+  return Of.Ordered && Now - Of.OrderedAt > patience;
+}
+
+void noteSwap(WaveState &State, const SwapState &Of, TimePoint Now) {
+  if (!Of.Ordered)
+    return;
+  Micros took = Now - Of.OrderedAt;
+  State.MeanSwap =
+      State.MeanSwap.count() == 0 ? took : (State.MeanSwap * 3 + took) / 4;
 }
 
 bool isFirst(const SwapTarget *A, const SwapTarget *B) {
@@ -65,6 +84,7 @@
     if (known != State.Servers.end() && known->second.Ordered) {
       ++room.Swapping;
       ++swapping;
+      room.Overdue += isOverdue(State, known->second, Now) ? 1 : 0;
     }
     if (mayGo(State, it, Preset, Now))
       waiting.push_back(&it);
@@ -75,7 +95,7 @@
     ServiceRoom &room = rooms[it->Service];
     if (swapping >= State.Window)
       break;
-    if (room.Swapping >= mostAtOnce(room, Preset.SwapPercent))
+    if (!hasRoom(room, Preset.SwapPercent))
       continue;
     SwapState &server = State.Servers[it->Server];
     server.Ordered = true;
@@ -93,6 +113,7 @@
     noteFailure(State, Server, Now);
     return false;
   }
+  noteSwap(State, State.Servers[Server], Now);
   State.Servers[Server] = SwapState();
   State.Window = std::min(State.Window + 1, State.Setup.MaxFetches);
   return true;
--- a/Wasabi/Weights/WavePlan.h
+++ b/Wasabi/Weights/WavePlan.h
@@ -53,6 +53,9 @@
     /// down once the store's bandwidth is used up.
     std::uint32_t FirstFetches = 16;
     std::uint32_t MaxFetches = 64;
+    /// An order without an answer is overdue after this, or after several times
+    /// the mean swap if that is longer.
+    Millis MinPatience{1000};
     Millis FirstBackOff{200};
     Millis MaxBackOff{5000};
     /// A lower limit learnt from a failure is forgotten after this.
@@ -62,6 +65,8 @@
   Settings Setup;
   WeightVersion Newest = 0;
   std::map<ServerName, SwapState> Servers;
+  /// Mean time from order to report; zero until one is known.
+  Micros MeanSwap{0};
   /// Fetches at once that are allowed now.
   std::uint32_t Window = Settings().FirstFetches;
   TimePoint WindowCutAt;
@@ -72,7 +77,8 @@
 /// than one server, and never more in all than the store serves well. First
 /// come servers whose version is nearest to too old, then those with the least
 /// unfinished work. Under `Finish` a server with unfinished work waits, unless
-/// its version is too old already. Pure but for `State`.
+/// its version is too old already. An overdue order, of a hung engine say, does
+/// not hold up the others. Pure but for `State`.
 std::vector<SwapOrder> planWave(WaveState &State,
                                 const std::vector<SwapTarget> &Targets,
                                 const PresetDeclaration &Preset, TimePoint Now);
--- a/Wasabi/Weights/WeightsOwner.cpp
+++ b/Wasabi/Weights/WeightsOwner.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -50,10 +49,11 @@
   boost::asio::co_spawn(Context.Executor, tick(self), boost::asio::detached);
 }
 
-bool WeightsOwner::mayAct() const {
-  std::optional<HeldClaim> held =
-      Context.Control.held(weightsResource(Setup.Model));
-  return !Stopped && held && held->Token == Setup.Fence;
+bool WeightsOwner::ownsClaim() const {
+  std::shared_ptr<const FoldState> state = Context.Control.state();
+  auto it = state->Claims.find(weightsResource(Setup.Model));
+  return it != state->Claims.end() && it->second.Token == Setup.Fence &&
+         !it->second.Released;
 }
 
 boost::asio::awaitable<void>
@@ -104,7 +104,7 @@
 }
 
 void WeightsOwner::planNow() {
-  if (State.Newest == 0 || !mayAct())
+  if (State.Newest == 0 || Stopped || !ownsClaim())
     return;
   std::shared_ptr<const Configuration> config = Context.Control.state()->Config;
   for (const SwapOrder &it :
@@ -117,13 +117,11 @@
   Order order{What.Server, weightsResource(Setup.Model), Setup.Fence,
               Setup.Model, What.Version};
   std::shared_ptr<WeightsOwner> self = shared_from_this();
-  // The answer comes on the control thread.
+  // The answer comes on the control thread, maybe after this duty has ended.
   Context.Control.order(
       What.Daemon, std::move(order), Setup.OrderTimeout,
-      [self, What, executor = Context.Executor](Outcome<OrderAnswer> answer) {
-        boost::asio::post(executor, [self, What, answer = std::move(answer)] {
-          self->onAnswer(What, answer);
-        });
+      [self, What, gate = Context.Gate](const Outcome<OrderAnswer> &answer) {
+        gate->post([self, What, answer] { self->onAnswer(What, answer); });
       });
 }
 
--- a/Wasabi/Weights/WeightsOwner.h
+++ b/Wasabi/Weights/WeightsOwner.h
@@ -35,12 +35,16 @@
   void start();
   void stop() { Stopped = true; }
   FencingToken fence() const { return Setup.Fence; }
+  /// Whether the claim is still this owner's, as far as the log is known.
+  /// Orders go on past its term: while the log is out nobody can take the
+  /// claim, and daemons and engines refuse a smaller token once they saw a
+  /// greater one.
+  bool ownsClaim() const;
   /// A JSON object.
   std::string statusJson() const;
 
 private:
   WeightsOwner(RolloutContext &Context, Settings Setup);
-  bool mayAct() const;
   std::vector<SwapTarget> targets() const;
   void planNow();
   void send(const SwapOrder &What);
