Harness: a whole example as real processes

Change: Deployment starts stand-ins, trainers, upstreams, a daemon beside each and entries, and runs wasabictl; optionally a fault proxy before each daemon.

--- /dev/null
+++ b/IntegrationTests/Cases/DeploymentTests.cpp
@@ -0,0 +1,47 @@
+#include "IntegrationTests/Harness/Deployment.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+
+using wasabi::Millis;
+using wasabi::Outcome;
+using wasabi::harness::CtlRun;
+using wasabi::harness::Deployment;
+using wasabi::harness::ProcessEnd;
+using wasabi::harness::ProductNode;
+
+namespace {
+
+constexpr Millis StopLimit{20000};
+
+std::unique_ptr<Deployment> deploy(const std::string &Example) {
+  Outcome<std::unique_ptr<Deployment>> made =
+      wasabi::toOutcome<std::unique_ptr<Deployment>>([&] {
+        return Deployment::start({Example, 1, false, {}});
+      });
+  if (!made)
+    FAIL(wasabi::describe(made.failure()));
+  return std::move(*made);
+}
+
+} // namespace
+
+TEST_CASE("An example starts, takes its declarations and stops in order") {
+  std::string example = GENERATE("lindqvist", "balikbayan");
+  std::unique_ptr<Deployment> running = deploy(example);
+  CtlRun applied = running->control({"apply", running->declarations()});
+  INFO(applied.Output << applied.Errors);
+  REQUIRE(applied.Code == 0);
+  CHECK(running->readyEntries().size() >= 3);
+
+  // All at once: each must end by itself also when its peers are leaving.
+  for (ProductNode &it : running->nodes())
+    it.Running->signal(SIGTERM);
+  for (ProductNode &it : running->nodes()) {
+    INFO(it.Name);
+    std::optional<ProcessEnd> end = it.Running->wait(StopLimit);
+    REQUIRE(end);
+    CHECK(end->Code == 0);
+  }
+}
--- /dev/null
+++ b/IntegrationTests/Harness/Deployment.cpp
@@ -0,0 +1,303 @@
+#include "IntegrationTests/Harness/Deployment.h"
+
+#include "IntegrationTests/Harness/FreePort.h"
+#include "IntegrationTests/Harness/HttpCall.h"
+#include "IntegrationTests/Harness/Waiting.h"
+
+#include <csignal>
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <utility>
+
+namespace wasabi::harness {
+
+namespace {
+
+const Address Anywhere{"127.0.0.1", 0};
+constexpr Millis ReadyLimit{30000};
+
+std::string flag(std::string_view Name, std::string_view Value) {
+  return "--" + std::string(Name) + "=" + std::string(Value);
+}
+
+std::string flag(std::string_view Name, const Address &Where) {
+  return flag(Name, toText(Where));
+}
+
+boost::leaf::error_id unavailable(std::string Place, std::string Reason) {
+  return boost::leaf::new_error(Failure{Verdict::NotRun,
+                                        FailureCode::Unavailable,
+                                        std::move(Place),
+                                        std::move(Reason),
+                                        {}});
+}
+
+std::string readFile(const std::string &Path) {
+  std::ifstream file(Path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::set<DomainName> domainsOf(const Configuration &Declared) {
+  std::set<DomainName> domains;
+  for (const std::pair<const ServiceName, ServiceDeclaration> &service :
+       Declared.Services) {
+    for (const Placement &it : service.second.Placements)
+      domains.insert(it.Domain);
+  }
+  return domains;
+}
+
+} // namespace
+
+Deployment::Deployment(Settings Setup, Example Source,
+                       std::unique_ptr<TestFolder> Folder)
+    : Setup(std::move(Setup)), Source(std::move(Source)),
+      Folder(std::move(Folder)) {}
+
+Deployment::~Deployment() {
+  // The product goes first, so that it does not see its platform vanish.
+  Nodes.clear();
+}
+
+Result<std::unique_ptr<Deployment>> Deployment::start(Settings Setup) {
+  BOOST_LEAF_AUTO(example, readExample(Setup.Example));
+  BOOST_LEAF_AUTO(folder, TestFolder::create());
+  std::unique_ptr<Deployment> made(
+      new Deployment(std::move(Setup), std::move(example), std::move(folder)));
+  BOOST_LEAF_CHECK(made->startPlatform());
+  BOOST_LEAF_CHECK(made->startTrainers());
+  BOOST_LEAF_CHECK(made->startUpstreams());
+  BOOST_LEAF_CHECK(made->startNodes());
+  return made;
+}
+
+Result<std::unique_ptr<StandIn>>
+Deployment::startStandIn(const std::string &Role, const std::string &Name,
+                         std::vector<std::string> Flags, Address Listen) {
+  auto it = Setup.Flags.find(Role);
+  if (it != Setup.Flags.end())
+    Flags.insert(Flags.end(), it->second.begin(), it->second.end());
+  return StandIn::start(
+      {Role, std::move(Flags), Folder->file(Name + ".err"), std::move(Listen)});
+}
+
+Result<Done> Deployment::startPlatform() {
+  BOOST_LEAF_ASSIGN(Log, startStandIn("log", "log", {}, Anywhere));
+  BOOST_LEAF_ASSIGN(Instances,
+                    startStandIn("instances", "instances", {}, Anywhere));
+  BOOST_LEAF_ASSIGN(Weights, startStandIn("weights", "weights", {}, Anywhere));
+  BOOST_LEAF_ASSIGN(Scorer, startStandIn("scorer", "scorer", {}, Anywhere));
+  return Done{};
+}
+
+Result<Done> Deployment::startTrainers() {
+  std::map<TrainerName, Address> addresses;
+  for (const std::pair<const TrainerName, TrainerDeclaration> &it :
+       Source.Declared.Trainers) {
+    const TrainerDeclaration &declared = it.second;
+    BOOST_LEAF_AUTO(
+        trainer,
+        startStandIn(
+            "trainer", it.first.Text,
+            {flag("name", it.first.Text), flag("model", declared.Model.Text),
+             flag("staleness_bound", std::to_string(declared.StalenessBound)),
+             flag("checks_fences", declared.ChecksFences ? "true" : "false"),
+             flag("store", Weights->address())},
+            Anywhere));
+    addresses[it.first] = trainer->address();
+    Trainers[it.first] = std::move(trainer);
+  }
+  return writeDeclarations(Source, addresses, declarations());
+}
+
+std::vector<std::string>
+Deployment::upstreamFlags(const UpstreamNode &Node) const {
+  const ServiceDeclaration &service = Source.Declared.Services.at(Node.Service);
+  if (service.Kind == ServiceKind::Plain)
+    return {flag("name", Node.Name)};
+  return {flag("name", Node.Name), flag("model", service.Model.Text),
+          flag("checks_fences", service.ChecksFences ? "true" : "false"),
+          flag("store", Weights->address())};
+}
+
+Result<Done> Deployment::startUpstreams() {
+  for (const std::pair<const ServiceName, ServiceDeclaration> &service :
+       Source.Declared.Services) {
+    for (const Placement &place : service.second.Placements) {
+      for (std::uint32_t i = 1; i <= place.Servers; ++i) {
+        UpstreamNode node;
+        node.Name = service.first.Text + "-" + place.Domain.Text + "-" +
+                    std::to_string(i);
+        node.Service = service.first;
+        node.Domain = place.Domain;
+        Upstreams.push_back(std::move(node));
+        BOOST_LEAF_CHECK(restart(Upstreams.back()));
+      }
+    }
+  }
+  return Done{};
+}
+
+Result<Done> Deployment::restart(UpstreamNode &Node) {
+  Address listen = Node.Server ? Node.Server->address() : Anywhere;
+  Node.Server.reset();
+  bool plain =
+      Source.Declared.Services.at(Node.Service).Kind == ServiceKind::Plain;
+  BOOST_LEAF_ASSIGN(Node.Server,
+                    startStandIn(plain ? "service" : "engine", Node.Name,
+                                 upstreamFlags(Node), listen));
+  return Done{};
+}
+
+Result<Done> Deployment::startNodes() {
+  for (std::size_t i = 0; i < Upstreams.size(); ++i) {
+    ProductNode node;
+    node.Name = "slot-" + Upstreams[i].Name;
+    node.Domain = Upstreams[i].Domain;
+    node.Upstream = i;
+    Nodes.push_back(std::move(node));
+  }
+  for (const DomainName &domain : domainsOf(Source.Declared)) {
+    for (std::size_t i = 1; i <= Setup.EntriesPerDomain; ++i) {
+      ProductNode node;
+      node.Name = "entry-" + domain.Text + "-" + std::to_string(i);
+      node.Domain = domain;
+      Nodes.push_back(std::move(node));
+    }
+  }
+  // The first one is the others' seed; those start side by side.
+  BOOST_LEAF_CHECK(restart(Nodes.front()));
+  for (std::size_t i = 1; i < Nodes.size(); ++i)
+    BOOST_LEAF_CHECK(launch(Nodes[i]));
+  for (std::size_t i = 1; i < Nodes.size(); ++i)
+    BOOST_LEAF_CHECK(readAddresses(Nodes[i]));
+  for (const ProductNode &it : Nodes) {
+    if (!waitUntil([&] { return isReady(it); }, ReadyLimit))
+      return unavailable(it.Name, "it did not become ready: " +
+                                      readFile(Folder->file(it.Name + ".err")));
+  }
+  return Done{};
+}
+
+std::vector<std::string>
+Deployment::nodeArguments(const ProductNode &Node) const {
+  std::vector<std::string> arguments = {
+      flag("instance", Node.Name), flag("failure_domain", Node.Domain.Text),
+      flag("log", Log->address()), flag("instances", Instances->address())};
+  std::string seeds;
+  for (const ProductNode &it : Nodes) {
+    if (seeds.empty() && it.Running && it.Name != Node.Name &&
+        !it.Control.empty())
+      seeds = toText(it.Control);
+  }
+  if (!seeds.empty())
+    arguments.push_back(flag("seeds", seeds));
+  if (Node.isEntry())
+    return arguments;
+  const UpstreamNode &server = Upstreams[*Node.Upstream];
+  arguments.push_back(flag("weights", Weights->address()));
+  arguments.push_back(flag("scorer", Scorer->address()));
+  arguments.push_back(flag("upstreams", server.Name + "=" +
+                                            server.Service.Text + "@" +
+                                            toText(server.Server->address())));
+  return arguments;
+}
+
+Result<Done> Deployment::launch(ProductNode &Node) {
+  std::vector<std::string> arguments = nodeArguments(Node);
+  if (Setup.Proxied && !Node.isEntry())
+    BOOST_LEAF_CHECK(launchBehindProxy(Node, arguments));
+  Node.Running.reset();
+  BOOST_LEAF_ASSIGN(
+      Node.Running,
+      Process::start({Node.isEntry() ? "wasabi-entry" : "wasabi-daemon",
+                      std::move(arguments),
+                      {},
+                      Folder->file(Node.Name + ".err")}));
+  return Done{};
+}
+
+Result<Done>
+Deployment::launchBehindProxy(ProductNode &Node,
+                              std::vector<std::string> &Arguments) {
+  if (!Node.Proxy) {
+    // The proxy needs the daemon's port before there is a daemon, and stays
+    // when the daemon is replaced.
+    BOOST_LEAF_ASSIGN(Node.Serves, freePort());
+    BOOST_LEAF_ASSIGN(Node.Proxy,
+                      startStandIn("faultproxy", "proxy-" + Node.Name,
+                                   {flag("upstream", Node.Serves)}, Anywhere));
+  }
+  Arguments.push_back(flag("frames", Node.Serves));
+  Arguments.push_back(flag("advertise_frames", Node.Proxy->address()));
+  return Done{};
+}
+
+Result<Done> Deployment::readAddresses(ProductNode &Node) {
+  BOOST_LEAF_ASSIGN(Node.Control, Node.Running->announced("control"));
+  BOOST_LEAF_ASSIGN(Node.Admin, Node.Running->announced("admin"));
+  BOOST_LEAF_ASSIGN(Node.Serves, Node.Running->announced(
+                                     Node.isEntry() ? "listening" : "frames"));
+  return Done{};
+}
+
+Result<Done> Deployment::restart(ProductNode &Node) {
+  BOOST_LEAF_CHECK(launch(Node));
+  return readAddresses(Node);
+}
+
+bool Deployment::isReady(const ProductNode &Node) {
+  return Node.Running && Node.Running->running() &&
+         static_cast<bool>(getText(Node.Admin, "/readyz"));
+}
+
+std::vector<Address> Deployment::readyEntries() const {
+  std::vector<Address> ready;
+  for (const ProductNode &it : Nodes) {
+    if (it.isEntry() && isReady(it))
+      ready.push_back(it.Serves);
+  }
+  return ready;
+}
+
+CtlRun Deployment::control(std::vector<std::string> Arguments, Millis Limit) {
+  Arguments.push_back(flag("log", Log->address()));
+  Arguments.push_back(flag("instances", Instances->address()));
+  Arguments.push_back(flag("operator", "harness"));
+  std::string errors = Folder->file("wasabictl.err");
+  std::ofstream(errors).close();
+  TimePoint begun = monotonicNow();
+  CtlRun run;
+  Outcome<std::unique_ptr<Process>> child =
+      toOutcome<std::unique_ptr<Process>>([&] {
+        return Process::start({"wasabictl", std::move(Arguments), {}, errors});
+      });
+  if (!child)
+    return {-1, "", describe(child.failure()), Millis(0)};
+  std::optional<ProcessEnd> end = (*child)->waitAndRead(Limit);
+  run.Code = end ? end->Code : -1;
+  run.Output = (*child)->output();
+  run.Errors = readFile(errors);
+  run.Took = std::chrono::duration_cast<Millis>(monotonicNow() - begun);
+  return run;
+}
+
+void Deployment::kill(ProductNode &Node) {
+  Node.Running->signal(SIGKILL);
+  Node.Running->wait(StartLimit);
+  http::Request ask;
+  ask.Method = "DELETE";
+  ask.Target = "/v1/instances/" + Node.Name;
+  // A list that is down learns of it later, as the platform's own does.
+  call(Instances->address(), std::move(ask));
+}
+
+std::optional<ProcessEnd> Deployment::stop(ProductNode &Node, Millis Limit) {
+  Node.Running->signal(SIGTERM);
+  return Node.Running->wait(Limit);
+}
+
+} // namespace wasabi::harness
