Demo: an example through callers, a trainer, an operator and planned stops

Cause: a newcomer needs one command that shows the promises held. Change: wasabi-demo, judged by the stand-ins' own records. Conclusion: the demo does not wait yet until entries know a replaced daemon; next.

--- /dev/null
+++ b/IntegrationTests/Demo/Demo.cpp
@@ -0,0 +1,289 @@
+#include "IntegrationTests/Demo/Demo.h"
+
+#include "IntegrationTests/Demo/Highlights.h"
+#include "IntegrationTests/Harness/Waiting.h"
+
+#include <boost/json/value.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <iostream>
+
+namespace wasabi::demo {
+
+namespace {
+
+constexpr Millis AnswersLimit{60000};
+constexpr Millis StepsLimit{120000};
+constexpr Millis StopLimit{30000};
+constexpr Millis ReadyLimit{20000};
+constexpr Millis DrainLimit{30000};
+/// Within this a change must be in force everywhere.
+constexpr Millis InForceLimit{13000};
+/// Characters of a refusal's reason that are shown.
+constexpr std::size_t MaxReason = 120;
+
+std::string flag(const std::string &Name, std::uint64_t Value) {
+  return "--" + Name + "=" + std::to_string(Value);
+}
+
+std::map<std::string, std::vector<std::string>>
+standInFlags(const Demo::Settings &Setup) {
+  return {{"engine", {"--tokens_per_s=200", "--slots=16"}},
+          {"service", {"--latency_ms=2"}},
+          {"weights", {"--blob_bytes=1000000"}},
+          {"trainer",
+           {flag("steps", Setup.Steps), flag("groups", Setup.Groups),
+            flag("group_size", Setup.GroupSize), "--train_ms=500",
+            "--max_tokens=64"}}};
+}
+
+/// The example's service of a kind; each has one.
+const ServiceDeclaration &serviceOf(const Configuration &Declared,
+                                    ServiceKind Kind) {
+  auto it = std::find_if(
+      Declared.Services.begin(), Declared.Services.end(),
+      [&](const std::pair<const ServiceName, ServiceDeclaration> &Entry) {
+        return Entry.second.Kind == Kind;
+      });
+  return it->second;
+}
+
+void say(const std::string &Text) { std::cout << Text << std::endl; }
+
+/// The part of a problem body that tells one reason from another.
+std::string reasonOf(const chaos::CallerRecord &Record) {
+  std::size_t detail = Record.Note.find("\"detail\":");
+  return "status " + std::to_string(Record.Status) + " " +
+         Record.Note.substr(detail == std::string::npos ? 0 : detail,
+                            MaxReason);
+}
+
+/// Why callers were refused: how often, and since when.
+void sayRefusals(const std::vector<chaos::CallerRecord> &Records) {
+  std::map<std::string, std::uint64_t> reasons;
+  for (const chaos::CallerRecord &it : Records) {
+    if (it.End == chaos::Seen::NotRun)
+      ++reasons[reasonOf(it)];
+  }
+  for (const std::pair<const std::string, std::uint64_t> &it : reasons)
+    say("refused, not run, " + std::to_string(it.second) +
+        " times: " + it.first);
+}
+
+} // namespace
+
+bool holds(const DemoReport &Report) {
+  const chaos::Tally &callers = Report.Callers;
+  bool answered = callers.Requests > 0 &&
+                  callers.Whole + callers.NotRun == callers.Requests;
+  bool delivered =
+      Report.Samples > 0 && Report.Trainer.Samples == Report.Samples;
+  return answered && delivered && chaos::holds(callers) &&
+         Report.Faults.empty();
+}
+
+std::string describe(const DemoReport &Report) {
+  auto field = [](const std::string &Name, std::uint64_t Value) {
+    return " " + Name + "=" + std::to_string(Value);
+  };
+  return "demo:" + field("requests", Report.Callers.Requests) +
+         field("whole", Report.Callers.Whole) +
+         field("refused_not_run", Report.Callers.NotRun) +
+         field("samples", Report.Samples) +
+         field("delivered", Report.Trainer.Samples) +
+         field("duplicates", Report.Trainer.Duplicates) +
+         field("mislabelled", Report.Trainer.Mislabelled) +
+         field("stale", Report.Trainer.Stale) +
+         field("config_in_force_ms",
+               static_cast<std::uint64_t>(Report.InForce.count()));
+}
+
+Result<std::unique_ptr<Demo>> Demo::start(Settings Setup) {
+  harness::Deployment::Settings deployment;
+  deployment.Example = Setup.Example;
+  deployment.Flags = standInFlags(Setup);
+  BOOST_LEAF_AUTO(running, harness::Deployment::start(std::move(deployment)));
+  return std::unique_ptr<Demo>(new Demo(std::move(Setup), std::move(running)));
+}
+
+Demo::Demo(Settings Setup, std::unique_ptr<harness::Deployment> Running)
+    : Setup(std::move(Setup)), Running(std::move(Running)) {}
+
+DemoReport Demo::run() {
+  say("started: " + std::to_string(Running->upstreams().size()) +
+      " upstreams, " + std::to_string(Running->nodes().size()) +
+      " processes of the system");
+  publish();
+  serveCallers();
+  trainOneStep();
+  operate();
+  stopEachProcess();
+  trainTheRest();
+  maintain();
+  showTimeline();
+  judge();
+  return Report;
+}
+
+bool Demo::await(const std::function<bool()> &Condition, Millis Limit) {
+  return harness::waitUntil(
+      [&] {
+        if (Load)
+          Load->setEntries(Running->readyEntries());
+        return Condition();
+      },
+      Limit);
+}
+
+harness::CtlRun Demo::control(const std::vector<std::string> &Arguments) {
+  harness::CtlRun run = Running->control(Arguments);
+  std::string command;
+  for (const std::string &it : Arguments)
+    command += " " + it;
+  expect(run.Code == 0, "wasabictl" + command + ": code " +
+                            std::to_string(run.Code) + "\n" + run.Output +
+                            run.Errors);
+  return run;
+}
+
+void Demo::expect(bool Holds, const std::string &What) {
+  if (Holds)
+    return;
+  say("FAULT: " + What);
+  Report.Faults.push_back(What);
+}
+
+chaos::TrainerTruth Demo::trainerTruth() const {
+  Outcome<boost::json::value> truth =
+      Running->trainers().begin()->second->truth();
+  return truth ? chaos::readTrainer(*truth) : chaos::TrainerTruth{};
+}
+
+void Demo::publish() {
+  harness::CtlRun run = control({"apply", Running->declarations()});
+  Report.InForce = std::max(Report.InForce, run.Took);
+  say("published: declarations in force everywhere after " +
+      std::to_string(run.Took.count()) + " ms");
+}
+
+void Demo::serveCallers() {
+  const Configuration &declared = Running->example().Declared;
+  const ServiceDeclaration &engines = serviceOf(declared, ServiceKind::Engines);
+  chaos::CallerLoad::Settings load;
+  load.Seed = Setup.Seed;
+  load.Callers = Setup.Callers;
+  load.EngineService = engines.Name.Text;
+  load.Model = engines.Model.Text;
+  load.PlainService = serviceOf(declared, ServiceKind::Plain).Name.Text;
+  Load = chaos::CallerLoad::start(load);
+  bool enough = await([&] { return Load->wholeSoFar() >= Setup.FirstAnswers; },
+                      AnswersLimit);
+  expect(enough, "callers got too few answers");
+  say("path 1, callers: " + std::to_string(Load->wholeSoFar()) +
+      " whole answers from " + load.EngineService + " and " +
+      load.PlainService);
+}
+
+void Demo::trainOneStep() {
+  bool whole =
+      await([&] { return trainerTruth().StepsWhole >= 1; }, StepsLimit);
+  expect(whole, "the trainer's first step did not become whole");
+  say("path 2, trainer: first step whole, " +
+      std::to_string(trainerTruth().Samples) + " samples delivered");
+}
+
+void Demo::operate() {
+  for (const std::string preset : {"peak", "ordinary"}) {
+    harness::CtlRun run = control({"preset", preset});
+    Report.InForce = std::max(Report.InForce, run.Took);
+    say("path 3, operator: preset " + preset + " in force everywhere after " +
+        std::to_string(run.Took.count()) + " ms");
+  }
+  control({"plan", Running->declarations()});
+  control({"status"});
+  control({"history"});
+}
+
+void Demo::stopEachProcess() {
+  for (harness::ProductNode &it : Running->nodes())
+    stopOne(it);
+  say("path 4, planned stops: " + std::to_string(Stops.size()) +
+      " processes stopped and replaced under load");
+}
+
+void Demo::stopOne(harness::ProductNode &Node) {
+  chaos::PlannedStop stop;
+  stop.Alone = true;
+  stop.Signalled = wallMicros();
+  if (!Node.isEntry())
+    stop.Servers.push_back(Running->upstreams()[*Node.Upstream].Name);
+  Node.Running->signal(SIGTERM);
+  bool ended = await([&] { return !Node.Running->running(); }, StopLimit);
+  stop.Ended = wallMicros();
+  std::optional<harness::ProcessEnd> end = Node.Running->wait(Millis(0));
+  stop.InOrder = ended && end && end->Code == 0;
+  Stops.push_back(stop);
+  expect(stop.InOrder, Node.Name + " did not end in order");
+  say("  " + Node.Name + " ended after " +
+      std::to_string((stop.Ended - stop.Signalled) / 1000) + " ms");
+  if (!ended)
+    Running->kill(Node);
+
+  Outcome<Done> again = toOutcome<Done>([&] { return Running->restart(Node); });
+  expect(static_cast<bool>(again),
+         again ? "" : wasabi::describe(again.failure()));
+  bool ready =
+      await([&] { return harness::Deployment::isReady(Node); }, ReadyLimit);
+  expect(ready, Node.Name + " did not become ready again");
+}
+
+void Demo::trainTheRest() {
+  bool whole = await([&] { return trainerTruth().StepsWhole >= Setup.Steps; },
+                     StepsLimit);
+  expect(whole, "the trainer has " + std::to_string(trainerTruth().StepsWhole) +
+                    " whole steps of " + std::to_string(Setup.Steps));
+  say("path 2, trainer: " + std::to_string(trainerTruth().StepsWhole) +
+      " steps whole");
+}
+
+void Demo::maintain() {
+  // Callers go home first, so that what is refused then is not their concern.
+  Records = Load->finish();
+  Load.reset();
+  harness::CtlRun run = control({"preset", "maintenance"});
+  Report.InForce = std::max(Report.InForce, run.Took);
+  bool drained = await(
+      [&] { return Running->control({"drain-check"}).Code == 0; }, DrainLimit);
+  expect(drained, "the maintenance preset did not drain");
+  say("path 3, operator: maintenance in force, nothing in flight");
+}
+
+void Demo::judge() {
+  std::vector<chaos::UpstreamRun> runs;
+  for (const harness::UpstreamNode &it : Running->upstreams()) {
+    Outcome<boost::json::value> truth = it.Server->truth();
+    expect(static_cast<bool>(truth), it.Name + " tells no truth");
+    if (!truth)
+      continue;
+    std::vector<chaos::UpstreamRun> found = chaos::readRuns(*truth, it.Name);
+    runs.insert(runs.end(), found.begin(), found.end());
+  }
+  chaos::judgeCallers(Report.Callers, Records, runs);
+  chaos::judgeStops(Report.Callers, Stops, Records, runs);
+  Report.Trainer = trainerTruth();
+  chaos::judgeTrainer(Report.Callers, Report.Trainer);
+  sayRefusals(Records);
+  Report.Samples = Setup.Steps * Setup.Groups * Setup.GroupSize;
+  for (const std::string &it : Report.Callers.Faults)
+    say("FAULT: " + it);
+}
+
+void Demo::showTimeline() {
+  harness::CtlRun run = control({"timeline"});
+  say("time line, highlights:");
+  for (const std::string &it : highlights(run.Output))
+    say("  " + it);
+}
+
+} // namespace wasabi::demo
