Chaos runs; the fault proxy can be pointed at a replaced process

Cause: a replaced process has another port, and its proxy must follow. Change: the fault proxy takes `upstream` among its faults. wasabi-chaos keeps its logs on demand.

--- a/IntegrationTests/Chaos/Main.cpp
+++ b/IntegrationTests/Chaos/Main.cpp
@@ -14,6 +14,8 @@
 DEFINE_string(deployment, "lindqvist", "lindqvist or balikbayan");
 DEFINE_bool(schedule_only, false, "print the schedule of the seed and end");
 
+DEFINE_bool(keep, false, "keep the time line and the logs also of a good run");
+
 namespace {
 
 using wasabi::ExitCode;
@@ -33,7 +35,8 @@
   std::cout << wasabi::chaos::describe(schedule) << std::flush;
   if (FLAGS_schedule_only)
     return ExitCode::Success;
-  return wasabi::chaos::runOnce(std::move(plan), FLAGS_seed, schedule);
+  return wasabi::chaos::runOnce(std::move(plan), FLAGS_seed, schedule,
+                                FLAGS_keep);
 }
 
 } // namespace
--- a/IntegrationTests/Chaos/Run.cpp
+++ b/IntegrationTests/Chaos/Run.cpp
@@ -147,7 +147,7 @@
 } // namespace
 
 Result<ExitCode> runOnce(ClusterPlan Plan, std::uint64_t Seed,
-                         const std::vector<Fault> &Schedule) {
+                         const std::vector<Fault> &Schedule, bool Keep) {
   BOOST_LEAF_AUTO(folder, harness::TestFolder::create());
   const Outcome<std::unique_ptr<Cluster>> started =
       toOutcome<std::unique_ptr<Cluster>>([&] {
@@ -192,8 +192,9 @@
 
   printFaults(sum);
   const bool held = holds(sum);
-  if (!held) {
+  if (!held)
     printTimelineHints(trace);
+  if (!held || Keep) {
     writeTrace(folder->file("timeline.jsonl"), trace);
     writeCallers(folder->file("callers.txt"), seen);
     folder->keep();
--- a/IntegrationTests/Chaos/Run.h
+++ b/IntegrationTests/Chaos/Run.h
@@ -14,11 +14,11 @@
 
 /// Starts the product, loads it, injects the schedule, waits for recovery and
 /// judges; prints what is wrong and the last line. `OutcomeNotMet` when a
-/// promise was broken or recovery took too long; then the time line and the
-/// logs are kept in a folder that is named. Errors: `Unavailable` when the
-/// processes cannot be started.
+/// promise was broken or recovery took too long; then, and with `Keep`, the
+/// time line and the logs are kept in a folder that is named. Errors:
+/// `Unavailable` when the processes cannot be started.
 Result<ExitCode> runOnce(ClusterPlan Plan, std::uint64_t Seed,
-                         const std::vector<Fault> &Schedule);
+                         const std::vector<Fault> &Schedule, bool Keep);
 
 } // namespace wasabi::chaos
 
--- a/StandIns/FaultProxy.cpp
+++ b/StandIns/FaultProxy.cpp
@@ -39,9 +39,11 @@
                     {"bytes_per_s", 0},
                     {"cut_after_bytes", 0},
                     {"loss_percent", 0.0},
+                    {"upstream", wasabi::toText(What.Upstream)},
                     {"seed", What.Seed}}),
-        Context(Context), What(std::move(What)), Placeholder(Context),
-        Acceptor(Context), Seed(this->What.Seed), Random(Seed) {
+        Context(Context), What(std::move(What)), Upstream(this->What.Upstream),
+        Placeholder(Context), Acceptor(Context), Seed(this->What.Seed),
+        Random(Seed) {
     prepareFaults();
   }
 
@@ -56,6 +58,7 @@
 
 private:
   void prepareFaults();
+  void pointUpstream();
   Micros delay();
   bool losesConnection();
   boost::asio::awaitable<void> acceptLoop(std::uint64_t Turn);
@@ -64,6 +67,8 @@
 
   boost::asio::io_context &Context;
   const Settings What;
+  /// Where new connections go: a replaced process has another port.
+  Address Upstream;
   /// Keeps the port while connections are refused: bound, but not listening.
   Tcp::socket Placeholder;
   Tcp::acceptor Acceptor;
@@ -175,7 +180,7 @@
 
 boost::asio::awaitable<void>
 FaultProxyImpl::carry(std::shared_ptr<ProxyLink> Link) {
-  co_await Link->run(What.Upstream);
+  co_await Link->run(Upstream);
   // One direction may go on after the other has ended; its coroutines hold the
   // link, and it can still be cut while it is listed.
   while (!Link->closed())
@@ -193,7 +198,16 @@
   }
 }
 
+void FaultProxyImpl::pointUpstream() {
+  const Outcome<Address> told = toOutcome<Address>(
+      [this] { return parseAddress(Told.text("upstream"), "upstream"); });
+  if (!told)
+    throw BadBody(describe(told.failure()));
+  Upstream = *told;
+}
+
 void FaultProxyImpl::faultsChanged() {
+  pointUpstream();
   if (Told.number("seed") != Seed) {
     Seed = Told.number("seed");
     Random.seed(static_cast<std::minstd_rand::result_type>(Seed));
--- a/StandIns/Faults.cpp
+++ b/StandIns/Faults.cpp
@@ -10,11 +10,13 @@
   return {Text.data(), Text.size()};
 }
 
-/// Whether `Given` may stand where `Known` does: a switch for a switch, a
-/// number from 0 for a number, whole where the default is whole.
+/// Whether `Given` may stand where `Known` does: a switch for a switch, a text
+/// for a text, a number from 0 for a number, whole where the default is whole.
 bool fits(const boost::json::value &Known, const boost::json::value &Given) {
   if (Known.is_bool() || Given.is_bool())
     return Known.is_bool() && Given.is_bool();
+  if (Known.is_string() || Given.is_string())
+    return Known.is_string() && Given.is_string();
   if (!Given.is_number() || Given.to_number<double>() < 0)
     return false;
   return Known.is_double() || !Given.is_double();
@@ -48,6 +50,10 @@
   return Values.at(toBoost(Name)).as_bool();
 }
 
+std::string Faults::text(std::string_view Name) const {
+  return std::string(Values.at(toBoost(Name)).as_string());
+}
+
 std::uint64_t Faults::number(std::string_view Name) const {
   return Values.at(toBoost(Name)).to_number<std::uint64_t>();
 }
--- a/StandIns/Faults.h
+++ b/StandIns/Faults.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace wasabi::standins {
@@ -25,6 +26,8 @@
   bool knows(std::string_view Name) const;
   /// Whether a switch is on.
   bool isOn(std::string_view Name) const;
+  /// A text.
+  std::string text(std::string_view Name) const;
   /// A whole number.
   std::uint64_t number(std::string_view Name) const;
   /// A number.
