--- a/IntegrationTests/Demo/Demo.cpp
+++ b/IntegrationTests/Demo/Demo.cpp
@@ -51,12 +51,14 @@
 
 void say(const std::string &Text) { std::cout << Text << std::endl; }
 
-/// The part of a problem body that tells one reason from another.
+/// A refusal's `detail`, which says why.
 std::string reasonOf(const chaos::CallerRecord &Record) {
-  std::size_t detail = Record.Note.find("\"detail\":");
-  return "status " + std::to_string(Record.Status) + " " +
-         Record.Note.substr(detail == std::string::npos ? 0 : detail,
-                            MaxReason);
+  constexpr std::string_view Key = "\"detail\":\"";
+  std::size_t detail = Record.Note.find(Key);
+  if (detail == std::string::npos)
+    return Record.Note.substr(0, MaxReason);
+  std::size_t from = detail + Key.size();
+  return Record.Note.substr(from, Record.Note.find('"', from) - from);
 }
 
 /// Why callers were refused: how often, and since when.
@@ -236,6 +238,9 @@
   bool ready =
       await([&] { return harness::Deployment::isReady(Node); }, ReadyLimit);
   expect(ready, Node.Name + " did not become ready again");
+  // An operator replaces the next one when the last one is back.
+  bool known = await([&] { return Running->isAcquainted(); }, ReadyLimit);
+  expect(known, Node.Name + " is not known to all others");
 }
 
 void Demo::trainTheRest() {
--- a/IntegrationTests/Harness/Deployment.cpp
+++ b/IntegrationTests/Harness/Deployment.cpp
@@ -4,6 +4,9 @@
 #include "IntegrationTests/Harness/HttpCall.h"
 #include "IntegrationTests/Harness/Waiting.h"
 
+#include <boost/json/value.hpp>
+
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <set>
@@ -50,6 +53,35 @@
   return domains;
 }
 
+/// Whether a process' status names a member as alive at this control address,
+/// with all of its servers serving.
+bool isServing(const boost::json::object &Member, const Address &Control) {
+  namespace json = boost::json;
+  if (Member.at("state") != "alive" ||
+      Member.at("control").as_string() != toText(Control))
+    return false;
+  const json::array &servers = Member.at("servers").as_array();
+  return !servers.empty() &&
+         std::all_of(servers.begin(), servers.end(), [](const json::value &it) {
+           return it.at("serving").as_bool();
+         });
+}
+
+bool knowsDaemons(const ProductNode &Node,
+                  const std::map<std::string, Address> &Daemons) {
+  Outcome<boost::json::value> status = getJson(Node.Admin, "/status");
+  if (!status)
+    return false;
+  std::size_t known = 0;
+  for (const boost::json::value &it : status->at("members").as_array()) {
+    const boost::json::object &member = it.as_object();
+    auto daemon = Daemons.find(std::string(member.at("instance").as_string()));
+    if (daemon != Daemons.end() && isServing(member, daemon->second))
+      ++known;
+  }
+  return known == Daemons.size();
+}
+
 } // namespace
 
 Deployment::Deployment(Settings Setup, Example Source,
@@ -263,6 +295,17 @@
   return ready;
 }
 
+bool Deployment::isAcquainted() const {
+  std::map<std::string, Address> daemons;
+  for (const ProductNode &it : Nodes) {
+    if (!it.isEntry())
+      daemons[it.Name] = it.Control;
+  }
+  return std::all_of(Nodes.begin(), Nodes.end(), [&](const ProductNode &it) {
+    return !isReady(it) || knowsDaemons(it, daemons);
+  });
+}
+
 CtlRun Deployment::control(std::vector<std::string> Arguments, Millis Limit) {
   Arguments.push_back(flag("log", Log->address()));
   Arguments.push_back(flag("instances", Instances->address()));
--- a/IntegrationTests/Harness/Deployment.h
+++ b/IntegrationTests/Harness/Deployment.h
@@ -90,6 +90,9 @@
   std::vector<Address> readyEntries() const;
   /// Whether a process says that it is ready.
   static bool isReady(const ProductNode &Node);
+  /// Whether every ready process knows all upstreams as serving, behind the
+  /// daemons that run now.
+  bool isAcquainted() const;
   /// Runs `wasabictl` to its end with the platform's addresses.
   CtlRun control(std::vector<std::string> Arguments,
                  Millis Limit = Millis(60000));
