Verdicts, keys, drains and hostile peers with real processes

Cause: each failure point must be told truthfully. Change: integration tests against the upstreams' own records. A request with a key whose key nobody looked up is refused as may-have-run with a time to come back, no longer as not-run: an earlier one with the key may have run. The key's witnesses are asked before admission.

--- /dev/null
+++ b/IntegrationTests/Cases/HostilePeerTest.cpp
@@ -0,0 +1,155 @@
+/// \file
+/// Peers that hang, pause, starve or hoard connections.
+#include "IntegrationTests/Cases/RequestWorld.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <future>
+
+namespace wasabi::test {
+namespace {
+
+namespace asio = boost::asio;
+
+const std::string PlainService =
+    R"([{"kind":"service","name":"desk","type":"plain"}])";
+
+http::Request lookUp() { return plainRequest("desk", "GET", "/sites"); }
+
+asio::ip::tcp::socket connectTo(asio::io_context &Context,
+                                const Address &Where) {
+  asio::ip::tcp::socket socket(Context);
+  socket.connect(
+      asio::ip::tcp::endpoint(asio::ip::make_address(Where.Host), Where.Port));
+  return socket;
+}
+
+/// Two servers before two daemons of two failure domains, and an entry.
+struct TwoServers : RequestWorld {
+  TwoServers() {
+    for (const char *it : {"a", "b"})
+      addServer(it, "service");
+    addDaemon("d1", "lulea-hall", {{"a", "desk"}});
+    addDaemon("d2", "umea-hall", {{"b", "desk"}});
+    addEntry("n1", "lulea-hall");
+    publish(PlainService);
+    awaitServers(2);
+  }
+};
+
+} // namespace
+
+TEST_CASE("Hostile: a daemon that is paused loses no request, and comes back") {
+  TwoServers world;
+  world.member("d1").Child->signal(SIGSTOP);
+  // Idempotent work is answered by the other once the pause is noticed.
+  for (int n = 0; n < 3; ++n) {
+    Outcome<http::Response> told = world.ask("n1", lookUp());
+    REQUIRE(told);
+    CHECK(told->Status == 200);
+  }
+  world.member("d1").Child->signal(SIGCONT);
+  world.awaitServers(2);
+  bool back = harness::waitUntil(
+      [&] {
+        world.ask("n1", lookUp());
+        return world.runs("a") > 0;
+      },
+      Patience);
+  CHECK(back);
+}
+
+TEST_CASE("Hostile: a half-open way to a server ends with its deadline") {
+  RequestWorld world;
+  world.addServer("a", "service");
+  harness::StandIn::Settings proxy;
+  proxy.Role = "faultproxy";
+  proxy.Flags = {"--upstream=" + toText(world.server("a").address())};
+  std::unique_ptr<harness::StandIn> way =
+      harness::StandIn::start(proxy).value();
+  world.addDaemon("d1", "lulea-hall", {{"a", "desk"}}, {{"a", way->address()}});
+  world.addEntry("n1", "lulea-hall");
+  world.publish(PlainService);
+  world.awaitServers(1);
+  REQUIRE(world.ask("n1", lookUp())->Status == 200);
+  REQUIRE(way->setFaults(R"({"half_open":true})"));
+  http::Request late = lookUp();
+  late.Headers.push_back({"X-Deadline-Ms", "300"});
+  Outcome<http::Response> told = world.ask("n1", late);
+  REQUIRE(told);
+  CHECK(told->Status == 504);
+  CHECK(told->header("X-Wasabi-Verdict") == "may-have-run");
+  // The whole way heals: the next one is answered.
+  REQUIRE(way->setFaults(R"({"half_open":false,"cut_now":true})"));
+  bool healed = harness::waitUntil(
+      [&] {
+        Outcome<http::Response> again = world.ask("n1", lookUp());
+        return again && again->Status == 200;
+      },
+      Patience);
+  CHECK(healed);
+}
+
+TEST_CASE("Hostile: a caller that does not read slows only itself") {
+  RequestWorld world;
+  world.addServer("e", "engine", {"--model=m", "--tokens_per_s=20000"});
+  world.addDaemon("d1", "lulea-hall", {{"e", "llm"}});
+  world.addEntry("n1", "lulea-hall");
+  world.publish(
+      R"([{"kind":"service","name":"llm","type":"engines","model":"m"}])");
+  world.awaitServers(1);
+  asio::io_context context;
+  asio::ip::tcp::socket lazy = connectTo(context, world.member("n1").Serves);
+  http::Request big = completion("m", "big", 200000, true);
+  std::string text = "POST /v1/completions HTTP/1.1\r\nHost: n1\r\n"
+                     "Content-Length: " +
+                     std::to_string(big.Body.size()) + "\r\n\r\n" + big.Body;
+  asio::write(lazy, asio::buffer(text));
+  for (int n = 0; n < 20; ++n) {
+    Outcome<http::Response> told =
+        world.ask("n1", completion("m", "other", 20, true, n));
+    REQUIRE(told);
+    CHECK(told->Status == 200);
+  }
+}
+
+TEST_CASE("Hostile: idle connections do not keep callers out") {
+  TwoServers world;
+  asio::io_context context;
+  std::vector<asio::ip::tcp::socket> idle;
+  constexpr std::size_t Connections = 900;
+  for (std::size_t n = 0; n < Connections; ++n)
+    idle.push_back(connectTo(context, world.member("n1").Serves));
+  Outcome<http::Response> told = world.ask("n1", lookUp());
+  REQUIRE(told);
+  CHECK(told->Status == 200);
+}
+
+TEST_CASE("Hostile: a third of the daemons killed at once") {
+  RequestWorld world;
+  std::map<int, std::string> names;
+  for (int n = 0; n < 3; ++n) {
+    std::string server = "s" + std::to_string(n);
+    world.addServer(server, "service");
+    world.addDaemon("d" + std::to_string(n), "hall-" + std::to_string(n),
+                    {{server, "desk"}});
+  }
+  world.addEntry("n1", "hall-0");
+  world.publish(PlainService);
+  world.awaitServers(3);
+  world.kill("d0");
+  for (int n = 0; n < 100; ++n) {
+    Outcome<http::Response> told = world.ask("n1", lookUp());
+    REQUIRE(told);
+    CHECK(told->Status == 200);
+  }
+}
+
+} // namespace wasabi::test
--- /dev/null
+++ b/IntegrationTests/Cases/IdempotencyKeyTest.cpp
@@ -0,0 +1,146 @@
+/// \file
+/// Repeats with an `Idempotency-Key`, through any entry and past crashes,
+/// against the upstream's own record of what ran.
+#include "IntegrationTests/Cases/RequestWorld.h"
+
+#include <catch2/catch.hpp>
+
+#include <future>
+
+namespace wasabi::test {
+namespace {
+
+/// Two servers before two daemons, and two entries.
+struct KeyWorld : RequestWorld {
+  explicit KeyWorld(std::vector<std::string> Flags = {}) {
+    for (const char *it : {"a", "b"})
+      addServer(it, "service", Flags);
+    addDaemon("d1", "pasig-a", {{"a", "bids"}});
+    addDaemon("d2", "pasig-b", {{"b", "bids"}});
+    addEntry("n1", "pasig-a");
+    addEntry("n2", "pasig-b");
+    publish(R"([{"kind":"service","name":"bids","type":"plain"}])");
+    awaitServers(2);
+  }
+  std::size_t allRuns() { return runs("a") + runs("b"); }
+};
+
+http::Request bid(const std::string &Key, const std::string &Body = "bid") {
+  return plainRequest("bids", "POST", "/bids", {{"Idempotency-Key", Key}},
+                      Body);
+}
+
+} // namespace
+
+TEST_CASE("Key: a repeat through another entry gets the first answer") {
+  KeyWorld world;
+  for (int n = 0; n < 8; ++n) {
+    std::string key = "key-" + std::to_string(n);
+    Outcome<http::Response> first = world.ask("n1", bid(key));
+    Outcome<http::Response> again = world.ask("n2", bid(key));
+    REQUIRE(first);
+    REQUIRE(again);
+    CHECK(first->Status == 200);
+    CHECK(again->Body == first->Body);
+    CHECK(again->header("X-Idempotent-Replay") == "true");
+  }
+  CHECK(world.allRuns() == 8);
+}
+
+TEST_CASE("Key: two at once run once, and the second gets the answer") {
+  KeyWorld world({"--latency_ms=300"});
+  std::vector<std::future<Outcome<http::Response>>> told;
+  for (const char *it : {"n1", "n2", "n1", "n2"})
+    told.push_back(std::async(
+        std::launch::async, [&world, it] { return world.ask(it, bid("k")); }));
+  std::string body;
+  for (std::future<Outcome<http::Response>> &it : told) {
+    Outcome<http::Response> one = it.get();
+    REQUIRE(one);
+    CHECK(one->Status == 200);
+    if (body.empty())
+      body = one->Body;
+    CHECK(one->Body == body);
+  }
+  CHECK(world.allRuns() == 1);
+}
+
+TEST_CASE("Key: another request with the same key did not run") {
+  KeyWorld world;
+  REQUIRE(world.ask("n1", bid("k")));
+  Outcome<http::Response> other = world.ask("n2", bid("k", "another"));
+  REQUIRE(other);
+  CHECK(other->Status == 409);
+  CHECK(other->header("X-Wasabi-Verdict") == "not-run");
+  CHECK(world.allRuns() == 1);
+}
+
+TEST_CASE("Key: after its daemon is killed a repeat never runs again") {
+  KeyWorld world;
+  // Keys of both daemons.
+  std::vector<std::string> keys;
+  for (int n = 0; n < 8; ++n) {
+    keys.push_back("key-" + std::to_string(n));
+    Outcome<http::Response> first = world.ask("n1", bid(keys.back()));
+    REQUIRE(first);
+    REQUIRE(first->Status == 200);
+  }
+  std::size_t before = world.runs("b");
+  REQUIRE(world.allRuns() == 8);
+  world.kill("d1");
+  // Whoever is left tells what is known, and does not run them again.
+  for (const std::string &it : keys) {
+    Outcome<http::Response> again = world.ask("n2", bid(it));
+    REQUIRE(again);
+    INFO(again->Body);
+    bool told = again->Status == 200 ||
+                again->header("X-Wasabi-Verdict") == "may-have-run";
+    CHECK(told);
+  }
+  world.awaitServers(1);
+  for (const std::string &it : keys) {
+    Outcome<http::Response> again = world.ask("n2", bid(it));
+    REQUIRE(again);
+    INFO(again->Body);
+    bool known = again->Status == 200 ||
+                 again->header("X-Wasabi-Verdict") == "may-have-run";
+    CHECK(known);
+  }
+  CHECK(world.runs("b") == before);
+}
+
+TEST_CASE("Key: an entry that dies mid-answer leaves the answer to a repeat") {
+  KeyWorld world({"--latency_ms=1000"});
+  std::future<Outcome<http::Response>> lost =
+      std::async(std::launch::async, [&] { return world.ask("n1", bid("k")); });
+  REQUIRE(harness::waitUntil(
+      [&] {
+        Outcome<std::string> counts =
+            harness::getText(world.member("n1").Admin, "/metrics");
+        return counts && counts->find("wasabi_entry_attempts_total 1") !=
+                             std::string::npos;
+      },
+      Patience));
+  REQUIRE(harness::waitUntil(
+      [&] {
+        std::int64_t running = 0;
+        for (const char *it : {"d1", "d2"}) {
+          Outcome<std::string> counts =
+              harness::getText(world.member(it).Admin, "/metrics");
+          if (counts && counts->find("wasabi_daemon_forwarded_total 1") !=
+                            std::string::npos)
+            ++running;
+        }
+        return running == 1;
+      },
+      Patience));
+  world.kill("n1");
+  CHECK_FALSE(lost.get());
+  Outcome<http::Response> again = world.ask("n2", bid("k"));
+  REQUIRE(again);
+  CHECK(again->Status == 200);
+  CHECK(again->header("X-Idempotent-Replay") == "true");
+  CHECK(world.allRuns() == 1);
+}
+
+} // namespace wasabi::test
--- /dev/null
+++ b/IntegrationTests/Cases/RequestWorld.cpp
@@ -0,0 +1,193 @@
+#include "IntegrationTests/Cases/RequestWorld.h"
+
+#include "Wasabi/Config/Configuration.h"
+#include "Wasabi/Core/Clock.h"
+#include "Wasabi/State/Record.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+
+namespace wasabi::test {
+namespace {
+
+namespace json = boost::json;
+
+std::unique_ptr<harness::StandIn> startStandIn(std::string Role,
+                                               std::vector<std::string> Flags) {
+  harness::StandIn::Settings setup;
+  setup.Role = std::move(Role);
+  setup.Flags = std::move(Flags);
+  return harness::StandIn::start(std::move(setup)).value();
+}
+
+/// The servers that an entry sees in service.
+std::size_t servingSeen(const json::value &Status) {
+  std::size_t count = 0;
+  for (const json::value &member : Status.at("members").as_array()) {
+    // A suspect is still given work.
+    std::string_view state = member.at("state").as_string();
+    if (state != "alive" && state != "suspect")
+      continue;
+    for (const json::value &it : member.at("servers").as_array())
+      count += it.at("serving").as_bool() ? 1 : 0;
+  }
+  return count;
+}
+
+} // namespace
+
+RequestWorld::RequestWorld()
+    : Log(startStandIn("log", {})), Instances(startStandIn("instances", {})) {}
+
+harness::StandIn &RequestWorld::addServer(const std::string &Name,
+                                          const std::string &Role,
+                                          std::vector<std::string> Flags) {
+  Flags.push_back("--name=" + Name);
+  Servers[Name] = startStandIn(Role, std::move(Flags));
+  return *Servers[Name];
+}
+
+std::vector<std::string>
+RequestWorld::platformFlags(const std::string &Name,
+                            const std::string &Domain) {
+  std::vector<std::string> flags = {
+      "--instance=" + Name, "--failure_domain=" + Domain,
+      "--log=" + toText(Log->address()),
+      "--instances=" + toText(Instances->address())};
+  if (!Seeds.empty())
+    flags.push_back("--seeds=" + Seeds);
+  return flags;
+}
+
+Member &
+RequestWorld::addDaemon(const std::string &Name, const std::string &Domain,
+                        const std::map<std::string, std::string> &Behind,
+                        const std::map<std::string, Address> &Through) {
+  std::string upstreams;
+  for (const std::pair<const std::string, std::string> &it : Behind) {
+    std::map<std::string, Address>::const_iterator through =
+        Through.find(it.first);
+    Address where = through == Through.end() ? Servers[it.first]->address()
+                                             : through->second;
+    upstreams += (upstreams.empty() ? "" : ",") + it.first + "=" + it.second +
+                 "@" + toText(where);
+  }
+  std::vector<std::string> flags = platformFlags(Name, Domain);
+  flags.push_back("--upstreams=" + upstreams);
+  Member &made = Members[Name];
+  made.Child =
+      harness::Process::start({"wasabi-daemon", flags, {}, ""}).value();
+  made.Serves = made.Child->announced("frames").value();
+  made.Admin = made.Child->announced("admin").value();
+  made.Control = made.Child->announced("control").value();
+  Seeds = toText(made.Control);
+  return made;
+}
+
+Member &RequestWorld::addEntry(const std::string &Name,
+                               const std::string &Domain,
+                               std::vector<std::string> Flags) {
+  std::vector<std::string> flags = platformFlags(Name, Domain);
+  flags.insert(flags.end(), Flags.begin(), Flags.end());
+  Member &made = Members[Name];
+  made.Child = harness::Process::start({"wasabi-entry", flags, {}, ""}).value();
+  made.Serves = made.Child->announced("listening").value();
+  made.Admin = made.Child->announced("admin").value();
+  made.Control = made.Child->announced("control").value();
+  return made;
+}
+
+void RequestWorld::publish(const std::string &Declarations) {
+  ObjectTexts texts = parseDeclarations("test", Declarations).value();
+  ConfigChange change;
+  change.Base = PublishedTo;
+  change.Operator = "test";
+  for (const std::pair<const std::string, std::string> &it : texts)
+    change.Writes.push_back(ObjectWrite{it.first, it.second});
+  Record record{RecordId{"test", 1, ++Published}, change};
+  Outcome<http::Response> appended = harness::postJson(
+      Log->address(), "/v1/streams/control/records", encodeRecord(record));
+  REQUIRE(appended);
+  json::value answer = json::parse(appended->Body);
+  PublishedTo = answer.at("offset").to_number<std::uint64_t>() + 1;
+}
+
+void RequestWorld::awaitServers(std::size_t Count) {
+  for (const std::pair<const std::string, Member> &it : Members) {
+    bool entry =
+        it.second.Child->output().find("listening") != std::string::npos;
+    bool seen = harness::waitUntil(
+        [&] {
+          if (!it.second.Child->running())
+            return true;
+          Outcome<json::value> status =
+              harness::getJson(it.second.Admin, "/status");
+          if (!status)
+            return false;
+          std::uint64_t next = status->at("next").to_number<std::uint64_t>();
+          return next >= PublishedTo &&
+                 (!entry || servingSeen(*status) == Count);
+        },
+        Patience);
+    INFO(it.first);
+    REQUIRE(seen);
+  }
+}
+
+std::size_t RequestWorld::runs(const std::string &Server) {
+  Outcome<json::value> truth = Servers[Server]->truth();
+  REQUIRE(truth);
+  return truth->at("runs").as_array().size();
+}
+
+void RequestWorld::kill(const std::string &Name) {
+  Members[Name].Child->signal(SIGKILL);
+  REQUIRE(Members[Name].Child->wait(Patience));
+}
+
+Outcome<http::Response> RequestWorld::ask(const std::string &Entry,
+                                          http::Request What, Millis Limit) {
+  return harness::call(Members[Entry].Serves, std::move(What), Limit);
+}
+
+http::Request plainRequest(const std::string &Service,
+                           const std::string &Method, const std::string &Path,
+                           std::vector<http::Header> Headers,
+                           std::string Body) {
+  Headers.push_back({"X-Service", Service});
+  return http::Request{Method, Path, std::move(Headers), std::move(Body)};
+}
+
+http::Request completion(const std::string &Model, const std::string &Prompt,
+                         int MaxTokens, bool Stream, int Seed) {
+  json::object body{{"model", Model},
+                    {"prompt", Prompt},
+                    {"max_tokens", MaxTokens},
+                    {"seed", Seed},
+                    {"stream", Stream}};
+  return http::Request{"POST",
+                       "/v1/completions",
+                       {{"Content-Type", "application/json"}},
+                       json::serialize(body)};
+}
+
+std::string streamedText(const std::string &Events) {
+  std::string text;
+  std::size_t begin = 0;
+  const std::string prefix = "data: {";
+  while ((begin = Events.find(prefix, begin)) != std::string::npos) {
+    begin += prefix.size() - 1;
+    std::size_t end = Events.find('\n', begin);
+    json::value event = json::parse(Events.substr(begin, end - begin));
+    if (const json::value *part = event.as_object().if_contains("text"))
+      text += std::string_view(part->as_string());
+    begin = end;
+  }
+  return text;
+}
+
+} // namespace wasabi::test
--- /dev/null
+++ b/IntegrationTests/Cases/VerdictTest.cpp
@@ -0,0 +1,286 @@
+/// \file
+/// Each failure point of docs/design/verdicts.md with real processes: what the
+/// caller is told, against the upstream's own record of what ran.
+#include "IntegrationTests/Cases/RequestWorld.h"
+
+#include <boost/json/parse.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <future>
+
+namespace wasabi::test {
+namespace {
+
+const std::string PlainService =
+    R"([{"kind":"service","name":"desk","type":"plain"}])";
+const std::string EngineService =
+    R"([{"kind":"service","name":"llm","type":"engines","model":"m"}])";
+
+/// The refusal of a caller's request.
+void checkRefusal(const Outcome<http::Response> &Told, unsigned Status,
+                  const std::string &Run) {
+  REQUIRE(Told);
+  INFO(Told->Body);
+  CHECK(Told->Status == Status);
+  CHECK(Told->header("X-Wasabi-Verdict") == Run);
+  CHECK(Told->header("Content-Type") == "application/problem+json");
+  CHECK(boost::json::parse(Told->Body).at("verdict").as_string() == Run);
+  // Only what may pass with time is worth coming back for.
+  bool passes = Run == "not-run" && Status != 400;
+  CHECK(Told->header("Retry-After").empty() != passes);
+}
+
+void checkWhole(const Outcome<http::Response> &Told) {
+  REQUIRE(Told);
+  INFO(Told->Body);
+  CHECK(Told->Status == 200);
+  CHECK(Told->header("X-Wasabi-Verdict") == "ran");
+}
+
+/// One plain server behind one daemon, and an entry.
+struct OneServer : RequestWorld {
+  explicit OneServer(std::vector<std::string> Flags = {}) {
+    addServer("a", "service", std::move(Flags));
+    addDaemon("d1", "lulea-hall", {{"a", "desk"}});
+    addEntry("n1", "lulea-hall");
+    publish(PlainService);
+    awaitServers(1);
+  }
+};
+
+/// Two plain servers, a daemon and a failure domain each, and an entry.
+struct TwoServers : RequestWorld {
+  TwoServers() {
+    for (const char *it : {"a", "b"})
+      addServer(it, "service");
+    addDaemon("d1", "lulea-hall", {{"a", "desk"}});
+    addDaemon("d2", "umea-hall", {{"b", "desk"}});
+    addEntry("n1", "lulea-hall");
+    publish(PlainService);
+    awaitServers(2);
+  }
+};
+
+struct TwoEngines : RequestWorld {
+  TwoEngines() {
+    for (const char *it : {"a", "b"})
+      addServer(it, "engine", {"--model=m", "--tokens_per_s=200"});
+    addDaemon("d1", "lulea-hall", {{"a", "llm"}});
+    addDaemon("d2", "umea-hall", {{"b", "llm"}});
+    addEntry("n1", "lulea-hall");
+    publish(EngineService);
+    awaitServers(2);
+  }
+};
+
+http::Request quote(std::vector<http::Header> Headers = {}) {
+  return plainRequest("desk", "POST", "/quotes", std::move(Headers), "{}");
+}
+
+http::Request lookUp() { return plainRequest("desk", "GET", "/sites"); }
+
+} // namespace
+
+TEST_CASE("Verdict: a request that the entry does not take did not run") {
+  OneServer world;
+  SECTION("it names no service") {
+    checkRefusal(world.ask("n1", http::Request{"GET", "/", {}, ""}), 400,
+                 "not-run");
+  }
+  SECTION("its service is not declared") {
+    checkRefusal(world.ask("n1", plainRequest("other", "GET", "/")), 503,
+                 "not-run");
+  }
+  SECTION("the preset takes no callers") {
+    world.publish(R"([{"kind":"preset","name":"maintenance",
+                       "admit_callers":false},
+                      {"kind":"switch","name":"preset",
+                       "preset":"maintenance"}])");
+    world.awaitServers(1);
+    checkRefusal(world.ask("n1", quote()), 503, "not-run");
+  }
+  SECTION("its caller is beyond its limit") {
+    world.publish(R"([{"kind":"limit","name":"buyer",
+                       "requests_per_second":1,"burst":1}])");
+    world.awaitServers(1);
+    std::vector<http::Header> buyer = {{"X-Caller", "buyer"}};
+    checkWhole(world.ask("n1", quote(buyer)));
+    checkRefusal(world.ask("n1", quote(buyer)), 503, "not-run");
+    CHECK(world.runs("a") == 1);
+    return;
+  }
+  CHECK(world.runs("a") == 0);
+}
+
+TEST_CASE("Verdict: an upstream that refuses the connection did not run it") {
+  TwoServers world;
+  world.server("a").process().signal(SIGKILL);
+  REQUIRE(world.server("a").process().wait(Patience));
+  SECTION("another server answers, also what may not be repeated") {
+    checkWhole(world.ask("n1", quote()));
+    CHECK(world.runs("b") == 1);
+  }
+  SECTION("without another server the caller is told at once") {
+    world.server("b").process().signal(SIGKILL);
+    REQUIRE(world.server("b").process().wait(Patience));
+    checkRefusal(world.ask("n1", quote()), 503, "not-run");
+  }
+}
+
+TEST_CASE("Verdict: a reset before the first byte may have run") {
+  TwoServers world;
+  for (const char *it : {"a", "b"})
+    REQUIRE(world.server(it).setFaults(R"({"reset_before_answer":1})"));
+  SECTION("non-idempotent work is tried once") {
+    checkRefusal(world.ask("n1", quote()), 502, "may-have-run");
+    CHECK(world.runs("a") + world.runs("b") == 1);
+  }
+  SECTION("idempotent work is tried on the other failure domain") {
+    REQUIRE(world.server("b").setFaults(R"({"reset_before_answer":0})"));
+    checkWhole(world.ask("n1", lookUp()));
+  }
+}
+
+TEST_CASE("Verdict: a reset in the middle of the answer ran") {
+  TwoServers world;
+  for (const char *it : {"a", "b"})
+    REQUIRE(world.server(it).setFaults(R"({"reset_mid_answer":1})"));
+  SECTION("non-idempotent work is tried once") {
+    checkRefusal(world.ask("n1", quote()), 502, "ran");
+    CHECK(world.runs("a") + world.runs("b") == 1);
+  }
+  SECTION("idempotent work is answered whole by the other") {
+    REQUIRE(world.server("b").setFaults(R"({"reset_mid_answer":0})"));
+    checkWhole(world.ask("n1", lookUp()));
+  }
+}
+
+TEST_CASE("Verdict: an upstream that never answers may have run it") {
+  OneServer world;
+  REQUIRE(world.server("a").setFaults(R"({"hang":true})"));
+  checkRefusal(world.ask("n1", quote({{"X-Deadline-Ms", "300"}})), 504,
+               "may-have-run");
+}
+
+TEST_CASE("Verdict: a daemon that is gone did not run it") {
+  TwoServers world;
+  world.kill("d1");
+  checkWhole(world.ask("n1", quote()));
+  CHECK(world.runs("b") == 1);
+}
+
+TEST_CASE("Verdict: a daemon killed while its server runs may have run it") {
+  OneServer world({"--latency_ms=60000"});
+  std::future<Outcome<http::Response>> told =
+      std::async(std::launch::async, [&] { return world.ask("n1", quote()); });
+  REQUIRE(harness::waitUntil(
+      [&] {
+        Outcome<boost::json::value> status =
+            harness::getJson(world.member("d1").Admin, "/status");
+        return status && status->at("in_flight").as_int64() == 1;
+      },
+      Patience));
+  world.kill("d1");
+  checkRefusal(told.get(), 502, "may-have-run");
+}
+
+TEST_CASE("Verdict: a full server refuses as not run, with a time") {
+  OneServer world({"--latency_ms=60000"});
+  // More than limit and queue hold.
+  std::vector<std::future<Outcome<http::Response>>> told;
+  for (int n = 0; n < 64; ++n)
+    told.push_back(std::async(std::launch::async, [&] {
+      return world.ask("n1", quote({{"X-Deadline-Ms", "2000"}}));
+    }));
+  std::size_t refused = 0;
+  for (std::future<Outcome<http::Response>> &it : told) {
+    Outcome<http::Response> one = it.get();
+    REQUIRE(one);
+    if (one->header("X-Wasabi-Verdict") == "not-run") {
+      checkRefusal(one, 503, "not-run");
+      ++refused;
+    } else {
+      checkRefusal(one, 504, "may-have-run");
+    }
+  }
+  CHECK(refused > 0);
+  // What was refused is not in the server's own record.
+  CHECK(world.runs("a") <= told.size() - refused);
+}
+
+TEST_CASE("Verdict: a leaving daemon refuses as not run, and ends its work") {
+  OneServer world({"--latency_ms=500"});
+  std::future<Outcome<http::Response>> told =
+      std::async(std::launch::async, [&] { return world.ask("n1", quote()); });
+  REQUIRE(harness::waitUntil([&] { return world.runs("a") == 1; }, Patience));
+  world.member("d1").Child->signal(SIGTERM);
+  REQUIRE(harness::waitUntil(
+      [&] {
+        Outcome<http::Response> late = world.ask("n1", quote());
+        return late && late->header("X-Wasabi-Verdict") == "not-run";
+      },
+      Patience));
+  world.member("d1").Child->signal(SIGTERM);
+  checkWhole(told.get());
+  std::optional<harness::ProcessEnd> end =
+      world.member("d1").Child->wait(Patience);
+  REQUIRE(end);
+  CHECK(end->Code == 0);
+}
+
+TEST_CASE("Verdict: an engine's stream that breaks is resumed elsewhere") {
+  TwoEngines world;
+  http::Request whole = completion("m", "permit", 400, false);
+  Outcome<http::Response> expected =
+      harness::call(world.server("b").address(), whole);
+  REQUIRE(expected);
+  std::string text(boost::json::parse(expected->Body).at("text").as_string());
+  // Both crash once; the entry goes on with what is left each time.
+  REQUIRE(world.server("a").setFaults(R"({"crash_after_tokens":10})"));
+  Outcome<http::Response> told =
+      world.ask("n1", completion("m", "permit", 400, true));
+  checkWhole(told);
+  CHECK(streamedText(told->Body) == text);
+  CHECK(told->Body.ends_with("data: [DONE]\n\n"));
+  CHECK_FALSE(world.server("a").process().running());
+}
+
+TEST_CASE("Verdict: a stream that nobody can resume is broken off") {
+  TwoEngines world;
+  for (const char *it : {"a", "b"})
+    REQUIRE(world.server(it).setFaults(R"({"crash_after_tokens":3})"));
+  Outcome<http::Response> told =
+      world.ask("n1", completion("m", "permit", 400, true));
+  // The caller's connection was reset: nothing that could be taken for whole.
+  REQUIRE_FALSE(told);
+  CHECK(told.failure().Code == FailureCode::ConnectionLost);
+}
+
+TEST_CASE("Verdict: an engine that hangs is left for another") {
+  TwoEngines world;
+  REQUIRE(world.server("a").setFaults(R"({"hang":true})"));
+  checkWhole(world.ask("n1", completion("m", "permit", 20, false)));
+}
+
+TEST_CASE("Verdict: a caller that leaves cancels the engine's work") {
+  TwoEngines world;
+  Outcome<http::Response> told =
+      world.ask("n1", completion("m", "long", 4000, false, 3), Millis(300));
+  REQUIRE_FALSE(told);
+  bool cancelled = harness::waitUntil(
+      [&] {
+        std::size_t running = 0;
+        for (const char *it : {"a", "b"}) {
+          Outcome<boost::json::value> state =
+              harness::getJson(world.server(it).address(), "/v1/state");
+          running += state ? state->at("running").as_int64() : 1;
+        }
+        return running == 0;
+      },
+      Millis(5000));
+  CHECK(cancelled);
+}
+
+} // namespace wasabi::test
--- a/UnitTests/Routing/IdempotencyKeysTest.cpp
+++ b/UnitTests/Routing/IdempotencyKeysTest.cpp
@@ -132,6 +132,17 @@
   });
 }
 
+TEST_CASE("Without a look-up nobody says that a key did not run", "[keys]") {
+  Failure why{Verdict::NotRun, FailureCode::Unreachable, "d", "gone", {}};
+  Failure told = withoutKeyProof(why);
+  CHECK(told.Run == Verdict::MayHaveRun);
+  CHECK(told.RetryAfter > Millis(0));
+  why.Code = FailureCode::BadInput;
+  CHECK(withoutKeyProof(why) == why);
+  why.Code = FailureCode::Conflict;
+  CHECK(withoutKeyProof(why) == why);
+}
+
 TEST_CASE("A key has one home, which moves only when it is lost", "[keys]") {
   std::vector<Candidate> all;
   for (int n = 0; n < 8; ++n) {
--- a/UnitTests/Routing/ProblemTest.cpp
+++ b/UnitTests/Routing/ProblemTest.cpp
@@ -57,4 +57,13 @@
   }
 }
 
+TEST_CASE("What may be asked again with its key is told so", "[verdict]") {
+  http::Response told =
+      problemResponse(Failure{Verdict::MayHaveRun, FailureCode::Unreachable,
+                              "daemon", "gone", Millis(1000)});
+  CHECK(told.Status == 503);
+  CHECK(told.header(VerdictHeader) == "may-have-run");
+  CHECK(told.header("Retry-After") == "1");
+}
+
 } // namespace wasabi
--- a/Wasabi/Adapters/Frames/RequestClient.h
+++ b/Wasabi/Adapters/Frames/RequestClient.h
@@ -103,7 +103,8 @@
 
   /// Sends one attempt to the daemon at `Where`, and waits for the answer's
   /// head within `Attempt.Deadline`. Failures carry the daemon's own verdict if
-  /// it refused, `NotRun` when nothing could be sent, else `MayHaveRun`.
+  /// it refused, `NotRun` when nothing could be sent, else `MayHaveRun`. Those
+  /// of this client itself name the daemon's address as their place.
   virtual boost::asio::awaitable<Outcome<std::unique_ptr<AnswerStream>>>
   open(Address Where, RequestAttempt Attempt) = 0;
 
--- a/Wasabi/Adapters/Proxy/DaemonProxy.cpp
+++ b/Wasabi/Adapters/Proxy/DaemonProxy.cpp
@@ -73,6 +73,8 @@
   /// Set for a request that a key makes run once.
   std::string Key;
   std::uint64_t Fingerprint = 0;
+  /// Its witnesses know of no other run.
+  bool KeyProved = false;
 };
 
 std::uint64_t fingerprintOf(const http::Request &Ask) {
@@ -314,7 +316,11 @@
     Events.record(Kind, std::move(fields));
   }
 
-  void refuse(const Work &What, const Failure &Why) {
+  void refuse(const Work &What, Failure Why) {
+    const RequestAttempt &attempt = What.Attempt;
+    bool keyed = !attempt.Key.empty() && !attempt.Idempotent;
+    if (keyed && !What.KeyProved)
+      Why = withoutKeyProof(std::move(Why));
     Counts.Refused.add();
     record("attempt.refuse", What,
            {{"verdict", std::string(toText(Why.Run))}, {"reason", Why.Reason}});
@@ -490,6 +496,14 @@
 
   asio::awaitable<void> runFirst(Work &What) {
     Upstream &at = *What.At;
+    // The witnesses come first: only then is a refusal proved not to have run.
+    Outcome<Done> reserved = co_await reserve(What);
+    if (!reserved) {
+      Keys.broken(What.Key, reserved.failure());
+      refuse(What, reserved.failure());
+      co_return;
+    }
+    What.KeyProved = true;
     What.Sink->onGone([&at, id = What.Id] { at.Gate.wake(id); });
     AdmissionAsk ask = askOf(What);
     Outcome<Done> entered = co_await at.Gate.enter(ask, What.Sink);
@@ -498,13 +512,6 @@
       refuse(What, entered.failure());
       co_return;
     }
-    Outcome<Done> reserved = co_await reserve(What);
-    if (!reserved) {
-      at.Gate.abandon(What.Id, false);
-      Keys.broken(What.Key, reserved.failure());
-      refuse(What, reserved.failure());
-      co_return;
-    }
     Forwarding exchange(Context.get_executor(), Client);
     Outcome<Done> end = co_await forward(What, exchange);
     if (end) {
--- a/Wasabi/Adapters/Proxy/EntryProxy.cpp
+++ b/Wasabi/Adapters/Proxy/EntryProxy.cpp
@@ -43,8 +43,13 @@
   CompletionProgress Progress;
   /// Its events have begun to reach the caller: it can be resumed elsewhere.
   bool Followed = false;
+  /// A daemon has looked its key up, so that its verdict holds for the key.
+  bool KeyLookedUp = false;
   /// The attempt whose answer is being read, for cancelling.
   AnswerStream *Reading = nullptr;
+
+  /// Whether its key makes it run once.
+  bool keyed() const { return !Match.Key.empty() && !Match.Idempotent; }
 };
 
 /// Marks the stream being read, for as long as it lives.
@@ -182,6 +187,8 @@
     Outcome<Done> end = accept(call);
     if (end)
       end = co_await serve(call);
+    if (!end && call.keyed() && !call.KeyLookedUp)
+      end = withoutKeyProof(end.failure());
     co_await finish(call, std::move(end));
     InFlight.fetch_sub(1, std::memory_order_relaxed);
   }
@@ -273,8 +280,7 @@
     // token by token can go on elsewhere.
     if (What.Answer.begun() && !What.Followed)
       return false;
-    bool keyed = !What.Match.Key.empty() && !What.Match.Idempotent;
-    if (keyed || !mayRetry(Why, What.Match.Idempotent))
+    if (What.keyed() || !mayRetry(Why, What.Match.Idempotent))
       return false;
     if (What.Attempts >= Setup.MaxAttempts || monotonicNow() >= What.Until)
       return false;
@@ -314,7 +320,7 @@
     const std::vector<Candidate> &all = candidates(What.Match.Service);
     TimePoint now = monotonicNow();
     // A key has one home, whichever entry it comes through.
-    if (!What.Match.Key.empty() && !What.Match.Idempotent)
+    if (What.keyed())
       return homeOf(What.Match.Key, all);
     std::optional<ServerKey> cached;
     if (!What.Match.Prompt.empty())
@@ -404,6 +410,7 @@
                         {}};
     Outcome<std::unique_ptr<AnswerStream>> opened =
         co_await Client->open(Who.Where, std::move(attempt));
+    What.KeyLookedUp = opened || opened.failure().Place != toText(Who.Where);
     if (!opened)
       co_return opened.failure();
     std::unique_ptr<AnswerStream> stream = *std::move(opened);
--- a/Wasabi/Routing/IdempotencyKeys.cpp
+++ b/Wasabi/Routing/IdempotencyKeys.cpp
@@ -68,6 +68,16 @@
   return found;
 }
 
+Failure withoutKeyProof(Failure Why) {
+  bool never =
+      Why.Code == FailureCode::BadInput || Why.Code == FailureCode::Conflict;
+  if (Why.Run != Verdict::NotRun || never)
+    return Why;
+  Why.Run = Verdict::MayHaveRun;
+  Why.RetryAfter = std::max(Why.RetryAfter, AskAgain);
+  return Why;
+}
+
 KeyDecision IdempotencyKeys::begin(const std::string &Key,
                                    std::uint64_t Fingerprint, TimePoint Now) {
   expire(Now);
--- a/Wasabi/Routing/IdempotencyKeys.h
+++ b/Wasabi/Routing/IdempotencyKeys.h
@@ -32,6 +32,11 @@
 std::vector<Member> witnessesOf(std::string_view Key, const View &Members,
                                 const InstanceName &Runner);
 
+/// A refusal of a request with a key that nobody looked up: an earlier request
+/// with the key may have run, so `NotRun` becomes `MayHaveRun`, with a time to
+/// come back. What can never run under its key is left as it is. Pure.
+Failure withoutKeyProof(Failure Why);
+
 /// One process that runs requests.
 struct Runner {
   InstanceName Instance;
--- a/Wasabi/Routing/Problem.cpp
+++ b/Wasabi/Routing/Problem.cpp
@@ -54,6 +54,9 @@
     return notRunStatus(Why.Code);
   if (Why.Code == FailureCode::Conflict)
     return 409;
+  // It may be asked again with the same key, after the time that is told.
+  if (Why.RetryAfter > Millis(0))
+    return 503;
   bool late =
       Why.Code == FailureCode::TimedOut || Why.Code == FailureCode::Expired;
   return late ? 504 : 502;
