A load report counts only while its daemon goes on reporting

After a daemon's planned stop the last word, 'not serving, old version', hid its successor: no sample was dispatched (step 14 open for 45 s, no recovery), and the weights owner ordered version 14 onto an engine that had it, 4,038 times, 10 a second. The link was not prepared again either, since a report was there. Ruled out: the view (it held the successor as alive), the fold, the claims. Change: a report older than a second (five periods) says nothing; the view counts then, and the connection is prepared again.

--- /dev/null
+++ b/Wasabi/Rollout/LoadReports.h
@@ -0,0 +1,37 @@
+/// \file
+/// The load reports that daemons push, for as long as they say something.
+#ifndef WASABI_ROLLOUT_LOADREPORTS_H
+#define WASABI_ROLLOUT_LOADREPORTS_H
+
+#include "Wasabi/Adapters/Frames/RequestClient.h"
+#include "Wasabi/Core/Clock.h"
+#include "Wasabi/Core/Ids.h"
+
+#include <map>
+
+namespace wasabi {
+
+/// A report that is older says nothing: its connection was lost, its daemon is
+/// paused or was replaced. Daemons report five times as often.
+inline constexpr Millis LoadReportLife{1000};
+
+/// The newest report of each server, with the time when it came. Not
+/// thread-safe; time is passed in.
+class LoadReports {
+public:
+  /// Takes a report that came at `Now`.
+  void take(const LoadSeen &Report, TimePoint Now);
+  /// The report of a server, or null when there is none that still counts.
+  const LoadSeen *find(const ServerName &Of, TimePoint Now) const;
+
+private:
+  struct Held {
+    LoadSeen Report;
+    TimePoint At;
+  };
+  std::map<ServerName, Held> Newest;
+};
+
+} // namespace wasabi
+
+#endif // WASABI_ROLLOUT_LOADREPORTS_H
--- a/Wasabi/Rollout/RolloutContext.cpp
+++ b/Wasabi/Rollout/RolloutContext.cpp
@@ -35,6 +35,7 @@
 std::vector<EngineSeen> enginesOf(RolloutContext &Of,
                                   const ServiceName &Service) {
   std::vector<EngineSeen> all;
+  const TimePoint now = monotonicNow();
   std::shared_ptr<const View> view = Of.Control.view();
   for (const auto &it : view->Members) {
     const Member &who = it.second;
@@ -44,9 +45,9 @@
       if (server.Service != Service)
         continue;
       EngineSeen seen = engineFrom(who, server);
-      auto load = Of.Loads.find(seen.Name);
-      if (load != Of.Loads.end())
-        correct(seen, load->second);
+      const LoadSeen *load = Of.Loads.find(seen.Name, now);
+      if (load != nullptr)
+        correct(seen, *load);
       else
         Of.Requests->prepare(who.Requests);
       all.push_back(std::move(seen));
--- a/Wasabi/Rollout/RolloutContext.h
+++ b/Wasabi/Rollout/RolloutContext.h
@@ -11,13 +11,13 @@
 #include "Wasabi/Ports/ScorerPort.h"
 #include "Wasabi/Ports/WeightStorePort.h"
 #include "Wasabi/Rollout/Engines.h"
+#include "Wasabi/Rollout/LoadReports.h"
 #include "Wasabi/Rollout/RolloutDuty.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -35,14 +35,13 @@
   LogPort Log;
   ScorerPort Scorer;
   WeightStorePort Weights;
-  /// The newest load report of each server.
-  std::map<ServerName, LoadSeen> Loads;
+  LoadReports Loads;
   /// Counts the records that this process appends to trainers' streams.
   std::uint64_t NextSequence = 1;
 };
 
 /// Engines of a service behind daemons that take work, with their loads. The
-/// connections to daemons not asked before are prepared. Not thread-safe.
+/// connections to daemons that do not report are prepared. Not thread-safe.
 std::vector<EngineSeen> enginesOf(RolloutContext &Of,
                                   const ServiceName &Service);
 
--- a/Wasabi/Rollout/RolloutDuty.cpp
+++ b/Wasabi/Rollout/RolloutDuty.cpp
@@ -62,7 +62,7 @@
     Context.Requests->onLoad(
         [this](const Address &, const std::vector<LoadSeen> &loads, bool) {
           for (const LoadSeen &it : loads)
-            Context.Loads[it.Server] = it;
+            Context.Loads.take(it, monotonicNow());
         });
     boost::asio::co_spawn(Loop, supervise(), boost::asio::detached);
     Thread = std::thread([this] { Loop.run(); });
