--- a/UnitTests/Replay/TraceTest.cpp
+++ b/UnitTests/Replay/TraceTest.cpp
@@ -1,8 +1,8 @@
 /// \file
 /// Reading traces and outcomes: what is malformed is named by its place.
 #include "Wasabi/Replay/Trace.h"
+#include "Wasabi/Replay/LabelReader.h"
 #include "Wasabi/Replay/Outcomes.h"
-#include "Wasabi/Replay/Spans.h"
 
 #include <catch2/catch.hpp>
 
@@ -75,13 +75,12 @@
 }
 
 TEST_CASE("A label has no gap, no overlap and no empty span") {
-  const std::optional<std::vector<LabelSpan>> label =
-      readSpans("0-12@3,12-40@4");
+  const std::optional<Label> label = readLabel("0-12@3,12-40@4");
   REQUIRE(label);
-  CHECK(*label == std::vector<LabelSpan>{{0, 12, 3}, {12, 40, 4}});
-  CHECK(oldestVersion(*label) == 3);
+  CHECK(*label == Label{{0, 12, 3}, {12, 40, 4}});
+  CHECK(oldestVersion(*label).value() == 3);
   for (const std::string_view bad :
        {"", "0-12", "0-12@", "1-12@3", "0-12@3,13-40@4", "0-12@3,11-40@4",
         "0-0@3", "0-12@3,", "-12@3", "0-12@x", "@0-12"})
-    CHECK_FALSE(readSpans(bad));
+    CHECK_FALSE(readLabel(bad));
 }
--- a/Wasabi/Replay/ConfigRules.cpp
+++ b/Wasabi/Replay/ConfigRules.cpp
@@ -1,5 +1,5 @@
+#include "Wasabi/Replay/LabelReader.h"
 #include "Wasabi/Replay/Rules.h"
-#include "Wasabi/Replay/Spans.h"
 
 #include <unordered_map>
 
--- a/Wasabi/Replay/Spans.cpp
+++ b/Wasabi/Replay/LabelReader.cpp
@@ -1,25 +1,32 @@
-#include "Wasabi/Replay/Spans.h"
+#include "Wasabi/Replay/LabelReader.h"
 
-#include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace wasabi::replay {
 
 namespace {
 
-std::optional<LabelSpan> readSpan(std::string_view text) {
+std::optional<std::uint32_t> readIndex(std::string_view text) {
+  const std::optional<std::uint64_t> number = readNumber(text);
+  if (!number || *number > std::numeric_limits<std::uint32_t>::max())
+    return std::nullopt;
+  return static_cast<std::uint32_t>(*number);
+}
+
+std::optional<VersionSpan> readSpan(std::string_view text) {
   const std::size_t dash = text.find('-');
   const std::size_t at = text.find('@');
   if (dash == std::string_view::npos || at == std::string_view::npos ||
       at < dash)
     return std::nullopt;
-  const std::optional<std::uint64_t> from = readNumber(text.substr(0, dash));
-  const std::optional<std::uint64_t> to =
-      readNumber(text.substr(dash + 1, at - dash - 1));
+  const std::optional<std::uint32_t> from = readIndex(text.substr(0, dash));
+  const std::optional<std::uint32_t> to =
+      readIndex(text.substr(dash + 1, at - dash - 1));
   const std::optional<std::uint64_t> version = readNumber(text.substr(at + 1));
   if (!from || !to || !version)
     return std::nullopt;
-  return LabelSpan{*from, *to, *version};
+  return VersionSpan{*from, *to, *version};
 }
 
 } // namespace
@@ -33,27 +40,21 @@
   return number;
 }
 
-std::optional<std::vector<LabelSpan>> readSpans(std::string_view Text) {
-  std::vector<LabelSpan> label;
-  std::uint64_t next = 0;
+std::optional<Label> readLabel(std::string_view Text) {
+  Label label;
   while (true) {
     const std::size_t comma = Text.find(',');
-    const std::optional<LabelSpan> span = readSpan(Text.substr(0, comma));
-    if (!span || span->From != next || span->To <= span->From)
+    const std::optional<VersionSpan> span = readSpan(Text.substr(0, comma));
+    if (!span)
       return std::nullopt;
     label.push_back(*span);
-    next = span->To;
     if (comma == std::string_view::npos)
-      return label;
+      break;
     Text.remove_prefix(comma + 1);
   }
-}
-
-WeightVersion oldestVersion(const std::vector<LabelSpan> &Label) {
-  WeightVersion oldest = Label.front().Version;
-  for (const LabelSpan &it : Label)
-    oldest = std::min(oldest, it.Version);
-  return oldest;
+  if (!covers(label, label.back().To))
+    return std::nullopt;
+  return label;
 }
 
 } // namespace wasabi::replay
--- a/Wasabi/Replay/RequestRules.cpp
+++ b/Wasabi/Replay/RequestRules.cpp
@@ -1,7 +1,7 @@
 #include "Wasabi/Replay/Forwards.h"
 #include "Wasabi/Replay/Identity.h"
+#include "Wasabi/Replay/LabelReader.h"
 #include "Wasabi/Replay/Rules.h"
-#include "Wasabi/Replay/Spans.h"
 
 #include <unordered_map>
 
--- a/Wasabi/Replay/SampleRules.cpp
+++ b/Wasabi/Replay/SampleRules.cpp
@@ -1,13 +1,19 @@
 #include "Wasabi/Replay/Identity.h"
+#include "Wasabi/Replay/LabelReader.h"
 #include "Wasabi/Replay/Rules.h"
-#include "Wasabi/Replay/Spans.h"
+#include "Wasabi/Rollout/Staleness.h"
 
+#include <algorithm>
+#include <limits>
 #include <unordered_map>
 
 namespace wasabi::replay {
 
 namespace {
 
+/// A bound beyond it bounds nothing.
+constexpr std::uint64_t MaxBound = std::numeric_limits<std::uint32_t>::max();
+
 std::string nameSlot(const TimelineEvent &what) {
   return "slot " + std::string(what.field("slot")) + " of trainer " +
          std::string(what.field("trainer"));
@@ -20,8 +26,7 @@
 
 /// Why a label cannot be true by itself; empty when it can.
 std::string malformedLabel(const TimelineEvent &what) {
-  const std::optional<std::vector<LabelSpan>> label =
-      readSpans(what.field("spans"));
+  const std::optional<Label> label = readLabel(what.field("spans"));
   if (!label)
     return "has a label with a gap or overlap";
   const std::string_view tokens = what.field("tokens");
@@ -102,8 +107,7 @@
     const TimelineEvent &what = From.Events[at];
     if (what.Kind != "sample.commit" && what.Kind != "sample.deliver")
       continue;
-    const std::optional<std::vector<LabelSpan>> label =
-        readSpans(what.field("spans"));
+    const std::optional<Label> label = readLabel(what.field("spans"));
     const std::optional<std::uint64_t> newest =
         readNumber(what.field("newest"));
     const std::optional<std::uint64_t> bound =
@@ -111,12 +115,14 @@
                             : readNumber(what.field("bound"));
     if (!label || !newest || !bound)
       return Finding{nameSlot(what) + " does not show its freshness", {at}};
-    const WeightVersion oldest = oldestVersion(*label);
-    if (oldest + *bound < *newest)
+    const Freshness by{*newest,
+                       static_cast<std::uint32_t>(std::min(*bound, MaxBound))};
+    // The decision that the product made, made again from what it recorded.
+    if (!isFresh(by, *label))
       return Finding{nameSlot(what) + " holds version " +
-                         std::to_string(oldest) + ", the newest is " +
-                         std::to_string(*newest) + " and the bound " +
-                         std::to_string(*bound),
+                         std::to_string(oldestVersion(*label).value_or(0)) +
+                         ", the newest is " + std::to_string(*newest) +
+                         " and the bound " + std::to_string(*bound),
                      {at}};
   }
   return std::nullopt;
