--- a/IntegrationTests/Chaos/Run.cpp
+++ b/IntegrationTests/Chaos/Run.cpp
@@ -198,8 +198,7 @@
 
   printFaults(sum);
   const bool held = holds(sum);
-  if (!held)
-    printTimelineHints(trace);
+  printTimelineHints(trace);
   if (!held || Keep) {
     writeTrace(folder->file("timeline.jsonl"), trace);
     writeCallers(folder->file("callers.txt"), seen);
