--- a/UnitTests/Adapters/PlatformLog/HttpLogTests.cpp
+++ b/UnitTests/Adapters/PlatformLog/HttpLogTests.cpp
@@ -23,7 +23,7 @@
   explicit OneAnswer(http::Response Answer) : Answer(std::move(Answer)) {}
 
   template <typename T>
-  T ask(const std::function<asio::awaitable<T>(LogPort)> &What) {
+  T ask(const std::function<asio::awaitable<T>(const LogPort &)> &What) {
     asio::io_context context;
     Outcome<std::shared_ptr<http::Server>> server =
         wasabi::toOutcome<std::shared_ptr<http::Server>>([&] {
@@ -54,10 +54,10 @@
 
   Outcome<Offset> append() {
     return ask<Outcome<Offset>>(
-        [](LogPort Log) { return Log.Append("control", "{\"a\":1}"); });
+        [](const LogPort &Log) { return Log.Append("control", "{\"a\":1}"); });
   }
   Outcome<LogRange> read(Offset From) {
-    return ask<Outcome<LogRange>>([From](LogPort Log) {
+    return ask<Outcome<LogRange>>([From](const LogPort &Log) {
       return Log.Read("control", From, 10, Millis(7));
     });
   }
--- a/UnitTests/State/FoldFixture.h
+++ b/UnitTests/State/FoldFixture.h
@@ -29,7 +29,7 @@
   std::vector<Applied> Fates;
   std::uint64_t Sequence = 0;
 
-  const Applied &addText(std::string Text) {
+  const Applied &addText(const std::string &Text) {
     Offset at = Log.size();
     Log.push_back({at, Text});
     Fates.push_back(apply(State, at, Text));
--- a/Wasabi/Adapters/PlatformLog/HttpLog.cpp
+++ b/Wasabi/Adapters/PlatformLog/HttpLog.cpp
@@ -140,8 +140,9 @@
   out.Append = [Client, Service](std::string Stream, std::string Text) {
     return append(Client, Service, std::move(Stream), std::move(Text));
   };
-  out.Read = [Client, Service](std::string Stream, Offset From, std::size_t Max,
-                               Millis Wait) {
+  out.Read = [Client = std::move(Client),
+              Service = std::move(Service)](std::string Stream, Offset From,
+                                            std::size_t Max, Millis Wait) {
     return read(Client, Service, std::move(Stream), From, Max, Wait);
   };
   return out;
--- a/Wasabi/State/ChangePlan.cpp
+++ b/Wasabi/State/ChangePlan.cpp
@@ -47,7 +47,13 @@
     std::string left = memberText(old.as_object(), key);
     std::string right = memberText(now.as_object(), key);
     if (left != right)
-      out += "    /" + key + ": " + left + " -> " + right + "\n";
+      out.append("    /")
+          .append(key)
+          .append(": ")
+          .append(left)
+          .append(" -> ")
+          .append(right)
+          .append("\n");
   }
   return out;
 }
--- a/Wasabi/State/Fold.cpp
+++ b/Wasabi/State/Fold.cpp
@@ -220,8 +220,8 @@
 }
 
 /// Puts a checked change into force.
-void commitChange(Step &On, const ConfigChange &Change, ChangeParts Parts,
-                  Configuration Whole) {
+void commitChange(Step &On, const ConfigChange &Change,
+                  const ChangeParts &Parts, Configuration Whole) {
   FoldState &state = On.State;
   for (const std::string &key : Parts.Removed) {
     state.Objects.erase(key);
@@ -229,10 +229,10 @@
     gone = RemovedObject{On.At, Change.Operator};
     On.Effects += encodeRemoved(key, gone);
   }
-  for (auto &[key, text] : Parts.Written) {
+  for (const auto &[key, text] : Parts.Written) {
     state.Removed.erase(key);
     StoredObject &stored = state.Objects[key];
-    stored = StoredObject{std::move(text), On.At, Change.Operator};
+    stored = StoredObject{text, On.At, Change.Operator};
     On.Effects += encodeObject(key, stored);
   }
   state.Config = std::make_shared<const Configuration>(std::move(Whole));
@@ -253,7 +253,7 @@
            "invalid: " + whole.failure().Place + ": " + whole.failure().Reason);
     return;
   }
-  commitChange(On, Change, std::move(parts), std::move(*whole));
+  commitChange(On, Change, parts, std::move(*whole));
 }
 
 void addHistory(Step &On, const ConfigChange &Change) {
--- a/Wasabi/State/Record.cpp
+++ b/Wasabi/State/Record.cpp
@@ -14,7 +14,7 @@
 constexpr std::string_view KindWords[] = {
     "config_change", "claim_take", "claim_renew", "claim_release", "snapshot"};
 
-constexpr std::uint64_t MaxTermMs = 3600 * 1000;
+constexpr std::uint64_t MaxTermMs = 3600000;
 constexpr std::size_t MaxAuthor = 256;
 constexpr std::size_t HashDigits = 32;
 constexpr char WholeRecord[] = "record";
