--- a/IntegrationTests/Cases/VerdictTest.cpp
+++ b/IntegrationTests/Cases/VerdictTest.cpp
@@ -258,6 +258,36 @@
   CHECK(told.failure().Code == FailureCode::ConnectionLost);
 }
 
+TEST_CASE("Verdict: an engine that refuses did not run it") {
+  RequestWorld world;
+  world.addServer("e", "engine",
+                  {"--model=m", "--slots=1", "--queue=0", "--tokens_per_s=20"});
+  world.addDaemon("d1", "lulea-hall", {{"e", "llm"}});
+  world.addEntry("n1", "lulea-hall");
+  world.publish(EngineService);
+  world.awaitServers(1);
+  // Somebody else holds its only slot, past the daemon.
+  std::future<Outcome<http::Response>> other =
+      std::async(std::launch::async, [&] {
+        return harness::call(world.server("e").address(),
+                             completion("m", "other", 4000, false, 3),
+                             Millis(3000));
+      });
+  REQUIRE(harness::waitUntil(
+      [&] {
+        Outcome<boost::json::value> state =
+            harness::getJson(world.server("e").address(), "/v1/state");
+        return state && state->at("running").as_int64() == 1;
+      },
+      Patience));
+  checkRefusal(world.ask("n1", completion("m", "mine", 20, false)), 503,
+               "not-run");
+  Outcome<boost::json::value> truth = world.server("e").truth();
+  REQUIRE(truth);
+  CHECK(truth->at("completions").as_array().size() == 1);
+  other.get();
+}
+
 TEST_CASE("Verdict: an engine that hangs is left for another") {
   TwoEngines world;
   REQUIRE(world.server("a").setFaults(R"({"hang":true})"));
