--- a/Bench/StateBench.cpp
+++ b/Bench/StateBench.cpp
@@ -12,7 +12,9 @@
 
 #include <signal.h>
 
+#include <algorithm>
 #include <map>
+#include <set>
 
 namespace wasabi::bench {
 namespace {
@@ -97,11 +99,16 @@
   return delays;
 }
 
-double countFalseDeaths(Fleet &Group, const std::string &Killed) {
+/// Deaths recorded of daemons that still run.
+double countFalseDeaths(Fleet &Group) {
+  std::set<std::string, std::less<>> running;
+  for (const FleetDaemon &it : Group.daemons())
+    running.insert(it.Instance);
   double count = 0;
   for (const FleetDaemon &it : Group.daemons()) {
     for (const TimelineEvent &event : eventsOf(it)) {
-      if (event.Kind == "member.dead" && event.field("member") != Killed)
+      if (event.Kind == "member.dead" &&
+          running.contains(event.field("member")))
         ++count;
     }
   }
@@ -135,7 +142,7 @@
   Group.daemons().pop_back();
   std::vector<double> delays = measureNotice(Group, name, "member.dead", since);
   reportAt("crash_detect_p99_ms", Size, quantile(delays, 0.99), "ms");
-  reportAt("false_deaths", Size, countFalseDeaths(Group, name), "count");
+  reportAt("false_deaths", Size, countFalseDeaths(Group), "count");
 }
 
 void runAt(std::size_t Size) {
