State bench: what the daemon with most control traffic spends

Cause: the budget holds for each daemon, and a mean hides the log's and the list's readers. Change: control_bytes_per_s_most_n*; rest begins 20 s after the start.

--- a/Bench/StateBench.cpp
+++ b/Bench/StateBench.cpp
@@ -155,6 +155,7 @@
   }
   RestCost rest = measureRest(**fleet, RestWindow);
   reportAt("control_bytes_per_s", Size, rest.BytesPerSecond, "B/s");
+  reportAt("control_bytes_per_s_most", Size, rest.MostBytesPerSecond, "B/s");
   reportAt("control_cpu_percent", Size, rest.CpuPercent, "%");
   reportAt("daemon_rss_mb", Size, rest.ResidentMb, "MB");
   reportAt("log_appends_per_s", Size, rest.AppendsPerSecond, "1/s");
--- a/Bench/StateMeasures.cpp
+++ b/Bench/StateMeasures.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <random>
 #include <sstream>
@@ -23,6 +24,8 @@
 namespace asio = boost::asio;
 
 constexpr Millis PollPeriod{1000};
+/// How long the news of a fleet's start goes on being told.
+constexpr Millis SettleTime{20000};
 constexpr int PolledRecords = 5;
 constexpr std::uint64_t PhaseSeed = 7;
 
@@ -39,7 +42,7 @@
   return found ? found->to_number<double>() : 0;
 }
 
-Totals totalsOf(const Fleet &, const FleetDaemon &Who) {
+Totals totalsOf(const FleetDaemon &Who) {
   Totals totals;
   if (std::optional<boost::json::value> status = statusOf(Who)) {
     totals.Bytes = number(*status, "control_bytes_in") +
@@ -54,16 +57,11 @@
   return totals;
 }
 
-Totals sumOf(Fleet &Group) {
-  Totals sum;
-  for (const FleetDaemon &it : Group.daemons()) {
-    Totals one = totalsOf(Group, it);
-    sum.Bytes += one.Bytes;
-    sum.Frames += one.Frames;
-    sum.CpuSeconds += one.CpuSeconds;
-    sum.ResidentMb += one.ResidentMb;
-  }
-  return sum;
+std::vector<Totals> totalsOf(Fleet &Group) {
+  std::vector<Totals> all;
+  for (const FleetDaemon &it : Group.daemons())
+    all.push_back(totalsOf(it));
+  return all;
 }
 
 double appendsOf(const harness::StandIn &Log) {
@@ -111,11 +109,13 @@
 }
 
 RestCost measureRest(Fleet &Group, Millis Window) {
-  Totals before = sumOf(Group);
+  // The news of the start must have been told before rest can be measured.
+  std::this_thread::sleep_for(SettleTime);
+  std::vector<Totals> before = totalsOf(Group);
   double appendsBefore = appendsOf(Group.log());
   TimePoint start = monotonicNow();
   std::this_thread::sleep_for(Window);
-  Totals after = sumOf(Group);
+  std::vector<Totals> after = totalsOf(Group);
   double appends = appendsOf(Group.log()) - appendsBefore;
   double seconds =
       std::chrono::duration<double>(monotonicNow() - start).count();
@@ -123,12 +123,16 @@
   double n = static_cast<double>(Group.daemons().size());
   constexpr double Percent = 100;
   RestCost cost;
-  cost.BytesPerSecond = (after.Bytes - before.Bytes) / seconds / n;
-  cost.FramesPerSecond = (after.Frames - before.Frames) / seconds / n;
-  cost.CpuPercent =
-      Percent * (after.CpuSeconds - before.CpuSeconds) / seconds / n;
-  cost.ResidentMb = after.ResidentMb / n;
   cost.AppendsPerSecond = appends / seconds;
+  for (std::size_t k = 0; k < after.size(); ++k) {
+    double bytes = (after[k].Bytes - before[k].Bytes) / seconds;
+    double cpu = (after[k].CpuSeconds - before[k].CpuSeconds) / seconds;
+    cost.BytesPerSecond += bytes / n;
+    cost.MostBytesPerSecond = std::max(cost.MostBytesPerSecond, bytes);
+    cost.FramesPerSecond += (after[k].Frames - before[k].Frames) / seconds / n;
+    cost.CpuPercent += Percent * cpu / n;
+    cost.ResidentMb += after[k].ResidentMb / n;
+  }
   return cost;
 }
 
--- a/Bench/StateMeasures.h
+++ b/Bench/StateMeasures.h
@@ -14,6 +14,8 @@
 struct RestCost {
   /// Control bytes in and out.
   double BytesPerSecond = 0;
+  /// The same of the one daemon that had most.
+  double MostBytesPerSecond = 0;
   /// Of one core.
   double CpuPercent = 0;
   double ResidentMb = 0;
