Chaos: an operator's act that changes nothing is no accepted change

Change: such an act is not looked for in the history. The check of accepted ones is as strict as before.

--- a/IntegrationTests/Chaos/Run.cpp
+++ b/IntegrationTests/Chaos/Run.cpp
@@ -62,6 +62,9 @@
   for (const OperatorAct &it : acts) {
     if (it.Code != Accepted && it.Code != AcceptedNotSeen)
       continue;
+    // It was in force already: nothing was accepted.
+    if (it.Output.find("nothing to change") != std::string::npos)
+      continue;
     // "accepted at offset N…" is found again in the history.
     const std::size_t at = it.Output.find("offset ");
     const std::string offset =
