A fresh entry is ready once it knows a server of each service

Change: an entry's first readiness waits for a candidate of each service that has placements, at most 5 s. Chaos: a killed engine is started once when it is killed twice; recovery also needs one configuration in force everywhere. Conclusion: callers no longer meet an entry that knows nobody.

--- a/Entry/Main.cpp
+++ b/Entry/Main.cpp
@@ -9,6 +9,7 @@
 #include "Wasabi/Core/Program.h"
 #include "Wasabi/Core/Timeline.h"
 #include "Wasabi/Node/ControlPlane.h"
+#include "Wasabi/Routing/Choice.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -40,6 +41,8 @@
 constexpr std::size_t TimelineEvents = 65536;
 /// Time between two looks whether the last request has ended.
 constexpr Millis DrainPause{10};
+/// Longest that a fresh entry waits to know a server of each service.
+constexpr Millis WarmUpLimit{5000};
 
 /// The parts of one entry, in the order they are built.
 class EntryProgram {
@@ -117,7 +120,16 @@
     return Done{};
   }
 
-  bool ready() const { return Control->ready() && !Leaving; }
+  /// Callers come once the servers are known, and until it leaves. A service
+  /// that is gone as a whole must not keep a fresh entry out for ever.
+  bool ready() {
+    if (!Control->ready() || Leaving)
+      return false;
+    if (!WarmedUp)
+      WarmedUp = knowsServers(*Control->state()->Config, *Control->view()) ||
+                 monotonicNow() > Started + WarmUpLimit;
+    return WarmedUp;
+  }
 
   void showStatus() {
     AdminSources sources;
@@ -175,6 +187,9 @@
   std::shared_ptr<void> Signals;
   asio::steady_timer Grace{Context};
   std::atomic<bool> Leaving{false};
+  /// Set once the servers were known; asked on several threads.
+  std::atomic<bool> WarmedUp{false};
+  const TimePoint Started = monotonicNow();
 };
 
 } // namespace
--- a/IntegrationTests/Chaos/Cluster.cpp
+++ b/IntegrationTests/Chaos/Cluster.cpp
@@ -256,13 +256,20 @@
 
 Result<void> Cluster::startEngine(std::size_t Which) {
   std::lock_guard<std::mutex> lock(EnginesGuard);
+  if (Engines[Which]->process().running())
+    return {};
   const Address where = Engines[Which]->address();
-  BOOST_LEAF_ASSIGN(Engines[Which],
-                    standIn("engine", engineFlags(Which),
-                            "engine-" + std::to_string(Which + 1), where));
+  BOOST_LEAF_AUTO(again, standIn("engine", engineFlags(Which),
+                                 "engine-" + std::to_string(Which + 1), where));
+  Engines[Which] = std::move(again);
   return {};
 }
 
+std::shared_ptr<StandIn> Cluster::engine(std::size_t Which) const {
+  std::lock_guard<std::mutex> lock(EnginesGuard);
+  return Engines[Which];
+}
+
 Cluster::CommandEnd Cluster::control(std::vector<std::string> Arguments) const {
   Arguments.push_back("--log=" + toText(Log->address()));
   Arguments.push_back("--instances=" + toText(Instances->address()));
--- a/IntegrationTests/Chaos/Cluster.h
+++ b/IntegrationTests/Chaos/Cluster.h
@@ -66,9 +66,12 @@
   Result<void> startSlot(Slot &Which);
   /// Ends it at once, and has the platform forget it.
   void killSlot(Slot &Which);
-  /// Ends an engine at once; `startEngine` brings it back where it was.
+  /// Ends an engine at once; `startEngine` brings it back where it was, unless
+  /// it runs.
   void killEngine(std::size_t Which);
   Result<void> startEngine(std::size_t Which);
+  /// An engine's process now; it may be replaced meanwhile.
+  std::shared_ptr<harness::StandIn> engine(std::size_t Which) const;
   /// Runs wasabictl to its end; its exit code and what it printed.
   struct CommandEnd {
     int Code = -1;
@@ -93,7 +96,6 @@
   std::unique_ptr<harness::StandIn> Instances;
   std::unique_ptr<harness::StandIn> Scorer;
   std::unique_ptr<harness::StandIn> Trainer;
-  std::vector<std::unique_ptr<harness::StandIn>> Engines;
   std::vector<std::unique_ptr<harness::StandIn>> Services;
   std::unique_ptr<harness::StandIn> LogLink;
   std::unique_ptr<harness::StandIn> WeightsLink;
@@ -117,8 +119,8 @@
   Result<void> startProduct();
   std::vector<std::string> engineFlags(std::size_t Which) const;
 
-  /// Guards `Engines`, whose members are replaced.
   mutable std::mutex EnginesGuard;
+  std::vector<std::shared_ptr<harness::StandIn>> Engines;
 };
 
 } // namespace wasabi::chaos
--- a/IntegrationTests/Chaos/Injector.cpp
+++ b/IntegrationTests/Chaos/Injector.cpp
@@ -140,7 +140,7 @@
 }
 
 void Injector::killEngine(const Fault &What) {
-  const std::size_t which = What.Target % On.Engines.size();
+  const std::size_t which = What.Target % On.Plan.Engines;
   On.killEngine(which);
   waitFor(What.For);
   const Outcome<Done> started = toOutcome<Done>([&]() -> Result<Done> {
@@ -162,7 +162,9 @@
 }
 
 void Injector::injectUpstream(const Fault &What) {
-  StandIn &engine = *pick(On.Engines, What.Target);
+  const std::shared_ptr<StandIn> held =
+      On.engine(What.Target % On.Plan.Engines);
+  StandIn &engine = *held;
   StandIn &service = *pick(On.Services, What.Target);
   switch (What.Kind) {
   case FaultKind::EngineHang:
@@ -282,9 +284,10 @@
   for (const std::unique_ptr<StandIn> &it : On.Services)
     it->setFaults(R"({"hang":false,"reset_before_answer":0,)"
                   R"("reset_mid_answer":0})");
-  for (const std::unique_ptr<StandIn> &it : On.Engines)
-    it->setFaults(R"({"hang":false,"slow_factor":1,"fail_next_load":0,)"
-                  R"("wrong_version_next_load":0,"lose_order_answers":0})");
+  for (std::size_t n = 0; n < On.Plan.Engines; ++n)
+    On.engine(n)->setFaults(
+        R"({"hang":false,"slow_factor":1,"fail_next_load":0,)"
+        R"("wrong_version_next_load":0,"lose_order_answers":0})");
   for (std::vector<std::unique_ptr<Slot>> *of : {&On.Daemons, &On.Entries}) {
     for (const std::unique_ptr<Slot> &it : *of) {
       const std::shared_ptr<Process> process = Cluster::processOf(*it);
--- a/IntegrationTests/Chaos/Recovery.cpp
+++ b/IntegrationTests/Chaos/Recovery.cpp
@@ -39,6 +39,21 @@
               R"(","prompt":"recovered","max_tokens":4,"seed":1})"};
 }
 
+/// The configuration revision of a slot's process; empty while it is silent.
+std::optional<std::uint64_t> revisionOf(const Slot &which) {
+  const Outcome<boost::json::value> status =
+      harness::getJson(Cluster::adminOf(which), "/status", Patience);
+  if (!status || !status->is_object())
+    return std::nullopt;
+  const boost::json::value *revision =
+      status->as_object().if_contains("config_revision");
+  boost::system::error_code ec;
+  if (revision == nullptr)
+    return std::nullopt;
+  const std::uint64_t number = revision->to_number<std::uint64_t>(ec);
+  return ec ? std::nullopt : std::optional<std::uint64_t>(number);
+}
+
 /// What does not work yet; empty when all does.
 std::string missingOf(Cluster &of, std::uint64_t wholeSteps) {
   for (const std::vector<std::unique_ptr<Slot>> *slots :
@@ -48,6 +63,15 @@
         return it->Instance + " is not ready";
     }
   }
+  // One configuration is in force everywhere.
+  const std::optional<std::uint64_t> revision = revisionOf(*of.Entries.front());
+  for (const std::vector<std::unique_ptr<Slot>> *slots :
+       {&of.Daemons, &of.Entries}) {
+    for (const std::unique_ptr<Slot> &it : *slots) {
+      if (!revision || revisionOf(*it) != revision)
+        return it->Instance + " has another configuration in force";
+    }
+  }
   for (const std::unique_ptr<Slot> &it : of.Entries) {
     if (!answers(*it, plainAsk(of.Plan)))
       return it->Instance + " has no answer of " + of.Plan.PlainService;
--- a/IntegrationTests/Chaos/Run.cpp
+++ b/IntegrationTests/Chaos/Run.cpp
@@ -37,8 +37,8 @@
     const std::vector<UpstreamRun> found = readRuns(*truth, name);
     runs.insert(runs.end(), found.begin(), found.end());
   };
-  for (std::size_t n = 0; n < of.Engines.size(); ++n)
-    take(*of.Engines[n], of.Plan.EngineService + "-" + std::to_string(n + 1));
+  for (std::size_t n = 0; n < of.Plan.Engines; ++n)
+    take(*of.engine(n), of.Plan.EngineService + "-" + std::to_string(n + 1));
   for (std::size_t n = 0; n < of.Services.size(); ++n)
     take(*of.Services[n], of.Plan.PlainService + "-" + std::to_string(n + 1));
   return runs;
--- a/UnitTests/Routing/ChoiceTest.cpp
+++ b/UnitTests/Routing/ChoiceTest.cpp
@@ -194,6 +194,35 @@
   }
 }
 
+TEST_CASE("A fresh entry knows whether each service has a server", "[choice]") {
+  Configuration declared;
+  ServiceDeclaration service;
+  service.Name = ServiceName("s");
+  service.Placements = {{DomainName("d"), 1}};
+  declared.Services[service.Name] = service;
+  View view;
+  CHECK_FALSE(knowsServers(declared, view));
+
+  Member member;
+  member.Instance = InstanceName("daemon-1");
+  member.Requests = Address{"127.0.0.1", 7};
+  ServerStatus server;
+  server.Name = ServerName("s-1");
+  server.Service = ServiceName("s");
+  member.Servers = {server};
+  view.Members[member.Instance] = member;
+  CHECK(knowsServers(declared, view));
+
+  // A service that is to have no servers is not waited for.
+  service.Name = ServiceName("later");
+  service.Placements.clear();
+  declared.Services[service.Name] = service;
+  CHECK(knowsServers(declared, view));
+  service.Placements = {{DomainName("d"), 1}};
+  declared.Services[service.Name] = service;
+  CHECK_FALSE(knowsServers(declared, view));
+}
+
 TEST_CASE("Prefix hints are bounded and decay", "[choice]") {
   PrefixHints::Settings limits;
   limits.Capacity = 2;
--- a/Wasabi/Routing/Choice.cpp
+++ b/Wasabi/Routing/Choice.cpp
@@ -150,6 +150,16 @@
   return found;
 }
 
+bool knowsServers(const Configuration &Declared, const View &Members) {
+  const std::map<ServiceName, std::vector<Candidate>> known =
+      candidatesOf(Members);
+  for (const auto &[name, service] : Declared.Services) {
+    if (!service.Placements.empty() && !known.contains(name))
+      return false;
+  }
+  return true;
+}
+
 double expectedWait(const ChoiceState &State, const Candidate &Who,
                     TimePoint Now) {
   const ServerMemory &memory = memoryOf(State, Who);
--- a/Wasabi/Routing/Choice.h
+++ b/Wasabi/Routing/Choice.h
@@ -7,6 +7,7 @@
 #define WASABI_ROUTING_CHOICE_H
 
 #include "Wasabi/Adapters/Frames/RequestClient.h"
+#include "Wasabi/Config/Configuration.h"
 #include "Wasabi/Core/Address.h"
 #include "Wasabi/Core/Clock.h"
 #include "Wasabi/Core/Ids.h"
@@ -93,6 +94,10 @@
 /// that take work. Pure.
 std::map<ServiceName, std::vector<Candidate>> candidatesOf(const View &Members);
 
+/// Whether there is a candidate for each declared service that has placements:
+/// an entry that has just started refuses callers before. Pure.
+bool knowsServers(const Configuration &Declared, const View &Members);
+
 /// The wait to be expected of one more attempt, in microseconds. Pure.
 double expectedWait(const ChoiceState &State, const Candidate &Who,
                     TimePoint Now);
