The stand-ins and the HTTP adapter pass the linter

Cause: clang-tidy named copies that were not needed, and followed two loops into a false finding in Asio. Change: constant references; the two loops have functions of their own.

--- a/StandIns/EngineRole.cpp
+++ b/StandIns/EngineRole.cpp
@@ -34,7 +34,7 @@
 
 /// A job with the coroutine that sends its tokens.
 struct Sending {
-  Sending(boost::asio::any_io_executor Executor, EngineAsk Ask)
+  Sending(const boost::asio::any_io_executor &Executor, EngineAsk Ask)
       : Job(std::make_shared<EngineJob>(std::move(Ask))), Wake(Executor) {}
   EngineBatch::Job Job;
   Signal Wake;
@@ -59,7 +59,8 @@
 class EngineRole final : public Role,
                          public std::enable_shared_from_this<EngineRole> {
 public:
-  EngineRole(boost::asio::any_io_executor Executor, EngineSettings Settings)
+  EngineRole(const boost::asio::any_io_executor &Executor,
+             const EngineSettings &Settings)
       : Role({{"slow_factor", 1.0},
               {"fail_next_load", 0},
               {"wrong_version_next_load", 0},
@@ -414,7 +415,7 @@
     co_return;
   std::string text = spansText(job.Ask.Prompt, job.Ask.Seed, job.Spans);
   boost::json::object answer;
-  answer["text"] = std::move(text);
+  answer["text"] = text;
   answer["tokens"] = job.Position;
   if (!Told.isOn("no_version_report"))
     answer["spans"] = toJson(job.Spans);
@@ -551,9 +552,10 @@
 
 } // namespace
 
-std::shared_ptr<Role> createEngineRole(boost::asio::any_io_executor Executor,
-                                       EngineSettings Settings) {
-  return std::make_shared<EngineRole>(std::move(Executor), std::move(Settings));
+std::shared_ptr<Role>
+createEngineRole(const boost::asio::any_io_executor &Executor,
+                 const EngineSettings &Settings) {
+  return std::make_shared<EngineRole>(Executor, Settings);
 }
 
 } // namespace wasabi::standins
--- a/StandIns/EngineRole.h
+++ b/StandIns/EngineRole.h
@@ -30,8 +30,9 @@
 };
 
 /// Used on the executor's thread.
-std::shared_ptr<Role> createEngineRole(boost::asio::any_io_executor Executor,
-                                       EngineSettings Settings);
+std::shared_ptr<Role>
+createEngineRole(const boost::asio::any_io_executor &Executor,
+                 const EngineSettings &Settings);
 
 } // namespace wasabi::standins
 
--- a/StandIns/ProxyLink.cpp
+++ b/StandIns/ProxyLink.cpp
@@ -81,8 +81,7 @@
   std::array<char, ReadBytes> buf{};
   bool fromUpstream = &Way == &Down;
   while (!Closed) {
-    while (Way.Queued > MaxQueued && !Closed)
-      co_await Way.Changed.wait();
+    co_await awaitRoom(Way);
     auto [ec, n] =
         co_await Way.From.async_read_some(boost::asio::buffer(buf), Awaited);
     if (Closed)
@@ -105,6 +104,11 @@
   }
 }
 
+boost::asio::awaitable<void> ProxyLink::awaitRoom(Flow &Way) {
+  while (Way.Queued > MaxQueued && !Closed)
+    co_await Way.Changed.wait();
+}
+
 void ProxyLink::push(Flow &Way, std::string Bytes, bool Last) {
   // Bytes never overtake each other, whatever the jitter.
   Way.LastDue = std::max(Way.LastDue, monotonicNow() + Faults.Delay());
--- a/StandIns/ProxyLink.h
+++ b/StandIns/ProxyLink.h
@@ -72,6 +72,7 @@
   };
 
   boost::asio::awaitable<void> readFrom(Flow &Way);
+  boost::asio::awaitable<void> awaitRoom(Flow &Way);
   boost::asio::awaitable<void> writeTo(Flow &Way);
   boost::asio::awaitable<bool> deliver(Flow &Way, std::string Bytes);
   void push(Flow &Way, std::string Bytes, bool Last);
--- a/StandIns/RoleServer.cpp
+++ b/StandIns/RoleServer.cpp
@@ -67,10 +67,10 @@
 }
 
 boost::asio::awaitable<void> sendError(const Answer &To, unsigned Status,
-                                       std::string Reason,
+                                       const std::string &Reason,
                                        unsigned RetryAfter) {
   boost::json::object body;
-  body["error"] = std::move(Reason);
+  body["error"] = Reason;
   http::Response response =
       http::jsonResponse(Status, boost::json::serialize(body));
   if (RetryAfter > 0) {
--- a/StandIns/RoleServer.h
+++ b/StandIns/RoleServer.h
@@ -48,7 +48,7 @@
 
 /// Sends an error's text, with a `Retry-After` in seconds unless it is 0.
 boost::asio::awaitable<void> sendError(const Answer &To, unsigned Status,
-                                       std::string Reason,
+                                       const std::string &Reason,
                                        unsigned RetryAfter = 0);
 
 /// Waits until the peer has left.
--- a/StandIns/TrainerRole.cpp
+++ b/StandIns/TrainerRole.cpp
@@ -76,7 +76,8 @@
 class TrainerRole final : public Role,
                           public std::enable_shared_from_this<TrainerRole> {
 public:
-  TrainerRole(boost::asio::any_io_executor Executor, TrainerSettings Settings)
+  TrainerRole(const boost::asio::any_io_executor &Executor,
+              const TrainerSettings &Settings)
       : Role({{"slow_ms", 0}, {"lose_answers", 0}, {"outage", false}}),
         Executor(Executor), Settings(Settings), Book(Settings.Book),
         Store(http::Client::create(Executor, http::Client::Settings{})),
@@ -288,10 +289,11 @@
 
 } // namespace
 
-std::shared_ptr<Role> createTrainerRole(boost::asio::any_io_executor Executor,
-                                        TrainerSettings Settings) {
+std::shared_ptr<Role>
+createTrainerRole(const boost::asio::any_io_executor &Executor,
+                  const TrainerSettings &Settings) {
   std::shared_ptr<TrainerRole> role =
-      std::make_shared<TrainerRole>(std::move(Executor), std::move(Settings));
+      std::make_shared<TrainerRole>(Executor, Settings);
   role->start();
   return role;
 }
--- a/StandIns/TrainerRole.h
+++ b/StandIns/TrainerRole.h
@@ -19,8 +19,9 @@
 };
 
 /// Used on the executor's thread.
-std::shared_ptr<Role> createTrainerRole(boost::asio::any_io_executor Executor,
-                                        TrainerSettings Settings);
+std::shared_ptr<Role>
+createTrainerRole(const boost::asio::any_io_executor &Executor,
+                  const TrainerSettings &Settings);
 
 } // namespace wasabi::standins
 
--- a/StandIns/WeightsRole.cpp
+++ b/StandIns/WeightsRole.cpp
@@ -68,7 +68,8 @@
 class WeightsRole final : public Role,
                           public std::enable_shared_from_this<WeightsRole> {
 public:
-  WeightsRole(boost::asio::any_io_executor Executor, WeightsSettings Settings)
+  WeightsRole(const boost::asio::any_io_executor &Executor,
+              const WeightsSettings &Settings)
       : Role({{"outage", false}, {"slow_ms", 0}, {"slow_factor", 1.0}}),
         Executor(Executor), Settings(Settings), Changed(Executor),
         Progress(Executor) {}
@@ -224,9 +225,10 @@
 
 } // namespace
 
-std::shared_ptr<Role> createWeightsRole(boost::asio::any_io_executor Executor,
-                                        WeightsSettings Settings) {
-  return std::make_shared<WeightsRole>(std::move(Executor), Settings);
+std::shared_ptr<Role>
+createWeightsRole(const boost::asio::any_io_executor &Executor,
+                  const WeightsSettings &Settings) {
+  return std::make_shared<WeightsRole>(Executor, Settings);
 }
 
 } // namespace wasabi::standins
--- a/StandIns/WeightsRole.h
+++ b/StandIns/WeightsRole.h
@@ -17,8 +17,9 @@
 };
 
 /// Used on the executor's thread.
-std::shared_ptr<Role> createWeightsRole(boost::asio::any_io_executor Executor,
-                                        WeightsSettings Settings);
+std::shared_ptr<Role>
+createWeightsRole(const boost::asio::any_io_executor &Executor,
+                  const WeightsSettings &Settings);
 
 } // namespace wasabi::standins
 
--- a/UnitTests/Adapters/Http/HttpClientTests.cpp
+++ b/UnitTests/Adapters/Http/HttpClientTests.cpp
@@ -56,8 +56,7 @@
     // The server goes and another takes its address: the idle connection is
     // dead, and the request goes out on a fresh one.
     fixture.Serving->stop();
-    while (fixture.Serving->connections() > 0)
-      co_await boost::asio::post(fixture.Context, boost::asio::use_awaitable);
+    co_await fixture.untilClosed();
     Server::Settings same;
     same.Listen = where;
     fixture.serve(echo, same);
@@ -182,8 +181,7 @@
         co_await (*stream)->next(Patience);
     REQUIRE_FALSE(piece);
     CHECK(piece.failure().Code == FailureCode::Cancelled);
-    while (fixture.Serving->connections() > 0)
-      co_await boost::asio::post(fixture.Context, boost::asio::use_awaitable);
+    co_await fixture.untilClosed();
   });
   CHECK(noticed);
 }
--- a/UnitTests/Adapters/Http/HttpFixture.h
+++ b/UnitTests/Adapters/Http/HttpFixture.h
@@ -80,6 +80,16 @@
     co_return std::move(raw);
   }
 
+  /// Waits until the server has let go of all connections.
+  boost::asio::awaitable<void> untilClosed() {
+    boost::asio::steady_timer turn(Context);
+    while (Serving->connections() > 0) {
+      turn.expires_after(Millis(1));
+      co_await turn.async_wait(
+          boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+  }
+
   static boost::asio::awaitable<void> sendText(RawSocket &Raw,
                                                std::string Text) {
     co_await boost::asio::async_write(Raw, boost::asio::buffer(Text),
--- a/UnitTests/Adapters/Http/HttpServerTests.cpp
+++ b/UnitTests/Adapters/Http/HttpServerTests.cpp
@@ -99,8 +99,7 @@
     co_await began.wait();
     raw.close();
     // The server has let go of the connection once the handler has ended.
-    while (fixture.Serving->connections() > 0)
-      co_await boost::asio::post(fixture.Context, boost::asio::use_awaitable);
+    co_await fixture.untilClosed();
   });
   CHECK(told == 1);
 }
--- a/UnitTests/StandIns/FaultProxyTests.cpp
+++ b/UnitTests/StandIns/FaultProxyTests.cpp
@@ -26,7 +26,7 @@
     Proxy = *made;
   }
 
-  void tell(boost::json::object Faults) {
+  void tell(const boost::json::object &Faults) {
     Proxy->Told.merge(Faults);
     Proxy->faultsChanged();
   }
--- a/Wasabi/Adapters/Http/HttpServer.cpp
+++ b/Wasabi/Adapters/Http/HttpServer.cpp
@@ -298,6 +298,17 @@
   Link.reset();
 }
 
+/// Parses what has been read; `need_more` when that is not enough.
+template <typename Parser>
+ErrorCode feed(beast::flat_buffer &From, Parser &Into) {
+  if (From.size() == 0)
+    return beast::http::error::need_more;
+  ErrorCode failed;
+  std::size_t used = Into.put(From.data(), failed);
+  From.consume(used);
+  return failed;
+}
+
 //===--- Connection -------------------------------------------------------===//
 
 bool Connection::draining() const { return Owner->Draining; }
@@ -429,11 +440,7 @@
   }
   Parse.eager(true);
   while (!Parse.is_done()) {
-    ErrorCode failed = beast::http::error::need_more;
-    if (Buffer.size() > 0) {
-      failed = {};
-      Buffer.consume(Parse.put(Buffer.data(), failed));
-    }
+    ErrorCode failed = feed(Buffer, Parse);
     if (!failed)
       continue;
     if (failed != beast::http::error::need_more)
