--- a/IntegrationTests/Chaos/Run.cpp
+++ b/IntegrationTests/Chaos/Run.cpp
@@ -147,7 +147,7 @@
 } // namespace
 
 Result<ExitCode> runOnce(ClusterPlan Plan, std::uint64_t Seed,
-                         const std::vector<Fault> &Schedule) {
+                         const std::vector<Fault> &Schedule, bool Keep) {
   BOOST_LEAF_AUTO(folder, harness::TestFolder::create());
   const Outcome<std::unique_ptr<Cluster>> started =
       toOutcome<std::unique_ptr<Cluster>>([&] {
@@ -159,6 +159,13 @@
     return boost::leaf::new_error(started.failure());
   }
   Cluster &cluster = **started;
+  std::string missing;
+  if (!awaitRecovery(cluster, wallMicros(), missing)) {
+    folder->keep();
+    std::cout << "logs: " << folder->path().string() << "\n";
+    return boost::leaf::new_error(Failure{
+        Verdict::NotRun, FailureCode::Unavailable, "cluster", missing, {}});
+  }
   const std::unique_ptr<CallerLoad> load =
       CallerLoad::start(loadOf(cluster.Plan, Seed));
   Observer observer(cluster, *load);
@@ -168,7 +175,6 @@
   injector.run(Schedule);
   injector.heal();
   const std::uint64_t healed = wallMicros();
-  std::string missing;
   const std::optional<Millis> recovered =
       awaitRecovery(cluster, healed, missing);
   const std::vector<CallerRecord> seen = load->finish();
@@ -192,8 +198,8 @@
 
   printFaults(sum);
   const bool held = holds(sum);
-  if (!held) {
-    printTimelineHints(trace);
+  printTimelineHints(trace);
+  if (!held || Keep) {
     writeTrace(folder->file("timeline.jsonl"), trace);
     writeCallers(folder->file("callers.txt"), seen);
     folder->keep();
