--- a/IntegrationTests/Chaos/Cluster.cpp
+++ b/IntegrationTests/Chaos/Cluster.cpp
@@ -70,7 +70,8 @@
                        "drafting",
                        "lease-desk",
                        "permits",
-                       1};
+                       1,
+                       true};
   if (Deployment == "balikbayan")
     return ClusterPlan{"balikbayan",
                        {"pasig-a", "pasig-b", "makati-a", "valenzuela"},
@@ -78,7 +79,8 @@
                        "inspect",
                        "bidding-app",
                        "conditions",
-                       2};
+                       2,
+                       false};
   return badInput("--deployment", "neither lindqvist nor balikbayan");
 }
 
@@ -130,7 +132,8 @@
           "--model=" + Plan.Model,
           "--slots=8",
           "--tokens_per_s=120",
-          "--checks_fences=true",
+          std::string("--checks_fences=") +
+              (Plan.EnginesCheckFences ? "true" : "false"),
           "--store=" + toText(Weights->address()),
           "--seed=" + std::to_string(Seed)};
 }
@@ -294,7 +297,9 @@
   std::ofstream file(folder + "/all.json");
   file << R"([{"kind":"service","name":")" << Plan.EngineService
        << R"(","type":"engines","model":")" << Plan.Model
-       << R"(","placements":[)" << placements(Plan, 0, Plan.Engines)
+       << R"(","checks_fences":)"
+       << (Plan.EnginesCheckFences ? "true" : "false") << R"(,"placements":[)"
+       << placements(Plan, 0, Plan.Engines)
        << R"(]},{"kind":"service","name":")" << Plan.PlainService
        << R"(","type":"plain","placements":[)"
        << placements(Plan, Plan.Engines, Plan.PlainServers)
--- a/IntegrationTests/Chaos/Cluster.h
+++ b/IntegrationTests/Chaos/Cluster.h
@@ -24,6 +24,8 @@
   std::string PlainService;
   std::string Trainer;
   std::uint32_t StalenessBound = 1;
+  /// Whether the engines refuse orders with an old fencing token.
+  bool EnginesCheckFences = true;
   std::uint32_t Engines = 4;
   std::uint32_t PlainServers = 2;
   std::uint32_t Entries = 2;
--- a/IntegrationTests/Chaos/Run.cpp
+++ b/IntegrationTests/Chaos/Run.cpp
@@ -44,6 +44,19 @@
   return runs;
 }
 
+/// Every link must have been used: else faults on it prove nothing.
+void judgeLinks(Tally &sum, Cluster &of) {
+  for (harness::StandIn *it : of.links()) {
+    const Outcome<boost::json::value> truth = it->truth();
+    const bool used = truth && truth->is_object() &&
+                      truth->as_object().contains("connections") &&
+                      truth->at("connections").to_number<std::uint64_t>() > 0;
+    if (!used)
+      sum.Faults.push_back("nothing went through the link at " +
+                           toText(it->address()));
+  }
+}
+
 void gatherTrainer(Cluster &of, Tally &sum) {
   const Outcome<boost::json::value> truth = of.Trainer->truth();
   if (truth)
@@ -188,6 +201,7 @@
   judgeCallers(sum, seen, runs);
   judgeStops(sum, injector.stops(), seen, runs);
   judgeOperators(sum, cluster, injector.acts());
+  judgeLinks(sum, cluster);
   for (const std::string &it : injector.problems())
     sum.Faults.push_back(it);
   if (!recovered)
