--- /dev/null
+++ b/IntegrationTests/Cases/OperatorTests.cpp
@@ -0,0 +1,309 @@
+#include "IntegrationTests/Harness/Deployment.h"
+#include "IntegrationTests/Harness/HttpCall.h"
+#include "IntegrationTests/Harness/Waiting.h"
+#include "Wasabi/Replay/Trace.h"
+#include "Wasabi/State/Record.h"
+
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+using Catch::Contains;
+using wasabi::Millis;
+using wasabi::Outcome;
+using wasabi::harness::CtlRun;
+using wasabi::harness::Deployment;
+using wasabi::harness::Process;
+using wasabi::harness::ProcessEnd;
+using wasabi::harness::StandIn;
+using wasabi::harness::TestFolder;
+
+namespace {
+
+constexpr Millis RunLimit{60000};
+
+std::string readFile(const std::string &Path) {
+  std::ifstream file(Path);
+  std::ostringstream out;
+  out << file.rdbuf();
+  return out.str();
+}
+
+/// What must be made for a test to begin.
+template <typename T, typename Body> T make(const Body &Start) {
+  Outcome<T> made = wasabi::toOutcome<T>(Start);
+  if (!made)
+    FAIL(wasabi::describe(made.failure()));
+  return std::move(*made);
+}
+
+/// One `wasabictl` that runs.
+struct Running {
+  std::unique_ptr<Process> Child;
+  std::string ErrorFile;
+
+  CtlRun finish() {
+    std::optional<ProcessEnd> end = Child->waitAndRead(RunLimit);
+    CtlRun out;
+    out.Code = end ? end->Code : -1;
+    out.Output = Child->output();
+    out.Errors = readFile(ErrorFile);
+    return out;
+  }
+};
+
+/// A log and a list, with operators' clients and no other process.
+class Desk {
+public:
+  Desk()
+      : Folder(make<std::unique_ptr<TestFolder>>(
+            [] { return TestFolder::create(); })),
+        Log(startStandIn("log")), List(startStandIn("instances")) {}
+
+  const std::unique_ptr<TestFolder> Folder;
+  const std::unique_ptr<StandIn> Log;
+  const std::unique_ptr<StandIn> List;
+
+  /// A folder that declares some limits.
+  std::string declare(const std::string &Name,
+                      const std::vector<std::pair<std::string, int>> &Limits) {
+    std::filesystem::path path = Folder->path() / Name;
+    std::filesystem::create_directories(path);
+    std::ofstream file(path / "limits.json");
+    file << "[";
+    for (std::size_t i = 0; i < Limits.size(); ++i)
+      file << (i ? "," : "") << R"({"kind":"limit","name":")" << Limits[i].first
+           << R"(","burst":)" << Limits[i].second << "}";
+    file << "]";
+    return path;
+  }
+
+  Running start(const std::string &Operator,
+                std::vector<std::string> Arguments) {
+    Arguments.push_back("--log=" + toText(Log->address()));
+    Arguments.push_back("--instances=" + toText(List->address()));
+    Arguments.push_back("--operator=" + Operator);
+    std::string errors =
+        Folder->file("ctl" + std::to_string(++Started) + ".err");
+    return {make<std::unique_ptr<Process>>([&] {
+              return Process::start(
+                  {"wasabictl", std::move(Arguments), {}, errors});
+            }),
+            errors};
+  }
+
+  CtlRun run(std::vector<std::string> Arguments) {
+    return start("anna", std::move(Arguments)).finish();
+  }
+
+  void setFaults(const std::string &Faults) const {
+    REQUIRE(Log->setFaults(Faults));
+  }
+
+  /// Appends that the log took.
+  std::int64_t appends() const {
+    Outcome<boost::json::value> truth = Log->truth();
+    REQUIRE(truth);
+    return truth->at("appends").to_number<std::int64_t>();
+  }
+
+private:
+  int Started = 0;
+
+  static std::unique_ptr<StandIn> startStandIn(const std::string &Role) {
+    StandIn::Settings setup;
+    setup.Role = Role;
+    return make<std::unique_ptr<StandIn>>(
+        [&] { return StandIn::start(setup); });
+  }
+};
+
+/// The id that a client printed before it sent its change.
+std::string printedId(const std::string &Errors) {
+  std::size_t begin = Errors.find("id ");
+  if (begin == std::string::npos)
+    return {};
+  begin += sizeof("id ") - 1;
+  return Errors.substr(begin, Errors.find('\n', begin) - begin);
+}
+
+std::size_t countOf(const std::string &Text, const std::string &Part) {
+  std::size_t out = 0;
+  for (std::size_t at = Text.find(Part); at != std::string::npos;
+       at = Text.find(Part, at + 1))
+    ++out;
+  return out;
+}
+
+} // namespace
+
+TEST_CASE("Looking, and bad declarations, write nothing to the log") {
+  Desk desk;
+  std::string good = desk.declare("good", {{"a", 1}});
+  std::string bad = desk.declare("bad", {{"a", 0}});
+  CHECK(desk.run({"validate", good}).Code == 0);
+  CtlRun planned = desk.run({"plan", good});
+  CHECK(planned.Code == 0);
+  CHECK_THAT(planned.Output, Contains("+ limit/a"));
+  for (const char *command : {"validate", "plan", "apply"}) {
+    CtlRun refused = desk.run({command, bad});
+    CHECK(refused.Code == 2);
+    CHECK_THAT(refused.Errors,
+               Contains("limits.json: /0/burst: must be a whole number"));
+  }
+  CHECK(desk.run({"preset", "none"}).Code == 2);
+  CHECK(desk.appends() == 0);
+}
+
+TEST_CASE("A change whose answers are lost is applied once") {
+  Desk desk;
+  std::string folder = desk.declare("d", {{"a", 1}});
+  // Reads show an older tail until the change was appended twice.
+  desk.setFaults(R"({"lose_answers":2,"stale_tail":1000000})");
+  Running applying = desk.start("anna", {"apply", folder});
+  REQUIRE(
+      wasabi::harness::waitUntil([&] { return desk.appends() > 1; }, RunLimit));
+  desk.setFaults(R"({"stale_tail":0})");
+  CtlRun applied = applying.finish();
+  INFO(applied.Output << applied.Errors);
+  CHECK(applied.Code == 0);
+  CHECK_THAT(applied.Output, Contains("accepted at offset 0"));
+  CHECK(countOf(desk.run({"history"}).Output, "offset") == 1);
+  CHECK_THAT(desk.run({"apply", folder}).Output, Contains("nothing to change"));
+}
+
+TEST_CASE("Of operators who race only those in conflict are refused") {
+  Desk desk;
+  // A slow log makes it likely that all read before any appends.
+  desk.setFaults(R"({"slow_ms":200})");
+  std::vector<Running> rivals;
+  std::vector<Running> others;
+  for (int i = 1; i <= 4; ++i) {
+    std::string number = std::to_string(i);
+    rivals.push_back(desk.start(
+        "rival" + number,
+        {"apply", desk.declare("shared" + number, {{"shared", i}})}));
+    others.push_back(desk.start(
+        "other" + number,
+        {"apply", desk.declare("own" + number, {{"own" + number, i}})}));
+  }
+  for (Running &it : others)
+    CHECK(it.finish().Code == 0);
+  std::size_t accepted = 0;
+  for (Running &it : rivals) {
+    CtlRun end = it.finish();
+    INFO(end.Output << end.Errors);
+    accepted += end.Code == 0 ? 1 : 0;
+    if (end.Code == 0)
+      continue;
+    CHECK(end.Code == 1);
+    CHECK_THAT(end.Output, Contains("refused: conflict: limit/shared was "
+                                    "changed at offset") &&
+                               Contains(" by rival"));
+  }
+  CHECK(accepted >= 1);
+  desk.setFaults(R"({"slow_ms":0})");
+  std::string history = desk.run({"history"}).Output;
+  CHECK(countOf(history, "accepted by other") == 4);
+  CHECK(countOf(history, "accepted by rival") == accepted);
+}
+
+TEST_CASE("A client killed before its answer is settled by its id") {
+  Desk desk;
+  // Neither the answer nor the record itself can be seen.
+  desk.setFaults(R"({"lose_answers":1000000,"stale_tail":1000000})");
+  Running killed = desk.start("anna", {"apply", desk.declare("d", {{"a", 1}})});
+  REQUIRE(
+      wasabi::harness::waitUntil([&] { return desk.appends() > 0; }, RunLimit));
+  killed.Child->signal(SIGKILL);
+  CtlRun end = killed.finish();
+  std::string id = printedId(end.Errors);
+  REQUIRE_FALSE(id.empty());
+
+  desk.setFaults(R"({"lose_answers":0,"stale_tail":0})");
+  CtlRun settled = desk.run({"apply", "--resume", id});
+  INFO(settled.Output << settled.Errors);
+  CHECK(settled.Code == 0);
+  CHECK_THAT(settled.Output, Contains("accepted at offset 0"));
+}
+
+TEST_CASE("A change that stays unknown is settled for good") {
+  Desk desk;
+  std::string folder = desk.declare("d", {{"a", 1}});
+  desk.setFaults(R"({"stale_tail":1000000})");
+  CtlRun unknown = desk.run({"apply", folder, "--wait_ms=300"});
+  CHECK(unknown.Code == 6);
+  CHECK_THAT(unknown.Output,
+             Contains("wasabictl apply --resume " + printedId(unknown.Errors)));
+  desk.setFaults(R"({"stale_tail":0})");
+  CHECK(desk.run({"apply", "--resume", printedId(unknown.Errors)}).Code == 0);
+
+  // One that never reached the log, and comes late.
+  CtlRun never = desk.run({"apply", "--resume", "late:1:1"});
+  CHECK(never.Code == 1);
+  CHECK_THAT(never.Output, Contains("never will be"));
+  wasabi::ConfigChange change{
+      1000, {}, {{"limit/z", R"({"kind":"limit","name":"z"})"}}, "bo", ""};
+  change.Base = static_cast<wasabi::Offset>(desk.appends());
+  REQUIRE(wasabi::harness::postJson(
+      desk.Log->address(), "/v1/streams/control/records",
+      wasabi::encodeRecord({{"late", 1, 1}, change})));
+  CHECK_THAT(desk.run({"history"}).Output, !Contains("limit/z"));
+}
+
+TEST_CASE("With the log down nothing is sent, and it is said so") {
+  Desk desk;
+  std::string folder = desk.declare("d", {{"a", 1}});
+  desk.setFaults(R"({"outage":true})");
+  CHECK(desk.run({"apply", folder, "--wait_ms=300"}).Code == 3);
+  desk.setFaults(R"({"outage":false})");
+  CHECK(desk.appends() == 0);
+}
+
+TEST_CASE("A rollback is a change of its own") {
+  Desk desk;
+  desk.run({"apply", desk.declare("one", {{"a", 1}, {"b", 1}})});
+  desk.run({"apply", desk.declare("two", {{"a", 2}}), "--prune"});
+  CtlRun back = desk.run({"rollback", "0", "--message", "too slow"});
+  CHECK(back.Code == 0);
+  CHECK_THAT(back.Output, Contains("/burst: 2 -> 1") && Contains("+ limit/b"));
+  CHECK_THAT(
+      desk.run({"history"}).Output,
+      Contains("offset 2 accepted by anna limit/a limit/b \"too slow\""));
+}
+
+TEST_CASE("An operator sees a change in force on all, and their time line") {
+  std::unique_ptr<Deployment> made = make<std::unique_ptr<Deployment>>([] {
+    return Deployment::start({"lindqvist", 1, false, {}});
+  });
+  Deployment &running = *made;
+  const std::string all = std::to_string(running.nodes().size());
+  CtlRun applied = running.control({"apply", running.declarations()});
+  INFO(applied.Output << applied.Errors);
+  CHECK(applied.Code == 0);
+  CHECK_THAT(applied.Output,
+             Contains("in force on " + all + " of " + all + " instances"));
+  CHECK(running.control({"status"}).Code == 0);
+
+  CtlRun line = running.control({"timeline", "--format=json"});
+  Outcome<wasabi::replay::Trace> trace =
+      wasabi::toOutcome<wasabi::replay::Trace>(
+          [&] { return wasabi::replay::readTrace("timeline", line.Output); });
+  REQUIRE(trace);
+  std::size_t inForce = 0;
+  for (const wasabi::TimelineEvent &it : trace->Events)
+    inForce += it.Kind == "config.in_force" ? 1 : 0;
+  CHECK(inForce == running.nodes().size());
+
+  // One that is gone, and that the platform still lists, is named.
+  wasabi::harness::ProductNode &gone = running.nodes().front();
+  gone.Running->signal(SIGKILL);
+  gone.Running->wait(RunLimit);
+  CtlRun partly = running.control({"preset", "maintenance", "--wait_ms=2000"});
+  INFO(partly.Output << partly.Errors);
+  CHECK(partly.Code == 5);
+  CHECK_THAT(partly.Output, Contains("not seen on: " + gone.Name + " ("));
+}
