--- a/IntegrationTests/Cases/ChaosTest.cpp
+++ b/IntegrationTests/Cases/ChaosTest.cpp
@@ -52,7 +52,7 @@
 
 TEST_CASE("Short chaos runs hold every promise", "[chaos]") {
   const std::string deployment = GENERATE("lindqvist", "balikbayan");
-  const std::string seed = deployment == "lindqvist" ? "43" : "78";
+  const std::string seed = deployment == "lindqvist" ? "73" : "64";
   const ChaosEnd end =
       runChaos({"--seed=" + seed, "--seconds=8", "--deployment=" + deployment});
   INFO(end.Output);
--- a/IntegrationTests/Chaos/Injector.cpp
+++ b/IntegrationTests/Chaos/Injector.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <thread>
+#include <utility>
 
 namespace wasabi::chaos {
 
@@ -17,7 +18,8 @@
     R"({"delay_ms":0,"jitter_ms":0,"refuse":false,"half_open":false,)"
     R"("answer_loss":0,"bytes_per_s":0,"loss_percent":0})";
 
-template <typename T> T &pick(std::vector<T> &from, std::uint32_t target) {
+template <typename List>
+decltype(std::declval<List &>()[0]) pick(List &from, std::uint32_t target) {
   return from[target % from.size()];
 }
 
@@ -54,6 +56,7 @@
   switch (What.Kind) {
   case FaultKind::KillDaemon:
   case FaultKind::PauseDaemon:
+  case FaultKind::PauseDaemonLong:
   case FaultKind::StopDaemon:
     return injectProcess(What, *pick(On.Daemons, What.Target));
   case FaultKind::KillEntry:
@@ -78,6 +81,8 @@
   case FaultKind::LinkLosesAnswers:
   case FaultKind::LinkSlow:
     return injectLink(What);
+  case FaultKind::DomainCutOff:
+    return cutOffDomain(What);
   case FaultKind::OperatorsRace:
   case FaultKind::SwitchPreset:
     return injectOperator(What);
@@ -94,6 +99,7 @@
     return startAgain(Which);
   switch (What.Kind) {
   case FaultKind::PauseDaemon:
+  case FaultKind::PauseDaemonLong:
   case FaultKind::PauseEntry:
     process->signal(SIGSTOP);
     waitFor(What.For);
@@ -190,6 +196,7 @@
 void Injector::injectPlatform(const Fault &What) {
   switch (What.Kind) {
   case FaultKind::LogOutage:
+  case FaultKind::LogOutageLong:
     return setFor(*On.Log, R"({"outage":true})", What.For,
                   R"({"outage":false})");
   case FaultKind::LogSlow:
@@ -239,6 +246,26 @@
   }
 }
 
+void Injector::cutOffDomain(const Fault &What) {
+  const std::string &domain = pick(On.Plan.Domains, What.Target);
+  std::vector<StandIn *> links;
+  for (const std::vector<std::unique_ptr<Slot>> *of :
+       {&On.Daemons, &On.Entries}) {
+    for (const std::unique_ptr<Slot> &it : *of) {
+      if (it->Domain != domain)
+        continue;
+      links.push_back(it->ControlLink.get());
+      if (it->FramesLink)
+        links.push_back(it->FramesLink.get());
+    }
+  }
+  for (StandIn *it : links)
+    it->setFaults(R"({"refuse":true,"cut_now":true})");
+  waitFor(What.For);
+  for (StandIn *it : links)
+    it->setFaults(ClearLink);
+}
+
 void Injector::injectOperator(const Fault &What) {
   if (What.Kind == FaultKind::SwitchPreset) {
     const bool toPeak = What.Target % 2 == 0;
--- a/IntegrationTests/Chaos/Injector.h
+++ b/IntegrationTests/Chaos/Injector.h
@@ -46,6 +46,7 @@
   void inject(const Fault &What, TimePoint Begin);
   void injectProcess(const Fault &What, Slot &Which);
   void injectLink(const Fault &What);
+  void cutOffDomain(const Fault &What);
   void injectPlatform(const Fault &What);
   void injectUpstream(const Fault &What);
   void injectOperator(const Fault &What);
--- a/IntegrationTests/Chaos/Schedule.cpp
+++ b/IntegrationTests/Chaos/Schedule.cpp
@@ -20,6 +20,7 @@
     {FaultKind::KillEntry, "kill-entry", 2},
     {FaultKind::PauseDaemon, "pause-daemon", 3},
     {FaultKind::PauseEntry, "pause-entry", 1},
+    {FaultKind::PauseDaemonLong, "pause-daemon-long", 2},
     {FaultKind::StopDaemon, "stop-daemon", 4},
     {FaultKind::StopEntry, "stop-entry", 2},
     {FaultKind::KillEngine, "kill-engine", 2},
@@ -32,6 +33,7 @@
     {FaultKind::ServiceResetsBeforeAnswer, "service-resets-before-answer", 2},
     {FaultKind::ServiceResetsMidAnswer, "service-resets-mid-answer", 2},
     {FaultKind::LogOutage, "log-outage", 3},
+    {FaultKind::LogOutageLong, "log-outage-long", 2},
     {FaultKind::LogSlow, "log-slow", 1},
     {FaultKind::LogLosesAnswers, "log-loses-answers", 3},
     {FaultKind::LogStaleTail, "log-stale-tail", 1},
@@ -46,6 +48,7 @@
     {FaultKind::LinkRefuses, "link-refuses", 2},
     {FaultKind::LinkLosesAnswers, "link-loses-answers", 2},
     {FaultKind::LinkSlow, "link-slow", 1},
+    {FaultKind::DomainCutOff, "domain-cut-off", 2},
     {FaultKind::OperatorsRace, "operators-race", 3},
     {FaultKind::SwitchPreset, "switch-preset", 2},
 };
@@ -57,6 +60,8 @@
 constexpr std::uint32_t MaxGapMs = 2500;
 constexpr std::uint32_t MinLengthMs = 300;
 constexpr std::uint32_t MaxLengthMs = 4000;
+/// Added to a long fault: claims are taken for 10 s.
+constexpr Millis LongExtra{11000};
 /// A fault that strikes twice does so after this.
 constexpr Millis Again{700};
 /// Out of a hundred draws.
@@ -98,6 +103,9 @@
   drawn.At = at;
   drawn.Kind = drawKind(draw);
   drawn.For = Millis(MinLengthMs + draw.below(MaxLengthMs - MinLengthMs));
+  if (drawn.Kind == FaultKind::PauseDaemonLong ||
+      drawn.Kind == FaultKind::LogOutageLong)
+    drawn.For += LongExtra;
   drawn.Target = draw.below(MaxTarget);
   return drawn;
 }
@@ -140,10 +148,13 @@
     if (stopsProcess(drawn.Kind) && draw.percent(AlonePercent)) {
       drawn.Alone = true;
       drawn.At = std::max(at, busyUntil + Calm);
-      at = drawn.At + drawn.For + Calm;
+      if (drawn.At + drawn.For <= Length)
+        at = drawn.At + drawn.For + Calm;
     }
-    if (drawn.At + drawn.For > Length)
+    if (at >= Length)
       return byTime(std::move(schedule));
+    if (drawn.At + drawn.For > Length)
+      continue;
     busyUntil = std::max(busyUntil, drawn.At + drawn.For);
     schedule.push_back(drawn);
     if (drawn.Alone)
--- a/IntegrationTests/Chaos/Schedule.h
+++ b/IntegrationTests/Chaos/Schedule.h
@@ -18,6 +18,8 @@
   KillEntry,
   PauseDaemon,
   PauseEntry,
+  /// Longer than a claim's term: its holder wakes up and is no holder.
+  PauseDaemonLong,
   StopDaemon,
   StopEntry,
   KillEngine,
@@ -30,6 +32,8 @@
   ServiceResetsBeforeAnswer,
   ServiceResetsMidAnswer,
   LogOutage,
+  /// Longer than a claim's term.
+  LogOutageLong,
   LogSlow,
   LogLosesAnswers,
   LogStaleTail,
@@ -44,6 +48,8 @@
   LinkRefuses,
   LinkLosesAnswers,
   LinkSlow,
+  /// No process of a failure domain can be connected to.
+  DomainCutOff,
   OperatorsRace,
   SwitchPreset,
 };
