Bench of requests: added latency and CPU of both hops

Cause: nothing measured what an entry and a daemon add. Change: ./run bench requests, with real processes: a load generator, a fleet of entries and daemons, latency against a direct connection in turns, CPU per request and per 1,000 streamed tokens, and every answer held against the upstreams' own records.

--- a/Bench/Benches.h
+++ b/Bench/Benches.h
@@ -8,6 +8,9 @@
 /// Agreement, members and spreading, with real processes.
 void runStateBench();
 
+/// Requests through entries and daemons, under overload and faults.
+void runRequestsBench();
+
 } // namespace wasabi::bench
 
 #endif // WASABI_BENCH_BENCHES_H
--- a/Bench/LoadRun.cpp
+++ b/Bench/LoadRun.cpp
@@ -51,10 +51,11 @@
   /// The context ends with the last coroutine: idle connections hold nothing.
   void spawn(asio::awaitable<void> What) {
     ++Alive;
-    asio::co_spawn(Context, std::move(What), [this](std::exception_ptr) {
-      if (--Alive == 0)
-        Context.stop();
-    });
+    asio::co_spawn(Context, std::move(What),
+                   [this](const std::exception_ptr &) {
+                     if (--Alive == 0)
+                       Context.stop();
+                   });
   }
 
   asio::awaitable<void> cause(Incident What) {
--- a/Bench/Main.cpp
+++ b/Bench/Main.cpp
@@ -19,7 +19,8 @@
 constexpr int ExitUsage = 2;
 
 int runNamed(int Count, char **Names) {
-  const std::array<Entry, 1> all = {Entry{"state", runStateBench}};
+  const std::array<Entry, 2> all = {Entry{"state", runStateBench},
+                                    Entry{"requests", runRequestsBench}};
   // Every name is checked before the first bench runs.
   for (int n = 0; n < Count; ++n) {
     bool known = false;
--- a/Bench/RequestFleet.cpp
+++ b/Bench/RequestFleet.cpp
@@ -24,19 +24,15 @@
 }
 
 boost::leaf::error_id notUp(std::string What) {
-  return boost::leaf::new_error(Failure{Verdict::NotRun,
-                                        FailureCode::Unavailable,
-                                        "fleet",
-                                        std::move(What),
-                                        {}});
+  return boost::leaf::new_error(Failure{
+      Verdict::NotRun, FailureCode::Unavailable, "fleet", std::move(What), {}});
 }
 
 /// The service's declaration, its placements by the upstreams' domains.
 std::string serviceText(bool Engines, std::size_t Upstreams) {
   boost::json::array placements;
   for (std::size_t n = 0; n < Domains.size(); ++n) {
-    std::size_t servers =
-        (Upstreams + Domains.size() - 1 - n) / Domains.size();
+    std::size_t servers = (Upstreams + Domains.size() - 1 - n) / Domains.size();
     if (servers > 0)
       placements.push_back({{"domain", Domains[n]}, {"servers", servers}});
   }
@@ -101,9 +97,12 @@
 }
 
 Result<void> RequestFleet::startPlatform() {
-  BOOST_LEAF_ASSIGN(Log, harness::StandIn::start({"log", {}, "", {}}));
-  BOOST_LEAF_ASSIGN(Instances,
-                    harness::StandIn::start({"instances", {}, "", {}}));
+  harness::StandIn::Settings log;
+  log.Role = "log";
+  BOOST_LEAF_ASSIGN(Log, harness::StandIn::start(std::move(log)));
+  harness::StandIn::Settings instances;
+  instances.Role = "instances";
+  BOOST_LEAF_ASSIGN(Instances, harness::StandIn::start(std::move(instances)));
   return {};
 }
 
@@ -137,13 +136,13 @@
 
   harness::Process::Settings daemon;
   daemon.Program = "wasabi-daemon";
-  daemon.Arguments = {
-      "--instance=node-" + std::to_string(Number),
-      "--failure_domain=" + std::string(Domains[Number % Domains.size()]),
-      addressFlag("log", Log->address()),
-      addressFlag("instances", Instances->address()),
-      "--upstreams=" + upstream.Server + "=" + FleetService + "@" +
-          toText(upstream.StandIn->address())};
+  daemon.Arguments = {"--instance=node-" + std::to_string(Number),
+                      "--failure_domain=" +
+                          std::string(Domains[Number % Domains.size()]),
+                      addressFlag("log", Log->address()),
+                      addressFlag("instances", Instances->address()),
+                      "--upstreams=" + upstream.Server + "=" + FleetService +
+                          "@" + toText(upstream.StandIn->address())};
   BOOST_LEAF_ASSIGN(upstream.Daemon,
                     harness::Process::start(std::move(daemon)));
   BOOST_LEAF_ASSIGN(upstream.Admin, upstream.Daemon->announced("admin"));
@@ -175,8 +174,7 @@
 
 Result<void> RequestFleet::awaitServing() const {
   for (const FleetEntry &it : Entries) {
-    bool seen =
-        harness::waitUntil([&] { return servesAll(it); }, ServeLimit);
+    bool seen = harness::waitUntil([&] { return servesAll(it); }, ServeLimit);
     if (!seen)
       return notUp("an entry does not see all servers");
     http::Request ask;
@@ -198,6 +196,7 @@
 
 std::vector<Address> RequestFleet::callerAddresses() const {
   std::vector<Address> all;
+  all.reserve(Entries.size());
   for (const FleetEntry &it : Entries)
     all.push_back(it.Callers);
   return all;
@@ -205,6 +204,7 @@
 
 std::vector<Address> RequestFleet::upstreamAddresses() const {
   std::vector<Address> all;
+  all.reserve(Upstreams.size());
   for (const FleetUpstream &it : Upstreams)
     all.push_back(it.StandIn->address());
   return all;
@@ -239,8 +239,7 @@
   Decisions more;
   for (const std::pair<const std::string, double> &it : After) {
     Decisions::const_iterator before = Before.find(it.first);
-    more[it.first] =
-        it.second - (before == Before.end() ? 0 : before->second);
+    more[it.first] = it.second - (before == Before.end() ? 0 : before->second);
   }
   return more;
 }
--- /dev/null
+++ b/Bench/RequestsBench.cpp
@@ -0,0 +1,84 @@
+/// \file
+/// Requests through real entries and daemons: what they add, how they hold up
+/// under overload and faults; and the baselines in the same run: a direct
+/// connection, and a client that chooses at random with fixed limits and three
+/// blind retries.
+#include "Bench/Benches.h"
+#include "Bench/Report.h"
+#include "Bench/RequestScenarios.h"
+
+#include <array>
+#include <cstdlib>
+#include <fstream>
+
+namespace wasabi::bench {
+namespace {
+
+/// A part of the bench by name; `WASABI_BENCH_CASES` chooses some of them.
+struct Part {
+  std::string_view Name;
+  Faithfulness (*Run)();
+};
+
+bool isChosen(std::string_view Name) {
+  const char *chosen = std::getenv("WASABI_BENCH_CASES");
+  if (!chosen)
+    return true;
+  std::string all = "," + std::string(chosen) + ",";
+  return all.find("," + std::string(Name) + ",") != std::string::npos;
+}
+
+/// Other work on the machine tells on every figure.
+void sayMachineLoad() {
+  std::ifstream file("/proc/loadavg");
+  std::string text;
+  std::getline(file, text);
+  progress("requests: load average " + text);
+}
+
+} // namespace
+
+void reportRequests(const std::string &Metric, double Value,
+                    const std::string &Unit, std::optional<double> Baseline) {
+  report(Figure{"requests", Metric, Value, Unit, Baseline});
+}
+
+void reportDecisions(const std::string &Case, const Decisions &Counts) {
+  constexpr std::string_view Prefix = "wasabi_";
+  constexpr std::string_view Suffix = "_total";
+  for (const std::pair<const std::string, double> &it : Counts) {
+    std::string_view name = it.first;
+    bool ours = name.starts_with(Prefix) && name.ends_with(Suffix);
+    if (!ours || it.second == 0)
+      continue;
+    name.remove_prefix(Prefix.size());
+    name.remove_suffix(Suffix.size());
+    reportRequests("decisions_" + std::string(name) + "_" + Case, it.second,
+                   "count");
+  }
+}
+
+void runRequestsBench() {
+  const std::array<Part, 2> parts = {Part{"overhead", measureOverhead},
+                                     Part{"tokens", measureTokens}};
+  Faithfulness found;
+  for (const Part &it : parts) {
+    if (!isChosen(it.Name))
+      continue;
+    sayMachineLoad();
+    progress("requests: " + std::string(it.Name));
+    found = found + it.Run();
+  }
+  // No zeros without a look.
+  if (found.Checked == 0)
+    return;
+  reportRequests("false_not_run", static_cast<double>(found.FalseNotRun),
+                 "count");
+  reportRequests("double_runs", static_cast<double>(found.DoubleRuns), "count");
+  reportRequests("wrong_answers", static_cast<double>(found.WrongAnswers),
+                 "count");
+  reportRequests("answers_checked", static_cast<double>(found.Checked),
+                 "count");
+}
+
+} // namespace wasabi::bench
