--- a/Bench/RequestOverhead.cpp
+++ b/Bench/RequestOverhead.cpp
@@ -1,7 +1,6 @@
 #include "Bench/RequestScenarios.h"
 
 #include "Bench/LineFit.h"
-#include "Bench/Report.h"
 
 namespace wasabi::bench {
 namespace {
@@ -87,17 +86,13 @@
 Faithfulness measureOverhead() {
   RequestFleet::Settings setup;
   setup.Flags = {"--latency_ms=0", "--slots=0"};
-  Outcome<std::unique_ptr<RequestFleet>> fleet =
-      toOutcome<std::unique_ptr<RequestFleet>>(
-          [&] { return RequestFleet::start(setup); });
-  if (!fleet) {
-    progress("requests: overhead: " + describe(fleet.failure()));
+  std::unique_ptr<RequestFleet> fleet = startFleet(std::move(setup));
+  if (!fleet)
     return {};
-  }
-  std::vector<CallResult> through = measureLatency(**fleet);
-  std::vector<CallResult> cost = measureCost(**fleet);
-  return checkPlainRuns("through", through, **fleet) +
-         checkPlainRuns("cost", cost, **fleet);
+  std::vector<CallResult> through = measureLatency(*fleet);
+  std::vector<CallResult> cost = measureCost(*fleet);
+  return checkPlainRuns("through", through, *fleet) +
+         checkPlainRuns("cost", cost, *fleet);
 }
 
 Faithfulness measureTokens() {
@@ -108,15 +103,11 @@
   setup.Role = "engine";
   setup.Flags = {"--model=" + std::string(FleetModel), "--slots=32",
                  "--tokens_per_s=400"};
-  Outcome<std::unique_ptr<RequestFleet>> fleet =
-      toOutcome<std::unique_ptr<RequestFleet>>(
-          [&] { return RequestFleet::start(setup); });
-  if (!fleet) {
-    progress("requests: tokens: " + describe(fleet.failure()));
+  std::unique_ptr<RequestFleet> fleet = startFleet(std::move(setup));
+  if (!fleet)
     return {};
-  }
   LoadPlan plan;
-  plan.Targets = (*fleet)->callerAddresses();
+  plan.Targets = fleet->callerAddresses();
   plan.Workers = workers;
   plan.Span = span;
   plan.Deadline = Millis(20000);
@@ -130,11 +121,11 @@
     checkCompletion(Ask, Answer, Into);
     tokens += completionTokens(Ask);
   };
-  double entry = (*fleet)->entryCpuSeconds();
-  double daemon = (*fleet)->daemonCpuSeconds();
+  double entry = fleet->entryCpuSeconds();
+  double daemon = fleet->daemonCpuSeconds();
   std::vector<CallResult> calls = runLoad(plan);
-  entry = (*fleet)->entryCpuSeconds() - entry;
-  daemon = (*fleet)->daemonCpuSeconds() - daemon;
+  entry = fleet->entryCpuSeconds() - entry;
+  daemon = fleet->daemonCpuSeconds() - daemon;
 
   Faithfulness found;
   for (const CallResult &it : calls) {
--- /dev/null
+++ b/Bench/RequestScenarios.cpp
@@ -0,0 +1,106 @@
+#include "Bench/RequestScenarios.h"
+
+#include "Bench/LineFit.h"
+#include "Bench/Report.h"
+
+namespace wasabi::bench {
+namespace {
+
+constexpr std::uint32_t BlindAttempts = 4;
+constexpr std::uint32_t BlindLimit = 64;
+constexpr Millis CapacitySpan{1000};
+
+} // namespace
+
+void reportRequests(const std::string &Metric, double Value,
+                    const std::string &Unit, std::optional<double> Baseline) {
+  report(Figure{"requests", Metric, Value, Unit, Baseline});
+}
+
+void reportDecisions(const std::string &Case, const Decisions &Counts) {
+  constexpr std::string_view Prefix = "wasabi_";
+  constexpr std::string_view Suffix = "_total";
+  for (const std::pair<const std::string, double> &it : Counts) {
+    std::string_view name = it.first;
+    bool ours = name.starts_with(Prefix) && name.ends_with(Suffix);
+    if (!ours || it.second == 0)
+      continue;
+    name.remove_prefix(Prefix.size());
+    name.remove_suffix(Suffix.size());
+    reportRequests("decisions_" + std::string(name) + "_" + Case, it.second,
+                   "count");
+  }
+}
+
+std::unique_ptr<RequestFleet> startFleet(RequestFleet::Settings Setup) {
+  Outcome<std::unique_ptr<RequestFleet>> fleet =
+      toOutcome<std::unique_ptr<RequestFleet>>(
+          [&] { return RequestFleet::start(std::move(Setup)); });
+  if (fleet)
+    return *std::move(fleet);
+  progress("requests: " + describe(fleet.failure()));
+  return nullptr;
+}
+
+ClientPolicy blindClient(Millis Deadline) {
+  return ClientPolicy{BlindAttempts, BlindLimit, Deadline / 2};
+}
+
+LoadPlan plainLoad(const std::string &Load, const RequestFleet &Fleet,
+                   double Rate, Millis Span, Millis Deadline) {
+  LoadPlan plan;
+  plan.Targets = Fleet.callerAddresses();
+  plan.Rate = Rate;
+  plan.Span = Span;
+  plan.Deadline = Deadline;
+  plan.Make = [Load, Deadline](std::uint64_t Number) {
+    return plainCall(Load, Number, Deadline);
+  };
+  plan.Check = checkPlain;
+  return plan;
+}
+
+LoadPlan blindLoad(LoadPlan Through, const RequestFleet &Fleet) {
+  Through.Targets = Fleet.upstreamAddresses();
+  Through.Client = blindClient(Through.Deadline);
+  // Its runs are not those that the product is held to.
+  std::function<http::Request(std::uint64_t)> make = Through.Make;
+  Through.Make = [make](std::uint64_t Number) {
+    http::Request ask = make(Number);
+    for (http::Header &it : ask.Headers) {
+      if (it.Name == "X-Request-Id")
+        it.Value = "blind-" + it.Value;
+    }
+    return ask;
+  };
+  return Through;
+}
+
+double measureCapacity(LoadPlan Plan, const RequestFleet &Fleet,
+                       std::size_t Slots) {
+  Plan = blindLoad(std::move(Plan), Fleet);
+  Plan.Client = ClientPolicy();
+  Plan.Targets.resize(1);
+  Plan.Rate = 0;
+  Plan.Workers = Slots;
+  Plan.Span = CapacitySpan;
+  Plan.Incidents.clear();
+  TimePoint began = monotonicNow();
+  std::size_t good = goodCount(runLoad(Plan));
+  double seconds =
+      std::chrono::duration<double>(monotonicNow() - began).count();
+  return static_cast<double>(good) / seconds *
+         static_cast<double>(Fleet.upstreamAddresses().size());
+}
+
+double goodQuantile(const std::vector<CallResult> &Calls, double Share) {
+  return quantile(goodMillis(Calls), Share);
+}
+
+double goodShare(const std::vector<CallResult> &Calls) {
+  return Calls.empty() ? 0
+                       : static_cast<double>(goodCount(Calls)) /
+                             static_cast<double>(Calls.size());
+}
+
+} // namespace wasabi::bench
--- a/Bench/RequestScenarios.h
+++ b/Bench/RequestScenarios.h
@@ -16,12 +16,48 @@
 /// Prints the counts of what entries and daemons decided, where not 0.
 void reportDecisions(const std::string &Case, const Decisions &Counts);
 
+/// A fleet, or none and a line on stderr.
+std::unique_ptr<RequestFleet> startFleet(RequestFleet::Settings Setup);
+
+/// The baseline: random choice, fixed limits, three blind retries, each
+/// attempt with half of the deadline.
+ClientPolicy blindClient(Millis Deadline);
+
+/// A load of plain calls through the fleet's entries.
+LoadPlan plainLoad(const std::string &Load, const RequestFleet &Fleet,
+                   double Rate, Millis Span, Millis Deadline);
+/// The same load, sent to the upstreams themselves by the blind client.
+LoadPlan blindLoad(LoadPlan Through, const RequestFleet &Fleet);
+
+/// What the upstreams answer in a second, by keeping the first one's slots
+/// busy. `Plan` gives the calls.
+double measureCapacity(LoadPlan Plan, const RequestFleet &Fleet,
+                       std::size_t Slots);
+
+/// Quantile of the good answers' time, in milliseconds.
+double goodQuantile(const std::vector<CallResult> &Calls, double Share);
+/// Good answers over all calls.
+double goodShare(const std::vector<CallResult> &Calls);
+
 /// Added latency and CPU of one entry and one daemon, against a direct
 /// connection to the same upstream.
 Faithfulness measureOverhead();
-
 /// CPU for streamed tokens.
 Faithfulness measureTokens();
+/// Goodput at 0.5, 1, 1.5 and 3 times the capacity.
+Faithfulness measureOverload();
+/// One of four upstreams ten times slower.
+Faithfulness measureSlowUpstream();
+/// Two callers that together ask more than there is, one twice the other.
+Faithfulness measureFairness();
+/// A third of the instances killed at once.
+Faithfulness measureThirdKilled();
+/// All upstreams break off, hang, or are gone.
+Faithfulness measureOutages();
+/// Engines whose load reports are late.
+Faithfulness measureLateLoad();
+/// Prompts with common beginnings.
+Faithfulness measureCacheHits();
 
 } // namespace wasabi::bench
 
--- a/Bench/RequestsBench.cpp
+++ b/Bench/RequestsBench.cpp
@@ -38,29 +38,16 @@
 
 } // namespace
 
-void reportRequests(const std::string &Metric, double Value,
-                    const std::string &Unit, std::optional<double> Baseline) {
-  report(Figure{"requests", Metric, Value, Unit, Baseline});
-}
-
-void reportDecisions(const std::string &Case, const Decisions &Counts) {
-  constexpr std::string_view Prefix = "wasabi_";
-  constexpr std::string_view Suffix = "_total";
-  for (const std::pair<const std::string, double> &it : Counts) {
-    std::string_view name = it.first;
-    bool ours = name.starts_with(Prefix) && name.ends_with(Suffix);
-    if (!ours || it.second == 0)
-      continue;
-    name.remove_prefix(Prefix.size());
-    name.remove_suffix(Suffix.size());
-    reportRequests("decisions_" + std::string(name) + "_" + Case, it.second,
-                   "count");
-  }
-}
-
 void runRequestsBench() {
-  const std::array<Part, 2> parts = {Part{"overhead", measureOverhead},
-                                     Part{"tokens", measureTokens}};
+  const std::array<Part, 9> parts = {Part{"overhead", measureOverhead},
+                                     Part{"tokens", measureTokens},
+                                     Part{"overload", measureOverload},
+                                     Part{"slow_upstream", measureSlowUpstream},
+                                     Part{"fairness", measureFairness},
+                                     Part{"third_killed", measureThirdKilled},
+                                     Part{"outages", measureOutages},
+                                     Part{"late_load", measureLateLoad},
+                                     Part{"cache", measureCacheHits}};
   Faithfulness found;
   for (const Part &it : parts) {
     if (!isChosen(it.Name))
