--- a/Bench/Benches.h
+++ b/Bench/Benches.h
@@ -11,6 +11,9 @@
 /// Requests through entries and daemons, under overload and faults.
 void runRequestsBench();
 
+/// Slopes for docs/CAPACITY.md.
+void runCapacityBench();
+
 } // namespace wasabi::bench
 
 #endif // WASABI_BENCH_BENCHES_H
--- a/Bench/Main.cpp
+++ b/Bench/Main.cpp
@@ -3,9 +3,9 @@
 #include "Bench/Benches.h"
 #include "Bench/Report.h"
 
-#include <array>
 #include <cstring>
 #include <string_view>
+#include <vector>
 
 namespace wasabi::bench {
 namespace {
@@ -19,8 +19,11 @@
 constexpr int ExitUsage = 2;
 
 int runNamed(int Count, char **Names) {
-  const std::array<Entry, 2> all = {Entry{"state", runStateBench},
-                                    Entry{"requests", runRequestsBench}};
+  const std::vector<Entry> all = {
+      {"state", runStateBench},
+      {"requests", runRequestsBench},
+      {"capacity", runCapacityBench},
+  };
   // Every name is checked before the first bench runs.
   for (int n = 0; n < Count; ++n) {
     bool known = false;
