Concurrency limit by Little's law, with measured unloaded time

Cause: trials at 1.5x and 3x of capacity timed out requests inside the server: the limit had grown to 32 at a server of 4 slots, since its unfair queue answered some fast and starved the rest. Change: the mean time is requests at the server over answers a second; the unloaded time is measured at a quarter of the limit every 10 s. /status of a daemon shows its servers' load.

--- a/Daemon/Main.cpp
+++ b/Daemon/Main.cpp
@@ -7,6 +7,7 @@
 #include "Wasabi/Adapters/Proxy/ProcessSettings.h"
 #include "Wasabi/Adapters/Telemetry/Metrics.h"
 #include "Wasabi/Core/Program.h"
+#include "Wasabi/Core/Published.h"
 #include "Wasabi/Core/Timeline.h"
 #include "Wasabi/Node/ControlPlane.h"
 #include "Wasabi/Rollout/RolloutDuty.h"
@@ -155,7 +156,9 @@
   }
 
   void pushLoads() {
-    Front->setLoads(Proxy->loads(), Leaving);
+    std::vector<LoadSeen> now = Proxy->loads();
+    Front->setLoads(now, Leaving);
+    Shown.set(std::move(now));
     Loads.expires_after(LoadPause);
     Loads.async_wait([this](boost::system::error_code ec) {
       if (!ec)
@@ -182,6 +185,7 @@
       std::string rollouts =
           Rollouts ? "{\"rollouts\":" + Rollouts->statusJson() + "}" : "{}";
       return std::vector<std::string>{Control->statusJson(), rollouts,
+                                      loadsJson(*Shown.get()),
                                       statusJson(status)};
     };
     Admin->show(std::move(sources));
@@ -237,6 +241,8 @@
   asio::steady_timer Loads{Context};
   asio::steady_timer Drain{Context};
   std::atomic<bool> Leaving{false};
+  /// The loads as the admin thread shows them.
+  Published<std::vector<LoadSeen>> Shown;
   bool Told = false;
 };
 
--- a/Wasabi/Adapters/Proxy/ProcessSettings.cpp
+++ b/Wasabi/Adapters/Proxy/ProcessSettings.cpp
@@ -1,5 +1,6 @@
 #include "Wasabi/Adapters/Proxy/ProcessSettings.h"
 
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -83,4 +84,18 @@
   return boost::json::serialize(status);
 }
 
+std::string loadsJson(const std::vector<LoadSeen> &Loads) {
+  boost::json::array servers;
+  for (const LoadSeen &it : Loads)
+    servers.push_back(boost::json::object{{"name", it.Server.Text},
+                                          {"service", it.Service.Text},
+                                          {"running", it.Running},
+                                          {"queued", it.Queued},
+                                          {"limit", it.Limit},
+                                          {"version", it.Version},
+                                          {"serving", it.Serving}});
+  return boost::json::serialize(
+      boost::json::object{{"servers", std::move(servers)}});
+}
+
 } // namespace wasabi
--- a/Wasabi/Adapters/Proxy/ProcessSettings.h
+++ b/Wasabi/Adapters/Proxy/ProcessSettings.h
@@ -3,6 +3,7 @@
 #ifndef WASABI_ADAPTERS_PROXY_PROCESSSETTINGS_H
 #define WASABI_ADAPTERS_PROXY_PROCESSSETTINGS_H
 
+#include "Wasabi/Adapters/Frames/RequestClient.h"
 #include "Wasabi/Core/Address.h"
 #include "Wasabi/Core/Ids.h"
 #include "Wasabi/Core/Verdict.h"
@@ -70,6 +71,9 @@
 };
 std::string statusJson(const ProcessStatus &What);
 
+/// A JSON object for `/status` of a daemon's servers and their load.
+std::string loadsJson(const std::vector<LoadSeen> &Loads);
+
 } // namespace wasabi
 
 #endif // WASABI_ADAPTERS_PROXY_PROCESSSETTINGS_H
--- a/Wasabi/Routing/Admission.cpp
+++ b/Wasabi/Routing/Admission.cpp
@@ -118,6 +118,7 @@
     ++RunningRollouts;
   std::uint64_t id = Ask.Id;
   Running.emplace(id, RunningOne{Ask, Now, charged});
+  Limit = withRunning(Limit, running(), Now);
 }
 
 /// The next to start: of the highest priority that may, the flow that had the
@@ -172,7 +173,6 @@
   if (it == Running.end())
     return change;
   Micros took = Now - it->second.Began;
-  Limit = afterAnswer(Limit, took, running(), Now);
   double sample = static_cast<double>(took.count());
   AverageMicros = AverageMicros <= 0
                       ? sample
@@ -180,6 +180,7 @@
                             Setup.SampleWeight * sample;
   end(it->second, Now);
   Running.erase(it);
+  Limit = afterAnswer(withRunning(Limit, running(), Now), Now);
   startWaiting(change, Now);
   return change;
 }
@@ -193,6 +194,7 @@
   if (it != Running.end()) {
     end(it->second, Now);
     Running.erase(it);
+    Limit = withRunning(Limit, running(), Now);
   } else {
     for (Queue::iterator waiting = Waiting.begin(); waiting != Waiting.end();
          ++waiting) {
--- a/Wasabi/Routing/ConcurrencyLimit.cpp
+++ b/Wasabi/Routing/ConcurrencyLimit.cpp
@@ -5,18 +5,21 @@
 namespace wasabi {
 namespace {
 
-/// Weight of a lightly loaded window in the average of unloaded answers.
-constexpr double UnloadedWeight = 0.1;
-/// A window is lightly loaded below this share of the limit.
-constexpr double LightShare = 0.5;
+/// Weight of a window that was faster than an unloaded one is believed to be.
+constexpr double FasterWeight = 0.3;
+/// A slow window lowers the limit only while at least this share is in use.
+constexpr double BusyShare = 0.5;
 /// The limit grows only while at least this share of it is in use.
 constexpr double UsedShare = 0.8;
+/// Share of the limit at which the unloaded time is measured. A limit that
+/// stands at `Tolerance` times what the server runs at once is well below it.
+constexpr double ProbeShare = 0.25;
 
 ConcurrencyLimit freshWindow(ConcurrencyLimit Limit, TimePoint Now) {
   Limit.WindowBegan = Now;
-  Limit.WindowMicros = 0;
+  Limit.WindowArea = 0;
   Limit.WindowSamples = 0;
-  Limit.WindowPeak = 0;
+  Limit.WindowPeak = Limit.Running;
   return Limit;
 }
 
@@ -24,23 +27,55 @@
   Limit.Limit = std::clamp(Limit.Limit, Limit.Limits.Least, Limit.Limits.Most);
 }
 
-/// Learns how long an unloaded answer takes: what is faster counts at once,
-/// what is slower only while the server is little loaded.
-void learnUnloaded(ConcurrencyLimit &Limit, double Average) {
-  if (Limit.UnloadedMicros <= 0 || Average < Limit.UnloadedMicros) {
+/// What is faster than the unloaded time corrects it; that it has become slower
+/// only a measurement may tell, or overload would pass for normal.
+void learnFaster(ConcurrencyLimit &Limit, double Average) {
+  if (Limit.UnloadedMicros <= 0)
     Limit.UnloadedMicros = Average;
-    return;
+  else if (Average < Limit.UnloadedMicros)
+    Limit.UnloadedMicros += FasterWeight * (Average - Limit.UnloadedMicros);
+}
+
+ConcurrencyLimit endProbe(ConcurrencyLimit Limit, TimePoint Now) {
+  Limit.Probe = ProbeStage::None;
+  Limit.NextProbe = Now + Limit.Limits.ProbePeriod;
+  return freshWindow(Limit, Now);
+}
+
+bool windowIsWhole(const ConcurrencyLimit &Limit, TimePoint Now) {
+  return Now - Limit.WindowBegan >= Limit.Limits.Window &&
+         Limit.WindowSamples >= Limit.Limits.LeastSamples;
+}
+
+double meanMicros(const ConcurrencyLimit &Limit) {
+  return Limit.WindowArea / std::max(1u, Limit.WindowSamples);
+}
+
+/// One answer while the unloaded time is measured.
+ConcurrencyLimit probe(ConcurrencyLimit Limit, TimePoint Now) {
+  bool late = Now - Limit.ProbeBegan > Limit.Limits.LongestProbe;
+  if (Limit.Probe == ProbeStage::Draining) {
+    if (late)
+      return endProbe(Limit, Now);
+    if (Limit.Running > Limit.whole())
+      return Limit;
+    Limit.Probe = ProbeStage::Measuring;
+    return freshWindow(Limit, Now);
   }
-  if (Limit.WindowPeak <= LightShare * Limit.Limit)
-    Limit.UnloadedMicros += UnloadedWeight * (Average - Limit.UnloadedMicros);
+  ++Limit.WindowSamples;
+  // A server that answers seldom is believed by fewer answers.
+  if (!late && !windowIsWhole(Limit, Now))
+    return Limit;
+  Limit.UnloadedMicros = meanMicros(Limit);
+  return endProbe(Limit, Now);
 }
 
 void judge(ConcurrencyLimit &Limit) {
-  double average = Limit.WindowMicros / Limit.WindowSamples;
-  learnUnloaded(Limit, average);
+  double average = meanMicros(Limit);
+  learnFaster(Limit, average);
   bool slow = Limit.Limits.ByLatency &&
               average > Limit.Limits.Tolerance * Limit.UnloadedMicros;
-  if (slow && Limit.WindowPeak > LightShare * Limit.Limit)
+  if (slow && Limit.WindowPeak > BusyShare * Limit.Limit)
     Limit.Limit *= Limit.Limits.Decrease;
   else if (!slow && Limit.WindowPeak >= UsedShare * Limit.Limit)
     Limit.Limit += 1;
@@ -49,24 +84,43 @@
 
 } // namespace
 
+std::uint32_t ConcurrencyLimit::whole() const {
+  double now = Probe == ProbeStage::None ? Limit : Limit * ProbeShare;
+  return static_cast<std::uint32_t>(std::max(Limits.Least, now));
+}
+
 ConcurrencyLimit makeConcurrencyLimit(ConcurrencyLimit::Settings Limits,
                                       TimePoint Now) {
   ConcurrencyLimit limit;
   limit.Limits = Limits;
   limit.Limit = Limits.Start;
   limit.WindowBegan = Now;
+  limit.RunningSince = Now;
+  limit.NextProbe = Now + Limits.FirstProbe;
   clamp(limit);
   return limit;
 }
 
-ConcurrencyLimit afterAnswer(ConcurrencyLimit Limit, Micros Took,
-                             std::uint32_t Running, TimePoint Now) {
-  Limit.WindowMicros += static_cast<double>(Took.count());
-  ++Limit.WindowSamples;
+ConcurrencyLimit withRunning(ConcurrencyLimit Limit, std::uint32_t Running,
+                             TimePoint Now) {
+  double passed = static_cast<double>((Now - Limit.RunningSince).count());
+  Limit.WindowArea += passed * Limit.Running;
+  Limit.Running = Running;
+  Limit.RunningSince = Now;
   Limit.WindowPeak = std::max(Limit.WindowPeak, Running);
-  bool whole = Now - Limit.WindowBegan >= Limit.Limits.Window &&
-               Limit.WindowSamples >= Limit.Limits.LeastSamples;
-  if (!whole)
+  return Limit;
+}
+
+ConcurrencyLimit afterAnswer(ConcurrencyLimit Limit, TimePoint Now) {
+  if (Limit.Probe != ProbeStage::None)
+    return probe(Limit, Now);
+  if (Limit.Limits.ByLatency && Now >= Limit.NextProbe) {
+    Limit.Probe = ProbeStage::Draining;
+    Limit.ProbeBegan = Now;
+    return Limit;
+  }
+  ++Limit.WindowSamples;
+  if (!windowIsWhole(Limit, Now))
     return Limit;
   judge(Limit);
   return freshWindow(Limit, Now);
@@ -87,6 +141,7 @@
   // A limit that stood at its bound follows it.
   bool follows = Limit.Limits.ByLatency || Limit.Limit >= Limit.Limits.Most;
   Limit.Limits.ByLatency = false;
+  Limit.Probe = ProbeStage::None;
   Limit.Limits.Most = most;
   if (follows)
     Limit.Limit = most;
--- a/Wasabi/Routing/ConcurrencyLimit.h
+++ b/Wasabi/Routing/ConcurrencyLimit.h
@@ -11,6 +11,16 @@
 
 namespace wasabi {
 
+/// How far a measurement of the unloaded time is.
+enum class ProbeStage : std::uint8_t {
+  /// None is under way.
+  None,
+  /// Waiting until no more than the lowered limit are at the server.
+  Draining,
+  /// Taking samples.
+  Measuring,
+};
+
 /// A value; changed by the functions below.
 struct ConcurrencyLimit {
   struct Settings {
@@ -28,33 +38,52 @@
     Millis Window{100};
     /// and at least this many of them.
     std::uint32_t LeastSamples = 10;
+    /// How often the unloaded time is measured anew, at a quarter of the limit.
+    Millis ProbePeriod{10000};
+    /// The first time, since the limit at the start is a guess.
+    Millis FirstProbe{1000};
+    /// A measurement that takes longer ends with what it has.
+    Millis LongestProbe{2000};
     bool operator==(const Settings &) const = default;
   };
 
   Settings Limits;
   double Limit = Settings().Start;
-  /// Average time of an answer while the server is little loaded, in
-  /// microseconds; 0 for unknown.
+  /// Average time of an answer from an unloaded server, in microseconds; 0 for
+  /// unknown.
   double UnloadedMicros = 0;
   TimePoint WindowBegan;
-  double WindowMicros = 0;
+  /// Time spent at the server by all requests together, in microseconds. Over
+  /// the answers it is an answer's mean time by Little's law, which counts also
+  /// those that an unfair server lets wait and never answers.
+  double WindowArea = 0;
   std::uint32_t WindowSamples = 0;
+  /// Requests at the server, and since when.
+  std::uint32_t Running = 0;
+  TimePoint RunningSince;
   /// Most requests at once within the window.
   std::uint32_t WindowPeak = 0;
+  ProbeStage Probe = ProbeStage::None;
+  TimePoint NextProbe;
+  TimePoint ProbeBegan;
   bool operator==(const ConcurrencyLimit &) const = default;
 
-  /// The limit in whole requests.
-  std::uint32_t whole() const { return static_cast<std::uint32_t>(Limit); }
+  /// How many may run now, in whole requests.
+  std::uint32_t whole() const;
 };
 
 /// A limit as at the start. Pure.
 ConcurrencyLimit makeConcurrencyLimit(ConcurrencyLimit::Settings Limits,
                                       TimePoint Now);
 
-/// The limit after a whole answer that took `Took` while `Running` requests,
-/// itself included, were at the server. Pure.
-ConcurrencyLimit afterAnswer(ConcurrencyLimit Limit, Micros Took,
-                             std::uint32_t Running, TimePoint Now);
+/// The limit from now on with `Running` requests at the server. Call it after
+/// each start and end. Pure.
+ConcurrencyLimit withRunning(ConcurrencyLimit Limit, std::uint32_t Running,
+                             TimePoint Now);
+
+/// The limit after a whole answer. Precondition: `withRunning` has told of its
+/// end. Pure.
+ConcurrencyLimit afterAnswer(ConcurrencyLimit Limit, TimePoint Now);
 
 /// The limit after the server refused for overload or timed out; it falls at
 /// most once a window. Pure.
