A hung swap does not hold back the others; a proved one is not ordered twice

The same trace shows each swap ordered twice: the load report is up to 200 ms older than the order's answer. Ruled out: claims (held throughout), the log, the trainer (reachable after 2 s). Change: an order that is out four times longer than the usual swap (10 s while none has ended) no longer takes room from the others, but for the last server that serves; after a proved swap an old report is not believed for a second.

--- a/UnitTests/Weights/WavePlanTest.cpp
+++ b/UnitTests/Weights/WavePlanTest.cpp
@@ -54,6 +54,57 @@
   CHECK(orders[2].Server.Text == "s0");
 }
 
+TEST_CASE("an engine that hangs does not hold back the others", "[weights]") {
+  WaveState state;
+  state.Newest = 2;
+  std::vector<SwapTarget> all = servers(4, 1);
+  PresetDeclaration preset;
+  REQUIRE(planWave(state, all, preset, Start).size() == 1);
+  // Nothing is known of how long a swap takes: it may be under way.
+  TimePoint later = Start + state.Setup.FirstLate;
+  CHECK(planWave(state, all, preset, later).empty());
+  // Then the next goes, and takes half a second.
+  later += Millis(1);
+  std::vector<SwapOrder> next = planWave(state, all, preset, later);
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].Server.Text == "s1");
+  later += Millis(500);
+  REQUIRE(noteAnswer(state, next[0].Server, 2, later));
+  all[1].Version = 2;
+  // One more hangs; it is late after four times as long.
+  REQUIRE(planWave(state, all, preset, later).size() == 1);
+  CHECK(planWave(state, all, preset, later + Millis(2000)).empty());
+  CHECK(planWave(state, all, preset, later + Millis(2001)).size() == 1);
+  // The last one that serves never goes while the others are away.
+  all[1].Version = 1;
+  state.Servers[all[1].Server] = SwapState();
+  CHECK(planWave(state, all, preset, later + Millis(60000)).empty());
+}
+
+TEST_CASE("a swap that is proved is not ordered again by an old report",
+          "[weights]") {
+  WaveState state;
+  state.Newest = 2;
+  std::vector<SwapTarget> all = servers(1, 1);
+  PresetDeclaration preset;
+  REQUIRE(planWave(state, all, preset, Start).size() == 1);
+  TimePoint later = Start + Millis(100);
+  REQUIRE(noteAnswer(state, all[0].Server, 2, later));
+  // The load report still shows the old version.
+  CHECK(planWave(state, all, preset, later).empty());
+  CHECK(planWave(state, all, preset, later + Millis(999)).empty());
+  // A later one says that the engine lost it: it was started anew, say.
+  TimePoint lost = later + state.Setup.ReportLag;
+  CHECK(planWave(state, all, preset, lost).size() == 1);
+  // A newer version does not wait for the report.
+  REQUIRE(noteAnswer(state, all[0].Server, 2, lost));
+  state.Newest = 3;
+  REQUIRE(planWave(state, all, preset, lost).size() == 1);
+  // But a failure makes it wait, also after a success.
+  noteFailure(state, all[0].Server, lost);
+  CHECK(planWave(state, all, preset, lost).empty());
+}
+
 TEST_CASE("a swap counts by the engine's report only", "[weights]") {
   WaveState state;
   state.Newest = 2;
--- a/Wasabi/Weights/WavePlan.cpp
+++ b/Wasabi/Weights/WavePlan.cpp
@@ -14,13 +14,18 @@
 struct ServiceRoom {
   std::uint32_t Servers = 0;
   std::uint32_t Swapping = 0;
+  /// Of those, orders that are late.
+  std::uint32_t Late = 0;
 };
 
-std::uint32_t mostAtOnce(const ServiceRoom &Of, std::uint32_t Percent) {
+bool hasRoom(const ServiceRoom &Of, std::uint32_t Percent) {
   if (Of.Servers <= 1)
-    return 1;
-  std::uint32_t part = Of.Servers * Percent / 100;
-  return std::clamp(part, 1U, Of.Servers - 1);
+    return Of.Swapping == 0;
+  // Late ones count where it is about the last server that serves.
+  if (Of.Swapping + 1 >= Of.Servers)
+    return false;
+  std::uint32_t part = std::max(1U, Of.Servers * Percent / 100);
+  return Of.Swapping - Of.Late < part;
 }
 
 bool isFirst(const SwapTarget *A, const SwapTarget *B) {
@@ -33,14 +38,24 @@
   if (Which.Version == State.Newest)
     return false;
   auto it = State.Servers.find(Which.Server);
-  if (it != State.Servers.end() &&
-      (it->second.Ordered || Now < it->second.NotBefore))
-    return false;
+  if (it != State.Servers.end()) {
+    const SwapState &known = it->second;
+    const bool isOver = known.Reached != 0 && known.Reached < State.Newest;
+    if (known.Ordered || (Now < known.NotBefore && !isOver))
+      return false;
+  }
   bool waits = Preset.OnVersionChange == VersionChange::Finish &&
                Which.Unfinished > 0 && Which.Headroom >= 0;
   return !waits;
 }
 
+void noteSwapTime(WaveState &State, Micros Took) {
+  constexpr int Parts = 4;
+  State.SwapTime = State.SwapTime.count() == 0
+                       ? Took
+                       : (State.SwapTime * (Parts - 1) + Took) / Parts;
+}
+
 /// The window grows again some time after a failure cut it.
 void recover(WaveState &State, TimePoint Now) {
   bool forgotten = Now - State.WindowCutAt > State.Setup.ForgetLimit;
@@ -50,6 +65,14 @@
 
 } // namespace
 
+bool isLate(const WaveState &State, const SwapState &Of, TimePoint Now) {
+  Micros limit = State.Setup.FirstLate;
+  if (State.SwapTime.count() > 0)
+    limit = std::max<Micros>(State.SwapTime * State.Setup.LateFactor,
+                             State.Setup.MinLate);
+  return Of.Ordered && Now - Of.OrderedAt > limit;
+}
+
 std::vector<SwapOrder> planWave(WaveState &State,
                                 const std::vector<SwapTarget> &Targets,
                                 const PresetDeclaration &Preset,
@@ -63,8 +86,10 @@
     ++room.Servers;
     auto known = State.Servers.find(it.Server);
     if (known != State.Servers.end() && known->second.Ordered) {
+      const bool late = isLate(State, known->second, Now);
       ++room.Swapping;
-      ++swapping;
+      room.Late += late ? 1 : 0;
+      swapping += late ? 0 : 1;
     }
     if (mayGo(State, it, Preset, Now))
       waiting.push_back(&it);
@@ -75,7 +100,7 @@
     ServiceRoom &room = rooms[it->Service];
     if (swapping >= State.Window)
       break;
-    if (room.Swapping >= mostAtOnce(room, Preset.SwapPercent))
+    if (!hasRoom(room, Preset.SwapPercent))
       continue;
     SwapState &server = State.Servers[it->Server];
     server.Ordered = true;
@@ -93,7 +118,12 @@
     noteFailure(State, Server, Now);
     return false;
   }
-  State.Servers[Server] = SwapState();
+  SwapState &server = State.Servers[Server];
+  if (server.Ordered)
+    noteSwapTime(State, Now - server.OrderedAt);
+  server = SwapState();
+  server.Reached = Reported;
+  server.NotBefore = Now + State.Setup.ReportLag;
   State.Window = std::min(State.Window + 1, State.Setup.MaxFetches);
   return true;
 }
@@ -101,6 +131,8 @@
 void noteFailure(WaveState &State, const ServerName &Server, TimePoint Now) {
   SwapState &server = State.Servers[Server];
   server.Ordered = false;
+  // From now on `NotBefore` is a delay for any version.
+  server.Reached = 0;
   std::uint32_t doublings = std::min(server.Failures, MaxDoublings);
   server.NotBefore = Now + std::min(State.Setup.FirstBackOff * (1 << doublings),
                                     State.Setup.MaxBackOff);
--- a/Wasabi/Weights/WavePlan.h
+++ b/Wasabi/Weights/WavePlan.h
@@ -35,6 +35,9 @@
   TimePoint OrderedAt;
   std::uint32_t Failures = 0;
   TimePoint NotBefore;
+  /// The version that its answer proved last. Reports of its load are older
+  /// until `NotBefore`.
+  WeightVersion Reached = 0;
   bool operator==(const SwapState &) const = default;
 };
 
@@ -57,6 +60,14 @@
     Millis MaxBackOff{5000};
     /// A lower limit learnt from a failure is forgotten after this.
     Millis ForgetLimit{60000};
+    /// An order out for this many times the usual swap is late: its engine
+    /// hangs, and the others need not wait for it.
+    std::uint32_t LateFactor = 4;
+    Millis MinLate{1000};
+    /// As long as no swap has ended.
+    Millis FirstLate{10000};
+    /// How old a load report may be when an answer comes.
+    Millis ReportLag{1000};
   };
 
   Settings Setup;
@@ -65,11 +76,18 @@
   /// Fetches at once that are allowed now.
   std::uint32_t Window = Settings().FirstFetches;
   TimePoint WindowCutAt;
+  /// How long a swap takes, a moving average; zero until one has ended.
+  Micros SwapTime{0};
 };
 
+/// Whether a server's order is out for so long that it no longer holds back
+/// the others. Pure.
+bool isLate(const WaveState &State, const SwapState &Of, TimePoint Now);
+
 /// Plans the next orders at `Now`, and notes them as sent. At most the preset's
-/// percentage of each service swaps at once, never all of a service of more
-/// than one server, and never more in all than the store serves well. First
+/// percentage of each service swaps at once, late ones not counted, never all
+/// of a service of more than one server, and never more in all than the store
+/// serves well. First
 /// come servers whose version is nearest to too old, then those with the least
 /// unfinished work. Under `Finish` a server with unfinished work waits, unless
 /// its version is too old already. Pure but for `State`.
