--- a/Bench/RequestOverload.cpp
+++ b/Bench/RequestOverload.cpp
@@ -38,12 +38,15 @@
   std::string Name;
 };
 
-/// Good answers over what could be had at this load.
+/// Good answers within the span over what could be had at this load; what is
+/// left in queues at the end does not count.
 double goodputShare(const std::vector<CallResult> &Calls, double Factor,
                     double Capacity) {
+  double good = 0;
+  for (const CallResult &it : Calls)
+    good += it.Good && it.Due + it.Took <= Span ? 1 : 0;
   double seconds = std::chrono::duration<double>(Span).count();
-  double most = Capacity * std::min(1.0, Factor) * seconds;
-  return static_cast<double>(goodCount(Calls)) / most;
+  return good / (Capacity * std::min(1.0, Factor) * seconds);
 }
 
 } // namespace
