--- a/IntegrationTests/Chaos/Cluster.h
+++ b/IntegrationTests/Chaos/Cluster.h
@@ -24,6 +24,8 @@
   std::string PlainService;
   std::string Trainer;
   std::uint32_t StalenessBound = 1;
+  /// Whether the engines refuse orders with an old fencing token.
+  bool EnginesCheckFences = true;
   std::uint32_t Engines = 4;
   std::uint32_t PlainServers = 2;
   std::uint32_t Entries = 2;
@@ -66,9 +68,12 @@
   Result<void> startSlot(Slot &Which);
   /// Ends it at once, and has the platform forget it.
   void killSlot(Slot &Which);
-  /// Ends an engine at once; `startEngine` brings it back where it was.
+  /// Ends an engine at once; `startEngine` brings it back where it was, unless
+  /// it runs.
   void killEngine(std::size_t Which);
   Result<void> startEngine(std::size_t Which);
+  /// An engine's process now; it may be replaced meanwhile.
+  std::shared_ptr<harness::StandIn> engine(std::size_t Which) const;
   /// Runs wasabictl to its end; its exit code and what it printed.
   struct CommandEnd {
     int Code = -1;
@@ -93,7 +98,6 @@
   std::unique_ptr<harness::StandIn> Instances;
   std::unique_ptr<harness::StandIn> Scorer;
   std::unique_ptr<harness::StandIn> Trainer;
-  std::vector<std::unique_ptr<harness::StandIn>> Engines;
   std::vector<std::unique_ptr<harness::StandIn>> Services;
   std::unique_ptr<harness::StandIn> LogLink;
   std::unique_ptr<harness::StandIn> WeightsLink;
@@ -117,8 +121,8 @@
   Result<void> startProduct();
   std::vector<std::string> engineFlags(std::size_t Which) const;
 
-  /// Guards `Engines`, whose members are replaced.
   mutable std::mutex EnginesGuard;
+  std::vector<std::shared_ptr<harness::StandIn>> Engines;
 };
 
 } // namespace wasabi::chaos
