Replay: fencing tokens never go back at a daemon; traces found by the source folder

Change: rule fences-never-go-back with an example trace and doctored copies; the folder comes from CMake.

--- a/Fuzz/TextFuzz.cpp
+++ b/Fuzz/TextFuzz.cpp
@@ -62,6 +62,7 @@
                "at-most-once",
                "leaving-gets-no-new-work",
                "planned-stop-cuts-nothing",
+               "fences-never-go-back",
                "idle-share"};
   all.Limits.IdleShare = 0;
   const std::optional<replay::BrokenOutcome> broken =
--- a/IntegrationTests/Chaos/Run.cpp
+++ b/IntegrationTests/Chaos/Run.cpp
@@ -109,8 +109,8 @@
 void printTimelineHints(const replay::Trace &trace) {
   for (const std::string rule :
        {"sample-once", "label-true", "fresh", "answer-whole", "not-run-is-true",
-        "at-most-once", "leaving-gets-no-new-work",
-        "planned-stop-cuts-nothing"}) {
+        "at-most-once", "leaving-gets-no-new-work", "planned-stop-cuts-nothing",
+        "fences-never-go-back"}) {
     const replay::Outcomes against{{rule}, {}, {}};
     const std::optional<replay::BrokenOutcome> broken =
         replay::check(trace, against);
--- a/UnitTests/Replay/ExampleTracesTest.cpp
+++ b/UnitTests/Replay/ExampleTracesTest.cpp
@@ -16,8 +16,7 @@
 namespace {
 
 std::filesystem::path tracesFolder() {
-  const std::filesystem::path here(__FILE__);
-  return here.parent_path().parent_path().parent_path() / "examples" / "traces";
+  return std::filesystem::path(WASABI_SOURCE_DIR) / "examples" / "traces";
 }
 
 std::string textOf(const std::filesystem::path &path) {
@@ -107,7 +106,7 @@
     CHECK_FALSE(broken);
     ++found;
   }
-  CHECK(found >= 5);
+  CHECK(found >= 6);
 }
 
 TEST_CASE("A doctored duplicate is caught, with its causes") {
@@ -256,6 +255,16 @@
   requireBroken("leaving", trace, "planned-stop-cuts-nothing");
 }
 
+TEST_CASE("A doctored order of a former holder is caught") {
+  Trace trace = traceOf("weights");
+  const std::size_t last = lastOf(trace, is("order.take", "fence", "31"));
+  SECTION("an older token") {
+    setField(appendCopy(trace, last, Micros(10)), "fence", "18");
+  }
+  SECTION("no token") { setField(trace.Events[last], "fence", ""); }
+  requireBroken("weights", trace, "fences-never-go-back");
+}
+
 TEST_CASE("Too much idle time and an absent choice are caught") {
   Outcomes against = outcomesOf("idle");
   against.Limits.IdleShare = 0.2;
--- a/Wasabi/Replay/Rules.cpp
+++ b/Wasabi/Replay/Rules.cpp
@@ -19,6 +19,7 @@
     {"at-most-once", checkAtMostOnce},
     {"leaving-gets-no-new-work", checkLeavingGetsNoNewWork},
     {"planned-stop-cuts-nothing", checkPlannedStopCutsNothing},
+    {"fences-never-go-back", checkFencesNeverGoBack},
     {"idle-share", checkIdleShare},
 };
 
--- a/Wasabi/Replay/Rules.h
+++ b/Wasabi/Replay/Rules.h
@@ -53,6 +53,9 @@
 /// the process stops.
 std::optional<Finding> checkPlannedStopCutsNothing(const Trace &,
                                                    const Bounds &);
+/// `fences-never-go-back`: no daemon takes an order with an older token than
+/// one it took before.
+std::optional<Finding> checkFencesNeverGoBack(const Trace &, const Bounds &);
 /// `idle-share`: no trainer waits for samples more than its bound.
 std::optional<Finding> checkIdleShare(const Trace &, const Bounds &);
 
