--- a/IntegrationTests/Demo/Demo.cpp
+++ b/IntegrationTests/Demo/Demo.cpp
@@ -61,7 +61,23 @@
   return Record.Note.substr(from, Record.Note.find('"', from) - from);
 }
 
-/// Why callers were refused: how often, and since when.
+/// Each request that a caller was left in doubt about, with what it was told
+/// before of the same one.
+void sayDoubts(const std::vector<chaos::CallerRecord> &Records) {
+  for (const chaos::CallerRecord &doubt : Records) {
+    if (doubt.End != chaos::Seen::MayHaveRun)
+      continue;
+    say("FAULT: in doubt: " + doubt.Mark);
+    for (const chaos::CallerRecord &it : Records) {
+      if (it.Mark == doubt.Mark && it.Begun <= doubt.Begun)
+        say("  " + std::to_string(it.Begun) + " to " +
+            std::to_string(it.Ended) + " us, status " +
+            std::to_string(it.Status) + ": " + it.Note);
+    }
+  }
+}
+
+/// Why callers were refused, and how often.
 void sayRefusals(const std::vector<chaos::CallerRecord> &Records) {
   std::map<std::string, std::uint64_t> reasons;
   for (const chaos::CallerRecord &it : Records) {
@@ -278,6 +294,7 @@
   chaos::judgeStops(Report.Callers, Stops, Records, runs);
   Report.Trainer = trainerTruth();
   chaos::judgeTrainer(Report.Callers, Report.Trainer);
+  sayDoubts(Records);
   sayRefusals(Records);
   Report.Samples = Setup.Steps * Setup.Groups * Setup.GroupSize;
   for (const std::string &it : Report.Callers.Faults)
