--- a/IntegrationTests/Chaos/Cluster.cpp
+++ b/IntegrationTests/Chaos/Cluster.cpp
@@ -70,7 +70,8 @@
                        "drafting",
                        "lease-desk",
                        "permits",
-                       1};
+                       1,
+                       true};
   if (Deployment == "balikbayan")
     return ClusterPlan{"balikbayan",
                        {"pasig-a", "pasig-b", "makati-a", "valenzuela"},
@@ -78,7 +79,8 @@
                        "inspect",
                        "bidding-app",
                        "conditions",
-                       2};
+                       2,
+                       false};
   return badInput("--deployment", "neither lindqvist nor balikbayan");
 }
 
@@ -130,7 +132,8 @@
           "--model=" + Plan.Model,
           "--slots=8",
           "--tokens_per_s=120",
-          "--checks_fences=true",
+          std::string("--checks_fences=") +
+              (Plan.EnginesCheckFences ? "true" : "false"),
           "--store=" + toText(Weights->address()),
           "--seed=" + std::to_string(Seed)};
 }
@@ -256,13 +259,20 @@
 
 Result<void> Cluster::startEngine(std::size_t Which) {
   std::lock_guard<std::mutex> lock(EnginesGuard);
+  if (Engines[Which]->process().running())
+    return {};
   const Address where = Engines[Which]->address();
-  BOOST_LEAF_ASSIGN(Engines[Which],
-                    standIn("engine", engineFlags(Which),
-                            "engine-" + std::to_string(Which + 1), where));
+  BOOST_LEAF_AUTO(again, standIn("engine", engineFlags(Which),
+                                 "engine-" + std::to_string(Which + 1), where));
+  Engines[Which] = std::move(again);
   return {};
 }
 
+std::shared_ptr<StandIn> Cluster::engine(std::size_t Which) const {
+  std::lock_guard<std::mutex> lock(EnginesGuard);
+  return Engines[Which];
+}
+
 Cluster::CommandEnd Cluster::control(std::vector<std::string> Arguments) const {
   Arguments.push_back("--log=" + toText(Log->address()));
   Arguments.push_back("--instances=" + toText(Instances->address()));
@@ -287,7 +297,9 @@
   std::ofstream file(folder + "/all.json");
   file << R"([{"kind":"service","name":")" << Plan.EngineService
        << R"(","type":"engines","model":")" << Plan.Model
-       << R"(","placements":[)" << placements(Plan, 0, Plan.Engines)
+       << R"(","checks_fences":)"
+       << (Plan.EnginesCheckFences ? "true" : "false") << R"(,"placements":[)"
+       << placements(Plan, 0, Plan.Engines)
        << R"(]},{"kind":"service","name":")" << Plan.PlainService
        << R"(","type":"plain","placements":[)"
        << placements(Plan, Plan.Engines, Plan.PlainServers)
