A reservation of a key is given back when its request was refused

Cause: a keyed request that a witness had reserved and another one could not (away, leaving) was refused, and the first witness kept the reservation; when the key's home changed, every repeat was answered 409 'may have run' for 15 minutes, though nothing ever ran. Change: RELEASE to the witnesses that took it, by the runner's count of reservations, so that a late one frees no newer reservation.

--- a/UnitTests/Routing/IdempotencyKeysTest.cpp
+++ b/UnitTests/Routing/IdempotencyKeysTest.cpp
@@ -110,6 +110,24 @@
   CHECK(keys.begin("k", 7, Start).Why.Run == Verdict::MayHaveRun);
 }
 
+TEST_CASE("A reservation given back frees the key, an older one does not",
+          "[keys]") {
+  IdempotencyKeys keys(settings());
+  const Runner third{InstanceName("third"), 1};
+  constexpr std::uint64_t First = 4;
+  constexpr std::uint64_t Second = 9;
+  CHECK_FALSE(keys.reserve("k", 7, Other, Start, First));
+  CHECK_FALSE(keys.reserve("k", 7, Other, Start, Second));
+  // The first one's release arrives late, after the second reservation.
+  keys.release("k", Other, First);
+  CHECK(keys.reserve("k", 7, third, Start, First));
+  // Nobody gives back what another one holds.
+  keys.release("k", third, Second);
+  CHECK(keys.reserve("k", 7, third, Start, First));
+  keys.release("k", Other, Second);
+  CHECK_FALSE(keys.reserve("k", 7, third, Start, First));
+}
+
 TEST_CASE("One change of the view leaves a witness of a key in place",
           "[keys]") {
   rc::check([](std::set<int> Daemons, int Changed, std::string Key) {
--- a/Wasabi/Adapters/Proxy/DaemonProxy.cpp
+++ b/Wasabi/Adapters/Proxy/DaemonProxy.cpp
@@ -29,9 +29,11 @@
 constexpr asio::as_tuple_t<asio::use_awaitable_t<>> Awaited;
 constexpr std::string_view CompletionsPath = "/v1/completions";
 constexpr char ReserveMethod[] = "RESERVE";
+constexpr char ReleaseMethod[] = "RELEASE";
 constexpr char FingerprintHeader[] = "Fingerprint";
 constexpr char RunnerHeader[] = "Runner";
 constexpr char LifeHeader[] = "Life";
+constexpr char TurnHeader[] = "Turn";
 /// When to come back to a daemon that is starting, leaving or without engine.
 constexpr Millis ComeBack{500};
 /// Pause between two looks at the samples that an order waits for.
@@ -75,6 +77,8 @@
   std::uint64_t Fingerprint = 0;
   /// Its witnesses know of no other run.
   bool KeyProved = false;
+  /// The witnesses that hold the key for this attempt.
+  std::vector<Address> Reserved;
 };
 
 std::uint64_t fingerprintOf(const http::Request &Ask) {
@@ -500,8 +504,9 @@
     // The witnesses come first: only then is a refusal proved not to have run.
     Outcome<Done> reserved = co_await reserve(What);
     if (!reserved) {
-      Keys.broken(What.Key, reserved.failure());
       refuse(What, reserved.failure());
+      co_await release(What);
+      Keys.broken(What.Key, reserved.failure());
       co_return;
     }
     What.KeyProved = true;
@@ -509,8 +514,9 @@
     AdmissionAsk ask = askOf(What);
     Outcome<Done> entered = co_await at.Gate.enter(ask, What.Sink);
     if (!entered) {
-      Keys.notRun(What.Key);
       refuse(What, entered.failure());
+      co_await release(What);
+      Keys.notRun(What.Key);
       co_return;
     }
     record("attempt.admit", What, {});
@@ -526,23 +532,17 @@
   }
 
   /// Lets the key's witnesses know before it runs here.
-  asio::awaitable<Outcome<Done>> reserve(const Work &What) {
+  asio::awaitable<Outcome<Done>> reserve(Work &What) {
     std::shared_ptr<const View> view = Source.Members();
     std::vector<Member> witnesses =
         witnessesOf(What.Key, *view, Setup.Instance);
     for (const Member &it : witnesses) {
-      RequestAttempt ask;
-      ask.Request = What.Attempt.Request;
-      ask.Http.Method = ReserveMethod;
-      ask.Http.Target = What.Key;
-      ask.Http.Headers = {{FingerprintHeader, std::to_string(What.Fingerprint)},
-                          {RunnerHeader, Setup.Instance.Text},
-                          {LifeHeader, std::to_string(Setup.Life)}};
-      ask.Deadline = Setup.WitnessTimeout;
       Outcome<std::unique_ptr<AnswerStream>> answer =
-          co_await Peers->open(it.Requests, std::move(ask));
-      if (answer)
+          co_await Peers->open(it.Requests, witnessAsk(What, ReserveMethod));
+      if (answer) {
+        What.Reserved.push_back(it.Requests);
         continue;
+      }
       Failure why = answer.failure();
       // Its own refusal says what is known; silence says only that this
       // request was not forwarded.
@@ -554,17 +554,44 @@
     co_return Done{};
   }
 
+  /// Gives back what an attempt reserved that was never forwarded: else another
+  /// home of the key could only answer that it may have run. A witness that
+  /// does not hear of it keeps the key, which is safe.
+  asio::awaitable<void> release(const Work &What) {
+    for (const Address &it : What.Reserved)
+      co_await Peers->open(it, witnessAsk(What, ReleaseMethod));
+  }
+
+  RequestAttempt witnessAsk(const Work &What, const char *Method) const {
+    RequestAttempt ask;
+    ask.Request = What.Attempt.Request;
+    ask.Http.Method = Method;
+    ask.Http.Target = What.Key;
+    ask.Http.Headers = {{FingerprintHeader, std::to_string(What.Fingerprint)},
+                        {RunnerHeader, Setup.Instance.Text},
+                        {LifeHeader, std::to_string(Setup.Life)},
+                        {TurnHeader, std::to_string(What.Id)}};
+    ask.Deadline = Setup.WitnessTimeout;
+    return ask;
+  }
+
   void handleReserve(const RequestAttempt &Ask, AnswerSink &Sink) {
-    if (Ask.Http.Method != ReserveMethod) {
+    bool release = Ask.Http.Method == ReleaseMethod;
+    if (!release && Ask.Http.Method != ReserveMethod) {
       Sink.fail(
           notRun(FailureCode::BadInput, "request", "it names no service"));
       return;
     }
     Runner who{InstanceName(std::string(Ask.Http.header(RunnerHeader))),
                countFrom(Ask.Http.header(LifeHeader))};
-    std::optional<Failure> refused = Keys.reserve(
-        Ask.Http.Target, countFrom(Ask.Http.header(FingerprintHeader)), who,
-        monotonicNow());
+    std::uint64_t turn = countFrom(Ask.Http.header(TurnHeader));
+    std::optional<Failure> refused;
+    if (release)
+      Keys.release(Ask.Http.Target, who, turn);
+    else
+      refused = Keys.reserve(Ask.Http.Target,
+                             countFrom(Ask.Http.header(FingerprintHeader)), who,
+                             monotonicNow(), turn);
     if (refused) {
       Sink.fail(*refused);
       return;
--- a/Wasabi/Routing/IdempotencyKeys.cpp
+++ b/Wasabi/Routing/IdempotencyKeys.cpp
@@ -162,18 +162,19 @@
   it->second.Why = Why;
 }
 
-std::optional<Failure> IdempotencyKeys::reserve(const std::string &Key,
-                                                std::uint64_t Fingerprint,
-                                                const Runner &Who,
-                                                TimePoint Now) {
+std::optional<Failure>
+IdempotencyKeys::reserve(const std::string &Key, std::uint64_t Fingerprint,
+                         const Runner &Who, TimePoint Now, std::uint64_t Turn) {
   expire(Now);
-  std::unordered_map<std::string, Entry>::const_iterator it = Records.find(Key);
+  std::unordered_map<std::string, Entry>::iterator it = Records.find(Key);
   if (it != Records.end()) {
     if (it->second.Fingerprint != Fingerprint)
       return refuse(Verdict::NotRun, FailureCode::Conflict,
                     "the key was used for another request");
-    if (it->second.Who == Who)
+    if (it->second.Who == Who) {
+      it->second.Turn = std::max(it->second.Turn, Turn);
       return std::nullopt;
+    }
     return refuse(Verdict::MayHaveRun, FailureCode::Conflict,
                   "the first request went through instance " +
                       it->second.Who.Instance.Text);
@@ -182,6 +183,7 @@
   entry.Who = Who;
   entry.Fingerprint = Fingerprint;
   entry.Since = Now;
+  entry.Turn = Turn;
   if (insert(Key, std::move(entry), Now))
     return std::nullopt;
   Failure full = refuse(Verdict::NotRun, FailureCode::Overloaded,
@@ -190,6 +192,15 @@
   return full;
 }
 
+void IdempotencyKeys::release(const std::string &Key, const Runner &Who,
+                              std::uint64_t Turn) {
+  std::unordered_map<std::string, Entry>::const_iterator it = Records.find(Key);
+  bool held = it != Records.end() && it->second.Who == Who &&
+              Who != Setup.Self && it->second.Turn == Turn;
+  if (held)
+    drop(Key);
+}
+
 bool IdempotencyKeys::insert(const std::string &Key, Entry New, TimePoint Now) {
   if (Records.size() >= Setup.Capacity)
     return false;
--- a/Wasabi/Routing/IdempotencyKeys.h
+++ b/Wasabi/Routing/IdempotencyKeys.h
@@ -92,10 +92,14 @@
   void broken(const std::string &Key, const Failure &Why);
 
   /// Another daemon is about to run the key: empty when it may, else why not.
-  /// A runner may ask again; another one is refused `MayHaveRun`.
+  /// A runner may ask again; another one is refused `MayHaveRun`. `Turn` counts
+  /// the runner's reservations: the key is then held for its newest one.
   std::optional<Failure> reserve(const std::string &Key,
                                  std::uint64_t Fingerprint, const Runner &Who,
-                                 TimePoint Now);
+                                 TimePoint Now, std::uint64_t Turn = 0);
+  /// That daemon proves that nothing ran under its reservation `Turn`: the key
+  /// is free again, unless a newer reservation holds it.
+  void release(const std::string &Key, const Runner &Who, std::uint64_t Turn);
 
   std::size_t size() const { return Records.size(); }
 
@@ -109,6 +113,8 @@
     std::optional<http::Response> Answer;
     Failure Why;
     TimePoint Since;
+    /// At a witness: the runner's newest reservation.
+    std::uint64_t Turn = 0;
   };
 
   KeyDecision decide(const Entry &Known, std::uint64_t Fingerprint) const;
