--- a/Bench/Benches.h
+++ b/Bench/Benches.h
@@ -8,6 +8,12 @@
 /// Agreement, members and spreading, with real processes.
 void runStateBench();
 
+/// Requests through entries and daemons, under overload and faults.
+void runRequestsBench();
+
+/// Slopes for docs/CAPACITY.md.
+void runCapacityBench();
+
 } // namespace wasabi::bench
 
 #endif // WASABI_BENCH_BENCHES_H
