--- a/UnitTests/Config/ConfigurationTests.cpp
+++ b/UnitTests/Config/ConfigurationTests.cpp
@@ -105,6 +105,10 @@
        "only switch"},
       {R"([{"kind":"limit","name":"x"},{"kind":"limit","name":"x"}])",
        "f.json: /1/name", "declared twice"},
+      {R"({"kind":"limit","name":"x","burst":1,"burst":2})", "f.json: /burst",
+       "given twice"},
+      {R"([{},{"routes":[[],{"a":{"b":"","c":{},"b":1}}]}])",
+       "f.json: /1/routes/1/a/b", "given twice"},
   };
   for (const BadText &it : bad) {
     INFO(it.Text);
--- a/UnitTests/State/FoldTests.cpp
+++ b/UnitTests/State/FoldTests.cpp
@@ -196,6 +196,24 @@
   CHECK_FALSE(same.Diverged);
 }
 
+TEST_CASE("A snapshot at an offset where old entries go is no divergence") {
+  Folded log;
+  log.by("d1", ClaimTake{"snapshots", 0, Millis(10), 0});
+  log.change("anna", 1, {limit("a", 1)});
+  log.change("anna", 2, {{"limit/a", std::nullopt}});
+  const Offset sweptAt =
+      (wasabi::MemoryWindow / wasabi::SweepPeriod + 1) * wasabi::SweepPeriod;
+  while (log.State.Next < sweptAt)
+    apply(log.State, log.State.Next, "");
+  REQUIRE_FALSE(log.State.Removed.empty());
+  std::string text =
+      wasabi::encodeRecord({{"d1", 1, 99}, makeSnapshot(log.State, 1)});
+  Applied done = apply(log.State, sweptAt, text);
+  CHECK(done.Fate == RecordFate::Accepted);
+  CHECK_FALSE(done.Diverged);
+  CHECK(log.State.Removed.empty());
+}
+
 TEST_CASE("A snapshot by another, or with a wrong hash, is refused by all") {
   Folded log;
   log.by("d1", ClaimTake{"snapshots", 0, Millis(10), 0});
--- a/Wasabi/State/Fold.cpp
+++ b/Wasabi/State/Fold.cpp
@@ -1,6 +1,7 @@
 #include "Wasabi/State/Fold.h"
 
 #include "Wasabi/Config/JsonReader.h"
+#include "Wasabi/State/StateText.h"
 
 #include <boost/json.hpp>
 
@@ -18,56 +19,6 @@
 namespace {
 
 constexpr char SnapshotResource[] = "snapshots";
-constexpr std::uint32_t StateSchema = 1;
-constexpr char WholeState[] = "state";
-
-std::string member(std::string_view Key, std::string_view Text) {
-  return quoted(Key) + ":" + quoted(Text);
-}
-
-std::string member(std::string_view Key, std::uint64_t Number) {
-  return quoted(Key) + ":" + std::to_string(Number);
-}
-
-std::string encodeClaim(const std::string &Resource, const Claim &What) {
-  return "{" + member("resource", Resource) + "," +
-         member("holder", What.Holder.Text) + "," +
-         member("life", What.HolderLife) + "," + member("token", What.Token) +
-         "," +
-         member("term_ms", static_cast<std::uint64_t>(What.Term.count())) +
-         "," + member("renewed_at", What.RenewedAt) +
-         ",\"released\":" + (What.Released ? "true" : "false") + "}";
-}
-
-std::string encodeAuthor(const std::string &Author, const AuthorMark &Mark) {
-  return "{" + member("author", Author) + "," + member("life", Mark.Life) +
-         "," + member("sequence", Mark.Sequence) + "," + member("at", Mark.At) +
-         "," + member("fate", toText(Mark.Fate)) + "}";
-}
-
-std::string encodeRemoved(const std::string &Key, const RemovedObject &What) {
-  return "{" + member("key", Key) + "," + member("at", What.At) + "," +
-         member("by", What.By) + "}";
-}
-
-/// The object's text stands as it is: it is canonical JSON.
-std::string encodeObject(const std::string &Key, const StoredObject &What) {
-  return "{" + member("key", Key) + "," + member("written_at", What.WrittenAt) +
-         "," + member("by", What.By) + ",\"object\":" + What.Text + "}";
-}
-
-std::string encodeLine(const HistoryLine &Line) {
-  std::string keys;
-  for (const std::string &key : Line.Keys)
-    keys += (keys.empty() ? "" : ",") + quoted(key);
-  return "{" + member("at", Line.At) + "," + member("author", Line.Id.Author) +
-         "," + member("life", Line.Id.Life) + "," +
-         member("sequence", Line.Id.Sequence) + "," +
-         member("fate", toText(Line.Fate)) + "," +
-         member("operator", Line.Operator) + "," +
-         member("message", Line.Message) + ",\"keys\":[" + keys + "]," +
-         member("reason", Line.Reason) + "}";
-}
 
 /// Bytes that a line counts against `MaxHistoryBytes`.
 std::size_t sizeOf(const HistoryLine &Line) {
@@ -459,14 +410,13 @@
     return done;
   }
 
+  // Compared before anything changes: it may stand for the state right here.
+  const SnapshotRecord *snapshot =
+      what ? std::get_if<SnapshotRecord>(&what->Body) : nullptr;
+  bool diverged = snapshot && differs(State, *snapshot);
   sweep(State, At);
   std::string effects;
-  bool diverged = false;
   if (what) {
-    // Compared before it is applied: it may stand for the state right here.
-    if (const SnapshotRecord *snapshot =
-            std::get_if<SnapshotRecord>(&what->Body))
-      diverged = differs(State, *snapshot);
     done = applyRecord(State, At, *what, effects);
   } else {
     done.Fate = RecordFate::Malformed;
@@ -478,156 +428,6 @@
   return done;
 }
 
-namespace {
-
-/// Appends `"Key":[...]` with the encoded entries of a container.
-template <typename Entries, typename Encode>
-void appendArray(std::string &Out, std::string_view Key, const Entries &From,
-                 const Encode &One) {
-  Out += "," + quoted(Key) + ":[";
-  bool first = true;
-  for (const auto &entry : From) {
-    if (!first)
-      Out += ',';
-    first = false;
-    Out += One(entry);
-  }
-  Out += ']';
-}
-
-RecordFate readFate(JsonReader &Reader, std::string_view Key) {
-  return static_cast<RecordFate>(Reader.word(
-      Key, {"accepted", "refused", "repeated", "malformed", "newer"}, true));
-}
-
-void readObjects(JsonReader &Reader, FoldState &Into) {
-  for (JsonReader &part : Reader.objects("objects", true)) {
-    std::string key = part.text("key");
-    StoredObject object;
-    object.WrittenAt = part.number("written_at");
-    object.By = part.text("by");
-    if (const boost::json::value *value = part.any("object")) {
-      Outcome<std::string> text = toOutcome<std::string>(
-          [&] { return canonicalText(*value, WholeState); });
-      if (text)
-        object.Text = *text;
-      else
-        part.fail("object", text.failure().Reason);
-    }
-    Reader.adopt(part);
-    Into.Objects.emplace(std::move(key), std::move(object));
-  }
-}
-
-void readRemoved(JsonReader &Reader, FoldState &Into) {
-  for (JsonReader &part : Reader.objects("removed", true)) {
-    std::string key = part.text("key");
-    RemovedObject gone{part.number("at"), part.text("by")};
-    Reader.adopt(part);
-    Into.Removed.emplace(std::move(key), std::move(gone));
-  }
-}
-
-void readClaims(JsonReader &Reader, FoldState &Into) {
-  for (JsonReader &part : Reader.objects("claims", true)) {
-    std::string resource = part.text("resource");
-    Claim claim;
-    claim.Holder = InstanceName(part.text("holder"));
-    claim.HolderLife = part.number("life");
-    claim.Token = part.number("token");
-    claim.Term = Millis(part.number("term_ms"));
-    claim.RenewedAt = part.number("renewed_at");
-    claim.Released = part.boolean("released", false);
-    Reader.adopt(part);
-    Into.Claims.emplace(std::move(resource), std::move(claim));
-  }
-}
-
-void readAuthors(JsonReader &Reader, FoldState &Into) {
-  for (JsonReader &part : Reader.objects("authors", true)) {
-    std::string author = part.text("author");
-    AuthorMark mark;
-    mark.Life = part.number("life");
-    mark.Sequence = part.number("sequence");
-    mark.At = part.number("at");
-    mark.Fate = readFate(part, "fate");
-    Reader.adopt(part);
-    Into.Authors.emplace(std::move(author), mark);
-  }
-}
-
-void readHistory(JsonReader &Reader, FoldState &Into) {
-  for (JsonReader &part : Reader.objects("history", true)) {
-    HistoryLine line;
-    line.At = part.number("at");
-    line.Id = RecordId{part.text("author"), part.number("life"),
-                       part.number("sequence")};
-    line.Fate = readFate(part, "fate");
-    line.Operator = part.text("operator");
-    line.Message = part.text("message");
-    line.Keys = part.texts("keys", true);
-    line.Reason = part.text("reason");
-    Reader.adopt(part);
-    Into.History.push_back(std::move(line));
-  }
-}
-
-/// Builds what is never encoded.
-Result<void> rebuild(FoldState &State) {
-  ObjectTexts texts;
-  for (const auto &[key, object] : State.Objects)
-    texts.emplace(key, object.Text);
-  BOOST_LEAF_AUTO(whole, buildConfiguration(texts));
-  State.Config = std::make_shared<const Configuration>(std::move(whole));
-  State.RecentChains.push_back(State.Chain);
-  return {};
-}
-
-} // namespace
-
-std::string encodeState(const FoldState &State) {
-  std::string out = "{" + member("schema", StateSchema) + "," +
-                    member("next", State.Next) + "," +
-                    member("config_revision", State.ConfigRevision) + "," +
-                    member("snapshot_revision", State.SnapshotRevision) + "," +
-                    member("chain", State.Chain);
-  auto pairOf = [](const auto &Encode) {
-    return [Encode](const auto &Entry) {
-      return Encode(Entry.first, Entry.second);
-    };
-  };
-  appendArray(out, "objects", State.Objects, pairOf(encodeObject));
-  appendArray(out, "removed", State.Removed, pairOf(encodeRemoved));
-  appendArray(out, "claims", State.Claims, pairOf(encodeClaim));
-  appendArray(out, "authors", State.Authors, pairOf(encodeAuthor));
-  appendArray(out, "history", State.History, encodeLine);
-  return out + "}";
-}
-
-Result<FoldState> decodeState(std::string_view Text) {
-  BOOST_LEAF_AUTO(value, parseJson(Text, WholeState));
-  JsonReader reader(value, WholeState);
-  if (reader.number("schema", 1) > StateSchema)
-    return boost::leaf::new_error(Failure{Verdict::NotRun,
-                                          FailureCode::NewerSchema,
-                                          "state: /schema",
-                                          "is newer than this program",
-                                          {}});
-  FoldState out;
-  out.Next = reader.number("next");
-  out.ConfigRevision = reader.number("config_revision");
-  out.SnapshotRevision = reader.number("snapshot_revision");
-  out.Chain = reader.number("chain");
-  readObjects(reader, out);
-  readRemoved(reader, out);
-  readClaims(reader, out);
-  readAuthors(reader, out);
-  readHistory(reader, out);
-  BOOST_LEAF_CHECK(reader.finish());
-  BOOST_LEAF_CHECK(rebuild(out));
-  return out;
-}
-
 std::string hashText(std::string_view Text) {
   XXH128_hash_t hash = XXH3_128bits(Text.data(), Text.size());
   std::array<char, 33> digits{};
@@ -651,10 +451,4 @@
   return out;
 }
 
-std::string_view toText(RecordFate Fate) {
-  constexpr std::string_view Words[] = {"accepted", "refused", "repeated",
-                                        "malformed", "newer"};
-  return Words[static_cast<std::size_t>(Fate)];
-}
-
 } // namespace wasabi
--- a/Wasabi/State/Record.h
+++ b/Wasabi/State/Record.h
@@ -18,7 +18,8 @@
 
 /// The stream that configuration and claims are on.
 inline constexpr char ControlStream[] = "control";
-/// The newest record schema this program understands.
+/// The newest record schema this program understands. What the fold accepts,
+/// and the reasons it gives, are part of the schema: they enter the state.
 inline constexpr std::uint32_t RecordSchema = 1;
 
 /// Identifies a record through lost answers and repeats. The fold takes each
