--- a/IntegrationTests/Chaos/Run.cpp
+++ b/IntegrationTests/Chaos/Run.cpp
@@ -37,13 +37,26 @@
     const std::vector<UpstreamRun> found = readRuns(*truth, name);
     runs.insert(runs.end(), found.begin(), found.end());
   };
-  for (std::size_t n = 0; n < of.Engines.size(); ++n)
-    take(*of.Engines[n], of.Plan.EngineService + "-" + std::to_string(n + 1));
+  for (std::size_t n = 0; n < of.Plan.Engines; ++n)
+    take(*of.engine(n), of.Plan.EngineService + "-" + std::to_string(n + 1));
   for (std::size_t n = 0; n < of.Services.size(); ++n)
     take(*of.Services[n], of.Plan.PlainService + "-" + std::to_string(n + 1));
   return runs;
 }
 
+/// Every link must have been used: else faults on it prove nothing.
+void judgeLinks(Tally &sum, Cluster &of) {
+  for (harness::StandIn *it : of.links()) {
+    const Outcome<boost::json::value> truth = it->truth();
+    const bool used = truth && truth->is_object() &&
+                      truth->as_object().contains("connections") &&
+                      truth->at("connections").to_number<std::uint64_t>() > 0;
+    if (!used)
+      sum.Faults.push_back("nothing went through the link at " +
+                           toText(it->address()));
+  }
+}
+
 void gatherTrainer(Cluster &of, Tally &sum) {
   const Outcome<boost::json::value> truth = of.Trainer->truth();
   if (truth)
@@ -62,6 +75,9 @@
   for (const OperatorAct &it : acts) {
     if (it.Code != Accepted && it.Code != AcceptedNotSeen)
       continue;
+    // It was in force already: nothing was accepted.
+    if (it.Output.find("nothing to change") != std::string::npos)
+      continue;
     // "accepted at offset N…" is found again in the history.
     const std::size_t at = it.Output.find("offset ");
     const std::string offset =
@@ -93,8 +109,8 @@
 void printTimelineHints(const replay::Trace &trace) {
   for (const std::string rule :
        {"sample-once", "label-true", "fresh", "answer-whole", "not-run-is-true",
-        "at-most-once", "leaving-gets-no-new-work",
-        "planned-stop-cuts-nothing"}) {
+        "at-most-once", "leaving-gets-no-new-work", "planned-stop-cuts-nothing",
+        "fences-never-go-back"}) {
     const replay::Outcomes against{{rule}, {}, {}};
     const std::optional<replay::BrokenOutcome> broken =
         replay::check(trace, against);
@@ -147,7 +163,7 @@
 } // namespace
 
 Result<ExitCode> runOnce(ClusterPlan Plan, std::uint64_t Seed,
-                         const std::vector<Fault> &Schedule) {
+                         const std::vector<Fault> &Schedule, bool Keep) {
   BOOST_LEAF_AUTO(folder, harness::TestFolder::create());
   const Outcome<std::unique_ptr<Cluster>> started =
       toOutcome<std::unique_ptr<Cluster>>([&] {
@@ -159,6 +175,13 @@
     return boost::leaf::new_error(started.failure());
   }
   Cluster &cluster = **started;
+  std::string missing;
+  if (!awaitRecovery(cluster, wallMicros(), missing)) {
+    folder->keep();
+    std::cout << "logs: " << folder->path().string() << "\n";
+    return boost::leaf::new_error(Failure{
+        Verdict::NotRun, FailureCode::Unavailable, "cluster", missing, {}});
+  }
   const std::unique_ptr<CallerLoad> load =
       CallerLoad::start(loadOf(cluster.Plan, Seed));
   Observer observer(cluster, *load);
@@ -168,7 +191,6 @@
   injector.run(Schedule);
   injector.heal();
   const std::uint64_t healed = wallMicros();
-  std::string missing;
   const std::optional<Millis> recovered =
       awaitRecovery(cluster, healed, missing);
   const std::vector<CallerRecord> seen = load->finish();
@@ -179,6 +201,7 @@
   judgeCallers(sum, seen, runs);
   judgeStops(sum, injector.stops(), seen, runs);
   judgeOperators(sum, cluster, injector.acts());
+  judgeLinks(sum, cluster);
   for (const std::string &it : injector.problems())
     sum.Faults.push_back(it);
   if (!recovered)
@@ -192,8 +215,8 @@
 
   printFaults(sum);
   const bool held = holds(sum);
-  if (!held) {
-    printTimelineHints(trace);
+  printTimelineHints(trace);
+  if (!held || Keep) {
     writeTrace(folder->file("timeline.jsonl"), trace);
     writeCallers(folder->file("callers.txt"), seen);
     folder->keep();
--- a/Wasabi/Rollout/RolloutContext.cpp
+++ b/Wasabi/Rollout/RolloutContext.cpp
@@ -23,9 +23,7 @@
 }
 
 /// A load report is younger than the view.
-void correct(EngineSeen &Seen, const LoadReport &Report) {
-  const LoadSeen &Load = Report.Load;
-  Seen.Report = Report.Count;
+void correct(EngineSeen &Seen, const LoadSeen &Load) {
   Seen.Running = Load.Running;
   Seen.Queued = Load.Queued;
   Seen.Serving = Seen.Serving && Load.Serving;
@@ -38,6 +36,7 @@
 std::vector<EngineSeen> enginesOf(RolloutContext &Of,
                                   const ServiceName &Service) {
   std::vector<EngineSeen> all;
+  const TimePoint now = monotonicNow();
   std::shared_ptr<const View> view = Of.Control.view();
   for (const auto &it : view->Members) {
     const Member &who = it.second;
@@ -47,9 +46,10 @@
       if (server.Service != Service)
         continue;
       EngineSeen seen = engineFrom(who, server);
-      auto load = Of.Loads.find(seen.Name);
-      if (load != Of.Loads.end())
-        correct(seen, load->second);
+      seen.Report = Of.Loads.count(seen.Name);
+      const LoadSeen *load = Of.Loads.find(seen.Name, now);
+      if (load != nullptr)
+        correct(seen, *load);
       else
         Of.Requests->prepare(who.Requests);
       all.push_back(std::move(seen));
--- a/Wasabi/Rollout/RolloutContext.h
+++ b/Wasabi/Rollout/RolloutContext.h
@@ -11,6 +11,7 @@
 #include "Wasabi/Ports/ScorerPort.h"
 #include "Wasabi/Ports/WeightStorePort.h"
 #include "Wasabi/Rollout/Engines.h"
+#include "Wasabi/Rollout/LoadReports.h"
 #include "Wasabi/Rollout/RolloutDuty.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -18,7 +19,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -26,13 +26,6 @@
 
 namespace wasabi {
 
-/// A server's newest load report.
-struct LoadReport {
-  LoadSeen Load;
-  /// How many there were.
-  std::uint64_t Count = 0;
-};
-
 /// Lets other threads' answers onto the duty's thread while that is there.
 /// Thread-safe.
 class DutyGate {
@@ -62,14 +55,13 @@
   LogPort Log;
   ScorerPort Scorer;
   WeightStorePort Weights;
-  /// The newest load report of each server.
-  std::map<ServerName, LoadReport> Loads;
+  LoadReports Loads;
   /// Counts the records that this process appends to trainers' streams.
   std::uint64_t NextSequence = 1;
 };
 
 /// Engines of a service behind daemons that take work, with their loads. The
-/// connections to daemons not asked before are prepared. Not thread-safe.
+/// connections to daemons that do not report are prepared. Not thread-safe.
 std::vector<EngineSeen> enginesOf(RolloutContext &Of,
                                   const ServiceName &Service);
 
--- a/Wasabi/Rollout/RolloutDuty.cpp
+++ b/Wasabi/Rollout/RolloutDuty.cpp
@@ -63,7 +63,7 @@
     Context.Requests->onLoad(
         [this](const Address &, const std::vector<LoadSeen> &loads, bool) {
           for (const LoadSeen &it : loads)
-            noteLoad(it);
+            Context.Loads.take(it, monotonicNow());
         });
     boost::asio::co_spawn(Loop, supervise(), boost::asio::detached);
     Thread = std::thread([this] { Loop.run(); });
@@ -98,12 +98,6 @@
   std::string statusJson() const override { return *Status.get(); }
 
 private:
-  void noteLoad(const LoadSeen &Load) {
-    LoadReport &report = Context.Loads[Load.Server];
-    report.Load = Load;
-    ++report.Count;
-  }
-
   boost::asio::awaitable<void> supervise() {
     while (true) {
       if (!Leaving && Context.Control.ready())
