Choice forgets old paces; frames are received without zero-filling

Cause: a server that was slow once was never measured again; a 64 KiB buffer was cleared for each receive; lint. Change: what is known of a server's pace halves in 10 s and new answers outweigh it; the receive buffer keeps its size (up to 1 MiB).

--- a/Entry/Main.cpp
+++ b/Entry/Main.cpp
@@ -87,8 +87,9 @@
     return Done{};
   }
 
-  static void refuseOrder(Order What,
-                          std::function<void(Outcome<OrderAnswer>)> Answer) {
+  static void
+  refuseOrder(const Order &What,
+              const std::function<void(Outcome<OrderAnswer>)> &Answer) {
     Answer(Failure{Verdict::NotRun,
                    FailureCode::BadInput,
                    What.Server.Text,
--- a/IntegrationTests/Cases/IdempotencyKeyTest.cpp
+++ b/IntegrationTests/Cases/IdempotencyKeyTest.cpp
@@ -12,7 +12,7 @@
 
 /// Two servers before two daemons, and two entries.
 struct KeyWorld : RequestWorld {
-  explicit KeyWorld(std::vector<std::string> Flags = {}) {
+  explicit KeyWorld(const std::vector<std::string> &Flags = {}) {
     for (const char *it : {"a", "b"})
       addServer(it, "service", Flags);
     addDaemon("d1", "pasig-a", {{"a", "bids"}});
--- a/IntegrationTests/Cases/VerdictTest.cpp
+++ b/IntegrationTests/Cases/VerdictTest.cpp
@@ -189,8 +189,10 @@
 TEST_CASE("Verdict: a full server refuses as not run, with a time") {
   OneServer world({"--latency_ms=60000"});
   // More than limit and queue hold.
+  constexpr std::size_t Requests = 64;
   std::vector<std::future<Outcome<http::Response>>> told;
-  for (int n = 0; n < 64; ++n)
+  told.reserve(Requests);
+  for (std::size_t n = 0; n < Requests; ++n)
     told.push_back(std::async(std::launch::async, [&] {
       return world.ask("n1", quote({{"X-Deadline-Ms", "2000"}}));
     }));
--- a/UnitTests/Adapters/Frames/RequestFramesTest.cpp
+++ b/UnitTests/Adapters/Frames/RequestFramesTest.cpp
@@ -32,7 +32,7 @@
   bool done = false;
   std::exception_ptr thrown;
   asio::co_spawn(Context, Body, [&](std::exception_ptr Error) {
-    thrown = Error;
+    thrown = std::move(Error);
     done = true;
   });
   std::chrono::steady_clock::time_point end =
@@ -337,10 +337,10 @@
     (*socket)->send(ask);
     (*socket)->send(ask);
     // The server closes the connection on the repeat.
-    for (;;) {
+    bool open = true;
+    while (open) {
       Outcome<FrameBytes> frame = co_await (*socket)->receive();
-      if (!frame)
-        break;
+      open = static_cast<bool>(frame);
     }
     CHECK(runs == 1);
   });
@@ -453,7 +453,7 @@
     Outcome<http::Response> rest =
         co_await readWhole(**slow, Millis(10000), 1u << 20);
     REQUIRE(rest);
-    CHECK(rest->Body.size() == 64u * 1024u);
+    CHECK(rest->Body.size() == std::size_t{64} * 1024);
   });
 }
 
--- a/UnitTests/Routing/AdmissionTest.cpp
+++ b/UnitTests/Routing/AdmissionTest.cpp
@@ -205,7 +205,8 @@
   TimePoint end = Now + Span;
   while (Now < end) {
     std::uint32_t running = Limit.whole();
-    double rate = std::min<double>(running, At.Slots) / At.Service.count();
+    double rate = std::min<double>(running, At.Slots) /
+                  static_cast<double>(At.Service.count());
     Limit = withRunning(Limit, running, Now);
     Now += Micros(static_cast<std::int64_t>(1 / rate));
     Limit = afterAnswer(withRunning(Limit, running - 1, Now), Now);
--- a/UnitTests/Routing/ChoiceTest.cpp
+++ b/UnitTests/Routing/ChoiceTest.cpp
@@ -11,7 +11,8 @@
 
 const TimePoint Start{std::chrono::seconds(10000)};
 
-Candidate candidate(std::string Name, std::string Domain = "lulea-hall") {
+Candidate candidate(const std::string &Name,
+                    std::string Domain = "lulea-hall") {
   Candidate made;
   made.Key = ServerKey{InstanceName("i-" + Name), ServerName(Name)};
   made.Life = 1;
@@ -55,7 +56,8 @@
   ChoiceState state = makeState(all);
   for (const Candidate &it : all) {
     noteStart(state, it, Start);
-    noteSuccess(state, it, Micros(it.Key.Server.Text == "a" ? 50000 : 5000));
+    noteSuccess(state, it, Micros(it.Key.Server.Text == "a" ? 50000 : 5000),
+                Start);
   }
   std::map<std::string, int> counts = tally(state, all, Start);
   CHECK(counts["a"] == 0);
@@ -63,6 +65,30 @@
   CHECK(counts["c"] > 300);
 }
 
+TEST_CASE("A slow server is tried again later, and believed soon", "[choice]") {
+  std::vector<Candidate> all = {candidate("a"), candidate("b")};
+  ChoiceState state = makeState(all);
+  TimePoint now = Start;
+  auto answer = [&](const Candidate &Who, Micros Took) {
+    noteStart(state, Who, now);
+    noteSuccess(state, Who, Took, now);
+  };
+  answer(all[0], Micros(50000));
+  answer(all[1], Micros(5000));
+  int waited = 0;
+  for (; tally(state, all, now)["a"] == 0 && waited < 120; ++waited) {
+    now += Millis(1000);
+    answer(all[1], Micros(5000));
+  }
+  CHECK(waited >= 10);
+  CHECK(waited <= 40);
+  // It has recovered: two answers are enough.
+  answer(all[0], Micros(5000));
+  answer(all[0], Micros(5000));
+  CHECK(expectedWait(state, all[0], now) <
+        3 * expectedWait(state, all[1], now));
+}
+
 TEST_CASE("Own open attempts count at once, late loads without them twice",
           "[choice]") {
   std::vector<Candidate> all = {candidate("a"), candidate("b")};
@@ -89,7 +115,7 @@
   ChoiceState state = makeState(all);
   for (const Candidate &it : all) {
     noteStart(state, it, Start);
-    noteSuccess(state, it, Micros(8000));
+    noteSuccess(state, it, Micros(8000), Start);
   }
   CHECK(tally(state, all, Start)["near"] == 1000);
   for (int n = 0; n < 8; ++n)
--- a/UnitTests/Routing/CompletionStreamTest.cpp
+++ b/UnitTests/Routing/CompletionStreamTest.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 std::string chunk(std::uint64_t Position, std::uint64_t Tokens,
-                  std::string Text) {
+                  const std::string &Text) {
   return "data: {\"position\":" + std::to_string(Position) +
          ",\"tokens\":" + std::to_string(Tokens) + ",\"text\":\"" + Text +
          "\",\"weights_version\":3}\n\n";
--- a/UnitTests/Routing/IdempotencyKeysTest.cpp
+++ b/UnitTests/Routing/IdempotencyKeysTest.cpp
@@ -112,24 +112,25 @@
 
 TEST_CASE("One change of the view leaves a witness of a key in place",
           "[keys]") {
-  rc::check([](std::set<int> Daemons, int Changed, std::string Key) {
-    RC_PRE(Daemons.size() >= 2u);
-    std::set<int> after = Daemons;
-    if (after.erase(Changed) == 0)
-      after.insert(Changed);
-    auto names = [&](const std::set<int> &Of) {
-      std::set<std::string> found;
-      for (const Member &it :
-           witnessesOf(Key, viewOf(Of), InstanceName("nobody")))
-        found.insert(it.Instance.Text);
-      return found;
-    };
-    std::set<std::string> before = names(Daemons);
-    bool met = false;
-    for (const std::string &it : names(after))
-      met = met || before.contains(it);
-    RC_ASSERT(met);
-  });
+  rc::check(
+      [](const std::set<int> &Daemons, int Changed, const std::string &Key) {
+        RC_PRE(Daemons.size() >= 2u);
+        std::set<int> after = Daemons;
+        if (after.erase(Changed) == 0)
+          after.insert(Changed);
+        auto names = [&](const std::set<int> &Of) {
+          std::set<std::string> found;
+          for (const Member &it :
+               witnessesOf(Key, viewOf(Of), InstanceName("nobody")))
+            found.insert(it.Instance.Text);
+          return found;
+        };
+        std::set<std::string> before = names(Daemons);
+        bool met = false;
+        for (const std::string &it : names(after))
+          met = met || before.contains(it);
+        RC_ASSERT(met);
+      });
 }
 
 TEST_CASE("Without a look-up nobody says that a key did not run", "[keys]") {
--- a/Wasabi/Adapters/Frames/FrameSocket.cpp
+++ b/Wasabi/Adapters/Frames/FrameSocket.cpp
@@ -21,6 +21,8 @@
 
 constexpr std::size_t PrefixBytes = 4;
 constexpr std::size_t ReadBytes = 64u << 10;
+/// A buffer larger than this is given back once it is empty.
+constexpr std::size_t KeptBytes = 1u << 20;
 /// Frames sent in one system call at most.
 constexpr std::size_t MostCoalesced = 64;
 constexpr asio::as_tuple_t<asio::use_awaitable_t<>> Awaited;
@@ -98,7 +100,7 @@
 asio::awaitable<Outcome<FrameBytes>> FrameSocket::receive() {
   std::shared_ptr<FrameSocket> self = shared_from_this();
   while (Open) {
-    std::size_t held = Incoming.size() - Parsed;
+    std::size_t held = Held - Parsed;
     std::size_t wanted = PrefixBytes;
     if (held >= PrefixBytes) {
       std::uint32_t size = readPrefix(Incoming.data() + Parsed);
@@ -127,16 +129,26 @@
       }
     }
 
-    // Room for what is missing, but memory only as bytes really arrive.
-    Incoming.erase(Incoming.begin(),
-                   Incoming.begin() + static_cast<std::ptrdiff_t>(Parsed));
+    // Room for what is missing, but memory only as bytes really arrive. The
+    // buffer keeps its size: filling it with zeros each time would cost more
+    // than a small frame.
+    if (held > 0 && Parsed > 0)
+      std::memmove(Incoming.data(), Incoming.data() + Parsed, held);
+    Held = held;
     Parsed = 0;
-    std::size_t old = Incoming.size();
-    Incoming.resize(old + ReadBytes);
+    std::size_t old = Held;
+    // One large frame must not hold its memory for ever.
+    if (Incoming.size() > KeptBytes && old < ReadBytes) {
+      Incoming.resize(old);
+      Incoming.shrink_to_fit();
+    }
+    if (Incoming.size() < old + ReadBytes / 2)
+      Incoming.resize(old + ReadBytes);
     std::tuple<boost::system::error_code, std::size_t> got =
         co_await Socket.async_read_some(
-            asio::buffer(Incoming.data() + old, ReadBytes), Awaited);
-    Incoming.resize(old + std::get<1>(got));
+            asio::buffer(Incoming.data() + old, Incoming.size() - old),
+            Awaited);
+    Held += std::get<1>(got);
     if (std::get<0>(got)) {
       std::string reason = std::get<0>(got).message();
       if (old > 0)
--- a/Wasabi/Adapters/Frames/FrameSocket.h
+++ b/Wasabi/Adapters/Frames/FrameSocket.h
@@ -75,7 +75,9 @@
   std::string Peer;
   std::deque<FrameBytes> Queue;
   std::size_t QueuedBytes = 0;
+  /// Bytes received: `Held` of them are there, `Parsed` of these are done with.
   std::vector<std::uint8_t> Incoming;
+  std::size_t Held = 0;
   std::size_t Parsed = 0;
   bool Writing = false;
   bool Closing = false;
--- a/Wasabi/Adapters/Proxy/EntryProxy.cpp
+++ b/Wasabi/Adapters/Proxy/EntryProxy.cpp
@@ -364,8 +364,8 @@
     noteStart(Choices, who, began);
     AttemptEnd end = co_await exchange(What, who);
     if (end) {
-      noteSuccess(Choices, who,
-                  std::chrono::duration_cast<Micros>(monotonicNow() - began));
+      TimePoint now = monotonicNow();
+      noteSuccess(Choices, who, now - began, now);
       Budget = earn(Budget);
     } else if (What.Answer.gone()) {
       noteAbandoned(Choices, who);
--- a/Wasabi/Routing/Choice.cpp
+++ b/Wasabi/Routing/Choice.cpp
@@ -1,6 +1,7 @@
 #include "Wasabi/Routing/Choice.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace wasabi {
@@ -37,6 +38,22 @@
   return std::max(LeastSlowStartShare, age / span);
 }
 
+/// The part of old knowledge that still counts.
+double remembered(const ChoiceSettings &Settings, const ServerMemory &Memory,
+                  TimePoint Now) {
+  double age = std::chrono::duration<double>(Now - Memory.LastSample).count();
+  double life = std::chrono::duration<double>(Settings.HalfLife).count();
+  return age <= 0 || life <= 0 ? 1.0 : std::exp2(-age / life);
+}
+
+/// The time of an attempt as far as it is known now, in microseconds.
+double serviceMicros(const ChoiceState &State, const ServerMemory &Memory,
+                     TimePoint Now) {
+  if (Memory.ServiceMicros <= 0)
+    return static_cast<double>(State.Settings.UnknownService.count());
+  return Memory.ServiceMicros * remembered(State.Settings, Memory, Now);
+}
+
 bool mayBeAsked(const ServerMemory &Memory, TimePoint Now) {
   if (Memory.Leaving || Memory.AvoidUntil > Now)
     return false;
@@ -82,9 +99,7 @@
   if (Who.Domain != State.Own)
     cost += static_cast<double>(State.Settings.CrossDomain.count());
   if (Cached && *Cached == Who.Key) {
-    double service = memoryOf(State, Who).ServiceMicros;
-    if (service <= 0)
-      service = static_cast<double>(State.Settings.UnknownService.count());
+    double service = serviceMicros(State, memoryOf(State, Who), Now);
     cost -= State.Settings.PrefixSaves * service;
   }
   return cost;
@@ -163,9 +178,7 @@
 double expectedWait(const ChoiceState &State, const Candidate &Who,
                     TimePoint Now) {
   const ServerMemory &memory = memoryOf(State, Who);
-  double service = memory.ServiceMicros;
-  if (service <= 0)
-    service = static_cast<double>(State.Settings.UnknownService.count());
+  double service = serviceMicros(State, memory, Now);
   double limit = memory.HasLoad ? memory.Load.Limit : Who.Slots;
   limit = std::max(1.0, limit) * slowStartShare(State.Settings, memory, Now);
   return (openAt(memory) + 1.0) / limit * service;
@@ -248,10 +261,14 @@
 
 } // namespace
 
-void noteSuccess(ChoiceState &State, const Candidate &Who, Micros Took) {
+void noteSuccess(ChoiceState &State, const Candidate &Who, Micros Took,
+                 TimePoint Now) {
   ServerMemory &memory = endOne(State, Who);
   double sample = static_cast<double>(Took.count());
-  double weight = State.Settings.SampleWeight;
+  // Old knowledge gives way to new.
+  double weight = std::max(State.Settings.SampleWeight,
+                           1.0 - remembered(State.Settings, memory, Now));
+  memory.LastSample = Now;
   memory.ServiceMicros =
       memory.ServiceMicros <= 0
           ? sample
--- a/Wasabi/Routing/Choice.h
+++ b/Wasabi/Routing/Choice.h
@@ -48,6 +48,8 @@
   bool HasLoad = false;
   /// Moving average of an attempt's time, in microseconds; 0 for none yet.
   double ServiceMicros = 0;
+  /// When the last whole answer came.
+  TimePoint LastSample;
   std::uint32_t FailuresInRow = 0;
   /// How often in a row it was ejected, which makes the next one longer.
   std::uint32_t Ejections = 0;
@@ -77,6 +79,9 @@
   Millis OverloadPause{20};
   /// Weight of a new sample in the moving average of service times.
   double SampleWeight = 0.1;
+  /// Time in which half of what is known of a server's pace is forgotten: one
+  /// that was slow is tried again, and believed soon.
+  Millis HalfLife{10000};
   /// Assumed time of an attempt before there is a sample.
   Micros UnknownService{5000};
   /// What a cached prefix saves, as a share of the service time.
@@ -120,7 +125,8 @@
 /// An attempt begins.
 void noteStart(ChoiceState &State, const Candidate &Who, TimePoint Now);
 /// An attempt ended with a whole answer after `Took`.
-void noteSuccess(ChoiceState &State, const Candidate &Who, Micros Took);
+void noteSuccess(ChoiceState &State, const Candidate &Who, Micros Took,
+                 TimePoint Now);
 /// An attempt failed. `Peers` are the service's candidates, which bound how
 /// many are ejected.
 void noteFailure(ChoiceState &State, const Candidate &Who, const Failure &Why,
