Keys survive planned stops: a leaving daemon hands over what it remembers

Cause: ./run demo, which replaces every process in turn, showed refusals 'witness ...: End of file' for requests with a key: a witness that had left was asked until the view called it dead. Behind it stood a worse fault: a witness that stops takes its memory along, so two planned stops within a key's quarter of an hour let a repeat run a second time. Change: one that leaves stays a witness, and the next in rank becomes one too; a leaver that does not answer is passed over; a leaving daemon tells the keys' witnesses among those that stay all it remembers, after its last request. Conclusion: kept; a crash of all witnesses within the span still forgets.

--- a/Daemon/Main.cpp
+++ b/Daemon/Main.cpp
@@ -216,7 +216,16 @@
   }
 
   void endWhenIdle() {
-    if (Told && Proxy->inFlight() == 0) {
+    bool idle = Told && Proxy->inFlight() == 0;
+    if (idle && !HandedOver) {
+      // What ran under a key must not run again when this process is gone.
+      Proxy->handOver([this] {
+        HandedOver = true;
+        endWhenIdle();
+      });
+      return;
+    }
+    if (idle) {
       Loads.cancel();
       Front->stop();
       Proxy->stop();
@@ -244,6 +253,7 @@
   /// The loads as the admin thread shows them.
   Published<std::vector<LoadSeen>> Shown;
   bool Told = false;
+  bool HandedOver = false;
 };
 
 } // namespace
--- a/IntegrationTests/Cases/IdempotencyKeyTest.cpp
+++ b/IntegrationTests/Cases/IdempotencyKeyTest.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <csignal>
 #include <future>
 
 namespace wasabi::test {
@@ -109,6 +110,34 @@
   CHECK(world.runs("b") == before);
 }
 
+TEST_CASE("Key: planned stops of all daemons in turn forget no key") {
+  KeyWorld world;
+  std::vector<std::string> keys;
+  for (int n = 0; n < 8; ++n) {
+    keys.push_back("key-" + std::to_string(n));
+    Outcome<http::Response> first = world.ask("n1", bid(keys.back()));
+    REQUIRE(first);
+    REQUIRE(first->Status == 200);
+  }
+  REQUIRE(world.allRuns() == 8);
+  // One after the other is replaced, so that no daemon is left that ran a key
+  // or was told of it by the one that did.
+  for (const char *server : {"a", "b"}) {
+    std::string old = server == std::string("a") ? "d1" : "d2";
+    world.member(old).Child->signal(SIGTERM);
+    REQUIRE(world.member(old).Child->wait(Patience));
+    world.addDaemon(old + "-next", "pasig-a", {{server, "bids"}});
+    world.awaitServers(2);
+  }
+  for (const std::string &it : keys) {
+    Outcome<http::Response> again = world.ask("n2", bid(it));
+    REQUIRE(again);
+    INFO(again->Body);
+    CHECK(again->header("X-Wasabi-Verdict") == "may-have-run");
+  }
+  CHECK(world.allRuns() == 8);
+}
+
 TEST_CASE("Key: an entry that dies mid-answer leaves the answer to a repeat") {
   KeyWorld world({"--latency_ms=1000"});
   std::future<Outcome<http::Response>> lost =
--- a/UnitTests/Routing/IdempotencyKeysTest.cpp
+++ b/UnitTests/Routing/IdempotencyKeysTest.cpp
@@ -132,6 +132,39 @@
   });
 }
 
+TEST_CASE("Who leaves stays a witness, and the next one is one too", "[keys]") {
+  View view = viewOf({1, 2, 3, 4, 5});
+  InstanceName nobody("nobody");
+  std::vector<Member> before = witnessesOf("k", view, nobody);
+  REQUIRE(before.size() == 2);
+  view.Members[before[0].Instance].State = Health::Leaving;
+  std::vector<Member> now = witnessesOf("k", view, nobody);
+  REQUIRE(now.size() == 3);
+  CHECK(now[0].Instance == before[0].Instance);
+  CHECK(now[1].Instance == before[1].Instance);
+  // Once it is gone the others are the witnesses, and have been told.
+  view.Members[before[0].Instance].State = Health::Dead;
+  std::vector<Member> after = witnessesOf("k", view, nobody);
+  REQUIRE(after.size() == 2);
+  CHECK(after[0].Instance == now[1].Instance);
+  CHECK(after[1].Instance == now[2].Instance);
+}
+
+TEST_CASE("All that is remembered can be handed over", "[keys]") {
+  IdempotencyKeys keys(settings());
+  keys.begin("mine", 7, Start);
+  CHECK_FALSE(keys.reserve("theirs", 8, Other, Start));
+  std::vector<KeyRecord> all = keys.records();
+  CHECK(all.size() == 2);
+  IdempotencyKeys next(settings());
+  for (const KeyRecord &it : all)
+    CHECK_FALSE(next.reserve(it.Key, it.Fingerprint, it.Who, Start));
+  // A third runner is refused by the one that took over.
+  Runner third{InstanceName("third"), 1};
+  REQUIRE(next.reserve("theirs", 8, third, Start));
+  CHECK(next.reserve("theirs", 8, third, Start)->Run == Verdict::MayHaveRun);
+}
+
 TEST_CASE("Without a look-up nobody says that a key did not run", "[keys]") {
   Failure why{Verdict::NotRun, FailureCode::Unreachable, "d", "gone", {}};
   Failure told = withoutKeyProof(why);
--- a/Wasabi/Adapters/Proxy/DaemonProxy.cpp
+++ b/Wasabi/Adapters/Proxy/DaemonProxy.cpp
@@ -24,6 +24,9 @@
 namespace wasabi {
 namespace {
 
+/// Keys handed over at once when this process leaves.
+constexpr std::size_t HandOverWorkers = 32;
+
 namespace asio = boost::asio;
 
 constexpr asio::as_tuple_t<asio::use_awaitable_t<>> Awaited;
@@ -124,6 +127,14 @@
   Counter &OrdersRefused;
 };
 
+/// Keys under way to their witnesses, shared by the workers that tell them.
+struct HandOver {
+  std::vector<KeyRecord> Left;
+  TimePoint Until;
+  std::size_t Workers = 0;
+  std::function<void()> Callback;
+};
+
 class DaemonProxyImpl final : public DaemonProxy {
 public:
   DaemonProxyImpl(asio::io_context &Context, Settings Setup, Timeline &Events,
@@ -528,32 +539,85 @@
   /// Lets the key's witnesses know before it runs here.
   asio::awaitable<Outcome<Done>> reserve(const Work &What) {
     std::shared_ptr<const View> view = Source.Members();
-    std::vector<Member> witnesses =
-        witnessesOf(What.Key, *view, Setup.Instance);
-    for (const Member &it : witnesses) {
-      RequestAttempt ask;
-      ask.Request = What.Attempt.Request;
-      ask.Http.Method = ReserveMethod;
-      ask.Http.Target = What.Key;
-      ask.Http.Headers = {{FingerprintHeader, std::to_string(What.Fingerprint)},
-                          {RunnerHeader, Setup.Instance.Text},
-                          {LifeHeader, std::to_string(Setup.Life)}};
-      ask.Deadline = Setup.WitnessTimeout;
-      Outcome<std::unique_ptr<AnswerStream>> answer =
-          co_await Peers->open(it.Requests, std::move(ask));
-      if (answer)
+    KeyRecord record{What.Key, What.Fingerprint,
+                     Runner{Setup.Instance, Setup.Life}};
+    for (const Member &it : witnessesOf(What.Key, *view, Setup.Instance)) {
+      Outcome<Done> told = co_await tellWitness(it, record);
+      if (told)
         continue;
-      Failure why = answer.failure();
       // Its own refusal says what is known; silence says only that this
       // request was not forwarded.
-      if (why.Place == "Idempotency-Key")
-        co_return why;
+      if (told.failure().Place == "Idempotency-Key")
+        co_return told;
+      // What a leaver remembered is with the others, who were told as well.
+      if (hasLeft(it))
+        continue;
       co_return notRun(FailureCode::Unavailable, "witness " + it.Instance.Text,
-                       why.Reason);
+                       told.failure().Reason);
     }
     co_return Done{};
   }
 
+  /// Lets one witness know of a key and its runner.
+  asio::awaitable<Outcome<Done>> tellWitness(const Member &Who,
+                                             const KeyRecord &What) {
+    RequestAttempt ask;
+    ask.Request = Setup.Instance.Text + "/key";
+    ask.Http.Method = ReserveMethod;
+    ask.Http.Target = What.Key;
+    ask.Http.Headers = {{FingerprintHeader, std::to_string(What.Fingerprint)},
+                        {RunnerHeader, What.Who.Instance.Text},
+                        {LifeHeader, std::to_string(What.Who.Life)}};
+    ask.Deadline = Setup.WitnessTimeout;
+    Outcome<std::unique_ptr<AnswerStream>> answer =
+        co_await Peers->open(Who.Requests, std::move(ask));
+    if (!answer)
+      co_return answer.failure();
+    co_return Done{};
+  }
+
+  void handOver(std::function<void()> Callback) override {
+    std::shared_ptr<HandOver> work = std::make_shared<HandOver>();
+    work->Left = Keys.records();
+    work->Until = monotonicNow() + Setup.HandOverTimeout;
+    work->Callback = std::move(Callback);
+    work->Workers = HandOverWorkers;
+    std::shared_ptr<DaemonProxyImpl> held = self();
+    for (std::size_t n = 0; n < HandOverWorkers; ++n) {
+      asio::co_spawn(
+          Context,
+          [held, work]() -> asio::awaitable<void> {
+            return held->handOverKeys(work);
+          },
+          asio::detached);
+    }
+  }
+
+  asio::awaitable<void> handOverKeys(std::shared_ptr<HandOver> Work) {
+    std::shared_ptr<DaemonProxyImpl> held = self();
+    while (!Work->Left.empty() && monotonicNow() < Work->Until) {
+      KeyRecord record = std::move(Work->Left.back());
+      Work->Left.pop_back();
+      std::shared_ptr<const View> view = Source.Members();
+      for (const Member &it : witnessesOf(record.Key, *view, Setup.Instance)) {
+        // A witness that knows better refuses, which is as good.
+        if (takesWork(it))
+          co_await tellWitness(it, record);
+      }
+    }
+    if (--Work->Workers == 0)
+      Work->Callback();
+  }
+
+  /// Whether the newest view has this incarnation leaving, replaced or dead.
+  bool hasLeft(const Member &Who) const {
+    std::shared_ptr<const View> view = Source.Members();
+    auto it = view->Members.find(Who.Instance);
+    if (it == view->Members.end())
+      return true;
+    return it->second.Life != Who.Life || !takesWork(it->second);
+  }
+
   void handleReserve(const RequestAttempt &Ask, AnswerSink &Sink) {
     if (Ask.Http.Method != ReserveMethod) {
       Sink.fail(
--- a/Wasabi/Adapters/Proxy/DaemonProxy.h
+++ b/Wasabi/Adapters/Proxy/DaemonProxy.h
@@ -52,6 +52,8 @@
     Millis TickPeriod{20};
     /// How long a witness of a key may take to answer.
     Millis WitnessTimeout{500};
+    /// How long handing all keys over may take.
+    Millis HandOverTimeout{5000};
     /// Longest that an order waits for running samples, and takes after it.
     Millis SwapWait{60000};
     Millis OrderTimeout{60000};
@@ -80,6 +82,9 @@
   virtual std::vector<LoadSeen> loads() const = 0;
   /// From now on new work is refused `NotRun`; what runs goes on to its end.
   virtual void leave() = 0;
+  /// Tells the keys' witnesses among those that stay what is remembered here,
+  /// and calls back when they know or after a bounded time. After `leave`.
+  virtual void handOver(std::function<void()> Callback) = 0;
   /// Attempts at hand. Thread-safe.
   virtual std::size_t inFlight() const = 0;
   /// Ends the polling.
--- a/Wasabi/Routing/IdempotencyKeys.cpp
+++ b/Wasabi/Routing/IdempotencyKeys.cpp
@@ -53,17 +53,21 @@
     if (member.Kind == Role::Daemon && holds)
       ranked.push_back({weightOf(Key, member.Instance.Text), &member});
   }
-  std::size_t count = std::min(Witnesses, ranked.size());
-  std::partial_sort(ranked.begin(),
-                    ranked.begin() + static_cast<std::ptrdiff_t>(count),
-                    ranked.end(), [](const Ranked &One, const Ranked &Other) {
-                      return std::tie(One.Weight, One.Who->Instance) >
-                             std::tie(Other.Weight, Other.Who->Instance);
-                    });
+  std::sort(ranked.begin(), ranked.end(),
+            [](const Ranked &One, const Ranked &Other) {
+              return std::tie(One.Weight, One.Who->Instance) >
+                     std::tie(Other.Weight, Other.Who->Instance);
+            });
   std::vector<Member> found;
-  for (std::size_t n = 0; n < count; ++n) {
-    if (ranked[n].Who->Instance != Runner)
-      found.push_back(*ranked[n].Who);
+  std::size_t staying = 0;
+  for (const Ranked &it : ranked) {
+    if (staying == Witnesses)
+      break;
+    // One that leaves still remembers, but the next is told already.
+    if (takesWork(*it.Who))
+      ++staying;
+    if (it.Who->Instance != Runner)
+      found.push_back(*it.Who);
   }
   return found;
 }
@@ -190,6 +194,14 @@
   return full;
 }
 
+std::vector<KeyRecord> IdempotencyKeys::records() const {
+  std::vector<KeyRecord> all;
+  all.reserve(Records.size());
+  for (const std::pair<const std::string, Entry> &it : Records)
+    all.push_back(KeyRecord{it.first, it.second.Fingerprint, it.second.Who});
+  return all;
+}
+
 bool IdempotencyKeys::insert(const std::string &Key, Entry New, TimePoint Now) {
   if (Records.size() >= Setup.Capacity)
     return false;
--- a/Wasabi/Routing/IdempotencyKeys.h
+++ b/Wasabi/Routing/IdempotencyKeys.h
@@ -27,7 +27,8 @@
                                 const std::vector<Candidate> &Of);
 
 /// The daemons besides `Runner` that must know of a key before it runs: the
-/// first two of all by rendezvous hashing. Any one change of the view leaves at
+/// first two of all that stay by rendezvous hashing, and those before them that
+/// are leaving, which still remember. Any one change of the view leaves at
 /// least one of them in place. Pure.
 std::vector<Member> witnessesOf(std::string_view Key, const View &Members,
                                 const InstanceName &Runner);
@@ -44,6 +45,14 @@
   auto operator<=>(const Runner &) const = default;
 };
 
+/// That a key was reserved or run: what a witness must know.
+struct KeyRecord {
+  std::string Key;
+  std::uint64_t Fingerprint = 0;
+  Runner Who;
+  bool operator==(const KeyRecord &) const = default;
+};
+
 /// What to do with a request that carries a key.
 enum class KeyStep : std::uint8_t {
   /// Nothing is known: it may run here.
@@ -97,6 +106,9 @@
                                  std::uint64_t Fingerprint, const Runner &Who,
                                  TimePoint Now);
 
+  /// All that is remembered, for handing it over when this process leaves.
+  std::vector<KeyRecord> records() const;
+
   std::size_t size() const { return Records.size(); }
 
 private:
