--- a/Wasabi/Adapters/Proxy/DaemonProxy.cpp
+++ b/Wasabi/Adapters/Proxy/DaemonProxy.cpp
@@ -32,9 +32,11 @@
 constexpr asio::as_tuple_t<asio::use_awaitable_t<>> Awaited;
 constexpr std::string_view CompletionsPath = "/v1/completions";
 constexpr char ReserveMethod[] = "RESERVE";
+constexpr char ReleaseMethod[] = "RELEASE";
 constexpr char FingerprintHeader[] = "Fingerprint";
 constexpr char RunnerHeader[] = "Runner";
 constexpr char LifeHeader[] = "Life";
+constexpr char TurnHeader[] = "Turn";
 /// When to come back to a daemon that is starting, leaving or without engine.
 constexpr Millis ComeBack{500};
 /// Pause between two looks at the samples that an order waits for.
@@ -78,6 +80,8 @@
   std::uint64_t Fingerprint = 0;
   /// Its witnesses know of no other run.
   bool KeyProved = false;
+  /// The witnesses that hold the key for this attempt.
+  std::vector<Address> Reserved;
 };
 
 std::uint64_t fingerprintOf(const http::Request &Ask) {
@@ -511,8 +515,9 @@
     // The witnesses come first: only then is a refusal proved not to have run.
     Outcome<Done> reserved = co_await reserve(What);
     if (!reserved) {
-      Keys.broken(What.Key, reserved.failure());
       refuse(What, reserved.failure());
+      co_await release(What);
+      Keys.broken(What.Key, reserved.failure());
       co_return;
     }
     What.KeyProved = true;
@@ -520,8 +525,9 @@
     AdmissionAsk ask = askOf(What);
     Outcome<Done> entered = co_await at.Gate.enter(ask, What.Sink);
     if (!entered) {
-      Keys.notRun(What.Key);
       refuse(What, entered.failure());
+      co_await release(What);
+      Keys.notRun(What.Key);
       co_return;
     }
     record("attempt.admit", What, {});
@@ -537,14 +543,16 @@
   }
 
   /// Lets the key's witnesses know before it runs here.
-  asio::awaitable<Outcome<Done>> reserve(const Work &What) {
+  asio::awaitable<Outcome<Done>> reserve(Work &What) {
     std::shared_ptr<const View> view = Source.Members();
-    KeyRecord record{What.Key, What.Fingerprint,
-                     Runner{Setup.Instance, Setup.Life}};
+    KeyRecord record = recordOf(What);
     for (const Member &it : witnessesOf(What.Key, *view, Setup.Instance)) {
-      Outcome<Done> told = co_await tellWitness(it, record);
-      if (told)
+      Outcome<Done> told =
+          co_await tellWitness(it.Requests, record, ReserveMethod);
+      if (told) {
+        What.Reserved.push_back(it.Requests);
         continue;
+      }
       // Its own refusal says what is known; silence says only that this
       // request was not forwarded.
       if (told.failure().Place == "Idempotency-Key")
@@ -558,24 +566,38 @@
     co_return Done{};
   }
 
-  /// Lets one witness know of a key and its runner.
-  asio::awaitable<Outcome<Done>> tellWitness(const Member &Who,
-                                             const KeyRecord &What) {
+  KeyRecord recordOf(const Work &What) const {
+    Runner self{Setup.Instance, Setup.Life};
+    return KeyRecord{What.Key, What.Fingerprint, self, What.Id};
+  }
+
+  /// Lets one witness know of a key and its runner, or gives that back.
+  asio::awaitable<Outcome<Done>> tellWitness(Address Where, KeyRecord What,
+                                             const char *Method) {
     RequestAttempt ask;
     ask.Request = Setup.Instance.Text + "/key";
-    ask.Http.Method = ReserveMethod;
+    ask.Http.Method = Method;
     ask.Http.Target = What.Key;
     ask.Http.Headers = {{FingerprintHeader, std::to_string(What.Fingerprint)},
                         {RunnerHeader, What.Who.Instance.Text},
-                        {LifeHeader, std::to_string(What.Who.Life)}};
+                        {LifeHeader, std::to_string(What.Who.Life)},
+                        {TurnHeader, std::to_string(What.Turn)}};
     ask.Deadline = Setup.WitnessTimeout;
     Outcome<std::unique_ptr<AnswerStream>> answer =
-        co_await Peers->open(Who.Requests, std::move(ask));
+        co_await Peers->open(std::move(Where), std::move(ask));
     if (!answer)
       co_return answer.failure();
     co_return Done{};
   }
 
+  /// Gives back what an attempt reserved that was never forwarded: else another
+  /// home of the key could only answer that it may have run. A witness that
+  /// does not hear of it keeps the key, which is safe.
+  asio::awaitable<void> release(const Work &What) {
+    for (const Address &it : What.Reserved)
+      co_await tellWitness(it, recordOf(What), ReleaseMethod);
+  }
+
   void handOver(std::function<void()> Callback) override {
     std::shared_ptr<HandOver> work = std::make_shared<HandOver>();
     work->Left = Keys.records();
@@ -602,7 +624,7 @@
       for (const Member &it : witnessesOf(record.Key, *view, Setup.Instance)) {
         // A witness that knows better refuses, which is as good.
         if (takesWork(it))
-          co_await tellWitness(it, record);
+          co_await tellWitness(it.Requests, record, ReserveMethod);
       }
     }
     if (--Work->Workers == 0)
@@ -619,16 +641,22 @@
   }
 
   void handleReserve(const RequestAttempt &Ask, AnswerSink &Sink) {
-    if (Ask.Http.Method != ReserveMethod) {
+    bool release = Ask.Http.Method == ReleaseMethod;
+    if (!release && Ask.Http.Method != ReserveMethod) {
       Sink.fail(
           notRun(FailureCode::BadInput, "request", "it names no service"));
       return;
     }
     Runner who{InstanceName(std::string(Ask.Http.header(RunnerHeader))),
                countFrom(Ask.Http.header(LifeHeader))};
-    std::optional<Failure> refused = Keys.reserve(
-        Ask.Http.Target, countFrom(Ask.Http.header(FingerprintHeader)), who,
-        monotonicNow());
+    std::uint64_t turn = countFrom(Ask.Http.header(TurnHeader));
+    std::optional<Failure> refused;
+    if (release)
+      Keys.release(Ask.Http.Target, who, turn);
+    else
+      refused = Keys.reserve(Ask.Http.Target,
+                             countFrom(Ask.Http.header(FingerprintHeader)), who,
+                             monotonicNow(), turn);
     if (refused) {
       Sink.fail(*refused);
       return;
--- a/Wasabi/Routing/IdempotencyKeys.h
+++ b/Wasabi/Routing/IdempotencyKeys.h
@@ -50,6 +50,8 @@
   std::string Key;
   std::uint64_t Fingerprint = 0;
   Runner Who;
+  /// The runner's count of its reservations.
+  std::uint64_t Turn = 0;
   bool operator==(const KeyRecord &) const = default;
 };
 
@@ -101,10 +103,14 @@
   void broken(const std::string &Key, const Failure &Why);
 
   /// Another daemon is about to run the key: empty when it may, else why not.
-  /// A runner may ask again; another one is refused `MayHaveRun`.
+  /// A runner may ask again; another one is refused `MayHaveRun`. `Turn` counts
+  /// the runner's reservations: the key is then held for its newest one.
   std::optional<Failure> reserve(const std::string &Key,
                                  std::uint64_t Fingerprint, const Runner &Who,
-                                 TimePoint Now);
+                                 TimePoint Now, std::uint64_t Turn = 0);
+  /// That daemon proves that nothing ran under its reservation `Turn`: the key
+  /// is free again, unless a newer reservation holds it.
+  void release(const std::string &Key, const Runner &Who, std::uint64_t Turn);
 
   /// All that is remembered, for handing it over when this process leaves.
   std::vector<KeyRecord> records() const;
@@ -121,6 +127,8 @@
     std::optional<http::Response> Answer;
     Failure Why;
     TimePoint Since;
+    /// At a witness: the runner's newest reservation.
+    std::uint64_t Turn = 0;
   };
 
   KeyDecision decide(const Entry &Known, std::uint64_t Fingerprint) const;
