--- a/IntegrationTests/Demo/Demo.cpp
+++ b/IntegrationTests/Demo/Demo.cpp
@@ -276,7 +276,8 @@
   expect(ready, Node.Name + " did not become ready again");
   // An operator replaces the next one when the last one is back.
   bool known = await([&] { return Running->isAcquainted(); }, ReadyLimit);
-  expect(known, Node.Name + " is not known to all others");
+  expect(known, Node.Name + " is not known to all others:\n" +
+                    (known ? "" : Running->describeViews()));
 }
 
 void Demo::trainTheRest() {
--- a/IntegrationTests/Harness/Deployment.cpp
+++ b/IntegrationTests/Harness/Deployment.cpp
@@ -295,12 +295,30 @@
   return ready;
 }
 
-bool Deployment::isAcquainted() const {
+std::map<std::string, Address> Deployment::daemonControls() const {
   std::map<std::string, Address> daemons;
   for (const ProductNode &it : Nodes) {
     if (!it.isEntry())
       daemons[it.Name] = it.Control;
   }
+  return daemons;
+}
+
+std::string Deployment::describeViews() const {
+  std::map<std::string, Address> daemons = daemonControls();
+  std::string text;
+  for (const ProductNode &it : Nodes) {
+    if (!isReady(it) || knowsDaemons(it, daemons))
+      continue;
+    Outcome<std::string> status = getText(it.Admin, "/status");
+    text +=
+        it.Name + ": " + (status ? *status : describe(status.failure())) + "\n";
+  }
+  return text;
+}
+
+bool Deployment::isAcquainted() const {
+  std::map<std::string, Address> daemons = daemonControls();
   return std::all_of(Nodes.begin(), Nodes.end(), [&](const ProductNode &it) {
     return !isReady(it) || knowsDaemons(it, daemons);
   });
--- a/IntegrationTests/Harness/Deployment.h
+++ b/IntegrationTests/Harness/Deployment.h
@@ -93,6 +93,8 @@
   /// Whether every ready process knows all upstreams as serving, behind the
   /// daemons that run now.
   bool isAcquainted() const;
+  /// The view of each ready process that lacks one, for a person.
+  std::string describeViews() const;
   /// Runs `wasabictl` to its end with the platform's addresses.
   CtlRun control(std::vector<std::string> Arguments,
                  Millis Limit = Millis(60000));
@@ -113,6 +115,7 @@
   Result<Done> startTrainers();
   Result<Done> startUpstreams();
   Result<Done> startNodes();
+  std::map<std::string, Address> daemonControls() const;
   Result<Done> launch(ProductNode &Node);
   Result<Done> launchBehindProxy(ProductNode &Node,
                                  std::vector<std::string> &Arguments);
