Rollout bench: policies on version changes; a trainer's endpoint may move

Cause: the policies were to be compared by measurement; an owner went on to the trainer's old endpoint after a change of its declaration.

--- a/Bench/RolloutBench.cpp
+++ b/Bench/RolloutBench.cpp
@@ -157,6 +157,25 @@
   return figures;
 }
 
+RolloutFigures runCluster(harness::RolloutCluster::Settings Setup,
+                          RolloutCase Which) {
+  std::size_t trainers = Setup.Trainers.size();
+  Outcome<std::unique_ptr<harness::RolloutCluster>> cluster =
+      toOutcome<std::unique_ptr<harness::RolloutCluster>>(
+          [&] { return harness::RolloutCluster::start(std::move(Setup)); });
+  if (!cluster) {
+    progress("rollout: " + describe(cluster.failure()));
+    return {};
+  }
+  bringAbout(**cluster, Which);
+  bool finished = true;
+  for (std::size_t at = 0; at < trainers; ++at)
+    finished = (*cluster)->waitForSteps(at, StepCount, RunLimit) && finished;
+  RolloutFigures figures = readFigures(**cluster, trainers);
+  figures.Finished = finished;
+  return figures;
+}
+
 void print(const std::string &Metric, const std::string &Unit, double Value,
            double Baseline) {
   report({"rollout", Metric, Value, Unit, Baseline});
@@ -200,22 +219,14 @@
 } // namespace
 
 RolloutFigures measureRun(RolloutPlan Plan, RolloutCase Which, bool Checks) {
-  harness::RolloutCluster::Settings setup = settingsOf(Plan, Checks);
-  std::size_t trainers = setup.Trainers.size();
-  Outcome<std::unique_ptr<harness::RolloutCluster>> cluster =
-      toOutcome<std::unique_ptr<harness::RolloutCluster>>(
-          [&] { return harness::RolloutCluster::start(std::move(setup)); });
-  if (!cluster) {
-    progress("rollout: " + describe(cluster.failure()));
-    return {};
-  }
-  bringAbout(**cluster, Which);
-  bool finished = true;
-  for (std::size_t at = 0; at < trainers; ++at)
-    finished = (*cluster)->waitForSteps(at, StepCount, RunLimit) && finished;
-  RolloutFigures figures = readFigures(**cluster, trainers);
-  figures.Finished = finished;
-  return figures;
+  return runCluster(settingsOf(Plan, Checks), Which);
+}
+
+RolloutFigures measurePolicy(const std::string &OnVersionChange) {
+  harness::RolloutCluster::Settings setup =
+      settingsOf(RolloutPlan::Product, true);
+  setup.PresetMembers = R"(,"on_version_change":")" + OnVersionChange + R"(")";
+  return runCluster(std::move(setup), RolloutCase::Clean);
 }
 
 void runRolloutBench() {
@@ -223,6 +234,17 @@
   runCase("clean", RolloutCase::Clean);
   runCase("crash", RolloutCase::Crash);
   runCase("slow", RolloutCase::Slow);
+  for (const char *name : {"resume", "finish", "restart"}) {
+    const std::string policy = name;
+    progress("rollout: policy " + policy);
+    RolloutFigures figures = measurePolicy(policy);
+    report({"rollout", "idle_s_per_step_policy_" + policy, figures.IdlePerStep,
+            "s", std::nullopt});
+    report({"rollout", "staleness_mean_policy_" + policy, figures.StalenessMean,
+            "versions", std::nullopt});
+    report({"rollout", "wasted_token_share_policy_" + policy,
+            figures.WastedTokenShare, "share", std::nullopt});
+  }
   // Point of truth: deliveries first with tokens, or the log first without.
   progress("rollout: log outage");
   RolloutFigures tokens =
--- a/Bench/RolloutBench.h
+++ b/Bench/RolloutBench.h
@@ -59,6 +59,10 @@
 /// trainers check fencing tokens.
 RolloutFigures measureRun(RolloutPlan Plan, RolloutCase Which, bool Checks);
 
+/// One clean run of the product under another policy on version changes:
+/// `resume`, `finish` or `restart`.
+RolloutFigures measurePolicy(const std::string &OnVersionChange);
+
 } // namespace wasabi::bench
 
 #endif // WASABI_BENCH_ROLLOUTBENCH_H
--- a/Wasabi/Rollout/RolloutDuty.cpp
+++ b/Wasabi/Rollout/RolloutDuty.cpp
@@ -233,8 +233,9 @@
 
 } // namespace
 
-Result<std::unique_ptr<RolloutDuty>>
-RolloutDuty::create(Settings Setup, ControlPlane &Control, Timeline &Events) {
+Result<std::unique_ptr<RolloutDuty>> RolloutDuty::create(const Settings &Setup,
+                                                         ControlPlane &Control,
+                                                         Timeline &Events) {
   if (Setup.Log.empty() || Setup.Weights.empty() || Setup.Scorer.empty())
     return badInput("rollout settings",
                     "the log, the weight store and the scorer are needed");
--- a/Wasabi/Rollout/RolloutDuty.h
+++ b/Wasabi/Rollout/RolloutDuty.h
@@ -35,7 +35,7 @@
 
   /// Starts the thread. `Control` and `Events` must outlive the duty.
   static Result<std::unique_ptr<RolloutDuty>>
-  create(Settings Setup, ControlPlane &Control, Timeline &Events);
+  create(const Settings &Setup, ControlPlane &Control, Timeline &Events);
   /// Stops the thread at once.
   virtual ~RolloutDuty() = default;
   /// Graceful: takes no new work, finishes commits and deliveries at hand,
--- a/Wasabi/Rollout/SampleJson.cpp
+++ b/Wasabi/Rollout/SampleJson.cpp
@@ -3,6 +3,8 @@
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 
+#include <cmath>
+
 namespace wasabi {
 
 namespace json = boost::json;
@@ -35,8 +37,8 @@
     return badInput(join(Place, Member), "missing");
   boost::system::error_code ec;
   double x = found->to_number<double>(ec);
-  if (ec)
-    return badInput(join(Place, Member), "not a number");
+  if (ec || !std::isfinite(x))
+    return badInput(join(Place, Member), "not a finite number");
   return x;
 }
 
--- a/Wasabi/Rollout/TrainerOwner.cpp
+++ b/Wasabi/Rollout/TrainerOwner.cpp
@@ -64,8 +64,7 @@
     Stopped = true;
     return;
   }
-  Trainer = httpTrainer(Context.Http, it->second.Endpoint);
-  Model = it->second.Model;
+  connect(it->second);
   std::weak_ptr<TrainerOwner> weak = weak_from_this();
   Log = TrainerLog::create(
       Context, TrainerLog::Settings{Setup.Trainer, Setup.Fence},
@@ -86,6 +85,14 @@
   spawn(run());
 }
 
+void TrainerOwner::connect(const TrainerDeclaration &To) {
+  Model = To.Model;
+  if (Endpoint == To.Endpoint)
+    return;
+  Endpoint = To.Endpoint;
+  Trainer = httpTrainer(Context.Http, Endpoint);
+}
+
 void TrainerOwner::stop() {
   if (Stopped)
     return;
@@ -193,6 +200,7 @@
     stop();
     return;
   }
+  connect(config->Trainers.at(Setup.Trainer));
   Priority = config->preset().RolloutPriority;
   policy->AdmitRollouts = policy->AdmitRollouts && !Draining;
   if (!(*policy == State.Policy))
--- a/Wasabi/Rollout/TrainerOwner.h
+++ b/Wasabi/Rollout/TrainerOwner.h
@@ -67,6 +67,8 @@
   void cancel(const CancelAttempt &What);
   void noteDispatch(const DispatchAttempt &What);
   void refresh();
+  /// Follows the trainer to where its declaration says that it listens.
+  void connect(const TrainerDeclaration &To);
   /// How long this owner may act for now; zero when it may not.
   Millis authority() const;
 
@@ -85,6 +87,7 @@
   const Settings Setup;
   const std::string Resource;
   TrainerPort Trainer;
+  Address Endpoint;
   std::shared_ptr<TrainerLog> Log;
   StepState State;
   ModelName Model;
