--- a/UnitTests/Adapters/Http/HttpServerTests.cpp
+++ b/UnitTests/Adapters/Http/HttpServerTests.cpp
@@ -186,6 +186,37 @@
   });
 }
 
+TEST_CASE("Stopping ends a handler's answer, not the handler", "[http]") {
+  HttpFixture fixture;
+  Event began(fixture.Context);
+  Event release(fixture.Context);
+  Event ended(fixture.Context);
+  fixture.serve(
+      [&](Request,
+          std::shared_ptr<Responder> Answer) -> boost::asio::awaitable<void> {
+        Response head = jsonResponse(200, "");
+        co_await Answer->begin(std::move(head));
+        began.set();
+        co_await release.wait();
+        CHECK(Answer->gone());
+        Outcome<Done> written = co_await Answer->write("late");
+        CHECK_FALSE(written);
+        ended.set();
+      });
+  fixture.run([&]() -> boost::asio::awaitable<void> {
+    RawSocket raw = co_await fixture.connect();
+    co_await HttpFixture::sendText(raw, "GET / HTTP/1.1\r\n\r\n");
+    co_await began.wait();
+    fixture.Serving->stop();
+    fixture.Serving.reset();
+    boost::system::error_code closed;
+    std::string text = co_await HttpFixture::readAll(raw, closed);
+    CHECK_THAT(text, !Contains("0\r\n\r\n"));
+    release.set();
+    co_await ended.wait();
+  });
+}
+
 TEST_CASE("A server that cannot listen says where", "[http]") {
   HttpFixture fixture;
   fixture.serve(echo);
--- a/Wasabi/Adapters/Http/HttpServer.cpp
+++ b/Wasabi/Adapters/Http/HttpServer.cpp
@@ -61,6 +61,9 @@
 public:
   Connection(Tcp::socket Socket, std::shared_ptr<ServerImpl> Owner)
       : Socket(std::move(Socket)), Owner(std::move(Owner)) {}
+  Connection(const Connection &) = delete;
+  Connection &operator=(const Connection &) = delete;
+  ~Connection();
 
   asio::awaitable<void> serve();
   /// Sends bytes; on failure the connection is closed and gone.
@@ -123,7 +126,8 @@
   std::size_t InFlight = 0;
 
   /// A connection's end frees its place.
-  void forget(Connection *Gone);
+  void forget(Connection *Gone) { Open.erase(Gone); }
+  void wakeAcceptor() { RoomTimer.cancel(); }
 
 private:
   std::shared_ptr<ServerImpl> self() {
@@ -311,6 +315,9 @@
 
 //===--- Connection -------------------------------------------------------===//
 
+// However the connection ends, the server must not go on listing it.
+Connection::~Connection() { Owner->forget(this); }
+
 bool Connection::draining() const { return Owner->Draining; }
 
 template <typename Buffers>
@@ -383,6 +390,7 @@
   ErrorCode ec;
   Socket.close(ec);
   Owner->forget(this);
+  Owner->wakeAcceptor();
 }
 
 asio::awaitable<bool> Connection::awaitBytes() {
@@ -628,11 +636,6 @@
       Context, [link] { return link->serve(); }, asio::detached);
 }
 
-void ServerImpl::forget(Connection *Gone) {
-  Open.erase(Gone);
-  RoomTimer.cancel();
-}
-
 void ServerImpl::acceptQueued() {
   // A client whose connect has succeeded may have sent its request: closing the
   // queue would reset it.
