Planned stops cut off nothing that is on its way

Cause: a leaving daemon closed its connections as soon as it was idle; a request sent just before its entry heard of the leaving was then may-have-run, and the last frames of an answer could still be queued. Change: a leaving daemon refuses for half a second at least and waits for its queues; a leaving entry waits up to 2 s for connections to close by themselves. The drain test has eight callers at once; the idle connections are 2,000.

--- a/Daemon/Main.cpp
+++ b/Daemon/Main.cpp
@@ -46,6 +46,8 @@
 constexpr std::size_t TimelineEvents = 65536;
 /// Time between two looks whether the last request has ended.
 constexpr Millis DrainPause{10};
+/// How long a leaving daemon goes on refusing at least.
+constexpr Millis LeaveGrace{500};
 /// Time between two refreshes of what load reports say.
 constexpr Millis LoadPause{20};
 
@@ -195,6 +197,7 @@
   /// refused as not run, and what runs goes on to its end.
   void beginDrain() {
     Leaving = true;
+    LeftAt = monotonicNow();
     Events->record("process.leaving", {});
     Proxy->leave();
     Front->setLoads(Proxy->loads(), true);
@@ -216,7 +219,10 @@
   }
 
   void endWhenIdle() {
-    bool idle = Told && Proxy->inFlight() == 0;
+    // Requests that were sent before their sender heard of the leaving must
+    // still find somebody who refuses them.
+    bool heard = monotonicNow() - LeftAt >= LeaveGrace;
+    bool idle = Told && heard && Proxy->inFlight() == 0 && Front->unsent() == 0;
     if (idle && !HandedOver) {
       // What ran under a key must not run again when this process is gone.
       Proxy->handOver([this] {
@@ -250,6 +256,7 @@
   asio::steady_timer Loads{Context};
   asio::steady_timer Drain{Context};
   std::atomic<bool> Leaving{false};
+  TimePoint LeftAt;
   /// The loads as the admin thread shows them.
   Published<std::vector<LoadSeen>> Shown;
   bool Told = false;
--- a/Entry/Main.cpp
+++ b/Entry/Main.cpp
@@ -39,6 +39,8 @@
 namespace asio = boost::asio;
 
 constexpr std::size_t TimelineEvents = 65536;
+/// How long connections without a request may stay open at the end.
+constexpr Millis CloseGrace{2000};
 /// Time between two looks whether the last request has ended.
 constexpr Millis DrainPause{10};
 /// Longest that a fresh entry waits to know a server of each service.
@@ -161,12 +163,17 @@
     Grace.expires_after(Millis(FLAGS_drain_grace_ms));
     Grace.async_wait([this](boost::system::error_code) {
       Front->drain();
+      CloseBy = monotonicNow() + CloseGrace;
       endWhenIdle();
     });
   }
 
   void endWhenIdle() {
-    if (Proxy->inFlight() == 0 && Front->inFlight() == 0) {
+    bool idle = Proxy->inFlight() == 0 && Front->inFlight() == 0;
+    // Idle connections close by themselves; a request that is on its way on one
+    // is still answered.
+    bool closed = Front->connections() == 0 || monotonicNow() >= CloseBy;
+    if (idle && closed) {
       Front->stop();
       Proxy->stop();
       Signals.reset();
@@ -188,6 +195,7 @@
   std::shared_ptr<void> Signals;
   asio::steady_timer Grace{Context};
   std::atomic<bool> Leaving{false};
+  TimePoint CloseBy;
   /// Set once the servers were known; asked on several threads.
   std::atomic<bool> WarmedUp{false};
   const TimePoint Started = monotonicNow();
--- a/IntegrationTests/Cases/DrainTest.cpp
+++ b/IntegrationTests/Cases/DrainTest.cpp
@@ -78,15 +78,25 @@
   world.addEntry("n1", "lulea-hall");
   world.publish(R"([{"kind":"service","name":"desk","type":"plain"}])");
   world.awaitServers(2);
-  world.member("d1").Child->signal(SIGTERM);
   // No request fails on the way, whenever the entry learns of it.
-  for (int n = 0; n < 200; ++n) {
-    Outcome<http::Response> told =
-        world.ask("n1", plainRequest("desk", "POST", "/quotes"));
-    REQUIRE(told);
-    CHECK(told->Status == 200);
-  }
-  CHECK(world.runs("a") + world.runs("b") == 200);
+  constexpr int Callers = 8;
+  constexpr int Each = 50;
+  std::vector<std::future<int>> whole;
+  whole.reserve(Callers);
+  for (int n = 0; n < Callers; ++n)
+    whole.push_back(std::async(std::launch::async, [&world] {
+      int good = 0;
+      for (int m = 0; m < Each; ++m) {
+        Outcome<http::Response> told =
+            world.ask("n1", plainRequest("desk", "POST", "/quotes"));
+        good += told && told->Status == 200 ? 1 : 0;
+      }
+      return good;
+    }));
+  world.member("d1").Child->signal(SIGTERM);
+  for (std::future<int> &it : whole)
+    CHECK(it.get() == Each);
+  CHECK(world.runs("a") + world.runs("b") == Callers * Each);
   std::optional<harness::ProcessEnd> end =
       world.member("d1").Child->wait(Patience);
   REQUIRE(end);
--- a/IntegrationTests/Cases/HostilePeerTest.cpp
+++ b/IntegrationTests/Cases/HostilePeerTest.cpp
@@ -124,7 +124,7 @@
   TwoServers world;
   asio::io_context context;
   std::vector<asio::ip::tcp::socket> idle;
-  constexpr std::size_t Connections = 900;
+  constexpr std::size_t Connections = 2000;
   for (std::size_t n = 0; n < Connections; ++n)
     idle.push_back(connectTo(context, world.member("n1").Serves));
   Outcome<http::Response> told = world.ask("n1", lookUp());
--- a/Wasabi/Adapters/Frames/RequestServer.cpp
+++ b/Wasabi/Adapters/Frames/RequestServer.cpp
@@ -223,6 +223,13 @@
 
   std::size_t inFlight() const override { return InFlight; }
 
+  std::size_t unsent() const override {
+    std::size_t sum = 0;
+    for (const std::shared_ptr<Connection> &it : Connections)
+      sum += it->Socket->queued();
+    return sum;
+  }
+
   void drain() override { Draining = true; }
 
   void stop() override {
--- a/Wasabi/Adapters/Frames/RequestServer.h
+++ b/Wasabi/Adapters/Frames/RequestServer.h
@@ -65,6 +65,8 @@
   /// What the next load reports say; set by the daemon.
   virtual void setLoads(std::vector<LoadSeen> Loads, bool Leaving) = 0;
   virtual std::size_t inFlight() const = 0;
+  /// Bytes queued on all connections and not yet taken by the kernel.
+  virtual std::size_t unsent() const = 0;
   /// From now on every new request is refused with `Leaving`, `NotRun`.
   virtual void drain() = 0;
   virtual void stop() = 0;
