--- a/Bench/RequestFaults.cpp
+++ b/Bench/RequestFaults.cpp
@@ -76,6 +76,7 @@
   std::vector<CallResult> ours = runLoad(plan);
   Decisions made = difference(Fleet.decisions(), before);
   reportDecisions(load, made);
+  reportEndings(load, ours);
   OutageResult result;
   result.Ours = attemptsPerRequest(made);
   result.Found = checkPlainRuns(load, ours, Fleet);
@@ -113,6 +114,7 @@
     return !it.first.starts_with("wasabi_entry");
   });
   reportDecisions("third_killed", made);
+  reportEndings("third_killed", ours);
   Faithfulness found = checkPlainRuns("killed", ours, *fleet);
 
   LoadPlan blindPlan = blindLoad(plan, *fleet);
--- a/Bench/RequestOverload.cpp
+++ b/Bench/RequestOverload.cpp
@@ -69,6 +69,7 @@
     Decisions before = fleet->decisions();
     std::vector<CallResult> ours = runLoad(plan);
     reportDecisions(it.Name, difference(fleet->decisions(), before));
+    reportEndings(it.Name, ours);
     found = found + checkPlainRuns(load, ours, *fleet);
     std::vector<CallResult> blind = runLoad(blindLoad(plan, *fleet));
     double share = goodputShare(ours, it.Factor, capacity);
@@ -101,6 +102,7 @@
   Decisions before = fleet->decisions();
   std::vector<CallResult> ours = runLoad(uneven);
   reportDecisions("slow_upstream", difference(fleet->decisions(), before));
+  reportEndings("slow_upstream", ours);
   std::vector<CallResult> blind = runLoad(blindLoad(uneven, *fleet));
 
   std::function<bool(const CallResult &)> rest = [&](const CallResult &Call) {
@@ -119,7 +121,7 @@
   reportRequests("good_share_slow_upstream", goodShare(ours), "of calls",
                  goodShare(blind));
   double toSlow =
-      static_cast<double>(ours.size() - goodMillis(ours, rest).size());
+      static_cast<double>(goodCount(ours) - goodMillis(ours, rest).size());
   reportRequests("slow_upstream_share",
                  toSlow / static_cast<double>(ours.size()), "of calls");
   return checkPlainRuns("even", evenOurs, *fleet) +
--- a/Bench/RequestScenarios.cpp
+++ b/Bench/RequestScenarios.cpp
@@ -3,6 +3,9 @@
 #include "Bench/LineFit.h"
 #include "Bench/Report.h"
 
+#include <algorithm>
+#include <map>
+
 namespace wasabi::bench {
 namespace {
 
@@ -32,6 +35,21 @@
   }
 }
 
+void reportEndings(const std::string &Case,
+                   const std::vector<CallResult> &Calls) {
+  std::map<std::string, double> counts;
+  for (const CallResult &it : Calls) {
+    if (it.Good)
+      continue;
+    std::string verdict = it.Verdict.empty() ? "silent" : it.Verdict;
+    std::replace(verdict.begin(), verdict.end(), '-', '_');
+    std::string ended = it.Right ? "late" : std::to_string(it.Status);
+    counts[ended + "_" + verdict] += 1;
+  }
+  for (const std::pair<const std::string, double> &it : counts)
+    reportRequests("ended_" + it.first + "_" + Case, it.second, "count");
+}
+
 std::unique_ptr<RequestFleet> startFleet(RequestFleet::Settings Setup) {
   Outcome<std::unique_ptr<RequestFleet>> fleet =
       toOutcome<std::unique_ptr<RequestFleet>>(
--- a/Bench/RequestScenarios.h
+++ b/Bench/RequestScenarios.h
@@ -16,6 +16,11 @@
 /// Prints the counts of what entries and daemons decided, where not 0.
 void reportDecisions(const std::string &Case, const Decisions &Counts);
 
+/// Prints how calls without a good answer ended, by status and verdict; 0 is
+/// for no answer.
+void reportEndings(const std::string &Case,
+                   const std::vector<CallResult> &Calls);
+
 /// A fleet, or none and a line on stderr.
 std::unique_ptr<RequestFleet> startFleet(RequestFleet::Settings Setup);
 
--- a/Wasabi/Routing/Choice.cpp
+++ b/Wasabi/Routing/Choice.cpp
@@ -8,6 +8,8 @@
 
 /// A fresh server counts for at least this share of its limit.
 constexpr double LeastSlowStartShare = 0.1;
+/// Candidates drawn of the own failure domain, and of all.
+constexpr std::size_t DrawnOfEach = 2;
 
 const ServerMemory &memoryOf(const ChoiceState &State, const Candidate &Who) {
   static const ServerMemory Unknown;
@@ -56,9 +58,14 @@
 
 using Pool = std::vector<const Candidate *>;
 
-const Candidate *pick(const Pool &From, std::mt19937_64 &Random) {
-  std::uniform_int_distribution<std::size_t> any(0, From.size() - 1);
-  return From[any(Random)];
+/// Draws that many different ones out of `From` into `Into`.
+void draw(Pool &From, std::size_t Count, Pool &Into, std::mt19937_64 &Random) {
+  for (std::size_t n = 0; n < Count && !From.empty(); ++n) {
+    std::uniform_int_distribution<std::size_t> any(0, From.size() - 1);
+    std::swap(From[any(Random)], From.back());
+    Into.push_back(From.back());
+    From.pop_back();
+  }
 }
 
 /// The candidates that may be asked, on an untried failure domain first.
@@ -180,7 +187,8 @@
   if (pool.empty())
     return std::nullopt;
 
-  // One of the own failure domain, one of all, and the one with the prefix.
+  // Two of the own failure domain, two of all, and the one with the prefix: a
+  // slow one among two would leave no choice at all.
   Pool own;
   const Candidate *holder = nullptr;
   for (const Candidate *it : pool) {
@@ -189,12 +197,12 @@
     if (Cached && it->Key == *Cached)
       holder = it;
   }
-  Pool drawn{pick(own.empty() ? pool : own, Random), pick(pool, Random)};
-  // The second draw differs from the first where it can.
-  if (drawn[0] == drawn[1] && pool.size() > 1) {
-    std::erase(pool, drawn[0]);
-    drawn[1] = pick(pool, Random);
-  }
+  Pool drawn;
+  draw(own, DrawnOfEach, drawn, Random);
+  std::erase_if(pool, [&](const Candidate *it) {
+    return std::find(drawn.begin(), drawn.end(), it) != drawn.end();
+  });
+  draw(pool, DrawnOfEach, drawn, Random);
   if (holder)
     drawn.push_back(holder);
 
--- a/Wasabi/Routing/Choice.h
+++ b/Wasabi/Routing/Choice.h
@@ -1,5 +1,5 @@
 /// \file
-/// Which server gets the next attempt: two random candidates weighed by the
+/// Which server gets the next attempt: a few random candidates weighed by the
 /// wait to be expected, with affinity to cached prompt prefixes, preference for
 /// the own failure domain until it costs, bounded ejection of outliers and a
 /// slow start for fresh servers (docs/design/choice-of-upstream.md).
