--- a/Wasabi/Routing/IdempotencyKeys.cpp
+++ b/Wasabi/Routing/IdempotencyKeys.cpp
@@ -53,17 +53,21 @@
     if (member.Kind == Role::Daemon && holds)
       ranked.push_back({weightOf(Key, member.Instance.Text), &member});
   }
-  std::size_t count = std::min(Witnesses, ranked.size());
-  std::partial_sort(ranked.begin(),
-                    ranked.begin() + static_cast<std::ptrdiff_t>(count),
-                    ranked.end(), [](const Ranked &One, const Ranked &Other) {
-                      return std::tie(One.Weight, One.Who->Instance) >
-                             std::tie(Other.Weight, Other.Who->Instance);
-                    });
+  std::sort(ranked.begin(), ranked.end(),
+            [](const Ranked &One, const Ranked &Other) {
+              return std::tie(One.Weight, One.Who->Instance) >
+                     std::tie(Other.Weight, Other.Who->Instance);
+            });
   std::vector<Member> found;
-  for (std::size_t n = 0; n < count; ++n) {
-    if (ranked[n].Who->Instance != Runner)
-      found.push_back(*ranked[n].Who);
+  std::size_t staying = 0;
+  for (const Ranked &it : ranked) {
+    if (staying == Witnesses)
+      break;
+    // One that leaves still remembers, but the next is told already.
+    if (takesWork(*it.Who))
+      ++staying;
+    if (it.Who->Instance != Runner)
+      found.push_back(*it.Who);
   }
   return found;
 }
@@ -162,18 +166,19 @@
   it->second.Why = Why;
 }
 
-std::optional<Failure> IdempotencyKeys::reserve(const std::string &Key,
-                                                std::uint64_t Fingerprint,
-                                                const Runner &Who,
-                                                TimePoint Now) {
+std::optional<Failure>
+IdempotencyKeys::reserve(const std::string &Key, std::uint64_t Fingerprint,
+                         const Runner &Who, TimePoint Now, std::uint64_t Turn) {
   expire(Now);
-  std::unordered_map<std::string, Entry>::const_iterator it = Records.find(Key);
+  std::unordered_map<std::string, Entry>::iterator it = Records.find(Key);
   if (it != Records.end()) {
     if (it->second.Fingerprint != Fingerprint)
       return refuse(Verdict::NotRun, FailureCode::Conflict,
                     "the key was used for another request");
-    if (it->second.Who == Who)
+    if (it->second.Who == Who) {
+      it->second.Turn = std::max(it->second.Turn, Turn);
       return std::nullopt;
+    }
     return refuse(Verdict::MayHaveRun, FailureCode::Conflict,
                   "the first request went through instance " +
                       it->second.Who.Instance.Text);
@@ -182,6 +187,7 @@
   entry.Who = Who;
   entry.Fingerprint = Fingerprint;
   entry.Since = Now;
+  entry.Turn = Turn;
   if (insert(Key, std::move(entry), Now))
     return std::nullopt;
   Failure full = refuse(Verdict::NotRun, FailureCode::Overloaded,
@@ -190,6 +196,24 @@
   return full;
 }
 
+std::vector<KeyRecord> IdempotencyKeys::records() const {
+  std::vector<KeyRecord> all;
+  all.reserve(Records.size());
+  for (const std::pair<const std::string, Entry> &it : Records)
+    all.push_back(KeyRecord{it.first, it.second.Fingerprint, it.second.Who,
+                            it.second.Turn});
+  return all;
+}
+
+void IdempotencyKeys::release(const std::string &Key, const Runner &Who,
+                              std::uint64_t Turn) {
+  std::unordered_map<std::string, Entry>::const_iterator it = Records.find(Key);
+  bool held = it != Records.end() && it->second.Who == Who &&
+              Who != Setup.Self && it->second.Turn == Turn;
+  if (held)
+    drop(Key);
+}
+
 bool IdempotencyKeys::insert(const std::string &Key, Entry New, TimePoint Now) {
   if (Records.size() >= Setup.Capacity)
     return false;
--- a/Wasabi/Routing/IdempotencyKeys.h
+++ b/Wasabi/Routing/IdempotencyKeys.h
@@ -27,7 +27,8 @@
                                 const std::vector<Candidate> &Of);
 
 /// The daemons besides `Runner` that must know of a key before it runs: the
-/// first two of all by rendezvous hashing. Any one change of the view leaves at
+/// first two of all that stay by rendezvous hashing, and those before them that
+/// are leaving, which still remember. Any one change of the view leaves at
 /// least one of them in place. Pure.
 std::vector<Member> witnessesOf(std::string_view Key, const View &Members,
                                 const InstanceName &Runner);
@@ -44,6 +45,16 @@
   auto operator<=>(const Runner &) const = default;
 };
 
+/// That a key was reserved or run: what a witness must know.
+struct KeyRecord {
+  std::string Key;
+  std::uint64_t Fingerprint = 0;
+  Runner Who;
+  /// The runner's count of its reservations.
+  std::uint64_t Turn = 0;
+  bool operator==(const KeyRecord &) const = default;
+};
+
 /// What to do with a request that carries a key.
 enum class KeyStep : std::uint8_t {
   /// Nothing is known: it may run here.
@@ -92,10 +103,17 @@
   void broken(const std::string &Key, const Failure &Why);
 
   /// Another daemon is about to run the key: empty when it may, else why not.
-  /// A runner may ask again; another one is refused `MayHaveRun`.
+  /// A runner may ask again; another one is refused `MayHaveRun`. `Turn` counts
+  /// the runner's reservations: the key is then held for its newest one.
   std::optional<Failure> reserve(const std::string &Key,
                                  std::uint64_t Fingerprint, const Runner &Who,
-                                 TimePoint Now);
+                                 TimePoint Now, std::uint64_t Turn = 0);
+  /// That daemon proves that nothing ran under its reservation `Turn`: the key
+  /// is free again, unless a newer reservation holds it.
+  void release(const std::string &Key, const Runner &Who, std::uint64_t Turn);
+
+  /// All that is remembered, for handing it over when this process leaves.
+  std::vector<KeyRecord> records() const;
 
   std::size_t size() const { return Records.size(); }
 
@@ -109,6 +127,8 @@
     std::optional<http::Response> Answer;
     Failure Why;
     TimePoint Since;
+    /// At a witness: the runner's newest reservation.
+    std::uint64_t Turn = 0;
   };
 
   KeyDecision decide(const Entry &Known, std::uint64_t Fingerprint) const;
