--- a/UnitTests/Routing/IdempotencyKeysTest.cpp
+++ b/UnitTests/Routing/IdempotencyKeysTest.cpp
@@ -130,24 +130,25 @@
 
 TEST_CASE("One change of the view leaves a witness of a key in place",
           "[keys]") {
-  rc::check([](std::set<int> Daemons, int Changed, std::string Key) {
-    RC_PRE(Daemons.size() >= 2u);
-    std::set<int> after = Daemons;
-    if (after.erase(Changed) == 0)
-      after.insert(Changed);
-    auto names = [&](const std::set<int> &Of) {
-      std::set<std::string> found;
-      for (const Member &it :
-           witnessesOf(Key, viewOf(Of), InstanceName("nobody")))
-        found.insert(it.Instance.Text);
-      return found;
-    };
-    std::set<std::string> before = names(Daemons);
-    bool met = false;
-    for (const std::string &it : names(after))
-      met = met || before.contains(it);
-    RC_ASSERT(met);
-  });
+  rc::check(
+      [](const std::set<int> &Daemons, int Changed, const std::string &Key) {
+        RC_PRE(Daemons.size() >= 2u);
+        std::set<int> after = Daemons;
+        if (after.erase(Changed) == 0)
+          after.insert(Changed);
+        auto names = [&](const std::set<int> &Of) {
+          std::set<std::string> found;
+          for (const Member &it :
+               witnessesOf(Key, viewOf(Of), InstanceName("nobody")))
+            found.insert(it.Instance.Text);
+          return found;
+        };
+        std::set<std::string> before = names(Daemons);
+        bool met = false;
+        for (const std::string &it : names(after))
+          met = met || before.contains(it);
+        RC_ASSERT(met);
+      });
 }
 
 TEST_CASE("Who leaves stays a witness, and the next one is one too", "[keys]") {
