Load reports go with answers

And a measurement of the unloaded time, which quarters the limit for a moment, drove everyone away for the time until the next report. Change: a connection that is answered on gets a report with the answer when the last is 5 ms old; reports say the limit apart from a measurement.

--- a/Daemon/Main.cpp
+++ b/Daemon/Main.cpp
@@ -126,6 +126,7 @@
             [proxy](RequestAttempt Attempt, std::shared_ptr<AnswerSink> Sink) {
               return proxy->handle(std::move(Attempt), std::move(Sink));
             }));
+    Front->reportFrom([proxy] { return proxy->loads(); });
     return Done{};
   }
 
--- a/Wasabi/Adapters/Frames/RequestServer.cpp
+++ b/Wasabi/Adapters/Frames/RequestServer.cpp
@@ -168,6 +168,8 @@
   std::unordered_map<std::uint64_t, std::shared_ptr<FrameSink>> Open;
   std::uint64_t LastId = 0;
   TimePoint LastHeard;
+  /// When the last load report went.
+  TimePoint LastLoads;
 };
 
 class FrameRequestServer final
@@ -221,6 +223,10 @@
       pushLoads();
   }
 
+  void reportFrom(std::function<std::vector<LoadSeen>()> NewSource) override {
+    Source = std::move(NewSource);
+  }
+
   std::size_t inFlight() const override { return InFlight; }
 
   void drain() override { Draining = true; }
@@ -372,8 +378,10 @@
     ++InFlight;
     std::shared_ptr<FrameRequestServer> self = shared_from_this();
     asio::co_spawn(Context, Handle(std::move(Attempt), sink),
-                   [self, sink](std::exception_ptr Thrown) {
+                   [self, sink, weak](std::exception_ptr Thrown) {
                      self->handled(*sink, Thrown);
+                     if (std::shared_ptr<Connection> held = weak.lock())
+                       self->reportWithAnswer(*held);
                    });
   }
 
@@ -398,6 +406,17 @@
                       {}});
   }
 
+  /// Whoever is busy here learns soon what the others do; who is not costs
+  /// nothing.
+  void reportWithAnswer(Connection &To) {
+    TimePoint now = monotonicNow();
+    if (!Source || now - To.LastLoads < Setup.LoadGap)
+      return;
+    To.LastLoads = now;
+    Loads = Source();
+    To.Socket->send(frames::loads(Loads, Leaving));
+  }
+
   asio::awaitable<void> report() {
     while (!Stopped) {
       Tick.expires_after(Setup.LoadPeriod);
@@ -420,8 +439,11 @@
 
   void pushLoads() {
     FrameBytes frame = frames::loads(Loads, Leaving);
-    for (const std::shared_ptr<Connection> &it : Connections)
+    TimePoint now = monotonicNow();
+    for (const std::shared_ptr<Connection> &it : Connections) {
+      it->LastLoads = now;
       it->Socket->send(frame);
+    }
   }
 
   asio::io_context &Context;
@@ -432,6 +454,7 @@
   Address Bound;
   std::set<std::shared_ptr<Connection>> Connections;
   std::vector<LoadSeen> Loads;
+  std::function<std::vector<LoadSeen>()> Source;
   std::size_t InFlight = 0;
   bool Leaving = false;
   bool Draining = false;
--- a/Wasabi/Adapters/Frames/RequestServer.h
+++ b/Wasabi/Adapters/Frames/RequestServer.h
@@ -48,6 +48,9 @@
     std::size_t MaxConnections = 4096;
     /// Time between two load reports on each connection.
     Millis LoadPeriod{200};
+    /// A connection that is answered on gets one with the answer, if the last
+    /// one went this long ago.
+    Millis LoadGap{5};
     /// An asker that sends nothing for this long is taken for gone: its work is
     /// cancelled and its connection closed.
     Millis SilenceLimit{10000};
@@ -64,6 +67,9 @@
   virtual Address address() const = 0;
   /// What the next load reports say; set by the daemon.
   virtual void setLoads(std::vector<LoadSeen> Loads, bool Leaving) = 0;
+  /// Where the reports that go with answers come from; without it there are
+  /// only the periodical ones. Called on the context's thread.
+  virtual void reportFrom(std::function<std::vector<LoadSeen>()> Source) = 0;
   virtual std::size_t inFlight() const = 0;
   /// From now on every new request is refused with `Leaving`, `NotRun`.
   virtual void drain() = 0;
--- a/Wasabi/Adapters/Proxy/DaemonProxy.cpp
+++ b/Wasabi/Adapters/Proxy/DaemonProxy.cpp
@@ -228,7 +228,7 @@
       load.Service = it->Setup.Service;
       load.Running = gate.running();
       load.Queued = gate.queued();
-      load.Limit = gate.limit();
+      load.Limit = gate.steadyLimit();
       load.Version = it->State ? it->State->Version : 0;
       load.Serving = it->Serving && !Leaving;
       seen.push_back(load);
--- a/Wasabi/Routing/Admission.h
+++ b/Wasabi/Routing/Admission.h
@@ -95,6 +95,10 @@
     return static_cast<std::uint32_t>(Waiting.size());
   }
   std::uint32_t limit() const { return Limit.whole(); }
+  /// The limit apart from a measurement at hand, which lowers it for a moment.
+  std::uint32_t steadyLimit() const {
+    return static_cast<std::uint32_t>(Limit.Limit);
+  }
   /// The wait to be expected by one that comes now.
   Micros expectedWait(std::int32_t Priority) const;
 
