--- a/Bench/Main.cpp
+++ b/Bench/Main.cpp
@@ -22,6 +22,7 @@
   const std::vector<Entry> all = {
       {"state", runStateBench},
       {"requests", runRequestsBench},
+      {"rollout", runRolloutBench},
       {"capacity", runCapacityBench},
   };
   // Every name is checked before the first bench runs.
--- a/Wasabi/Rollout/LoadReports.h
+++ b/Wasabi/Rollout/LoadReports.h
@@ -7,6 +7,7 @@
 #include "Wasabi/Core/Clock.h"
 #include "Wasabi/Core/Ids.h"
 
+#include <cstdint>
 #include <map>
 
 namespace wasabi {
@@ -24,10 +25,14 @@
   /// The report of a server, or null when there is none that still counts.
   const LoadSeen *find(const ServerName &Of, TimePoint Now) const;
 
+  /// How many reports of a server came; the same number again is no news.
+  std::uint64_t count(const ServerName &Of) const;
+
 private:
   struct Held {
     LoadSeen Report;
     TimePoint At;
+    std::uint64_t Count = 0;
   };
   std::map<ServerName, Held> Newest;
 };
--- a/Wasabi/Rollout/RolloutContext.h
+++ b/Wasabi/Rollout/RolloutContext.h
@@ -18,18 +18,38 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
 namespace wasabi {
 
+/// Lets other threads' answers onto the duty's thread while that is there.
+/// Thread-safe.
+class DutyGate {
+public:
+  explicit DutyGate(boost::asio::any_io_executor Executor)
+      : Executor(std::move(Executor)) {}
+  /// Runs `Work` on the duty's thread, or drops it once the duty has ended.
+  void post(std::function<void()> Work);
+  /// Nothing is let through any more.
+  void close();
+
+private:
+  std::mutex Guard;
+  bool Open = true;
+  const boost::asio::any_io_executor Executor;
+};
+
 /// Shared by all owners of one duty; used on the duty's thread only.
 struct RolloutContext {
   RolloutDuty::Settings Setup;
   ControlPlane &Control;
   Timeline &Events;
   boost::asio::any_io_executor Executor;
+  std::shared_ptr<DutyGate> Gate;
   std::shared_ptr<http::Client> Http;
   std::shared_ptr<RequestClient> Requests;
   LogPort Log;
