Control traffic: fewer copies of renewals, fewer readings of the list

Cause: a trial with 50 control planes in one process over loopback showed 3.7 repeated records a second each, full views only after 38 s, and the platform's list as the largest thing on the wire.

Change: renewals go to the ring's successor and one random peer; the random peers are kept for 30 s; digests are exchanged often at first; the list is read often by two members of each domain and by the others less the more members there are. Lists and log records count as control bytes too.

--- a/Wasabi/Node/ControlCounters.h
+++ b/Wasabi/Node/ControlCounters.h
@@ -10,7 +10,8 @@
 
 /// Counters since the start of the process. Thread-safe.
 struct ControlCounters {
-  /// Frames with their length prefixes; TCP and IP headers are not counted.
+  /// Frames with their length prefixes, the log's records and the platform's
+  /// lists; headers of HTTP, TCP and IP are not counted.
   std::atomic<std::uint64_t> BytesIn{0};
   std::atomic<std::uint64_t> BytesOut{0};
   std::atomic<std::uint64_t> FramesIn{0};
--- a/Wasabi/Node/InstanceList.cpp
+++ b/Wasabi/Node/InstanceList.cpp
@@ -89,7 +89,7 @@
   return found;
 }
 
-asio::awaitable<Outcome<std::vector<ListedInstance>>>
+asio::awaitable<Outcome<std::string>>
 readInstanceList(http::Client &Client, Address Service, Millis Timeout) {
   http::Request ask;
   ask.Method = "GET";
@@ -100,7 +100,7 @@
     co_return got.failure();
   if (got->Status != 200)
     co_return unexpected(got->Status);
-  co_return parseInstanceList(got->Body);
+  co_return std::move(got->Body);
 }
 
 asio::awaitable<Outcome<Done>> announceInstance(http::Client &Client,
--- a/Wasabi/Node/InstanceList.h
+++ b/Wasabi/Node/InstanceList.h
@@ -23,8 +23,8 @@
 /// Fails with `BadInput` when it is no list at all. Pure.
 Outcome<std::vector<ListedInstance>> parseInstanceList(const std::string &Body);
 
-/// Reads the list at `Service`.
-boost::asio::awaitable<Outcome<std::vector<ListedInstance>>>
+/// Reads the body of the list at `Service`.
+boost::asio::awaitable<Outcome<std::string>>
 readInstanceList(http::Client &Client, Address Service, Millis Timeout);
 
 /// Announces this process to the list at `Service`. Idempotent.
--- a/Wasabi/Node/LogFollower.cpp
+++ b/Wasabi/Node/LogFollower.cpp
@@ -145,6 +145,8 @@
   if (got) {
     noteLog(true, "");
     LogFirst = std::max(LogFirst, got->First);
+    for (const LogEntry &it : got->Entries)
+      Counters.BytesIn.fetch_add(it.Text.size());
   } else {
     noteLog(false, describe(got.failure()));
   }
@@ -314,6 +316,7 @@
 bool LogFollower::absorb(const std::vector<LogEntry> &Entries, bool Spread) {
   std::vector<LogEntry> fresh;
   bool whole = true;
+  bool quick = false;
   for (const LogEntry &it : Entries) {
     if (it.At < Fold.Next) {
       Counters.RepeatedRecords.fetch_add(1);
@@ -323,7 +326,7 @@
       whole = false;
       break;
     }
-    applyOne(it);
+    quick = applyOne(it) || quick;
     if (Fold.BlockedAt)
       break;
     fresh.push_back(it);
@@ -332,18 +335,18 @@
     return whole;
   publish();
   if (Spread && fresh.size() <= Setup.MaxPushed)
-    pushOn(fresh);
+    pushOn(fresh, quick);
   return whole;
 }
 
-void LogFollower::applyOne(const LogEntry &Entry) {
+bool LogFollower::applyOne(const LogEntry &Entry) {
   Applied did = apply(Fold, Entry.At, Entry.Text);
   if (did.Fate == RecordFate::Newer) {
     Events.record("fold.blocked", {{"offset", std::to_string(Entry.At)},
                                    {"reason", did.Reason}});
     spdlog::error("control: offset {} needs a newer program: {}", Entry.At,
                   did.Reason);
-    return;
+    return false;
   }
   keep(Entry);
   if (did.Diverged) {
@@ -357,6 +360,9 @@
     Events.record("config.in_force", {{"offset", std::to_string(Entry.At)},
                                       {"preset", Fold.Config->InForce.Text}});
   Calls.OnApplied(Entry.At, Fold, did);
+  bool taken = !did.ClaimChanged.empty() &&
+               Fold.Claims.at(did.ClaimChanged).Token == Entry.At + 1;
+  return did.ConfigChanged || taken;
 }
 
 void LogFollower::keep(const LogEntry &Entry) {
@@ -371,19 +377,25 @@
 
 void LogFollower::publish() { Shown.set(Fold); }
 
-void LogFollower::pushOn(const std::vector<LogEntry> &Fresh) {
+void LogFollower::pushOn(const std::vector<LogEntry> &Fresh, bool Quick) {
   if (Fresh.empty())
     return;
   std::shared_ptr<const View> seen = Calls.CurrentView();
   FanoutSettings limits;
+  limits.RandomPeers = Quick ? Setup.ChangePeers : Setup.RenewalPeers;
   limits.OtherDomains = isReader();
+  // The same choice for a while: fewer connections, and peers whose offset is
+  // known.
+  std::mt19937_64 sticky(
+      Setup.Seed + static_cast<std::uint64_t>(
+                       monotonicNow().time_since_epoch() / Setup.KeepPeers));
   LogPushMessage push;
   push.From = seen->Self.Text;
   push.Records = Fresh;
   push.Next = Fold.Next;
   push.First = Kept.front().At;
   push.LogAge = logAge();
-  for (const InstanceName &it : chooseFanout(*seen, limits, Random)) {
+  for (const InstanceName &it : chooseFanout(*seen, limits, sticky)) {
     // A peer that is known to be as far needs nothing.
     auto known = PeerNext.find(it);
     if (known != PeerNext.end() && known->second >= Fold.Next)
--- a/Wasabi/Node/LogFollower.h
+++ b/Wasabi/Node/LogFollower.h
@@ -54,6 +54,12 @@
     std::size_t MaxKeptBytes = 4u << 20;
     /// Longest stretch that is pushed on; more is catching up, not news.
     std::size_t MaxPushed = 64;
+    /// Random peers that a record is pushed to besides the ring's successor: of
+    /// a change, and of a mere renewal, which is in no hurry.
+    std::size_t ChangePeers = 2;
+    std::size_t RenewalPeers = 1;
+    /// How long the same random peers are kept, for their connections' sake.
+    Millis KeepPeers{30000};
     /// How far from the end a start looks for a snapshot first.
     std::size_t SnapshotWindow = 2048;
     std::uint64_t Seed = 1;
@@ -127,11 +133,12 @@
   void noteFresh(TimePoint At);
   /// Applies what follows on; false when something before it is missing.
   bool absorb(const std::vector<LogEntry> &Entries, bool Spread);
-  void applyOne(const LogEntry &Entry);
+  /// Whether the record changed more than a claim's term.
+  bool applyOne(const LogEntry &Entry);
   void keep(const LogEntry &Entry);
   bool adopt(FoldState State);
   void publish();
-  void pushOn(const std::vector<LogEntry> &Fresh);
+  void pushOn(const std::vector<LogEntry> &Fresh, bool Quick);
   Millis backOff();
 
   boost::asio::any_io_executor Executor;
--- a/Wasabi/Node/MemberWatch.cpp
+++ b/Wasabi/Node/MemberWatch.cpp
@@ -29,6 +29,11 @@
 constexpr Millis MinListBackOff(200);
 /// Readers per domain that pass urgent news on to other domains.
 constexpr std::uint32_t RelaysPerDomain = 2;
+/// The others read the list less often the more members there are.
+constexpr std::size_t MembersPerListPeriod = 10;
+constexpr std::size_t MaxListFactor = 40;
+/// How long the same random peers are told urgent news.
+constexpr Millis KeepPeers(30000);
 
 /// One wait for any of several helpers.
 struct HelperWait {
@@ -133,11 +138,22 @@
       good = co_await readList();
     failing =
         good ? MinListBackOff : std::min(failing * 2, Setup.MaxListBackOff);
-    timer.expires_after(jittered(good ? Setup.ListPeriod : failing));
+    timer.expires_after(jittered(good ? listPeriod() : failing));
     co_await timer.async_wait(Awaited);
   }
 }
 
+Millis MemberWatch::listPeriod() const {
+  // A few in each domain read it often and tell the rest, which need it only to
+  // be sure: with hundreds of lines it is the largest thing on the wire.
+  std::shared_ptr<const View> seen = Shown.get();
+  if (isLogReader(*seen, RelaysPerDomain))
+    return Setup.ListPeriod;
+  std::size_t factor = std::clamp<std::size_t>(
+      seen->Members.size() / MembersPerListPeriod, 1, MaxListFactor);
+  return Setup.ListPeriod * static_cast<std::int64_t>(factor);
+}
+
 asio::awaitable<void> MemberWatch::digestLoop() {
   std::shared_ptr<MemberWatch> self = shared_from_this();
   asio::steady_timer timer(Executor);
@@ -156,7 +172,8 @@
     }
     Address where = Swim.Members.at(peer.front()).Who.Control;
     co_await exchange(where, peer.front());
-    span = Setup.DigestPeriod;
+    // Often at first, while there is most to learn.
+    span = std::min(span * 2, Setup.DigestPeriod);
   }
 }
 
@@ -302,9 +319,13 @@
 // ---- the platform's list ----
 
 asio::awaitable<bool> MemberWatch::readList() {
-  Outcome<std::vector<ListedInstance>> lines =
+  Outcome<std::string> body =
       co_await readInstanceList(*Client, Setup.Instances, ListTimeout);
-  if (!lines || Stopped)
+  if (!body || Stopped)
+    co_return false;
+  Counters.BytesIn.fetch_add(body->size());
+  Outcome<std::vector<ListedInstance>> lines = parseInstanceList(*body);
+  if (!lines)
     co_return false;
   ListRead event{std::move(*lines)};
   apply(event);
@@ -376,7 +397,10 @@
     return it.About.Instance == Swim.Self;
   });
   limits.OtherDomains = own || isLogReader(*seen, RelaysPerDomain);
-  for (const InstanceName &it : chooseFanout(*seen, limits, Random)) {
+  std::mt19937_64 sticky(Setup.Seed +
+                         static_cast<std::uint64_t>(
+                             monotonicNow().time_since_epoch() / KeepPeers));
+  for (const InstanceName &it : chooseFanout(*seen, limits, sticky)) {
     const Address &where = seen->Members.at(it).Control;
     if (where.empty())
       continue;
--- a/Wasabi/Node/MemberWatch.h
+++ b/Wasabi/Node/MemberWatch.h
@@ -107,6 +107,7 @@
   Gossip gossipTo(const InstanceName &Peer);
   void hear(const std::string &From, const Gossip &Carried);
   Millis jittered(Millis Span);
+  Millis listPeriod() const;
   template <typename Body> void spawn(Body &&What);
 
   boost::asio::any_io_executor Executor;
--- a/Wasabi/Node/RecordAppender.cpp
+++ b/Wasabi/Node/RecordAppender.cpp
@@ -116,6 +116,7 @@
   unsigned failures = 0;
   while (!Stopped && !Settled) {
     Counters.LogAppends.fetch_add(1);
+    Counters.BytesOut.fetch_add(Text.size());
     std::string copy = Text;
     Outcome<Offset> at = co_await Log.Append(ControlStream, std::move(copy));
     if (Stopped || Settled)
