Membership: one process' word is no death, doubt gives back time, no herds

Cause: a trial with 200 control planes in one process ran out of descriptors at its start: each probed all that the list named at once, and when descriptors were free again 44809 false deaths followed, since suspicions of the time of doubt ended at once.

Change: a member that is said dead by one process is only accused and probed; when a process stops doubting itself, the suspicions of that time begin anew; an event starts at most 8 probes; an update of servers alone goes without addresses and is told less; digests are exchanged often while there is much to learn.

--- a/UnitTests/Membership/SwimTest.cpp
+++ b/UnitTests/Membership/SwimTest.cpp
@@ -55,8 +55,12 @@
   return State.Members.at(InstanceName(Name)).Who.State;
 }
 
-SwimEffects hear(SwimState &State, MemberNews News, TimePoint At = Start) {
-  return decide(State, NewsHeard{{std::move(News)}}, At);
+SwimEffects hear(SwimState &State, MemberNews News, TimePoint At = Start,
+                 const std::string &From = "b") {
+  NewsHeard heard;
+  heard.From = InstanceName(From);
+  heard.News.push_back(std::move(News));
+  return decide(State, heard, At);
 }
 
 SwimEffects probed(SwimState &State, const std::string &Name, bool Reached,
@@ -145,8 +149,21 @@
   }
 }
 
+TEST_CASE("The word of one process that a member is dead only accuses it",
+          "[membership][witness]") {
+  SwimState state = knowing(Five);
+  SwimEffects did = hear(state, told("a", Health::Dead, 1), Start, "b");
+  CHECK(did.Probes == std::vector<InstanceName>{InstanceName("a")});
+  CHECK(healthOf(state, "a") == Health::Suspect);
+  hear(state, told("a", Health::Dead, 1), Start, "b");
+  CHECK(healthOf(state, "a") == Health::Suspect);
+  hear(state, told("a", Health::Dead, 1), Start, "c");
+  CHECK(healthOf(state, "a") == Health::Dead);
+}
+
 TEST_CASE("A dead member comes back by its own word", "[membership][swim]") {
   SwimState state = knowing(Five);
+  probed(state, "a", false);
   hear(state, told("a", Health::Dead, 1));
   CHECK(healthOf(state, "a") == Health::Dead);
   hear(state, alive("a", 1, 1));
@@ -222,12 +239,14 @@
   for (const char *it : {"a", "b", "c"})
     CHECK(healthOf(state, it) == Health::Suspect);
 
-  // Once most answer again, the rest is judged as usual.
+  // Once most answer again, the rest is judged as usual, from then on.
   hear(state, alive("b", 1, 2), now);
   hear(state, alive("c", 1, 2), now);
   for (const char *it : {"b", "c", "d", "e"})
     probed(state, it, true, now);
   CHECK(!viewOf(state).SelfDoubt);
+  decide(state, TimePassed(), now);
+  CHECK(healthOf(state, "a") == Health::Suspect);
   pass(state, now, Millis(20000));
   CHECK(healthOf(state, "a") == Health::Dead);
   CHECK(healthOf(state, "b") == Health::Alive);
@@ -258,7 +277,9 @@
 
 TEST_CASE("A dead member is forgotten after a time", "[membership][swim]") {
   SwimState state = knowing(Five);
+  probed(state, "a", false);
   hear(state, told("a", Health::Dead, 1));
+  REQUIRE(healthOf(state, "a") == Health::Dead);
   decide(state, TimePassed(), Start + state.Limits.ForgetDead);
   CHECK(!state.Members.contains(InstanceName("a")));
 }
@@ -285,6 +306,42 @@
     CHECK(count <= 3 * 5);
 }
 
+TEST_CASE("An update without addresses keeps those that are known",
+          "[membership][swim]") {
+  SwimState sender = knowing({});
+  while (!newsFor(sender, InstanceName("peer")).empty()) {
+  }
+  decide(sender,
+         ServersChanged{{ServerStatus{ServerName("s"), ServiceName("x"), 3}}},
+         Start);
+  std::vector<MemberNews> news = newsFor(sender, InstanceName("peer"));
+  REQUIRE(news.size() == 1);
+  CHECK(news.front().About.Control.empty());
+
+  SwimState stranger = startSwim(SwimSettings(), named("peer"), 3, Start);
+  decide(stranger, NewsHeard{sender.Self, news}, Start);
+  CHECK(!stranger.Members.contains(sender.Self));
+  hear(stranger, alive("self"));
+  decide(stranger, NewsHeard{sender.Self, news}, Start);
+  const Member &known = stranger.Members.at(sender.Self).Who;
+  CHECK(!known.Control.empty());
+  REQUIRE(known.Servers.size() == 1);
+  CHECK(known.Servers.front().Version == 3);
+}
+
+TEST_CASE("A list of many new instances starts no herd of probes",
+          "[membership][swim]") {
+  SwimState state = knowing({});
+  ListRead list;
+  list.Lines.push_back(listed("self"));
+  for (int n = 0; n < 300; ++n)
+    list.Lines.push_back(listed("m" + std::to_string(n)));
+  CHECK(decide(state, list, Start).Probes.size() <= state.Limits.MaxProbes);
+  ListRead none;
+  none.Lines.push_back(listed("self"));
+  CHECK(decide(state, none, Start).Probes.size() <= state.Limits.MaxProbes);
+}
+
 TEST_CASE("An exchange of digests tells just what the other side lacks",
           "[membership][swim]") {
   SwimState left = knowing({"a", "b", "c"});
@@ -292,7 +349,7 @@
   std::vector<MemberNews> news = newsBeyond(left, digestsOf(right));
   REQUIRE(news.size() == 1);
   CHECK(news.front().About.Instance == InstanceName("c"));
-  decide(right, NewsHeard{news}, Start);
+  decide(right, NewsHeard{InstanceName("left"), news}, Start);
   CHECK(digestsOf(right) == digestsOf(left));
 }
 
@@ -334,8 +391,8 @@
     bool reached = !Crashed.contains(To);
     if (reached) {
       SwimState &other = States.at(To);
-      decide(other, NewsHeard{newsFor(From, To)}, Now);
-      decide(From, NewsHeard{newsFor(other, From.Self)}, Now);
+      decide(other, NewsHeard{From.Self, newsFor(From, To)}, Now);
+      decide(From, NewsHeard{To, newsFor(other, From.Self)}, Now);
     }
     decide(From, ProbeEnded{To, 1, reached, true}, Now);
   }
--- a/Wasabi/Membership/MemberNews.h
+++ b/Wasabi/Membership/MemberNews.h
@@ -10,7 +10,8 @@
 
 /// What is told about a member. An immutable value.
 struct MemberNews {
-  /// The member; without addresses and servers where only its health is told.
+  /// The member. Without addresses and domain where these have not changed, and
+  /// without servers too where only its bad health is told.
   Member About;
   /// Who suspects it, when it is told as suspect.
   InstanceName Accuser;
--- a/Wasabi/Membership/Swim.cpp
+++ b/Wasabi/Membership/Swim.cpp
@@ -64,13 +64,40 @@
   return news;
 }
 
-void tell(Step &On, MemberNews News) {
-  double members = static_cast<double>(countPresent(On.State) + 1);
-  std::uint32_t times =
-      On.State.Limits.TellFactor *
+/// What is told of a member whose servers or stamp alone have changed: most
+/// changes are of that kind, and addresses are most of a member's bytes.
+MemberNews updateOf(const SwimMember &Held) {
+  MemberNews news = newsOf(Held);
+  news.About.Domain = DomainName();
+  news.About.Requests = Address();
+  news.About.Control = Address();
+  news.About.Admin = Address();
+  return news;
+}
+
+/// Whether news is of servers or the stamp alone.
+bool isUpdate(const MemberNews &News) {
+  return News.About.State == Health::Alive && News.About.Control.empty();
+}
+
+std::uint32_t timesToTell(const SwimState &State, bool Update) {
+  const SwimSettings &limits = State.Limits;
+  std::uint32_t factor = Update ? limits.UpdateFactor : limits.TellFactor;
+  double members = static_cast<double>(countPresent(State) + 1);
+  std::uint32_t rounds =
       static_cast<std::uint32_t>(std::ceil(std::log(members)));
+  return std::max(factor * rounds, 1u);
+}
+
+void tell(Step &On, MemberNews News) {
   InstanceName name = News.About.Instance;
-  On.State.Tellings[name] = Telling{std::move(News), std::max(times, 1u)};
+  // Addresses that are still being told must not be lost to an update.
+  auto held = On.State.Tellings.find(name);
+  if (isUpdate(News) && held != On.State.Tellings.end() &&
+      !held->second.News.About.Control.empty())
+    News = newsOf(On.State.Members.at(name));
+  std::uint32_t times = timesToTell(On.State, isUpdate(News));
+  On.State.Tellings[name] = Telling{std::move(News), times};
 }
 
 /// Takes note of a new health, or of new content with the same health.
@@ -143,11 +170,11 @@
 
 Member &selfOf(SwimState &State) { return State.Members.at(State.Self).Who; }
 
-void tellSelf(Step &On) {
+void tellSelf(Step &On, bool Whole) {
   SwimMember &held = On.State.Members.at(On.State.Self);
   ++held.Who.Stamp;
   On.Done.ViewChanged = true;
-  tell(On, newsOf(held));
+  tell(On, Whole ? newsOf(held) : updateOf(held));
 }
 
 /// Whoever says it, to leave is final: work is no longer sent here.
@@ -175,10 +202,10 @@
     // suspected is a sign that it is slow itself.
     self.Stamp = Told.Stamp;
     On.State.LocalHealth = std::min(On.State.LocalHealth + 1, MaxLocalHealth);
-    tellSelf(On);
+    tellSelf(On, true);
   } else if (Told.Stamp > self.Stamp) {
     self.Stamp = Told.Stamp;
-    tellSelf(On);
+    tellSelf(On, true);
   }
 }
 
@@ -188,20 +215,23 @@
 void takeContent(Member &Into, const Member &From) {
   if (From.State != Health::Alive)
     return;
+  Into.Servers = From.Servers;
+  if (From.Control.empty())
+    return;
   Into.Domain = From.Domain;
   Into.Kind = From.Kind;
   Into.Requests = From.Requests;
   Into.Control = From.Control;
   Into.Admin = From.Admin;
-  Into.Servers = From.Servers;
 }
 
 /// News of an incarnation not known here.
 void hearOfNew(Step &On, const MemberNews &News) {
   const Member &told = News.About;
-  // Without addresses a suspect is of no use; a leaver or a dead one is kept as
-  // a mark against older news.
-  if (told.State == Health::Suspect)
+  // Without addresses it is of no use; but a leaver or a dead one is kept as a
+  // mark against older news.
+  bool mark = told.State == Health::Leaving || told.State == Health::Dead;
+  if (!mark && told.Control.empty())
     return;
   SwimMember &held = addMember(On, told, ByPeers);
   if (told.State == Health::Leaving)
@@ -212,7 +242,12 @@
 /// News that is known already needs less telling.
 void hearAgain(Step &On, const MemberNews &News) {
   auto found = On.State.Tellings.find(News.About.Instance);
-  if (found == On.State.Tellings.end() || !(found->second.News == News))
+  if (found == On.State.Tellings.end())
+    return;
+  const Member &own = found->second.News.About;
+  const Member &told = News.About;
+  if (own.Life != told.Life || own.Stamp != told.Stamp ||
+      own.State != told.State || found->second.News.Accuser != News.Accuser)
     return;
   std::uint32_t &left = found->second.TimesLeft;
   left -= std::min(left, HeardAgain);
@@ -237,6 +272,9 @@
     hearAgain(On, News);
     return;
   }
+  // An update on one known by the list alone lacks what is not known yet.
+  if (Held.Who.Stamp == 0 && told.Control.empty())
+    return;
   Health was = Held.Who.State;
   takeContent(Held.Who, told);
   Held.Who.Stamp = told.Stamp;
@@ -248,26 +286,45 @@
   }
   noteChange(On, Held, was, ByItself);
   if (!Held.Left)
-    tell(On, newsOf(Held));
+    tell(On, told.Control.empty() ? updateOf(Held) : newsOf(Held));
+}
+
+/// Whether anything but the teller's word says that a member is gone.
+bool hasOtherWitness(const SwimMember &Held, const InstanceName &Teller) {
+  if (Held.FailedHere || Held.Unlisted || Held.Left)
+    return true;
+  return std::any_of(Held.Accusers.begin(), Held.Accusers.end(),
+                     [&](const InstanceName &it) { return it != Teller; });
 }
 
-void hearBad(Step &On, SwimMember &Held, const MemberNews &News) {
+/// One process alone may be wrong about all others: its word is an accusation
+/// until another witness joins it.
+void hearDead(Step &On, SwimMember &Held, const InstanceName &Teller) {
+  if (hasOtherWitness(Held, Teller)) {
+    setHealth(On, Held, Health::Dead, ByPeers);
+    return;
+  }
+  suspect(On, Held, Teller, ByPeers);
+  On.Done.Probes.push_back(Held.Who.Instance);
+}
+
+void hearBad(Step &On, SwimMember &Held, const MemberNews &News,
+             const InstanceName &Teller) {
   const Member &told = News.About;
   if (told.Stamp < Held.Who.Stamp || Held.Who.State == Health::Dead) {
     hearAgain(On, News);
     return;
   }
+  Held.Who.Stamp = told.Stamp;
   if (told.State == Health::Dead) {
-    Held.Who.Stamp = told.Stamp;
-    setHealth(On, Held, Health::Dead, ByPeers);
+    hearDead(On, Held, Teller);
     return;
   }
-  Held.Who.Stamp = told.Stamp;
   hearAgain(On, News);
   suspect(On, Held, News.Accuser, ByPeers);
 }
 
-void hearOne(Step &On, const MemberNews &News) {
+void hearOne(Step &On, const MemberNews &News, const InstanceName &Teller) {
   const Member &told = News.About;
   if (isSelf(On.State, told.Instance)) {
     hearOfSelf(On, told);
@@ -286,7 +343,7 @@
   else if (told.State == Health::Alive)
     hearAlive(On, held, News);
   else
-    hearBad(On, held, News);
+    hearBad(On, held, News, Teller);
 }
 
 // ---- probes ----
@@ -343,9 +400,21 @@
 
 void judge(Step &On) {
   bool doubt = judgeSelf(On.State);
-  if (doubt != On.State.SelfDoubt)
-    On.Done.ViewChanged = true;
+  if (doubt == On.State.SelfDoubt)
+    return;
+  On.Done.ViewChanged = true;
   On.State.SelfDoubt = doubt;
+  if (doubt)
+    return;
+  // What was suspected meanwhile may have been this process' own fault: the
+  // others get their whole time to refute it.
+  for (auto &[name, held] : On.State.Members) {
+    if (held.Who.State != Health::Suspect)
+      continue;
+    held.Since = On.Now;
+    held.Accusers.clear();
+    held.FailedHere = false;
+  }
 }
 
 void endProbe(Step &On, const ProbeEnded &Event) {
@@ -396,7 +465,6 @@
   if (found == On.State.Members.end() || Line.Life > found->second.Who.Life) {
     // Known by name only; its own news, with a stamp, takes the place of this.
     addMember(On, memberFrom(Line), ByList).Listed = true;
-    On.Done.Probes.push_back(Line.Instance);
     return;
   }
   SwimMember &held = found->second;
@@ -501,7 +569,7 @@
 
 void handle(Step &On, const NewsHeard &Event) {
   for (const MemberNews &it : Event.News)
-    hearOne(On, it);
+    hearOne(On, it, Event.From);
   judge(On);
 }
 
@@ -526,7 +594,7 @@
   if (selfOf(On.State).Servers == Event.Servers)
     return;
   selfOf(On.State).Servers = Event.Servers;
-  tellSelf(On);
+  tellSelf(On, false);
 }
 
 void handle(Step &On, const SelfLeaves &) { leaveSelf(On, ByItself); }
@@ -546,13 +614,16 @@
   held.Who = std::move(Self);
   held.Since = Now;
   Step step{state, Now, {}};
-  tellSelf(step);
+  tellSelf(step, true);
   return state;
 }
 
 SwimEffects decide(SwimState &State, const SwimEvent &Event, TimePoint Now) {
   Step step{State, Now, {}};
   std::visit([&](const auto &it) { handle(step, it); }, Event);
+  // Many at once would be a herd; the rest have their turn in the round.
+  if (step.Done.Probes.size() > State.Limits.MaxProbes)
+    step.Done.Probes.resize(State.Limits.MaxProbes);
   return std::move(step.Done);
 }
 
@@ -591,6 +662,7 @@
 
 std::vector<std::uint64_t> digestsOf(const SwimState &State) {
   std::vector<std::uint64_t> digests;
+  digests.reserve(State.Members.size());
   for (const auto &[name, held] : State.Members)
     digests.push_back(digestOf(held.Who));
   return digests;
--- a/Wasabi/Membership/Swim.h
+++ b/Wasabi/Membership/Swim.h
@@ -38,6 +38,9 @@
   std::uint32_t Accusers = 3;
   /// Each change is told this many times for each factor e of members.
   std::uint32_t TellFactor = 3;
+  /// The same of a change of servers alone, which is frequent; exchanges of
+  /// digests bring it to whom the few tellings missed.
+  std::uint32_t UpdateFactor = 1;
   /// Most news that one frame carries.
   std::size_t MaxNews = 8;
   /// A dead member is forgotten after this.
@@ -46,6 +49,8 @@
   std::size_t DoubtWindow = 10;
   /// A step of the clock longer than this was a pause of this process.
   Millis PauseLimit{1500};
+  /// Most probes that one event may start at once.
+  std::size_t MaxProbes = 8;
   /// Every n-th probe tries a dead member, so that a healed cut is noticed.
   std::uint32_t DeadProbeEvery = 5;
   bool operator==(const SwimSettings &) const = default;
@@ -111,6 +116,7 @@
 };
 /// Another process told news.
 struct NewsHeard {
+  InstanceName From;
   std::vector<MemberNews> News;
 };
 /// The platform's list was read.
--- a/Wasabi/Node/ControlMessage.cpp
+++ b/Wasabi/Node/ControlMessage.cpp
@@ -49,6 +49,7 @@
                                            const MemberNews &News) {
   const Member &who = News.About;
   std::vector<flatbuffers::Offset<wire::ServerState>> servers;
+  servers.reserve(who.Servers.size());
   for (const ServerStatus &it : who.Servers)
     servers.push_back(put(Builder, it));
   flatbuffers::Offset<
@@ -119,6 +120,7 @@
 GossipOffsets put(FlatBufferBuilder &Builder, const Gossip &Carried) {
   GossipOffsets offsets;
   std::vector<flatbuffers::Offset<wire::MemberState>> news;
+  news.reserve(Carried.News.size());
   for (const MemberNews &it : Carried.News)
     news.push_back(put(Builder, it));
   if (!news.empty())
--- a/Wasabi/Node/ControlServer.cpp
+++ b/Wasabi/Node/ControlServer.cpp
@@ -28,7 +28,7 @@
 } // namespace
 
 Result<std::shared_ptr<ControlServer>>
-ControlServer::create(asio::io_context &Context, Settings Limits,
+ControlServer::create(asio::io_context &Context, const Settings &Limits,
                       ControlCounters &Counters) {
   std::shared_ptr<ControlServer> made(
       new ControlServer(Context, Limits, Counters));
--- a/Wasabi/Node/ControlServer.h
+++ b/Wasabi/Node/ControlServer.h
@@ -37,7 +37,7 @@
   /// Binds; messages flow after `start`. Errors: `Unavailable` when the port
   /// cannot be bound.
   static Result<std::shared_ptr<ControlServer>>
-  create(boost::asio::io_context &Context, Settings Limits,
+  create(boost::asio::io_context &Context, const Settings &Limits,
          ControlCounters &Counters);
 
   /// Starts to accept.
--- a/Wasabi/Node/MemberWatch.cpp
+++ b/Wasabi/Node/MemberWatch.cpp
@@ -32,6 +32,8 @@
 /// The others read the list less often the more members there are.
 constexpr std::size_t MembersPerListPeriod = 10;
 constexpr std::size_t MaxListFactor = 40;
+/// More news than a part of so many of the members is much.
+constexpr std::size_t MuchLearned = 20;
 /// How long the same random peers are told urgent news.
 constexpr Millis KeepPeers(30000);
 
@@ -171,9 +173,11 @@
       continue;
     }
     Address where = Swim.Members.at(peer.front()).Who.Control;
-    co_await exchange(where, peer.front());
-    // Often at first, while there is most to learn.
-    span = std::min(span * 2, Setup.DigestPeriod);
+    std::size_t learned = co_await exchange(where, peer.front());
+    // Often while there is much to learn.
+    bool much = learned * MuchLearned > Swim.Members.size();
+    span =
+        much ? Setup.Swim.ProbePeriod : std::min(span * 2, Setup.DigestPeriod);
   }
 }
 
@@ -274,7 +278,7 @@
 }
 
 void MemberWatch::receive(const PingRequestMessage &Ask,
-                          ControlServer::Reply Answer) {
+                          const ControlServer::Reply &Answer) {
   std::shared_ptr<MemberWatch> self = shared_from_this();
   spawn([self, Ask, Answer]() -> asio::awaitable<void> {
     InstanceName target(Ask.Target);
@@ -285,7 +289,8 @@
   });
 }
 
-asio::awaitable<void> MemberWatch::exchange(Address Where, InstanceName Peer) {
+asio::awaitable<std::size_t> MemberWatch::exchange(Address Where,
+                                                   InstanceName Peer) {
   PingMessage ping;
   ping.Sequence = Links->nextSequence();
   ping.From = Swim.Self.Text;
@@ -302,7 +307,7 @@
       co_await Links->ask(Where, std::move(question), ExchangeTimeout);
   const AckMessage *ack = answer ? std::get_if<AckMessage>(&*answer) : nullptr;
   if (ack == nullptr || Stopped)
-    co_return;
+    co_return 0;
   hear(ack->From, ack->Carried);
 
   // What the other side lacks goes back without a question.
@@ -314,6 +319,7 @@
   Calls.FillLog(notice.Carried);
   if (!notice.Carried.News.empty())
     Links->send(Where, notice);
+  co_return ack->Carried.News.size();
 }
 
 // ---- the platform's list ----
@@ -362,7 +368,7 @@
 void MemberWatch::hear(const std::string &From, const Gossip &Carried) {
   Events.hear(Carried.At);
   if (!Carried.News.empty())
-    apply(NewsHeard{Carried.News});
+    apply(NewsHeard{InstanceName(From), Carried.News});
   Calls.HearLog(InstanceName(From), Carried.Next, Carried.LogAge);
 }
 
@@ -370,7 +376,7 @@
   carryOut(decide(Swim, Event, monotonicNow()));
 }
 
-void MemberWatch::carryOut(SwimEffects Effects) {
+void MemberWatch::carryOut(const SwimEffects &Effects) {
   for (const HealthChange &it : Effects.Changes) {
     std::string kind = "member." + std::string(toText(it.Now));
     Events.record(kind, {{"member", it.Instance.Text},
--- a/Wasabi/Node/MemberWatch.h
+++ b/Wasabi/Node/MemberWatch.h
@@ -74,7 +74,8 @@
   /// A probe from another; answers unless it means another process.
   void receive(const PingMessage &Ping, const ControlServer::Reply &Answer);
   /// Probes a member for another process, and answers.
-  void receive(const PingRequestMessage &Ask, ControlServer::Reply Answer);
+  void receive(const PingRequestMessage &Ask,
+               const ControlServer::Reply &Answer);
 
   void setServers(std::vector<ServerStatus> Servers);
   /// A request to this member could not be delivered.
@@ -96,12 +97,14 @@
   boost::asio::awaitable<void> join(Address Seed);
   boost::asio::awaitable<void> probe(InstanceName Target);
   boost::asio::awaitable<bool> ping(InstanceName Target, Millis Timeout);
-  boost::asio::awaitable<void> exchange(Address Where, InstanceName Peer);
+  /// Exchanges digests; gives how many news came back.
+  boost::asio::awaitable<std::size_t> exchange(Address Where,
+                                               InstanceName Peer);
   boost::asio::awaitable<bool> readList();
   boost::asio::awaitable<bool> announce(bool Leaving);
 
   void apply(const SwimEvent &Event);
-  void carryOut(SwimEffects Effects);
+  void carryOut(const SwimEffects &Effects);
   void passOn(const std::vector<MemberNews> &Urgent);
   void publish();
   Gossip gossipTo(const InstanceName &Peer);
