--- a/Wasabi/Membership/Swim.cpp
+++ b/Wasabi/Membership/Swim.cpp
@@ -30,6 +30,8 @@
   SwimState &State;
   TimePoint Now;
   SwimEffects Done;
+  /// Whether the news at hand came in bulk.
+  bool Bulk = false;
 };
 
 bool isSelf(const SwimState &State, const InstanceName &Name) {
@@ -97,6 +99,9 @@
       !held->second.News.About.Control.empty())
     News = newsOf(On.State.Members.at(name));
   std::uint32_t times = timesToTell(On.State, isUpdate(News));
+  // What an exchange brings in bulk, the others get by their own exchanges.
+  if (On.Bulk)
+    times = 1;
   On.State.Tellings[name] = Telling{std::move(News), times};
 }
 
@@ -568,6 +573,7 @@
 void handle(Step &On, const ProbeEnded &Event) { endProbe(On, Event); }
 
 void handle(Step &On, const NewsHeard &Event) {
+  On.Bulk = Event.News.size() > 2 * On.State.Limits.MaxNews;
   for (const MemberNews &it : Event.News)
     hearOne(On, it, Event.From);
   judge(On);
@@ -613,13 +619,13 @@
   SwimMember &held = state.Members[state.Self];
   held.Who = std::move(Self);
   held.Since = Now;
-  Step step{state, Now, {}};
+  Step step{state, Now, {}, false};
   tellSelf(step, true);
   return state;
 }
 
 SwimEffects decide(SwimState &State, const SwimEvent &Event, TimePoint Now) {
-  Step step{State, Now, {}};
+  Step step{State, Now, {}, false};
   std::visit([&](const auto &it) { handle(step, it); }, Event);
   // Many at once would be a herd; the rest have their turn in the round.
   if (step.Done.Probes.size() > State.Limits.MaxProbes)
