--- a/Wasabi/Node/InstanceList.cpp
+++ b/Wasabi/Node/InstanceList.cpp
@@ -90,7 +90,7 @@
 }
 
 asio::awaitable<Outcome<std::string>>
-readInstanceList(http::Client &Client, Address Service, Millis Timeout) {
+readInstanceListBody(http::Client &Client, Address Service, Millis Timeout) {
   http::Request ask;
   ask.Method = "GET";
   ask.Target = Target;
@@ -103,6 +103,15 @@
   co_return std::move(got->Body);
 }
 
+asio::awaitable<Outcome<std::vector<ListedInstance>>>
+readInstanceList(http::Client &Client, Address Service, Millis Timeout) {
+  Outcome<std::string> body =
+      co_await readInstanceListBody(Client, std::move(Service), Timeout);
+  if (!body)
+    co_return body.failure();
+  co_return parseInstanceList(*body);
+}
+
 asio::awaitable<Outcome<Done>> announceInstance(http::Client &Client,
                                                 Address Service,
                                                 ListedInstance Self,
--- a/Wasabi/Node/InstanceList.h
+++ b/Wasabi/Node/InstanceList.h
@@ -23,10 +23,14 @@
 /// Fails with `BadInput` when it is no list at all. Pure.
 Outcome<std::vector<ListedInstance>> parseInstanceList(const std::string &Body);
 
-/// Reads the body of the list at `Service`.
-boost::asio::awaitable<Outcome<std::string>>
+/// Reads the list at `Service`.
+boost::asio::awaitable<Outcome<std::vector<ListedInstance>>>
 readInstanceList(http::Client &Client, Address Service, Millis Timeout);
 
+/// The same, not parsed: for one that counts its bytes.
+boost::asio::awaitable<Outcome<std::string>>
+readInstanceListBody(http::Client &Client, Address Service, Millis Timeout);
+
 /// Announces this process to the list at `Service`. Idempotent.
 boost::asio::awaitable<Outcome<Done>> announceInstance(http::Client &Client,
                                                        Address Service,
--- a/Wasabi/Node/MemberWatch.cpp
+++ b/Wasabi/Node/MemberWatch.cpp
@@ -326,7 +326,7 @@
 
 asio::awaitable<bool> MemberWatch::readList() {
   Outcome<std::string> body =
-      co_await readInstanceList(*Client, Setup.Instances, ListTimeout);
+      co_await readInstanceListBody(*Client, Setup.Instances, ListTimeout);
   if (!body || Stopped)
     co_return false;
   Counters.BytesIn.fetch_add(body->size());
