--- a/Wasabi/Rollout/LoadReports.cpp
+++ b/Wasabi/Rollout/LoadReports.cpp
@@ -3,7 +3,13 @@
 namespace wasabi {
 
 void LoadReports::take(const LoadSeen &Report, TimePoint Now) {
-  Newest[Report.Server] = Held{Report, Now};
+  Held &held = Newest[Report.Server];
+  held = Held{Report, Now, held.Count + 1};
+}
+
+std::uint64_t LoadReports::count(const ServerName &Of) const {
+  const auto found = Newest.find(Of);
+  return found == Newest.end() ? 0 : found->second.Count;
 }
 
 const LoadSeen *LoadReports::find(const ServerName &Of, TimePoint Now) const {
--- a/Wasabi/Rollout/RolloutContext.cpp
+++ b/Wasabi/Rollout/RolloutContext.cpp
@@ -1,5 +1,6 @@
 #include "Wasabi/Rollout/RolloutContext.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -45,6 +46,7 @@
       if (server.Service != Service)
         continue;
       EngineSeen seen = engineFrom(who, server);
+      seen.Report = Of.Loads.count(seen.Name);
       const LoadSeen *load = Of.Loads.find(seen.Name, now);
       if (load != nullptr)
         correct(seen, *load);
@@ -56,6 +58,17 @@
   return all;
 }
 
+void DutyGate::post(std::function<void()> Work) {
+  std::lock_guard<std::mutex> lock(Guard);
+  if (Open)
+    boost::asio::post(Executor, std::move(Work));
+}
+
+void DutyGate::close() {
+  std::lock_guard<std::mutex> lock(Guard);
+  Open = false;
+}
+
 boost::asio::awaitable<void> pause(Millis HowLong) {
   boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
                                   HowLong);
