--- a/Fuzz/ControlFuzz.cpp
+++ b/Fuzz/ControlFuzz.cpp
@@ -10,6 +10,7 @@
 
 using namespace wasabi;
 
+// NOLINTNEXTLINE(readability-identifier-naming): the fuzzer calls this name.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
                                       std::size_t Size) {
   const std::vector<std::uint8_t> frame(Data, Data + Size);
--- a/Fuzz/HttpFuzz.cpp
+++ b/Fuzz/HttpFuzz.cpp
@@ -25,6 +25,7 @@
 
 } // namespace
 
+// NOLINTNEXTLINE(readability-identifier-naming): the fuzzer calls this name.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
                                       std::size_t Size) {
   static Subject subject;
--- a/Fuzz/TextFuzz.cpp
+++ b/Fuzz/TextFuzz.cpp
@@ -77,6 +77,7 @@
 
 } // namespace
 
+// NOLINTNEXTLINE(readability-identifier-naming): the fuzzer calls this name.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
                                       std::size_t Size) {
   if (Size == 0)
--- a/IntegrationTests/Chaos/AnswerCheck.cpp
+++ b/IntegrationTests/Chaos/AnswerCheck.cpp
@@ -163,8 +163,7 @@
     const std::size_t end = Events.find(EventEnd);
     if (end == std::string_view::npos)
       return "it ends inside an event";
-    const std::string fault =
-        takeEvent(state, Events.substr(0, end), Prompt, Seed);
+    std::string fault = takeEvent(state, Events.substr(0, end), Prompt, Seed);
     if (!fault.empty())
       return fault;
     Events.remove_prefix(end + EventEnd.size());
--- a/IntegrationTests/Chaos/Cluster.cpp
+++ b/IntegrationTests/Chaos/Cluster.cpp
@@ -292,7 +292,7 @@
 
 std::string Cluster::writeDeclarations(const std::string &Name,
                                        std::uint32_t Rate) const {
-  const std::string folder = Folder + "/" + Name;
+  std::string folder = Folder + "/" + Name;
   std::filesystem::create_directories(folder);
   std::ofstream file(folder + "/all.json");
   file << R"([{"kind":"service","name":")" << Plan.EngineService
--- a/IntegrationTests/Chaos/Injector.cpp
+++ b/IntegrationTests/Chaos/Injector.cpp
@@ -45,6 +45,7 @@
 void Injector::run(const std::vector<Fault> &Schedule) {
   const TimePoint begin = monotonicNow();
   std::vector<std::thread> threads;
+  threads.reserve(Schedule.size());
   for (const Fault &it : Schedule)
     threads.emplace_back([this, it, begin] { inject(it, begin); });
   for (std::thread &it : threads)
--- a/IntegrationTests/Chaos/Run.cpp
+++ b/IntegrationTests/Chaos/Run.cpp
@@ -20,14 +20,12 @@
 
 namespace {
 
-/// How long the trainer's open step may take to be whole after the end.
-constexpr Millis LastStepLimit{10000};
 /// Most lines of what is wrong that are printed.
 constexpr std::size_t MaxPrinted = 20;
 
 std::vector<UpstreamRun> gatherRuns(Cluster &of, Tally &sum) {
   std::vector<UpstreamRun> runs;
-  const auto take = [&](const harness::StandIn &from, std::string name) {
+  const auto take = [&](const harness::StandIn &from, const std::string &name) {
     const Outcome<boost::json::value> truth = from.truth();
     if (!truth) {
       sum.Faults.push_back("no truth of " + name + ": " +
