--- a/UnitTests/Membership/SwimTest.cpp
+++ b/UnitTests/Membership/SwimTest.cpp
@@ -388,7 +388,7 @@
   }
 
   void probe(SwimState &From, const InstanceName &To) {
-    bool reached = !Crashed.contains(To);
+    bool reached = !Crashed.contains(To) && !isCut(From.Self, To);
     if (reached) {
       SwimState &other = States.at(To);
       decide(other, NewsHeard{From.Self, newsFor(From, To)}, Now);
@@ -397,6 +397,11 @@
     decide(From, ProbeEnded{To, 1, reached, true}, Now);
   }
 
+  /// Whether a cut lies between two processes.
+  bool isCut(const InstanceName &Left, const InstanceName &Right) const {
+    return CutOff.contains(Left) != CutOff.contains(Right);
+  }
+
   /// How many of the processes at work see this of a member.
   std::size_t seen(const InstanceName &Name, Health State) const {
     std::size_t count = 0;
@@ -410,10 +415,48 @@
   TimePoint Now = Start;
   std::map<InstanceName, SwimState> States;
   std::set<InstanceName> Crashed;
+  std::set<InstanceName> CutOff;
 };
 
 } // namespace
 
+TEST_CASE("After a cut the greater side has buried the lesser, which doubts "
+          "itself, and both find each other again",
+          "[membership][gossip]") {
+  constexpr std::size_t Count = 24;
+  constexpr std::size_t Lesser = 6;
+  Exchange all(Count);
+  for (int n = 0; n < 5; ++n)
+    all.round();
+  for (std::size_t n = 0; n < Lesser; ++n)
+    all.CutOff.insert(InstanceName("n" + std::to_string(n)));
+  for (int n = 0; n < 60; ++n)
+    all.round();
+  InstanceName lesser("n0");
+  InstanceName greater("n23");
+  CHECK(all.seen(lesser, Health::Dead) == Count - Lesser);
+  CHECK(all.seen(greater, Health::Dead) == 0);
+  for (const InstanceName &it : all.CutOff)
+    CHECK(all.States.at(it).SelfDoubt);
+
+  all.CutOff.clear();
+  int rounds = 0;
+  auto allAlive = [&]() {
+    for (const auto &[name, state] : all.States) {
+      if (all.seen(name, Health::Alive) != Count - 1)
+        return false;
+    }
+    return true;
+  };
+  while (!allAlive() && rounds < 120) {
+    all.round();
+    ++rounds;
+  }
+  CHECK(rounds < 120);
+  for (const auto &[name, state] : all.States)
+    CHECK(!state.SelfDoubt);
+}
+
 TEST_CASE("A change and a crash become known to all by probes alone",
           "[membership][gossip]") {
   constexpr std::size_t Count = 60;
--- a/UnitTests/Node/ControlPlaneTest.cpp
+++ b/UnitTests/Node/ControlPlaneTest.cpp
@@ -264,6 +264,71 @@
   CHECK(inForce(plane, "two"));
 }
 
+TEST_CASE("A process starts from the snapshot that the log still holds",
+          "[node][snapshot]") {
+  Cluster cluster;
+  cluster.start(1);
+  Node &first = *cluster.Nodes.front();
+  constexpr int Changes = 30;
+  for (int n = 0; n < Changes; ++n) {
+    std::string name = "caller-" + std::to_string(n);
+    REQUIRE(appendAndWait(*first.Plane,
+                          limitChange(first.Plane->state()->Next, name)));
+  }
+  // The oldest records expire; the claim's holder writes a snapshot by itself.
+  cluster.Platform.keepOnly(20);
+  REQUIRE(
+      eventually([&]() { return first.Plane->state()->SnapshotRevision > 0; }));
+  cluster.end(&first);
+  REQUIRE(cluster.Platform.first() > 0);
+
+  ControlPlane::Settings setup = cluster.settings(1);
+  setup.Instances = Address();
+  Node &late = cluster.add(setup);
+  REQUIRE(eventually([&]() { return late.Plane->ready(); }));
+  for (int n = 0; n < Changes; ++n)
+    CHECK(inForce(*late.Plane, "caller-" + std::to_string(n)));
+}
+
+TEST_CASE("Who leaves releases its claims, and a successor need not wait",
+          "[node][claims]") {
+  Cluster cluster;
+  // A term that outlasts the test: only a release can free the claim.
+  for (std::size_t n = 0; n < 2; ++n) {
+    ControlPlane::Settings setup = cluster.settings(n);
+    setup.ClaimTerm = Millis(600000);
+    cluster.add(setup);
+  }
+  REQUIRE(eventually([&]() { return cluster.allSee(2); }));
+  for (const std::unique_ptr<Node> &it : cluster.Nodes)
+    it->Plane->want("trainer/notes");
+  REQUIRE(eventually([&]() { return cluster.holder("trainer/notes"); }));
+  Node *first = cluster.holder("trainer/notes");
+  first->Plane->leave([]() {});
+  CHECK(eventually([&]() {
+    Node *next = cluster.holder("trainer/notes");
+    return next != nullptr && next != first;
+  }));
+}
+
+TEST_CASE("The status shows members, claims and counters", "[node][control]") {
+  Cluster cluster;
+  cluster.start(2);
+  ControlPlane &plane = *cluster.Nodes.front()->Plane;
+  plane.setServers({ServerStatus{ServerName("lease-desk-1"),
+                                 ServiceName("lease-desk"), 0, 4, true}});
+  REQUIRE(eventually([&]() {
+    return plane.statusJson().find("lease-desk-1") != std::string::npos;
+  }));
+  std::string status = plane.statusJson();
+  for (const char *it :
+       {"\"next\":", "\"config_revision\":", "\"members\":", "\"claims\":",
+        "\"log\":{\"reachable\":true", "\"self_doubt\":false",
+        "\"control_bytes_in\":", "\"control_bytes_out\":", "\"frames_in\":",
+        "\"log_reads\":", "\"log_appends\":"})
+    CHECK(status.find(it) != std::string::npos);
+}
+
 TEST_CASE("An order reaches its daemon and its answer comes back",
           "[node][control]") {
   Cluster cluster;
--- a/Wasabi/Membership/Swim.cpp
+++ b/Wasabi/Membership/Swim.cpp
@@ -16,6 +16,8 @@
 /// often enough can take it as known (Demers et al. 1987, rumours with a
 /// counter).
 constexpr std::uint32_t HeardAgain = 4;
+/// How often a process repeats a refutation that someone missed.
+constexpr std::uint32_t Reminders = 2;
 /// Fewest failed targets by which a process doubts itself.
 constexpr std::size_t FewestDoubtful = 2;
 
@@ -202,9 +204,15 @@
     leaveSelf(On, ByPeers);
     return;
   }
-  if (Told.Stamp < self.Stamp)
+  bool bad = Told.State == Health::Suspect || Told.State == Health::Dead;
+  if (Told.Stamp < self.Stamp) {
+    // Refuted already, but the teller has missed it: the answer tells it again.
+    if (bad && !On.State.Tellings.contains(On.State.Self))
+      On.State.Tellings[On.State.Self] =
+          Telling{newsOf(On.State.Members.at(On.State.Self)), Reminders};
     return;
-  if (Told.State == Health::Suspect || Told.State == Health::Dead) {
+  }
+  if (bad) {
     // Only this process can refute it, by saying something newer. To have been
     // suspected is a sign that it is slow itself.
     self.Stamp = Told.Stamp;
