Daemon's proxy: keys' witnesses and counters in modules of their own

No behaviour changes, but that a daemon which is still starting refuses to be a witness instead of answering.

--- /dev/null
+++ b/Wasabi/Adapters/Proxy/DaemonCounts.h
@@ -0,0 +1,42 @@
+/// \file
+/// The counters of a daemon's work.
+#ifndef WASABI_ADAPTERS_PROXY_DAEMONCOUNTS_H
+#define WASABI_ADAPTERS_PROXY_DAEMONCOUNTS_H
+
+#include "Wasabi/Adapters/Telemetry/Metrics.h"
+
+namespace wasabi {
+
+/// Its registry must outlive it. Thread-safe as each counter is.
+struct DaemonCounts {
+  explicit DaemonCounts(Metrics &Registry)
+      : Attempts(Registry.counter("wasabi_daemon_attempts_total",
+                                  "Attempts received")),
+        Forwarded(Registry.counter("wasabi_daemon_forwarded_total",
+                                   "Attempts given to a server")),
+        Whole(Registry.counter("wasabi_daemon_whole_answers_total",
+                               "Whole answers of servers")),
+        Refused(Registry.counter("wasabi_daemon_refused_total",
+                                 "Attempts refused before their server")),
+        Broken(Registry.counter("wasabi_daemon_broken_total",
+                                "Attempts that failed at their server")),
+        Repeats(Registry.counter("wasabi_daemon_repeats_total",
+                                 "Repeats of a key that were not run")),
+        OrdersTaken(Registry.counter("wasabi_daemon_orders_total",
+                                     "Orders carried out")),
+        OrdersRefused(Registry.counter("wasabi_daemon_orders_refused_total",
+                                       "Orders refused for an old token")) {}
+
+  Counter &Attempts;
+  Counter &Forwarded;
+  Counter &Whole;
+  Counter &Refused;
+  Counter &Broken;
+  Counter &Repeats;
+  Counter &OrdersTaken;
+  Counter &OrdersRefused;
+};
+
+} // namespace wasabi
+
+#endif // WASABI_ADAPTERS_PROXY_DAEMONCOUNTS_H
--- a/Wasabi/Adapters/Proxy/DaemonProxy.cpp
+++ b/Wasabi/Adapters/Proxy/DaemonProxy.cpp
@@ -1,7 +1,9 @@
 #include "Wasabi/Adapters/Proxy/DaemonProxy.h"
 
+#include "Wasabi/Adapters/Proxy/DaemonCounts.h"
 #include "Wasabi/Adapters/Proxy/EngineApi.h"
 #include "Wasabi/Adapters/Proxy/Forwarding.h"
+#include "Wasabi/Adapters/Proxy/KeyWitnesses.h"
 #include "Wasabi/Adapters/Proxy/ProxyHeaders.h"
 #include "Wasabi/Adapters/Proxy/ServerGate.h"
 #include "Wasabi/Weights/OrderGuard.h"
@@ -17,26 +19,16 @@
 
 #include <algorithm>
 #include <atomic>
-#include <charconv>
 #include <list>
 #include <map>
 
 namespace wasabi {
 namespace {
 
-/// Keys handed over at once when this process leaves.
-constexpr std::size_t HandOverWorkers = 32;
-
 namespace asio = boost::asio;
 
 constexpr asio::as_tuple_t<asio::use_awaitable_t<>> Awaited;
 constexpr std::string_view CompletionsPath = "/v1/completions";
-constexpr char ReserveMethod[] = "RESERVE";
-constexpr char ReleaseMethod[] = "RELEASE";
-constexpr char FingerprintHeader[] = "Fingerprint";
-constexpr char RunnerHeader[] = "Runner";
-constexpr char LifeHeader[] = "Life";
-constexpr char TurnHeader[] = "Turn";
 /// When to come back to a daemon that is starting, leaving or without engine.
 constexpr Millis ComeBack{500};
 /// Pause between two looks at the samples that an order waits for.
@@ -90,61 +82,17 @@
   return XXH64(Ask.Method.data(), Ask.Method.size(), hash);
 }
 
-std::uint64_t countFrom(std::string_view Text) {
-  std::uint64_t count = 0;
-  std::from_chars(Text.data(), Text.data() + Text.size(), count);
-  return count;
-}
-
 Failure notRun(FailureCode Code, std::string Place, std::string Reason) {
   return Failure{Verdict::NotRun, Code, std::move(Place), std::move(Reason),
                  ComeBack};
 }
 
-/// The counters of a daemon.
-struct DaemonCounts {
-  explicit DaemonCounts(Metrics &Registry)
-      : Attempts(Registry.counter("wasabi_daemon_attempts_total",
-                                  "Attempts received")),
-        Forwarded(Registry.counter("wasabi_daemon_forwarded_total",
-                                   "Attempts given to a server")),
-        Whole(Registry.counter("wasabi_daemon_whole_answers_total",
-                               "Whole answers of servers")),
-        Refused(Registry.counter("wasabi_daemon_refused_total",
-                                 "Attempts refused before their server")),
-        Broken(Registry.counter("wasabi_daemon_broken_total",
-                                "Attempts that failed at their server")),
-        Repeats(Registry.counter("wasabi_daemon_repeats_total",
-                                 "Repeats of a key that were not run")),
-        OrdersTaken(Registry.counter("wasabi_daemon_orders_total",
-                                     "Orders carried out")),
-        OrdersRefused(Registry.counter("wasabi_daemon_orders_refused_total",
-                                       "Orders refused for an old token")) {}
-
-  Counter &Attempts;
-  Counter &Forwarded;
-  Counter &Whole;
-  Counter &Refused;
-  Counter &Broken;
-  Counter &Repeats;
-  Counter &OrdersTaken;
-  Counter &OrdersRefused;
-};
-
-/// Keys under way to their witnesses, shared by the workers that tell them.
-struct HandOver {
-  std::vector<KeyRecord> Left;
-  TimePoint Until;
-  std::size_t Workers = 0;
-  std::function<void()> Callback;
-};
-
 class DaemonProxyImpl final : public DaemonProxy {
 public:
   DaemonProxyImpl(asio::io_context &Context, Settings Setup, Timeline &Events,
                   Metrics &Registry)
       : Context(Context), Setup(std::move(Setup)), Events(Events),
-        Counts(Registry), Keys(keySettings(this->Setup)), Tick(Context) {
+        Counts(Registry), Tick(Context) {
     http::Client::Settings limits;
     // Every slot of a server may have a connection of its own.
     limits.MaxIdlePerAddress = 1024;
@@ -163,6 +111,8 @@
   void attach(ControlSource NewSource, ServersCallback NewTell) override {
     Source = std::move(NewSource);
     Tell = std::move(NewTell);
+    Witnesses = std::make_shared<KeyWitnesses>(
+        Context.get_executor(), witnessSettings(Setup), Peers, Source.Members);
     std::shared_ptr<DaemonProxyImpl> held = self();
     asio::co_spawn(
         Context, [held]() -> asio::awaitable<void> { return held->tick(); },
@@ -181,7 +131,11 @@
     std::shared_ptr<DaemonProxyImpl> held = self();
     // Daemons ask each other about keys, also while they leave.
     if (Attempt.Service.empty()) {
-      handleReserve(Attempt, *Sink);
+      if (Witnesses)
+        Witnesses->answer(Attempt, *Sink);
+      else
+        Sink->fail(notRun(FailureCode::Unavailable, Setup.Instance.Text,
+                          "this instance is starting"));
       co_return;
     }
     InFlight.fetch_add(1, std::memory_order_relaxed);
@@ -249,10 +203,13 @@
   }
 
 private:
-  static IdempotencyKeys::Settings keySettings(const Settings &From) {
-    IdempotencyKeys::Settings settings;
-    settings.Self = Runner{From.Instance, From.Life};
-    settings.MaxAnswer = MaxKeptAnswer;
+  static KeyWitnesses::Settings witnessSettings(const Settings &From) {
+    KeyWitnesses::Settings settings;
+    settings.Keys.Self = Runner{From.Instance, From.Life};
+    settings.Keys.MaxAnswer = MaxKeptAnswer;
+    settings.WitnessTimeout = From.WitnessTimeout;
+    settings.HandOverTimeout = From.HandOverTimeout;
+    settings.ComeBack = ComeBack;
     return settings;
   }
 
@@ -455,11 +412,12 @@
 
   asio::awaitable<void> runKeyed(Work &What) {
     KeyDecision decision =
-        Keys.begin(What.Key, What.Fingerprint, monotonicNow());
+        Witnesses->keys().begin(What.Key, What.Fingerprint, monotonicNow());
     while (decision.Step == KeyStep::Wait) {
       if (!co_await waitForFirst(What))
         co_return;
-      decision = Keys.begin(What.Key, What.Fingerprint, monotonicNow());
+      decision =
+          Witnesses->keys().begin(What.Key, What.Fingerprint, monotonicNow());
     }
     switch (decision.Step) {
     case KeyStep::Run:
@@ -513,11 +471,12 @@
   asio::awaitable<void> runFirst(Work &What) {
     Upstream &at = *What.At;
     // The witnesses come first: only then is a refusal proved not to have run.
-    Outcome<Done> reserved = co_await reserve(What);
+    Outcome<Done> reserved =
+        co_await Witnesses->reserve(recordOf(What), What.Reserved);
     if (!reserved) {
       refuse(What, reserved.failure());
-      co_await release(What);
-      Keys.broken(What.Key, reserved.failure());
+      co_await Witnesses->release(recordOf(What), What.Reserved);
+      Witnesses->keys().broken(What.Key, reserved.failure());
       co_return;
     }
     What.KeyProved = true;
@@ -526,143 +485,32 @@
     Outcome<Done> entered = co_await at.Gate.enter(ask, What.Sink);
     if (!entered) {
       refuse(What, entered.failure());
-      co_await release(What);
-      Keys.notRun(What.Key);
+      co_await Witnesses->release(recordOf(What), What.Reserved);
+      Witnesses->keys().notRun(What.Key);
       co_return;
     }
     record("attempt.admit", What, {});
     Forwarding exchange(Context.get_executor(), Client);
     Outcome<Done> end = co_await forward(What, exchange);
     if (end) {
-      Keys.answered(What.Key, exchange.kept());
+      Witnesses->keys().answered(What.Key, exchange.kept());
       What.Sink->end();
     } else {
-      Keys.broken(What.Key, end.failure());
+      Witnesses->keys().broken(What.Key, end.failure());
       What.Sink->fail(end.failure());
     }
   }
 
-  /// Lets the key's witnesses know before it runs here.
-  asio::awaitable<Outcome<Done>> reserve(Work &What) {
-    std::shared_ptr<const View> view = Source.Members();
-    KeyRecord record = recordOf(What);
-    for (const Member &it : witnessesOf(What.Key, *view, Setup.Instance)) {
-      Outcome<Done> told =
-          co_await tellWitness(it.Requests, record, ReserveMethod);
-      if (told) {
-        What.Reserved.push_back(it.Requests);
-        continue;
-      }
-      // Its own refusal says what is known; silence says only that this
-      // request was not forwarded.
-      if (told.failure().Place == "Idempotency-Key")
-        co_return told;
-      // What a leaver remembered is with the others, who were told as well.
-      if (hasLeft(it))
-        continue;
-      co_return notRun(FailureCode::Unavailable, "witness " + it.Instance.Text,
-                       told.failure().Reason);
-    }
-    co_return Done{};
-  }
-
   KeyRecord recordOf(const Work &What) const {
     Runner self{Setup.Instance, Setup.Life};
     return KeyRecord{What.Key, What.Fingerprint, self, What.Id};
   }
 
-  /// Lets one witness know of a key and its runner, or gives that back.
-  asio::awaitable<Outcome<Done>> tellWitness(Address Where, KeyRecord What,
-                                             const char *Method) {
-    RequestAttempt ask;
-    ask.Request = Setup.Instance.Text + "/key";
-    ask.Http.Method = Method;
-    ask.Http.Target = What.Key;
-    ask.Http.Headers = {{FingerprintHeader, std::to_string(What.Fingerprint)},
-                        {RunnerHeader, What.Who.Instance.Text},
-                        {LifeHeader, std::to_string(What.Who.Life)},
-                        {TurnHeader, std::to_string(What.Turn)}};
-    ask.Deadline = Setup.WitnessTimeout;
-    Outcome<std::unique_ptr<AnswerStream>> answer =
-        co_await Peers->open(std::move(Where), std::move(ask));
-    if (!answer)
-      co_return answer.failure();
-    co_return Done{};
-  }
-
-  /// Gives back what an attempt reserved that was never forwarded: else another
-  /// home of the key could only answer that it may have run. A witness that
-  /// does not hear of it keeps the key, which is safe.
-  asio::awaitable<void> release(const Work &What) {
-    for (const Address &it : What.Reserved)
-      co_await tellWitness(it, recordOf(What), ReleaseMethod);
-  }
-
   void handOver(std::function<void()> Callback) override {
-    std::shared_ptr<HandOver> work = std::make_shared<HandOver>();
-    work->Left = Keys.records();
-    work->Until = monotonicNow() + Setup.HandOverTimeout;
-    work->Callback = std::move(Callback);
-    work->Workers = HandOverWorkers;
-    std::shared_ptr<DaemonProxyImpl> held = self();
-    for (std::size_t n = 0; n < HandOverWorkers; ++n) {
-      asio::co_spawn(
-          Context,
-          [held, work]() -> asio::awaitable<void> {
-            return held->handOverKeys(work);
-          },
-          asio::detached);
-    }
-  }
-
-  asio::awaitable<void> handOverKeys(std::shared_ptr<HandOver> Work) {
-    std::shared_ptr<DaemonProxyImpl> held = self();
-    while (!Work->Left.empty() && monotonicNow() < Work->Until) {
-      KeyRecord record = std::move(Work->Left.back());
-      Work->Left.pop_back();
-      std::shared_ptr<const View> view = Source.Members();
-      for (const Member &it : witnessesOf(record.Key, *view, Setup.Instance)) {
-        // A witness that knows better refuses, which is as good.
-        if (takesWork(it))
-          co_await tellWitness(it.Requests, record, ReserveMethod);
-      }
-    }
-    if (--Work->Workers == 0)
-      Work->Callback();
-  }
-
-  /// Whether the newest view has this incarnation leaving, replaced or dead.
-  bool hasLeft(const Member &Who) const {
-    std::shared_ptr<const View> view = Source.Members();
-    auto it = view->Members.find(Who.Instance);
-    if (it == view->Members.end())
-      return true;
-    return it->second.Life != Who.Life || !takesWork(it->second);
-  }
-
-  void handleReserve(const RequestAttempt &Ask, AnswerSink &Sink) {
-    bool release = Ask.Http.Method == ReleaseMethod;
-    if (!release && Ask.Http.Method != ReserveMethod) {
-      Sink.fail(
-          notRun(FailureCode::BadInput, "request", "it names no service"));
-      return;
-    }
-    Runner who{InstanceName(std::string(Ask.Http.header(RunnerHeader))),
-               countFrom(Ask.Http.header(LifeHeader))};
-    std::uint64_t turn = countFrom(Ask.Http.header(TurnHeader));
-    std::optional<Failure> refused;
-    if (release)
-      Keys.release(Ask.Http.Target, who, turn);
+    if (Witnesses)
+      Witnesses->handOver(std::move(Callback));
     else
-      refused = Keys.reserve(Ask.Http.Target,
-                             countFrom(Ask.Http.header(FingerprintHeader)), who,
-                             monotonicNow(), turn);
-    if (refused) {
-      Sink.fail(*refused);
-      return;
-    }
-    Sink.begin(http::Response{}, ServerName());
-    Sink.end();
+      Callback();
   }
 
   //===--- Watching servers -----------------------------------------------===//
@@ -861,7 +709,8 @@
   DaemonCounts Counts;
   ControlSource Source;
   ServersCallback Tell;
-  IdempotencyKeys Keys;
+  /// Made when attached.
+  std::shared_ptr<KeyWitnesses> Witnesses;
   OrderGuard Guard;
   std::shared_ptr<http::Client> Client;
   std::shared_ptr<RequestClient> Peers;
