Fair queues between callers, and prefixes that find their holder

Cause: a full queue refused whoever came, and an entry left a server that had refused one caller alone for all of them, so that callers were served by how much they asked. Change: in a full queue the flow of a priority that holds most of it over its weight gives way to one that holds less; an entry leaves a full server alone for that caller only. A prefix that an entry has not placed yet belongs to one server by rendezvous hashing, and its holder wins while it has a place free.

--- a/UnitTests/Routing/AdmissionTest.cpp
+++ b/UnitTests/Routing/AdmissionTest.cpp
@@ -88,6 +88,35 @@
         std::vector<std::uint64_t>{5});
 }
 
+TEST_CASE("A full queue keeps a place for who holds less of it",
+          "[admission]") {
+  Admission::Settings setup = fixedLimit(1);
+  setup.LeastQueue = 4;
+  setup.QueueFactor = 0;
+  Admission gate("a", setup, Start);
+  for (std::uint64_t n = 1; n <= 5; ++n)
+    gate.offer(ask(n, "caller/greedy"), Start);
+  // The last of the greedy one gives way, until both hold as much.
+  for (std::uint64_t n = 11; n <= 12; ++n) {
+    AdmissionChange change = gate.offer(ask(n, "caller/modest"), Start);
+    REQUIRE(change.Refused.size() == 1);
+    CHECK(change.Refused[0].Id == 16 - n);
+    CHECK(change.Refused[0].Why.Run == Verdict::NotRun);
+    CHECK(change.Refused[0].Why.Code == FailureCode::Overloaded);
+  }
+  for (const char *it : {"caller/modest", "caller/greedy"}) {
+    AdmissionChange change = gate.offer(ask(20, it), Start);
+    REQUIRE(change.Refused.size() == 1);
+    CHECK(change.Refused[0].Id == 20);
+  }
+  CHECK(gate.queued() == 4);
+  // A weight counts as that many.
+  AdmissionAsk heavy = ask(21, "caller/heavy");
+  heavy.Share = 4;
+  CHECK(gate.offer(heavy, Start).Refused.size() == 1);
+  CHECK(gate.queued() == 4);
+}
+
 TEST_CASE("One that waited too long is refused as not run", "[admission]") {
   Admission gate("a", fixedLimit(1), Start);
   gate.offer(ask(1), Start);
--- a/UnitTests/Routing/ChoiceTest.cpp
+++ b/UnitTests/Routing/ChoiceTest.cpp
@@ -171,6 +171,46 @@
   CHECK(tally(state, all, Start + Millis(21))["a"] > 0);
 }
 
+TEST_CASE("A server full for one caller is asked for another", "[choice]") {
+  std::vector<Candidate> all = {candidate("a")};
+  ChoiceState state = makeState(all);
+  Failure full{Verdict::NotRun, FailureCode::Overloaded, "a", "full",
+               Millis(60000)};
+  noteStart(state, all[0], Start);
+  noteFailure(state, all[0], full, all, Start, "greedy");
+  std::mt19937_64 random(1);
+  CHECK_FALSE(choose(state, all, {}, std::nullopt, Start, random, "greedy"));
+  CHECK(untilAvailable(state, all, Start, "greedy") == Millis(20));
+  CHECK(choose(state, all, {}, std::nullopt, Start, random, "modest"));
+  CHECK(untilAvailable(state, all, Start, "modest") == Millis(0));
+  // Beyond a bound it is full for everyone, and forgotten later.
+  for (int n = 0; n < 100; ++n) {
+    noteStart(state, all[0], Start);
+    noteFailure(state, all[0], full, all, Start, std::to_string(n));
+  }
+  CHECK(state.Servers[all[0].Key].FullFor.size() <= 64);
+  CHECK_FALSE(choose(state, all, {}, std::nullopt, Start, random, "modest"));
+  CHECK(choose(state, all, {}, std::nullopt, Start + Millis(21), random,
+               "greedy"));
+}
+
+TEST_CASE("A slow server in the own domain leaves a choice", "[choice]") {
+  std::vector<Candidate> all = {candidate("slow"), candidate("near"),
+                                candidate("far", "umea-hall"),
+                                candidate("full", "umea-hall")};
+  ChoiceState state = makeState(all);
+  for (const Candidate &it : all) {
+    noteStart(state, it, Start);
+    bool slow = it.Key.Server.Text == "slow";
+    noteSuccess(state, it, Micros(slow ? 200000 : 20000), Start);
+  }
+  for (int n = 0; n < 8; ++n)
+    noteStart(state, all[3], Start);
+  std::map<std::string, int> counts = tally(state, all, Start);
+  CHECK(counts["slow"] == 0);
+  CHECK(counts["full"] == 0);
+}
+
 TEST_CASE("A leaving daemon gets nothing new, its successor does", "[choice]") {
   std::vector<Candidate> all = {candidate("a"), candidate("b")};
   ChoiceState state = makeState(all);
--- a/Wasabi/Adapters/Proxy/EntryProxy.cpp
+++ b/Wasabi/Adapters/Proxy/EntryProxy.cpp
@@ -119,7 +119,7 @@
                                  "Requests beyond their caller's limit")),
         Affinity(Registry.counter(
             "wasabi_entry_prefix_placements_total",
-            "Attempts that went where their prefix was placed before")),
+            "Attempts that went where their prefix was placed, or belongs")),
         CrossDomain(
             Registry.counter("wasabi_entry_cross_domain_total",
                              "Attempts that went to another failure domain")),
@@ -324,17 +324,30 @@
       return homeOf(What.Match.Key, all);
     std::optional<ServerKey> cached;
     if (!What.Match.Prompt.empty())
-      cached = Hints.find(prefixOf(What.Match.Prompt), now);
-    std::optional<Candidate> chosen =
-        choose(Choices, all, What.Tried, cached, now, Random);
+      cached = holderOf(prefixOf(What.Match.Prompt), all, now);
+    std::optional<Candidate> chosen = choose(Choices, all, What.Tried, cached,
+                                             now, Random, What.Match.Caller);
     if (chosen && cached && chosen->Key == *cached)
       Counts.Affinity.add();
     return chosen;
   }
 
+  /// Where a prefix was placed last, else its home, which is the same for every
+  /// entry: they need not tell each other where they have placed one.
+  std::optional<ServerKey> holderOf(std::uint64_t Prefix,
+                                    const std::vector<Candidate> &Of,
+                                    TimePoint Now) {
+    std::optional<ServerKey> placed = Hints.find(Prefix, Now);
+    if (placed)
+      return placed;
+    std::optional<Candidate> home = homeOf(std::to_string(Prefix), Of);
+    return home ? std::optional<ServerKey>(home->Key) : std::nullopt;
+  }
+
   Failure nobody(const Call &What) {
     const std::vector<Candidate> &all = candidates(What.Match.Service);
-    Millis wait = untilAvailable(Choices, all, monotonicNow());
+    Millis wait =
+        untilAvailable(Choices, all, monotonicNow(), What.Match.Caller);
     return Failure{Verdict::NotRun, FailureCode::NoUpstream,
                    "service " + What.Match.Service.Text,
                    all.empty() ? "no server of it is known"
@@ -371,7 +384,7 @@
       noteAbandoned(Choices, who);
     } else {
       noteFailure(Choices, who, end.failure(), candidates(What.Match.Service),
-                  monotonicNow());
+                  monotonicNow(), What.Match.Caller);
     }
     co_return end;
   }
--- a/Wasabi/Routing/Admission.cpp
+++ b/Wasabi/Routing/Admission.cpp
@@ -70,26 +70,66 @@
   return change;
 }
 
-/// True when the queue has a place, which one of lower priority may have lost.
+/// True when the queue has a place, which one of lower priority, or of a flow
+/// that holds more than its part, may have lost.
 bool Admission::makeRoom(const AdmissionAsk &For, AdmissionChange &Change) {
   double most = std::max(static_cast<double>(Setup.LeastQueue),
                          Setup.QueueFactor * Limit.Limit);
   if (static_cast<double>(Waiting.size()) < most)
     return true;
-  // The last to come of the lowest priority gives way.
+  Queue::iterator loser = lastOfLowest();
+  std::string reason = "it gave way to a higher priority";
+  if (loser != Waiting.end() && loser->Priority == For.Priority) {
+    loser = lastOfGreediest(For);
+    reason = "its queue is full, and others have less of it";
+  }
+  if (loser == Waiting.end() || loser->Priority > For.Priority)
+    return false;
+  Change.Refused.push_back(
+      {loser->Id,
+       overloaded(std::move(reason), expectedWait(loser->Priority))});
+  part(*loser);
+  Waiting.erase(loser);
+  return true;
+}
+
+/// The last to come of the lowest priority.
+Admission::Queue::iterator Admission::lastOfLowest() {
   Queue::iterator lowest = Waiting.end();
   for (Queue::iterator it = Waiting.begin(); it != Waiting.end(); ++it) {
     if (lowest == Waiting.end() || it->Priority <= lowest->Priority)
       lowest = it;
   }
-  if (lowest == Waiting.end() || lowest->Priority >= For.Priority)
-    return false;
-  Change.Refused.push_back(
-      {lowest->Id, overloaded("it gave way to a higher priority",
-                              expectedWait(lowest->Priority))});
-  part(*lowest);
-  Waiting.erase(lowest);
-  return true;
+  return lowest;
+}
+
+/// The last to come of the flow that holds most of the queue over its weight,
+/// in the priority of `For`; none if `For`'s own would then hold as much.
+Admission::Queue::iterator Admission::lastOfGreediest(const AdmissionAsk &For) {
+  struct Part {
+    double Held = 0;
+    Queue::iterator Last;
+  };
+  std::map<std::string_view, Part> parts;
+  for (Queue::iterator it = Waiting.begin(); it != Waiting.end(); ++it) {
+    if (it->Priority != For.Priority)
+      continue;
+    Part &part = parts[it->Flow];
+    part.Held += 1.0 / std::max(1u, it->Share);
+    part.Last = it;
+  }
+  double own = 1.0 / std::max(1u, For.Share);
+  std::map<std::string_view, Part>::const_iterator mine = parts.find(For.Flow);
+  if (mine != parts.end())
+    own += mine->second.Held;
+  Queue::iterator greediest = Waiting.end();
+  for (const std::pair<const std::string_view, Part> &it : parts) {
+    if (it.second.Held <= own)
+      continue;
+    own = it.second.Held;
+    greediest = it.second.Last;
+  }
+  return greediest;
 }
 
 void Admission::join(const AdmissionAsk &Ask) {
--- a/Wasabi/Routing/Admission.h
+++ b/Wasabi/Routing/Admission.h
@@ -70,7 +70,8 @@
   Admission(std::string Server, Settings Setup, TimePoint Now);
 
   /// A request asks to run: it starts, waits, or is refused; another one with a
-  /// lower priority may be refused for it.
+  /// lower priority, or of a flow that holds more of the queue, may be refused
+  /// for it.
   AdmissionChange offer(AdmissionAsk Ask, TimePoint Now);
   /// A running request ended with a whole answer.
   AdmissionChange finish(std::uint64_t Id, TimePoint Now);
@@ -123,6 +124,8 @@
   void part(const AdmissionAsk &Ask);
   void end(const RunningOne &Ended, TimePoint Now);
   void startWaiting(AdmissionChange &Change, TimePoint Now);
+  Queue::iterator lastOfLowest();
+  Queue::iterator lastOfGreediest(const AdmissionAsk &For);
   bool makeRoom(const AdmissionAsk &For, AdmissionChange &Change);
   Failure overloaded(std::string Reason, Micros Wait) const;
 
--- a/Wasabi/Routing/Choice.cpp
+++ b/Wasabi/Routing/Choice.cpp
@@ -11,6 +11,8 @@
 constexpr double LeastSlowStartShare = 0.1;
 /// Candidates drawn of the own failure domain, and of all.
 constexpr std::size_t DrawnOfEach = 2;
+/// Callers for whom a server is full; with more of them it is for everyone.
+constexpr std::size_t MostFullFor = 64;
 
 const ServerMemory &memoryOf(const ChoiceState &State, const Candidate &Who) {
   static const ServerMemory Unknown;
@@ -30,6 +32,12 @@
   return others + Memory.InFlight;
 }
 
+/// How many the server runs at once, as last said.
+double limitOf(const ServerMemory &Memory, const Candidate &Who) {
+  double limit = Memory.HasLoad ? Memory.Load.Limit : Who.Slots;
+  return std::max(1.0, limit);
+}
+
 /// How much of its concurrency a fresh server is given.
 double slowStartShare(const ChoiceSettings &Settings,
                       const ServerMemory &Memory, TimePoint Now) {
@@ -56,8 +64,18 @@
   return Memory.ServiceMicros * remembered(State.Settings, Memory, Now);
 }
 
-bool mayBeAsked(const ServerMemory &Memory, TimePoint Now) {
-  if (Memory.Leaving || Memory.AvoidUntil > Now)
+/// When it may be asked again for that caller.
+TimePoint avoidedUntil(const ServerMemory &Memory, const std::string &Flow) {
+  std::map<std::string, TimePoint>::const_iterator full =
+      Memory.FullFor.find(Flow);
+  return full == Memory.FullFor.end()
+             ? Memory.AvoidUntil
+             : std::max(Memory.AvoidUntil, full->second);
+}
+
+bool mayBeAsked(const ServerMemory &Memory, TimePoint Now,
+                const std::string &Flow) {
+  if (Memory.Leaving || avoidedUntil(Memory, Flow) > Now)
     return false;
   return !Memory.HasLoad || Memory.Load.Serving;
 }
@@ -87,11 +105,12 @@
 
 /// The candidates that may be asked, on an untried failure domain first.
 Pool poolOf(const ChoiceState &State, const std::vector<Candidate> &Of,
-            const std::vector<Candidate> &Tried, TimePoint Now) {
+            const std::vector<Candidate> &Tried, TimePoint Now,
+            const std::string &Flow) {
   Pool fresh;
   Pool rest;
   for (const Candidate &it : Of) {
-    if (wasTried(Tried, it) || !mayBeAsked(memoryOf(State, it), Now))
+    if (wasTried(Tried, it) || !mayBeAsked(memoryOf(State, it), Now, Flow))
       continue;
     (domainTried(Tried, it) ? rest : fresh).push_back(&it);
   }
@@ -105,11 +124,13 @@
   double cost = expectedWait(State, Who, Now);
   if (Who.Domain != State.Own)
     cost += static_cast<double>(State.Settings.CrossDomain.count());
-  if (Cached && *Cached == Who.Key) {
-    double service = serviceMicros(State, memoryOf(State, Who), Now);
-    cost -= State.Settings.PrefixSaves * service;
-  }
-  return cost;
+  if (!Cached || *Cached != Who.Key)
+    return cost;
+  const ServerMemory &memory = memoryOf(State, Who);
+  // With a place free nothing is waited for, and the saving is for nothing.
+  if (openAt(memory) + 1.0 <= limitOf(memory, Who))
+    cost = 0;
+  return cost - State.Settings.PrefixSaves * serviceMicros(State, memory, Now);
 }
 
 std::size_t ejectedAmong(const ChoiceState &State,
@@ -136,6 +157,22 @@
   }
 }
 
+/// It is full for that caller: another one may have its share left. A place is
+/// free long before the whole queue is gone.
+void avoidFull(const ChoiceState &State, ServerMemory &Memory,
+               const Failure &Why, TimePoint Now, const std::string &Flow) {
+  TimePoint until =
+      Now + std::min(Why.RetryAfter, State.Settings.OverloadPause);
+  std::erase_if(Memory.FullFor,
+                [&](const std::pair<const std::string, TimePoint> &it) {
+                  return it.second <= Now;
+                });
+  if (Memory.FullFor.size() < MostFullFor)
+    Memory.FullFor[Flow] = until;
+  else
+    Memory.AvoidUntil = std::max(Memory.AvoidUntil, until);
+}
+
 void eject(ChoiceState &State, ServerMemory &Memory,
            const std::vector<Candidate> &Peers, TimePoint Now) {
   // A bad detector must not empty a service.
@@ -186,8 +223,8 @@
                     TimePoint Now) {
   const ServerMemory &memory = memoryOf(State, Who);
   double service = serviceMicros(State, memory, Now);
-  double limit = memory.HasLoad ? memory.Load.Limit : Who.Slots;
-  limit = std::max(1.0, limit) * slowStartShare(State.Settings, memory, Now);
+  double limit =
+      limitOf(memory, Who) * slowStartShare(State.Settings, memory, Now);
   return (openAt(memory) + 1.0) / limit * service;
 }
 
@@ -195,8 +232,9 @@
                                 const std::vector<Candidate> &Of,
                                 const std::vector<Candidate> &Tried,
                                 const std::optional<ServerKey> &Cached,
-                                TimePoint Now, std::mt19937_64 &Random) {
-  Pool pool = poolOf(State, Of, Tried, Now);
+                                TimePoint Now, std::mt19937_64 &Random,
+                                const std::string &Flow) {
+  Pool pool = poolOf(State, Of, Tried, Now, Flow);
   if (pool.empty())
     return std::nullopt;
 
@@ -232,13 +270,15 @@
 }
 
 Millis untilAvailable(const ChoiceState &State,
-                      const std::vector<Candidate> &Of, TimePoint Now) {
+                      const std::vector<Candidate> &Of, TimePoint Now,
+                      const std::string &Flow) {
   Millis least{0};
   for (const Candidate &it : Of) {
     const ServerMemory &memory = memoryOf(State, it);
-    if (memory.Leaving || memory.AvoidUntil <= Now)
+    TimePoint until = avoidedUntil(memory, Flow);
+    if (memory.Leaving || until <= Now)
       continue;
-    Millis left = std::chrono::ceil<Millis>(memory.AvoidUntil - Now);
+    Millis left = std::chrono::ceil<Millis>(until - Now);
     if (least == Millis(0) || left < least)
       least = left;
   }
@@ -287,17 +327,17 @@
 }
 
 void noteFailure(ChoiceState &State, const Candidate &Who, const Failure &Why,
-                 const std::vector<Candidate> &Peers, TimePoint Now) {
+                 const std::vector<Candidate> &Peers, TimePoint Now,
+                 const std::string &Flow) {
   ServerMemory &memory = endOne(State, Who);
   if (Why.Code == FailureCode::Leaving)
     memory.Leaving = true;
-  // A server that says when to come back is not asked before; a full one frees
-  // a place long before its whole queue is gone.
+  // A server that says when to come back is not asked before.
   if (Why.Run == Verdict::NotRun && Why.RetryAfter > Millis(0)) {
-    Millis pause = Why.RetryAfter;
     if (Why.Code == FailureCode::Overloaded)
-      pause = std::min(pause, State.Settings.OverloadPause);
-    memory.AvoidUntil = std::max(memory.AvoidUntil, Now + pause);
+      avoidFull(State, memory, Why, Now, Flow);
+    else
+      memory.AvoidUntil = std::max(memory.AvoidUntil, Now + Why.RetryAfter);
   }
   if (!countsAgainst(Why))
     return;
--- a/Wasabi/Routing/Choice.h
+++ b/Wasabi/Routing/Choice.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <string>
 #include <vector>
 
 namespace wasabi {
@@ -55,6 +56,9 @@
   std::uint32_t Ejections = 0;
   /// Not asked before this: ejected, backing off, or it said when to come back.
   TimePoint AvoidUntil;
+  /// Not asked for a caller before this: it refused that caller for overload.
+  /// Another one may have its share of the queue left.
+  std::map<std::string, TimePoint> FullFor;
   /// Set while `AvoidUntil` is due to ejection, which is bounded.
   bool Ejected = false;
   /// It said that it is leaving: for good in this incarnation.
@@ -109,18 +113,20 @@
 
 /// Chooses among `Of`. `Tried` are left out, and other failure domains than
 /// theirs come first. `Cached` is a server believed to hold the prefix.
-/// Empty when nobody may be asked; `ChoiceState` is not changed. Pure but for
-/// the random engine.
+/// `Flow` is the caller. Empty when nobody may be asked; `ChoiceState` is not
+/// changed. Pure but for the random engine.
 std::optional<Candidate> choose(const ChoiceState &State,
                                 const std::vector<Candidate> &Of,
                                 const std::vector<Candidate> &Tried,
                                 const std::optional<ServerKey> &Cached,
-                                TimePoint Now, std::mt19937_64 &Random);
+                                TimePoint Now, std::mt19937_64 &Random,
+                                const std::string &Flow = {});
 
 /// When the first of `Of` that is avoided may be asked again; zero when none
 /// is. For a refusal's `Retry-After`. Pure.
 Millis untilAvailable(const ChoiceState &State,
-                      const std::vector<Candidate> &Of, TimePoint Now);
+                      const std::vector<Candidate> &Of, TimePoint Now,
+                      const std::string &Flow = {});
 
 /// An attempt begins.
 void noteStart(ChoiceState &State, const Candidate &Who, TimePoint Now);
@@ -130,7 +136,8 @@
 /// An attempt failed. `Peers` are the service's candidates, which bound how
 /// many are ejected.
 void noteFailure(ChoiceState &State, const Candidate &Who, const Failure &Why,
-                 const std::vector<Candidate> &Peers, TimePoint Now);
+                 const std::vector<Candidate> &Peers, TimePoint Now,
+                 const std::string &Flow = {});
 /// An attempt ended without telling anything of the server: cancelled, say.
 void noteAbandoned(ChoiceState &State, const Candidate &Who);
 /// A load report of one server.
