--- a/Wasabi/Adapters/Proxy/EntryCounts.h
+++ b/Wasabi/Adapters/Proxy/EntryCounts.h
@@ -40,7 +40,7 @@
                                  "Requests beyond their caller's limit")),
         Affinity(Registry.counter(
             "wasabi_entry_prefix_placements_total",
-            "Attempts that went where their prefix was placed before")),
+            "Attempts that went where their prefix was placed, or belongs")),
         CrossDomain(
             Registry.counter("wasabi_entry_cross_domain_total",
                              "Attempts that went to another failure domain")),
