--- a/Wasabi/Node/InstanceList.cpp
+++ b/Wasabi/Node/InstanceList.cpp
@@ -89,8 +89,8 @@
   return found;
 }
 
-asio::awaitable<Outcome<std::vector<ListedInstance>>>
-readInstanceList(http::Client &Client, Address Service, Millis Timeout) {
+asio::awaitable<Outcome<std::string>>
+readInstanceListBody(http::Client &Client, Address Service, Millis Timeout) {
   http::Request ask;
   ask.Method = "GET";
   ask.Target = Target;
@@ -100,7 +100,16 @@
     co_return got.failure();
   if (got->Status != 200)
     co_return unexpected(got->Status);
-  co_return parseInstanceList(got->Body);
+  co_return std::move(got->Body);
+}
+
+asio::awaitable<Outcome<std::vector<ListedInstance>>>
+readInstanceList(http::Client &Client, Address Service, Millis Timeout) {
+  Outcome<std::string> body =
+      co_await readInstanceListBody(Client, std::move(Service), Timeout);
+  if (!body)
+    co_return body.failure();
+  co_return parseInstanceList(*body);
 }
 
 asio::awaitable<Outcome<Done>> announceInstance(http::Client &Client,
--- a/Wasabi/Node/MemberWatch.cpp
+++ b/Wasabi/Node/MemberWatch.cpp
@@ -29,6 +29,13 @@
 constexpr Millis MinListBackOff(200);
 /// Readers per domain that pass urgent news on to other domains.
 constexpr std::uint32_t RelaysPerDomain = 2;
+/// The others read the list less often the more members there are.
+constexpr std::size_t MembersPerListPeriod = 10;
+constexpr std::size_t MaxListFactor = 40;
+/// More news than a part of so many of the members is much.
+constexpr std::size_t MuchLearned = 20;
+/// How long the same random peers are told urgent news.
+constexpr Millis KeepPeers(30000);
 
 /// One wait for any of several helpers.
 struct HelperWait {
@@ -133,11 +140,22 @@
       good = co_await readList();
     failing =
         good ? MinListBackOff : std::min(failing * 2, Setup.MaxListBackOff);
-    timer.expires_after(jittered(good ? Setup.ListPeriod : failing));
+    timer.expires_after(jittered(good ? listPeriod() : failing));
     co_await timer.async_wait(Awaited);
   }
 }
 
+Millis MemberWatch::listPeriod() const {
+  // A few in each domain read it often and tell the rest, which need it only to
+  // be sure: with hundreds of lines it is the largest thing on the wire.
+  std::shared_ptr<const View> seen = Shown.get();
+  if (isLogReader(*seen, RelaysPerDomain))
+    return Setup.ListPeriod;
+  std::size_t factor = std::clamp<std::size_t>(
+      seen->Members.size() / MembersPerListPeriod, 1, MaxListFactor);
+  return Setup.ListPeriod * static_cast<std::int64_t>(factor);
+}
+
 asio::awaitable<void> MemberWatch::digestLoop() {
   std::shared_ptr<MemberWatch> self = shared_from_this();
   asio::steady_timer timer(Executor);
@@ -155,8 +173,11 @@
       continue;
     }
     Address where = Swim.Members.at(peer.front()).Who.Control;
-    co_await exchange(where, peer.front());
-    span = Setup.DigestPeriod;
+    std::size_t learned = co_await exchange(where, peer.front());
+    // Often while there is much to learn.
+    bool much = learned * MuchLearned > Swim.Members.size();
+    span =
+        much ? Setup.Swim.ProbePeriod : std::min(span * 2, Setup.DigestPeriod);
   }
 }
 
@@ -257,7 +278,7 @@
 }
 
 void MemberWatch::receive(const PingRequestMessage &Ask,
-                          ControlServer::Reply Answer) {
+                          const ControlServer::Reply &Answer) {
   std::shared_ptr<MemberWatch> self = shared_from_this();
   spawn([self, Ask, Answer]() -> asio::awaitable<void> {
     InstanceName target(Ask.Target);
@@ -268,7 +289,8 @@
   });
 }
 
-asio::awaitable<void> MemberWatch::exchange(Address Where, InstanceName Peer) {
+asio::awaitable<std::size_t> MemberWatch::exchange(Address Where,
+                                                   InstanceName Peer) {
   PingMessage ping;
   ping.Sequence = Links->nextSequence();
   ping.From = Swim.Self.Text;
@@ -285,7 +307,7 @@
       co_await Links->ask(Where, std::move(question), ExchangeTimeout);
   const AckMessage *ack = answer ? std::get_if<AckMessage>(&*answer) : nullptr;
   if (ack == nullptr || Stopped)
-    co_return;
+    co_return 0;
   hear(ack->From, ack->Carried);
 
   // What the other side lacks goes back without a question.
@@ -297,14 +319,19 @@
   Calls.FillLog(notice.Carried);
   if (!notice.Carried.News.empty())
     Links->send(Where, notice);
+  co_return ack->Carried.News.size();
 }
 
 // ---- the platform's list ----
 
 asio::awaitable<bool> MemberWatch::readList() {
-  Outcome<std::vector<ListedInstance>> lines =
-      co_await readInstanceList(*Client, Setup.Instances, ListTimeout);
-  if (!lines || Stopped)
+  Outcome<std::string> body =
+      co_await readInstanceListBody(*Client, Setup.Instances, ListTimeout);
+  if (!body || Stopped)
+    co_return false;
+  Counters.BytesIn.fetch_add(body->size());
+  Outcome<std::vector<ListedInstance>> lines = parseInstanceList(*body);
+  if (!lines)
     co_return false;
   ListRead event{std::move(*lines)};
   apply(event);
@@ -340,8 +367,10 @@
 
 void MemberWatch::hear(const std::string &From, const Gossip &Carried) {
   Events.hear(Carried.At);
+  if (!Carried.Digests.empty())
+    noteDigests(Swim, Carried.Digests);
   if (!Carried.News.empty())
-    apply(NewsHeard{Carried.News});
+    apply(NewsHeard{InstanceName(From), Carried.News});
   Calls.HearLog(InstanceName(From), Carried.Next, Carried.LogAge);
 }
 
@@ -349,7 +378,7 @@
   carryOut(decide(Swim, Event, monotonicNow()));
 }
 
-void MemberWatch::carryOut(SwimEffects Effects) {
+void MemberWatch::carryOut(const SwimEffects &Effects) {
   for (const HealthChange &it : Effects.Changes) {
     std::string kind = "member." + std::string(toText(it.Now));
     Events.record(kind, {{"member", it.Instance.Text},
@@ -376,7 +405,10 @@
     return it.About.Instance == Swim.Self;
   });
   limits.OtherDomains = own || isLogReader(*seen, RelaysPerDomain);
-  for (const InstanceName &it : chooseFanout(*seen, limits, Random)) {
+  std::mt19937_64 sticky(Setup.Seed +
+                         static_cast<std::uint64_t>(
+                             monotonicNow().time_since_epoch() / KeepPeers));
+  for (const InstanceName &it : chooseFanout(*seen, limits, sticky)) {
     const Address &where = seen->Members.at(it).Control;
     if (where.empty())
       continue;
--- a/Wasabi/Routing/Admission.h
+++ b/Wasabi/Routing/Admission.h
@@ -70,7 +70,8 @@
   Admission(std::string Server, Settings Setup, TimePoint Now);
 
   /// A request asks to run: it starts, waits, or is refused; another one with a
-  /// lower priority may be refused for it.
+  /// lower priority, or of a flow that holds more of the queue, may be refused
+  /// for it.
   AdmissionChange offer(AdmissionAsk Ask, TimePoint Now);
   /// A running request ended with a whole answer.
   AdmissionChange finish(std::uint64_t Id, TimePoint Now);
@@ -95,6 +96,10 @@
     return static_cast<std::uint32_t>(Waiting.size());
   }
   std::uint32_t limit() const { return Limit.whole(); }
+  /// The limit apart from a measurement at hand, which lowers it for a moment.
+  std::uint32_t steadyLimit() const {
+    return static_cast<std::uint32_t>(Limit.Limit);
+  }
   /// The wait to be expected by one that comes now.
   Micros expectedWait(std::int32_t Priority) const;
 
@@ -119,6 +124,8 @@
   void part(const AdmissionAsk &Ask);
   void end(const RunningOne &Ended, TimePoint Now);
   void startWaiting(AdmissionChange &Change, TimePoint Now);
+  Queue::iterator lastOfLowest();
+  Queue::iterator lastOfGreediest(const AdmissionAsk &For);
   bool makeRoom(const AdmissionAsk &For, AdmissionChange &Change);
   Failure overloaded(std::string Reason, Micros Wait) const;
 
