--- a/IntegrationTests/Cases/OperatorTests.cpp
+++ b/IntegrationTests/Cases/OperatorTests.cpp
@@ -298,11 +298,18 @@
     inForce += it.Kind == "config.in_force" ? 1 : 0;
   CHECK(inForce == running.nodes().size());
 
+  CtlRun busy = running.control({"drain-check"});
+  CHECK(busy.Code == 1);
+  CHECK_THAT(busy.Output, Contains("admits callers"));
+  CHECK(running.control({"preset", "maintenance"}).Code == 0);
+  CHECK(wasabi::harness::waitUntil(
+      [&] { return running.control({"drain-check"}).Code == 0; }, RunLimit));
+
   // One that is gone, and that the platform still lists, is named.
   wasabi::harness::ProductNode &gone = running.nodes().front();
   gone.Running->signal(SIGKILL);
   gone.Running->wait(RunLimit);
-  CtlRun partly = running.control({"preset", "maintenance", "--wait_ms=2000"});
+  CtlRun partly = running.control({"preset", "ordinary", "--wait_ms=2000"});
   INFO(partly.Output << partly.Errors);
   CHECK(partly.Code == 5);
   CHECK_THAT(partly.Output, Contains("not seen on: " + gone.Name + " ("));
