bench state prints the fold's figures first

Change: runStateBench() calls benchFold(). The process part of the bench was not run to its end here.

--- a/Bench/StateBench.cpp
+++ b/Bench/StateBench.cpp
@@ -3,6 +3,7 @@
 /// the baseline: everyone polls the log each second.
 #include "Bench/Benches.h"
 #include "Bench/Fleet.h"
+#include "Bench/FoldBench.h"
 #include "Bench/LineFit.h"
 #include "Bench/ProcessUsage.h"
 #include "Bench/Report.h"
@@ -175,6 +176,7 @@
 } // namespace
 
 void runStateBench() {
+  benchFold();
   for (std::size_t size : benchSizes())
     runAt(size);
 }
