--- a/Ctl/ReportCommands.cpp
+++ b/Ctl/ReportCommands.cpp
@@ -170,12 +170,12 @@
 Result<ExitCode> drainCheck(Session &With) {
   BOOST_LEAF_AUTO(state, readState(With));
   const PresetDeclaration &preset = state.Config->preset();
-  bool drained = true;
-  if (preset.AdmitCallers || preset.AdmitRollouts) {
-    std::cout << "preset " << preset.Name.Text << " admits "
-              << (preset.AdmitCallers ? "callers" : "rollouts") << "\n";
-    drained = false;
-  }
+  const std::string name = "preset " + preset.Name.Text;
+  if (preset.AdmitCallers)
+    std::cout << name << " admits callers\n";
+  if (preset.AdmitRollouts)
+    std::cout << name << " admits rollouts\n";
+  bool drained = !preset.AdmitCallers && !preset.AdmitRollouts;
   BOOST_LEAF_AUTO(known, listInstances(With));
   for (const InstanceStatus &it : askStatus(With, known)) {
     bool idle = !it.Problem && it.InFlight == 0;
