--- a/Bench/Benches.h
+++ b/Bench/Benches.h
@@ -8,6 +8,9 @@
 /// Agreement, members and spreading, with real processes.
 void runStateBench();
 
+/// Samples, staleness, weights and decision times.
+void runRolloutBench();
+
 /// Requests through entries and daemons, under overload and faults.
 void runRequestsBench();
 
--- a/Daemon/Main.cpp
+++ b/Daemon/Main.cpp
@@ -35,6 +35,8 @@
 DEFINE_string(weights, "", "IP:PORT of the platform's weight store");
 DEFINE_string(scorer, "", "IP:PORT of the service that scores samples");
 DEFINE_string(seeds, "", "control IP:PORT,IP:PORT of instances to begin with");
+DEFINE_bool(rollout_round_robin, false,
+            "for measurements: samples go to engines by turns");
 DEFINE_string(upstreams, "",
               "servers behind this daemon: server=service@IP:PORT,...");
 
@@ -46,6 +48,8 @@
 constexpr std::size_t TimelineEvents = 65536;
 /// Time between two looks whether the last request has ended.
 constexpr Millis DrainPause{10};
+/// How long a leaving daemon goes on refusing at least.
+constexpr Millis LeaveGrace{500};
 /// Time between two refreshes of what load reports say.
 constexpr Millis LoadPause{20};
 
@@ -126,6 +130,7 @@
             [proxy](RequestAttempt Attempt, std::shared_ptr<AnswerSink> Sink) {
               return proxy->handle(std::move(Attempt), std::move(Sink));
             }));
+    Front->reportFrom([proxy] { return proxy->loads(); });
     return Done{};
   }
 
@@ -143,6 +148,7 @@
     setup.Weights = Weights;
     setup.Scorer = Scorer;
     setup.Seed = Settings.Seed;
+    setup.RoundRobin = FLAGS_rollout_round_robin;
     BOOST_LEAF_ASSIGN(Rollouts, RolloutDuty::create(setup, *Control, *Events));
     return Done{};
   }
@@ -195,6 +201,7 @@
   /// refused as not run, and what runs goes on to its end.
   void beginDrain() {
     Leaving = true;
+    LeftAt = monotonicNow();
     Events->record("process.leaving", {});
     Proxy->leave();
     Front->setLoads(Proxy->loads(), true);
@@ -216,7 +223,19 @@
   }
 
   void endWhenIdle() {
-    if (Told && Proxy->inFlight() == 0) {
+    // Requests that were sent before their sender heard of the leaving must
+    // still find somebody who refuses them.
+    bool heard = monotonicNow() - LeftAt >= LeaveGrace;
+    bool idle = Told && heard && Proxy->inFlight() == 0 && Front->unsent() == 0;
+    if (idle && !HandedOver) {
+      // What ran under a key must not run again when this process is gone.
+      Proxy->handOver([this] {
+        HandedOver = true;
+        endWhenIdle();
+      });
+      return;
+    }
+    if (idle) {
       Loads.cancel();
       Front->stop();
       Proxy->stop();
@@ -241,9 +260,11 @@
   asio::steady_timer Loads{Context};
   asio::steady_timer Drain{Context};
   std::atomic<bool> Leaving{false};
+  TimePoint LeftAt;
   /// The loads as the admin thread shows them.
   Published<std::vector<LoadSeen>> Shown;
   bool Told = false;
+  bool HandedOver = false;
 };
 
 } // namespace
--- a/Wasabi/Routing/Choice.cpp
+++ b/Wasabi/Routing/Choice.cpp
@@ -1,6 +1,7 @@
 #include "Wasabi/Routing/Choice.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace wasabi {
@@ -8,6 +9,8 @@
 
 /// A fresh server counts for at least this share of its limit.
 constexpr double LeastSlowStartShare = 0.1;
+/// Candidates drawn of the own failure domain, and of all.
+constexpr std::size_t DrawnOfEach = 2;
 
 const ServerMemory &memoryOf(const ChoiceState &State, const Candidate &Who) {
   static const ServerMemory Unknown;
@@ -37,6 +40,22 @@
   return std::max(LeastSlowStartShare, age / span);
 }
 
+/// The part of old knowledge that still counts.
+double remembered(const ChoiceSettings &Settings, const ServerMemory &Memory,
+                  TimePoint Now) {
+  double age = std::chrono::duration<double>(Now - Memory.LastSample).count();
+  double life = std::chrono::duration<double>(Settings.HalfLife).count();
+  return age <= 0 || life <= 0 ? 1.0 : std::exp2(-age / life);
+}
+
+/// The time of an attempt as far as it is known now, in microseconds.
+double serviceMicros(const ChoiceState &State, const ServerMemory &Memory,
+                     TimePoint Now) {
+  if (Memory.ServiceMicros <= 0)
+    return static_cast<double>(State.Settings.UnknownService.count());
+  return Memory.ServiceMicros * remembered(State.Settings, Memory, Now);
+}
+
 bool mayBeAsked(const ServerMemory &Memory, TimePoint Now) {
   if (Memory.Leaving || Memory.AvoidUntil > Now)
     return false;
@@ -56,9 +75,14 @@
 
 using Pool = std::vector<const Candidate *>;
 
-const Candidate *pick(const Pool &From, std::mt19937_64 &Random) {
-  std::uniform_int_distribution<std::size_t> any(0, From.size() - 1);
-  return From[any(Random)];
+/// Draws that many different ones out of `From` into `Into`.
+void draw(Pool &From, std::size_t Count, Pool &Into, std::mt19937_64 &Random) {
+  for (std::size_t n = 0; n < Count && !From.empty(); ++n) {
+    std::uniform_int_distribution<std::size_t> any(0, From.size() - 1);
+    std::swap(From[any(Random)], From.back());
+    Into.push_back(From.back());
+    From.pop_back();
+  }
 }
 
 /// The candidates that may be asked, on an untried failure domain first.
@@ -82,9 +106,7 @@
   if (Who.Domain != State.Own)
     cost += static_cast<double>(State.Settings.CrossDomain.count());
   if (Cached && *Cached == Who.Key) {
-    double service = memoryOf(State, Who).ServiceMicros;
-    if (service <= 0)
-      service = static_cast<double>(State.Settings.UnknownService.count());
+    double service = serviceMicros(State, memoryOf(State, Who), Now);
     cost -= State.Settings.PrefixSaves * service;
   }
   return cost;
@@ -163,9 +185,7 @@
 double expectedWait(const ChoiceState &State, const Candidate &Who,
                     TimePoint Now) {
   const ServerMemory &memory = memoryOf(State, Who);
-  double service = memory.ServiceMicros;
-  if (service <= 0)
-    service = static_cast<double>(State.Settings.UnknownService.count());
+  double service = serviceMicros(State, memory, Now);
   double limit = memory.HasLoad ? memory.Load.Limit : Who.Slots;
   limit = std::max(1.0, limit) * slowStartShare(State.Settings, memory, Now);
   return (openAt(memory) + 1.0) / limit * service;
@@ -180,7 +200,8 @@
   if (pool.empty())
     return std::nullopt;
 
-  // One of the own failure domain, one of all, and the one with the prefix.
+  // Two of the own failure domain, two of all, and the one with the prefix: a
+  // slow one among two would leave no choice at all.
   Pool own;
   const Candidate *holder = nullptr;
   for (const Candidate *it : pool) {
@@ -189,12 +210,12 @@
     if (Cached && it->Key == *Cached)
       holder = it;
   }
-  Pool drawn{pick(own.empty() ? pool : own, Random), pick(pool, Random)};
-  // The second draw differs from the first where it can.
-  if (drawn[0] == drawn[1] && pool.size() > 1) {
-    std::erase(pool, drawn[0]);
-    drawn[1] = pick(pool, Random);
-  }
+  Pool drawn;
+  draw(own, DrawnOfEach, drawn, Random);
+  std::erase_if(pool, [&](const Candidate *it) {
+    return std::find(drawn.begin(), drawn.end(), it) != drawn.end();
+  });
+  draw(pool, DrawnOfEach, drawn, Random);
   if (holder)
     drawn.push_back(holder);
 
@@ -248,10 +269,14 @@
 
 } // namespace
 
-void noteSuccess(ChoiceState &State, const Candidate &Who, Micros Took) {
+void noteSuccess(ChoiceState &State, const Candidate &Who, Micros Took,
+                 TimePoint Now) {
   ServerMemory &memory = endOne(State, Who);
   double sample = static_cast<double>(Took.count());
-  double weight = State.Settings.SampleWeight;
+  // Old knowledge gives way to new.
+  double weight = std::max(State.Settings.SampleWeight,
+                           1.0 - remembered(State.Settings, memory, Now));
+  memory.LastSample = Now;
   memory.ServiceMicros =
       memory.ServiceMicros <= 0
           ? sample
