A connection and its answer no longer hold each other

Cause: when a context ended while a handler ran, the two leaked; found by AddressSanitizer over the unit tests (5120 bytes in 6 allocations). Change: the connection holds the answer weakly; its handler keeps it.

--- a/Wasabi/Adapters/Http/HttpServer.cpp
+++ b/Wasabi/Adapters/Http/HttpServer.cpp
@@ -97,7 +97,8 @@
   Tcp::socket Socket;
   std::shared_ptr<ServerImpl> Owner;
   beast::flat_buffer Buffer;
-  std::shared_ptr<Exchange> Current;
+  /// The request being handled; its handler keeps it.
+  std::weak_ptr<Exchange> Current;
   /// When the connection is closed unless something happens before.
   TimePoint Deadline = Never;
   bool Idle = true;
@@ -345,13 +346,13 @@
 }
 
 void Connection::noticeGone() {
-  std::shared_ptr<Exchange> current = Current;
+  std::shared_ptr<Exchange> current = Current.lock();
   if (current)
     current->tellGone();
 }
 
 void Connection::drain() {
-  if (!Idle || Current)
+  if (!Idle || !Current.expired())
     return;
   Deadline = std::min(Deadline, monotonicNow() + Owner->Limits.DrainGrace);
 }
@@ -538,7 +539,7 @@
 
 void Connection::onReadable() {
   // Outside of a handler the next request's read sees the same bytes or end.
-  if (!Current || !Socket.is_open())
+  if (Current.expired() || !Socket.is_open())
     return;
   PeerState state = peek(Socket);
   if (state == PeerState::Gone) {
