--- a/Bench/RequestScenarios.cpp
+++ b/Bench/RequestScenarios.cpp
@@ -44,7 +44,9 @@
     std::string verdict = it.Verdict.empty() ? "silent" : it.Verdict;
     std::replace(verdict.begin(), verdict.end(), '-', '_');
     std::string ended = it.Right ? "late" : std::to_string(it.Status);
-    counts[ended + "_" + verdict] += 1;
+    ended += "_";
+    ended += verdict;
+    counts[ended] += 1;
   }
   for (const std::pair<const std::string, double> &it : counts)
     reportRequests("ended_" + it.first + "_" + Case, it.second, "count");
--- a/UnitTests/Adapters/Frames/RequestFramesTest.cpp
+++ b/UnitTests/Adapters/Frames/RequestFramesTest.cpp
@@ -498,6 +498,29 @@
   });
 }
 
+TEST_CASE("Whoever is answered learns the loads with the answer", "[frames]") {
+  asio::io_context context;
+  RequestServer::Settings setup;
+  // Only an answer can bring one in the time of the test.
+  setup.LoadPeriod = Millis(3600000);
+  setup.LoadGap = Millis(0);
+  std::shared_ptr<RequestServer> server = makeServer(context, setup, echo);
+  LoadSeen load{ServerName("s"), ServiceName("v"), 3, 4, 5, 6, true};
+  server->reportFrom([&] { return std::vector<LoadSeen>{load}; });
+  runUntilDone(context, [&]() -> asio::awaitable<void> {
+    std::shared_ptr<RequestClient> client =
+        RequestClient::create(context.get_executor(), clientSetup());
+    std::vector<LoadSeen> seen;
+    client->onLoad([&](const Address &, const std::vector<LoadSeen> &Loads,
+                       bool) { seen = Loads; });
+    Outcome<std::unique_ptr<AnswerStream>> opened =
+        co_await client->open(server->address(), makeAttempt("r"));
+    REQUIRE(opened);
+    CHECK(co_await eventually(context, [&] { return !seen.empty(); }));
+    CHECK(seen == std::vector<LoadSeen>{load});
+  });
+}
+
 TEST_CASE("A handler that gives no answer is a truthful failure", "[frames]") {
   asio::io_context context;
   std::shared_ptr<RequestServer> server = makeServer(
