Lint of the requests' parts

Cause: clang-tidy found needless copies, an implicit widening, and could not see that a refusal's outcome holds one. Change: references and moves; the daemon's first look gives an optional failure.

--- a/IntegrationTests/Cases/DrainTest.cpp
+++ b/IntegrationTests/Cases/DrainTest.cpp
@@ -96,7 +96,7 @@
   world.member("d1").Child->signal(SIGTERM);
   for (std::future<int> &it : whole)
     CHECK(it.get() == Each);
-  CHECK(world.runs("a") + world.runs("b") == Callers * Each);
+  CHECK(world.runs("a") + world.runs("b") == std::size_t{Callers} * Each);
   std::optional<harness::ProcessEnd> end =
       world.member("d1").Child->wait(Patience);
   REQUIRE(end);
--- a/UnitTests/Adapters/Proxy/OrderTest.cpp
+++ b/UnitTests/Adapters/Proxy/OrderTest.cpp
@@ -56,7 +56,7 @@
     Proxy = DaemonProxy::create(Context, setup, Events, Counts);
     Proxy->attach(
         ControlSource{[this] { return State; }, [this] { return Members; }, {}},
-        [this](std::vector<ServerStatus> Now) { Told = Now; });
+        [this](std::vector<ServerStatus> Now) { Told = std::move(Now); });
     REQUIRE(runUntil([this] { return !Told.empty() && Told[0].Version == 1; }));
   }
   ~OrderWorld() {
@@ -75,7 +75,8 @@
   void send(FencingToken Token, WeightVersion Version) {
     Answer.reset();
     Order order{ServerName("e"), "weights/m", Token, ModelName("m"), Version};
-    Proxy->order(order, [this](Outcome<OrderAnswer> Given) { Answer = Given; });
+    Proxy->order(order,
+                 [this](const Outcome<OrderAnswer> &Given) { Answer = Given; });
   }
 
   Outcome<OrderAnswer> order(FencingToken Token, WeightVersion Version) {
--- a/UnitTests/Routing/AdmissionTest.cpp
+++ b/UnitTests/Routing/AdmissionTest.cpp
@@ -28,7 +28,7 @@
   return made;
 }
 
-AdmissionAsk sample(std::uint64_t Id, std::string Trainer,
+AdmissionAsk sample(std::uint64_t Id, const std::string &Trainer,
                     std::uint32_t Share) {
   AdmissionAsk made = ask(Id, "trainer/" + Trainer);
   made.Rollout = true;
--- a/Wasabi/Adapters/Frames/RequestServer.cpp
+++ b/Wasabi/Adapters/Frames/RequestServer.cpp
@@ -385,7 +385,7 @@
     ++InFlight;
     std::shared_ptr<FrameRequestServer> self = shared_from_this();
     asio::co_spawn(Context, Handle(std::move(Attempt), sink),
-                   [self, sink, weak](std::exception_ptr Thrown) {
+                   [self, sink, weak](const std::exception_ptr &Thrown) {
                      self->handled(*sink, Thrown);
                      if (std::shared_ptr<Connection> held = weak.lock())
                        self->reportWithAnswer(*held);
@@ -393,7 +393,7 @@
   }
 
   /// A handler that ends without an answer still owes the asker the truth.
-  void handled(FrameSink &Sink, std::exception_ptr Thrown) {
+  void handled(FrameSink &Sink, const std::exception_ptr &Thrown) {
     --InFlight;
     if (Sink.finished())
       return;
--- a/Wasabi/Adapters/Proxy/DaemonProxy.cpp
+++ b/Wasabi/Adapters/Proxy/DaemonProxy.cpp
@@ -145,9 +145,9 @@
     work.Attempt = std::move(Attempt);
     work.Sink = std::move(Sink);
     work.Id = ++LastId;
-    Outcome<Done> taken = take(work);
-    if (!taken)
-      refuse(work, taken.failure());
+    std::optional<Failure> refused = take(work);
+    if (refused)
+      refuse(work, *refused);
     else if (work.Key.empty())
       co_await runPlain(work);
     else
@@ -227,8 +227,8 @@
 
   //===--- Taking an attempt ----------------------------------------------===//
 
-  /// Chooses the server and looks at the preset.
-  Outcome<Done> take(Work &What) {
+  /// Chooses the server and looks at the preset; a failure when it is refused.
+  std::optional<Failure> take(Work &What) {
     const RequestAttempt &attempt = What.Attempt;
     if (Leaving)
       return notRun(FailureCode::Leaving, Setup.Instance.Text,
@@ -258,7 +258,7 @@
           attempt.Service.Text + "\n" + attempt.Caller + "\n" + attempt.Key;
       What.Fingerprint = fingerprintOf(attempt.Http);
     }
-    return Done{};
+    return std::nullopt;
   }
 
   Upstream *leastLoaded(const ServiceName &Service) {
@@ -288,11 +288,16 @@
     Events.record(Kind, std::move(fields));
   }
 
-  void refuse(const Work &What, Failure Why) {
+  void refuse(const Work &What, const Failure &Why) {
     const RequestAttempt &attempt = What.Attempt;
     bool keyed = !attempt.Key.empty() && !attempt.Idempotent;
     if (keyed && !What.KeyProved)
-      Why = withoutKeyProof(std::move(Why));
+      tellRefusal(What, withoutKeyProof(Why));
+    else
+      tellRefusal(What, Why);
+  }
+
+  void tellRefusal(const Work &What, const Failure &Why) {
     Counts.Refused.add();
     record("attempt.refuse", What,
            {{"verdict", std::string(toText(Why.Run))}, {"reason", Why.Reason}});
--- a/Wasabi/Adapters/Proxy/EntryProxy.cpp
+++ b/Wasabi/Adapters/Proxy/EntryProxy.cpp
@@ -557,10 +557,11 @@
 } // namespace
 
 ControlSource sourceOf(ControlPlane &Control) {
-  return ControlSource{
-      [&Control] { return Control.state(); },
-      [&Control] { return Control.view(); },
-      [&Control](InstanceName Who) { Control.noteUnreachable(Who); }};
+  return ControlSource{[&Control] { return Control.state(); },
+                       [&Control] { return Control.view(); },
+                       [&Control](InstanceName Who) {
+                         Control.noteUnreachable(std::move(Who));
+                       }};
 }
 
 std::shared_ptr<EntryProxy>
