--- a/Fuzz/HttpFuzz.cpp
+++ b/Fuzz/HttpFuzz.cpp
@@ -25,6 +25,8 @@
 
 } // namespace
 
+// The name is libFuzzer's.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
                                       std::size_t Size) {
   static Subject subject;
--- a/Fuzz/TextFuzz.cpp
+++ b/Fuzz/TextFuzz.cpp
@@ -77,6 +77,8 @@
 
 } // namespace
 
+// The name is libFuzzer's.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
                                       std::size_t Size) {
   if (Size == 0)
--- a/Wasabi/Adapters/Frames/FrameSocket.cpp
+++ b/Wasabi/Adapters/Frames/FrameSocket.cpp
@@ -78,8 +78,11 @@
   boost::system::error_code ec;
   asio::ip::address host = asio::ip::make_address(Where.Host, ec);
   if (ec)
-    co_return Failure{Verdict::NotRun, FailureCode::BadInput, toText(Where),
-                      "not an IP number", {}};
+    co_return Failure{Verdict::NotRun,
+                      FailureCode::BadInput,
+                      toText(Where),
+                      "not an IP number",
+                      {}};
 
   // The timer closes the socket, which ends the connect.
   asio::steady_timer timer(Executor, Limits.ConnectTimeout);
@@ -92,8 +95,11 @@
       co_await socket.async_connect(tcp::endpoint(host, Where.Port), Awaited);
   timer.cancel();
   if (ec || !socket.is_open())
-    co_return Failure{Verdict::NotRun, FailureCode::Unreachable, toText(Where),
-                      ec.message(), {}};
+    co_return Failure{Verdict::NotRun,
+                      FailureCode::Unreachable,
+                      toText(Where),
+                      ec.message(),
+                      {}};
   co_return adopt(std::move(socket), Limits);
 }
 
@@ -106,7 +112,8 @@
       std::uint32_t size = readPrefix(Incoming.data() + Parsed);
       if (size > Limits.MaxFrame) {
         close();
-        co_return Failure{Verdict::MayHaveRun, FailureCode::BadInput,
+        co_return Failure{Verdict::MayHaveRun,
+                          FailureCode::BadInput,
                           "frame from " + Peer,
                           std::to_string(size) + " bytes are more than " +
                               std::to_string(Limits.MaxFrame),
@@ -119,7 +126,8 @@
         Parsed += wanted;
         if (!isValid(frame.data(), frame.size())) {
           close();
-          co_return Failure{Verdict::MayHaveRun, FailureCode::BadInput,
+          co_return Failure{Verdict::MayHaveRun,
+                            FailureCode::BadInput,
                             "frame from " + Peer,
                             "its " + std::to_string(size) +
                                 " bytes are not a valid frame",
@@ -154,12 +162,18 @@
       if (old > 0)
         reason += ", in the middle of a frame";
       close();
-      co_return Failure{Verdict::MayHaveRun, FailureCode::ConnectionLost,
-                        "connection to " + Peer, reason, {}};
+      co_return Failure{Verdict::MayHaveRun,
+                        FailureCode::ConnectionLost,
+                        "connection to " + Peer,
+                        reason,
+                        {}};
     }
   }
-  co_return Failure{Verdict::MayHaveRun, FailureCode::ConnectionLost,
-                    "connection to " + Peer, "closed", {}};
+  co_return Failure{Verdict::MayHaveRun,
+                    FailureCode::ConnectionLost,
+                    "connection to " + Peer,
+                    "closed",
+                    {}};
 }
 
 bool FrameSocket::send(FrameBytes Frame) {
--- a/Wasabi/Adapters/Frames/FrameSocket.h
+++ b/Wasabi/Adapters/Frames/FrameSocket.h
@@ -36,8 +36,8 @@
   };
 
   /// Takes over a connected socket.
-  static std::shared_ptr<FrameSocket>
-  adopt(boost::asio::ip::tcp::socket Socket, Settings Limits);
+  static std::shared_ptr<FrameSocket> adopt(boost::asio::ip::tcp::socket Socket,
+                                            Settings Limits);
 
   /// Connects. Failures: `Unreachable`, `NotRun`.
   static boost::asio::awaitable<Outcome<std::shared_ptr<FrameSocket>>>
