--- a/Fuzz/HttpFuzz.cpp
+++ b/Fuzz/HttpFuzz.cpp
@@ -25,8 +25,7 @@
 
 } // namespace
 
-// The name is libFuzzer's.
-// NOLINTNEXTLINE(readability-identifier-naming)
+// NOLINTNEXTLINE(readability-identifier-naming): the fuzzer calls this name.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *Data,
                                       std::size_t Size) {
   static Subject subject;
