--- a/IntegrationTests/Demo/Demo.cpp
+++ b/IntegrationTests/Demo/Demo.cpp
@@ -114,7 +114,8 @@
   bool answered = Report.Requests > 0 && Report.Whole == Report.Requests;
   bool delivered =
       Report.Samples > 0 && Report.Trainer.Samples == Report.Samples;
-  return answered && delivered && chaos::holds(Report.Callers) &&
+  bool spread = Report.InForce <= InForceLimit;
+  return answered && delivered && spread && chaos::holds(Report.Callers) &&
          Report.Faults.empty();
 }
 
--- a/IntegrationTests/Demo/Highlights.cpp
+++ b/IntegrationTests/Demo/Highlights.cpp
@@ -36,6 +36,7 @@
       chosen.insert(last);
   }
   std::vector<std::string> shown;
+  shown.reserve(chosen.size() + 1);
   for (std::size_t it : chosen)
     shown.push_back(lines[it].substr(0, MaxColumns));
   shown.push_back("(of " + std::to_string(lines.size()) + " events)");
