--- a/IntegrationTests/Chaos/Injector.cpp
+++ b/IntegrationTests/Chaos/Injector.cpp
@@ -269,15 +269,12 @@
 
 void Injector::injectOperator(const Fault &What) {
   if (What.Kind == FaultKind::SwitchPreset) {
-    const bool toPeak = What.Target % 2 == 0;
-    for (const std::string preset :
-         {toPeak ? "peak" : "maintenance", "ordinary"}) {
-      const Cluster::CommandEnd end =
-          On.control({"preset", preset, "--operator=chaos"});
-      record({0, end.Code, end.Output});
-      if (preset != "ordinary")
-        waitFor(What.For);
-    }
+    const std::string preset = What.Target % 2 == 0 ? "peak" : "maintenance";
+    const Cluster::CommandEnd end =
+        On.control({"preset", preset, "--operator=chaos"});
+    record({0, end.Code, end.Output});
+    waitFor(What.For);
+    switchBack();
     return;
   }
   // Two operators change the same object from the same state.
@@ -300,9 +297,10 @@
     it.join();
 }
 
-/// An operator whose switch back met an outage tries again when it is over.
-void Injector::endMaintenance() {
-  constexpr int Tries = 5;
+/// An operator whose switch back meets an outage tries again.
+void Injector::switchBack() {
+  constexpr int Tries = 40;
+  constexpr Millis Pause{500};
   constexpr int AcceptedNotSeen = 5;
   for (int n = 0; n < Tries; ++n) {
     const Cluster::CommandEnd end =
@@ -310,6 +308,7 @@
     record({0, end.Code, end.Output});
     if (end.Code == 0 || end.Code == AcceptedNotSeen)
       return;
+    waitFor(Pause);
   }
   note("the preset can't be switched back");
 }
@@ -330,7 +329,7 @@
     On.engine(n)->setFaults(
         R"({"hang":false,"slow_factor":1,"fail_next_load":0,)"
         R"("wrong_version_next_load":0,"lose_order_answers":0})");
-  endMaintenance();
+  switchBack();
   for (std::vector<std::unique_ptr<Slot>> *of : {&On.Daemons, &On.Entries}) {
     for (const std::unique_ptr<Slot> &it : *of) {
       const std::shared_ptr<Process> process = Cluster::processOf(*it);
--- a/IntegrationTests/Chaos/Injector.h
+++ b/IntegrationTests/Chaos/Injector.h
@@ -52,7 +52,7 @@
   void injectOperator(const Fault &What);
   void stopSlot(Slot &Which, bool Alone);
   void startAgain(Slot &Which);
-  void endMaintenance();
+  void switchBack();
   void killEngine(const Fault &What);
   void setFor(harness::StandIn &Which, const std::string &Faults, Millis Length,
               const std::string &Undo);
--- a/UnitTests/Replay/ExampleTracesTest.cpp
+++ b/UnitTests/Replay/ExampleTracesTest.cpp
@@ -44,7 +44,8 @@
 
 using Condition = std::function<bool(const TimelineEvent &)>;
 
-Condition is(std::string kind, std::string key, std::string value) {
+Condition is(const std::string &kind, const std::string &key,
+             const std::string &value) {
   return [=](const TimelineEvent &what) {
     return what.Kind == kind && what.field(key) == value;
   };
--- a/Wasabi/Replay/RequestRules.cpp
+++ b/Wasabi/Replay/RequestRules.cpp
@@ -4,6 +4,7 @@
 #include "Wasabi/Replay/Rules.h"
 
 #include <unordered_map>
+#include <utility>
 
 namespace wasabi::replay {
 
@@ -141,9 +142,10 @@
     if (key.empty())
       continue;
     const auto caller = callers.find(request);
-    const std::string owner =
-        caller == callers.end() ? std::string() : caller->second;
-    const auto [other, isOther] = ran.emplace("key\n" + owner + key, at);
+    std::string mark = "key\n";
+    mark += caller == callers.end() ? std::string() : caller->second;
+    mark += key;
+    const auto [other, isOther] = ran.emplace(std::move(mark), at);
     if (!isOther)
       return Finding{"idempotency key " + key + " ran twice",
                      {other->second, at}};
