The platform's list is read by what it costs

Cause: with 200 daemons the one with most control traffic spent 16.1 KB/s of 5 allowed: two readers a domain read the whole list each 3 s, and the list grows with the members. Change: a reader spends at most 1,000 bytes a second on it, the others a third.

--- a/UnitTests/Node/ControlPlaneTest.cpp
+++ b/UnitTests/Node/ControlPlaneTest.cpp
@@ -53,6 +53,7 @@
     setup.ClaimTerm = Millis(1000);
     setup.ClaimSettle = Millis(200);
     setup.ListPeriod = Millis(100);
+    setup.ListBytesPerSecond = 1000000;
     setup.ReadersPerDomain = 1;
     setup.Seed = 100 + Index;
     return setup;
--- a/Wasabi/Node/ControlPlane.cpp
+++ b/Wasabi/Node/ControlPlane.cpp
@@ -201,6 +201,7 @@
   watch.Swim.ProbePeriod = Setup.ProbePeriod;
   watch.ProbeTimeout = Setup.ProbeTimeout;
   watch.ListPeriod = Setup.ListPeriod;
+  watch.ListBytesPerSecond = Setup.ListBytesPerSecond;
   watch.Seed = Setup.Seed;
   Watch = MemberWatch::create(executor, watch, Links, Client, Counters, Events,
                               watchHooks());
--- a/Wasabi/Node/ControlPlane.h
+++ b/Wasabi/Node/ControlPlane.h
@@ -75,6 +75,9 @@
     std::uint32_t ReadersPerDomain = 2;
     /// Time between two readings of the platform's list.
     Millis ListPeriod{3000};
+    /// Bytes a second that a reader of the list spends on it; the others spend
+    /// a third of it.
+    std::int64_t ListBytesPerSecond = 1000;
     /// How long a claim must have been wanted before it is taken, so that the
     /// view has filled.
     Millis ClaimSettle{1500};
--- a/Wasabi/Node/MemberWatch.cpp
+++ b/Wasabi/Node/MemberWatch.cpp
@@ -29,9 +29,8 @@
 constexpr Millis MinListBackOff(200);
 /// Readers per domain that pass urgent news on to other domains.
 constexpr std::uint32_t RelaysPerDomain = 2;
-/// The others read the list less often the more members there are.
-constexpr std::size_t MembersPerListPeriod = 10;
-constexpr std::size_t MaxListFactor = 40;
+/// Of what a reader of the list may spend on it, the others spend this part.
+constexpr std::int64_t OthersListPart = 3;
 /// More news than a part of so many of the members is much.
 constexpr std::size_t MuchLearned = 20;
 /// How long the same random peers are told urgent news.
@@ -149,11 +148,11 @@
   // A few in each domain read it often and tell the rest, which need it only to
   // be sure: with hundreds of lines it is the largest thing on the wire.
   std::shared_ptr<const View> seen = Shown.get();
-  if (isLogReader(*seen, RelaysPerDomain))
-    return Setup.ListPeriod;
-  std::size_t factor = std::clamp<std::size_t>(
-      seen->Members.size() / MembersPerListPeriod, 1, MaxListFactor);
-  return Setup.ListPeriod * static_cast<std::int64_t>(factor);
+  std::int64_t part = isLogReader(*seen, RelaysPerDomain) ? 1 : OthersListPart;
+  std::int64_t spent = static_cast<std::int64_t>(ListBytes) * part;
+  constexpr std::int64_t MillisPerSecond = 1000;
+  Millis afforded(spent * MillisPerSecond / Setup.ListBytesPerSecond);
+  return std::max(Setup.ListPeriod, afforded);
 }
 
 asio::awaitable<void> MemberWatch::digestLoop() {
@@ -330,6 +329,7 @@
   if (!body || Stopped)
     co_return false;
   Counters.BytesIn.fetch_add(body->size());
+  ListBytes = body->size();
   Outcome<std::vector<ListedInstance>> lines = parseInstanceList(*body);
   if (!lines)
     co_return false;
--- a/Wasabi/Node/MemberWatch.h
+++ b/Wasabi/Node/MemberWatch.h
@@ -44,6 +44,8 @@
     std::size_t Helpers = 3;
     /// Time between two readings of the platform's list.
     Millis ListPeriod{3000};
+    /// What a reader of the list spends on it, however long the list is.
+    std::int64_t ListBytesPerSecond = 1000;
     /// Time between two exchanges of digests with a random member.
     Millis DigestPeriod{30000};
     /// Bound of the back-off while the list does not answer.
@@ -127,6 +129,8 @@
   bool Dirty = false;
   bool Announced = false;
   TimePoint AnnouncedAt;
+  /// Size of the list when it was read last.
+  std::size_t ListBytes = 0;
   bool Stopped = false;
 };
 
