The judge of chaos runs is tested

Cause: a judge that never finds anything proves nothing. Change: made-up records, each with one broken promise, must be counted: false not-run, second run, cut and late work of a planned stop, duplicates, stale, mislabelled, missing steps, another request's answer, a short stream.

--- /dev/null
+++ b/IntegrationTests/Cases/ChaosJudgeTest.cpp
@@ -0,0 +1,131 @@
+/// \file
+/// The judge of chaos runs finds what is wrong: records are made up, each with
+/// one broken promise.
+#include "IntegrationTests/Chaos/AnswerCheck.h"
+#include "IntegrationTests/Chaos/Tally.h"
+
+#include <catch2/catch.hpp>
+
+using namespace wasabi::chaos;
+
+namespace {
+
+constexpr std::uint64_t Begin = 1000000;
+
+CallerRecord ask(CallKind kind, Seen end, std::uint64_t begun) {
+  CallerRecord record;
+  record.Mark = kind == CallKind::Read ? "/items/1" : "/bids/1";
+  record.Kind = kind;
+  record.End = end;
+  record.Begun = begun;
+  record.Ended = begun + 1000;
+  return record;
+}
+
+UpstreamRun run(std::uint64_t started) {
+  return {"/bids/1", "lease-desk-1", started};
+}
+
+Tally judged(const std::vector<CallerRecord> &seen,
+             const std::vector<UpstreamRun> &runs) {
+  Tally sum;
+  judgeCallers(sum, seen, runs);
+  return sum;
+}
+
+} // namespace
+
+TEST_CASE("A chaos judge counts what callers saw", "[judge]") {
+  const Tally sum = judged({ask(CallKind::Read, Seen::Whole, Begin),
+                            ask(CallKind::Write, Seen::MayHaveRun, Begin),
+                            ask(CallKind::Read, Seen::NotRun, Begin)},
+                           {run(Begin + 10)});
+  CHECK(sum.Requests == 3);
+  CHECK(sum.Whole == 1);
+  CHECK(sum.MayHaveRun == 1);
+  CHECK(sum.NotRun == 1);
+  CHECK(holds(sum));
+}
+
+TEST_CASE("A false not-run is found, also one that runs later", "[judge]") {
+  const CallerRecord said = ask(CallKind::Write, Seen::NotRun, Begin);
+  CHECK(judged({said}, {run(Begin + 10)}).FalseNotRun == 1);
+  CHECK(judged({said}, {run(Begin + 9000000)}).FalseNotRun == 1);
+  CHECK_FALSE(holds(judged({said}, {run(Begin + 10)})));
+  // A second ask with the key may run it; the first must not have.
+  const CallerRecord again =
+      ask(CallKind::KeyedWrite, Seen::Whole, Begin + 5000);
+  const CallerRecord first = ask(CallKind::KeyedWrite, Seen::NotRun, Begin);
+  CHECK(judged({first, again}, {run(Begin + 5100)}).FalseNotRun == 0);
+  CHECK(judged({first, again}, {run(Begin + 500)}).FalseNotRun == 1);
+}
+
+TEST_CASE("A second run counts only where it may not be repeated", "[judge]") {
+  const std::vector<UpstreamRun> twice = {run(Begin), run(Begin + 5)};
+  CHECK(judged({ask(CallKind::Write, Seen::MayHaveRun, Begin)}, twice)
+            .DoubleRuns == 1);
+  CHECK(judged({ask(CallKind::KeyedWrite, Seen::Whole, Begin)}, twice)
+            .DoubleRuns == 1);
+  CHECK(judged({ask(CallKind::Read, Seen::Whole, Begin)},
+               {{"/items/1", "a", Begin}, {"/items/1", "b", Begin}})
+            .DoubleRuns == 0);
+}
+
+TEST_CASE("A planned stop answers for what it cuts and takes late", "[judge]") {
+  PlannedStop stop{Begin, Begin + 9000000, true, true, {"lease-desk-1"}};
+  const std::vector<CallerRecord> cut = {
+      ask(CallKind::Read, Seen::MayHaveRun, Begin + 100)};
+  Tally sum;
+  judgeStops(sum, {stop}, cut, {});
+  CHECK(sum.CutByPlannedStop == 1);
+  // Beside other faults nobody can say whose it was.
+  stop.Alone = false;
+  Tally other;
+  judgeStops(other, {stop}, cut, {});
+  CHECK(other.CutByPlannedStop == 0);
+  // Work within the grace is in order, later it is not.
+  Tally late;
+  judgeStops(late, {stop}, {},
+             {run(Begin + LeavingGraceMicros),
+              run(Begin + LeavingGraceMicros + 1),
+              {"/bids/2", "lease-desk-2", Begin + LeavingGraceMicros + 1}});
+  CHECK(late.LateToLeaving == 1);
+  stop.Alone = true;
+  stop.InOrder = false;
+  Tally hung;
+  judgeStops(hung, {stop}, {}, {});
+  CHECK_FALSE(holds(hung));
+}
+
+TEST_CASE("A trainer's record is taken as it is", "[judge]") {
+  Tally sum;
+  judgeTrainer(sum, TrainerTruth{64, 0, 0, 0, 5, 4});
+  CHECK(holds(sum));
+  judgeTrainer(sum, TrainerTruth{64, 1, 2, 3, 6, 4});
+  CHECK(sum.Samples == 128);
+  CHECK(sum.Duplicates == 1);
+  CHECK(sum.Stale == 2);
+  CHECK(sum.Mislabelled == 3);
+  CHECK(sum.Missing == 1);
+}
+
+TEST_CASE("Another request's answer and a cut one are found", "[judge]") {
+  const std::string answer =
+      R"({"service":"s","method":"GET","path":"/items/1",)"
+      R"("body_hash":"ef46db3751d8e999","run":3})";
+  CHECK(plainFault(answer, "GET", "/items/1", "").empty());
+  CHECK_FALSE(plainFault(answer, "GET", "/items/2", "").empty());
+  CHECK_FALSE(plainFault(answer, "POST", "/items/1", "").empty());
+  CHECK_FALSE(plainFault(answer, "GET", "/items/1", "x").empty());
+  CHECK_FALSE(plainFault("{", "GET", "/items/1", "").empty());
+  CHECK_FALSE(streamFault("", "p", 1).empty());
+  CHECK_FALSE(streamFault("data: [DONE]\n\n", "p", 1).empty());
+  CHECK_FALSE(streamFault("data: {\"position\":1,\"tokens\":1,\"text\":\" "
+                          "000000\",\"weights_version\":1}\n\n",
+                          "p", 1)
+                  .empty());
+  CHECK_FALSE(completionFault(R"({"text":" 000000","tokens":1,"spans":[)"
+                              R"({"from":0,"to":1,"weights_version":1}]})",
+                              "p", 1)
+                  .empty());
+}
