--- a/UnitTests/Node/ControlPlaneTest.cpp
+++ b/UnitTests/Node/ControlPlaneTest.cpp
@@ -130,8 +130,9 @@
   std::shared_ptr<std::promise<Outcome<Applied>>> promise =
       std::make_shared<std::promise<Outcome<Applied>>>();
   std::future<Outcome<Applied>> done = promise->get_future();
-  Plane.append(std::move(Body),
-               [promise](Outcome<Applied> Did) { promise->set_value(Did); });
+  Plane.append(std::move(Body), [promise](const Outcome<Applied> &Did) {
+    promise->set_value(Did);
+  });
   REQUIRE(done.wait_for(Deadline) == std::future_status::ready);
   return done.get();
 }
@@ -339,7 +340,7 @@
   std::future<Outcome<OrderAnswer>> done = promise->get_future();
   cluster.Nodes[0]->Plane->order(
       InstanceName("node-1"), what, Millis(5000),
-      [promise](Outcome<OrderAnswer> Did) { promise->set_value(Did); });
+      [promise](const Outcome<OrderAnswer> &Did) { promise->set_value(Did); });
   REQUIRE(done.wait_for(Deadline) == std::future_status::ready);
   Outcome<OrderAnswer> did = done.get();
   REQUIRE(did);
