--- a/UnitTests/Adapters/Frames/FrameSocketTest.cpp
+++ b/UnitTests/Adapters/Frames/FrameSocketTest.cpp
@@ -58,6 +58,7 @@
 
 std::vector<std::uint8_t> prefixed(const FrameBytes &Frame) {
   std::vector<std::uint8_t> bytes;
+  bytes.reserve(4 + Frame.size());
   for (int n = 0; n < 4; ++n)
     bytes.push_back(static_cast<std::uint8_t>(Frame.size() >> (8 * n)));
   bytes.insert(bytes.end(), Frame.begin(), Frame.end());
--- a/UnitTests/Membership/ChoiceTest.cpp
+++ b/UnitTests/Membership/ChoiceTest.cpp
@@ -39,6 +39,7 @@
 TEST_CASE("Things are spread evenly over members", "[membership][rendezvous]") {
   View view = makeView(20);
   std::vector<InstanceName> names;
+  names.reserve(view.Members.size());
   for (const auto &[name, member] : view.Members)
     names.push_back(name);
   std::map<InstanceName, int> firsts;
@@ -55,6 +56,7 @@
 TEST_CASE("A member that goes moves only what it had",
           "[membership][rendezvous]") {
   std::vector<InstanceName> names;
+  names.reserve(10);
   for (int n = 0; n < 10; ++n)
     names.emplace_back("daemon-" + std::to_string(n));
   std::vector<InstanceName> fewer(names.begin(), names.end() - 1);
