--- a/Wasabi/Adapters/Proxy/EntryProxy.cpp
+++ b/Wasabi/Adapters/Proxy/EntryProxy.cpp
@@ -267,17 +267,30 @@
       return homeOf(What.Match.Key, all);
     std::optional<ServerKey> cached;
     if (!What.Match.Prompt.empty())
-      cached = Hints.find(prefixOf(What.Match.Prompt), now);
-    std::optional<Candidate> chosen =
-        choose(Choices, all, What.Tried, cached, now, Random);
+      cached = holderOf(prefixOf(What.Match.Prompt), all, now);
+    std::optional<Candidate> chosen = choose(Choices, all, What.Tried, cached,
+                                             now, Random, What.Match.Caller);
     if (chosen && cached && chosen->Key == *cached)
       Counts.Affinity.add();
     return chosen;
   }
 
+  /// Where a prefix was placed last, else its home, which is the same for every
+  /// entry: they need not tell each other where they have placed one.
+  std::optional<ServerKey> holderOf(std::uint64_t Prefix,
+                                    const std::vector<Candidate> &Of,
+                                    TimePoint Now) {
+    std::optional<ServerKey> placed = Hints.find(Prefix, Now);
+    if (placed)
+      return placed;
+    std::optional<Candidate> home = homeOf(std::to_string(Prefix), Of);
+    return home ? std::optional<ServerKey>(home->Key) : std::nullopt;
+  }
+
   Failure nobody(const Call &What) {
     const std::vector<Candidate> &all = candidates(What.Match.Service);
-    Millis wait = untilAvailable(Choices, all, monotonicNow());
+    Millis wait =
+        untilAvailable(Choices, all, monotonicNow(), What.Match.Caller);
     return Failure{Verdict::NotRun, FailureCode::NoUpstream,
                    "service " + What.Match.Service.Text,
                    all.empty() ? "no server of it is known"
@@ -314,7 +327,7 @@
       noteAbandoned(Choices, who);
     } else {
       noteFailure(Choices, who, end.failure(), candidates(What.Match.Service),
-                  monotonicNow());
+                  monotonicNow(), What.Match.Caller);
     }
     co_return end;
   }
@@ -544,10 +557,11 @@
 } // namespace
 
 ControlSource sourceOf(ControlPlane &Control) {
-  return ControlSource{
-      [&Control] { return Control.state(); },
-      [&Control] { return Control.view(); },
-      [&Control](InstanceName Who) { Control.noteUnreachable(Who); }};
+  return ControlSource{[&Control] { return Control.state(); },
+                       [&Control] { return Control.view(); },
+                       [&Control](InstanceName Who) {
+                         Control.noteUnreachable(std::move(Who));
+                       }};
 }
 
 std::shared_ptr<EntryProxy>
