Lint of the route's match

Cause: the analyzer cannot see that a refused body's outcome holds a failure. Change: the body is optional and its refusal is written where it is given. Conclusion: tests of routes pass; clean.

--- a/Wasabi/Routing/RouteMatch.cpp
+++ b/Wasabi/Routing/RouteMatch.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 
 namespace wasabi {
 namespace {
@@ -39,11 +40,12 @@
   return std::string(found->get_string());
 }
 
-Outcome<CompletionBody> readCompletion(const std::string &Text) {
+/// Empty for what is no JSON object.
+std::optional<CompletionBody> readCompletion(const std::string &Text) {
   boost::system::error_code ec;
   json::value parsed = json::parse(Text, ec);
   if (ec || !parsed.is_object())
-    return refuse("body", "it is not a JSON object");
+    return std::nullopt;
   const json::object &body = parsed.get_object();
   const json::value *stream = body.if_contains("stream");
   bool streamed = stream && stream->is_bool() && stream->get_bool();
@@ -138,9 +140,9 @@
   CompletionBody body;
   bool engines = service && service->Kind == ServiceKind::Engines;
   if (completions && (engines || name.empty())) {
-    Outcome<CompletionBody> read = readCompletion(Ask.Body);
+    std::optional<CompletionBody> read = readCompletion(Ask.Body);
     if (!read)
-      return read.failure();
+      return refuse("body", "it is not a JSON object");
     body = *std::move(read);
     if (name.empty()) {
       service = serviceOfModel(Declared, body.Model);
