--- a/Wasabi/Routing/RouteMatch.cpp
+++ b/Wasabi/Routing/RouteMatch.cpp
@@ -82,22 +82,26 @@
   return nullptr;
 }
 
-Outcome<Millis> readDeadline(const http::Request &Ask, Millis Default) {
-  std::string_view text = Ask.header(DeadlineHeader);
-  if (text.empty())
+/// Empty for what is no count of milliseconds within bounds.
+std::optional<Millis> readDeadline(std::string_view Text, Millis Default) {
+  if (Text.empty())
     return Default;
   std::int64_t count = 0;
   std::from_chars_result read =
-      std::from_chars(text.data(), text.data() + text.size(), count);
-  if (read.ec != std::errc() || read.ptr != text.data() + text.size() ||
+      std::from_chars(Text.data(), Text.data() + Text.size(), count);
+  if (read.ec != std::errc() || read.ptr != Text.data() + Text.size() ||
       count <= 0 || Millis(count) > MaxDeadline)
-    return refuse(std::string("header ") + DeadlineHeader,
-                  "'" + std::string(text) +
-                      "' is not a count of milliseconds from 1 to " +
-                      std::to_string(MaxDeadline.count()));
+    return std::nullopt;
   return Millis(count);
 }
 
+Failure badDeadline(std::string_view Text) {
+  return refuse(std::string("header ") + DeadlineHeader,
+                "'" + std::string(Text) +
+                    "' is not a count of milliseconds from 1 to " +
+                    std::to_string(MaxDeadline.count()));
+}
+
 std::string_view pathOf(std::string_view Target) {
   return Target.substr(0, Target.find('?'));
 }
@@ -159,9 +163,11 @@
                    "it is not declared",
                    {}};
 
-  Outcome<Millis> deadline = readDeadline(Ask, service->DefaultDeadline);
+  std::string_view asked = Ask.header(DeadlineHeader);
+  std::optional<Millis> deadline =
+      readDeadline(asked, service->DefaultDeadline);
   if (!deadline)
-    return deadline.failure();
+    return badDeadline(asked);
   std::string key(Ask.header(KeyHeader));
   if (key.size() > MaxKey)
     return refuse(std::string("header ") + KeyHeader,
