--- a/Wasabi/Routing/RouteMatch.cpp
+++ b/Wasabi/Routing/RouteMatch.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 
 namespace wasabi {
 namespace {
@@ -39,11 +40,12 @@
   return std::string(found->get_string());
 }
 
-Outcome<CompletionBody> readCompletion(const std::string &Text) {
+/// Empty for what is no JSON object.
+std::optional<CompletionBody> readCompletion(const std::string &Text) {
   boost::system::error_code ec;
   json::value parsed = json::parse(Text, ec);
   if (ec || !parsed.is_object())
-    return refuse("body", "it is not a JSON object");
+    return std::nullopt;
   const json::object &body = parsed.get_object();
   const json::value *stream = body.if_contains("stream");
   bool streamed = stream && stream->is_bool() && stream->get_bool();
@@ -80,22 +82,26 @@
   return nullptr;
 }
 
-Outcome<Millis> readDeadline(const http::Request &Ask, Millis Default) {
-  std::string_view text = Ask.header(DeadlineHeader);
-  if (text.empty())
+/// Empty for what is no count of milliseconds within bounds.
+std::optional<Millis> readDeadline(std::string_view Text, Millis Default) {
+  if (Text.empty())
     return Default;
   std::int64_t count = 0;
   std::from_chars_result read =
-      std::from_chars(text.data(), text.data() + text.size(), count);
-  if (read.ec != std::errc() || read.ptr != text.data() + text.size() ||
+      std::from_chars(Text.data(), Text.data() + Text.size(), count);
+  if (read.ec != std::errc() || read.ptr != Text.data() + Text.size() ||
       count <= 0 || Millis(count) > MaxDeadline)
-    return refuse(std::string("header ") + DeadlineHeader,
-                  "'" + std::string(text) +
-                      "' is not a count of milliseconds from 1 to " +
-                      std::to_string(MaxDeadline.count()));
+    return std::nullopt;
   return Millis(count);
 }
 
+Failure badDeadline(std::string_view Text) {
+  return refuse(std::string("header ") + DeadlineHeader,
+                "'" + std::string(Text) +
+                    "' is not a count of milliseconds from 1 to " +
+                    std::to_string(MaxDeadline.count()));
+}
+
 std::string_view pathOf(std::string_view Target) {
   return Target.substr(0, Target.find('?'));
 }
@@ -138,9 +144,9 @@
   CompletionBody body;
   bool engines = service && service->Kind == ServiceKind::Engines;
   if (completions && (engines || name.empty())) {
-    Outcome<CompletionBody> read = readCompletion(Ask.Body);
+    std::optional<CompletionBody> read = readCompletion(Ask.Body);
     if (!read)
-      return read.failure();
+      return refuse("body", "it is not a JSON object");
     body = *std::move(read);
     if (name.empty()) {
       service = serviceOfModel(Declared, body.Model);
@@ -157,9 +163,11 @@
                    "it is not declared",
                    {}};
 
-  Outcome<Millis> deadline = readDeadline(Ask, service->DefaultDeadline);
+  std::string_view asked = Ask.header(DeadlineHeader);
+  std::optional<Millis> deadline =
+      readDeadline(asked, service->DefaultDeadline);
   if (!deadline)
-    return deadline.failure();
+    return badDeadline(asked);
   std::string key(Ask.header(KeyHeader));
   if (key.size() > MaxKey)
     return refuse(std::string("header ") + KeyHeader,
