--- a/Ctl/Fleet.cpp
+++ b/Ctl/Fleet.cpp
@@ -68,7 +68,8 @@
 }
 
 asio::awaitable<void> askOne(Session &With, InstanceStatus &Of) {
-  Outcome<std::string> text = co_await getAdmin(With, Of.Who.Admin, "/status");
+  Outcome<std::string> text =
+      co_await getAdmin(With, Of.Who.Admin, "/status?brief=1");
   if (!text) {
     Of.Problem = text.failure();
     co_return;
--- a/Daemon/Main.cpp
+++ b/Daemon/Main.cpp
@@ -174,25 +174,30 @@
 
   bool ready() const { return Control->ready() && !Leaving; }
 
+  ProcessStatus status() const {
+    ProcessStatus shown;
+    shown.Settings = Settings;
+    shown.Kind = Role::Daemon;
+    shown.Ready = ready();
+    shown.Leaving = Leaving;
+    shown.InFlight = Proxy->inFlight();
+    std::shared_ptr<const FoldState> state = Control->state();
+    shown.Next = state->Next;
+    shown.ConfigRevision = state->ConfigRevision;
+    return shown;
+  }
+
   void showStatus() {
     AdminSources sources;
     sources.Ready = [this] { return ready(); };
     sources.Metrics = [this] { return Counts.render(); };
+    sources.Brief = [this] { return statusJson(status()); };
     sources.Status = [this] {
-      ProcessStatus status;
-      status.Settings = Settings;
-      status.Kind = Role::Daemon;
-      status.Ready = ready();
-      status.Leaving = Leaving;
-      status.InFlight = Proxy->inFlight();
-      std::shared_ptr<const FoldState> state = Control->state();
-      status.Next = state->Next;
-      status.ConfigRevision = state->ConfigRevision;
       std::string rollouts =
           Rollouts ? "{\"rollouts\":" + Rollouts->statusJson() + "}" : "{}";
       return std::vector<std::string>{Control->statusJson(), rollouts,
                                       loadsJson(*Shown.get()),
-                                      statusJson(status)};
+                                      statusJson(status())};
     };
     Admin->show(std::move(sources));
   }
--- a/Entry/Main.cpp
+++ b/Entry/Main.cpp
@@ -134,22 +134,27 @@
     return WarmedUp;
   }
 
+  ProcessStatus status() {
+    ProcessStatus shown;
+    shown.Settings = Settings;
+    shown.Kind = Role::Entry;
+    shown.Ready = ready();
+    shown.Leaving = Leaving;
+    shown.InFlight = Proxy->inFlight();
+    std::shared_ptr<const FoldState> state = Control->state();
+    shown.Next = state->Next;
+    shown.ConfigRevision = state->ConfigRevision;
+    return shown;
+  }
+
   void showStatus() {
     AdminSources sources;
     sources.Ready = [this] { return ready(); };
     sources.Metrics = [this] { return Counts.render(); };
+    sources.Brief = [this] { return statusJson(status()); };
     sources.Status = [this] {
-      ProcessStatus status;
-      status.Settings = Settings;
-      status.Kind = Role::Entry;
-      status.Ready = ready();
-      status.Leaving = Leaving;
-      status.InFlight = Proxy->inFlight();
-      std::shared_ptr<const FoldState> state = Control->state();
-      status.Next = state->Next;
-      status.ConfigRevision = state->ConfigRevision;
       return std::vector<std::string>{Control->statusJson(),
-                                      statusJson(status)};
+                                      statusJson(status())};
     };
     Admin->show(std::move(sources));
   }
--- a/Wasabi/Adapters/Admin/AdminServer.cpp
+++ b/Wasabi/Adapters/Admin/AdminServer.cpp
@@ -76,6 +76,8 @@
       return ready ? textResponse(200, "ready\n")
                    : textResponse(503, "not ready\n");
     }
+    if (path == "/status" && Ask.query("brief") == "1")
+      return http::jsonResponse(200, sources->Brief ? sources->Brief() : "{}");
     if (path == "/status")
       return http::jsonResponse(200, status(*sources));
     if (path == "/metrics")
--- a/Wasabi/Adapters/Admin/AdminServer.h
+++ b/Wasabi/Adapters/Admin/AdminServer.h
@@ -22,6 +22,9 @@
   std::function<bool()> Ready;
   /// JSON objects whose members `/status` merges, the later one winning.
   std::function<std::vector<std::string>()> Status;
+  /// What `/status?brief=1` shows: a JSON object without the members, which
+  /// grow with the system. Operators' clients ask every process for it.
+  std::function<std::string()> Brief;
   /// Prometheus text for `/metrics`.
   std::function<std::string()> Metrics;
 };
