Digests are exchanged more often while members are few

Gossip may miss one process; the digests that repair it were exchanged each 30 s. That this was the cause is likely and not proved: the case has not come again, before or after. Change: the period is 75 ms a member, from 3 s to 30 s. At 400 members nothing changes.

--- a/Wasabi/Node/MemberWatch.cpp
+++ b/Wasabi/Node/MemberWatch.cpp
@@ -29,6 +29,9 @@
 constexpr Millis MinListBackOff(200);
 /// Readers per domain that pass urgent news on to other domains.
 constexpr std::uint32_t RelaysPerDomain = 2;
+/// Time between two exchanges of digests: at least, and for each member.
+constexpr Millis MinDigestPeriod(3000);
+constexpr Millis DigestPeriodPerMember(75);
 /// Of what a reader of the list may spend on it, the others spend this part.
 constexpr std::int64_t OthersListPart = 3;
 /// More news than a part of so many of the members is much.
@@ -144,6 +147,14 @@
   }
 }
 
+Millis MemberWatch::digestPeriod() const {
+  // Digests cost by the member; while they are few, what gossip missed need not
+  // wait for long.
+  std::int64_t members = static_cast<std::int64_t>(Swim.Members.size());
+  Millis afforded = std::max(MinDigestPeriod, members * DigestPeriodPerMember);
+  return std::min(afforded, Setup.DigestPeriod);
+}
+
 Millis MemberWatch::listPeriod() const {
   // A few in each domain read it often and tell the rest, which need it only to
   // be sure: with hundreds of lines it is the largest thing on the wire.
@@ -175,8 +186,7 @@
     std::size_t learned = co_await exchange(where, peer.front());
     // Often while there is much to learn.
     bool much = learned * MuchLearned > Swim.Members.size();
-    span =
-        much ? Setup.Swim.ProbePeriod : std::min(span * 2, Setup.DigestPeriod);
+    span = much ? Setup.Swim.ProbePeriod : std::min(span * 2, digestPeriod());
   }
 }
 
--- a/Wasabi/Node/MemberWatch.h
+++ b/Wasabi/Node/MemberWatch.h
@@ -46,7 +46,8 @@
     Millis ListPeriod{3000};
     /// What a reader of the list spends on it, however long the list is.
     std::int64_t ListBytesPerSecond = 1000;
-    /// Time between two exchanges of digests with a random member.
+    /// Time between two exchanges of digests with a random member, at most;
+    /// less while members are few.
     Millis DigestPeriod{30000};
     /// Bound of the back-off while the list does not answer.
     Millis MaxListBackOff{10000};
@@ -112,6 +113,7 @@
   Gossip gossipTo(const InstanceName &Peer);
   void hear(const std::string &From, const Gossip &Carried);
   Millis jittered(Millis Span);
+  Millis digestPeriod() const;
   Millis listPeriod() const;
   template <typename Body> void spawn(Body &&What);
 
