--- a/Wasabi/Adapters/Http/HttpClient.cpp
+++ b/Wasabi/Adapters/Http/HttpClient.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <limits>
 #include <map>
 
@@ -113,6 +114,8 @@
   const Address Where;
   beast::flat_buffer Buffer;
   TimePoint IdleSince;
+  /// How long it may lie idle.
+  Millis MaxIdle{0};
   bool TimedOut = false;
   bool Cancelled = false;
 
@@ -171,6 +174,21 @@
   }
 }
 
+/// How long the peer says that it keeps the connection, less a margin.
+Millis promisedIdle(const Parser &Parse, const Client::Settings &Limits) {
+  constexpr std::string_view Timeout = "timeout=";
+  constexpr Millis PerSecond{1000};
+  beast::string_view field = Parse.get()[beast::http::field::keep_alive];
+  std::string_view value(field.data(), field.size());
+  std::size_t at = value.find(Timeout);
+  if (at == std::string_view::npos)
+    return Limits.MaxIdle;
+  value.remove_prefix(at + Timeout.size());
+  std::int64_t seconds = 0;
+  std::from_chars(value.data(), value.data() + value.size(), seconds);
+  return std::max(seconds * PerSecond - Limits.KeepMargin, Millis(0));
+}
+
 class ClientImpl final : public Client,
                          public std::enable_shared_from_this<ClientImpl> {
 public:
@@ -195,6 +213,8 @@
                                                           TimePoint Deadline);
   asio::awaitable<Outcome<Opened>>
   readHead(std::shared_ptr<Link> Via, bool HeadOnly, std::uint64_t MaxBody);
+  asio::awaitable<bool> passOver(Opened &Foreign);
+  bool answers(const Request &Ask, const Response &Answer) const;
   std::shared_ptr<Link> takeIdle(const Address &Where);
   void prune();
 
@@ -230,12 +250,13 @@
       Idle.find(Where);
   if (it == Idle.end())
     return nullptr;
-  TimePoint oldest = monotonicNow() - Limits.MaxIdle;
+  TimePoint now = monotonicNow();
   // The last one used is the least likely to have been closed meanwhile.
   while (!it->second.empty()) {
     std::shared_ptr<Link> link = std::move(it->second.back());
     it->second.pop_back();
-    if (link->IdleSince >= oldest && peek(link->Socket) == PeerState::Quiet)
+    if (now - link->IdleSince <= link->MaxIdle &&
+        peek(link->Socket) == PeerState::Quiet)
       return link;
   }
   return nullptr;
@@ -251,6 +272,7 @@
     return;
   }
   Via->IdleSince = monotonicNow();
+  Via->MaxIdle = std::min(Limits.MaxIdle, promisedIdle(Parse, Limits));
   idle.push_back(Via);
   prune();
 }
@@ -260,10 +282,9 @@
   if (now - LastPrune < PrunePause)
     return;
   LastPrune = now;
-  TimePoint oldest = now - Limits.MaxIdle;
   for (auto it = Idle.begin(); it != Idle.end();) {
-    std::erase_if(it->second, [oldest](const std::shared_ptr<Link> &Kept) {
-      return Kept->IdleSince < oldest;
+    std::erase_if(it->second, [now](const std::shared_ptr<Link> &Kept) {
+      return now - Kept->IdleSince > Kept->MaxIdle;
     });
     it = it->second.empty() ? Idle.erase(it) : std::next(it);
   }
@@ -356,7 +377,42 @@
       co_await sendRequest(std::move(Where), Ask, Deadline);
   if (!sent)
     co_return sent.failure();
-  co_return co_await readHead(*sent, Ask.Method == "HEAD", MaxBody);
+  for (;;) {
+    Outcome<Opened> got =
+        co_await readHead(*sent, Ask.Method == "HEAD", MaxBody);
+    if (!got || answers(Ask, got->Head))
+      co_return got;
+    if (!co_await passOver(*got))
+      co_return got->Via->lost(asio::error::connection_reset);
+  }
+}
+
+bool ClientImpl::answers(const Request &Ask, const Response &Answer) const {
+  if (Limits.EchoHeader.empty())
+    return true;
+  std::string_view asked = Ask.header(Limits.EchoHeader);
+  std::string_view told = Answer.header(Limits.EchoHeader);
+  return asked.empty() || told.empty() || asked == told;
+}
+
+/// Reads an answer that belongs to nobody to its end; false if the connection
+/// does not go on behind it.
+asio::awaitable<bool> ClientImpl::passOver(Opened &Foreign) {
+  while (!Foreign.Parse->is_done()) {
+    ErrorCode ec = co_await readPart(*Foreign.Via, *Foreign.Parse);
+    if (ec || Foreign.Via->TimedOut) {
+      Foreign.Via->disarm();
+      Foreign.Via->close();
+      co_return false;
+    }
+    Foreign.Parse->get().body().clear();
+  }
+  bool more = Foreign.Parse->get().keep_alive();
+  if (!more) {
+    Foreign.Via->disarm();
+    Foreign.Via->close();
+  }
+  co_return more;
 }
 
 asio::awaitable<Outcome<Response>> ClientImpl::call(Address Where, Request Ask,
--- a/Wasabi/Adapters/Http/HttpClient.h
+++ b/Wasabi/Adapters/Http/HttpClient.h
@@ -47,6 +47,13 @@
     Millis MaxIdle{15000};
     /// Largest whole answer, in bytes.
     std::uint64_t MaxBody = 64u << 20;
+    /// A header that answers repeat from their request. An answer that bears
+    /// another value belongs to an earlier request of the connection: it is
+    /// read and passed over. Empty for none.
+    std::string EchoHeader;
+    /// An idle connection is not reused in this last part of the time for which
+    /// its peer has promised to keep it (`Keep-Alive: timeout`).
+    Millis KeepMargin{300};
   };
 
   static std::shared_ptr<Client> create(boost::asio::any_io_executor Executor,
--- a/Wasabi/Adapters/Http/HttpServer.cpp
+++ b/Wasabi/Adapters/Http/HttpServer.cpp
@@ -78,7 +78,8 @@
   /// Closes if it is later than its deadline.
   void closeIfLate(TimePoint Now);
 
-  bool draining() const;
+  /// Whether the connection closes after its next answer.
+  bool closing() const;
 
 private:
   using Parser = beast::http::request_parser<beast::http::string_body>;
@@ -118,12 +119,15 @@
   Address address() const override { return Bound; }
   std::size_t inFlight() const override { return InFlight; }
   std::size_t connections() const override { return Open.size(); }
+  void closeAfterAnswers() override { Closing = true; }
   void drain() override;
   void stop() override;
 
   const Settings Limits;
   const Handler Handle;
   bool Draining = false;
+  /// Answers close their connections, though new ones are taken.
+  bool Closing = false;
   std::size_t InFlight = 0;
 
   /// A connection's end frees its place.
@@ -208,7 +212,7 @@
   if (Gone)
     co_return peerGone();
   State = Stage::Ended;
-  KeepAlive = KeepAlive && !Link->draining();
+  KeepAlive = KeepAlive && !Link->closing();
   std::shared_ptr<Connection> link = Link;
   std::string head = writeHead(Answer, Framing::Length, KeepAlive);
   std::string_view body = HeadOnly ? std::string_view() : Answer.Body;
@@ -225,7 +229,7 @@
     co_return peerGone();
   State = Stage::Begun;
   bool chunked = Version >= FirstWithChunks;
-  KeepAlive = KeepAlive && chunked && !Link->draining();
+  KeepAlive = KeepAlive && chunked && !Link->closing();
   std::shared_ptr<Connection> link = Link;
   std::string head = writeHead(
       Head, chunked ? Framing::Chunked : Framing::UntilClose, KeepAlive);
@@ -319,7 +323,7 @@
 // However the connection ends, the server must not go on listing it.
 Connection::~Connection() { Owner->forget(this); }
 
-bool Connection::draining() const { return Owner->Draining; }
+bool Connection::closing() const { return Owner->Draining || Owner->Closing; }
 
 template <typename Buffers>
 asio::awaitable<Outcome<Done>> Connection::sendBytes(Buffers Data) {
@@ -402,7 +406,7 @@
   if (Buffer.capacity() > ReadBytes)
     Buffer.shrink_to_fit();
   Millis patience =
-      draining() ? Owner->Limits.DrainGrace : Owner->Limits.IdleTimeout;
+      Owner->Draining ? Owner->Limits.DrainGrace : Owner->Limits.IdleTimeout;
   Deadline = monotonicNow() + patience;
   auto [ec, n] =
       co_await Socket.async_read_some(Buffer.prepare(ReadBytes), Awaited);
--- a/Wasabi/Adapters/Http/HttpServer.h
+++ b/Wasabi/Adapters/Http/HttpServer.h
@@ -6,6 +6,7 @@
 #include "Wasabi/Core/Address.h"
 #include "Wasabi/Core/Clock.h"
 #include "Wasabi/Core/Verdict.h"
+#include "Wasabi/Ports/HttpMessage.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -18,41 +19,6 @@
 
 namespace wasabi::http {
 
-/// A header field. Names compare without case.
-struct Header {
-  std::string Name;
-  std::string Value;
-  bool operator==(const Header &) const = default;
-};
-
-/// A whole request. An immutable value once received.
-struct Request {
-  std::string Method;
-  /// Path and query as sent.
-  std::string Target;
-  std::vector<Header> Headers;
-  std::string Body;
-
-  /// The first value of a header, compared without case; empty if absent.
-  std::string_view header(std::string_view Name) const;
-  /// The target without its query.
-  std::string_view path() const;
-  /// The value of a query parameter, percent-decoded; empty if absent.
-  std::string query(std::string_view Name) const;
-};
-
-/// A whole response.
-struct Response {
-  unsigned Status = 200;
-  std::vector<Header> Headers;
-  std::string Body;
-
-  std::string_view header(std::string_view Name) const;
-};
-
-/// `Status` with a JSON body.
-Response jsonResponse(unsigned Status, std::string Body);
-
 /// Where a handler writes its answer. One of `send` or `begin` is called, once;
 /// after `begin`, `write` any number of times, then `end` or `abort`.
 /// Used on the server's thread only.
@@ -112,6 +78,9 @@
   virtual std::size_t inFlight() const = 0;
   /// Connections open now.
   virtual std::size_t connections() const = 0;
+  /// Announces a stop: each answer from now on closes its connection, and new
+  /// connections are still taken, for callers who do not know yet.
+  virtual void closeAfterAnswers() = 0;
   /// Graceful shutdown, step one: stops accepting, closes idle connections
   /// after `DrainGrace`, and answers with `Connection: close` from now on. It
   /// is complete once `connections` is 0.
--- /dev/null
+++ b/Wasabi/Adapters/Telemetry/DecisionLog.cpp
@@ -0,0 +1,83 @@
+#include "Wasabi/Adapters/Telemetry/DecisionLog.h"
+
+#include "Wasabi/Adapters/Telemetry/Log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+namespace wasabi {
+
+DecisionLog::DecisionLog(boost::asio::io_context &Context, Settings Limits)
+    : Limits(std::move(Limits)), Timer(Context), Tokens(this->Limits.Burst),
+      Refilled(monotonicNow()) {}
+
+DecisionLog::~DecisionLog() { flush(); }
+
+std::shared_ptr<DecisionLog>
+DecisionLog::create(boost::asio::io_context &Context, Settings Limits) {
+  int flags = ::fcntl(Limits.Descriptor, F_GETFL);
+  // A reader that stands still must not hold up the process.
+  if (flags >= 0)
+    ::fcntl(Limits.Descriptor, F_SETFL, flags | O_NONBLOCK);
+  return std::shared_ptr<DecisionLog>(
+      new DecisionLog(Context, std::move(Limits)));
+}
+
+bool DecisionLog::admit() {
+  TimePoint now = monotonicNow();
+  double passed = std::chrono::duration<double>(now - Refilled).count();
+  Refilled = now;
+  Tokens = std::min(Limits.Burst, Tokens + passed * Limits.LinesPerSecond);
+  if (Tokens < 1 || Pending.size() > Limits.MaxPending)
+    return false;
+  Tokens -= 1;
+  return true;
+}
+
+void DecisionLog::line(std::string_view Event,
+                       const std::vector<EventField> &Fields) {
+  if (!admit()) {
+    ++Dropped;
+    return;
+  }
+  if (Dropped != Told) {
+    Pending += logLine(wallMicros(), LogLevel::Warning, Limits.Instance,
+                       "log.dropped",
+                       {{"lines", std::to_string(Dropped - Told)}});
+    Pending += '\n';
+    Told = Dropped;
+  }
+  Pending +=
+      logLine(wallMicros(), LogLevel::Info, Limits.Instance, Event, Fields);
+  Pending += '\n';
+  arm();
+}
+
+void DecisionLog::arm() {
+  if (Waiting)
+    return;
+  Waiting = true;
+  Timer.expires_after(Limits.Gather);
+  Timer.async_wait([weak = weak_from_this()](boost::system::error_code) {
+    std::shared_ptr<DecisionLog> self = weak.lock();
+    if (!self)
+      return;
+    self->Waiting = false;
+    self->flush();
+    if (!self->Pending.empty())
+      self->arm();
+  });
+}
+
+void DecisionLog::flush() {
+  while (!Pending.empty()) {
+    ssize_t n = ::write(Limits.Descriptor, Pending.data(), Pending.size());
+    if (n <= 0)
+      return;
+    Pending.erase(0, static_cast<std::size_t>(n));
+  }
+}
+
+} // namespace wasabi
--- /dev/null
+++ b/Wasabi/Batch/BatchDesk.cpp
@@ -0,0 +1,162 @@
+#include "Wasabi/Batch/BatchDesk.h"
+
+namespace wasabi {
+
+namespace asio = boost::asio;
+
+namespace {
+
+Failure noJob(const JobId &Id) {
+  return Failure{Verdict::NotRun, FailureCode::Expired, "job " + Id.Text,
+                 "there is no such job", Millis(0)};
+}
+
+Failure unsure(const JobId &Id, const std::string &Reason) {
+  constexpr Millis ComeBack{200};
+  return Failure{Verdict::NotRun, FailureCode::Unavailable, "job " + Id.Text,
+                 "this process is behind the store: " + Reason, ComeBack};
+}
+
+} // namespace
+
+std::string_view toText(DeskVerdict Verdict) {
+  switch (Verdict) {
+  case DeskVerdict::Taken:
+    return "taken";
+  case DeskVerdict::Refused:
+    return "refused";
+  case DeskVerdict::Unknown:
+    return "unknown";
+  case DeskVerdict::NoJob:
+    return "no-job";
+  }
+  return "unknown";
+}
+
+BatchDesk::BatchDesk(asio::any_io_executor Executor,
+                     std::shared_ptr<RolloutLog> Log,
+                     std::shared_ptr<DecisionLog> Decisions, Settings Limits)
+    : Limits(Limits), Executor(std::move(Executor)), Log(std::move(Log)),
+      Decisions(std::move(Decisions)) {}
+
+std::shared_ptr<BatchDesk>
+BatchDesk::create(asio::any_io_executor Executor,
+                  std::shared_ptr<RolloutLog> Log,
+                  std::shared_ptr<DecisionLog> Decisions, Settings Limits) {
+  return std::shared_ptr<BatchDesk>(new BatchDesk(
+      std::move(Executor), std::move(Log), std::move(Decisions), Limits));
+}
+
+/// Appends until the store takes the records or the topic shows what they say.
+/// `Refused` only if no append can have happened or can still happen.
+template <typename Check>
+asio::awaitable<DeskVerdict>
+BatchDesk::appendUntil(std::vector<std::string> Records, Check Shows) {
+  Outcome<Offset> got = co_await Log->append(std::move(Records));
+  if (got || Shows())
+    co_return DeskVerdict::Taken;
+  if (got.failure().Run == Verdict::NotRun)
+    co_return DeskVerdict::Refused;
+  // It may be there, or come yet: the topic tells.
+  Outcome<Done> fresh = co_await Log->refresh();
+  if (fresh && Shows())
+    co_return DeskVerdict::Taken;
+  co_return DeskVerdict::Unknown;
+}
+
+asio::awaitable<DeskVerdict> BatchDesk::submit(BatchJob Job) {
+  std::shared_ptr<BatchDesk> self = shared_from_this();
+  JobId id = Job.Id;
+  auto shows = [this, id] { return findJob(Log->fold(), id) != nullptr; };
+  DeskVerdict verdict = DeskVerdict::Taken;
+  if (!shows()) {
+    std::vector<std::string> records =
+        encodeJob(Job, Log->settings().RecordBytes);
+    verdict = co_await appendUntil(std::move(records), shows);
+  }
+  Decisions->line("job.submitted",
+                  {{"job", id.Text},
+                   {"model", Job.Model.Text},
+                   {"step", std::to_string(Job.Step)},
+                   {"items", std::to_string(Job.Items.size())},
+                   {"verdict", std::string(toText(verdict))}});
+  co_return verdict;
+}
+
+asio::awaitable<DeskVerdict> BatchDesk::end(JobId Id) {
+  std::shared_ptr<BatchDesk> self = shared_from_this();
+  Outcome<std::shared_ptr<JobState>> job = co_await find(Id);
+  if (!job)
+    co_return job.failure().Code == FailureCode::Expired ? DeskVerdict::NoJob
+                                                         : DeskVerdict::Refused;
+  DeskVerdict verdict = DeskVerdict::Taken;
+  if (!(*job)->Ended) {
+    std::vector<std::string> records{encodeRecord(JobEnd{Id})};
+    verdict = co_await appendUntil(
+        std::move(records), [state = *job] { return state->Ended; });
+  }
+  Decisions->line("job.ended", {{"job", Id.Text},
+                                {"verdict", std::string(toText(verdict))}});
+  co_return verdict;
+}
+
+asio::awaitable<Outcome<std::shared_ptr<JobState>>> BatchDesk::find(JobId Id) {
+  std::shared_ptr<JobState> job = findJob(Log->fold(), Id);
+  if (job)
+    co_return job;
+  // What is not known here may have been accepted elsewhere a moment ago.
+  Outcome<Done> fresh = co_await Log->refresh();
+  if (!fresh)
+    co_return unsure(Id, fresh.failure().Reason);
+  job = findJob(Log->fold(), Id);
+  if (job)
+    co_return job;
+  co_return noJob(Id);
+}
+
+asio::awaitable<Outcome<ResultPage>>
+BatchDesk::read(JobId Id, std::size_t After, Millis Wait) {
+  std::shared_ptr<BatchDesk> self = shared_from_this();
+  Outcome<std::shared_ptr<JobState>> found = co_await find(Id);
+  if (!found)
+    co_return found.failure();
+  const JobState &job = **found;
+  if (After > job.Results.size()) {
+    // The submitter has read further than this process has.
+    Outcome<Done> fresh = co_await Log->refresh();
+    if (!fresh)
+      co_return unsure(Id, fresh.failure().Reason);
+  }
+  TimePoint until = monotonicNow() + Wait;
+  while (job.Results.size() <= After && !job.Ended && monotonicNow() < until)
+    co_await Log->changes().wait(until);
+  if (job.Results.size() <= After &&
+      lostFor(Log->contact(), Limits.StaleAfter, monotonicNow()))
+    co_return unsure(Id, "no news from it");
+
+  ResultPage page;
+  page.Total = job.Job.Items.size();
+  std::size_t bytes = 0;
+  for (std::size_t i = After; i < job.Results.size(); ++i) {
+    bytes += job.Results[i].Output.size();
+    if (!page.Results.empty() && bytes > Limits.PageBytes)
+      break;
+    page.Results.push_back(job.Results[i]);
+  }
+  page.Next = After + page.Results.size();
+  co_return page;
+}
+
+asio::awaitable<Outcome<std::string>> BatchDesk::body(JobId Id, ItemId Item) {
+  std::shared_ptr<BatchDesk> self = shared_from_this();
+  Outcome<std::shared_ptr<JobState>> found = co_await find(Id);
+  if (!found)
+    co_return found.failure();
+  const JobState &job = **found;
+  auto it = job.Index.find(Item.Text);
+  if (it == job.Index.end())
+    co_return noJob(Id);
+  co_return job.Job.Items[it->second].Body;
+}
+
+} // namespace wasabi
--- /dev/null
+++ b/Wasabi/Batch/BatchDesk.h
@@ -0,0 +1,88 @@
+/// \file
+/// What submitters of batch jobs are told: acceptance, results, bodies, ends.
+/// Any process answers alike, since all fold the same topic; one that cannot be
+/// sure says so.
+#ifndef WASABI_BATCH_BATCHDESK_H
+#define WASABI_BATCH_BATCHDESK_H
+
+#include "Wasabi/Batch/RolloutLog.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace wasabi {
+
+/// What became of a submission or an end.
+enum class DeskVerdict : std::uint8_t {
+  /// It is in the topic and will not be lost.
+  Taken,
+  /// It certainly is not and will not be.
+  Refused,
+  /// Nobody can say.
+  Unknown,
+  /// There is no such job.
+  NoJob,
+};
+
+/// Results from one position on.
+struct ResultPage {
+  /// Items of the job.
+  std::size_t Total = 0;
+  /// Position after the last one here.
+  std::size_t Next = 0;
+  std::vector<ItemResult> Results;
+};
+
+/// Used on one thread, that of its executor.
+class BatchDesk : public std::enable_shared_from_this<BatchDesk> {
+public:
+  struct Settings {
+    /// How long a submission may stay unknown before its submitter is told so.
+    Millis SubmitTime{1500};
+    /// A process without news for longer than this cannot be sure of what is
+    /// not there.
+    Millis StaleAfter{900};
+    /// Text of one page of results, in bytes.
+    std::size_t PageBytes = 900000;
+  };
+
+  static std::shared_ptr<BatchDesk>
+  create(boost::asio::any_io_executor Executor, std::shared_ptr<RolloutLog> Log,
+         std::shared_ptr<DecisionLog> Decisions, Settings Limits);
+
+  /// Accepts a job once; a repeated submission is `Taken` again.
+  boost::asio::awaitable<DeskVerdict> submit(BatchJob Job);
+
+  /// Ends a job; a repeated end is `Taken` again.
+  boost::asio::awaitable<DeskVerdict> end(JobId Id);
+
+  /// Results from `After` on, waiting up to `Wait` for one. Failures: `Expired`
+  /// when there is no such job, `Unavailable` when nobody can be sure here.
+  boost::asio::awaitable<Outcome<ResultPage>> read(JobId Id, std::size_t After,
+                                                   Millis Wait);
+
+  /// The body of an item. Failures as for `read`.
+  boost::asio::awaitable<Outcome<std::string>> body(JobId Id, ItemId Item);
+
+private:
+  BatchDesk(boost::asio::any_io_executor Executor,
+            std::shared_ptr<RolloutLog> Log,
+            std::shared_ptr<DecisionLog> Decisions, Settings Limits);
+  boost::asio::awaitable<Outcome<std::shared_ptr<JobState>>> find(JobId Id);
+  template <typename Check>
+  boost::asio::awaitable<DeskVerdict>
+  appendUntil(std::vector<std::string> Records, Check Shows);
+
+  const Settings Limits;
+  const boost::asio::any_io_executor Executor;
+  const std::shared_ptr<RolloutLog> Log;
+  const std::shared_ptr<DecisionLog> Decisions;
+};
+
+/// The word for a verdict. Thread-safe.
+std::string_view toText(DeskVerdict Verdict);
+
+} // namespace wasabi
+
+#endif // WASABI_BATCH_BATCHDESK_H
--- /dev/null
+++ b/Wasabi/Batch/BatchFold.cpp
@@ -0,0 +1,135 @@
+#include "Wasabi/Batch/BatchFold.h"
+
+namespace wasabi {
+
+namespace {
+
+std::shared_ptr<JobState> makeState(BatchJob Job, Offset At, TimePoint Now) {
+  std::shared_ptr<JobState> state = std::make_shared<JobState>();
+  state->At = At;
+  state->Seen = Now;
+  state->Listed.resize(Job.Items.size(), false);
+  for (std::size_t i = 0; i < Job.Items.size(); ++i)
+    state->Index.emplace(Job.Items[i].Id.Text, i);
+  state->Job = std::move(Job);
+  return state;
+}
+
+/// The parts of one submission lie side by side, since they are appended at
+/// once; a part that does not continue the one before starts anew.
+FoldChange applyKind(BatchFold &Fold, Offset At, const JobPart &What,
+                     TimePoint Now) {
+  if (What.Part == 0)
+    Fold.Unfinished = What;
+  else if (Fold.Unfinished && Fold.Unfinished->Job.Id == What.Job.Id &&
+           Fold.Unfinished->Part + 1 == What.Part) {
+    std::vector<BatchItem> &items = Fold.Unfinished->Job.Items;
+    items.insert(items.end(), What.Job.Items.begin(), What.Job.Items.end());
+    Fold.Unfinished->Part = What.Part;
+  } else
+    return {};
+  if (What.Part + 1 < What.Parts)
+    return {};
+
+  BatchJob job = std::move(Fold.Unfinished->Job);
+  Fold.Unfinished.reset();
+  std::string id = job.Id.Text;
+  // The first submission counts; a repeated one is the same job.
+  if (Fold.Jobs.contains(id))
+    return {};
+  std::shared_ptr<JobState> state = makeState(std::move(job), At, Now);
+  Fold.Jobs.emplace(std::move(id), state);
+  return {FoldChange::Kind::Accepted, state};
+}
+
+FoldChange applyKind(BatchFold &Fold, Offset, const ResultRecord &What,
+                     TimePoint) {
+  std::shared_ptr<JobState> job = findJob(Fold, What.Job);
+  if (!job)
+    return {};
+  auto it = job->Index.find(What.Result.Item.Text);
+  // The first result of an item counts, whoever found it.
+  if (it == job->Index.end() || job->Listed[it->second])
+    return {};
+  job->Listed[it->second] = true;
+  job->Texts.erase(it->second);
+  job->Results.push_back(What.Result);
+  return {FoldChange::Kind::Listed, job};
+}
+
+FoldChange applyKind(BatchFold &Fold, Offset, const JobEnd &What, TimePoint) {
+  std::shared_ptr<JobState> job = findJob(Fold, What.Job);
+  if (!job || job->Ended)
+    return {};
+  job->Ended = true;
+  return {FoldChange::Kind::Ended, job};
+}
+
+FoldChange applyKind(BatchFold &Fold, Offset, const TextRecord &What,
+                     TimePoint) {
+  std::shared_ptr<JobState> job = findJob(Fold, What.Job);
+  if (!job)
+    return {};
+  auto it = job->Index.find(What.Item.Text);
+  if (it != job->Index.end() && !job->Listed[it->second])
+    job->Texts[it->second] = What.Text;
+  return {};
+}
+
+FoldChange applyKind(BatchFold &Fold, Offset At, const LeaseClaim &What,
+                     TimePoint Now) {
+  // A claim is appended only if the topic ends where its writer had read to,
+  // so each one that is in the topic found the lease free.
+  Fold.Lease = LeaseState{What.Holder, At, Now, false, std::nullopt};
+  return {FoldChange::Kind::Lease, nullptr};
+}
+
+FoldChange applyKind(BatchFold &Fold, Offset, const LeaseRenewal &What,
+                     TimePoint Now) {
+  if (!Fold.Lease.Holder || Fold.Lease.Term != What.Term || Fold.Lease.Released)
+    return {};
+  Fold.Lease.Seen = Now;
+  return {FoldChange::Kind::Lease, nullptr};
+}
+
+FoldChange applyKind(BatchFold &Fold, Offset, const LeaseRelease &What,
+                     TimePoint Now) {
+  if (!Fold.Lease.Holder || Fold.Lease.Term != What.Term)
+    return {};
+  Fold.Lease.Released = true;
+  Fold.Lease.Seen = Now;
+  Fold.Lease.LastOrder.reset();
+  if (What.OrderAgeMs >= 0)
+    Fold.Lease.LastOrder = Now - Millis(What.OrderAgeMs);
+  return {FoldChange::Kind::Lease, nullptr};
+}
+
+} // namespace
+
+FoldChange apply(BatchFold &Fold, Offset At, const BatchRecord &What,
+                 TimePoint Now) {
+  if (At < Fold.Next)
+    return {};
+  Fold.Next = At + 1;
+  return std::visit(
+      [&](const auto &Kind) { return applyKind(Fold, At, Kind, Now); }, What);
+}
+
+void skip(BatchFold &Fold, Offset At) {
+  if (At >= Fold.Next)
+    Fold.Next = At + 1;
+}
+
+void expire(BatchFold &Fold, TimePoint Now) {
+  for (auto it = Fold.Jobs.begin(); it != Fold.Jobs.end();) {
+    bool old = Now - it->second->Seen > Fold.Limits.KeepJob;
+    it = old ? Fold.Jobs.erase(it) : std::next(it);
+  }
+}
+
+std::shared_ptr<JobState> findJob(const BatchFold &Fold, const JobId &Id) {
+  auto it = Fold.Jobs.find(Id.Text);
+  return it == Fold.Jobs.end() ? nullptr : it->second;
+}
+
+} // namespace wasabi
--- /dev/null
+++ b/Wasabi/Batch/BatchFold.h
@@ -0,0 +1,94 @@
+/// \file
+/// What follows from the rollout topic's order: which jobs were accepted, what
+/// stands at each position of their results, and who holds the dispatching
+/// duty. The same records give the same state in every process.
+#ifndef WASABI_BATCH_BATCHFOLD_H
+#define WASABI_BATCH_BATCHFOLD_H
+
+#include "Wasabi/Batch/BatchRecord.h"
+#include "Wasabi/Core/Clock.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace wasabi {
+
+/// An accepted job as this process knows it.
+struct JobState {
+  BatchJob Job;
+  /// Offset of its first record: jobs are ordered by it.
+  Offset At = 0;
+  /// When this process learnt of it.
+  TimePoint Seen;
+  bool Ended = false;
+  /// By position.
+  std::vector<ItemResult> Results;
+  /// Index in `Job.Items` of each item.
+  std::unordered_map<std::string, std::size_t> Index;
+  /// By item: whether it stands in `Results`.
+  std::vector<bool> Listed;
+  /// Unfinished texts that a dispatcher handed back, by item.
+  std::map<std::size_t, PartialText> Texts;
+};
+
+/// The dispatching duty.
+struct LeaseState {
+  /// Empty while nobody has ever held it.
+  std::optional<LeaseHolder> Holder;
+  /// Offset of the holder's claim, its fencing token.
+  FencingToken Term = 0;
+  /// When this process saw the holder's last record.
+  TimePoint Seen;
+  bool Released = false;
+  /// After a release: when the holder gave its last order to a server, as an
+  /// upper bound on this process's clock; empty if it gave none.
+  std::optional<TimePoint> LastOrder;
+};
+
+/// The folded state. Owned by one thread.
+struct BatchFold {
+  struct Settings {
+    /// A job is kept this long: results must be readable for 120 s after the
+    /// submission on all deployments known, and records expire at 300 s.
+    Millis KeepJob{150000};
+    bool operator==(const Settings &) const = default;
+  };
+
+  Settings Limits;
+  /// The next offset to read.
+  Offset Next = 0;
+  std::unordered_map<std::string, std::shared_ptr<JobState>> Jobs;
+  LeaseState Lease;
+  /// Parts of a submission whose last part has not been seen.
+  std::optional<JobPart> Unfinished;
+};
+
+/// What a record changed, for whoever acts on it.
+struct FoldChange {
+  enum class Kind : std::uint8_t { Nothing, Accepted, Listed, Ended, Lease };
+  Kind What = Kind::Nothing;
+  std::shared_ptr<JobState> Job;
+};
+
+/// Applies the record at `At`. A record before `Next` was applied already and
+/// changes nothing. Precondition: records come in their order.
+FoldChange apply(BatchFold &Fold, Offset At, const BatchRecord &What,
+                 TimePoint Now);
+
+/// Passes over the record at `At`, which could not be read.
+void skip(BatchFold &Fold, Offset At);
+
+/// Forgets jobs that nobody may ask for any more.
+void expire(BatchFold &Fold, TimePoint Now);
+
+/// The job of this name, null if it is not known.
+std::shared_ptr<JobState> findJob(const BatchFold &Fold, const JobId &Id);
+
+} // namespace wasabi
+
+#endif // WASABI_BATCH_BATCHFOLD_H
--- /dev/null
+++ b/Wasabi/Batch/BatchJob.h
@@ -0,0 +1,96 @@
+/// \file
+/// A batch job of a trainer's step, its items, and their results.
+#ifndef WASABI_BATCH_BATCHJOB_H
+#define WASABI_BATCH_BATCHJOB_H
+
+#include "Wasabi/Core/Ids.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wasabi {
+
+/// A batch job as its submitter names it.
+using JobId = Name<struct JobTag>;
+/// A sample of a batch job; carried over to a later job it keeps its name.
+using ItemId = Name<struct ItemTag>;
+
+/// A header that goes to the server as it came.
+struct PassedHeader {
+  std::string Name;
+  std::string Value;
+  bool operator==(const PassedHeader &) const = default;
+};
+
+/// The request that scores a finished sample.
+struct ScoreCall {
+  /// The id that the scoring server sees.
+  std::string Id;
+  std::string Host;
+  std::string Path;
+  std::string Body;
+  bool operator==(const ScoreCall &) const = default;
+};
+
+/// One sample to generate. An immutable value.
+struct BatchItem {
+  ItemId Id;
+  std::string Path;
+  std::vector<PassedHeader> Headers;
+  std::string Body;
+  /// Items of one group share their prompt and count only together.
+  std::string Group;
+  /// Set when the sample needs a score before it counts as complete.
+  std::optional<ScoreCall> Score;
+  /// Output length that the caller expects, in tokens; 0 when it does not say.
+  /// True at the median only.
+  double ExpectedTokens = 0;
+  bool operator==(const BatchItem &) const = default;
+};
+
+/// A batch job: the samples of one training step. An immutable value.
+struct BatchJob {
+  JobId Id;
+  /// Host and path that it was submitted under; they select its route.
+  std::string Host;
+  std::string Path;
+  ModelName Model;
+  std::uint64_t Step = 0;
+  /// The oldest weights that may generate its tokens.
+  WeightVersion MinVersion = 0;
+  /// Complete groups that the trainer waits for; 0 for all.
+  std::uint64_t TargetGroups = 0;
+  std::vector<BatchItem> Items;
+  bool operator==(const BatchJob &) const = default;
+};
+
+/// How an item ended.
+enum class ItemEnd : std::uint8_t { Completed, Terminated };
+
+/// What stands at one position of a job's results. An immutable value.
+struct ItemResult {
+  ItemId Item;
+  ItemEnd End = ItemEnd::Completed;
+  /// The data of all events in order, joined by line feeds.
+  std::string Output;
+  /// Every version that generated an event, ascending.
+  std::vector<WeightVersion> Versions;
+  /// What the scoring server signed; empty if the item needs no score.
+  std::string Score;
+  bool operator==(const ItemResult &) const = default;
+};
+
+/// The text that an item has so far, and what made it. A value.
+struct PartialText {
+  std::string Output;
+  /// Events in `Output`; the last one's id, as ids count from 1.
+  std::uint64_t Events = 0;
+  std::vector<WeightVersion> Versions;
+  bool operator==(const PartialText &) const = default;
+};
+
+} // namespace wasabi
+
+#endif // WASABI_BATCH_BATCHJOB_H
--- /dev/null
+++ b/Wasabi/Batch/BatchRecord.h
@@ -0,0 +1,92 @@
+/// \file
+/// The records of the rollout topic: jobs, results, ends, unfinished texts, and
+/// the lease of the dispatching duty. JSON with a schema number.
+#ifndef WASABI_BATCH_BATCHRECORD_H
+#define WASABI_BATCH_BATCHRECORD_H
+
+#include "Wasabi/Batch/BatchJob.h"
+#include "Wasabi/Core/Verdict.h"
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace wasabi {
+
+/// Who writes under a lease. A value.
+struct LeaseHolder {
+  InstanceName Instance;
+  /// Tells a restarted process from its predecessor.
+  Incarnation Life = 0;
+  bool operator==(const LeaseHolder &) const = default;
+};
+
+/// A part of a submitted job. Parts of one submission are appended together.
+struct JobPart {
+  /// The job's data with the items of this part only.
+  BatchJob Job;
+  std::uint32_t Part = 0;
+  std::uint32_t Parts = 1;
+  bool operator==(const JobPart &) const = default;
+};
+
+/// An item's result; the first one of an item in a job counts.
+struct ResultRecord {
+  JobId Job;
+  ItemResult Result;
+  bool operator==(const ResultRecord &) const = default;
+};
+
+/// The job was ended by its submitter.
+struct JobEnd {
+  JobId Job;
+  bool operator==(const JobEnd &) const = default;
+};
+
+/// The text of an item that its dispatcher handed back unfinished.
+struct TextRecord {
+  JobId Job;
+  ItemId Item;
+  PartialText Text;
+  bool operator==(const TextRecord &) const = default;
+};
+
+/// Takes the lease; valid if it was free when the record was appended.
+struct LeaseClaim {
+  LeaseHolder Holder;
+  bool operator==(const LeaseClaim &) const = default;
+};
+
+/// Holds the lease further. `Term` is the offset of the claim.
+struct LeaseRenewal {
+  FencingToken Term = 0;
+  bool operator==(const LeaseRenewal &) const = default;
+};
+
+/// Gives the lease back.
+struct LeaseRelease {
+  FencingToken Term = 0;
+  /// Time since the holder's last order to a server; -1 if it gave none.
+  std::int64_t OrderAgeMs = -1;
+  bool operator==(const LeaseRelease &) const = default;
+};
+
+using BatchRecord = std::variant<JobPart, ResultRecord, JobEnd, TextRecord,
+                                 LeaseClaim, LeaseRenewal, LeaseRelease>;
+
+/// The text of a record as it is appended. Thread-safe.
+std::string encodeRecord(const BatchRecord &What);
+
+/// The reverse. Errors: `BadInput` at `Place` for a malformed record,
+/// `NewerSchema` for one that a later release wrote. Thread-safe.
+Result<BatchRecord> decodeRecord(std::string_view Text,
+                                 const std::string &Place);
+
+/// The records of one submission, each at most about `MaxBytes` long.
+/// Precondition: no item alone is longer. Thread-safe.
+std::vector<std::string> encodeJob(const BatchJob &Job, std::size_t MaxBytes);
+
+} // namespace wasabi
+
+#endif // WASABI_BATCH_BATCHRECORD_H
--- /dev/null
+++ b/Wasabi/Batch/RolloutLog.cpp
@@ -0,0 +1,119 @@
+#include "Wasabi/Batch/RolloutLog.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace wasabi {
+
+namespace asio = boost::asio;
+
+RolloutLog::RolloutLog(asio::any_io_executor Executor, RecordStore Store,
+                       std::shared_ptr<DecisionLog> Decisions, Settings Limits)
+    : Limits(std::move(Limits)), Executor(Executor), Store(std::move(Store)),
+      Decisions(std::move(Decisions)), Changed(Executor) {}
+
+std::shared_ptr<RolloutLog>
+RolloutLog::create(asio::any_io_executor Executor, RecordStore Store,
+                   std::shared_ptr<DecisionLog> Decisions, Settings Limits) {
+  return std::shared_ptr<RolloutLog>(
+      new RolloutLog(std::move(Executor), std::move(Store),
+                     std::move(Decisions), std::move(Limits)));
+}
+
+void RolloutLog::start() {
+  asio::co_spawn(
+      Executor, [self = shared_from_this()] { return self->follow(); },
+      asio::detached);
+}
+
+asio::awaitable<void> RolloutLog::follow() {
+  for (;;) {
+    Outcome<LogRange> got =
+        co_await Store.Read(Limits.Topic, Fold.Next, Limits.Wait);
+    if (!got) {
+      failed(got.failure());
+      co_await pauseFor(Executor, Limits.RetryPause);
+      continue;
+    }
+    bool more = got->End > got->First && !got->Entries.empty();
+    take(*got);
+    expire(Fold, monotonicNow());
+    // While behind, the next stretch is read at once.
+    if (more && CaughtUp)
+      co_await pauseFor(Executor, Limits.Pace);
+  }
+}
+
+asio::awaitable<Outcome<Done>> RolloutLog::refresh() {
+  std::shared_ptr<RolloutLog> self = shared_from_this();
+  for (;;) {
+    Outcome<LogRange> got =
+        co_await Store.Read(Limits.Topic, Fold.Next, Millis(0));
+    if (!got) {
+      failed(got.failure());
+      co_return got.failure();
+    }
+    take(*got);
+    if (Fold.Next >= got->End)
+      co_return Done{};
+  }
+}
+
+asio::awaitable<Outcome<Offset>>
+RolloutLog::append(std::vector<std::string> Records, std::optional<Offset> At) {
+  std::shared_ptr<RolloutLog> self = shared_from_this();
+  co_return co_await Store.Append(Limits.Topic, std::move(Records), At,
+                                  Limits.AppendTimeout);
+}
+
+void RolloutLog::take(const LogRange &Range) {
+  answered();
+  if (Range.First > Fold.Next) {
+    Decisions->line("rollout_log.expired",
+                    {{"expected", std::to_string(Fold.Next)},
+                     {"first", std::to_string(Range.First)}});
+    Fold.Next = Range.First;
+  }
+  for (const LogEntry &it : Range.Entries)
+    takeEntry(it);
+  if (Fold.Next >= Range.End && !CaughtUp) {
+    CaughtUp = true;
+    Decisions->line("rollout_log.caught_up",
+                    {{"next", std::to_string(Fold.Next)},
+                     {"jobs", std::to_string(Fold.Jobs.size())}});
+    Changed.notify();
+  }
+  if (!Range.Entries.empty())
+    Changed.notify();
+}
+
+void RolloutLog::takeEntry(const LogEntry &Entry) {
+  if (Entry.At < Fold.Next)
+    return;
+  Outcome<BatchRecord> record = toOutcome<BatchRecord>([&] {
+    return decodeRecord(Entry.Text,
+                        Limits.Topic + "@" + std::to_string(Entry.At));
+  });
+  if (!record) {
+    Decisions->line("rollout_log.unreadable",
+                    {{"reason", describe(record.failure())}});
+    skip(Fold, Entry.At);
+    return;
+  }
+  FoldChange change = apply(Fold, Entry.At, *record, monotonicNow());
+  if (Listener && change.What != FoldChange::Kind::Nothing)
+    Listener(change);
+}
+
+void RolloutLog::answered() {
+  if (noteAnswer(Contact, monotonicNow()))
+    Decisions->line("store.regained", {{"topic", Limits.Topic}});
+}
+
+void RolloutLog::failed(const Failure &Why) {
+  if (noteFailure(Contact, monotonicNow()))
+    Decisions->line("store.lost",
+                    {{"topic", Limits.Topic}, {"reason", describe(Why)}});
+}
+
+} // namespace wasabi
--- /dev/null
+++ b/Wasabi/Batch/RolloutLog.h
@@ -0,0 +1,89 @@
+/// \file
+/// The rollout topic as one process follows it: the folded state, whether it is
+/// fresh, and appends.
+#ifndef WASABI_BATCH_ROLLOUTLOG_H
+#define WASABI_BATCH_ROLLOUTLOG_H
+
+#include "Wasabi/Adapters/Telemetry/DecisionLog.h"
+#include "Wasabi/Batch/BatchFold.h"
+#include "Wasabi/Core/AsyncSignal.h"
+#include "Wasabi/Ports/RecordStore.h"
+#include "Wasabi/Upstream/StoreContact.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace wasabi {
+
+/// Used on one thread, that of its executor.
+class RolloutLog : public std::enable_shared_from_this<RolloutLog> {
+public:
+  struct Settings {
+    std::string Topic = "rollout";
+    /// How long a read waits for a record. A read that hears nothing although
+    /// there is something must not hide it for long.
+    Millis Wait{700};
+    /// Pause after a read that brought records, so that records that come one
+    /// by one are read several at a time: at most 33 reads a second.
+    Millis Pace{30};
+    /// Pause after a failed read.
+    Millis RetryPause{100};
+    /// Longest record, in bytes; the store's own limit is above it.
+    std::size_t RecordBytes = 200000;
+    /// How long an append may take before its outcome is unknown.
+    Millis AppendTimeout{1200};
+  };
+
+  static std::shared_ptr<RolloutLog>
+  create(boost::asio::any_io_executor Executor, RecordStore Store,
+         std::shared_ptr<DecisionLog> Decisions, Settings Limits);
+
+  /// Begins to follow the topic, for as long as the context runs.
+  void start();
+
+  const BatchFold &fold() const { return Fold; }
+  const StoreContact &contact() const { return Contact; }
+  /// Whether the topic has been read to its end since the start.
+  bool caughtUp() const { return CaughtUp; }
+  /// Woken after each change of the fold.
+  AsyncSignal &changes() { return Changed; }
+  /// Called for each change, in order.
+  void onChange(std::function<void(const FoldChange &)> Callback) {
+    Listener = std::move(Callback);
+  }
+
+  /// Reads up to the end as of now. A failure says that this process cannot be
+  /// sure of what the topic holds.
+  boost::asio::awaitable<Outcome<Done>> refresh();
+
+  /// Appends records, all or none; see `RecordStore::Append`.
+  boost::asio::awaitable<Outcome<Offset>>
+  append(std::vector<std::string> Records, std::optional<Offset> At = {});
+
+  const Settings &settings() const { return Limits; }
+
+private:
+  RolloutLog(boost::asio::any_io_executor Executor, RecordStore Store,
+             std::shared_ptr<DecisionLog> Decisions, Settings Limits);
+  boost::asio::awaitable<void> follow();
+  void take(const LogRange &Range);
+  void takeEntry(const LogEntry &Entry);
+  void answered();
+  void failed(const Failure &Why);
+
+  const Settings Limits;
+  const boost::asio::any_io_executor Executor;
+  const RecordStore Store;
+  const std::shared_ptr<DecisionLog> Decisions;
+  BatchFold Fold;
+  StoreContact Contact;
+  AsyncSignal Changed;
+  std::function<void(const FoldChange &)> Listener;
+  bool CaughtUp = false;
+};
+
+} // namespace wasabi
+
+#endif // WASABI_BATCH_ROLLOUTLOG_H
--- /dev/null
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -0,0 +1,184 @@
+/// \file
+/// The dispatching duty: runs the items of all open batch jobs on the engines,
+/// has finished texts scored, commits results, and keeps the engines' weights
+/// at the versions that their trainers name.
+///
+/// Nothing depends on its being alone: the first committed result of an item
+/// counts, whoever found it. Only orders to engines need the lease.
+#ifndef WASABI_DISPATCH_DISPATCHER_H
+#define WASABI_DISPATCH_DISPATCHER_H
+
+#include "Wasabi/Adapters/Telemetry/Metrics.h"
+#include "Wasabi/Dispatch/DutyKeeper.h"
+#include "Wasabi/Dispatch/EnginePool.h"
+#include "Wasabi/Ports/EnginePort.h"
+#include "Wasabi/Upstream/FleetView.h"
+#include "Wasabi/Upstream/Forwarder.h"
+
+#include <boost/asio/cancellation_signal.hpp>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace wasabi {
+
+/// How far an item has come.
+enum class ItemStage : std::uint8_t { Waiting, Running, Scoring, Finished };
+
+/// One item that the dispatcher works on.
+struct ItemWork {
+  std::shared_ptr<JobState> Job;
+  std::size_t Index = 0;
+  ItemStage Stage = ItemStage::Waiting;
+  PartialText Text;
+  /// Answers of 500 by engines.
+  std::uint32_t Failures = 0;
+  /// Not sent anywhere before this.
+  TimePoint NotBefore;
+  std::shared_ptr<EngineState> Engine;
+  /// The engine that it was taken from or that failed it.
+  ServerName Avoid;
+  /// While it runs: its stream, once there is one.
+  EngineStream *Stream = nullptr;
+  /// When its run began or had its last event.
+  TimePoint LastEvent;
+  /// Whether its run has had an event.
+  bool Begun = false;
+  /// Stops whatever it waits for.
+  boost::asio::cancellation_signal Stop;
+  /// Set when the run is to end without a result.
+  bool Dropped = false;
+
+  const BatchItem &item() const { return Job->Job.Items[Index]; }
+};
+
+/// Used on one thread, that of its executor.
+class Dispatcher : public std::enable_shared_from_this<Dispatcher> {
+public:
+  struct Settings {
+    EnginePoolSettings Pool;
+    /// Look at running items this often while there are any: a tenth of the
+    /// shortest objective.
+    Millis LookEvery{50};
+    /// A run without an event for this long has lost its server. An event takes
+    /// some 40 ms; a prompt that is read beside it some 10 ms more.
+    Millis StallTime{450};
+    /// The same before the first event and while its server takes weights: a
+    /// load takes 0.9 s, and longer when several load.
+    Millis LoadStallTime{2500};
+    /// How long an answer to an order or a report may take.
+    Millis OrderTimeout{600};
+    /// How long an order may stay under way before it is given up.
+    Millis LoadLimit{6000};
+    /// First look at a server that is loading, and the pause between looks.
+    Millis FirstReport{880};
+    Millis ReportEvery{90};
+    /// Pause before an item is tried again after a failure.
+    Millis RetryPause{60};
+    /// Time that a scoring call is given.
+    Millis ScoreTime{2000};
+    /// Pause between two moves of an engine to another model.
+    Millis MoveEvery{4000};
+    /// What a job's demand counts for: its expected tokens while it is younger
+    /// than this.
+    Millis DemandSpan{12000};
+    /// Demand of an item that does not say how long it will be, in tokens.
+    double UnknownTokens = 800;
+  };
+
+  static std::shared_ptr<Dispatcher>
+  create(boost::asio::any_io_executor Executor, FleetView &View,
+         std::shared_ptr<RolloutLog> Log, EnginePort Engines,
+         std::shared_ptr<Forwarder> Scores,
+         std::shared_ptr<DecisionLog> Decisions, Metrics &Counts,
+         Settings Limits);
+
+  /// Whom orders are given for. Call once, before `start`.
+  void attach(std::shared_ptr<DutyKeeper> Duty) { this->Duty = Duty; }
+  /// Begins the loops, which rest while the duty is another's.
+  void start();
+
+  /// The duty is this process's: takes up all open jobs.
+  void activate();
+  /// The duty is another's: stops all runs.
+  void deactivate();
+  /// Stops all runs and gives their texts as records for the successor.
+  std::vector<std::string> handBack();
+
+  /// Takes a change of the rollout topic.
+  void onChange(const FoldChange &Change);
+  /// The servers, the configuration or a named version changed.
+  void onView();
+
+private:
+  Dispatcher(boost::asio::any_io_executor Executor, FleetView &View,
+             std::shared_ptr<RolloutLog> Log, EnginePort Engines,
+             std::shared_ptr<Forwarder> Scores,
+             std::shared_ptr<DecisionLog> Decisions, Metrics &Counts,
+             Settings Limits);
+
+  // Items.
+  void takeUp(const std::shared_ptr<JobState> &Job);
+  PartialText storedText(const JobState &Job, std::size_t Index) const;
+  void drop(const std::shared_ptr<ItemWork> &Work);
+  void clearFinished();
+  void schedule();
+  void scheduleWaiting(double UsualMs);
+  EngineNeed needOf(ItemWork &Work) const;
+  void startRun(const std::shared_ptr<ItemWork> &Work,
+                const std::shared_ptr<EngineState> &On);
+  boost::asio::awaitable<void> run(std::shared_ptr<ItemWork> Work);
+  boost::asio::awaitable<bool> readEvents(ItemWork &Work);
+  void endRun(const std::shared_ptr<ItemWork> &Work, const Failure &Why);
+  bool judgeHead(const std::shared_ptr<ItemWork> &Work, const StreamHead &Head);
+  void terminate(const std::shared_ptr<ItemWork> &Work, std::string_view Why);
+  boost::asio::awaitable<void> score(std::shared_ptr<ItemWork> Work);
+  void finish(const std::shared_ptr<ItemWork> &Work, ItemResult Result);
+  boost::asio::awaitable<void> commitLoop();
+  const UpstreamRoute *routeOf(const ItemWork &Work) const;
+  http::Request askOf(const ItemWork &Work) const;
+
+  // Engines.
+  void syncEngines();
+  std::map<ModelName, double> demand() const;
+  boost::asio::awaitable<void> lookLoop();
+  void lookAtRuns();
+  void takeFromSlow(double UsualMs);
+  boost::asio::awaitable<void> orderLoop();
+  void startOrders();
+  boost::asio::awaitable<void> order(std::shared_ptr<EngineState> On,
+                                     ModelName Model, WeightVersion Version);
+  boost::asio::awaitable<bool> report(EngineState &On);
+  void noteEvent(EngineState &On, ItemWork &Work);
+  SwapMode swapMode(const ModelName &Model) const;
+
+  const Settings Limits;
+  const boost::asio::any_io_executor Executor;
+  FleetView &View;
+  const std::shared_ptr<RolloutLog> Log;
+  const EnginePort Engines;
+  const std::shared_ptr<Forwarder> Scores;
+  const std::shared_ptr<DecisionLog> Decisions;
+  Metrics &Counts;
+  std::shared_ptr<DutyKeeper> Duty;
+
+  bool Active = false;
+  std::vector<std::shared_ptr<ItemWork>> Works;
+  /// Texts of items that were not finished, for jobs that carry them over.
+  std::map<std::string, PartialText> Carried;
+  /// The engine that read a group's prompt.
+  std::map<std::string, ServerName> PromptAt;
+  EngineList Pool;
+  TimePoint LastMove;
+  /// Results that the topic does not show yet.
+  std::deque<ResultRecord> Uncommitted;
+  AsyncSignal Wake;
+  AsyncSignal CommitWake;
+};
+
+} // namespace wasabi
+
+#endif // WASABI_DISPATCH_DISPATCHER_H
--- /dev/null
+++ b/Wasabi/Dispatch/DutyKeeper.cpp
@@ -0,0 +1,156 @@
+#include "Wasabi/Dispatch/DutyKeeper.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace wasabi {
+
+namespace asio = boost::asio;
+
+bool leaseFree(const LeaseState &Lease, const StoreContact &Contact,
+               const DutySettings &Limits, Millis Spread, TimePoint Now) {
+  if (Contact.Lost)
+    return false;
+  if (!Lease.Holder || Lease.Released)
+    return true;
+  // A process of the same instance is the successor of one that has ended.
+  if (Lease.Holder->Instance == Limits.Self.Instance)
+    return Lease.Holder->Life != Limits.Self.Life;
+  // While the store was away nobody could renew: the holder gets its full time
+  // again after the store's return.
+  TimePoint heard = std::max(Lease.Seen, Contact.Since);
+  return Now - heard >= Limits.OthersTime + Spread;
+}
+
+TimePoint ordersFrom(const LeaseState &Before, const DutySettings &Limits,
+                     TimePoint Now) {
+  if (!Before.Holder)
+    return Now;
+  if (Before.Released && Before.LastOrder)
+    return std::max(Now, *Before.LastOrder + Limits.OrderGap);
+  return Now + Limits.OrderGap;
+}
+
+DutyKeeper::DutyKeeper(asio::any_io_executor Executor,
+                       std::shared_ptr<RolloutLog> Log,
+                       std::shared_ptr<DecisionLog> Decisions,
+                       DutySettings Limits, Callbacks Calls)
+    : Limits(std::move(Limits)), Executor(std::move(Executor)),
+      Log(std::move(Log)), Decisions(std::move(Decisions)),
+      Calls(std::move(Calls)), Random(this->Limits.Self.Life) {}
+
+std::shared_ptr<DutyKeeper>
+DutyKeeper::create(asio::any_io_executor Executor,
+                   std::shared_ptr<RolloutLog> Log,
+                   std::shared_ptr<DecisionLog> Decisions, DutySettings Limits,
+                   Callbacks Calls) {
+  return std::shared_ptr<DutyKeeper>(
+      new DutyKeeper(std::move(Executor), std::move(Log), std::move(Decisions),
+                     std::move(Limits), std::move(Calls)));
+}
+
+void DutyKeeper::start() {
+  asio::co_spawn(
+      Executor, [self = shared_from_this()] { return self->keep(); },
+      asio::detached);
+}
+
+bool DutyKeeper::mayOrder() const {
+  TimePoint now = monotonicNow();
+  return Held && now < ValidUntil && now >= OrdersFrom;
+}
+
+/// Compares what the topic says with what this process believes.
+void DutyKeeper::look() {
+  const LeaseState &lease = Log->fold().Lease;
+  bool mine = lease.Holder && *lease.Holder == Limits.Self && !lease.Released;
+  if (Held && (!mine || lease.Term != Term)) {
+    Held = false;
+    Decisions->line("duty.lost",
+                    {{"term", std::to_string(Term)},
+                     {"holder", lease.Holder ? lease.Holder->Instance.Text : ""},
+                     {"new_term", std::to_string(lease.Term)}});
+    Calls.Lost();
+  }
+  if (!Held && mine) {
+    Held = true;
+    Term = lease.Term;
+    Decisions->line("duty.gained", {{"term", std::to_string(Term)}});
+    Calls.Gained();
+  }
+}
+
+asio::awaitable<void> DutyKeeper::claim() {
+  LeaseState before = Log->fold().Lease;
+  TimePoint sent = monotonicNow();
+  Spread = Millis(Random() % (Limits.ClaimSpread.count() + 1));
+  std::vector<std::string> records{encodeRecord(LeaseClaim{Limits.Self})};
+  // Set before it is known whether the claim is taken: a lost answer may be a
+  // claim that holds, and the time counts from before it was sent.
+  ValidUntil = sent + Limits.HolderTime;
+  LastRenewal = sent;
+  OrdersFrom = ordersFrom(before, Limits, sent);
+  LastOrder.reset();
+  Outcome<Offset> got =
+      co_await Log->append(std::move(records), Log->fold().Next);
+  Decisions->line("duty.claim",
+                  {{"at", std::to_string(Log->fold().Next)},
+                   {"before", before.Holder ? before.Holder->Instance.Text : ""},
+                   {"result", got ? "taken" : describe(got.failure())}});
+  // What became of it is read from the topic.
+  Outcome<Done> fresh = co_await Log->refresh();
+  if (!fresh)
+    co_await pauseFor(Executor, Limits.RenewEvery);
+}
+
+asio::awaitable<void> DutyKeeper::renew() {
+  TimePoint sent = monotonicNow();
+  LastRenewal = sent;
+  std::vector<std::string> records{encodeRecord(LeaseRenewal{Term})};
+  Outcome<Offset> got = co_await Log->append(std::move(records));
+  if (got && Held)
+    ValidUntil = std::max(ValidUntil, sent + Limits.HolderTime);
+}
+
+asio::awaitable<void> DutyKeeper::keep() {
+  for (;;) {
+    look();
+    TimePoint now = monotonicNow();
+    TimePoint next = now + Limits.RenewEvery;
+    bool due = Held && now - LastRenewal >= Limits.RenewEvery;
+    bool wanted = !Held && !Retired && Log->caughtUp() &&
+                  leaseFree(Log->fold().Lease, Log->contact(), Limits, Spread,
+                            now);
+    if (due)
+      co_await renew();
+    else if (wanted)
+      co_await claim();
+    else
+      co_await Log->changes().wait(
+          Held ? LastRenewal + Limits.RenewEvery : next);
+  }
+}
+
+asio::awaitable<void> DutyKeeper::release(std::vector<std::string> Texts) {
+  std::shared_ptr<DutyKeeper> self = shared_from_this();
+  Retired = true;
+  if (!Held)
+    co_return;
+  // A holder that gave no order passes on what it owed its predecessor.
+  TimePoint last = OrdersFrom - Limits.OrderGap;
+  if (LastOrder)
+    last = std::max(last, *LastOrder);
+  Millis age =
+      std::chrono::duration_cast<Millis>(monotonicNow() - last);
+  Held = false;
+  Texts.push_back(encodeRecord(LeaseRelease{Term, age.count()}));
+  Outcome<Offset> got = co_await Log->append(std::move(Texts));
+  Decisions->line("duty.release",
+                  {{"term", std::to_string(Term)},
+                   {"order_age_ms", std::to_string(age.count())},
+                   {"result", got ? "taken" : describe(got.failure())}});
+}
+
+} // namespace wasabi
--- /dev/null
+++ b/Wasabi/Dispatch/EnginePool.cpp
@@ -0,0 +1,181 @@
+#include "Wasabi/Dispatch/EnginePool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace wasabi {
+
+double usualEventMs(const EngineList &Engines) {
+  std::vector<double> known;
+  for (const std::shared_ptr<EngineState> &it : Engines) {
+    if (it->EventMs > 0)
+      known.push_back(it->EventMs);
+  }
+  if (known.empty())
+    return 0;
+  std::size_t middle = (known.size() - 1) / 2;
+  std::nth_element(known.begin(),
+                   known.begin() + static_cast<std::ptrdiff_t>(middle),
+                   known.end());
+  return known[middle];
+}
+
+bool isSlow(const EngineState &Engine, double UsualMs,
+            const EnginePoolSettings &Limits) {
+  return UsualMs > 0 && Engine.EventMs > UsualMs * Limits.SlowFactor;
+}
+
+std::map<ModelName, std::uint32_t>
+poolSizes(const std::map<ModelName, double> &Demand, std::uint32_t Count) {
+  std::map<ModelName, std::uint32_t> sizes;
+  double total = 0;
+  for (const auto &[model, demand] : Demand)
+    total += demand;
+  if (total <= 0)
+    return sizes;
+  std::uint32_t given = 0;
+  for (const auto &[model, demand] : Demand) {
+    auto share = static_cast<std::uint32_t>(demand / total * Count);
+    sizes[model] = std::max<std::uint32_t>(share, 1);
+    given += sizes[model];
+  }
+  // What rounding left goes to whoever is furthest below its share.
+  while (given < Count) {
+    auto neediest = std::max_element(
+        Demand.begin(), Demand.end(), [&](const auto &Left, const auto &Right) {
+          return Left.second / total * Count - sizes[Left.first] <
+                 Right.second / total * Count - sizes[Right.first];
+        });
+    ++sizes[neediest->first];
+    ++given;
+  }
+  return sizes;
+}
+
+namespace {
+
+/// The model whose weights on the engine are closest to the newest ones, if one
+/// is closer than all others.
+std::optional<ModelName>
+servedModel(const EngineState &Engine,
+            const std::map<ModelName, WeightVersion> &Named) {
+  std::optional<ModelName> best;
+  WeightVersion bestLag = 0;
+  bool tie = false;
+  for (const auto &[model, newest] : Named) {
+    WeightVersion has = std::min(Engine.version(model), newest);
+    WeightVersion lag = newest - has;
+    if (!best || lag < bestLag) {
+      best = model;
+      bestLag = lag;
+      tie = false;
+    } else if (lag == bestLag)
+      tie = true;
+  }
+  return tie ? std::nullopt : best;
+}
+
+struct PoolCount {
+  std::map<ModelName, int> Missing;
+
+  std::optional<ModelName> neediest() const {
+    auto it = std::max_element(Missing.begin(), Missing.end(),
+                               [](const auto &Left, const auto &Right) {
+                                 return Left.second < Right.second;
+                               });
+    if (it == Missing.end())
+      return std::nullopt;
+    return it->first;
+  }
+};
+
+PoolCount countPools(const EngineList &Engines,
+                     const std::map<ModelName, std::uint32_t> &Sizes) {
+  PoolCount count;
+  for (const auto &[model, size] : Sizes)
+    count.Missing[model] = static_cast<int>(size);
+  for (const std::shared_ptr<EngineState> &it : Engines) {
+    if (!it->Model.empty())
+      --count.Missing[it->Model];
+  }
+  return count;
+}
+
+bool moveOne(EngineList &Engines, const PoolCount &Count) {
+  std::optional<ModelName> poor = Count.neediest();
+  if (!poor || Count.Missing.at(*poor) < 1)
+    return false;
+  std::shared_ptr<EngineState> best;
+  for (const std::shared_ptr<EngineState> &it : Engines) {
+    auto missing = Count.Missing.find(it->Model);
+    if (missing == Count.Missing.end() || missing->second > -1 || it->Ordering)
+      continue;
+    if (!best || it->Running < best->Running)
+      best = it;
+  }
+  if (!best)
+    return false;
+  best->Model = *poor;
+  return true;
+}
+
+} // namespace
+
+bool assignModels(EngineList &Engines,
+                  const std::map<ModelName, std::uint32_t> &Sizes,
+                  const std::map<ModelName, WeightVersion> &Named,
+                  bool MayMove) {
+  bool changed = false;
+  // Engines that already lean to a model keep it before the others are dealt.
+  for (const std::shared_ptr<EngineState> &it : Engines) {
+    if (!it->Model.empty())
+      continue;
+    std::optional<ModelName> served = servedModel(*it, Named);
+    if (served && Sizes.contains(*served)) {
+      it->Model = *served;
+      changed = true;
+    }
+  }
+  for (const std::shared_ptr<EngineState> &it : Engines) {
+    if (!it->Model.empty())
+      continue;
+    std::optional<ModelName> poor = countPools(Engines, Sizes).neediest();
+    if (!poor)
+      return changed;
+    it->Model = *poor;
+    changed = true;
+  }
+  if (MayMove && !changed)
+    changed = moveOne(Engines, countPools(Engines, Sizes));
+  return changed;
+}
+
+std::shared_ptr<EngineState> chooseEngine(const EngineList &Engines,
+                                          const EngineNeed &Need,
+                                          double UsualMs,
+                                          const EnginePoolSettings &Limits,
+                                          TimePoint Now) {
+  using Rank = std::tuple<bool, bool, bool, bool, double>;
+  std::shared_ptr<EngineState> best;
+  Rank bestRank;
+  for (const std::shared_ptr<EngineState> &it : Engines) {
+    const UpstreamServer &server = *it->Server;
+    WeightVersion has = it->version(Need.Model);
+    bool fits = it->Model == Need.Model && has >= Need.MinVersion &&
+                (!Need.Exactly || has == *Need.Exactly);
+    if (!fits || it->Loading || it->Running >= server.Entry.Slots)
+      continue;
+    double load = static_cast<double>(it->Running) / server.Entry.Slots;
+    Rank rank{server.SuspectUntil > Now, isSlow(*it, UsualMs, Limits),
+              server.Entry.Id == Need.Avoid,
+              server.Entry.Id != Need.Preferred, load};
+    if (!best || rank < bestRank) {
+      best = it;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+} // namespace wasabi
--- /dev/null
+++ b/Wasabi/Dispatch/EnginePool.h
@@ -0,0 +1,105 @@
+/// \file
+/// Which engine serves which model, and which one takes the next sample. Pure
+/// decisions over what the dispatcher believes of its engines.
+#ifndef WASABI_DISPATCH_ENGINEPOOL_H
+#define WASABI_DISPATCH_ENGINEPOOL_H
+
+#include "Wasabi/Core/Clock.h"
+#include "Wasabi/Core/Ids.h"
+#include "Wasabi/Upstream/UpstreamTable.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wasabi {
+
+/// One engine as the dispatcher sees it.
+struct EngineState {
+  std::shared_ptr<UpstreamServer> Server;
+  /// The model that it serves; its weights of other models stay as they are.
+  ModelName Model;
+  /// Freshest known weights.
+  std::map<ModelName, WeightVersion> Versions;
+  /// When the engine itself last told its weights.
+  TimePoint Told;
+  /// Samples of this process at it.
+  std::uint32_t Running = 0;
+  /// Smoothed pause between two events of a run, in milliseconds; 0 before the
+  /// first.
+  double EventMs = 0;
+  /// Orders it has accepted; empty until it was asked.
+  std::optional<std::uint64_t> Accepted;
+  /// Whether an order of this process is under way.
+  bool Ordering = false;
+  /// Whether the engine is taking new weights now.
+  bool Loading = false;
+  /// Not given an order before this: the last one failed.
+  TimePoint OrderAfter;
+
+  WeightVersion version(const ModelName &Of) const {
+    auto it = Versions.find(Of);
+    return it == Versions.end() ? 0 : it->second;
+  }
+};
+
+using EngineList = std::vector<std::shared_ptr<EngineState>>;
+
+/// How choices are made.
+struct EnginePoolSettings {
+  /// An engine this many times slower than the usual one counts as slow. The
+  /// engines' steps differ by a few in a hundred between empty and full.
+  double SlowFactor = 1.8;
+  /// Part of the engines that may take new weights at once: more slow each
+  /// other down.
+  double LoadShare = 0.2;
+  /// At least this many may.
+  std::uint32_t LeastLoads = 2;
+};
+
+/// The usual pause between events among `Engines`, in milliseconds: the lower
+/// median of those known; 0 if none is.
+double usualEventMs(const EngineList &Engines);
+
+/// Whether an engine is slow beside the others.
+bool isSlow(const EngineState &Engine, double UsualMs,
+            const EnginePoolSettings &Limits);
+
+/// How many engines each model should have, of `Count` in all, by the models'
+/// demand. Each model with demand gets one at least. Preconditions: `Demand`
+/// has an entry a model.
+std::map<ModelName, std::uint32_t>
+poolSizes(const std::map<ModelName, double> &Demand, std::uint32_t Count);
+
+/// Gives each engine without a model one, and moves at most one that has one
+/// from a model with one too many to a model with one too few. Returns whether
+/// anything changed. `Named` is the newest version of each model.
+bool assignModels(EngineList &Engines,
+                  const std::map<ModelName, std::uint32_t> &Sizes,
+                  const std::map<ModelName, WeightVersion> &Named,
+                  bool MayMove);
+
+/// What a sample needs of an engine.
+struct EngineNeed {
+  ModelName Model;
+  WeightVersion MinVersion = 0;
+  /// Set when the text must go on under this version.
+  std::optional<WeightVersion> Exactly;
+  /// The engine that has the group's prompt, if any.
+  ServerName Preferred;
+  /// The engine that has just failed the sample, if any.
+  ServerName Avoid;
+};
+
+/// The engine for one more sample, null if none has room.
+std::shared_ptr<EngineState> chooseEngine(const EngineList &Engines,
+                                          const EngineNeed &Need,
+                                          double UsualMs,
+                                          const EnginePoolSettings &Limits,
+                                          TimePoint Now);
+
+} // namespace wasabi
+
+#endif // WASABI_DISPATCH_ENGINEPOOL_H
--- /dev/null
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -0,0 +1,362 @@
+#include "Wasabi/Upstream/Forwarder.h"
+
+#include "Wasabi/Core/AsyncSignal.h"
+
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace wasabi {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr unsigned BadGateway = 502;
+constexpr unsigned ServiceUnavailable = 503;
+constexpr unsigned GatewayTimeout = 504;
+constexpr unsigned FirstServerError = 500;
+
+/// Answers are sent this long before the route's timeout is up, so that they
+/// arrive within it.
+constexpr Millis AnswerMargin{30};
+
+double millisSince(TimePoint Start) {
+  return std::chrono::duration<double, std::milli>(monotonicNow() - Start)
+      .count();
+}
+
+Millis until(TimePoint When) {
+  return std::chrono::duration_cast<Millis>(When - monotonicNow());
+}
+
+std::string errorBody(std::string_view Reason) {
+  boost::json::value body = {{"error", Reason}};
+  return boost::json::serialize(body);
+}
+
+bool mayRepeat(const UpstreamRoute &Route) {
+  return Route.Kind != RouteKind::NonIdempotent &&
+         (Route.Kind != RouteKind::Streaming || Route.Resumable);
+}
+
+} // namespace
+
+http::Response refusal(std::string_view Reason, Millis RetryAfter) {
+  http::Response answer =
+      http::jsonResponse(ServiceUnavailable, errorBody(Reason));
+  answer.Headers.push_back(
+      {"Retry-After",
+       fmt::format("{:.3f}",
+                   std::chrono::duration<double>(RetryAfter).count())});
+  return answer;
+}
+
+http::Response failureAnswer(unsigned Status, std::string_view Reason) {
+  return http::jsonResponse(Status, errorBody(Reason));
+}
+
+struct Forwarder::Progress {
+  ForwardRequest What;
+  UpstreamRoute Route;
+  ServiceName Service;
+  TimePoint Deadline;
+  std::set<ServerName> Tried;
+  /// Tries that may have run.
+  std::uint32_t Runs = 0;
+  /// Tries that certainly did not.
+  std::uint32_t Unrun = 0;
+  std::shared_ptr<UpstreamServer> Server;
+
+  bool mayTry(const Settings &Limits) const {
+    return Runs < std::max<std::uint32_t>(Route.MaxAttempts, 1) &&
+           Unrun < Limits.MaxUnrun && monotonicNow() < Deadline &&
+           (Runs == 0 || mayRepeat(Route));
+  }
+};
+
+Forwarder::Forwarder(asio::any_io_executor Executor, FleetView &View,
+                     EnginePort Engines, std::shared_ptr<DecisionLog> Decisions,
+                     Metrics &Counts, Settings Limits)
+    : Limits(Limits), Executor(std::move(Executor)), View(View),
+      Engines(std::move(Engines)), Decisions(std::move(Decisions)),
+      Counts(Counts), Random(wallMicros()) {}
+
+std::shared_ptr<Forwarder>
+Forwarder::create(asio::any_io_executor Executor, FleetView &View,
+                  EnginePort Engines, std::shared_ptr<DecisionLog> Decisions,
+                  Metrics &Counts, Settings Limits) {
+  return std::shared_ptr<Forwarder>(
+      new Forwarder(std::move(Executor), View, std::move(Engines),
+                    std::move(Decisions), Counts, Limits));
+}
+
+std::shared_ptr<UpstreamServer> Forwarder::nextServer(Progress &Of) {
+  TimePoint now = monotonicNow();
+  std::shared_ptr<UpstreamServer> server =
+      chooseServer(View.Servers, Of.Service, View.Domain, Of.Tried,
+                   View.Contact, now);
+  if (server || Of.Tried.empty() || Of.Runs == 0)
+    return server;
+  // Every server had its turn, and one of them may do better the second time.
+  Of.Tried.clear();
+  return chooseServer(View.Servers, Of.Service, View.Domain, Of.Tried,
+                      View.Contact, now);
+}
+
+Millis Forwarder::tryTime(const Progress &Of) const {
+  Millis left = until(Of.Deadline);
+  bool last = Of.Runs + 1 >= Of.Route.MaxAttempts || !mayRepeat(Of.Route);
+  if (last)
+    return left;
+  Millis share = std::chrono::duration_cast<Millis>(left * Limits.TryShare);
+  return std::min(left, std::max(Limits.LeastTry, share));
+}
+
+void Forwarder::note(const Progress &Of, std::string_view Outcome,
+                     unsigned Status) {
+  Decisions->line("request.done",
+                  {{"request", Of.What.Id},
+                   {"route", Of.Route.Name},
+                   {"service", Of.Service.Text},
+                   {"server", Of.Server ? Of.Server->Entry.Id.Text : ""},
+                   {"outcome", std::string(Outcome)},
+                   {"status", std::to_string(Status)},
+                   {"runs", std::to_string(Of.Runs)},
+                   {"unrun", std::to_string(Of.Unrun)},
+                   {"took_ms", fmt::format("{:.1f}",
+                                           millisSince(Of.What.Arrived))}});
+  Counts
+      .counter("requests_total", "Requests answered, by outcome",
+               {{"outcome", std::string(Outcome)}})
+      .add();
+  Counts.quantiles("request_ms", "Milliseconds from arrival to answer")
+      .observe(millisSince(Of.What.Arrived));
+}
+
+asio::awaitable<std::optional<Outcome<UpstreamAnswer>>>
+Forwarder::tryOnce(Progress &Of, asio::cancellation_signal &Stop) {
+  std::shared_ptr<UpstreamServer> server = Of.Server;
+  SendOptions options;
+  options.Deadline = until(Of.Deadline);
+  TimePoint began = monotonicNow();
+  ++server->InFlight;
+  std::optional<Outcome<UpstreamAnswer>> got = co_await cancellable(
+      Executor,
+      Engines.Call(server->Entry, Of.What.Ask, options, tryTime(Of)), Stop);
+  --server->InFlight;
+  if (!got)
+    co_return got;
+  bool unrun = *got ? (*got)->Proof == AnswerProof::NotRun
+                    : got->failure().Run == Verdict::NotRun;
+  ++(unrun ? Of.Unrun : Of.Runs);
+  Of.Tried.insert(server->Entry.Id);
+  if (*got && (*got)->Proof == AnswerProof::Ran)
+    noteSuccess(View.Servers, *server, millisSince(began));
+  else if (!*got || (*got)->Proof == AnswerProof::Nothing)
+    wasabi::noteFailure(View.Servers, *server, monotonicNow());
+  Decisions->line("request.try",
+                  {{"request", Of.What.Id},
+                   {"server", server->Entry.Id.Text},
+                   {"result", *got ? std::to_string((*got)->Response.Status)
+                                   : describe(got->failure())},
+                   {"unrun", unrun ? "yes" : "no"},
+                   {"took_ms", fmt::format("{:.1f}", millisSince(began))}});
+  co_return got;
+}
+
+asio::awaitable<Outcome<UpstreamAnswer>>
+Forwarder::answer(ForwardRequest What, UpstreamRoute Route,
+                  asio::cancellation_signal &Stop) {
+  std::shared_ptr<Forwarder> self = shared_from_this();
+  Progress at;
+  at.Service = pickService(Route, std::uniform_real_distribution<>()(Random));
+  Millis patience = What.Patience.value_or(Route.Timeout);
+  at.Deadline = What.Arrived + std::min(patience, Route.Timeout) - AnswerMargin;
+  at.What = std::move(What);
+  at.Route = std::move(Route);
+  std::optional<UpstreamAnswer> failing;
+  Failure why{Verdict::NotRun, FailureCode::NoUpstream, at.Service.Text,
+              "no server of the service is there", Limits.RetryAfter};
+  while (at.mayTry(Limits)) {
+    at.Server = nextServer(at);
+    if (!at.Server)
+      break;
+    std::optional<Outcome<UpstreamAnswer>> got = co_await tryOnce(at, Stop);
+    if (!got) {
+      note(at, "caller_left", 0);
+      co_return Failure{Verdict::MayHaveRun, FailureCode::Cancelled,
+                        "caller", "the caller has left", Millis(0)};
+    }
+    if (!*got) {
+      why = got->failure();
+      continue;
+    }
+    if ((*got)->Proof == AnswerProof::Ran) {
+      if ((*got)->Response.Status < FirstServerError) {
+        note(at, "answered", (*got)->Response.Status);
+        co_return std::move(**got);
+      }
+      failing = std::move(**got);
+      continue;
+    }
+    bool unrun = (*got)->Proof == AnswerProof::NotRun;
+    why = Failure{unrun ? Verdict::NotRun : Verdict::MayHaveRun,
+                  unrun ? FailureCode::Overloaded : FailureCode::ConnectionLost,
+                  at.Server->Entry.Id.Text,
+                  unrun ? "the server took no more work"
+                        : "no whole answer to this request",
+                  Limits.RetryAfter};
+  }
+  if (failing) {
+    note(at, "server_error", failing->Response.Status);
+    co_return std::move(*failing);
+  }
+  if (at.Runs > 0)
+    why.Run = Verdict::MayHaveRun;
+  if (monotonicNow() >= at.Deadline)
+    why.Code = FailureCode::TimedOut;
+  note(at, toText(why.Code), 0);
+  co_return why;
+}
+
+namespace {
+
+http::Response answerOf(const Failure &Why, Millis RetryAfter) {
+  if (Why.Run == Verdict::NotRun)
+    return refusal(Why.Reason, RetryAfter);
+  bool late = Why.Code == FailureCode::TimedOut;
+  return failureAnswer(late ? GatewayTimeout : BadGateway, Why.Reason);
+}
+
+} // namespace
+
+asio::awaitable<void>
+Forwarder::forward(ForwardRequest What, UpstreamRoute Route,
+                   std::shared_ptr<http::Responder> Out) {
+  std::shared_ptr<Forwarder> self = shared_from_this();
+  std::shared_ptr<asio::cancellation_signal> stop =
+      std::make_shared<asio::cancellation_signal>();
+  Out->onGone([stop] { stop->emit(asio::cancellation_type::terminal); });
+  Outcome<UpstreamAnswer> got =
+      co_await answer(std::move(What), std::move(Route), *stop);
+  if (Out->gone())
+    co_return;
+  if (got)
+    co_await Out->send(std::move(got->Response));
+  else
+    co_await Out->send(answerOf(got.failure(), Limits.RetryAfter));
+}
+
+//===--- Streams ----------------------------------------------------------===//
+
+asio::awaitable<std::unique_ptr<EngineStream>>
+Forwarder::openStream(Progress &Of, std::optional<std::uint64_t> After,
+                      asio::cancellation_signal &Stop) {
+  while (Of.mayTry(Limits)) {
+    Of.Server = nextServer(Of);
+    if (!Of.Server)
+      break;
+    std::shared_ptr<UpstreamServer> server = Of.Server;
+    SendOptions options;
+    options.Deadline = until(Of.Deadline);
+    options.ResumeAfter = After;
+    ++server->InFlight;
+    std::optional<Outcome<std::unique_ptr<EngineStream>>> got =
+        co_await cancellable(Executor,
+                             Engines.Open(server->Entry, Of.What.Ask, options,
+                                          tryTime(Of)),
+                             Stop);
+    --server->InFlight;
+    if (!got)
+      break;
+    Of.Tried.insert(server->Entry.Id);
+    if (*got && (**got)->head().Proof == AnswerProof::Ran) {
+      ++Of.Runs;
+      co_return std::move(**got);
+    }
+    bool unrun = *got ? (**got)->head().Proof == AnswerProof::NotRun
+                      : got->failure().Run == Verdict::NotRun;
+    ++(unrun ? Of.Unrun : Of.Runs);
+    if (!unrun)
+      wasabi::noteFailure(View.Servers, *server, monotonicNow());
+  }
+  co_return nullptr;
+}
+
+asio::awaitable<bool> Forwarder::passEvents(Progress &Of, EngineStream &From,
+                                            std::uint64_t &Last,
+                                            http::Responder &Out) {
+  while (!Out.gone()) {
+    Outcome<std::optional<EngineEvent>> event =
+        co_await From.next(until(Of.Deadline));
+    if (!event)
+      co_return false;
+    if (!*event)
+      co_return true;
+    Last = (*event)->Id;
+    Outcome<Done> sent = co_await Out.write(std::move((*event)->Raw));
+    if (!sent)
+      co_return true;
+  }
+  co_return true;
+}
+
+asio::awaitable<void> Forwarder::relay(ForwardRequest What, UpstreamRoute Route,
+                                       std::shared_ptr<http::Responder> Out) {
+  constexpr unsigned Ok = 200;
+  std::shared_ptr<Forwarder> self = shared_from_this();
+  asio::cancellation_signal stop;
+  Progress at;
+  at.Service = pickService(Route, std::uniform_real_distribution<>()(Random));
+  Millis patience = What.Patience.value_or(Route.Timeout);
+  at.Deadline = What.Arrived + std::min(patience, Route.Timeout) - AnswerMargin;
+  at.What = std::move(What);
+  at.Route = std::move(Route);
+  std::unique_ptr<EngineStream> stream;
+  // The caller may leave at any time, and the server's work stops with it.
+  Out->onGone([&stop, &stream, self] {
+    stop.emit(asio::cancellation_type::terminal);
+    if (stream)
+      stream->cancel();
+  });
+  stream = co_await openStream(at, std::nullopt, stop);
+  if (Out->gone())
+    co_return;
+  if (!stream) {
+    Failure why{at.Runs > 0 ? Verdict::MayHaveRun : Verdict::NotRun,
+                FailureCode::NoUpstream, at.Service.Text,
+                "no server took the request", Limits.RetryAfter};
+    note(at, "refused", 0);
+    co_await Out->send(answerOf(why, Limits.RetryAfter));
+    co_return;
+  }
+  if (stream->head().Response.Status != Ok) {
+    http::Response whole = stream->head().Response;
+    note(at, "answered", whole.Status);
+    co_await Out->send(std::move(whole));
+    co_return;
+  }
+  co_await Out->begin(stream->head().Response);
+  std::uint64_t last = 0;
+  bool whole = co_await passEvents(at, *stream, last, *Out);
+  while (!whole && !Out->gone() && at.Route.Resumable) {
+    stream = co_await openStream(at, last, stop);
+    if (!stream || stream->head().Response.Status != Ok)
+      break;
+    whole = co_await passEvents(at, *stream, last, *Out);
+  }
+  note(at, whole ? "streamed" : "broken_off", Ok);
+  if (Out->gone())
+    co_return;
+  // A stream that is not whole must not look as if it were.
+  if (whole)
+    co_await Out->end();
+  else
+    Out->abort();
+}
+
+} // namespace wasabi
--- /dev/null
+++ b/Wasabi/Upstream/KeyedFollower.cpp
@@ -0,0 +1,115 @@
+#include "Wasabi/Upstream/KeyedFollower.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <set>
+
+namespace wasabi {
+
+namespace asio = boost::asio;
+
+std::vector<KeyedRecord> takeNews(KeyedTable &Table,
+                                  const std::vector<KeyedRecord> &Records) {
+  std::vector<KeyedRecord> changed;
+  for (const KeyedRecord &it : Records) {
+    Table.Next = std::max(Table.Next, it.At + 1);
+    auto known = Table.Keys.find(it.Key);
+    if (known != Table.Keys.end() && known->second >= it.At)
+      continue;
+    Table.Keys[it.Key] = it.At;
+    changed.push_back(it);
+  }
+  return changed;
+}
+
+std::vector<KeyedRecord> takeWhole(KeyedTable &Table, const KeyedRange &Range) {
+  std::set<std::string, std::less<>> present;
+  for (const KeyedRecord &it : Range.Records)
+    present.insert(it.Key);
+  std::vector<KeyedRecord> changed;
+  for (auto it = Table.Keys.begin(); it != Table.Keys.end();) {
+    if (present.contains(it->first) || it->second >= Range.End) {
+      ++it;
+      continue;
+    }
+    changed.push_back(KeyedRecord{it->second, it->first, std::nullopt});
+    it = Table.Keys.erase(it);
+  }
+  Offset next = Table.Next;
+  std::vector<KeyedRecord> news = takeNews(Table, Range.Records);
+  changed.insert(changed.end(), news.begin(), news.end());
+  // Later pages may hold records from behind the first page's end; those
+  // between are read again.
+  Table.Next = std::max(next, Range.End);
+  return changed;
+}
+
+KeyedFollower::KeyedFollower(asio::any_io_executor Executor, RecordStore Store,
+                             Settings Limits, Callbacks Calls)
+    : Limits(std::move(Limits)), Executor(std::move(Executor)),
+      Store(std::move(Store)), Calls(std::move(Calls)) {}
+
+std::shared_ptr<KeyedFollower>
+KeyedFollower::create(asio::any_io_executor Executor, RecordStore Store,
+                      Settings Limits, Callbacks Calls) {
+  return std::shared_ptr<KeyedFollower>(
+      new KeyedFollower(std::move(Executor), std::move(Store),
+                        std::move(Limits), std::move(Calls)));
+}
+
+void KeyedFollower::start() {
+  asio::co_spawn(
+      Executor, [self = shared_from_this()] { return self->follow(); },
+      asio::detached);
+}
+
+asio::awaitable<void> KeyedFollower::follow() {
+  for (;;) {
+    bool ok = false;
+    if (Behind)
+      ok = co_await readWhole();
+    else
+      ok = co_await readNews();
+    if (!ok)
+      co_await pauseFor(Executor, Limits.RetryPause);
+  }
+}
+
+asio::awaitable<bool> KeyedFollower::readWhole() {
+  Outcome<KeyedRange> got = co_await Store.Newest(Limits.Topic);
+  if (!got) {
+    Calls.Failed(got.failure());
+    co_return false;
+  }
+  Calls.Answered();
+  tell(takeWhole(Table, *got));
+  Primed = true;
+  Behind = false;
+  co_return true;
+}
+
+asio::awaitable<bool> KeyedFollower::readNews() {
+  Outcome<KeyedRange> got =
+      co_await Store.ReadKeyed(Limits.Topic, Table.Next, Limits.Wait);
+  if (!got) {
+    Calls.Failed(got.failure());
+    co_return false;
+  }
+  Calls.Answered();
+  if (got->First > Table.Next) {
+    Behind = true;
+    co_return true;
+  }
+  tell(takeNews(Table, got->Records));
+  if (!got->Records.empty())
+    co_await pauseFor(Executor, Limits.Pace);
+  co_return true;
+}
+
+void KeyedFollower::tell(const std::vector<KeyedRecord> &Records) {
+  for (const KeyedRecord &it : Records)
+    Calls.Changed(it);
+}
+
+} // namespace wasabi
