--- a/Wasabi/Adapters/Telemetry/DecisionLog.cpp
+++ b/Wasabi/Adapters/Telemetry/DecisionLog.cpp
@@ -43,9 +43,9 @@
     return;
   }
   if (Dropped != Told) {
-    Pending += logLine(wallMicros(), LogLevel::Warning, Limits.Instance,
-                       "log.dropped",
-                       {{"lines", std::to_string(Dropped - Told)}});
+    Pending +=
+        logLine(wallMicros(), LogLevel::Warning, Limits.Instance, "log.dropped",
+                {{"lines", std::to_string(Dropped - Told)}});
     Pending += '\n';
     Told = Dropped;
   }
--- a/Wasabi/Batch/BatchDesk.cpp
+++ b/Wasabi/Batch/BatchDesk.cpp
@@ -74,12 +74,11 @@
         encodeJob(Job, Log->settings().RecordBytes);
     verdict = co_await appendUntil(std::move(records), shows);
   }
-  Decisions->line("job.submitted",
-                  {{"job", id.Text},
-                   {"model", Job.Model.Text},
-                   {"step", std::to_string(Job.Step)},
-                   {"items", std::to_string(Job.Items.size())},
-                   {"verdict", std::string(toText(verdict))}});
+  Decisions->line("job.submitted", {{"job", id.Text},
+                                    {"model", Job.Model.Text},
+                                    {"step", std::to_string(Job.Step)},
+                                    {"items", std::to_string(Job.Items.size())},
+                                    {"verdict", std::string(toText(verdict))}});
   co_return verdict;
 }
 
@@ -92,8 +91,9 @@
   DeskVerdict verdict = DeskVerdict::Taken;
   if (!(*job)->Ended) {
     std::vector<std::string> records{encodeRecord(JobEnd{Id})};
-    verdict = co_await appendUntil(
-        std::move(records), [state = *job] { return state->Ended; });
+    // GCC 12 destroys a lambda that is a temporary of a `co_await` twice.
+    auto ended = [state = *job] { return state->Ended; };
+    verdict = co_await appendUntil(std::move(records), ended);
   }
   Decisions->line("job.ended", {{"job", Id.Text},
                                 {"verdict", std::string(toText(verdict))}});
--- a/Wasabi/Batch/BatchRecord.cpp
+++ b/Wasabi/Batch/BatchRecord.cpp
@@ -34,9 +34,9 @@
                      {"group", Item.Group},
                      {"expect", Item.ExpectedTokens}};
   if (Item.Score) {
-    value["score"] = json::array{Item.Score->Id, Item.Score->Host,
-                                 Item.Score->Path,
-                                 encodeBase64(Item.Score->Body)};
+    value["score"] =
+        json::array{Item.Score->Id, Item.Score->Host, Item.Score->Path,
+                    encodeBase64(Item.Score->Body)};
   }
   return value;
 }
@@ -244,9 +244,11 @@
         json::parse({Text.data(), Text.size()}, json::storage_ptr(), options);
     const json::object &fields = value.as_object();
     if (numberOf(fields, "schema") > Schema) {
-      return boost::leaf::new_error(
-          Failure{Verdict::NotRun, FailureCode::NewerSchema, Place,
-                  "written by a later release", {}});
+      return boost::leaf::new_error(Failure{Verdict::NotRun,
+                                            FailureCode::NewerSchema,
+                                            Place,
+                                            "written by a later release",
+                                            {}});
     }
     return readRecord(fields);
   } catch (const std::exception &Caught) {
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -57,7 +57,8 @@
   std::shared_ptr<Dispatcher> self = shared_from_this();
   asio::co_spawn(
       Executor, [self] { return self->commitLoop(); }, asio::detached);
-  asio::co_spawn(Executor, [self] { return self->lookLoop(); }, asio::detached);
+  asio::co_spawn(
+      Executor, [self] { return self->lookLoop(); }, asio::detached);
   asio::co_spawn(
       Executor, [self] { return self->orderLoop(); }, asio::detached);
 }
@@ -90,9 +91,9 @@
 std::vector<std::string> Dispatcher::handBack() {
   std::vector<std::string> records;
   for (const std::shared_ptr<ItemWork> &it : Works) {
-    bool unfinished =
-        it->Stage == ItemStage::Running || it->Stage == ItemStage::Waiting ||
-        it->Stage == ItemStage::Scoring;
+    bool unfinished = it->Stage == ItemStage::Running ||
+                      it->Stage == ItemStage::Waiting ||
+                      it->Stage == ItemStage::Scoring;
     if (unfinished && it->Text.Events > 0)
       records.push_back(
           encodeRecord(TextRecord{it->Job->Job.Id, it->item().Id, it->Text}));
@@ -199,11 +200,10 @@
     // A text of one version goes on under it, or begins anew where no engine
     // has it any more.
     WeightVersion version = Work.Text.Versions.front();
-    bool there = std::any_of(Pool.begin(), Pool.end(),
-                             [&](const std::shared_ptr<EngineState> &It) {
-                               return It->Model == need.Model &&
-                                      It->version(need.Model) == version;
-                             });
+    bool there = std::any_of(
+        Pool.begin(), Pool.end(), [&](const std::shared_ptr<EngineState> &It) {
+          return It->Model == need.Model && It->version(need.Model) == version;
+        });
     if (there && Work.Text.Versions.size() == 1)
       need.Exactly = version;
     else
@@ -238,9 +238,8 @@
     waiting.emplace_back(Rank{overdue, route->Priority, it->Job->At, -expected},
                          it);
   }
-  std::sort(waiting.begin(), waiting.end(), [](const auto &L, const auto &R) {
-    return L.first < R.first;
-  });
+  std::sort(waiting.begin(), waiting.end(),
+            [](const auto &L, const auto &R) { return L.first < R.first; });
   for (const auto &[rank, work] : waiting) {
     std::shared_ptr<EngineState> engine =
         chooseEngine(Pool, needOf(*work), UsualMs, Limits.Pool, now);
@@ -277,8 +276,7 @@
                    {"version", std::to_string(On->version(On->Model))},
                    {"resume_after", std::to_string(Work->Text.Events)}});
   asio::co_spawn(
-      Executor,
-      [self = shared_from_this(), Work] { return self->run(Work); },
+      Executor, [self = shared_from_this(), Work] { return self->run(Work); },
       asio::detached);
 }
 
@@ -340,11 +338,11 @@
     bool known = Head.Version.has_value();
     bool fresh = known && *Head.Version >= Work->Job->Job.MinVersion;
     if (!fresh)
-      Decisions->line("item.stale_engine",
-                      {{"item", Work->item().Id.Text},
-                       {"server", engine.Server->Entry.Id.Text},
-                       {"version",
-                        known ? std::to_string(*Head.Version) : "unknown"}});
+      Decisions->line(
+          "item.stale_engine",
+          {{"item", Work->item().Id.Text},
+           {"server", engine.Server->Entry.Id.Text},
+           {"version", known ? std::to_string(*Head.Version) : "unknown"}});
     return fresh;
   }
   if (status == Unprocessable) {
@@ -438,9 +436,9 @@
   std::uint32_t failures = 0;
   while (item.Score && !Work->Dropped && result.Score.empty()) {
     const UpstreamRoute *route =
-        View.Routes ? findRoute(*View.Routes, item.Score->Host,
-                                item.Score->Path)
-                    : nullptr;
+        View.Routes
+            ? findRoute(*View.Routes, item.Score->Host, item.Score->Path)
+            : nullptr;
     if (route == nullptr) {
       co_await pauseFor(Executor, Limits.RetryPause);
       continue;
@@ -629,8 +627,7 @@
                           ? Limits.LoadStallTime
                           : Limits.StallTime;
     bool stalled = now - it->LastEvent > patience;
-    bool leaving =
-        !usable(View.Servers, *engine.Server, View.Contact, now);
+    bool leaving = !usable(View.Servers, *engine.Server, View.Contact, now);
     if (!stalled && !leaving)
       continue;
     Decisions->line("item.taken_away",
@@ -666,13 +663,12 @@
     if (left == 0 || !isSlow(*it->Engine, UsualMs, Limits.Pool))
       continue;
     --left;
-    Decisions->line(
-        "item.taken_away",
-        {{"item", it->item().Id.Text},
-         {"server", it->Engine->Server->Entry.Id.Text},
-         {"reason", "slow"},
-         {"event_ms", fmt::format("{:.0f}", it->Engine->EventMs)},
-         {"usual_ms", fmt::format("{:.0f}", UsualMs)}});
+    Decisions->line("item.taken_away",
+                    {{"item", it->item().Id.Text},
+                     {"server", it->Engine->Server->Entry.Id.Text},
+                     {"reason", "slow"},
+                     {"event_ms", fmt::format("{:.0f}", it->Engine->EventMs)},
+                     {"usual_ms", fmt::format("{:.0f}", UsualMs)}});
     it->Stream->cancel();
   }
 }
@@ -721,10 +717,10 @@
     return std::make_tuple(lagR, L->Running) <
            std::make_tuple(lagL, R->Running);
   });
-  auto most = std::max(
-      Limits.Pool.LeastLoads,
-      static_cast<std::uint32_t>(static_cast<double>(Pool.size()) *
-                                 Limits.Pool.LoadShare));
+  auto most =
+      std::max(Limits.Pool.LeastLoads,
+               static_cast<std::uint32_t>(static_cast<double>(Pool.size()) *
+                                          Limits.Pool.LoadShare));
   for (const std::shared_ptr<EngineState> &it : due) {
     if (loading >= most)
       return;
@@ -762,15 +758,12 @@
   std::string result = "no report";
   bool known = On->Accepted.has_value() || co_await report(*On);
   if (known && On->version(Model) < Version && Duty->mayOrder()) {
-    VersionOrder what{Model,
-                      Version,
-                      swapMode(Model),
-                      Duty->self().Instance.Text,
-                      Duty->term(),
-                      On->Accepted};
+    VersionOrder what{Model,           Version,
+                      swapMode(Model), Duty->self().Instance.Text,
+                      Duty->term(),    On->Accepted};
     Duty->noteOrder();
-    Outcome<OrderOutcome> got = co_await Engines.Order(
-        On->Server->Entry, what, Limits.OrderTimeout);
+    Outcome<OrderOutcome> got =
+        co_await Engines.Order(On->Server->Entry, what, Limits.OrderTimeout);
     bool begun = got && *got == OrderOutcome::Begun;
     result = got ? (begun ? "begun" : "not begun") : describe(got.failure());
     On->Loading = begun || !got;
@@ -797,16 +790,16 @@
     On->OrderAfter = monotonicNow() + Limits.OrderTimeout;
     On->Accepted.reset();
   }
-  Decisions->line("engine.version",
-                  {{"server", On->Server->Entry.Id.Text},
-                   {"model", Model.Text},
-                   {"version", std::to_string(On->version(Model))},
-                   {"wanted", std::to_string(Version)},
-                   {"result", result},
-                   {"took_ms", std::to_string(
-                                   std::chrono::duration_cast<Millis>(
-                                       monotonicNow() - began)
-                                       .count())}});
+  Decisions->line(
+      "engine.version",
+      {{"server", On->Server->Entry.Id.Text},
+       {"model", Model.Text},
+       {"version", std::to_string(On->version(Model))},
+       {"wanted", std::to_string(Version)},
+       {"result", result},
+       {"took_ms", std::to_string(std::chrono::duration_cast<Millis>(
+                                      monotonicNow() - began)
+                                      .count())}});
   schedule();
   Wake.notify();
 }
--- a/Wasabi/Dispatch/DutyKeeper.cpp
+++ b/Wasabi/Dispatch/DutyKeeper.cpp
@@ -68,10 +68,11 @@
   bool mine = lease.Holder && *lease.Holder == Limits.Self && !lease.Released;
   if (Held && (!mine || lease.Term != Term)) {
     Held = false;
-    Decisions->line("duty.lost",
-                    {{"term", std::to_string(Term)},
-                     {"holder", lease.Holder ? lease.Holder->Instance.Text : ""},
-                     {"new_term", std::to_string(lease.Term)}});
+    Decisions->line(
+        "duty.lost",
+        {{"term", std::to_string(Term)},
+         {"holder", lease.Holder ? lease.Holder->Instance.Text : ""},
+         {"new_term", std::to_string(lease.Term)}});
     Calls.Lost();
   }
   if (!Held && mine) {
@@ -95,10 +96,11 @@
   LastOrder.reset();
   Outcome<Offset> got =
       co_await Log->append(std::move(records), Log->fold().Next);
-  Decisions->line("duty.claim",
-                  {{"at", std::to_string(Log->fold().Next)},
-                   {"before", before.Holder ? before.Holder->Instance.Text : ""},
-                   {"result", got ? "taken" : describe(got.failure())}});
+  Decisions->line(
+      "duty.claim",
+      {{"at", std::to_string(Log->fold().Next)},
+       {"before", before.Holder ? before.Holder->Instance.Text : ""},
+       {"result", got ? "taken" : describe(got.failure())}});
   // What became of it is read from the topic.
   Outcome<Done> fresh = co_await Log->refresh();
   if (!fresh)
@@ -120,16 +122,16 @@
     TimePoint now = monotonicNow();
     TimePoint next = now + Limits.RenewEvery;
     bool due = Held && now - LastRenewal >= Limits.RenewEvery;
-    bool wanted = !Held && !Retired && Log->caughtUp() &&
-                  leaseFree(Log->fold().Lease, Log->contact(), Limits, Spread,
-                            now);
+    bool wanted =
+        !Held && !Retired && Log->caughtUp() &&
+        leaseFree(Log->fold().Lease, Log->contact(), Limits, Spread, now);
     if (due)
       co_await renew();
     else if (wanted)
       co_await claim();
     else
-      co_await Log->changes().wait(
-          Held ? LastRenewal + Limits.RenewEvery : next);
+      co_await Log->changes().wait(Held ? LastRenewal + Limits.RenewEvery
+                                        : next);
   }
 }
 
@@ -142,8 +144,7 @@
   TimePoint last = OrdersFrom - Limits.OrderGap;
   if (LastOrder)
     last = std::max(last, *LastOrder);
-  Millis age =
-      std::chrono::duration_cast<Millis>(monotonicNow() - last);
+  Millis age = std::chrono::duration_cast<Millis>(monotonicNow() - last);
   Held = false;
   Texts.push_back(encodeRecord(LeaseRelease{Term, age.count()}));
   Outcome<Offset> got = co_await Log->append(std::move(Texts));
--- a/Wasabi/Dispatch/EnginePool.cpp
+++ b/Wasabi/Dispatch/EnginePool.cpp
@@ -151,11 +151,9 @@
   return changed;
 }
 
-std::shared_ptr<EngineState> chooseEngine(const EngineList &Engines,
-                                          const EngineNeed &Need,
-                                          double UsualMs,
-                                          const EnginePoolSettings &Limits,
-                                          TimePoint Now) {
+std::shared_ptr<EngineState>
+chooseEngine(const EngineList &Engines, const EngineNeed &Need, double UsualMs,
+             const EnginePoolSettings &Limits, TimePoint Now) {
   using Rank = std::tuple<bool, bool, bool, bool, double>;
   std::shared_ptr<EngineState> best;
   Rank bestRank;
@@ -168,8 +166,8 @@
       continue;
     double load = static_cast<double>(it->Running) / server.Entry.Slots;
     Rank rank{server.SuspectUntil > Now, isSlow(*it, UsualMs, Limits),
-              server.Entry.Id == Need.Avoid,
-              server.Entry.Id != Need.Preferred, load};
+              server.Entry.Id == Need.Avoid, server.Entry.Id != Need.Preferred,
+              load};
     if (!best || rank < bestRank) {
       best = it;
       bestRank = rank;
--- a/Wasabi/Dispatch/EnginePool.h
+++ b/Wasabi/Dispatch/EnginePool.h
@@ -94,11 +94,9 @@
 };
 
 /// The engine for one more sample, null if none has room.
-std::shared_ptr<EngineState> chooseEngine(const EngineList &Engines,
-                                          const EngineNeed &Need,
-                                          double UsualMs,
-                                          const EnginePoolSettings &Limits,
-                                          TimePoint Now);
+std::shared_ptr<EngineState>
+chooseEngine(const EngineList &Engines, const EngineNeed &Need, double UsualMs,
+             const EnginePoolSettings &Limits, TimePoint Now);
 
 } // namespace wasabi
 
--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -96,9 +96,8 @@
 
 std::shared_ptr<UpstreamServer> Forwarder::nextServer(Progress &Of) {
   TimePoint now = monotonicNow();
-  std::shared_ptr<UpstreamServer> server =
-      chooseServer(View.Servers, Of.Service, View.Domain, Of.Tried,
-                   View.Contact, now);
+  std::shared_ptr<UpstreamServer> server = chooseServer(
+      View.Servers, Of.Service, View.Domain, Of.Tried, View.Contact, now);
   if (server || Of.Tried.empty() || Of.Runs == 0)
     return server;
   // Every server had its turn, and one of them may do better the second time.
@@ -118,17 +117,17 @@
 
 void Forwarder::note(const Progress &Of, std::string_view Outcome,
                      unsigned Status) {
-  Decisions->line("request.done",
-                  {{"request", Of.What.Id},
-                   {"route", Of.Route.Name},
-                   {"service", Of.Service.Text},
-                   {"server", Of.Server ? Of.Server->Entry.Id.Text : ""},
-                   {"outcome", std::string(Outcome)},
-                   {"status", std::to_string(Status)},
-                   {"runs", std::to_string(Of.Runs)},
-                   {"unrun", std::to_string(Of.Unrun)},
-                   {"took_ms", fmt::format("{:.1f}",
-                                           millisSince(Of.What.Arrived))}});
+  Decisions->line(
+      "request.done",
+      {{"request", Of.What.Id},
+       {"route", Of.Route.Name},
+       {"service", Of.Service.Text},
+       {"server", Of.Server ? Of.Server->Entry.Id.Text : ""},
+       {"outcome", std::string(Outcome)},
+       {"status", std::to_string(Status)},
+       {"runs", std::to_string(Of.Runs)},
+       {"unrun", std::to_string(Of.Unrun)},
+       {"took_ms", fmt::format("{:.1f}", millisSince(Of.What.Arrived))}});
   Counts
       .counter("requests_total", "Requests answered, by outcome",
                {{"outcome", std::string(Outcome)}})
@@ -142,11 +141,12 @@
   std::shared_ptr<UpstreamServer> server = Of.Server;
   SendOptions options;
   options.Deadline = until(Of.Deadline);
+  options.RequestId = Of.What.Id;
   TimePoint began = monotonicNow();
   ++server->InFlight;
   std::optional<Outcome<UpstreamAnswer>> got = co_await cancellable(
-      Executor,
-      Engines.Call(server->Entry, Of.What.Ask, options, tryTime(Of)), Stop);
+      Executor, Engines.Call(server->Entry, Of.What.Ask, options, tryTime(Of)),
+      Stop);
   --server->InFlight;
   if (!got)
     co_return got;
@@ -188,8 +188,8 @@
     std::optional<Outcome<UpstreamAnswer>> got = co_await tryOnce(at, Stop);
     if (!got) {
       note(at, "caller_left", 0);
-      co_return Failure{Verdict::MayHaveRun, FailureCode::Cancelled,
-                        "caller", "the caller has left", Millis(0)};
+      co_return Failure{Verdict::MayHaveRun, FailureCode::Cancelled, "caller",
+                        "the caller has left", Millis(0)};
     }
     if (!*got) {
       why = got->failure();
@@ -234,9 +234,9 @@
 
 } // namespace
 
-asio::awaitable<void>
-Forwarder::forward(ForwardRequest What, UpstreamRoute Route,
-                   std::shared_ptr<http::Responder> Out) {
+asio::awaitable<void> Forwarder::forward(ForwardRequest What,
+                                         UpstreamRoute Route,
+                                         std::shared_ptr<http::Responder> Out) {
   std::shared_ptr<Forwarder> self = shared_from_this();
   std::shared_ptr<asio::cancellation_signal> stop =
       std::make_shared<asio::cancellation_signal>();
@@ -263,13 +263,14 @@
     std::shared_ptr<UpstreamServer> server = Of.Server;
     SendOptions options;
     options.Deadline = until(Of.Deadline);
+    options.RequestId = Of.What.Id;
     options.ResumeAfter = After;
     ++server->InFlight;
     std::optional<Outcome<std::unique_ptr<EngineStream>>> got =
-        co_await cancellable(Executor,
-                             Engines.Open(server->Entry, Of.What.Ask, options,
-                                          tryTime(Of)),
-                             Stop);
+        co_await cancellable(
+            Executor,
+            Engines.Open(server->Entry, Of.What.Ask, options, tryTime(Of)),
+            Stop);
     --server->InFlight;
     if (!got)
       break;
