--- a/Wasabi/Dispatch/DutyKeeper.cpp
+++ b/Wasabi/Dispatch/DutyKeeper.cpp
@@ -112,13 +112,25 @@
   LastRenewal = sent;
   std::vector<std::string> records{encodeRecord(LeaseRenewal{Term})};
   Outcome<Offset> got = co_await Log->append(std::move(records));
-  if (got && Held)
-    ValidUntil = std::max(ValidUntil, sent + Limits.HolderTime);
+  // The store takes a renewal of a lease that has passed on just as well: only
+  // the topic, read that far, shows that it was this process's until then.
+  if (got)
+    Appended = RenewalMark{*got, sent};
+}
+
+/// Counts a renewal once the topic has been read beyond it.
+void DutyKeeper::countRenewal() {
+  if (!Appended || Log->fold().Next <= Appended->At)
+    return;
+  if (Held)
+    ValidUntil = std::max(ValidUntil, Appended->Sent + Limits.HolderTime);
+  Appended.reset();
 }
 
 asio::awaitable<void> DutyKeeper::keep() {
   for (;;) {
     look();
+    countRenewal();
     TimePoint now = monotonicNow();
     TimePoint next = now + Limits.RenewEvery;
     bool due = Held && now - LastRenewal >= Limits.RenewEvery;
--- a/Wasabi/Dispatch/DutyKeeper.h
+++ b/Wasabi/Dispatch/DutyKeeper.h
@@ -79,6 +79,13 @@
   boost::asio::awaitable<void> claim();
   boost::asio::awaitable<void> renew();
   void look();
+  void countRenewal();
+
+  /// A renewal that the store has taken.
+  struct RenewalMark {
+    Offset At = 0;
+    TimePoint Sent;
+  };
 
   const DutySettings Limits;
   const boost::asio::any_io_executor Executor;
@@ -94,6 +101,8 @@
   TimePoint OrdersFrom;
   std::optional<TimePoint> LastOrder;
   TimePoint LastRenewal;
+  /// The newest renewal that the topic has not been read up to.
+  std::optional<RenewalMark> Appended;
 };
 
 } // namespace wasabi
