Engines take orders from the process beside them only

Ruled out: a longer lease, logging orders. Now the dispatcher writes what it wants to a keyed topic, and wasabi-side beside each engine is the only holder, with the offset of its own newest record as the token. Reports are read from the own machine, so no probe is paid.

--- a/Wasabi/Batch/BatchFold.cpp
+++ b/Wasabi/Batch/BatchFold.cpp
@@ -80,7 +80,7 @@
                      TimePoint Now) {
   // A claim is appended only if the topic ends where its writer had read to,
   // so each one that is in the topic found the lease free.
-  Fold.Lease = LeaseState{What.Holder, At, Now, false, std::nullopt};
+  Fold.Lease = LeaseState{What.Holder, At, Now, false};
   return {FoldChange::Kind::Lease, nullptr};
 }
 
@@ -98,9 +98,6 @@
     return {};
   Fold.Lease.Released = true;
   Fold.Lease.Seen = Now;
-  Fold.Lease.LastOrder.reset();
-  if (What.OrderAgeMs >= 0)
-    Fold.Lease.LastOrder = Now - Millis(What.OrderAgeMs);
   return {FoldChange::Kind::Lease, nullptr};
 }
 
--- a/Wasabi/Batch/BatchFold.h
+++ b/Wasabi/Batch/BatchFold.h
@@ -45,9 +45,6 @@
   /// When this process saw the holder's last record.
   TimePoint Seen;
   bool Released = false;
-  /// After a release: when the holder gave its last order to a server, as an
-  /// upper bound on this process's clock; empty if it gave none.
-  std::optional<TimePoint> LastOrder;
 };
 
 /// The folded state. Owned by one thread.
--- a/Wasabi/Batch/BatchRecord.cpp
+++ b/Wasabi/Batch/BatchRecord.cpp
@@ -92,9 +92,7 @@
 }
 
 json::object fieldsOf(const LeaseRelease &What) {
-  return {{"kind", "release"},
-          {"term", What.Term},
-          {"order_age_ms", What.OrderAgeMs}};
+  return {{"kind", "release"}, {"term", What.Term}};
 }
 
 //===--- Reading ----------------------------------------------------------===//
@@ -190,11 +188,6 @@
       {InstanceName(textOf(From, "holder")), numberOf(From, "life")}};
 }
 
-BatchRecord readRelease(const json::object &From) {
-  return LeaseRelease{numberOf(From, "term"),
-                      From.at("order_age_ms").to_number<std::int64_t>()};
-}
-
 BatchRecord readRecord(const json::object &From) {
   std::string kind = textOf(From, "kind");
   if (kind == "job")
@@ -210,7 +203,7 @@
   if (kind == "renew")
     return LeaseRenewal{numberOf(From, "term")};
   if (kind == "release")
-    return readRelease(From);
+    return LeaseRelease{numberOf(From, "term")};
   throw std::invalid_argument("unknown kind '" + kind + "'");
 }
 
--- a/Wasabi/Batch/BatchRecord.h
+++ b/Wasabi/Batch/BatchRecord.h
@@ -67,8 +67,6 @@
 /// Gives the lease back.
 struct LeaseRelease {
   FencingToken Term = 0;
-  /// Time since the holder's last order to a server; -1 if it gave none.
-  std::int64_t OrderAgeMs = -1;
   bool operator==(const LeaseRelease &) const = default;
 };
 
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -33,24 +33,25 @@
 } // namespace
 
 Dispatcher::Dispatcher(asio::any_io_executor Executor, FleetView &View,
-                       std::shared_ptr<RolloutLog> Log, EnginePort Engines,
-                       std::shared_ptr<Forwarder> Scores,
+                       std::shared_ptr<RolloutLog> Log, RecordStore Store,
+                       EnginePort Engines, std::shared_ptr<Forwarder> Scores,
                        std::shared_ptr<DecisionLog> Decisions, Metrics &Counts,
                        Settings Limits)
     : Limits(Limits), Executor(Executor), View(View), Log(std::move(Log)),
-      Engines(std::move(Engines)), Scores(std::move(Scores)),
-      Decisions(std::move(Decisions)), Counts(Counts), Wake(Executor),
-      CommitWake(Executor) {}
+      Store(std::move(Store)), Engines(std::move(Engines)),
+      Scores(std::move(Scores)), Decisions(std::move(Decisions)),
+      Counts(Counts), Wake(Executor), CommitWake(Executor) {}
 
 std::shared_ptr<Dispatcher>
 Dispatcher::create(asio::any_io_executor Executor, FleetView &View,
-                   std::shared_ptr<RolloutLog> Log, EnginePort Engines,
-                   std::shared_ptr<Forwarder> Scores,
+                   std::shared_ptr<RolloutLog> Log, RecordStore Store,
+                   EnginePort Engines, std::shared_ptr<Forwarder> Scores,
                    std::shared_ptr<DecisionLog> Decisions, Metrics &Counts,
                    Settings Limits) {
-  return std::shared_ptr<Dispatcher>(new Dispatcher(
-      std::move(Executor), View, std::move(Log), std::move(Engines),
-      std::move(Scores), std::move(Decisions), Counts, Limits));
+  return std::shared_ptr<Dispatcher>(
+      new Dispatcher(std::move(Executor), View, std::move(Log),
+                     std::move(Store), std::move(Engines), std::move(Scores),
+                     std::move(Decisions), Counts, Limits));
 }
 
 void Dispatcher::start() {
@@ -59,8 +60,6 @@
       Executor, [self] { return self->commitLoop(); }, asio::detached);
   asio::co_spawn(
       Executor, [self] { return self->lookLoop(); }, asio::detached);
-  asio::co_spawn(
-      Executor, [self] { return self->orderLoop(); }, asio::detached);
 }
 
 //===--- Items ------------------------------------------------------------===//
@@ -289,7 +288,7 @@
   std::optional<Outcome<std::unique_ptr<EngineStream>>> opened =
       co_await cancellable(Executor,
                            Engines.Open(engine->Server->Entry, askOf(*Work),
-                                        options, Limits.LoadLimit),
+                                        options, Limits.EventLimit),
                            Work->Stop);
   Failure why{Verdict::MayHaveRun, FailureCode::Cancelled, "dispatcher",
               "the run was stopped", Millis(0)};
@@ -364,7 +363,7 @@
   for (;;) {
     // Stalled runs are ended by `lookAtRuns`.
     Outcome<std::optional<EngineEvent>> event =
-        co_await Work.Stream->next(Limits.LoadLimit);
+        co_await Work.Stream->next(Limits.EventLimit);
     if (!event)
       co_return false;
     if (!*event)
@@ -398,12 +397,13 @@
       std::chrono::duration<double, std::milli>(now - Work.LastEvent).count();
   // The first pause is queue and prompt, and one across a load says nothing of
   // the engine's pace.
-  if (Work.Begun && !On.Loading) {
+  if (Work.Begun && !On.swapping()) {
     double share = On.EventMs > 0 ? Smoothing : 1.0;
     On.EventMs += share * (gap - On.EventMs);
   }
   Work.Begun = true;
   Work.LastEvent = now;
+  On.LastEvent = now;
 }
 
 void Dispatcher::endRun(const std::shared_ptr<ItemWork> &Work,
@@ -554,6 +554,19 @@
   return found;
 }
 
+/// What an engine that is new here has told earlier, if that is newer than its
+/// registration.
+void Dispatcher::takeHeld(EngineState &Engine) const {
+  auto news = Held.find(Engine.Server->Entry.Id);
+  if (news == Held.end())
+    return;
+  for (const auto &[model, version] : news->second.Held.Models) {
+    WeightVersion &has = Engine.Versions[model];
+    has = std::max(has, version);
+  }
+  Engine.Told = news->second.Came;
+}
+
 void Dispatcher::syncEngines() {
   if (!View.Routes)
     return;
@@ -581,6 +594,8 @@
         if (newer || now - engine->Told > RegistrationLag)
           engine->Versions[model] = version;
       }
+      if (known == Pool.end())
+        takeHeld(*engine);
       next.push_back(std::move(engine));
     }
   }
@@ -611,7 +626,9 @@
       continue;
     syncEngines();
     lookAtRuns();
+    forgetPaces();
     takeFromSlow(usualEventMs(Pool));
+    wantVersions();
     schedule();
   }
 }
@@ -623,9 +640,8 @@
     if (it->Stage != ItemStage::Running || !it->Engine)
       continue;
     EngineState &engine = *it->Engine;
-    Millis patience = engine.Loading || engine.Ordering || !it->Begun
-                          ? Limits.LoadStallTime
-                          : Limits.StallTime;
+    Millis patience = engine.swapping() || !it->Begun ? Limits.LoadStallTime
+                                                      : Limits.StallTime;
     bool stalled = now - it->LastEvent > patience;
     bool leaving = !usable(View.Servers, *engine.Server, View.Contact, now);
     if (!stalled && !leaving)
@@ -647,22 +663,23 @@
 /// going on elsewhere costs some milliseconds of reading, staying costs the
 /// rest of the text at a multiple of the time.
 void Dispatcher::takeFromSlow(double UsualMs) {
-  std::map<ModelName, std::uint32_t> free;
   TimePoint now = monotonicNow();
-  for (const std::shared_ptr<EngineState> &it : Pool) {
-    bool good = !isSlow(*it, UsualMs, Limits.Pool) && !it->Loading &&
-                it->Server->SuspectUntil <= now;
-    if (good && it->Running < it->Server->Entry.Slots)
-      free[it->Model] += it->Server->Entry.Slots - it->Running;
-  }
+  std::map<const EngineState *, std::uint32_t> promised;
   for (const std::shared_ptr<ItemWork> &it : Works) {
-    if (it->Stage != ItemStage::Running || !it->Engine || !it->Stream ||
-        !it->Begun)
+    bool slow = it->Stage == ItemStage::Running && it->Engine && it->Begun &&
+                it->Stream != nullptr &&
+                isSlow(*it->Engine, UsualMs, Limits.Pool);
+    if (!slow)
+      continue;
+    std::shared_ptr<EngineState> other =
+        chooseEngine(Pool, needOf(*it), UsualMs, Limits.Pool, now);
+    if (!other || isSlow(*other, UsualMs, Limits.Pool) ||
+        other->Server->SuspectUntil > now)
       continue;
-    std::uint32_t &left = free[it->Engine->Model];
-    if (left == 0 || !isSlow(*it->Engine, UsualMs, Limits.Pool))
+    std::uint32_t &more = promised[other.get()];
+    if (other->Running + more >= other->Server->Entry.Slots)
       continue;
-    --left;
+    ++more;
     Decisions->line("item.taken_away",
                     {{"item", it->item().Id.Text},
                      {"server", it->Engine->Server->Entry.Id.Text},
@@ -673,6 +690,16 @@
   }
 }
 
+/// Forgets the pace of engines that have had nothing to do for a while, so that
+/// one that was slow is tried again.
+void Dispatcher::forgetPaces() {
+  TimePoint now = monotonicNow();
+  for (const std::shared_ptr<EngineState> &it : Pool) {
+    if (it->EventMs > 0 && now - it->LastEvent > Limits.PaceSpan)
+      it->EventMs = 0;
+  }
+}
+
 //===--- Orders -----------------------------------------------------------===//
 
 SwapMode Dispatcher::swapMode(const ModelName &Model) const {
@@ -686,120 +713,77 @@
   return SwapMode::Continue;
 }
 
-asio::awaitable<void> Dispatcher::orderLoop() {
-  constexpr Millis Every{100};
-  constexpr Millis Idle{1000};
-  for (;;) {
-    bool may = Active && Duty && Duty->mayOrder();
-    co_await Wake.wait(monotonicNow() + (Active ? Every : Idle));
-    if (may)
-      startOrders();
-  }
-}
-
-void Dispatcher::startOrders() {
+/// Says which engines should take new weights now. Not all at once: the others
+/// go on serving, and more than a few loads slow each other down.
+void Dispatcher::wantVersions() {
   TimePoint now = monotonicNow();
-  std::uint32_t loading = 0;
+  std::uint32_t swapping = 0;
   std::vector<std::shared_ptr<EngineState>> due;
   for (const std::shared_ptr<EngineState> &it : Pool) {
-    loading += it->Ordering ? 1 : 0;
-    auto named = View.Named.find(it->Model);
-    if (named == View.Named.end() || it->Ordering || it->OrderAfter > now)
+    bool late = now - it->WantedAt > Limits.SwapLimit;
+    if (it->swapping() && !late) {
+      ++swapping;
       continue;
-    if (it->version(it->Model) < named->second &&
+    }
+    auto named = View.Named.find(it->Model);
+    if (named != View.Named.end() && it->version(it->Model) < named->second &&
         it->Server->SuspectUntil <= now)
       due.push_back(it);
   }
+  auto lag = [this](const EngineState &Of) {
+    return View.Named[Of.Model] - Of.version(Of.Model);
+  };
   // The one that lags most first, then the one with the least to hold up.
-  std::sort(due.begin(), due.end(), [&](const auto &L, const auto &R) {
-    WeightVersion lagL = View.Named[L->Model] - L->version(L->Model);
-    WeightVersion lagR = View.Named[R->Model] - R->version(R->Model);
-    return std::make_tuple(lagR, L->Running) <
-           std::make_tuple(lagL, R->Running);
+  std::sort(due.begin(), due.end(), [&lag](const auto &L, const auto &R) {
+    return std::make_tuple(lag(*R), L->Running) <
+           std::make_tuple(lag(*L), R->Running);
   });
-  auto most =
-      std::max(Limits.Pool.LeastLoads,
-               static_cast<std::uint32_t>(static_cast<double>(Pool.size()) *
-                                          Limits.Pool.LoadShare));
+  auto share = static_cast<std::uint32_t>(static_cast<double>(Pool.size()) *
+                                          Limits.Pool.LoadShare);
+  std::uint32_t most = std::max(Limits.Pool.LeastLoads, share);
   for (const std::shared_ptr<EngineState> &it : due) {
-    if (loading >= most)
+    if (swapping >= most)
       return;
-    ++loading;
-    it->Ordering = true;
+    ++swapping;
+    it->Wanted = View.Named[it->Model];
+    it->WantedAt = now;
+    WantedWeights what{it->Model, it->Wanted, swapMode(it->Model)};
     asio::co_spawn(
         Executor,
-        [self = shared_from_this(), it, model = it->Model,
-         version = View.Named[it->Model]] {
-          return self->order(it, model, version);
-        },
+        [self = shared_from_this(), it, what] { return self->want(it, what); },
         asio::detached);
   }
 }
 
-/// Asks an engine for its weights; false if it does not answer.
-asio::awaitable<bool> Dispatcher::report(EngineState &On) {
-  Outcome<EngineReport> got =
-      co_await Engines.Report(On.Server->Entry, Limits.OrderTimeout);
-  if (!got)
-    co_return false;
-  for (const auto &[model, version] : got->Models)
-    On.Versions[model] = version;
-  On.Told = monotonicNow();
-  On.Accepted = got->Accepted;
-  On.Loading = got->Busy;
-  co_return true;
-}
-
-asio::awaitable<void> Dispatcher::order(std::shared_ptr<EngineState> On,
-                                        ModelName Model,
-                                        WeightVersion Version) {
+asio::awaitable<void> Dispatcher::want(std::shared_ptr<EngineState> On,
+                                       WantedWeights What) {
   std::shared_ptr<Dispatcher> self = shared_from_this();
-  TimePoint began = monotonicNow();
-  std::string result = "no report";
-  bool known = On->Accepted.has_value() || co_await report(*On);
-  if (known && On->version(Model) < Version && Duty->mayOrder()) {
-    VersionOrder what{Model,           Version,
-                      swapMode(Model), Duty->self().Instance.Text,
-                      Duty->term(),    On->Accepted};
-    Duty->noteOrder();
-    Outcome<OrderOutcome> got =
-        co_await Engines.Order(On->Server->Entry, what, Limits.OrderTimeout);
-    bool begun = got && *got == OrderOutcome::Begun;
-    result = got ? (begun ? "begun" : "not begun") : describe(got.failure());
-    On->Loading = begun || !got;
-    Decisions->line("engine.order",
-                    {{"server", On->Server->Entry.Id.Text},
-                     {"model", Model.Text},
-                     {"version", std::to_string(Version)},
-                     {"token", std::to_string(what.Token)},
-                     {"accepted", std::to_string(*On->Accepted)},
-                     {"result", result}});
-    if (begun)
-      co_await pauseFor(Executor, Limits.FirstReport);
-    bool told = co_await report(*On);
-    while (told && On->Loading && monotonicNow() - began < Limits.LoadLimit) {
-      co_await pauseFor(Executor, Limits.ReportEvery);
-      told = co_await report(*On);
-    }
-    result = told ? "loaded" : "silent";
-  }
-  bool done = On->version(Model) >= Version;
-  On->Loading = false;
-  On->Ordering = false;
-  if (!done) {
-    On->OrderAfter = monotonicNow() + Limits.OrderTimeout;
-    On->Accepted.reset();
+  Outcome<Offset> got =
+      co_await Store.AppendKeyed(WantedTopic, On->Server->Entry.Id.Text,
+                                 encodeWanted(What), Limits.StoreTime);
+  Decisions->line("engine.wanted",
+                  {{"server", On->Server->Entry.Id.Text},
+                   {"model", What.Model.Text},
+                   {"has", std::to_string(On->version(What.Model))},
+                   {"wanted", std::to_string(What.Version)},
+                   {"result", got ? "written" : describe(got.failure())}});
+  // What the store did not take is wanted again at the next look.
+  if (!got && On->Wanted == What.Version)
+    On->Wanted = 0;
+}
+
+void Dispatcher::onHeld(const ServerName &Of, const HeldWeights &Now) {
+  Held[Of] = HeldNews{Now, monotonicNow()};
+  for (const std::shared_ptr<EngineState> &it : Pool) {
+    if (it->Server->Entry.Id != Of)
+      continue;
+    for (const auto &[model, version] : Now.Models)
+      it->Versions[model] = version;
+    it->Told = monotonicNow();
+    it->Loading = Now.Loading;
   }
-  Decisions->line(
-      "engine.version",
-      {{"server", On->Server->Entry.Id.Text},
-       {"model", Model.Text},
-       {"version", std::to_string(On->version(Model))},
-       {"wanted", std::to_string(Version)},
-       {"result", result},
-       {"took_ms", std::to_string(std::chrono::duration_cast<Millis>(
-                                      monotonicNow() - began)
-                                      .count())}});
+  if (!Active)
+    return;
   schedule();
   Wake.notify();
 }
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -1,16 +1,18 @@
 /// \file
 /// The dispatching duty: runs the items of all open batch jobs on the engines,
-/// has finished texts scored, commits results, and keeps the engines' weights
-/// at the versions that their trainers name.
+/// has finished texts scored, commits results, and says which weights each
+/// engine should hold.
 ///
 /// Nothing depends on its being alone: the first committed result of an item
-/// counts, whoever found it. Only orders to engines need the lease.
+/// counts, whoever found it, and engines take orders from the process beside
+/// them only.
 #ifndef WASABI_DISPATCH_DISPATCHER_H
 #define WASABI_DISPATCH_DISPATCHER_H
 
 #include "Wasabi/Adapters/Telemetry/Metrics.h"
-#include "Wasabi/Dispatch/DutyKeeper.h"
+#include "Wasabi/Batch/RolloutLog.h"
 #include "Wasabi/Dispatch/EnginePool.h"
+#include "Wasabi/Dispatch/EngineTopics.h"
 #include "Wasabi/Ports/EnginePort.h"
 #include "Wasabi/Upstream/FleetView.h"
 #include "Wasabi/Upstream/Forwarder.h"
@@ -69,13 +71,17 @@
     /// The same before the first event and while its server takes weights: a
     /// load takes 0.9 s, and longer when several load.
     Millis LoadStallTime{2500};
-    /// How long an answer to an order or a report may take.
-    Millis OrderTimeout{600};
-    /// How long an order may stay under way before it is given up.
-    Millis LoadLimit{6000};
-    /// First look at a server that is loading, and the pause between looks.
-    Millis FirstReport{880};
-    Millis ReportEvery{90};
+    /// An engine without an event for this long has no known pace: faults that
+    /// slow an engine last some seconds, and a trial costs a few events.
+    Millis PaceSpan{4000};
+    /// How long an answer of the store may take.
+    Millis StoreTime{800};
+    /// Weights that have not come after this are wanted anew, of this engine or
+    /// of another: a load takes 0.9 s, and longer when several load.
+    Millis SwapLimit{4000};
+    /// Longest pause between two events of a stream before it is broken, as a
+    /// last resort: `StallTime` ends it long before.
+    Millis EventLimit{6000};
     /// Pause before an item is tried again after a failure.
     Millis RetryPause{60};
     /// Time that a scoring call is given.
@@ -91,13 +97,11 @@
 
   static std::shared_ptr<Dispatcher>
   create(boost::asio::any_io_executor Executor, FleetView &View,
-         std::shared_ptr<RolloutLog> Log, EnginePort Engines,
+         std::shared_ptr<RolloutLog> Log, RecordStore Store, EnginePort Engines,
          std::shared_ptr<Forwarder> Scores,
          std::shared_ptr<DecisionLog> Decisions, Metrics &Counts,
          Settings Limits);
 
-  /// Whom orders are given for. Call once, before `start`.
-  void attach(std::shared_ptr<DutyKeeper> Duty) { this->Duty = Duty; }
   /// Begins the loops, which rest while the duty is another's.
   void start();
 
@@ -112,11 +116,13 @@
   void onChange(const FoldChange &Change);
   /// The servers, the configuration or a named version changed.
   void onView();
+  /// The process beside the server `Of` told what it holds.
+  void onHeld(const ServerName &Of, const HeldWeights &Now);
 
 private:
   Dispatcher(boost::asio::any_io_executor Executor, FleetView &View,
-             std::shared_ptr<RolloutLog> Log, EnginePort Engines,
-             std::shared_ptr<Forwarder> Scores,
+             std::shared_ptr<RolloutLog> Log, RecordStore Store,
+             EnginePort Engines, std::shared_ptr<Forwarder> Scores,
              std::shared_ptr<DecisionLog> Decisions, Metrics &Counts,
              Settings Limits);
 
@@ -147,11 +153,11 @@
   boost::asio::awaitable<void> lookLoop();
   void lookAtRuns();
   void takeFromSlow(double UsualMs);
-  boost::asio::awaitable<void> orderLoop();
-  void startOrders();
-  boost::asio::awaitable<void> order(std::shared_ptr<EngineState> On,
-                                     ModelName Model, WeightVersion Version);
-  boost::asio::awaitable<bool> report(EngineState &On);
+  void forgetPaces();
+  void takeHeld(EngineState &Engine) const;
+  void wantVersions();
+  boost::asio::awaitable<void> want(std::shared_ptr<EngineState> On,
+                                    WantedWeights What);
   void noteEvent(EngineState &On, ItemWork &Work);
   SwapMode swapMode(const ModelName &Model) const;
 
@@ -159,11 +165,11 @@
   const boost::asio::any_io_executor Executor;
   FleetView &View;
   const std::shared_ptr<RolloutLog> Log;
+  const RecordStore Store;
   const EnginePort Engines;
   const std::shared_ptr<Forwarder> Scores;
   const std::shared_ptr<DecisionLog> Decisions;
   Metrics &Counts;
-  std::shared_ptr<DutyKeeper> Duty;
 
   bool Active = false;
   std::vector<std::shared_ptr<ItemWork>> Works;
@@ -172,6 +178,12 @@
   /// The engine that read a group's prompt.
   std::map<std::string, ServerName> PromptAt;
   EngineList Pool;
+  /// What the processes beside the servers told last, and when it came.
+  struct HeldNews {
+    HeldWeights Held;
+    TimePoint Came;
+  };
+  std::map<ServerName, HeldNews> Held;
   TimePoint LastMove;
   /// Results that the topic does not show yet.
   std::deque<ResultRecord> Uncommitted;
--- a/Wasabi/Dispatch/DutyKeeper.cpp
+++ b/Wasabi/Dispatch/DutyKeeper.cpp
@@ -21,16 +21,7 @@
   // While the store was away nobody could renew: the holder gets its full time
   // again after the store's return.
   TimePoint heard = std::max(Lease.Seen, Contact.Since);
-  return Now - heard >= Limits.OthersTime + Spread;
-}
-
-TimePoint ordersFrom(const LeaseState &Before, const DutySettings &Limits,
-                     TimePoint Now) {
-  if (!Before.Holder)
-    return Now;
-  if (Before.Released && Before.LastOrder)
-    return std::max(Now, *Before.LastOrder + Limits.OrderGap);
-  return Now + Limits.OrderGap;
+  return Now - heard >= Limits.HoldTime + Spread;
 }
 
 DutyKeeper::DutyKeeper(asio::any_io_executor Executor,
@@ -57,11 +48,6 @@
       asio::detached);
 }
 
-bool DutyKeeper::mayOrder() const {
-  TimePoint now = monotonicNow();
-  return Held && now < ValidUntil && now >= OrdersFrom;
-}
-
 /// Compares what the topic says with what this process believes.
 void DutyKeeper::look() {
   const LeaseState &lease = Log->fold().Lease;
@@ -88,12 +74,7 @@
   TimePoint sent = monotonicNow();
   Spread = Millis(Random() % (Limits.ClaimSpread.count() + 1));
   std::vector<std::string> records{encodeRecord(LeaseClaim{Limits.Self})};
-  // Set before it is known whether the claim is taken: a lost answer may be a
-  // claim that holds, and the time counts from before it was sent.
-  ValidUntil = sent + Limits.HolderTime;
   LastRenewal = sent;
-  OrdersFrom = ordersFrom(before, Limits, sent);
-  LastOrder.reset();
   Outcome<Offset> got =
       co_await Log->append(std::move(records), Log->fold().Next);
   Decisions->line(
@@ -108,29 +89,18 @@
 }
 
 asio::awaitable<void> DutyKeeper::renew() {
-  TimePoint sent = monotonicNow();
-  LastRenewal = sent;
+  LastRenewal = monotonicNow();
   std::vector<std::string> records{encodeRecord(LeaseRenewal{Term})};
   Outcome<Offset> got = co_await Log->append(std::move(records));
-  // The store takes a renewal of a lease that has passed on just as well: only
-  // the topic, read that far, shows that it was this process's until then.
-  if (got)
-    Appended = RenewalMark{*got, sent};
-}
-
-/// Counts a renewal once the topic has been read beyond it.
-void DutyKeeper::countRenewal() {
-  if (!Appended || Log->fold().Next <= Appended->At)
-    return;
-  if (Held)
-    ValidUntil = std::max(ValidUntil, Appended->Sent + Limits.HolderTime);
-  Appended.reset();
+  if (!got)
+    Decisions->line(
+        "duty.renewal_failed",
+        {{"term", std::to_string(Term)}, {"reason", describe(got.failure())}});
 }
 
 asio::awaitable<void> DutyKeeper::keep() {
   for (;;) {
     look();
-    countRenewal();
     TimePoint now = monotonicNow();
     TimePoint next = now + Limits.RenewEvery;
     bool due = Held && now - LastRenewal >= Limits.RenewEvery;
@@ -152,17 +122,11 @@
   Retired = true;
   if (!Held)
     co_return;
-  // A holder that gave no order passes on what it owed its predecessor.
-  TimePoint last = OrdersFrom - Limits.OrderGap;
-  if (LastOrder)
-    last = std::max(last, *LastOrder);
-  Millis age = std::chrono::duration_cast<Millis>(monotonicNow() - last);
   Held = false;
-  Texts.push_back(encodeRecord(LeaseRelease{Term, age.count()}));
+  Texts.push_back(encodeRecord(LeaseRelease{Term}));
   Outcome<Offset> got = co_await Log->append(std::move(Texts));
   Decisions->line("duty.release",
                   {{"term", std::to_string(Term)},
-                   {"order_age_ms", std::to_string(age.count())},
                    {"result", got ? "taken" : describe(got.failure())}});
 }
 
--- a/Wasabi/Dispatch/DutyKeeper.h
+++ b/Wasabi/Dispatch/DutyKeeper.h
@@ -1,6 +1,6 @@
 /// \file
-/// Keeps the lease of the dispatching duty: claims it when it is free, renews
-/// it, and says what its holder may do.
+/// Keeps the lease of the dispatching duty: claims it when it is free and
+/// renews it. Only economy hangs on it: a second dispatcher repeats work.
 #ifndef WASABI_DISPATCH_DUTYKEEPER_H
 #define WASABI_DISPATCH_DUTYKEEPER_H
 
@@ -8,37 +8,27 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <random>
 
 namespace wasabi {
 
-/// How long the lease holds and how its holder and the others count.
+/// How long the lease holds.
 struct DutySettings {
   LeaseHolder Self;
-  /// The holder acts for this long after it sent its last renewal that was
-  /// taken.
-  Millis HolderTime{1500};
-  /// The others wait this long after they saw its last record. Longer than
-  /// `HolderTime`, so that clocks that run 10% apart do no harm.
-  Millis OthersTime{1800};
+  /// The others wait this long after they saw the holder's last record. A
+  /// store that takes sixty times its usual 4 ms still gets three renewals
+  /// through in this time.
+  Millis HoldTime{1500};
   /// Between renewals: three may be lost in a row.
   Millis RenewEvery{400};
   /// Spread of claims after an expiry, so that not all claim at once.
   Millis ClaimSpread{200};
-  /// Two holders' orders to servers lie at least this far apart; the
-  /// deployment's own bound replaces it.
-  Millis OrderGap{3000};
 };
 
 /// Whether the lease may be claimed now. Pure.
 bool leaseFree(const LeaseState &Lease, const StoreContact &Contact,
                const DutySettings &Limits, Millis Spread, TimePoint Now);
 
-/// From when a holder that claims now may give orders. Pure.
-TimePoint ordersFrom(const LeaseState &Before, const DutySettings &Limits,
-                     TimePoint Now);
-
 /// Used on one thread, that of its executor.
 class DutyKeeper : public std::enable_shared_from_this<DutyKeeper> {
 public:
@@ -62,13 +52,6 @@
   boost::asio::awaitable<void> release(std::vector<std::string> Texts);
 
   bool held() const { return Held; }
-  FencingToken term() const { return Term; }
-  const LeaseHolder &self() const { return Limits.Self; }
-  /// Whether an order may be given now. The clock is read here, since a frozen
-  /// process wakes up anywhere.
-  bool mayOrder() const;
-  /// Notes that an order is being given.
-  void noteOrder() { LastOrder = monotonicNow(); }
 
 private:
   DutyKeeper(boost::asio::any_io_executor Executor,
@@ -79,13 +62,6 @@
   boost::asio::awaitable<void> claim();
   boost::asio::awaitable<void> renew();
   void look();
-  void countRenewal();
-
-  /// A renewal that the store has taken.
-  struct RenewalMark {
-    Offset At = 0;
-    TimePoint Sent;
-  };
 
   const DutySettings Limits;
   const boost::asio::any_io_executor Executor;
@@ -97,12 +73,7 @@
   bool Retired = false;
   bool Held = false;
   FencingToken Term = 0;
-  TimePoint ValidUntil;
-  TimePoint OrdersFrom;
-  std::optional<TimePoint> LastOrder;
   TimePoint LastRenewal;
-  /// The newest renewal that the topic has not been read up to.
-  std::optional<RenewalMark> Appended;
 };
 
 } // namespace wasabi
--- a/Wasabi/Dispatch/EnginePool.cpp
+++ b/Wasabi/Dispatch/EnginePool.cpp
@@ -56,16 +56,19 @@
 namespace {
 
 /// The model whose weights on the engine are closest to the newest ones, if one
-/// is closer than all others.
+/// is closer than all others. A model that was never named is at its first
+/// version everywhere.
 std::optional<ModelName>
 servedModel(const EngineState &Engine,
+            const std::map<ModelName, std::uint32_t> &Sizes,
             const std::map<ModelName, WeightVersion> &Named) {
   std::optional<ModelName> best;
   WeightVersion bestLag = 0;
   bool tie = false;
-  for (const auto &[model, newest] : Named) {
-    WeightVersion has = std::min(Engine.version(model), newest);
-    WeightVersion lag = newest - has;
+  for (const auto &[model, size] : Sizes) {
+    auto named = Named.find(model);
+    WeightVersion newest = named == Named.end() ? 0 : named->second;
+    WeightVersion lag = newest - std::min(Engine.version(model), newest);
     if (!best || lag < bestLag) {
       best = model;
       bestLag = lag;
@@ -109,7 +112,8 @@
   std::shared_ptr<EngineState> best;
   for (const std::shared_ptr<EngineState> &it : Engines) {
     auto missing = Count.Missing.find(it->Model);
-    if (missing == Count.Missing.end() || missing->second > -1 || it->Ordering)
+    if (missing == Count.Missing.end() || missing->second > -1 ||
+        it->swapping())
       continue;
     if (!best || it->Running < best->Running)
       best = it;
@@ -117,6 +121,7 @@
   if (!best)
     return false;
   best->Model = *poor;
+  best->Wanted = 0;
   return true;
 }
 
@@ -131,8 +136,8 @@
   for (const std::shared_ptr<EngineState> &it : Engines) {
     if (!it->Model.empty())
       continue;
-    std::optional<ModelName> served = servedModel(*it, Named);
-    if (served && Sizes.contains(*served)) {
+    std::optional<ModelName> served = servedModel(*it, Sizes, Named);
+    if (served) {
       it->Model = *served;
       changed = true;
     }
--- a/Wasabi/Dispatch/EnginePool.h
+++ b/Wasabi/Dispatch/EnginePool.h
@@ -30,19 +30,21 @@
   /// Smoothed pause between two events of a run, in milliseconds; 0 before the
   /// first.
   double EventMs = 0;
-  /// Orders it has accepted; empty until it was asked.
-  std::optional<std::uint64_t> Accepted;
-  /// Whether an order of this process is under way.
-  bool Ordering = false;
+  /// When the last one came.
+  TimePoint LastEvent;
+  /// The weights that this process wants of it and has not seen there yet, and
+  /// when it said so.
+  WeightVersion Wanted = 0;
+  TimePoint WantedAt;
   /// Whether the engine is taking new weights now.
   bool Loading = false;
-  /// Not given an order before this: the last one failed.
-  TimePoint OrderAfter;
 
   WeightVersion version(const ModelName &Of) const {
     auto it = Versions.find(Of);
     return it == Versions.end() ? 0 : it->second;
   }
+  /// Whether it is on its way to other weights.
+  bool swapping() const { return Loading || Wanted > version(Model); }
 };
 
 using EngineList = std::vector<std::shared_ptr<EngineState>>;
--- /dev/null
+++ b/Wasabi/Dispatch/EngineTopics.cpp
@@ -0,0 +1,93 @@
+#include "Wasabi/Dispatch/EngineTopics.h"
+
+#include "Wasabi/Config/JsonReader.h"
+
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+
+namespace wasabi {
+
+namespace json = boost::json;
+
+namespace {
+
+/// What is wanted should reach an engine within a fraction of a load's 0.9 s.
+constexpr Millis EnginePace{30};
+
+} // namespace
+
+std::string encodeWanted(const WantedWeights &What) {
+  return json::serialize(json::object{
+      {"model", What.Model.Text},
+      {"version", What.Version},
+      {"mode", What.Mode == SwapMode::Finish ? "finish" : "continue"}});
+}
+
+std::string encodeHeld(const HeldWeights &What) {
+  json::array models;
+  for (const auto &[model, version] : What.Models)
+    models.push_back({{"name", model.Text}, {"version", version}});
+  return json::serialize(
+      json::object{{"models", std::move(models)}, {"loading", What.Loading}});
+}
+
+Result<WantedWeights> decodeWanted(std::string_view Text,
+                                   const std::string &Place) {
+  BOOST_LEAF_AUTO(value, parseJson(Text, Place));
+  JsonReader root(value, Place);
+  root.allowUnknown();
+  WantedWeights wanted;
+  wanted.Model = ModelName(root.text("model"));
+  wanted.Version = root.number("version");
+  bool finish = root.word("mode", {"continue", "finish"}, true) == 1;
+  wanted.Mode = finish ? SwapMode::Finish : SwapMode::Continue;
+  BOOST_LEAF_CHECK(root.finish());
+  return wanted;
+}
+
+Result<HeldWeights> decodeHeld(std::string_view Text,
+                               const std::string &Place) {
+  BOOST_LEAF_AUTO(value, parseJson(Text, Place));
+  JsonReader root(value, Place);
+  root.allowUnknown();
+  HeldWeights held;
+  for (JsonReader &it : root.objects("models", false)) {
+    it.allowUnknown();
+    ModelName name(it.text("name"));
+    held.Models[name] = it.number("version");
+    root.adopt(it);
+  }
+  held.Loading = root.boolean("loading", false);
+  BOOST_LEAF_CHECK(root.finish());
+  return held;
+}
+
+std::shared_ptr<KeyedFollower> followWanted(
+    const FeedParts &Parts,
+    std::function<void(const ServerName &, WantedWeights, Offset)> Take) {
+  return startFeed(Parts, WantedTopic, EnginePace,
+                   [Take](const KeyedRecord &Record) -> Result<void> {
+                     if (!Record.Value)
+                       return {};
+                     BOOST_LEAF_AUTO(wanted,
+                                     decodeWanted(*Record.Value, Record.Key));
+                     Take(ServerName(Record.Key), std::move(wanted), Record.At);
+                     return {};
+                   });
+}
+
+std::shared_ptr<KeyedFollower>
+followHeld(const FeedParts &Parts,
+           std::function<void(const ServerName &, const HeldWeights &)> Take) {
+  return startFeed(Parts, HeldTopic, EnginePace,
+                   [Take](const KeyedRecord &Record) -> Result<void> {
+                     if (!Record.Value)
+                       return {};
+                     BOOST_LEAF_AUTO(held,
+                                     decodeHeld(*Record.Value, Record.Key));
+                     Take(ServerName(Record.Key), held);
+                     return {};
+                   });
+}
+
+} // namespace wasabi
--- a/Wasabi/Ports/RecordStore.h
+++ b/Wasabi/Ports/RecordStore.h
@@ -46,6 +46,10 @@
       std::string Topic, std::vector<std::string> Records,
       std::optional<Offset> At, Millis Timeout)>
       Append;
+  /// Makes `Value` the newest record of `Key` in a keyed topic.
+  std::function<boost::asio::awaitable<Outcome<Offset>>(
+      std::string Topic, std::string Key, std::string Value, Millis Timeout)>
+      AppendKeyed;
   /// Reads from `From`, waiting up to `Wait` for a record. When `From` has
   /// expired, `First` is above it and there are no entries.
   std::function<boost::asio::awaitable<Outcome<LogRange>>(
--- /dev/null
+++ b/Wasabi/Upstream/Feed.cpp
@@ -0,0 +1,51 @@
+#include "Wasabi/Upstream/Feed.h"
+
+namespace wasabi {
+
+namespace {
+
+void takeLogged(const FeedParts &Parts, const std::string &Topic,
+                const std::function<Result<void>(const KeyedRecord &)> &Take,
+                const KeyedRecord &Record) {
+  Outcome<Done> taken = toOutcome<Done>([&]() -> Result<Done> {
+    BOOST_LEAF_CHECK(Take(Record));
+    return Done{};
+  });
+  if (!taken)
+    Parts.Decisions->line("record.rejected",
+                          {{"topic", Topic},
+                           {"key", Record.Key},
+                           {"offset", std::to_string(Record.At)},
+                           {"reason", describe(taken.failure())}});
+}
+
+} // namespace
+
+std::shared_ptr<KeyedFollower>
+startFeed(const FeedParts &Parts, std::string Topic, Millis Pace,
+          std::function<Result<void>(const KeyedRecord &)> Take) {
+  KeyedFollower::Callbacks calls;
+  calls.Changed = [Parts, Topic, Take](const KeyedRecord &Record) {
+    takeLogged(Parts, Topic, Take, Record);
+  };
+  calls.Answered = [Parts] {
+    TimePoint now = monotonicNow();
+    if (noteAnswer(Parts.View.Contact, now))
+      Parts.Decisions->line("store.regained", {});
+    sweep(Parts.View.Servers, Parts.View.Contact, now);
+  };
+  calls.Failed = [Parts, Topic](const Failure &Why) {
+    if (noteFailure(Parts.View.Contact, monotonicNow()))
+      Parts.Decisions->line("store.lost",
+                            {{"topic", Topic}, {"reason", describe(Why)}});
+  };
+  KeyedFollower::Settings limits;
+  limits.Topic = std::move(Topic);
+  limits.Pace = Pace;
+  std::shared_ptr<KeyedFollower> follower = KeyedFollower::create(
+      Parts.Executor, Parts.Store, std::move(limits), std::move(calls));
+  follower->start();
+  return follower;
+}
+
+} // namespace wasabi
--- /dev/null
+++ b/Wasabi/Upstream/Feed.h
@@ -0,0 +1,34 @@
+/// \file
+/// Keyed topics that change what a process believes of the deployment.
+#ifndef WASABI_UPSTREAM_FEED_H
+#define WASABI_UPSTREAM_FEED_H
+
+#include "Wasabi/Adapters/Telemetry/DecisionLog.h"
+#include "Wasabi/Upstream/FleetView.h"
+#include "Wasabi/Upstream/KeyedFollower.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace wasabi {
+
+/// What the feeds of one process share.
+struct FeedParts {
+  boost::asio::any_io_executor Executor;
+  RecordStore Store;
+  std::shared_ptr<DecisionLog> Decisions;
+  /// Outlives the feeds.
+  FleetView &View;
+};
+
+/// Follows `Topic` and keeps `View.Contact`. `Take` gets each change; its
+/// failures are logged and the record is left out. Call on the executor's
+/// thread.
+std::shared_ptr<KeyedFollower>
+startFeed(const FeedParts &Parts, std::string Topic, Millis Pace,
+          std::function<Result<void>(const KeyedRecord &)> Take);
+
+} // namespace wasabi
+
+#endif // WASABI_UPSTREAM_FEED_H
--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -38,6 +38,14 @@
   return boost::json::serialize(body);
 }
 
+Failure callerLeft() {
+  return Failure{Verdict::MayHaveRun,
+                 FailureCode::Cancelled,
+                 "caller",
+                 "the caller has left",
+                 {}};
+}
+
 bool mayRepeat(const UpstreamRoute &Route) {
   return Route.Kind != RouteKind::NonIdempotent &&
          (Route.Kind != RouteKind::Streaming || Route.Resumable);
@@ -188,8 +196,7 @@
     std::optional<Outcome<UpstreamAnswer>> got = co_await tryOnce(at, Stop);
     if (!got) {
       note(at, "caller_left", 0);
-      co_return Failure{Verdict::MayHaveRun, FailureCode::Cancelled, "caller",
-                        "the caller has left", Millis(0)};
+      co_return callerLeft();
     }
     if (!*got) {
       why = got->failure();
