--- /dev/null
+++ b/UnitTests/Batch/BatchDeskTest.cpp
@@ -0,0 +1,170 @@
+#include "Wasabi/Batch/BatchDesk.h"
+#include "UnitTests/Batch/BatchFixture.h"
+
+namespace wasabi::batchtest {
+
+namespace {
+
+namespace asio = boost::asio;
+
+/// Two processes over one store.
+struct DeskWorld : BatchWorld {
+  std::shared_ptr<bool> Cut = std::make_shared<bool>(false);
+  std::shared_ptr<RolloutLog> Log = follow(Store.port(Cut));
+  std::shared_ptr<RolloutLog> OtherLog = follow(Store.port());
+  std::shared_ptr<BatchDesk> Desk = makeDesk(Log);
+  std::shared_ptr<BatchDesk> Other = makeDesk(OtherLog);
+
+  std::shared_ptr<BatchDesk> makeDesk(std::shared_ptr<RolloutLog> Of) {
+    BatchDesk::Settings limits;
+    limits.StaleAfter = Millis(30);
+    return BatchDesk::create(Context.get_executor(), std::move(Of), Decisions,
+                             limits);
+  }
+
+  DeskVerdict submit(BatchDesk &At, const BatchJob &Job) {
+    DeskVerdict verdict = DeskVerdict::Unknown;
+    run([&]() -> asio::awaitable<void> { verdict = co_await At.submit(Job); });
+    return verdict;
+  }
+  DeskVerdict end(BatchDesk &At, const BatchJob &Job) {
+    DeskVerdict verdict = DeskVerdict::Unknown;
+    run([&]() -> asio::awaitable<void> { verdict = co_await At.end(Job.Id); });
+    return verdict;
+  }
+  Outcome<ResultPage> read(BatchDesk &At, const BatchJob &Job,
+                           std::size_t After, Millis Wait = Millis(0)) {
+    std::optional<Outcome<ResultPage>> page;
+    run([&]() -> asio::awaitable<void> {
+      page.emplace(co_await At.read(Job.Id, After, Wait));
+    });
+    return *page;
+  }
+  void list(const BatchJob &Job, std::size_t Index, const std::string &Text) {
+    Store.append("rollout", encodeRecord(ResultRecord{
+                                Job.Id, makeResult(Job, Index, Text)}));
+  }
+};
+
+} // namespace
+
+TEST_CASE("A job accepted by one process is known to another at once",
+          "[batch]") {
+  DeskWorld world;
+  BatchJob job = makeJob("a", 2);
+  CHECK(world.submit(*world.Desk, job) == DeskVerdict::Taken);
+  Outcome<ResultPage> page = world.read(*world.Other, job, 0);
+  REQUIRE(page);
+  CHECK(page->Total == 2);
+  CHECK(world.submit(*world.Other, job) == DeskVerdict::Taken);
+}
+
+TEST_CASE("A refused submission is not in the topic", "[batch]") {
+  DeskWorld world;
+  BatchJob job = makeJob("a", 1);
+  world.Store.Fates = {AppendFate::Refused};
+  CHECK(world.submit(*world.Desk, job) == DeskVerdict::Refused);
+  CHECK(world.Store.Topics["rollout"].empty());
+}
+
+TEST_CASE("A submission whose answer is lost is found in the topic",
+          "[batch]") {
+  DeskWorld world;
+  BatchJob job = makeJob("a", 1);
+  world.Store.Fates = {AppendFate::AnswerLost};
+  CHECK(world.submit(*world.Desk, job) == DeskVerdict::Taken);
+}
+
+TEST_CASE("A submission of which nobody can say is never called refused",
+          "[batch]") {
+  DeskWorld world;
+  BatchJob job = makeJob("a", 1);
+  // It may still be carried out later, so "not run" would be a lie.
+  world.Store.Fates = {AppendFate::Lost};
+  CHECK(world.submit(*world.Desk, job) == DeskVerdict::Unknown);
+}
+
+TEST_CASE("An unknown job is missing only after a look at the store",
+          "[batch]") {
+  DeskWorld world;
+  BatchJob job = makeJob("a", 1);
+  Outcome<ResultPage> page = world.read(*world.Desk, job, 0);
+  REQUIRE_FALSE(page);
+  CHECK(page.failure().Code == FailureCode::Expired);
+  *world.Cut = true;
+  page = world.read(*world.Desk, job, 0);
+  REQUIRE_FALSE(page);
+  CHECK(page.failure().Code == FailureCode::Unavailable);
+}
+
+TEST_CASE("A process without news does not call a position empty", "[batch]") {
+  DeskWorld world;
+  BatchJob job = makeJob("a", 2);
+  REQUIRE(world.submit(*world.Desk, job) == DeskVerdict::Taken);
+  world.list(job, 0, "x");
+  REQUIRE(world.runUntil([&] {
+    std::shared_ptr<JobState> known = findJob(world.Log->fold(), job.Id);
+    return known && !known->Results.empty();
+  }));
+  *world.Cut = true;
+  world.list(job, 1, "y");
+  REQUIRE(world.runUntil([&] {
+    return lostFor(world.Log->contact(), Millis(40), monotonicNow());
+  }));
+  // What it has read it may give; what it has not, it cannot speak of.
+  Outcome<ResultPage> first = world.read(*world.Desk, job, 0);
+  REQUIRE(first);
+  CHECK(first->Next == 1);
+  CHECK_FALSE(world.read(*world.Desk, job, 1));
+  Outcome<ResultPage> beyond = world.read(*world.Desk, job, 2);
+  CHECK_FALSE(beyond);
+}
+
+TEST_CASE("A reader waits for a result and gets it when it comes", "[batch]") {
+  DeskWorld world;
+  BatchJob job = makeJob("a", 2);
+  REQUIRE(world.submit(*world.Desk, job) == DeskVerdict::Taken);
+  asio::steady_timer timer(world.Context, Millis(40));
+  timer.async_wait([&](boost::system::error_code) { world.list(job, 1, "x"); });
+  Outcome<ResultPage> page = world.read(*world.Other, job, 0, Millis(5000));
+  REQUIRE(page);
+  REQUIRE(page->Results.size() == 1);
+  CHECK(page->Results[0].Output == "x");
+  CHECK(page->Next == 1);
+}
+
+TEST_CASE("An end is taken again when it is repeated", "[batch]") {
+  DeskWorld world;
+  BatchJob job = makeJob("a", 1);
+  CHECK(world.end(*world.Desk, job) == DeskVerdict::NoJob);
+  REQUIRE(world.submit(*world.Desk, job) == DeskVerdict::Taken);
+  CHECK(world.end(*world.Other, job) == DeskVerdict::Taken);
+  CHECK(world.end(*world.Desk, job) == DeskVerdict::Taken);
+  CHECK(world.end(*world.Desk, job) == DeskVerdict::Taken);
+}
+
+TEST_CASE("A topic whose first records have expired is read on from there",
+          "[batch]") {
+  BatchWorld world;
+  BatchJob old = makeJob("old", 1);
+  BatchJob job = makeJob("new", 1);
+  world.Store.append("rollout", encodeRecord(JobPart{old, 0, 1}));
+  world.Store.append("rollout", encodeRecord(JobPart{job, 0, 1}));
+  world.Store.First["rollout"] = 1;
+  std::shared_ptr<RolloutLog> log = world.follow(world.Store.port());
+  CHECK(world.runUntil([&] { return log->caughtUp(); }));
+  CHECK(findJob(log->fold(), job.Id) != nullptr);
+  CHECK(findJob(log->fold(), old.Id) == nullptr);
+}
+
+TEST_CASE("A record that nobody can read does not stop the others", "[batch]") {
+  BatchWorld world;
+  BatchJob job = makeJob("a", 1);
+  world.Store.append("rollout", "no record");
+  world.Store.append("rollout", encodeRecord(JobPart{job, 0, 1}));
+  std::shared_ptr<RolloutLog> log = world.follow(world.Store.port());
+  CHECK(
+      world.runUntil([&] { return findJob(log->fold(), job.Id) != nullptr; }));
+}
+
+} // namespace wasabi::batchtest
--- /dev/null
+++ b/UnitTests/Batch/BatchFoldTest.cpp
@@ -0,0 +1,166 @@
+#include "Wasabi/Batch/BatchFold.h"
+#include "UnitTests/Batch/BatchFixture.h"
+
+#include <rapidcheck.h>
+
+#include <sstream>
+
+namespace wasabi::batchtest {
+
+namespace {
+
+constexpr std::uint64_t Seed = 20261202;
+constexpr int Runs = 200;
+
+/// Runs a property with a fixed seed, so that a run can be had again.
+template <typename Property> void holds(const Property &What) {
+  rc::detail::TestParams params;
+  params.seed = Seed;
+  params.maxSuccess = Runs;
+  rc::detail::TestResult result =
+      rc::detail::checkTestable(What, rc::detail::TestMetadata(), params);
+  std::ostringstream text;
+  rc::detail::printResultMessage(result, text);
+  INFO(text.str());
+  CHECK(result.template is<rc::detail::SuccessResult>());
+}
+
+std::vector<ItemResult> resultsOf(const BatchFold &Fold, const JobId &Id) {
+  std::shared_ptr<JobState> job = findJob(Fold, Id);
+  return job ? job->Results : std::vector<ItemResult>();
+}
+
+/// A topic in which several dispatchers and trainers write about a few jobs.
+std::vector<BatchRecord> anyTopic() {
+  constexpr std::size_t Items = 4;
+  std::vector<BatchRecord> topic;
+  int records = *rc::gen::inRange(0, 60);
+  for (int i = 0; i < records; ++i) {
+    BatchJob job = makeJob(std::to_string(*rc::gen::inRange(0, 3)), Items);
+    std::size_t index = *rc::gen::inRange<std::size_t>(0, Items);
+    switch (*rc::gen::inRange(0, 5)) {
+    case 0:
+      topic.emplace_back(JobPart{job, 0, 1});
+      break;
+    case 1:
+    case 2:
+      topic.emplace_back(
+          ResultRecord{job.Id, makeResult(job, index, std::to_string(i))});
+      break;
+    case 3:
+      topic.emplace_back(
+          TextRecord{job.Id, job.Items[index].Id, {"t", 1, {1}}});
+      break;
+    default:
+      topic.emplace_back(JobEnd{job.Id});
+    }
+  }
+  return topic;
+}
+
+BatchFold folded(const std::vector<BatchRecord> &Topic, std::size_t Count) {
+  BatchFold fold;
+  for (std::size_t i = 0; i < Count; ++i)
+    apply(fold, i, Topic[i], TimePoint());
+  return fold;
+}
+
+} // namespace
+
+TEST_CASE("The first submission of a job counts", "[batch]") {
+  BatchFold fold;
+  BatchJob job = makeJob("a", 2);
+  BatchJob other = makeJob("a", 3);
+  CHECK(apply(fold, 0, JobPart{job, 0, 1}, TimePoint()).What ==
+        FoldChange::Kind::Accepted);
+  CHECK(apply(fold, 1, JobPart{other, 0, 1}, TimePoint()).What ==
+        FoldChange::Kind::Nothing);
+  CHECK(findJob(fold, job.Id)->Job == job);
+}
+
+TEST_CASE("The first result of an item counts, whoever found it", "[batch]") {
+  BatchFold fold;
+  BatchJob job = makeJob("a", 2);
+  apply(fold, 0, JobPart{job, 0, 1}, TimePoint());
+  apply(fold, 1, ResultRecord{job.Id, makeResult(job, 1, "x")}, TimePoint());
+  apply(fold, 2, ResultRecord{job.Id, makeResult(job, 1, "y")}, TimePoint());
+  apply(fold, 3, ResultRecord{job.Id, makeResult(job, 0, "z")}, TimePoint());
+  std::vector<ItemResult> results = resultsOf(fold, job.Id);
+  REQUIRE(results.size() == 2);
+  CHECK(results[0].Output == "x");
+  CHECK(results[1].Output == "z");
+}
+
+TEST_CASE("A result of an item that the job has not is passed over",
+          "[batch]") {
+  BatchFold fold;
+  BatchJob job = makeJob("a", 1);
+  BatchJob other = makeJob("b", 1);
+  apply(fold, 0, JobPart{job, 0, 1}, TimePoint());
+  apply(fold, 1, ResultRecord{job.Id, makeResult(other, 0, "x")}, TimePoint());
+  CHECK(resultsOf(fold, job.Id).empty());
+}
+
+TEST_CASE("A submission whose last part is missing is not accepted",
+          "[batch]") {
+  BatchFold fold;
+  BatchJob job = makeJob("a", 2);
+  BatchJob next = makeJob("b", 1);
+  apply(fold, 0, JobPart{job, 0, 2}, TimePoint());
+  apply(fold, 1, JobPart{next, 0, 1}, TimePoint());
+  apply(fold, 2, JobPart{job, 1, 2}, TimePoint());
+  CHECK(findJob(fold, job.Id) == nullptr);
+  CHECK(findJob(fold, next.Id) != nullptr);
+}
+
+TEST_CASE("Positions never change as the topic grows, in any process",
+          "[batch]") {
+  holds([] {
+    std::vector<BatchRecord> topic = anyTopic();
+    std::size_t cut = *rc::gen::inRange<std::size_t>(0, topic.size() + 1);
+    BatchFold early = folded(topic, cut);
+    BatchFold whole = folded(topic, topic.size());
+    // A process that reads some stretch twice folds the same.
+    BatchFold twice = folded(topic, cut);
+    for (std::size_t i = 0; i < topic.size(); ++i)
+      apply(twice, i, topic[i], TimePoint());
+    for (const char *name : {"0", "1", "2"}) {
+      JobId id{std::string(name)};
+      std::vector<ItemResult> before = resultsOf(early, id);
+      std::vector<ItemResult> after = resultsOf(whole, id);
+      RC_ASSERT(before.size() <= after.size());
+      RC_ASSERT(std::equal(before.begin(), before.end(), after.begin()));
+      RC_ASSERT(resultsOf(twice, id) == after);
+      std::set<std::string> items;
+      for (const ItemResult &it : after)
+        RC_ASSERT(items.insert(it.Item.Text).second);
+    }
+  });
+}
+
+TEST_CASE("A renewal under an old term does not hold the lease", "[batch]") {
+  BatchFold fold;
+  TimePoint start = TimePoint() + Millis(1000);
+  apply(fold, 0, LeaseClaim{{InstanceName("a"), 1}}, start);
+  apply(fold, 1, LeaseClaim{{InstanceName("b"), 2}}, start + Millis(10));
+  apply(fold, 2, LeaseRenewal{0}, start + Millis(50));
+  CHECK(fold.Lease.Holder->Instance.Text == "b");
+  CHECK(fold.Lease.Term == 1);
+  CHECK(fold.Lease.Seen == start + Millis(10));
+  apply(fold, 3, LeaseRelease{0}, start + Millis(60));
+  CHECK_FALSE(fold.Lease.Released);
+  apply(fold, 4, LeaseRelease{1}, start + Millis(70));
+  CHECK(fold.Lease.Released);
+}
+
+TEST_CASE("A job is forgotten after nobody may read it any more", "[batch]") {
+  BatchFold fold;
+  BatchJob job = makeJob("a", 1);
+  apply(fold, 0, JobPart{job, 0, 1}, TimePoint());
+  expire(fold, TimePoint() + fold.Limits.KeepJob);
+  CHECK(findJob(fold, job.Id) != nullptr);
+  expire(fold, TimePoint() + fold.Limits.KeepJob + Millis(1));
+  CHECK(findJob(fold, job.Id) == nullptr);
+}
+
+} // namespace wasabi::batchtest
--- /dev/null
+++ b/UnitTests/Batch/FakeStore.cpp
@@ -0,0 +1,135 @@
+#include "UnitTests/Batch/FakeStore.h"
+
+namespace wasabi::batchtest {
+
+namespace asio = boost::asio;
+
+namespace {
+
+Failure failure(Verdict Run, FailureCode Code) {
+  return Failure{Run, Code, "fake store", "as told", {}};
+}
+
+Failure unreachable() {
+  return failure(Verdict::MayHaveRun, FailureCode::TimedOut);
+}
+
+KeyedRecord keyed(const LogEntry &Entry) {
+  std::size_t bar = Entry.Text.find('|');
+  KeyedRecord record{Entry.At, Entry.Text.substr(0, bar), std::nullopt};
+  if (bar != std::string::npos)
+    record.Value = Entry.Text.substr(bar + 1);
+  return record;
+}
+
+} // namespace
+
+RecordStore FakeStore::port() { return port(std::make_shared<bool>(false)); }
+
+RecordStore FakeStore::port(std::shared_ptr<bool> Cut) {
+  RecordStore port;
+  port.Append = [this, Cut](std::string Topic, std::vector<std::string> Records,
+                            std::optional<Offset> At, Millis) {
+    return take(Cut, std::move(Topic), std::move(Records), At);
+  };
+  port.AppendKeyed = [this, Cut](std::string Topic, std::string Key,
+                                 std::string Value, Millis) {
+    std::vector<std::string> records{Key + "|" + Value};
+    return take(Cut, std::move(Topic), std::move(records), std::nullopt);
+  };
+  port.Read = [this, Cut](std::string Topic, Offset From, Millis Wait) {
+    return read(Cut, std::move(Topic), From, Wait);
+  };
+  port.ReadKeyed = [this, Cut](std::string Topic, Offset From, Millis Wait) {
+    return readKeyed(Cut, std::move(Topic), From, Wait);
+  };
+  port.Newest = [this, Cut](std::string Topic) {
+    return newest(Cut, std::move(Topic));
+  };
+  return port;
+}
+
+void FakeStore::append(const std::string &Topic, std::string Record) {
+  Topics[Topic].push_back(std::move(Record));
+  Grown.notify();
+}
+
+asio::awaitable<Outcome<Offset>>
+FakeStore::take(std::shared_ptr<bool> Cut, std::string Topic,
+                std::vector<std::string> Records, std::optional<Offset> At) {
+  co_await pauseFor(Context.get_executor(), Millis(1));
+  AppendFate fate = AppendFate::Taken;
+  if (!Fates.empty()) {
+    fate = Fates.front();
+    Fates.pop_front();
+  }
+  if (Down || *Cut || fate == AppendFate::Lost)
+    co_return unreachable();
+  if (fate == AppendFate::Refused)
+    co_return failure(Verdict::NotRun, FailureCode::Overloaded);
+  std::vector<std::string> &all = Topics[Topic];
+  if (At && *At != all.size())
+    co_return failure(Verdict::NotRun, FailureCode::Conflict);
+  Offset first = all.size();
+  for (std::string &it : Records)
+    all.push_back(std::move(it));
+  Grown.notify();
+  if (fate == AppendFate::AnswerLost)
+    co_return unreachable();
+  co_return first;
+}
+
+asio::awaitable<Outcome<LogRange>> FakeStore::read(std::shared_ptr<bool> Cut,
+                                                   std::string Topic,
+                                                   Offset From, Millis Wait) {
+  TimePoint until = monotonicNow() + Wait;
+  while (!Down && !*Cut && Topics[Topic].size() <= From &&
+         monotonicNow() < until)
+    co_await Grown.wait(until);
+  co_await pauseFor(Context.get_executor(), Millis(1));
+  if (Down || *Cut)
+    co_return unreachable();
+  const std::vector<std::string> &all = Topics[Topic];
+  LogRange range;
+  range.First = First[Topic];
+  range.End = all.size();
+  for (Offset at = From; at >= range.First && at < range.End; ++at)
+    range.Entries.push_back({at, all[at]});
+  co_return range;
+}
+
+asio::awaitable<Outcome<KeyedRange>>
+FakeStore::readKeyed(std::shared_ptr<bool> Cut, std::string Topic, Offset From,
+                     Millis Wait) {
+  Outcome<LogRange> got = co_await read(Cut, Topic, From, Wait);
+  if (!got)
+    co_return got.failure();
+  KeyedRange range;
+  range.First = got->First;
+  range.End = got->End;
+  for (const LogEntry &it : got->Entries)
+    range.Records.push_back(keyed(it));
+  co_return range;
+}
+
+asio::awaitable<Outcome<KeyedRange>>
+FakeStore::newest(std::shared_ptr<bool> Cut, std::string Topic) {
+  co_await pauseFor(Context.get_executor(), Millis(1));
+  if (Down || *Cut)
+    co_return unreachable();
+  const std::vector<std::string> &all = Topics[Topic];
+  std::map<std::string, KeyedRecord> last;
+  for (Offset at = 0; at < all.size(); ++at) {
+    KeyedRecord record = keyed({at, all[at]});
+    last[record.Key] = record;
+  }
+  KeyedRange range;
+  range.End = all.size();
+  for (const auto &[key, record] : last) {
+    if (record.Value)
+      range.Records.push_back(record);
+  }
+  co_return range;
+}
+
+} // namespace wasabi::batchtest
--- /dev/null
+++ b/UnitTests/Dispatch/DutyKeeperTest.cpp
@@ -0,0 +1,105 @@
+#include "Wasabi/Dispatch/DutyKeeper.h"
+#include "UnitTests/Batch/BatchFixture.h"
+
+namespace wasabi::batchtest {
+
+namespace {
+
+/// One process that may dispatch.
+struct DutyProcess {
+  std::shared_ptr<bool> Cut = std::make_shared<bool>(false);
+  std::shared_ptr<RolloutLog> Log;
+  std::shared_ptr<DutyKeeper> Duty;
+  int Gained = 0;
+  int Lost = 0;
+
+  DutyProcess(BatchWorld &World, const std::string &Name, Incarnation Life) {
+    Log = World.follow(World.Store.port(Cut));
+    DutySettings limits;
+    limits.Self = LeaseHolder{InstanceName(Name), Life};
+    limits.HoldTime = Millis(120);
+    limits.RenewEvery = Millis(20);
+    limits.ClaimSpread = Millis(10);
+    Duty =
+        DutyKeeper::create(World.Context.get_executor(), Log, World.Decisions,
+                           limits, {[this] { ++Gained; }, [this] { ++Lost; }});
+    Duty->start();
+  }
+};
+
+} // namespace
+
+TEST_CASE("One of two processes takes the duty", "[dispatch]") {
+  BatchWorld world;
+  DutyProcess one(world, "one", 1);
+  DutyProcess two(world, "two", 2);
+  REQUIRE(world.runUntil([&] { return one.Gained + two.Gained > 0; }));
+  world.Context.run_for(Millis(300));
+  CHECK(one.Gained + two.Gained == 1);
+  CHECK(one.Duty->held() != two.Duty->held());
+}
+
+TEST_CASE("A holder that is cut off is followed by another, and yields when "
+          "it is back",
+          "[dispatch]") {
+  BatchWorld world;
+  DutyProcess one(world, "one", 1);
+  REQUIRE(world.runUntil([&] { return one.Duty->held(); }));
+  DutyProcess two(world, "two", 2);
+  *one.Cut = true;
+  REQUIRE(world.runUntil([&] { return two.Duty->held(); }));
+  *one.Cut = false;
+  // Its renewals are taken by the store all the same; they hold nothing.
+  REQUIRE(world.runUntil([&] { return !one.Duty->held(); }));
+  world.Context.run_for(Millis(300));
+  CHECK(two.Duty->held());
+  CHECK(two.Lost == 0);
+  CHECK(one.Lost == 1);
+}
+
+TEST_CASE("A released duty is taken at once", "[dispatch]") {
+  BatchWorld world;
+  DutyProcess one(world, "one", 1);
+  REQUIRE(world.runUntil([&] { return one.Duty->held(); }));
+  DutyProcess two(world, "two", 2);
+  REQUIRE(world.runUntil([&] { return two.Log->caughtUp(); }));
+  std::vector<std::string> texts{
+      encodeRecord(TextRecord{JobId("a"), ItemId("b"), {"t", 1, {1}}})};
+  world.run([&]() -> boost::asio::awaitable<void> {
+    co_await one.Duty->release(texts);
+  });
+  REQUIRE(world.runUntil([&] { return two.Duty->held(); }));
+  CHECK_FALSE(one.Duty->held());
+}
+
+TEST_CASE("An outage of the store costs the holder nothing", "[dispatch]") {
+  BatchWorld world;
+  DutyProcess one(world, "one", 1);
+  REQUIRE(world.runUntil([&] { return one.Duty->held(); }));
+  DutyProcess two(world, "two", 2);
+  REQUIRE(world.runUntil([&] { return two.Log->caughtUp(); }));
+  world.Store.Down = true;
+  world.Context.run_for(Millis(700));
+  world.Store.Down = false;
+  world.Context.run_for(Millis(400));
+  CHECK(one.Duty->held());
+  CHECK(two.Gained == 0);
+}
+
+TEST_CASE("A restarted process does not wait for its predecessor's lease",
+          "[dispatch]") {
+  LeaseState lease;
+  lease.Holder = LeaseHolder{InstanceName("one"), 1};
+  lease.Seen = TimePoint() + Millis(5000);
+  StoreContact contact;
+  contact.Lost = false;
+  DutySettings self;
+  self.Self = LeaseHolder{InstanceName("one"), 2};
+  TimePoint now = lease.Seen + Millis(1);
+  CHECK(leaseFree(lease, contact, self, Millis(0), now));
+  self.Self.Instance = InstanceName("two");
+  CHECK_FALSE(leaseFree(lease, contact, self, Millis(0), now));
+  CHECK(leaseFree(lease, contact, self, Millis(0), now + self.HoldTime));
+}
+
+} // namespace wasabi::batchtest
--- /dev/null
+++ b/UnitTests/Dispatch/OrderKeeperTest.cpp
@@ -0,0 +1,172 @@
+#include "Wasabi/Dispatch/OrderKeeper.h"
+#include "UnitTests/Batch/BatchFixture.h"
+
+namespace wasabi::batchtest {
+
+namespace {
+
+const ModelName Red("red");
+const ServerName Server("i-1");
+
+/// One engine, as its calls see it.
+struct FakeEngine {
+  explicit FakeEngine(boost::asio::io_context &Context) : Context(Context) {}
+
+  boost::asio::io_context &Context;
+  EngineReport Now{{{Red, 1}}, false, 0, 0, 0};
+  std::vector<VersionOrder> Orders;
+  /// Orders that are accepted without an answer, and carried out later.
+  int Late = 0;
+  bool Dark = false;
+
+  EnginePort port() {
+    EnginePort port;
+    port.Report = [this](UpstreamEntry, Millis) { return report(); };
+    port.Order = [this](UpstreamEntry, VersionOrder What, Millis) {
+      return order(std::move(What));
+    };
+    return port;
+  }
+  boost::asio::awaitable<Outcome<EngineReport>> report() {
+    co_await pauseFor(Context.get_executor(), Millis(1));
+    if (Dark)
+      co_return silence();
+    co_return Now;
+  }
+  boost::asio::awaitable<Outcome<OrderOutcome>> order(VersionOrder What) {
+    co_await pauseFor(Context.get_executor(), Millis(1));
+    Orders.push_back(What);
+    if (Late > 0) {
+      --Late;
+      co_return silence();
+    }
+    if (What.Accepted != Now.Accepted)
+      co_return OrderOutcome::Busy;
+    ++Now.Accepted;
+    Now.Models[What.Model] = What.Version;
+    co_return OrderOutcome::Begun;
+  }
+  static Failure silence() {
+    return Failure{
+        Verdict::MayHaveRun, FailureCode::TimedOut, "engine", "silent", {}};
+  }
+};
+
+struct OrderWorld : BatchWorld {
+  FakeEngine Engine{Context};
+  std::shared_ptr<bool> Cut = std::make_shared<bool>(false);
+  std::shared_ptr<OrderKeeper> Keeper = makeKeeper();
+
+  std::shared_ptr<OrderKeeper> makeKeeper() {
+    OrderKeeper::Settings limits;
+    limits.Holder = "side-1";
+    limits.LookEvery = Millis(2);
+    limits.RestEvery = Millis(5);
+    std::shared_ptr<OrderKeeper> keeper =
+        OrderKeeper::create(Context.get_executor(), Store.port(Cut),
+                            Engine.port(), Decisions, limits);
+    UpstreamEntry entry;
+    entry.Id = Server;
+    keeper->setEngine(entry);
+    keeper->start();
+    return keeper;
+  }
+  bool comesTo(WeightVersion Version) {
+    return runUntil([&] { return Engine.Now.Models[Red] == Version; });
+  }
+};
+
+} // namespace
+
+TEST_CASE("An engine is ordered to what is wanted, and once", "[dispatch]") {
+  OrderWorld world;
+  world.Keeper->setWanted(Server, {Red, 2, SwapMode::Continue}, 0);
+  REQUIRE(world.comesTo(2));
+  world.Context.run_for(Millis(50));
+  CHECK(world.Engine.Orders.size() == 1);
+  CHECK(world.Engine.Orders[0].Holder == "side-1");
+}
+
+TEST_CASE("An older record of what is wanted changes nothing", "[dispatch]") {
+  OrderWorld world;
+  world.Keeper->setWanted(Server, {Red, 3, SwapMode::Continue}, 9);
+  world.Keeper->setWanted(Server, {Red, 2, SwapMode::Continue}, 4);
+  REQUIRE(world.comesTo(3));
+  world.Keeper->setWanted(ServerName("i-2"), {Red, 7, SwapMode::Continue}, 10);
+  world.Context.run_for(Millis(50));
+  CHECK(world.Engine.Now.Models[Red] == 3);
+}
+
+TEST_CASE("Tokens of a later life are greater than those of an earlier one",
+          "[dispatch]") {
+  OrderWorld world;
+  world.Keeper->setWanted(Server, {Red, 2, SwapMode::Continue}, 50);
+  REQUIRE(world.comesTo(2));
+  // The next life reads what is wanted from an older answer of the store.
+  world.Keeper = world.makeKeeper();
+  world.Keeper->setWanted(Server, {Red, 4, SwapMode::Continue}, 20);
+  REQUIRE(world.comesTo(4));
+  CHECK(world.Engine.Orders.back().Token > world.Engine.Orders.front().Token);
+}
+
+TEST_CASE("A life that the store does not know yet gives no order",
+          "[dispatch]") {
+  OrderWorld world;
+  *world.Cut = true;
+  world.Keeper->setWanted(Server, {Red, 2, SwapMode::Continue}, 0);
+  world.Context.run_for(Millis(60));
+  CHECK(world.Engine.Orders.empty());
+  *world.Cut = false;
+  CHECK(world.comesTo(2));
+}
+
+TEST_CASE("An order that is not answered is given again with the same count",
+          "[dispatch]") {
+  OrderWorld world;
+  world.Engine.Late = 2;
+  world.Keeper->setWanted(Server, {Red, 2, SwapMode::Continue}, 0);
+  REQUIRE(world.comesTo(2));
+  // Whichever of them is carried out, the others no longer fit the count.
+  for (const VersionOrder &it : world.Engine.Orders)
+    CHECK(it.Accepted == 0u);
+}
+
+TEST_CASE("An engine that fell back is ordered forward again", "[dispatch]") {
+  OrderWorld world;
+  world.Keeper->setWanted(Server, {Red, 5, SwapMode::Continue}, 0);
+  REQUIRE(world.comesTo(5));
+  world.Engine.Now.Models[Red] = 4;
+  CHECK(world.comesTo(5));
+}
+
+TEST_CASE("What an engine holds is told to the store", "[dispatch]") {
+  OrderWorld world;
+  world.Keeper->setWanted(Server, {Red, 2, SwapMode::Continue}, 0);
+  REQUIRE(world.comesTo(2));
+  auto told = [&] {
+    const std::vector<std::string> &all = world.Store.Topics[HeldTopic];
+    if (all.empty())
+      return false;
+    std::string text = all.back().substr(all.back().find('|') + 1);
+    Outcome<HeldWeights> held =
+        toOutcome<HeldWeights>([&] { return decodeHeld(text, "test"); });
+    return held && held->Models.at(Red) == 2 && !held->Loading;
+  };
+  CHECK(world.runUntil(told));
+}
+
+TEST_CASE("Records about engines read as they were written", "[dispatch]") {
+  WantedWeights wanted{Red, 7, SwapMode::Finish};
+  Outcome<WantedWeights> again = toOutcome<WantedWeights>(
+      [&] { return decodeWanted(encodeWanted(wanted), "test"); });
+  REQUIRE(again);
+  CHECK(*again == wanted);
+  HeldWeights held{{{Red, 7}, {ModelName("blue"), 1}}, true};
+  Outcome<HeldWeights> same = toOutcome<HeldWeights>(
+      [&] { return decodeHeld(encodeHeld(held), "test"); });
+  REQUIRE(same);
+  CHECK(*same == held);
+  CHECK_FALSE(toOutcome<HeldWeights>([&] { return decodeHeld("{", "test"); }));
+}
+
+} // namespace wasabi::batchtest
--- /dev/null
+++ b/UnitTests/Platform/TranslationTest.cpp
@@ -0,0 +1,232 @@
+#include "platform/BatchWire.h"
+#include "platform/BootSettings.h"
+#include "platform/Decoding.h"
+#include "platform/EngineClient.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+
+#include <catch2/catch.hpp>
+
+namespace wasabi::platform {
+
+namespace {
+
+constexpr const char *Settings = R"({
+  "node_name": "edge-1", "zone": "hall", "ip": "10.1.0.35", "new": [1],
+  "listen": {"front": "10.1.0.35:8144", "ready_addr": "10.1.0.35:8140"},
+  "bounds": {"grace_s": 6, "lease_ms": 3000},
+  "platform": {"address": "10.200.1.7:8142", "record_bytes": 4096}})";
+
+constexpr const char *Routes = R"({"version":7,"routes":[
+  {"name":"r1","host":"h","path_prefix":"/a/","kind":"idempotent",
+   "timeout_ms":2000,"target_latency_ms":400,"priority":2,"service":"s1",
+   "max_attempts":4},
+  {"name":"r2","host":"h","path_prefix":"/b/","kind":"rollout",
+   "timeout_ms":10000,"target_latency_ms":400,"retention_s":40.0,
+   "result_deadline_ms":7500,"single_version":true,
+   "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+   "max_attempts":3}],
+  "services":[{"name":"s1","health_path":"/health","max_connections":150,
+   "engine":{"slots":8,"models":[{"name":"m0"},{"name":"m1"}],"most":12}},
+   {"name":"s2"}],
+  "limits":{"max_header_bytes":16384,"max_body_bytes":33554432,
+   "header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+
+constexpr const char *Job = R"({"step":7,"model":"m0","min_version":6,
+  "target_groups":12,"items":[{"id":"i1","path":"/p/3",
+  "headers":{"Wasabisail-Token-Usage":"540,400","X":"y"},"body":"q83v",
+  "tokens":940,"group":"g1","scorer_url":{"id":"s1","host":"h",
+  "path":"/s","body":"3q0="}},{"id":"i2","path":"/p/4",
+  "headers":{"Wasabisail-Length-Hint":"25.5"},"body":"","group":"g1"}]})";
+
+template <typename T, typename Body> Outcome<T> outcomeOf(const Body &Of) {
+  return toOutcome<T>([&] { return Of(); });
+}
+
+http::Request submission(std::string Body) {
+  http::Request ask;
+  ask.Method = "POST";
+  ask.Target = "/b/1";
+  ask.Headers = {{"Host", "h"}, {"Wasabisail-Request-Id", "job-1"}};
+  ask.Body = std::move(Body);
+  return ask;
+}
+
+/// All events of some pieces of a stream.
+Outcome<std::vector<EngineEvent>>
+eventsOf(const std::vector<std::string> &Pieces) {
+  std::vector<EngineEvent> events;
+  EventBuffer buffer;
+  for (const std::string &piece : Pieces) {
+    buffer.Rest += piece;
+    for (;;) {
+      Outcome<std::optional<EngineEvent>> event = takeEvent(buffer);
+      if (!event)
+        return event.failure();
+      if (!*event)
+        break;
+      events.push_back(**event);
+    }
+  }
+  return events;
+}
+
+} // namespace
+
+TEST_CASE("The platform's settings are read, and unknown ones passed over",
+          "[platform]") {
+  Outcome<BootSettings> got = outcomeOf<BootSettings>(
+      [] { return parseBootSettings(Settings, "local.json"); });
+  REQUIRE(got);
+  CHECK(got->Instance.Text == "edge-1");
+  CHECK(got->Domain.Text == "hall");
+  CHECK(got->Callers == Address{"10.1.0.35", 8144});
+  CHECK(got->Store == Address{"10.200.1.7", 8142});
+  CHECK(got->RecordBytes == 4096);
+  CHECK(got->StopGrace == Millis(6000));
+  CHECK_FALSE(got->Engine.has_value());
+}
+
+TEST_CASE("A settings file that is wrong is named with its member",
+          "[platform]") {
+  std::string text = Settings;
+  std::string broken = text;
+  broken.replace(broken.find("10.200.1.7:8142"), 15, "store.example:1");
+  for (const std::string &it : {std::string("{"), std::string("{}"), broken}) {
+    Outcome<BootSettings> got = outcomeOf<BootSettings>(
+        [&] { return parseBootSettings(it, "local.json"); });
+    REQUIRE_FALSE(got);
+    CHECK(got.failure().Code == FailureCode::BadInput);
+    CHECK(got.failure().Place.starts_with("local.json"));
+  }
+}
+
+TEST_CASE("The operator's configuration becomes the route table",
+          "[platform]") {
+  Outcome<RouteTable> got =
+      outcomeOf<RouteTable>([] { return decodeRoutes(Routes, "config"); });
+  REQUIRE(got);
+  CHECK(got->Version == 7);
+  REQUIRE(got->Routes.size() == 2);
+  CHECK(got->Routes[0].Kind == RouteKind::Idempotent);
+  CHECK(got->Routes[0].MaxAttempts == 4);
+  CHECK(got->Routes[1].Kind == RouteKind::Rollout);
+  CHECK(got->Routes[1].SingleVersion);
+  CHECK(got->Routes[1].Retention == Millis(40000));
+  CHECK(got->Routes[1].Services.size() == 2);
+  REQUIRE(findService(*got, ServiceName("s1"))->Engine.has_value());
+  CHECK(findService(*got, ServiceName("s1"))->Engine->Models.size() == 2);
+  CHECK_FALSE(findService(*got, ServiceName("s2"))->Engine.has_value());
+  CHECK(got->Limits.IdleTimeout == Millis(15000));
+}
+
+TEST_CASE("A configuration that is wrong is refused as a whole", "[platform]") {
+  for (const char *word :
+       {"\"rollout\"", "\"host\"", "\"version\":7", "7500"}) {
+    std::string text = Routes;
+    text.replace(text.find(word), std::string(word).size(), "\"?\"");
+    CHECK_FALSE(
+        outcomeOf<RouteTable>([&] { return decodeRoutes(text, "config"); }));
+  }
+}
+
+TEST_CASE("A server's registration is decoded", "[platform]") {
+  std::string text =
+      R"({"service":"s","address":"10.128.0.9:8080","zone":"z","version":"v1",
+      "slots":8,"state":"draining","cold_remaining_ms":0,"stage":"both",
+      "models":[{"name":"m0","version":3,"adapters":[]}],"sequence":4})";
+  Outcome<UpstreamEntry> got = outcomeOf<UpstreamEntry>(
+      [&] { return decodeServer("i-1", text, "servers/i-1"); });
+  REQUIRE(got);
+  CHECK(got->Draining);
+  CHECK(got->Models.at(ModelName("m0")) == 3);
+  CHECK(got->Where == Address{"10.128.0.9", 8080});
+  CHECK_FALSE(outcomeOf<UpstreamEntry>(
+      [&] { return decodeServer("i-1", R"({"service":"s"})", "x"); }));
+}
+
+TEST_CASE("A batch job is decoded with its expected lengths", "[platform]") {
+  Outcome<BatchJob> got =
+      outcomeOf<BatchJob>([] { return decodeJob(submission(Job)); });
+  REQUIRE(got);
+  CHECK(got->Id.Text == "job-1");
+  CHECK(got->MinVersion == 6);
+  REQUIRE(got->Items.size() == 2);
+  CHECK(got->Items[0].Body == "\xab\xcd\xef");
+  CHECK(got->Items[0].ExpectedTokens == 400);
+  CHECK(got->Items[1].ExpectedTokens == 25.5);
+  REQUIRE(got->Items[0].Score.has_value());
+  CHECK(got->Items[0].Score->Body == "\xde\xad");
+  CHECK_FALSE(got->Items[1].Score.has_value());
+}
+
+TEST_CASE("A batch job that is wrong is refused with its place", "[platform]") {
+  std::string broken = Job;
+  broken.replace(broken.find("q83v"), 4, "q*3v");
+  for (const std::string &it : {std::string("{"), std::string("{}"), broken}) {
+    Outcome<BatchJob> got =
+        outcomeOf<BatchJob>([&] { return decodeJob(submission(it)); });
+    REQUIRE_FALSE(got);
+    CHECK(got.failure().Run == Verdict::NotRun);
+  }
+}
+
+TEST_CASE("A page of results is encoded as trainers read it", "[platform]") {
+  ResultPage page;
+  page.Total = 3;
+  page.Next = 2;
+  page.Results = {{ItemId("a"), ItemEnd::Completed, "x\ny", {6, 7}, "sig"},
+                  {ItemId("b"), ItemEnd::Terminated, "", {}, ""}};
+  boost::json::value got = boost::json::parse(encodePage(page));
+  CHECK(got.at("total") == 3);
+  CHECK(got.at("next") == 2);
+  const boost::json::array &results = got.at("results").as_array();
+  REQUIRE(results.size() == 2);
+  CHECK(results[0].at("state") == "completed");
+  CHECK(results[0].at("versions").as_array().size() == 2);
+  CHECK(results[0].at("score") == "sig");
+  CHECK(results[1].at("state") == "terminated");
+  CHECK(results[1].as_object().if_contains("score") == nullptr);
+}
+
+TEST_CASE("Events are read from pieces that end anywhere", "[platform]") {
+  std::string text = "id: 1\ndata: one\n\nwasabisail-weight-versions: 8\n"
+                     "id: 2\ndata: two\ndata: more\n\n: note\n\n"
+                     "id: 3\r\ndata:\n\n";
+  for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+    Outcome<std::vector<EngineEvent>> got =
+        eventsOf({text.substr(0, cut), text.substr(cut)});
+    REQUIRE(got);
+    REQUIRE(got->size() == 3);
+    CHECK((*got)[0].Data == "one");
+    CHECK_FALSE((*got)[0].Version.has_value());
+    CHECK((*got)[1].Version == 8u);
+    CHECK((*got)[1].Data == "two\nmore");
+    CHECK((*got)[2].Id == 3);
+    CHECK((*got)[2].Data.empty());
+  }
+}
+
+TEST_CASE("An event without a number is a fault", "[platform]") {
+  CHECK_FALSE(eventsOf({"data: x\n\n"}));
+  CHECK_FALSE(eventsOf({"id: x\ndata: y\n\n"}));
+}
+
+TEST_CASE("An answer proves only what it says", "[platform]") {
+  auto answer = [](unsigned Status, std::vector<http::Header> Headers) {
+    return http::Response{Status, std::move(Headers), ""};
+  };
+  http::Header id{"Wasabisail-Request-Id", "r1"};
+  http::Header stamp{"Wasabisail-Server-Stamp", "sig"};
+  http::Header unrun{"Wasabisail-Not-Executed", "1"};
+  CHECK(proofOf(answer(200, {id, stamp}), "r1") == AnswerProof::Ran);
+  CHECK(proofOf(answer(200, {id}), "r1") == AnswerProof::Nothing);
+  CHECK(proofOf(answer(200, {id, stamp}), "r2") == AnswerProof::Nothing);
+  CHECK(proofOf(answer(503, {id, unrun}), "r1") == AnswerProof::NotRun);
+  CHECK(proofOf(answer(503, {id}), "r1") == AnswerProof::Ran);
+  CHECK(proofOf(answer(421, {id}), "r1") == AnswerProof::NotRun);
+  CHECK(proofOf(answer(500, {id, stamp}), "r1") == AnswerProof::Ran);
+}
+
+} // namespace wasabi::platform
--- /dev/null
+++ b/UnitTests/Upstream/UpstreamTest.cpp
@@ -0,0 +1,167 @@
+#include "Wasabi/Upstream/KeyedFollower.h"
+#include "Wasabi/Upstream/RouteTable.h"
+#include "Wasabi/Upstream/UpstreamTable.h"
+
+#include <catch2/catch.hpp>
+
+namespace wasabi {
+
+namespace {
+
+const ServiceName Desk("desk");
+const TimePoint Start = TimePoint() + Millis(100000);
+
+UpstreamEntry entry(const std::string &Id) {
+  UpstreamEntry made;
+  made.Id = ServerName(Id);
+  made.Service = Desk;
+  made.Slots = 4;
+  return made;
+}
+
+StoreContact contactSince(TimePoint Since) {
+  StoreContact contact;
+  contact.Lost = false;
+  contact.Since = Since;
+  contact.LastAnswer = Since;
+  return contact;
+}
+
+KeyedRecord record(Offset At, const std::string &Key, const std::string &Text) {
+  return KeyedRecord{At, Key, Text};
+}
+
+UpstreamRoute route(const std::string &Host, const std::string &Prefix) {
+  UpstreamRoute made;
+  made.Name = Host + Prefix;
+  made.Host = Host;
+  made.Prefix = Prefix;
+  made.Services = {{Desk, 1}};
+  return made;
+}
+
+} // namespace
+
+TEST_CASE("The longest prefix of the host is the route", "[upstream]") {
+  RouteTable table;
+  table.Routes = {route("a", "/x/"), route("a", "/x/y/"), route("b", "/x/")};
+  CHECK(findRoute(table, "a", "/x/y/z")->Prefix == "/x/y/");
+  CHECK(findRoute(table, "a:80", "/x/z?q=/x/y/")->Prefix == "/x/");
+  CHECK(findRoute(table, "b", "/x/y/z")->Host == "b");
+  CHECK(findRoute(table, "a", "/x") == nullptr);
+  CHECK(findRoute(table, "c", "/x/") == nullptr);
+}
+
+TEST_CASE("A route's requests are shared by weight", "[upstream]") {
+  UpstreamRoute split = route("a", "/");
+  split.Services = {{ServiceName("nine"), 90}, {ServiceName("one"), 10}};
+  CHECK(pickService(split, 0.0).Text == "nine");
+  CHECK(pickService(split, 0.89).Text == "nine");
+  CHECK(pickService(split, 0.91).Text == "one");
+  CHECK(pickService(split, 1.0).Text == "one");
+}
+
+TEST_CASE("A server that drains or is gone gets no new work", "[upstream]") {
+  UpstreamTable table;
+  registerServer(table, entry("a"));
+  registerServer(table, entry("b"));
+  StoreContact contact = contactSince(Start - Millis(60000));
+  CHECK(serversOf(table, Desk, contact, Start).size() == 2);
+  UpstreamEntry leaving = entry("a");
+  leaving.Draining = true;
+  CHECK(registerServer(table, leaving));
+  unregisterServer(table, ServerName("b"), Start);
+  CHECK(serversOf(table, Desk, contact, Start).empty());
+  sweep(table, contact, Start);
+  CHECK(table.Servers.size() == 1);
+}
+
+TEST_CASE("Registrations that lapse in an outage are kept until it is known "
+          "who is back",
+          "[upstream]") {
+  UpstreamTable table;
+  registerServer(table, entry("a"));
+  StoreContact contact = contactSince(Start);
+  unregisterServer(table, ServerName("a"), Start + Millis(20));
+  CHECK(serversOf(table, Desk, contact, Start + Millis(1000)).size() == 1);
+  sweep(table, contact, Start + Millis(1000));
+  CHECK(table.Servers.size() == 1);
+  CHECK(serversOf(table, Desk, contact, Start + Millis(2300)).empty());
+  CHECK(registerServer(table, entry("a")));
+  CHECK(serversOf(table, Desk, contact, Start + Millis(2300)).size() == 1);
+  // One that leaves while all is well is gone at once.
+  unregisterServer(table, ServerName("a"), Start + Millis(5000));
+  CHECK(serversOf(table, Desk, contact, Start + Millis(5000)).empty());
+}
+
+TEST_CASE("The choice passes over what was tried and what fails",
+          "[upstream]") {
+  UpstreamTable table;
+  for (const char *id : {"a", "b", "c"})
+    registerServer(table, entry(id));
+  StoreContact contact = contactSince(Start - Millis(60000));
+  noteFailure(table, *table.Servers[ServerName("a")], Start);
+  table.Servers[ServerName("b")]->InFlight = 4;
+  std::set<ServerName> tried;
+  for (const char *next : {"c", "b", "a"}) {
+    std::shared_ptr<UpstreamServer> chosen =
+        chooseServer(table, Desk, DomainName(), tried, contact, Start);
+    REQUIRE(chosen);
+    CHECK(chosen->Entry.Id.Text == next);
+    tried.insert(chosen->Entry.Id);
+  }
+  CHECK(chooseServer(table, Desk, DomainName(), tried, contact, Start) ==
+        nullptr);
+}
+
+TEST_CASE("A server that fails again stays out longer, up to a bound",
+          "[upstream]") {
+  UpstreamTable table;
+  UpstreamServer server;
+  noteFailure(table, server, Start);
+  CHECK(server.SuspectUntil == Start + table.Limits.SuspectBase);
+  noteFailure(table, server, Start);
+  CHECK(server.SuspectUntil == Start + table.Limits.SuspectBase * 2);
+  for (int i = 0; i < 40; ++i)
+    noteFailure(table, server, Start);
+  CHECK(server.SuspectUntil == Start + table.Limits.SuspectMost);
+  noteSuccess(table, server, 10);
+  CHECK(server.SuspectUntil == TimePoint());
+}
+
+TEST_CASE("An older answer of the store takes nothing back", "[upstream]") {
+  KeyedTable table;
+  CHECK(takeNews(table, {record(3, "config", "v3")}).size() == 1);
+  CHECK(table.Next == 4);
+  // The whole table as of an earlier moment.
+  KeyedRange stale{0, 2, {record(1, "config", "v1")}};
+  CHECK(takeWhole(table, stale).empty());
+  CHECK(table.Keys.at("config") == 3);
+  CHECK(table.Next == 4);
+}
+
+TEST_CASE("What is missing from a newer whole table was deleted",
+          "[upstream]") {
+  KeyedTable table;
+  takeNews(table, {record(0, "a", "x"), record(1, "b", "x")});
+  KeyedRange whole{5, 6, {record(5, "c", "y"), record(1, "b", "x")}};
+  std::vector<KeyedRecord> changed = takeWhole(table, whole);
+  REQUIRE(changed.size() == 2);
+  CHECK(changed[0].Key == "a");
+  CHECK_FALSE(changed[0].Value.has_value());
+  CHECK(changed[1].Key == "c");
+  CHECK(table.Next == 6);
+}
+
+TEST_CASE("Contact is lost by silence, not by one failed call", "[upstream]") {
+  StoreContact contact = contactSince(Start);
+  CHECK_FALSE(noteFailure(contact, Start + Millis(100)));
+  CHECK(noteFailure(contact, Start + Millis(600)));
+  CHECK(lostFor(contact, Millis(2000), Start + Millis(2100)));
+  CHECK_FALSE(lostFor(contact, Millis(2000), Start + Millis(1900)));
+  CHECK(noteAnswer(contact, Start + Millis(3000)));
+  CHECK_FALSE(steadyFor(contact, Millis(100), Start + Millis(3050)));
+  CHECK(steadyFor(contact, Millis(100), Start + Millis(3100)));
+}
+
+} // namespace wasabi
