--- a/UnitTests/Batch/BatchDeskTest.cpp
+++ b/UnitTests/Batch/BatchDeskTest.cpp
@@ -120,6 +120,44 @@
   CHECK_FALSE(beyond);
 }
 
+TEST_CASE("A process that has just started does not call a position empty",
+          "[batch]") {
+  DeskWorld world;
+  BatchJob job = makeJob("a", 4);
+  world.Store.append("rollout", encodeRecord(JobPart{job, 0, 1}));
+  for (std::size_t i = 0; i < 4; ++i)
+    world.list(job, i, "x");
+  // The topic comes record by record, so that the job is known before what
+  // stands at its positions.
+  world.Store.MaxEntries = 1;
+  std::shared_ptr<RolloutLog> log = world.follow(world.Store.port());
+  std::shared_ptr<BatchDesk> desk = world.makeDesk(log);
+  REQUIRE(
+      world.runUntil([&] { return findJob(log->fold(), job.Id) != nullptr; }));
+  Outcome<ResultPage> page = world.read(*desk, job, 0);
+  REQUIRE(page);
+  CHECK(page->Results.size() == 4);
+}
+
+TEST_CASE("A process that is back from a cut does not call a position empty",
+          "[batch]") {
+  DeskWorld world;
+  BatchJob job = makeJob("a", 4);
+  REQUIRE(world.submit(*world.Desk, job) == DeskVerdict::Taken);
+  REQUIRE(world.runUntil(
+      [&] { return findJob(world.Log->fold(), job.Id) != nullptr; }));
+  *world.Cut = true;
+  world.Context.run_for(Millis(100));
+  for (std::size_t i = 0; i < 4; ++i)
+    world.list(job, i, "x");
+  world.Store.MaxEntries = 1;
+  *world.Cut = false;
+  REQUIRE(world.runUntil([&] { return !world.Log->contact().Lost; }));
+  Outcome<ResultPage> page = world.read(*world.Desk, job, 2);
+  REQUIRE(page);
+  CHECK(page->Next == 4);
+}
+
 TEST_CASE("A reader waits for a result and gets it when it comes", "[batch]") {
   DeskWorld world;
   BatchJob job = makeJob("a", 2);
--- a/UnitTests/Batch/BatchFoldTest.cpp
+++ b/UnitTests/Batch/BatchFoldTest.cpp
@@ -49,7 +49,7 @@
       break;
     case 3:
       topic.emplace_back(
-          TextRecord{job.Id, job.Items[index].Id, {"t", 1, {1}}});
+          TextRecord{job.Id, job.Items[index].Id, {"t", 1, {1}, false}});
       break;
     default:
       topic.emplace_back(JobEnd{job.Id});
--- a/UnitTests/Batch/BatchRecordTest.cpp
+++ b/UnitTests/Batch/BatchRecordTest.cpp
@@ -19,7 +19,7 @@
       JobPart{job, 0, 1},
       ResultRecord{job.Id, makeResult(job, 2, odd)},
       JobEnd{job.Id},
-      TextRecord{job.Id, job.Items[0].Id, PartialText{odd, 4, {3, 9}}},
+      TextRecord{job.Id, job.Items[0].Id, PartialText{odd, 4, {3, 9}, true}},
       LeaseClaim{{InstanceName("edge"), 77}},
       LeaseRenewal{12},
       LeaseRelease{12}};
--- a/UnitTests/Batch/FakeStore.cpp
+++ b/UnitTests/Batch/FakeStore.cpp
@@ -93,7 +93,9 @@
   LogRange range;
   range.First = First[Topic];
   range.End = all.size();
-  for (Offset at = From; at >= range.First && at < range.End; ++at)
+  for (Offset at = From;
+       at >= range.First && at < range.End && range.Entries.size() < MaxEntries;
+       ++at)
     range.Entries.push_back({at, all[at]});
   co_return range;
 }
--- a/UnitTests/Batch/FakeStore.h
+++ b/UnitTests/Batch/FakeStore.h
@@ -47,6 +47,8 @@
   /// Fates of the next appends; `Taken` when there are none.
   std::deque<AppendFate> Fates;
   bool Down = false;
+  /// Most records of one read.
+  std::size_t MaxEntries = 1000;
 
 private:
   boost::asio::awaitable<Outcome<Offset>> take(std::shared_ptr<bool> Cut,
--- a/UnitTests/Dispatch/DutyKeeperTest.cpp
+++ b/UnitTests/Dispatch/DutyKeeperTest.cpp
@@ -64,7 +64,7 @@
   DutyProcess two(world, "two", 2);
   REQUIRE(world.runUntil([&] { return two.Log->caughtUp(); }));
   std::vector<std::string> texts{
-      encodeRecord(TextRecord{JobId("a"), ItemId("b"), {"t", 1, {1}}})};
+      encodeRecord(TextRecord{JobId("a"), ItemId("b"), {"t", 1, {1}, false}})};
   world.run([&]() -> boost::asio::awaitable<void> {
     co_await one.Duty->release(texts);
   });
--- a/UnitTests/Dispatch/EnginePoolTest.cpp
+++ b/UnitTests/Dispatch/EnginePoolTest.cpp
@@ -40,8 +40,10 @@
         std::map<ModelName, std::uint32_t>{{Red, 4}, {Blue, 4}});
   CHECK(poolSizes({{Red, 1}, {Blue, 3}}, 8) ==
         std::map<ModelName, std::uint32_t>{{Red, 2}, {Blue, 6}});
-  CHECK(poolSizes({{Red, 1}, {Blue, 1000}}, 4) ==
-        std::map<ModelName, std::uint32_t>{{Red, 1}, {Blue, 3}});
+  CHECK(poolSizes({{Red, 1}, {Blue, 1000}}, 9) ==
+        std::map<ModelName, std::uint32_t>{{Red, 2}, {Blue, 7}});
+  CHECK(poolSizes({{Red, 1}, {Blue, 1000}}, 3) ==
+        std::map<ModelName, std::uint32_t>{{Red, 1}, {Blue, 2}});
   CHECK(poolSizes({}, 8).empty());
 }
 
--- a/Wasabi/Batch/BatchDesk.cpp
+++ b/Wasabi/Batch/BatchDesk.cpp
@@ -121,18 +121,18 @@
   if (!found)
     co_return found.failure();
   const JobState &job = **found;
-  if (After > job.Results.size()) {
-    // The submitter has read further than this process has.
+  TimePoint until = monotonicNow() + Wait;
+  while (job.Results.size() <= After && !job.Ended && monotonicNow() < until)
+    co_await Log->changes().wait(until);
+  // That a position is empty may be said only by who knows the present: another
+  // process may have shown what stands there.
+  bool beyond = After > job.Results.size();
+  bool stale = monotonicNow() - Log->freshAt() > Limits.StaleAfter;
+  if (job.Results.size() <= After && (beyond || stale)) {
     Outcome<Done> fresh = co_await Log->refresh();
     if (!fresh)
       co_return unsure(Id, fresh.failure().Reason);
   }
-  TimePoint until = monotonicNow() + Wait;
-  while (job.Results.size() <= After && !job.Ended && monotonicNow() < until)
-    co_await Log->changes().wait(until);
-  if (job.Results.size() <= After &&
-      lostFor(Log->contact(), Limits.StaleAfter, monotonicNow()))
-    co_return unsure(Id, "no news from it");
 
   ResultPage page;
   page.Total = job.Job.Items.size();
--- a/Wasabi/Batch/BatchDesk.h
+++ b/Wasabi/Batch/BatchDesk.h
@@ -40,9 +40,11 @@
   struct Settings {
     /// How long a submission may stay unknown before its submitter is told so.
     Millis SubmitTime{1500};
-    /// A process without news for longer than this cannot be sure of what is
-    /// not there.
-    Millis StaleAfter{900};
+    /// A process that has not seen the end of the topic for longer than this
+    /// looks again before it calls a position empty. Longer than the wait of a
+    /// read, and shorter than the second in which all deployments known must
+    /// agree.
+    Millis StaleAfter{850};
     /// Text of one page of results, in bytes.
     std::size_t PageBytes = 900000;
   };
--- a/Wasabi/Batch/BatchJob.h
+++ b/Wasabi/Batch/BatchJob.h
@@ -88,6 +88,8 @@
   /// Events in `Output`; the last one's id, as ids count from 1.
   std::uint64_t Events = 0;
   std::vector<WeightVersion> Versions;
+  /// Whether it is the item's whole text, which only lacks its score.
+  bool Whole = false;
   bool operator==(const PartialText &) const = default;
 };
 
--- a/Wasabi/Batch/BatchRecord.cpp
+++ b/Wasabi/Batch/BatchRecord.cpp
@@ -78,6 +78,7 @@
           {"item", What.Item.Text},
           {"text", What.Text.Output},
           {"events", What.Text.Events},
+          {"whole", What.Text.Whole},
           {"versions", json::value_from(What.Text.Versions)}};
 }
 
@@ -180,6 +181,7 @@
   record.Text.Output = textOf(From, "text");
   record.Text.Events = numberOf(From, "events");
   record.Text.Versions = versionsOf(From);
+  record.Text.Whole = From.at("whole").as_bool();
   return record;
 }
 
--- a/Wasabi/Batch/RolloutLog.cpp
+++ b/Wasabi/Batch/RolloutLog.cpp
@@ -76,6 +76,8 @@
   }
   for (const LogEntry &it : Range.Entries)
     takeEntry(it);
+  if (Fold.Next >= Range.End)
+    FreshAt = monotonicNow();
   if (Fold.Next >= Range.End && !CaughtUp) {
     CaughtUp = true;
     Decisions->line("rollout_log.caught_up",
--- a/Wasabi/Batch/RolloutLog.h
+++ b/Wasabi/Batch/RolloutLog.h
@@ -47,6 +47,9 @@
   const StoreContact &contact() const { return Contact; }
   /// Whether the topic has been read to its end since the start.
   bool caughtUp() const { return CaughtUp; }
+  /// When an answer of the store last showed that nothing was left to read. A
+  /// process that is catching up has contact, and does not know the present.
+  TimePoint freshAt() const { return FreshAt; }
   /// Woken after each change of the fold.
   AsyncSignal &changes() { return Changed; }
   /// Called for each change, in order.
@@ -82,6 +85,7 @@
   AsyncSignal Changed;
   std::function<void(const FoldChange &)> Listener;
   bool CaughtUp = false;
+  TimePoint FreshAt;
 };
 
 } // namespace wasabi
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -125,7 +125,9 @@
     work->Job = Job;
     work->Index = i;
     work->Text = storedText(*Job, i);
-    Works.push_back(std::move(work));
+    Works.push_back(work);
+    if (work->Text.Whole)
+      startScore(work);
   }
   Decisions->line("job.taken_up",
                   {{"job", Job->Job.Id.Text},
@@ -316,9 +318,16 @@
     co_return;
   }
   wasabi::noteSuccess(View.Servers, *engine->Server, 0);
-  Work->Stage = ItemStage::Scoring;
+  Work->Text.Whole = true;
+  startScore(Work);
   schedule();
-  co_await score(Work);
+}
+
+void Dispatcher::startScore(const std::shared_ptr<ItemWork> &Work) {
+  Work->Stage = ItemStage::Scoring;
+  asio::co_spawn(
+      Executor, [self = shared_from_this(), Work] { return self->score(Work); },
+      asio::detached);
 }
 
 /// Whether a stream may be read on; else what becomes of the item is settled,
@@ -334,8 +343,10 @@
   if (Head.Proof == AnswerProof::NotRun)
     return false;
   if (status == Ok) {
+    // A server that has nothing to add to a text tells no version.
     bool known = Head.Version.has_value();
-    bool fresh = known && *Head.Version >= Work->Job->Job.MinVersion;
+    bool fresh = known ? *Head.Version >= Work->Job->Job.MinVersion
+                       : Work->Text.Events > 0;
     if (!fresh)
       Decisions->line(
           "item.stale_engine",
@@ -359,7 +370,7 @@
 
 asio::awaitable<bool> Dispatcher::readEvents(ItemWork &Work) {
   EngineState &engine = *Work.Engine;
-  WeightVersion version = engine.version(engine.Model);
+  std::optional<WeightVersion> version = Work.Stream->head().Version;
   for (;;) {
     // Stalled runs are ended by `lookAtRuns`.
     Outcome<std::optional<EngineEvent>> event =
@@ -377,16 +388,19 @@
       co_return false;
     }
     if ((*event)->Version) {
-      version = *(*event)->Version;
-      engine.Versions[engine.Model] = version;
+      version = (*event)->Version;
+      engine.Versions[engine.Model] = *version;
       engine.Told = monotonicNow();
     }
+    // What cannot be labelled truthfully is not taken.
+    if (!version)
+      co_return false;
     noteEvent(engine, Work);
     if (Work.Text.Events > 0)
       Work.Text.Output += '\n';
     Work.Text.Output += (*event)->Data;
     Work.Text.Events = (*event)->Id;
-    addVersion(Work.Text.Versions, version);
+    addVersion(Work.Text.Versions, *version);
   }
 }
 
@@ -541,8 +555,10 @@
 
 //===--- Engines ----------------------------------------------------------===//
 
+/// What a step of each model asks for on average, in expected tokens.
 std::map<ModelName, double> Dispatcher::demand() const {
   std::map<ModelName, double> found;
+  std::map<ModelName, double> steps;
   TimePoint now = monotonicNow();
   for (const auto &[id, job] : Log->fold().Jobs) {
     if (now - job->Seen > Limits.DemandSpan)
@@ -550,7 +566,10 @@
     double &sum = found[job->Job.Model];
     for (const BatchItem &it : job->Job.Items)
       sum += it.ExpectedTokens > 0 ? it.ExpectedTokens : Limits.UnknownTokens;
+    steps[job->Job.Model] += 1;
   }
+  for (auto &[model, sum] : found)
+    sum /= steps[model];
   return found;
 }
 
@@ -718,11 +737,15 @@
 void Dispatcher::wantVersions() {
   TimePoint now = monotonicNow();
   std::uint32_t swapping = 0;
+  std::map<ModelName, std::uint32_t> engines;
+  std::map<ModelName, std::uint32_t> swappingOf;
   std::vector<std::shared_ptr<EngineState>> due;
   for (const std::shared_ptr<EngineState> &it : Pool) {
+    ++engines[it->Model];
     bool late = now - it->WantedAt > Limits.SwapLimit;
     if (it->swapping() && !late) {
       ++swapping;
+      ++swappingOf[it->Model];
       continue;
     }
     auto named = View.Named.find(it->Model);
@@ -744,6 +767,11 @@
   for (const std::shared_ptr<EngineState> &it : due) {
     if (swapping >= most)
       return;
+    // Half of a model's engines go on serving it.
+    std::uint32_t &own = swappingOf[it->Model];
+    if (own > 0 && own >= engines[it->Model] / 2)
+      continue;
+    ++own;
     ++swapping;
     it->Wanted = View.Named[it->Model];
     it->WantedAt = now;
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -141,6 +141,7 @@
   void endRun(const std::shared_ptr<ItemWork> &Work, const Failure &Why);
   bool judgeHead(const std::shared_ptr<ItemWork> &Work, const StreamHead &Head);
   void terminate(const std::shared_ptr<ItemWork> &Work, std::string_view Why);
+  void startScore(const std::shared_ptr<ItemWork> &Work);
   boost::asio::awaitable<void> score(std::shared_ptr<ItemWork> Work);
   void finish(const std::shared_ptr<ItemWork> &Work, ItemResult Result);
   boost::asio::awaitable<void> commitLoop();
--- a/Wasabi/Dispatch/DutyKeeper.cpp
+++ b/Wasabi/Dispatch/DutyKeeper.cpp
@@ -24,6 +24,15 @@
   return Now - heard >= Limits.HoldTime + Spread;
 }
 
+Millis claimDelay(double CpuShare) {
+  // A dispatcher of 40 engines took 0.12 of a core, so half a core is ample and
+  // a tenth is too little; each further tenth is worth a quarter of a second.
+  constexpr double Ample = 0.5;
+  constexpr double MillisPerCore = 2500;
+  double missing = std::max(0.0, Ample - CpuShare);
+  return Millis(static_cast<std::int64_t>(missing * MillisPerCore));
+}
+
 DutyKeeper::DutyKeeper(asio::any_io_executor Executor,
                        std::shared_ptr<RolloutLog> Log,
                        std::shared_ptr<DecisionLog> Decisions,
@@ -98,15 +107,29 @@
         {{"term", std::to_string(Term)}, {"reason", describe(got.failure())}});
 }
 
+/// Whether the lease is free and has been for as long as a stronger instance
+/// would need to take it.
+bool DutyKeeper::mayClaim() {
+  TimePoint now = monotonicNow();
+  bool free = !Held && !Retired && Log->caughtUp() &&
+              leaseFree(Log->fold().Lease, Log->contact(), Limits, Spread, now);
+  if (!free) {
+    FreeSince.reset();
+    return false;
+  }
+  if (!FreeSince)
+    FreeSince = now;
+  return now - *FreeSince >= Limits.ClaimDelay;
+}
+
 asio::awaitable<void> DutyKeeper::keep() {
   for (;;) {
     look();
     TimePoint now = monotonicNow();
-    TimePoint next = now + Limits.RenewEvery;
     bool due = Held && now - LastRenewal >= Limits.RenewEvery;
-    bool wanted =
-        !Held && !Retired && Log->caughtUp() &&
-        leaseFree(Log->fold().Lease, Log->contact(), Limits, Spread, now);
+    bool wanted = mayClaim();
+    // A free lease is looked at more often, for the delay to be exact.
+    TimePoint next = now + (FreeSince ? Limits.ClaimSpread : Limits.RenewEvery);
     if (due)
       co_await renew();
     else if (wanted)
--- a/Wasabi/Dispatch/DutyKeeper.h
+++ b/Wasabi/Dispatch/DutyKeeper.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 
 namespace wasabi {
@@ -23,8 +24,14 @@
   Millis RenewEvery{400};
   /// Spread of claims after an expiry, so that not all claim at once.
   Millis ClaimSpread{200};
+  /// This process waits longer by this before it claims, so that a stronger
+  /// instance comes first: the holder's work grows with the whole deployment.
+  Millis ClaimDelay{0};
 };
 
+/// The delay of an instance that has `CpuShare` of a processor core. Pure.
+Millis claimDelay(double CpuShare);
+
 /// Whether the lease may be claimed now. Pure.
 bool leaseFree(const LeaseState &Lease, const StoreContact &Contact,
                const DutySettings &Limits, Millis Spread, TimePoint Now);
@@ -62,6 +69,7 @@
   boost::asio::awaitable<void> claim();
   boost::asio::awaitable<void> renew();
   void look();
+  bool mayClaim();
 
   const DutySettings Limits;
   const boost::asio::any_io_executor Executor;
@@ -74,6 +82,8 @@
   bool Held = false;
   FencingToken Term = 0;
   TimePoint LastRenewal;
+  /// Since when the lease has been seen to be free; empty while it is not.
+  std::optional<TimePoint> FreeSince;
 };
 
 } // namespace wasabi
--- a/Wasabi/Dispatch/EnginePool.cpp
+++ b/Wasabi/Dispatch/EnginePool.cpp
@@ -35,11 +35,23 @@
   if (total <= 0)
     return sizes;
   std::uint32_t given = 0;
+  std::uint32_t least = Count >= 2 * Demand.size() ? 2 : 1;
   for (const auto &[model, demand] : Demand) {
     auto share = static_cast<std::uint32_t>(demand / total * Count);
-    sizes[model] = std::max<std::uint32_t>(share, 1);
+    sizes[model] = std::max(share, least);
     given += sizes[model];
   }
+  // What the least ones took beyond their share comes from the largest.
+  while (given > Count) {
+    auto largest = std::max_element(sizes.begin(), sizes.end(),
+                                    [](const auto &Left, const auto &Right) {
+                                      return Left.second < Right.second;
+                                    });
+    if (largest->second <= 1)
+      break;
+    --largest->second;
+    --given;
+  }
   // What rounding left goes to whoever is furthest below its share.
   while (given < Count) {
     auto neediest = std::max_element(
--- a/Wasabi/Dispatch/EnginePool.h
+++ b/Wasabi/Dispatch/EnginePool.h
@@ -70,8 +70,9 @@
             const EnginePoolSettings &Limits);
 
 /// How many engines each model should have, of `Count` in all, by the models'
-/// demand. Each model with demand gets one at least. Preconditions: `Demand`
-/// has an entry a model.
+/// demand. Each model with demand gets two at least, where there are so many:
+/// one serves while the other takes new weights. Preconditions: `Demand` has an
+/// entry a model.
 std::map<ModelName, std::uint32_t>
 poolSizes(const std::map<ModelName, double> &Demand, std::uint32_t Count);
 
