Tests of the dispatcher and the forwarder; a stale cancellation does nothing

Cause of a crash that the test of handing work back found: Asio leaves its handler in a cancellation slot after the operation has ended, and a later emission reaches what is gone. The slot is cleared when the operation ends.

--- /dev/null
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -0,0 +1,345 @@
+#include "Wasabi/Dispatch/Dispatcher.h"
+#include "UnitTests/Batch/BatchFixture.h"
+#include "UnitTests/Dispatch/FakeEngines.h"
+
+namespace wasabi::batchtest {
+
+namespace {
+
+const ModelName Model("model");
+const ServiceName Llm("llm");
+const ServiceName Judge("judge");
+
+std::shared_ptr<const RouteTable> makeRoutes() {
+  RouteTable table;
+  table.Version = 1;
+  UpstreamRoute rollout;
+  rollout.Host = "host.example";
+  rollout.Prefix = "/rollout/";
+  rollout.Kind = RouteKind::Rollout;
+  rollout.MaxAttempts = 3;
+  rollout.ResultDeadline = Millis(7500);
+  rollout.Services = {{Llm, 1}};
+  UpstreamRoute score = rollout;
+  score.Prefix = "/score/";
+  score.Kind = RouteKind::Idempotent;
+  score.MaxAttempts = 2;
+  score.Services = {{Judge, 1}};
+  table.Routes = {rollout, score};
+  UpstreamService engines;
+  engines.Name = Llm;
+  engines.Engine = EngineTraits{4, {Model}};
+  table.Services = {engines, UpstreamService{Judge, "", 0, {}}};
+  return std::make_shared<const RouteTable>(table);
+}
+
+/// One dispatching process, two engines and a scoring server.
+struct DispatchWorld : BatchWorld {
+  FakeEngines Engines{Context};
+  FleetView View;
+  Metrics Counts;
+  std::shared_ptr<RolloutLog> Log = follow(Store.port());
+  std::shared_ptr<Dispatcher> Dispatch;
+
+  DispatchWorld() {
+    View.Routes = makeRoutes();
+    noteAnswer(View.Contact, monotonicNow());
+    addServer("e1", Llm);
+    addServer("e2", Llm);
+    addServer("j1", Judge);
+    std::shared_ptr<Forwarder> scores =
+        Forwarder::create(Context.get_executor(), View, Engines.port(),
+                          Decisions, Counts, Forwarder::Settings());
+    Dispatcher::Settings limits;
+    limits.LookEvery = Millis(10);
+    limits.StallTime = Millis(80);
+    limits.LoadStallTime = Millis(120);
+    limits.RetryPause = Millis(2);
+    Dispatch =
+        Dispatcher::create(Context.get_executor(), View, Log, Store.port(),
+                           Engines.port(), scores, Decisions, Counts, limits);
+    Log->onChange(
+        [this](const FoldChange &Change) { Dispatch->onChange(Change); });
+    Dispatch->start();
+    Dispatch->activate();
+  }
+
+  void addServer(const std::string &Id, const ServiceName &Service) {
+    UpstreamEntry entry;
+    entry.Id = ServerName(Id);
+    entry.Service = Service;
+    entry.Slots = 4;
+    if (Service == Llm)
+      entry.Models = {{Model, 1}};
+    registerServer(View.Servers, entry);
+    Engines.Servers[entry.Id];
+  }
+  FakeServer &server(const std::string &Id) {
+    return Engines.Servers[ServerName(Id)];
+  }
+  void submit(const BatchJob &Job) {
+    Store.append("rollout", encodeRecord(JobPart{Job, 0, 1}));
+  }
+  std::vector<ItemResult> results(const BatchJob &Job) {
+    std::shared_ptr<JobState> known = findJob(Log->fold(), Job.Id);
+    return known ? known->Results : std::vector<ItemResult>();
+  }
+  bool finishes(const BatchJob &Job) {
+    return runUntil([&] { return results(Job).size() == Job.Items.size(); });
+  }
+};
+
+BatchJob scoredJob(const std::string &Id, std::size_t Items) {
+  BatchJob job = makeJob(Id, Items);
+  for (BatchItem &it : job.Items)
+    it.Score =
+        ScoreCall{"score-" + it.Id.Text, "host.example", "/score/x", "body"};
+  return job;
+}
+
+std::string wholeText(const std::string &Item, std::uint64_t Length) {
+  std::string text;
+  for (std::uint64_t i = 1; i <= Length; ++i)
+    text += (i > 1 ? "\n" : "") + Item + ":" + std::to_string(i);
+  return text;
+}
+
+} // namespace
+
+TEST_CASE("Items are generated, scored and listed whole", "[dispatch]") {
+  DispatchWorld world;
+  BatchJob job = scoredJob("a", 6);
+  world.submit(job);
+  REQUIRE(world.finishes(job));
+  for (const ItemResult &it : world.results(job)) {
+    CHECK(it.End == ItemEnd::Completed);
+    CHECK(it.Output == wholeText(it.Item.Text, 5));
+    CHECK(it.Versions == std::vector<WeightVersion>{1});
+    CHECK(it.Score == "sig-score-" + it.Item.Text);
+  }
+}
+
+TEST_CASE("A text that breaks off goes on after its last event", "[dispatch]") {
+  DispatchWorld world;
+  world.server("e1").BreakAfter = 2;
+  BatchJob job = makeJob("a", 4);
+  world.submit(job);
+  REQUIRE(world.finishes(job));
+  for (const ItemResult &it : world.results(job))
+    CHECK(it.Output == wholeText(it.Item.Text, 5));
+  CHECK_FALSE(world.Engines.Resumed.empty());
+}
+
+TEST_CASE("A text that goes on under other weights names both", "[dispatch]") {
+  DispatchWorld world;
+  world.Engines.Length = 40;
+  BatchJob job = makeJob("a", 1);
+  world.submit(job);
+  REQUIRE(world.runUntil([&] {
+    return world.server("e1").Runs.size() + world.server("e2").Runs.size() == 1;
+  }));
+  world.Context.run_for(Millis(20));
+  world.server("e1").Version = 2;
+  world.server("e2").Version = 2;
+  REQUIRE(world.finishes(job));
+  CHECK(world.results(job)[0].Versions == std::vector<WeightVersion>{1, 2});
+}
+
+TEST_CASE("An engine whose weights are too old generates nothing",
+          "[dispatch]") {
+  DispatchWorld world;
+  BatchJob job = makeJob("a", 2);
+  job.MinVersion = 2;
+  // The registration says so, and the engine has fallen back.
+  for (const char *id : {"e1", "e2"}) {
+    UpstreamEntry entry = world.View.Servers.Servers[ServerName(id)]->Entry;
+    entry.Models = {{Model, 2}};
+    registerServer(world.View.Servers, entry);
+  }
+  world.Dispatch->onView();
+  world.submit(job);
+  world.Context.run_for(Millis(100));
+  CHECK(world.results(job).empty());
+  for (const char *id : {"e1", "e2"}) {
+    world.server(id).Version = 2;
+    HeldWeights now{{{Model, 2}}, false};
+    world.Dispatch->onHeld(ServerName(id), now);
+  }
+  REQUIRE(world.finishes(job));
+  CHECK(world.results(job)[0].Versions == std::vector<WeightVersion>{2});
+}
+
+TEST_CASE("Items of a silent engine are run by another", "[dispatch]") {
+  DispatchWorld world;
+  world.server("e1").Dark = true;
+  BatchJob job = makeJob("a", 6);
+  world.submit(job);
+  REQUIRE(world.finishes(job));
+  for (const ItemResult &it : world.results(job))
+    CHECK(it.Output == wholeText(it.Item.Text, 5));
+}
+
+TEST_CASE("An item that fails at every attempt is terminated", "[dispatch]") {
+  DispatchWorld world;
+  world.server("e1").Status = 500;
+  world.server("e2").Status = 500;
+  BatchJob job = makeJob("a", 1);
+  world.submit(job);
+  REQUIRE(world.finishes(job));
+  CHECK(world.results(job)[0].End == ItemEnd::Terminated);
+  CHECK(world.server("e1").Runs.size() + world.server("e2").Runs.size() == 3);
+}
+
+TEST_CASE("An item that can never be done is sent once", "[dispatch]") {
+  DispatchWorld world;
+  world.server("e1").Status = 422;
+  world.server("e2").Status = 422;
+  BatchJob job = makeJob("a", 1);
+  world.submit(job);
+  REQUIRE(world.finishes(job));
+  CHECK(world.results(job)[0].End == ItemEnd::Terminated);
+  CHECK(world.server("e1").Runs.size() + world.server("e2").Runs.size() == 1);
+}
+
+TEST_CASE("A score is asked for again after a failure, up to the limit",
+          "[dispatch]") {
+  DispatchWorld world;
+  world.Engines.ScoreStatuses = {500};
+  BatchJob job = scoredJob("a", 1);
+  world.submit(job);
+  REQUIRE(world.finishes(job));
+  CHECK(world.results(job)[0].End == ItemEnd::Completed);
+  world.Engines.ScoreStatuses = {500, 500};
+  BatchJob next = scoredJob("b", 1);
+  world.submit(next);
+  REQUIRE(world.finishes(next));
+  CHECK(world.results(next)[0].End == ItemEnd::Terminated);
+}
+
+TEST_CASE("An ended job's items go to no engine any more", "[dispatch]") {
+  DispatchWorld world;
+  world.Engines.Length = 1000;
+  BatchJob job = makeJob("a", 20);
+  world.submit(job);
+  auto runs = [&] {
+    return world.server("e1").Runs.size() + world.server("e2").Runs.size();
+  };
+  REQUIRE(world.runUntil([&] { return runs() == 8; }));
+  world.Store.append("rollout", encodeRecord(JobEnd{job.Id}));
+  world.Context.run_for(Millis(100));
+  CHECK(runs() == 8);
+  CHECK(world.results(job).empty());
+}
+
+TEST_CASE("A carried-over item goes on from its text", "[dispatch]") {
+  DispatchWorld world;
+  world.Engines.Length = 30;
+  BatchJob job = makeJob("a", 1);
+  world.submit(job);
+  REQUIRE(world.runUntil([&] {
+    return world.server("e1").Runs.size() + world.server("e2").Runs.size() == 1;
+  }));
+  world.Context.run_for(Millis(25));
+  world.Store.append("rollout", encodeRecord(JobEnd{job.Id}));
+  world.Context.run_for(Millis(20));
+  BatchJob next = job;
+  next.Id = JobId("b");
+  world.submit(next);
+  REQUIRE(world.finishes(next));
+  CHECK(world.results(next)[0].Output == wholeText("a-0", 30));
+  CHECK_FALSE(world.Engines.Resumed.empty());
+}
+
+TEST_CASE("A carried-over text that lacks only its score is not run again",
+          "[dispatch]") {
+  DispatchWorld world;
+  world.server("j1").Dark = true;
+  BatchJob job = scoredJob("a", 1);
+  world.submit(job);
+  auto runs = [&] {
+    return world.server("e1").Runs.size() + world.server("e2").Runs.size();
+  };
+  REQUIRE(world.runUntil([&] { return runs() == 1; }));
+  world.Context.run_for(Millis(60));
+  world.Store.append("rollout", encodeRecord(JobEnd{job.Id}));
+  world.Context.run_for(Millis(30));
+  world.server("j1").Dark = false;
+  BatchJob next = job;
+  next.Id = JobId("b");
+  world.submit(next);
+  REQUIRE(world.finishes(next));
+  CHECK(world.results(next)[0].Output == wholeText("a-0", 5));
+  CHECK(runs() == 1);
+}
+
+TEST_CASE("A text under weights that are too old for the next job is dropped",
+          "[dispatch]") {
+  DispatchWorld world;
+  world.Engines.Length = 30;
+  BatchJob job = makeJob("a", 1);
+  world.submit(job);
+  world.Context.run_for(Millis(40));
+  world.Store.append("rollout", encodeRecord(JobEnd{job.Id}));
+  world.Context.run_for(Millis(20));
+  for (const char *id : {"e1", "e2"}) {
+    world.server(id).Version = 2;
+    HeldWeights now{{{Model, 2}}, false};
+    world.Dispatch->onHeld(ServerName(id), now);
+  }
+  BatchJob next = job;
+  next.Id = JobId("b");
+  next.MinVersion = 2;
+  world.submit(next);
+  REQUIRE(world.finishes(next));
+  CHECK(world.results(next)[0].Versions == std::vector<WeightVersion>{2});
+  CHECK(world.Engines.Resumed.empty());
+}
+
+TEST_CASE("Work that is handed back is taken up where it was", "[dispatch]") {
+  DispatchWorld world;
+  world.Engines.Length = 30;
+  BatchJob job = makeJob("a", 2);
+  world.submit(job);
+  world.Context.run_for(Millis(40));
+  std::vector<std::string> texts = world.Dispatch->handBack();
+  CHECK(texts.size() == 2);
+  for (const std::string &it : texts)
+    world.Store.append("rollout", it);
+  world.Context.run_for(Millis(20));
+  world.Dispatch->activate();
+  REQUIRE(world.finishes(job));
+  CHECK(world.Engines.Resumed.size() == 2);
+  for (const ItemResult &it : world.results(job))
+    CHECK(it.Output == wholeText(it.Item.Text, 30));
+}
+
+TEST_CASE("A result whose append is lost is appended again", "[dispatch]") {
+  DispatchWorld world;
+  world.Store.Fates = {AppendFate::Lost, AppendFate::AnswerLost,
+                       AppendFate::Refused};
+  BatchJob job = makeJob("a", 3);
+  world.submit(job);
+  REQUIRE(world.finishes(job));
+  CHECK(world.results(job).size() == 3);
+}
+
+TEST_CASE("Engines are wanted at the named version, half of them at a time",
+          "[dispatch]") {
+  DispatchWorld world;
+  world.addServer("e3", Llm);
+  world.addServer("e4", Llm);
+  world.View.Named[Model] = 2;
+  world.Dispatch->onView();
+  auto wanted = [&] { return world.Store.Topics[WantedTopic].size(); };
+  REQUIRE(world.runUntil([&] { return wanted() == 2; }));
+  world.Context.run_for(Millis(60));
+  CHECK(wanted() == 2);
+  for (const std::string &it :
+       std::vector<std::string>(world.Store.Topics[WantedTopic])) {
+    HeldWeights now{{{Model, 2}}, false};
+    world.Dispatch->onHeld(ServerName(it.substr(0, it.find('|'))), now);
+  }
+  CHECK(world.runUntil([&] { return wanted() == 4; }));
+}
+
+} // namespace wasabi::batchtest
--- /dev/null
+++ b/UnitTests/Dispatch/FakeEngines.cpp
@@ -0,0 +1,113 @@
+#include "UnitTests/Dispatch/FakeEngines.h"
+
+namespace wasabi::batchtest {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr unsigned Ok = 200;
+
+Failure lost(FailureCode Code) {
+  return Failure{Verdict::MayHaveRun, Code, "fake engine", "as told", {}};
+}
+
+/// A text whose events are called `ITEM:N`.
+class FakeStream final : public EngineStream {
+public:
+  FakeStream(FakeEngines &All, ServerName Where, std::string Item,
+             std::uint64_t After, StreamHead Head)
+      : All(All), Where(std::move(Where)), Item(std::move(Item)), Next(After),
+        Head(std::move(Head)), Wake(All.Context.get_executor()) {}
+
+  const StreamHead &head() const override { return Head; }
+  void cancel() override {
+    Cancelled = true;
+    Wake.notify();
+  }
+
+  asio::awaitable<Outcome<std::optional<EngineEvent>>>
+  next(Millis Timeout) override {
+    FakeServer &server = All.Servers[Where];
+    TimePoint until = monotonicNow() + (server.Dark ? Timeout : server.Pace);
+    if (!Cancelled)
+      co_await Wake.wait(until);
+    if (Cancelled || server.Dark)
+      co_return lost(FailureCode::Cancelled);
+    if (Next >= All.Length)
+      co_return std::optional<EngineEvent>();
+    if (server.BreakAfter > 0 && ++Sent > server.BreakAfter)
+      co_return lost(FailureCode::ConnectionLost);
+    EngineEvent event;
+    event.Id = ++Next;
+    event.Data = Item + ":" + std::to_string(Next);
+    if (Head.Version != server.Version) {
+      event.Version = server.Version;
+      Head.Version = server.Version;
+    }
+    co_return std::optional<EngineEvent>(std::move(event));
+  }
+
+private:
+  FakeEngines &All;
+  const ServerName Where;
+  const std::string Item;
+  std::uint64_t Next;
+  std::uint64_t Sent = 0;
+  StreamHead Head;
+  AsyncSignal Wake;
+  bool Cancelled = false;
+};
+
+} // namespace
+
+EnginePort FakeEngines::port() {
+  EnginePort port;
+  port.Open = [this](UpstreamEntry Server, http::Request, SendOptions Options,
+                     Millis) {
+    return open(std::move(Server), std::move(Options));
+  };
+  port.Call = [this](UpstreamEntry Server, http::Request, SendOptions Options,
+                     Millis) {
+    return call(std::move(Server), std::move(Options));
+  };
+  return port;
+}
+
+asio::awaitable<Outcome<std::unique_ptr<EngineStream>>>
+FakeEngines::open(UpstreamEntry Server, SendOptions Options) {
+  co_await pauseFor(Context.get_executor(), Millis(1));
+  FakeServer &server = Servers[Server.Id];
+  server.Runs.push_back(Options.RequestId);
+  std::uint64_t after = Options.ResumeAfter.value_or(0);
+  if (after > 0)
+    Resumed.push_back(after);
+  StreamHead head;
+  head.Proof = AnswerProof::Ran;
+  head.Response.Status = server.Status;
+  // A server that has nothing to add tells no version.
+  if (after < Length)
+    head.Version = server.Version;
+  std::unique_ptr<EngineStream> stream = std::make_unique<FakeStream>(
+      *this, Server.Id, Options.RequestId, after, std::move(head));
+  co_return stream;
+}
+
+asio::awaitable<Outcome<UpstreamAnswer>>
+FakeEngines::call(UpstreamEntry Server, SendOptions Options) {
+  co_await pauseFor(Context.get_executor(), Millis(1));
+  if (Servers[Server.Id].Dark)
+    co_return lost(FailureCode::TimedOut);
+  UpstreamAnswer answer;
+  answer.Proof = AnswerProof::Ran;
+  answer.Response.Status = Ok;
+  if (!ScoreStatuses.empty()) {
+    answer.Response.Status = ScoreStatuses.front();
+    ScoreStatuses.erase(ScoreStatuses.begin());
+  }
+  answer.Signature = "sig-" + Options.RequestId;
+  Scored.push_back(Options.RequestId);
+  co_return answer;
+}
+
+} // namespace wasabi::batchtest
--- /dev/null
+++ b/UnitTests/Dispatch/FakeEngines.h
@@ -0,0 +1,58 @@
+/// \file
+/// Engines in memory that generate texts and fail as they are told to.
+#ifndef WASABI_UNITTESTS_DISPATCH_FAKEENGINES_H
+#define WASABI_UNITTESTS_DISPATCH_FAKEENGINES_H
+
+#include "Wasabi/Core/AsyncSignal.h"
+#include "Wasabi/Ports/EnginePort.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace wasabi::batchtest {
+
+/// One engine or plain server.
+struct FakeServer {
+  WeightVersion Version = 1;
+  /// Status of its answers.
+  unsigned Status = 200;
+  /// Pause before each event.
+  Millis Pace{2};
+  /// A run breaks off after so many events; 0 for never.
+  std::uint64_t BreakAfter = 0;
+  /// Neither answers nor sends events.
+  bool Dark = false;
+  /// Runs that began here, by item.
+  std::vector<std::string> Runs;
+};
+
+/// All servers of a deployment. Used on one thread; outlives its streams.
+struct FakeEngines {
+  explicit FakeEngines(boost::asio::io_context &Context) : Context(Context) {}
+
+  EnginePort port();
+
+  boost::asio::io_context &Context;
+  std::map<ServerName, FakeServer> Servers;
+  /// Events of each text.
+  std::uint64_t Length = 5;
+  /// Statuses of the next scoring calls; 200 when there are none.
+  std::vector<unsigned> ScoreStatuses;
+  /// Scoring calls, by the scored text's item.
+  std::vector<std::string> Scored;
+  /// Resumptions, by the event that they went on after.
+  std::vector<std::uint64_t> Resumed;
+
+private:
+  boost::asio::awaitable<Outcome<std::unique_ptr<EngineStream>>>
+  open(UpstreamEntry Server, SendOptions Options);
+  boost::asio::awaitable<Outcome<UpstreamAnswer>> call(UpstreamEntry Server,
+                                                       SendOptions Options);
+};
+
+} // namespace wasabi::batchtest
+
+#endif // WASABI_UNITTESTS_DISPATCH_FAKEENGINES_H
--- a/Wasabi/Core/AsyncSignal.h
+++ b/Wasabi/Core/AsyncSignal.h
@@ -68,6 +68,9 @@
       },
       boost::asio::bind_cancellation_slot(
           Stop.slot(), boost::asio::as_tuple(boost::asio::use_awaitable)));
+  // Asio leaves its handler in the slot, which a later emission would run after
+  // what it points to is gone.
+  Stop.slot().clear();
   co_return result;
 }
 
