A stand-in of the platform, and the real processes on it

Found by it: an engine whose side process does not act held up the weights of all others of its model; it comes last now. Eleven cases: requests, refusals, jobs at every process, broken texts, orders by one holder, all processes killed, work handed over, the store away in four ways, configuration, draining servers, planned stops.

--- /dev/null
+++ b/IntegrationTests/Cases/PlatformPathTest.cpp
@@ -0,0 +1,299 @@
+/// \file
+/// The real processes on a stand-in of the users' platform.
+#include "IntegrationTests/Cases/PlatformWorld.h"
+#include "IntegrationTests/Harness/Waiting.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <set>
+
+namespace wasabi::test {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr Millis Patience{20000};
+constexpr unsigned Ok = 200;
+constexpr unsigned Accepted = 202;
+
+std::string wholeText(const std::string &Item, std::uint64_t Length) {
+  std::string text;
+  for (std::uint64_t i = 1; i <= Length; ++i)
+    text += (i > 1 ? "\n" : "") + Item + ":" + std::to_string(i);
+  return text;
+}
+
+/// Checks that a job's results are whole, scored and each item's once, and
+/// gives them.
+json::array checkWhole(PlatformWorld &World, std::size_t Edge,
+                       const std::string &Job, std::size_t Items,
+                       std::uint64_t Length) {
+  unsigned status = 0;
+  json::value page = World.results(Edge, Job, status);
+  REQUIRE(status == Ok);
+  CHECK(page.at("total") == Items);
+  json::array results = page.at("results").as_array();
+  CHECK(results.size() == Items);
+  std::set<std::string> seen;
+  for (const json::value &it : results) {
+    std::string id(it.at("id").as_string());
+    CHECK(seen.insert(id).second);
+    CHECK(it.at("state") == "completed");
+    CHECK(std::string(it.at("output").as_string()) == wholeText(id, Length));
+    CHECK(std::string(it.at("score").as_string()) == "stamp-score-" + id);
+  }
+  return results;
+}
+
+} // namespace
+
+TEST_CASE("Platform: a request is answered by a server, unchanged") {
+  PlatformWorld world(1);
+  REQUIRE(world.allReady());
+  http::Response got = world.ask(0, "/desk/lots?id=7", "r1");
+  CHECK(got.Status == Ok);
+  CHECK(got.Body == "answer to r1");
+  CHECK(got.header("Wasabisail-Server-Stamp") == "stamp-r1");
+  CHECK(got.header("Wasabisail-Request-Id") == "r1");
+  std::vector<ServerCall> runs = world.onPlatform<std::vector<ServerCall>>([&] {
+    std::vector<ServerCall> all = world.desk(0).Runs;
+    all.insert(all.end(), world.desk(1).Runs.begin(), world.desk(1).Runs.end());
+    return all;
+  });
+  REQUIRE(runs.size() == 1);
+  CHECK(runs[0].Path == "/desk/lots?id=7");
+  CHECK(runs[0].Body == "body of r1");
+  CHECK(world.ask(0, "/nowhere/", "r2").Status == 404);
+}
+
+TEST_CASE("Platform: full servers make a refusal that says when to come back") {
+  PlatformWorld world(1);
+  REQUIRE(world.allReady());
+  world.onPlatform([&] {
+    world.desk(0).Full = true;
+    world.desk(1).Full = true;
+  });
+  http::Response got = world.ask(0, "/once/x", "r1");
+  CHECK(got.Status == 503);
+  CHECK_FALSE(got.header("Retry-After").empty());
+}
+
+TEST_CASE("Platform: a job is run, scored and read alike at every process") {
+  constexpr std::size_t Items = 12;
+  PlatformWorld world(3);
+  REQUIRE(world.allReady());
+  CHECK(world.submit(0, "job", Items) == Accepted);
+  CHECK(world.submit(1, "job", Items) == Accepted);
+  REQUIRE(world.finishes(2, "job", Items));
+  json::array first = checkWhole(world, 2, "job", Items, 6);
+  REQUIRE(world.finishes(0, "job", Items));
+  CHECK(checkWhole(world, 0, "job", Items, 6) == first);
+  CHECK(world.end(1, "job") == Ok);
+  CHECK(world.end(2, "job") == Ok);
+  CHECK(world.end(2, "no-job") == 404);
+}
+
+TEST_CASE("Platform: texts that break off go on, and none is joined wrongly") {
+  constexpr std::size_t Items = 8;
+  PlatformWorld world(1);
+  REQUIRE(world.allReady());
+  world.onPlatform([&] {
+    world.engine(0).Breaks = 4;
+    world.engine(1).Breaks = 3;
+  });
+  REQUIRE(world.submit(0, "job", Items) == Accepted);
+  REQUIRE(world.finishes(0, "job", Items));
+  checkWhole(world, 0, "job", Items, 6);
+}
+
+TEST_CASE("Platform: named weights reach the engines, by one holder each") {
+  PlatformWorld world(2);
+  REQUIRE(world.allReady());
+  world.nameVersion(2);
+  auto loaded = [&] {
+    return world.onPlatform<bool>([&] {
+      return world.engine(0).Models["model"] == 2 &&
+             world.engine(1).Models["model"] == 2;
+    });
+  };
+  bool done = harness::waitUntil(loaded, Patience);
+  INFO(world.side(0).output() + world.side(1).output() +
+       world.edge(0).Running->output() + world.edge(1).Running->output());
+  REQUIRE(done);
+  REQUIRE(world.submit(0, "job", 4, 2) == Accepted);
+  REQUIRE(world.finishes(0, "job", 4));
+  for (const json::value &it : checkWhole(world, 0, "job", 4, 6))
+    CHECK(it.at("versions") == json::array{2});
+  for (std::size_t i = 0; i < 2; ++i) {
+    std::vector<ServerCall> orders = world.onPlatform<std::vector<ServerCall>>(
+        [&] { return world.engine(i).Orders; });
+    REQUIRE_FALSE(orders.empty());
+    for (const ServerCall &it : orders)
+      CHECK(it.Holder == "side-" + std::to_string(i));
+  }
+}
+
+TEST_CASE("Platform: every process killed, nothing accepted or read is lost") {
+  constexpr std::size_t Items = 10;
+  PlatformWorld world(2);
+  REQUIRE(world.allReady());
+  REQUIRE(world.submit(0, "before", Items) == Accepted);
+  REQUIRE(world.finishes(1, "before", Items));
+  json::array read = checkWhole(world, 1, "before", Items, 6);
+  world.onPlatform([&] {
+    world.engine(0).Length = 20;
+    world.engine(1).Length = 20;
+  });
+  REQUIRE(world.submit(1, "after", Items) == Accepted);
+  for (std::size_t i = 0; i < 2; ++i) {
+    world.edge(i).Running->signal(SIGKILL);
+    world.edge(i).Running->wait(Patience);
+  }
+  for (std::size_t i = 0; i < 2; ++i)
+    world.startEdge(i);
+  REQUIRE(world.allReady());
+  CHECK(checkWhole(world, 0, "before", Items, 6) == read);
+  REQUIRE(world.finishes(0, "after", Items));
+  checkWhole(world, 0, "after", Items, 20);
+}
+
+TEST_CASE("Platform: a dispatcher that stops hands its work over") {
+  constexpr std::size_t Items = 6;
+  PlatformWorld world(2);
+  REQUIRE(world.allReady());
+  world.onPlatform([&] {
+    for (std::size_t i = 0; i < 2; ++i) {
+      world.engine(i).Length = 60;
+      world.engine(i).Pace = Millis(10);
+    }
+  });
+  REQUIRE(world.submit(0, "job", Items) == Accepted);
+  auto running = [&] {
+    return world.onPlatform<bool>([&] {
+      return world.engine(0).Runs.size() + world.engine(1).Runs.size() == Items;
+    });
+  };
+  REQUIRE(harness::waitUntil(running, Patience));
+  // Whoever dispatches says so in its log.
+  std::size_t holder =
+      world.edge(0).Running->output().find("duty.gained") != std::string::npos
+          ? 0
+          : 1;
+  world.edge(holder).Running->signal(SIGTERM);
+  std::optional<harness::ProcessEnd> end =
+      world.edge(holder).Running->wait(Patience);
+  REQUIRE(end.has_value());
+  CHECK(end->Code == 0);
+  std::size_t other = 1 - holder;
+  REQUIRE(world.finishes(other, "job", Items));
+  checkWhole(world, other, "job", Items, 60);
+}
+
+TEST_CASE("Platform: with the store away nothing is called refused or missing "
+          "that is not") {
+  PlatformWorld world(2);
+  REQUIRE(world.allReady());
+  REQUIRE(world.submit(0, "known", 2) == Accepted);
+  REQUIRE(world.finishes(1, "known", 2));
+  for (StoreMood mood : {StoreMood::Busy, StoreMood::Silent, StoreMood::Reset,
+                         StoreMood::LosesAnswers}) {
+    world.onPlatform([&] { world.store().setMood(mood); });
+    std::string job = "job-" + std::to_string(static_cast<int>(mood));
+    unsigned status = world.submit(0, job, 1);
+    bool promise = status == 503;
+    unsigned read = 0;
+    world.results(1, "unknown", read);
+    if (mood != StoreMood::LosesAnswers)
+      CHECK(read == 503);
+    world.onPlatform([&] { world.store().setMood(StoreMood::Well); });
+    REQUIRE(world.allReady());
+    world.results(1, job, read);
+    INFO("mood " << static_cast<int>(mood) << " status " << status);
+    // A promise that nothing was taken must hold; an acceptance too.
+    if (promise)
+      CHECK(read == 404);
+    if (status == Accepted)
+      CHECK(read == Ok);
+    if (mood == StoreMood::Busy)
+      CHECK(promise);
+  }
+  checkWhole(world, 1, "known", 2, 6);
+}
+
+TEST_CASE("Platform: a configuration is in force soon and never reverts") {
+  PlatformWorld world(2);
+  REQUIRE(world.allReady());
+  world.configure(2);
+  auto served = [&](std::size_t Edge, const std::string &Path) {
+    return harness::waitUntil(
+        [&] { return world.ask(Edge, Path, "r").Status == Ok; }, Patience);
+  };
+  for (std::size_t i = 0; i < 2; ++i)
+    CHECK(served(i, "/desk-2/"));
+  // An older version, and a gap in what can be read.
+  world.configure(1);
+  world.onPlatform([&] { world.store().compact("keyed.op"); });
+  world.configure(4);
+  for (std::size_t i = 0; i < 2; ++i) {
+    CHECK(served(i, "/desk-4/"));
+    CHECK(world.ask(i, "/desk-1/", "r").Status == 404);
+    CHECK(world.ask(i, "/desk-2/", "r").Status == 404);
+  }
+}
+
+TEST_CASE("Platform: a server that drains gets no new request") {
+  PlatformWorld world(1);
+  REQUIRE(world.allReady());
+  world.onPlatform([&] {
+    world.store().write("keyed.servers", "i-desk-1",
+                        world.desk(0).registration("desk", true));
+    world.store().write("keyed.servers", "i-engine-1", std::nullopt);
+  });
+  auto noted = [&] {
+    std::string log = world.edge(0).Running->output();
+    return log.find("draining") != std::string::npos &&
+           log.find("server.unregistered") != std::string::npos;
+  };
+  REQUIRE(harness::waitUntil(noted, Patience));
+  // A registration that vanishes right after the start may have lapsed in an
+  // outage; it is kept for a moment.
+  harness::waitUntil([] { return false; }, Millis(2500));
+  world.onPlatform([&] {
+    world.desk(0).Runs.clear();
+    world.engine(0).Runs.clear();
+  });
+  for (int i = 0; i < 10; ++i)
+    CHECK(world.ask(0, "/desk/", "r" + std::to_string(i)).Status == Ok);
+  REQUIRE(world.submit(0, "job", 4) == Accepted);
+  REQUIRE(world.finishes(0, "job", 4));
+  CHECK(world.onPlatform<std::size_t>([&] {
+    return world.desk(0).Runs.size() + world.engine(0).Runs.size();
+  }) == 0);
+}
+
+TEST_CASE("Platform: a planned stop answers what it has taken") {
+  PlatformWorld world(1);
+  REQUIRE(world.allReady());
+  world.onPlatform([&] {
+    world.desk(0).Pace = Millis(600);
+    world.desk(1).Pace = Millis(600);
+  });
+  std::future<http::Response> answer = std::async(
+      std::launch::async, [&] { return world.ask(0, "/desk/", "slow"); });
+  auto running = [&] {
+    return world.onPlatform<bool>([&] {
+      return world.desk(0).Runs.size() + world.desk(1).Runs.size() == 1;
+    });
+  };
+  REQUIRE(harness::waitUntil(running, Patience));
+  world.edge(0).Running->signal(SIGTERM);
+  CHECK(answer.get().Status == Ok);
+  std::optional<harness::ProcessEnd> end =
+      world.edge(0).Running->wait(Patience);
+  REQUIRE(end.has_value());
+  CHECK(end->Code == 0);
+}
+
+} // namespace wasabi::test
--- /dev/null
+++ b/IntegrationTests/Cases/PlatformServers.cpp
@@ -0,0 +1,167 @@
+#include "IntegrationTests/Cases/PlatformServers.h"
+
+#include "Wasabi/Core/AsyncSignal.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <boost/json/value_to.hpp>
+
+namespace wasabi::test {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr unsigned Ok = 200;
+constexpr unsigned Accepted202 = 202;
+constexpr unsigned Conflict = 409;
+constexpr unsigned Misdirected = 421;
+constexpr unsigned Unavailable = 503;
+
+http::Header echo(const http::Request &Ask) {
+  return {"Wasabisail-Request-Id",
+          std::string(Ask.header("Wasabisail-Request-Id"))};
+}
+
+json::array modelList(const std::map<std::string, std::uint64_t> &Models) {
+  json::array list;
+  for (const auto &[name, version] : Models)
+    list.push_back(
+        {{"name", name}, {"version", version}, {"adapters", json::array()}});
+  return list;
+}
+
+} // namespace
+
+PlatformServer::PlatformServer(asio::io_context &Context, std::string Id)
+    : Context(Context), Id(std::move(Id)) {
+  http::Server::Settings limits;
+  Serving = http::Server::create(
+                Context, limits,
+                [this](http::Request Ask, std::shared_ptr<http::Responder> To) {
+                  return handle(std::move(Ask), std::move(To));
+                })
+                .value();
+}
+
+std::string PlatformServer::registration(const std::string &Service,
+                                         bool Draining) const {
+  return json::serialize(
+      json::object{{"service", Service},
+                   {"address", toText(address())},
+                   {"zone", "hall"},
+                   {"version", "v1"},
+                   {"slots", 4},
+                   {"state", Draining ? "draining" : "ready"},
+                   {"cold_remaining_ms", 0},
+                   {"models", modelList(Models)},
+                   {"sequence", 1}});
+}
+
+http::Response PlatformServer::report() const {
+  return http::jsonResponse(
+      Ok, json::serialize(json::object{{"stage", "both"},
+                                       {"models", modelList(Models)},
+                                       {"busy", false},
+                                       {"sequence", Accepted},
+                                       {"num_waiting", 0},
+                                       {"num_running", 0}}));
+}
+
+http::Response PlatformServer::order(const http::Request &Ask) {
+  json::value body = json::parse(Ask.Body);
+  ServerCall call;
+  call.Holder = json::value_to<std::string>(body.at("holder"));
+  call.Token = body.at("fencing_token").to_number<std::uint64_t>();
+  Orders.push_back(call);
+  const json::value *expect = body.as_object().if_contains("expect");
+  if (expect != nullptr && expect->to_number<std::uint64_t>() != Accepted)
+    return http::jsonResponse(Conflict, "{}");
+  ++Accepted;
+  Models[json::value_to<std::string>(body.at("model"))] =
+      body.at("version").to_number<std::uint64_t>();
+  return http::jsonResponse(Accepted202, "{}");
+}
+
+asio::awaitable<void>
+PlatformServer::handle(http::Request Ask,
+                       std::shared_ptr<http::Responder> Out) {
+  std::string_view expected = Ask.header("Wasabisail-Expect-Instance");
+  http::Response answer;
+  if (Ask.path() == "/api/report") {
+    co_await Out->send(report());
+    co_return;
+  }
+  if (!expected.empty() && expected != Id) {
+    answer.Status = Misdirected;
+    co_await Out->send(std::move(answer));
+    co_return;
+  }
+  if (Ask.path() == "/api/order") {
+    co_await Out->send(order(Ask));
+    co_return;
+  }
+  if (Full) {
+    answer.Status = Unavailable;
+    answer.Headers.push_back({"Wasabisail-Not-Executed", "1"});
+    answer.Headers.push_back(echo(Ask));
+    co_await Out->send(std::move(answer));
+    co_return;
+  }
+  ServerCall call;
+  call.Id = std::string(Ask.header("Wasabisail-Request-Id"));
+  call.Path = Ask.Target;
+  call.Body = Ask.Body;
+  call.ResumeAfter = std::string(Ask.header("Last-Event-Id"));
+  Runs.push_back(call);
+  if (!Models.empty()) {
+    co_await generate(std::move(Ask), std::move(Out));
+    co_return;
+  }
+  co_await pauseFor(Context.get_executor(), Pace);
+  answer.Headers.push_back(echo(Ask));
+  answer.Headers.push_back({"Wasabisail-Server-Stamp", "stamp-" + call.Id});
+  answer.Body = "answer to " + call.Id;
+  co_await Out->send(std::move(answer));
+}
+
+asio::awaitable<void>
+PlatformServer::generate(http::Request Ask,
+                         std::shared_ptr<http::Responder> Out) {
+  std::string model(Ask.header("Wasabisail-Model"));
+  std::string id(Ask.header("Wasabisail-Request-Id"));
+  std::string after(Ask.header("Last-Event-Id"));
+  std::uint64_t next = after.empty() ? 0 : std::stoull(after);
+  std::uint64_t version = Models[model];
+  http::Response head;
+  head.Headers.push_back({"Content-Type", "text/event-stream"});
+  head.Headers.push_back(echo(Ask));
+  head.Headers.push_back({"Wasabisail-Server-Stamp", "stamp-" + id});
+  head.Headers.push_back(
+      {"Wasabisail-Weight-Versions", std::to_string(version)});
+  co_await Out->begin(std::move(head));
+  bool breaks = Breaks > 0;
+  Breaks -= breaks ? 1 : 0;
+  for (std::uint64_t sent = 0; next < Length && !Out->gone(); ++sent) {
+    co_await pauseFor(Context.get_executor(), Pace);
+    if (breaks && sent == 2) {
+      Out->abort();
+      co_return;
+    }
+    std::string event;
+    if (Models[model] != version) {
+      version = Models[model];
+      event = "wasabisail-weight-versions: " + std::to_string(version) + "\n";
+    }
+    ++next;
+    event += "id: " + std::to_string(next) + "\ndata: " + id + ":" +
+             std::to_string(next) + "\n\n";
+    co_await Out->write(std::move(event));
+  }
+  if (!Out->gone())
+    co_await Out->end();
+}
+
+} // namespace wasabi::test
--- /dev/null
+++ b/IntegrationTests/Cases/PlatformStore.h
@@ -0,0 +1,71 @@
+/// \file
+/// A stand-in of the users' platform: its store and its servers, spoken to over
+/// HTTP by the real processes.
+#ifndef WASABI_INTEGRATIONTESTS_CASES_PLATFORMSTORE_H
+#define WASABI_INTEGRATIONTESTS_CASES_PLATFORMSTORE_H
+
+#include "Wasabi/Adapters/Http/HttpServer.h"
+#include "Wasabi/Core/AsyncSignal.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace wasabi::test {
+
+/// How the store answers.
+enum class StoreMood : std::uint8_t {
+  Well,
+  /// 503, and nothing is done.
+  Busy,
+  /// No answer, and nothing is done.
+  Silent,
+  /// The connection is reset, and nothing is done.
+  Reset,
+  /// Done, but appends are not answered.
+  LosesAnswers,
+};
+
+/// The store. Everything happens on the context's thread.
+class PlatformStore {
+public:
+  explicit PlatformStore(boost::asio::io_context &Context);
+
+  Address address() const { return Serving->address(); }
+  void setMood(StoreMood Now) { Mood = Now; }
+  /// What the operator and the servers write: the newest record of a key, or
+  /// its deletion.
+  void write(const std::string &Topic, const std::string &Key,
+             const std::optional<std::string> &Value);
+  /// Drops the records of a topic; of keyed ones the newest of each key stay
+  /// readable as such.
+  void compact(const std::string &Topic);
+
+private:
+  struct Topic {
+    std::vector<std::string> Records;
+    std::size_t First = 0;
+  };
+
+  boost::asio::awaitable<void> handle(http::Request Ask,
+                                      std::shared_ptr<http::Responder> Out);
+  boost::asio::awaitable<void> append(http::Request Ask,
+                                      std::shared_ptr<http::Responder> Out);
+  boost::asio::awaitable<void> read(http::Request Ask,
+                                    std::shared_ptr<http::Responder> Out);
+  http::Response newest(const Topic &Of) const;
+
+  boost::asio::io_context &Context;
+  std::map<std::string, Topic> Topics;
+  StoreMood Mood = StoreMood::Well;
+  AsyncSignal Grown;
+  std::shared_ptr<http::Server> Serving;
+};
+
+} // namespace wasabi::test
+
+#endif // WASABI_INTEGRATIONTESTS_CASES_PLATFORMSTORE_H
--- /dev/null
+++ b/IntegrationTests/Cases/PlatformWorld.cpp
@@ -0,0 +1,221 @@
+#include "IntegrationTests/Cases/PlatformWorld.h"
+
+#include "IntegrationTests/Harness/FreePort.h"
+#include "IntegrationTests/Harness/HttpCall.h"
+#include "IntegrationTests/Harness/Waiting.h"
+#include "Wasabi/Core/Base64.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <fmt/format.h>
+
+#include <fstream>
+
+namespace wasabi::test {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr const char *Model = "model";
+constexpr Millis Patience{30000};
+constexpr unsigned Ok = 200;
+
+json::object routeOf(const std::string &Prefix, const std::string &Kind,
+                     const std::string &Service) {
+  return {{"name", Prefix},        {"host", "host.example"},
+          {"path_prefix", Prefix}, {"kind", Kind},
+          {"timeout_ms", 2000},    {"target_latency_ms", 400},
+          {"priority", 1},         {"service", Service},
+          {"max_attempts", 3},     {"result_deadline_ms", 7500},
+          {"retention_s", 40.0}};
+}
+
+http::Request request(const std::string &Method, const std::string &Target,
+                      const std::string &Id) {
+  http::Request ask;
+  ask.Method = Method;
+  ask.Target = Target;
+  ask.Headers = {{"Host", "host.example"}, {"Wasabisail-Request-Id", Id}};
+  return ask;
+}
+
+} // namespace
+
+PlatformWorld::PlatformWorld(std::size_t EdgeCount) {
+  Store = std::make_unique<PlatformStore>(Context);
+  for (const char *it : {"i-engine-1", "i-engine-2"}) {
+    Engines.push_back(std::make_unique<PlatformServer>(Context, it));
+    Engines.back()->Models[Model] = 1;
+  }
+  for (const char *it : {"i-desk-1", "i-desk-2"})
+    Desks.push_back(std::make_unique<PlatformServer>(Context, it));
+  Folder = harness::TestFolder::create().value();
+  Thread = std::thread([this] { Context.run(); });
+  onPlatform([this] { registerAll(); });
+  configure(1);
+  for (std::size_t i = 0; i < Engines.size(); ++i) {
+    std::string name = "side-" + std::to_string(i);
+    std::string app = fmt::format(R"("listen":{{}},"app":"{}",)",
+                                  toText(Engines[i]->address()));
+    harness::Process::Settings setup;
+    setup.Program = "wasabi-side";
+    setup.Environment = {{"WASABISAIL_BOOT", bootFile(name, app)}};
+    Sides.push_back(harness::Process::start(std::move(setup)).value());
+  }
+  Edges.resize(EdgeCount);
+  for (std::size_t i = 0; i < EdgeCount; ++i) {
+    Edges[i].Callers = harness::freePort().value();
+    Edges[i].Readiness = harness::freePort().value();
+    startEdge(i);
+  }
+}
+
+PlatformWorld::~PlatformWorld() {
+  Edges.clear();
+  Sides.clear();
+  Work.reset();
+  Context.stop();
+  Thread.join();
+}
+
+std::string PlatformWorld::bootFile(const std::string &Name,
+                                    const std::string &Extra) {
+  std::string path = Folder->file(Name + ".json");
+  std::ofstream(path) << fmt::format(
+      R"({{"node_name":"{}","zone":"hall","ip":"127.0.0.1",{}
+      "bounds":{{"grace_s":5}},"platform":{{"address":"{}"}}}})",
+      Name, Extra, toText(Store->address()));
+  return path;
+}
+
+void PlatformWorld::startEdge(std::size_t Index) {
+  EdgeProcess &edge = Edges[Index];
+  std::string listen =
+      fmt::format(R"("listen":{{"front":"{}","ready_addr":"{}"}},)",
+                  toText(edge.Callers), toText(edge.Readiness));
+  harness::Process::Settings setup;
+  setup.Program = "wasabi-edge";
+  setup.Arguments = {"--metrics_port=0", "--drain_notice_ms=300"};
+  setup.Environment = {
+      {"WASABISAIL_BOOT", bootFile("edge-" + std::to_string(Index), listen)}};
+  edge.Running = harness::Process::start(std::move(setup)).value();
+}
+
+void PlatformWorld::registerAll() {
+  for (const std::unique_ptr<PlatformServer> &it : Engines)
+    Store->write("keyed.servers", it->id(), it->registration("llm", false));
+  for (const std::unique_ptr<PlatformServer> &it : Desks)
+    Store->write("keyed.servers", it->id(), it->registration("desk", false));
+}
+
+void PlatformWorld::configure(std::uint64_t Version) {
+  json::array routes{
+      routeOf("/rollout/", "rollout", "llm"),
+      routeOf("/desk/", "idempotent", "desk"),
+      routeOf("/once/", "non_idempotent", "desk"),
+      routeOf(fmt::format("/desk-{}/", Version), "idempotent", "desk")};
+  json::object engine{{"slots", 4},
+                      {"models", json::array{json::object{{"name", Model}}}}};
+  json::array services{json::object{{"name", "llm"}, {"engine", engine}},
+                       json::object{{"name", "desk"}}};
+  std::string text = json::serialize(json::object{
+      {"version", Version}, {"routes", routes}, {"services", services}});
+  onPlatform([this, text] { Store->write("keyed.op", "config", text); });
+}
+
+void PlatformWorld::nameVersion(std::uint64_t Version) {
+  std::string text =
+      json::serialize(json::object{{"model", Model}, {"version", Version}});
+  onPlatform([this, text] {
+    Store->write("keyed.op", std::string("version/") + Model, text);
+  });
+}
+
+bool PlatformWorld::ready(std::size_t Index) {
+  Outcome<http::Response> got = harness::call(
+      Edges[Index].Readiness, request("GET", "/api/readiness", ""));
+  return got && got->Status == Ok;
+}
+
+bool PlatformWorld::allReady() {
+  return harness::waitUntil(
+      [this] {
+        for (std::size_t i = 0; i < Edges.size(); ++i) {
+          if (!ready(i))
+            return false;
+        }
+        return true;
+      },
+      Patience);
+}
+
+http::Response PlatformWorld::ask(std::size_t Edge, const std::string &Path,
+                                  const std::string &Id) {
+  http::Request ask = request("POST", Path, Id);
+  ask.Headers.push_back({"Wasabisail-Deadline-Ms", "2000"});
+  ask.Body = "body of " + Id;
+  Outcome<http::Response> got =
+      harness::call(Edges[Edge].Callers, std::move(ask));
+  if (got)
+    return *got;
+  return http::Response{0, {}, describe(got.failure())};
+}
+
+unsigned PlatformWorld::submit(std::size_t Edge, const std::string &Job,
+                               std::size_t Items, std::uint64_t MinVersion) {
+  json::array items;
+  for (std::size_t i = 0; i < Items; ++i) {
+    std::string id = Job + "-" + std::to_string(i);
+    json::object score{{"id", "score-" + id},
+                       {"host", "host.example"},
+                       {"path", "/desk/score"},
+                       {"body", encodeBase64("score " + id)}};
+    items.push_back(
+        json::object{{"id", id},
+                     {"path", "/rollout/" + id},
+                     {"headers", json::object{{"Wasabisail-Model", Model}}},
+                     {"body", encodeBase64("prompt " + id)},
+                     {"group", "g" + std::to_string(i / 2)},
+                     {"scorer_url", score}});
+  }
+  http::Request ask = request("POST", "/rollout/" + Job, Job);
+  ask.Body = json::serialize(json::object{{"step", 0},
+                                          {"model", Model},
+                                          {"min_version", MinVersion},
+                                          {"target_groups", 1},
+                                          {"items", items}});
+  Outcome<http::Response> got =
+      harness::call(Edges[Edge].Callers, std::move(ask));
+  return got ? got->Status : 0;
+}
+
+json::value PlatformWorld::results(std::size_t Edge, const std::string &Job,
+                                   unsigned &Status) {
+  Outcome<http::Response> got =
+      harness::call(Edges[Edge].Callers,
+                    request("GET", "/api/lots/" + Job + "?after=0", "read"));
+  Status = got ? got->Status : 0;
+  return Status == Ok ? json::parse(got->Body) : json::value();
+}
+
+bool PlatformWorld::finishes(std::size_t Edge, const std::string &Job,
+                             std::size_t Items) {
+  return harness::waitUntil(
+      [&] {
+        unsigned status = 0;
+        json::value page = results(Edge, Job, status);
+        return status == Ok && page.at("results").as_array().size() == Items;
+      },
+      Patience);
+}
+
+unsigned PlatformWorld::end(std::size_t Edge, const std::string &Job) {
+  Outcome<http::Response> got = harness::call(
+      Edges[Edge].Callers, request("DELETE", "/api/lots/" + Job, "end"));
+  return got ? got->Status : 0;
+}
+
+} // namespace wasabi::test
--- /dev/null
+++ b/IntegrationTests/Cases/PlatformWorld.h
@@ -0,0 +1,99 @@
+/// \file
+/// The users' platform on loopback with the real processes on it.
+#ifndef WASABI_INTEGRATIONTESTS_CASES_PLATFORMWORLD_H
+#define WASABI_INTEGRATIONTESTS_CASES_PLATFORMWORLD_H
+
+#include "IntegrationTests/Cases/PlatformServers.h"
+#include "IntegrationTests/Cases/PlatformStore.h"
+#include "IntegrationTests/Harness/Process.h"
+#include "IntegrationTests/Harness/TestFolder.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/json/value.hpp>
+
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace wasabi::test {
+
+/// An edge process and where it listens.
+struct EdgeProcess {
+  Address Callers;
+  Address Readiness;
+  std::unique_ptr<harness::Process> Running;
+};
+
+/// A store, two engines with a process beside each, two plain servers, and edge
+/// processes. The stand-ins run on a thread of their own.
+class PlatformWorld {
+public:
+  explicit PlatformWorld(std::size_t Edges);
+  ~PlatformWorld();
+  PlatformWorld(const PlatformWorld &) = delete;
+  PlatformWorld &operator=(const PlatformWorld &) = delete;
+
+  /// Runs `Body` on the stand-ins' thread and gives what it returns.
+  template <typename T> T onPlatform(std::function<T()> Body) {
+    std::packaged_task<T()> task(std::move(Body));
+    std::future<T> result = task.get_future();
+    boost::asio::post(Context, [&task] { task(); });
+    return result.get();
+  }
+  void onPlatform(std::function<void()> Body) {
+    onPlatform<int>([Body] {
+      Body();
+      return 0;
+    });
+  }
+
+  PlatformStore &store() { return *Store; }
+  PlatformServer &engine(std::size_t Index) { return *Engines[Index]; }
+  PlatformServer &desk(std::size_t Index) { return *Desks[Index]; }
+  EdgeProcess &edge(std::size_t Index) { return Edges[Index]; }
+  harness::Process &side(std::size_t Index) { return *Sides[Index]; }
+  std::size_t edges() const { return Edges.size(); }
+
+  void startEdge(std::size_t Index);
+  /// Publishes a configuration; the desk's route is `/desk-VERSION/` too.
+  void configure(std::uint64_t Version);
+  void nameVersion(std::uint64_t Version);
+  /// Whether an edge process is ready for callers.
+  bool ready(std::size_t Index);
+  bool allReady();
+
+  http::Response ask(std::size_t Edge, const std::string &Path,
+                     const std::string &Id);
+  /// The status of a submission of `Items` scored items.
+  unsigned submit(std::size_t Edge, const std::string &Job, std::size_t Items,
+                  std::uint64_t MinVersion = 1);
+  /// All results that an edge process shows, and the status of its answer.
+  boost::json::value results(std::size_t Edge, const std::string &Job,
+                             unsigned &Status);
+  /// Waits until a job's results are whole at an edge process.
+  bool finishes(std::size_t Edge, const std::string &Job, std::size_t Items);
+  unsigned end(std::size_t Edge, const std::string &Job);
+
+private:
+  std::string bootFile(const std::string &Name, const std::string &Extra);
+  void registerAll();
+
+  boost::asio::io_context Context{1};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      Work = boost::asio::make_work_guard(Context);
+  std::unique_ptr<PlatformStore> Store;
+  std::vector<std::unique_ptr<PlatformServer>> Engines;
+  std::vector<std::unique_ptr<PlatformServer>> Desks;
+  std::unique_ptr<harness::TestFolder> Folder;
+  std::vector<EdgeProcess> Edges;
+  std::vector<std::unique_ptr<harness::Process>> Sides;
+  std::thread Thread;
+};
+
+} // namespace wasabi::test
+
+#endif // WASABI_INTEGRATIONTESTS_CASES_PLATFORMWORLD_H
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -55,6 +55,7 @@
     limits.StallTime = Millis(80);
     limits.LoadStallTime = Millis(120);
     limits.RetryPause = Millis(2);
+    limits.SwapLimit = Millis(150);
     Dispatch =
         Dispatcher::create(Context.get_executor(), View, Log, Store.port(),
                            Engines.port(), scores, Decisions, Counts, limits);
@@ -342,4 +343,18 @@
   CHECK(world.runUntil([&] { return wanted() == 4; }));
 }
 
+TEST_CASE("An engine that takes no weights does not hold up the others",
+          "[dispatch]") {
+  DispatchWorld world;
+  world.View.Named[Model] = 2;
+  world.Dispatch->onView();
+  // Nobody is beside either engine, so each is wanted in turn.
+  std::set<std::string> asked;
+  CHECK(world.runUntil([&] {
+    for (const std::string &it : world.Store.Topics[WantedTopic])
+      asked.insert(it.substr(0, it.find('|')));
+    return asked.size() == 2;
+  }));
+}
+
 } // namespace wasabi::batchtest
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -756,10 +756,15 @@
   auto lag = [this](const EngineState &Of) {
     return View.Named[Of.Model] - Of.version(Of.Model);
   };
-  // The one that lags most first, then the one with the least to hold up.
-  std::sort(due.begin(), due.end(), [&lag](const auto &L, const auto &R) {
-    return std::make_tuple(lag(*R), L->Running) <
-           std::make_tuple(lag(*L), R->Running);
+  // One that was asked in vain comes last, else it would hold up the others;
+  // then the one that lags most, then the one with the least to hold up.
+  auto rank = [&](const std::shared_ptr<EngineState> &Of) {
+    bool inVain = Of->Wanted > Of->version(Of->Model);
+    return std::make_tuple(inVain, inVain ? Of->WantedAt : TimePoint(),
+                           -static_cast<std::int64_t>(lag(*Of)), Of->Running);
+  };
+  std::sort(due.begin(), due.end(), [&rank](const auto &L, const auto &R) {
+    return rank(L) < rank(R);
   });
   auto share = static_cast<std::uint32_t>(static_cast<double>(Pool.size()) *
                                           Limits.Pool.LoadShare);
