--- a/UnitTests/Batch/BatchDeskTest.cpp
+++ b/UnitTests/Batch/BatchDeskTest.cpp
@@ -15,6 +15,11 @@
   std::shared_ptr<BatchDesk> Desk = makeDesk(Log);
   std::shared_ptr<BatchDesk> Other = makeDesk(OtherLog);
 
+  DeskWorld() {
+    REQUIRE(
+        runUntil([this] { return Log->caughtUp() && OtherLog->caughtUp(); }));
+  }
+
   std::shared_ptr<BatchDesk> makeDesk(std::shared_ptr<RolloutLog> Of) {
     BatchDesk::Settings limits;
     limits.StaleAfter = Millis(30);
@@ -84,6 +89,18 @@
   CHECK(world.submit(*world.Desk, job) == DeskVerdict::Unknown);
 }
 
+TEST_CASE("A process out of reach of the store refuses without sending",
+          "[batch]") {
+  DeskWorld world;
+  *world.Cut = true;
+  REQUIRE(world.runUntil([&] { return world.Log->contact().Lost; }));
+  BatchJob job = makeJob("a", 1);
+  world.Store.Fates = {AppendFate::AnswerLost};
+  CHECK(world.submit(*world.Desk, job) == DeskVerdict::Refused);
+  CHECK(world.Store.Fates.size() == 1);
+  CHECK(world.Store.Topics["rollout"].empty());
+}
+
 TEST_CASE("An unknown job is missing only after a look at the store",
           "[batch]") {
   DeskWorld world;
--- a/UnitTests/Dispatch/EnginePoolTest.cpp
+++ b/UnitTests/Dispatch/EnginePoolTest.cpp
@@ -101,6 +101,12 @@
   engines[1]->Running = 0;
   engines[1]->Loading = true;
   CHECK(choose(engines, need) == nullptr);
+  engines[1]->Loading = false;
+  engines[1]->FullUntil = TimePoint() + Millis(2000);
+  CHECK(choose(engines, need) == nullptr);
+  engines[1]->FullUntil = TimePoint();
+  engines[1]->Server->Replaced = true;
+  CHECK(choose(engines, need) == nullptr);
   need.MinVersion = 0;
   need.Exactly = 3;
   CHECK(choose(engines, need) == nullptr);
--- a/UnitTests/Dispatch/OrderKeeperTest.cpp
+++ b/UnitTests/Dispatch/OrderKeeperTest.cpp
@@ -18,12 +18,13 @@
   /// Orders that are accepted without an answer, and carried out later.
   int Late = 0;
   bool Dark = false;
+  ServerName Name = Server;
 
   EnginePort port() {
     EnginePort port;
     port.Report = [this](UpstreamEntry, Millis) { return report(); };
-    port.Order = [this](UpstreamEntry, VersionOrder What, Millis) {
-      return order(std::move(What));
+    port.Order = [this](UpstreamEntry Server, VersionOrder What, Millis) {
+      return order(std::move(Server), std::move(What));
     };
     return port;
   }
@@ -33,9 +34,12 @@
       co_return silence();
     co_return Now;
   }
-  boost::asio::awaitable<Outcome<OrderOutcome>> order(VersionOrder What) {
+  boost::asio::awaitable<Outcome<OrderOutcome>> order(UpstreamEntry Server,
+                                                      VersionOrder What) {
     co_await pauseFor(Context.get_executor(), Millis(1));
     Orders.push_back(What);
+    if (Server.Id != Name)
+      co_return OrderOutcome::OtherServer;
     if (Late > 0) {
       --Late;
       co_return silence();
@@ -67,7 +71,7 @@
                             Engine.port(), Decisions, limits);
     UpstreamEntry entry;
     entry.Id = Server;
-    keeper->setEngine(entry);
+    keeper->setEngines({entry});
     keeper->start();
     return keeper;
   }
@@ -131,6 +135,20 @@
     CHECK(it.Accepted == 0u);
 }
 
+TEST_CASE("A registration of an earlier start does not keep the engine from "
+          "its weights",
+          "[dispatch]") {
+  OrderWorld world;
+  UpstreamEntry old;
+  old.Id = ServerName("i-0");
+  UpstreamEntry now;
+  now.Id = Server;
+  world.Keeper->setEngines({old, now});
+  world.Keeper->setWanted(old.Id, {Red, 2, SwapMode::Continue}, 0);
+  world.Keeper->setWanted(Server, {Red, 2, SwapMode::Continue}, 1);
+  CHECK(world.comesTo(2));
+}
+
 TEST_CASE("An engine that fell back is ordered forward again", "[dispatch]") {
   OrderWorld world;
   world.Keeper->setWanted(Server, {Red, 5, SwapMode::Continue}, 0);
--- a/UnitTests/Upstream/ForwarderTest.cpp
+++ b/UnitTests/Upstream/ForwarderTest.cpp
@@ -10,7 +10,14 @@
 const ServiceName Desk("desk");
 
 /// What a server does with a request.
-enum class Answering : std::uint8_t { Whole, Full, Lost, Unreachable, Fails };
+enum class Answering : std::uint8_t {
+  Whole,
+  Full,
+  Lost,
+  Unreachable,
+  Fails,
+  Misdirected
+};
 
 struct ForwardWorld : BatchWorld {
   FleetView View;
@@ -50,8 +57,10 @@
     answer.Proof = AnswerProof::Ran;
     answer.Response.Status = how == Answering::Fails ? 500 : 200;
     answer.Signature = Server.Id.Text;
-    if (how == Answering::Full)
+    if (how == Answering::Full || how == Answering::Misdirected)
       answer.Proof = AnswerProof::NotRun;
+    if (how == Answering::Misdirected)
+      answer.Response.Status = MisdirectedStatus;
     if (how == Answering::Lost)
       co_return failure(Verdict::MayHaveRun);
     if (how == Answering::Unreachable)
@@ -159,6 +168,15 @@
   CHECK(world.Deadlines[1] < world.Deadlines[0]);
 }
 
+TEST_CASE("A server whose address another has is asked once", "[upstream]") {
+  ForwardWorld world;
+  world.add("a", Answering::Misdirected);
+  world.add("b", Answering::Whole);
+  CHECK(world.ask());
+  CHECK(world.ask());
+  CHECK(world.Asked == std::vector<std::string>{"a", "b", "b"});
+}
+
 TEST_CASE("A refusal tells when to come back", "[upstream]") {
   http::Response answer = refusal("full", Millis(250));
   CHECK(answer.Status == 503);
--- a/Wasabi/Batch/BatchDesk.cpp
+++ b/Wasabi/Batch/BatchDesk.cpp
@@ -52,6 +52,10 @@
 template <typename Check>
 asio::awaitable<DeskVerdict>
 BatchDesk::appendUntil(std::vector<std::string> Records, Check Shows) {
+  // Out of reach of the store nothing is sent: the submitter hears at once that
+  // nothing was taken, and another process may reach it.
+  if (Log->contact().Lost)
+    co_return DeskVerdict::Refused;
   Outcome<Offset> got = co_await Log->append(std::move(Records));
   if (got || Shows())
     co_return DeskVerdict::Taken;
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -340,8 +340,13 @@
     engine.Told = monotonicNow();
   }
   unsigned status = Head.Response.Status;
-  if (Head.Proof == AnswerProof::NotRun)
+  if (status == MisdirectedStatus)
+    engine.Server->Replaced = true;
+  // It is full or about to load; a registration tells neither in time.
+  if (Head.Proof == AnswerProof::NotRun) {
+    engine.FullUntil = monotonicNow() + Limits.RetryPause;
     return false;
+  }
   if (status == Ok) {
     // A server that has nothing to add to a text tells no version.
     bool known = Head.Version.has_value();
--- a/Wasabi/Dispatch/EnginePool.cpp
+++ b/Wasabi/Dispatch/EnginePool.cpp
@@ -179,7 +179,8 @@
     WeightVersion has = it->version(Need.Model);
     bool fits = it->Model == Need.Model && has >= Need.MinVersion &&
                 (!Need.Exactly || has == *Need.Exactly);
-    if (!fits || it->Loading || it->Running >= server.Entry.Slots)
+    if (!fits || it->Loading || it->FullUntil > Now || server.Replaced ||
+        it->Running >= server.Entry.Slots)
       continue;
     double load = static_cast<double>(it->Running) / server.Entry.Slots;
     Rank rank{server.SuspectUntil > Now, isSlow(*it, UsualMs, Limits),
--- a/Wasabi/Dispatch/EnginePool.h
+++ b/Wasabi/Dispatch/EnginePool.h
@@ -36,6 +36,8 @@
   /// when it said so.
   WeightVersion Wanted = 0;
   TimePoint WantedAt;
+  /// It has refused a sample a moment ago, and gets none before this.
+  TimePoint FullUntil;
   /// Whether the engine is taking new weights now.
   bool Loading = false;
 
--- a/Wasabi/Dispatch/OrderKeeper.cpp
+++ b/Wasabi/Dispatch/OrderKeeper.cpp
@@ -30,12 +30,17 @@
       asio::detached);
 }
 
-void OrderKeeper::setEngine(std::optional<UpstreamEntry> Now) {
-  bool other = Entry.has_value() != Now.has_value() ||
-               (Entry && Now && Entry->Id != Now->Id);
-  Entry = std::move(Now);
-  if (other)
-    Changed.notify();
+void OrderKeeper::setEngines(std::vector<UpstreamEntry> Now) {
+  Entries = std::move(Now);
+  Changed.notify();
+}
+
+const UpstreamEntry *OrderKeeper::engine() const {
+  for (const UpstreamEntry &it : Entries) {
+    if (!Gone.contains(it.Id))
+      return &it;
+  }
+  return nullptr;
 }
 
 void OrderKeeper::setWanted(const ServerName &Of, WantedWeights What,
@@ -58,9 +63,10 @@
 /// Looks at the engine once and gives the order that is due. False if the
 /// engine is not where it should be.
 asio::awaitable<bool> OrderKeeper::look() {
-  if (!Entry)
+  const UpstreamEntry *entry = this->engine();
+  if (entry == nullptr)
     co_return true;
-  UpstreamEntry engine = *Entry;
+  UpstreamEntry engine = *entry;
   Outcome<EngineReport> got =
       co_await Engines.Report(engine, Limits.AnswerTime);
   if (!got)
@@ -100,6 +106,8 @@
   Outcome<OrderOutcome> got =
       co_await Engines.Order(Engine, order, Limits.AnswerTime);
   bool begun = got && *got == OrderOutcome::Begun;
+  if (got && *got == OrderOutcome::OtherServer)
+    Gone.insert(Engine.Id);
   std::string result =
       got ? begun ? "begun" : "not begun" : describe(got.failure());
   Decisions->line("engine.order", {{"server", Engine.Id.Text},
--- a/Wasabi/Dispatch/OrderKeeper.h
+++ b/Wasabi/Dispatch/OrderKeeper.h
@@ -12,7 +12,9 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace wasabi {
 
@@ -41,8 +43,10 @@
 
   /// Begins to look after the engine, for as long as the context runs.
   void start();
-  /// The engine's registration; empty while it has none.
-  void setEngine(std::optional<UpstreamEntry> Entry);
+  /// The registrations at the engine's address, the likeliest first: after a
+  /// restart the one before may still be there. The first that has not turned
+  /// out to be another server is the engine.
+  void setEngines(std::vector<UpstreamEntry> Entries);
   /// What is wanted of the server `Of`, from the record at `At`.
   void setWanted(const ServerName &Of, WantedWeights What, Offset At);
 
@@ -56,6 +60,7 @@
   OrderKeeper(boost::asio::any_io_executor Executor, RecordStore Store,
               EnginePort Engines, std::shared_ptr<DecisionLog> Decisions,
               Settings Limits);
+  const UpstreamEntry *engine() const;
   boost::asio::awaitable<void> keep();
   boost::asio::awaitable<bool> look();
   const WantedWeights *dueFor(const ServerName &Id,
@@ -70,7 +75,9 @@
   const EnginePort Engines;
   const std::shared_ptr<DecisionLog> Decisions;
   AsyncSignal Changed;
-  std::optional<UpstreamEntry> Entry;
+  std::vector<UpstreamEntry> Entries;
+  /// Servers that are not at the address any more.
+  std::set<ServerName> Gone;
   std::map<ServerName, Wanted> ByServer;
   /// What the store was told last, and of whom.
   std::optional<HeldWeights> Published;
--- a/Wasabi/Ports/EnginePort.h
+++ b/Wasabi/Ports/EnginePort.h
@@ -113,6 +113,8 @@
   Busy,
   /// The server will not carry it out.
   Refused,
+  /// Another server has the address.
+  OtherServer,
 };
 
 /// What an engine reports of itself. An immutable value.
--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -162,6 +162,8 @@
                     : got->failure().Run == Verdict::NotRun;
   ++(unrun ? Of.Unrun : Of.Runs);
   Of.Tried.insert(server->Entry.Id);
+  if (*got && (*got)->Response.Status == MisdirectedStatus)
+    server->Replaced = true;
   if (*got && (*got)->Proof == AnswerProof::Ran)
     noteSuccess(View.Servers, *server, millisSince(began));
   else if (!*got || (*got)->Proof == AnswerProof::Nothing)
@@ -289,6 +291,8 @@
     bool unrun = *got ? (**got)->head().Proof == AnswerProof::NotRun
                       : got->failure().Run == Verdict::NotRun;
     ++(unrun ? Of.Unrun : Of.Runs);
+    if (*got && (**got)->head().Response.Status == MisdirectedStatus)
+      server->Replaced = true;
     if (!unrun)
       wasabi::noteFailure(View.Servers, *server, monotonicNow());
   }
--- a/Wasabi/Upstream/UpstreamTable.cpp
+++ b/Wasabi/Upstream/UpstreamTable.cpp
@@ -5,11 +5,12 @@
 
 namespace wasabi {
 
-bool registerServer(UpstreamTable &Table, UpstreamEntry Entry) {
+bool registerServer(UpstreamTable &Table, UpstreamEntry Entry, Offset At) {
   std::shared_ptr<UpstreamServer> &server = Table.Servers[Entry.Id];
   if (!server) {
     server = std::make_shared<UpstreamServer>();
     server->Entry = std::move(Entry);
+    server->FirstSeen = At;
     return true;
   }
   bool back = server->Vanished.has_value();
@@ -28,7 +29,7 @@
 
 bool usable(const UpstreamTable &Table, const UpstreamServer &Server,
             const StoreContact &Contact, TimePoint Now) {
-  if (Server.Entry.Draining)
+  if (Server.Entry.Draining || Server.Replaced)
     return false;
   if (!Server.Vanished)
     return true;
--- a/Wasabi/Upstream/UpstreamTable.h
+++ b/Wasabi/Upstream/UpstreamTable.h
@@ -33,9 +33,18 @@
   bool operator==(const UpstreamEntry &) const = default;
 };
 
+/// Another server has the address that a request was sent to (RFC 9110).
+inline constexpr unsigned MisdirectedStatus = 421;
+
 /// A server and what this process has seen of it.
 struct UpstreamServer {
   UpstreamEntry Entry;
+  /// Offset of the first registration that was read: later starts have greater
+  /// ones.
+  Offset FirstSeen = 0;
+  /// Whether another server has answered at its address. Each start has an id
+  /// of its own, so this one never comes back.
+  bool Replaced = false;
   /// When its registration vanished; empty while it is registered.
   std::optional<TimePoint> Vanished;
   /// Requests of this process that are at it.
@@ -65,8 +74,9 @@
   std::map<ServerName, std::shared_ptr<UpstreamServer>> Servers;
 };
 
-/// Takes a registration; true if it is new or differs in more than time.
-bool registerServer(UpstreamTable &Table, UpstreamEntry Entry);
+/// Takes a registration, read at `At`; true if it is new or differs in more
+/// than time.
+bool registerServer(UpstreamTable &Table, UpstreamEntry Entry, Offset At = 0);
 
 /// Takes the end of a registration. Right after an outage of the store the
 /// server is kept for `LapseGrace` from the store's return.
