--- a/IntegrationTests/Cases/PlatformWorld.h
+++ b/IntegrationTests/Cases/PlatformWorld.h
@@ -44,7 +44,7 @@
     boost::asio::post(Context, [&task] { task(); });
     return result.get();
   }
-  void onPlatform(std::function<void()> Body) {
+  void onPlatform(const std::function<void()> &Body) {
     onPlatform<int>([Body] {
       Body();
       return 0;
