--- a/UnitTests/Batch/FakeStore.cpp
+++ b/UnitTests/Batch/FakeStore.cpp
@@ -26,14 +26,14 @@
 
 RecordStore FakeStore::port() { return port(std::make_shared<bool>(false)); }
 
-RecordStore FakeStore::port(std::shared_ptr<bool> Cut) {
+RecordStore FakeStore::port(const std::shared_ptr<bool> &Cut) {
   RecordStore port;
   port.Append = [this, Cut](std::string Topic, std::vector<std::string> Records,
                             std::optional<Offset> At, Millis) {
     return take(Cut, std::move(Topic), std::move(Records), At);
   };
-  port.AppendKeyed = [this, Cut](std::string Topic, std::string Key,
-                                 std::string Value, Millis) {
+  port.AppendKeyed = [this, Cut](std::string Topic, const std::string &Key,
+                                 const std::string &Value, Millis) {
     std::vector<std::string> records{Key + "|" + Value};
     return take(Cut, std::move(Topic), std::move(records), std::nullopt);
   };
--- a/UnitTests/Batch/FakeStore.h
+++ b/UnitTests/Batch/FakeStore.h
@@ -36,7 +36,7 @@
   /// The port of one process; `Cut` of it is the process's own.
   RecordStore port();
   /// The port of a process that is out of reach of the store while `*Cut`.
-  RecordStore port(std::shared_ptr<bool> Cut);
+  RecordStore port(const std::shared_ptr<bool> &Cut);
   void append(const std::string &Topic, std::string Record);
 
   boost::asio::io_context &Context;
--- a/UnitTests/Dispatch/FakeEngines.cpp
+++ b/UnitTests/Dispatch/FakeEngines.cpp
@@ -63,12 +63,12 @@
 
 EnginePort FakeEngines::port() {
   EnginePort port;
-  port.Open = [this](UpstreamEntry Server, http::Request, SendOptions Options,
-                     Millis) {
+  port.Open = [this](UpstreamEntry Server, const http::Request &,
+                     SendOptions Options, Millis) {
     return open(std::move(Server), std::move(Options));
   };
-  port.Call = [this](UpstreamEntry Server, http::Request, SendOptions Options,
-                     Millis) {
+  port.Call = [this](UpstreamEntry Server, const http::Request &,
+                     SendOptions Options, Millis) {
     return call(std::move(Server), std::move(Options));
   };
   return port;
--- a/UnitTests/Dispatch/OrderKeeperTest.cpp
+++ b/UnitTests/Dispatch/OrderKeeperTest.cpp
@@ -22,7 +22,7 @@
 
   EnginePort port() {
     EnginePort port;
-    port.Report = [this](UpstreamEntry, Millis) { return report(); };
+    port.Report = [this](const UpstreamEntry &, Millis) { return report(); };
     port.Order = [this](UpstreamEntry Server, VersionOrder What, Millis) {
       return order(std::move(Server), std::move(What));
     };
--- a/UnitTests/Upstream/ForwarderTest.cpp
+++ b/UnitTests/Upstream/ForwarderTest.cpp
@@ -34,8 +34,10 @@
     Route.MaxAttempts = 2;
     Route.Services = {{Desk, 1}};
     EnginePort port;
-    port.Call = [this](UpstreamEntry Server, http::Request, SendOptions Options,
-                       Millis) { return call(std::move(Server), Options); };
+    port.Call = [this](UpstreamEntry Server, const http::Request &,
+                       SendOptions Options, Millis) {
+      return call(std::move(Server), std::move(Options));
+    };
     Forward = Forwarder::create(Context.get_executor(), View, port, Decisions,
                                 Counts, Forwarder::Settings());
   }
--- a/Wasabi/Adapters/Http/HttpClient.cpp
+++ b/Wasabi/Adapters/Http/HttpClient.cpp
@@ -193,7 +193,7 @@
                          public std::enable_shared_from_this<ClientImpl> {
 public:
   ClientImpl(asio::any_io_executor Executor, Settings Limits)
-      : Executor(std::move(Executor)), Limits(Limits) {}
+      : Executor(std::move(Executor)), Limits(std::move(Limits)) {}
 
   asio::awaitable<Outcome<Response>> call(Address Where, Request Ask,
                                           Millis Timeout) override;
@@ -502,7 +502,7 @@
 
 std::shared_ptr<Client> Client::create(boost::asio::any_io_executor Executor,
                                        Settings Limits) {
-  return std::make_shared<ClientImpl>(std::move(Executor), Limits);
+  return std::make_shared<ClientImpl>(std::move(Executor), std::move(Limits));
 }
 
 } // namespace wasabi::http
--- a/Wasabi/Batch/RolloutLog.cpp
+++ b/Wasabi/Batch/RolloutLog.cpp
@@ -9,8 +9,9 @@
 
 RolloutLog::RolloutLog(asio::any_io_executor Executor, RecordStore Store,
                        std::shared_ptr<DecisionLog> Decisions, Settings Limits)
-    : Limits(std::move(Limits)), Executor(Executor), Store(std::move(Store)),
-      Decisions(std::move(Decisions)), Changed(Executor) {}
+    : Limits(std::move(Limits)), Executor(std::move(Executor)),
+      Store(std::move(Store)), Decisions(std::move(Decisions)),
+      Changed(this->Executor) {}
 
 std::shared_ptr<RolloutLog>
 RolloutLog::create(asio::any_io_executor Executor, RecordStore Store,
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -37,10 +37,10 @@
                        EnginePort Engines, std::shared_ptr<Forwarder> Scores,
                        std::shared_ptr<DecisionLog> Decisions, Metrics &Counts,
                        Settings Limits)
-    : Limits(Limits), Executor(Executor), View(View), Log(std::move(Log)),
-      Store(std::move(Store)), Engines(std::move(Engines)),
+    : Limits(Limits), Executor(std::move(Executor)), View(View),
+      Log(std::move(Log)), Store(std::move(Store)), Engines(std::move(Engines)),
       Scores(std::move(Scores)), Decisions(std::move(Decisions)),
-      Counts(Counts), Wake(Executor), CommitWake(Executor) {}
+      Counts(Counts), Wake(this->Executor), CommitWake(this->Executor) {}
 
 std::shared_ptr<Dispatcher>
 Dispatcher::create(asio::any_io_executor Executor, FleetView &View,
--- a/Wasabi/Dispatch/EngineTopics.cpp
+++ b/Wasabi/Dispatch/EngineTopics.cpp
@@ -65,29 +65,29 @@
 std::shared_ptr<KeyedFollower> followWanted(
     const FeedParts &Parts,
     std::function<void(const ServerName &, WantedWeights, Offset)> Take) {
-  return startFeed(Parts, WantedTopic, EnginePace,
-                   [Take](const KeyedRecord &Record) -> Result<void> {
-                     if (!Record.Value)
-                       return {};
-                     BOOST_LEAF_AUTO(wanted,
-                                     decodeWanted(*Record.Value, Record.Key));
-                     Take(ServerName(Record.Key), std::move(wanted), Record.At);
-                     return {};
-                   });
+  return startFeed(
+      Parts, WantedTopic, EnginePace,
+      [Take = std::move(Take)](const KeyedRecord &Record) -> Result<void> {
+        if (!Record.Value)
+          return {};
+        BOOST_LEAF_AUTO(wanted, decodeWanted(*Record.Value, Record.Key));
+        Take(ServerName(Record.Key), std::move(wanted), Record.At);
+        return {};
+      });
 }
 
 std::shared_ptr<KeyedFollower>
 followHeld(const FeedParts &Parts,
            std::function<void(const ServerName &, const HeldWeights &)> Take) {
-  return startFeed(Parts, HeldTopic, EnginePace,
-                   [Take](const KeyedRecord &Record) -> Result<void> {
-                     if (!Record.Value)
-                       return {};
-                     BOOST_LEAF_AUTO(held,
-                                     decodeHeld(*Record.Value, Record.Key));
-                     Take(ServerName(Record.Key), held);
-                     return {};
-                   });
+  return startFeed(
+      Parts, HeldTopic, EnginePace,
+      [Take = std::move(Take)](const KeyedRecord &Record) -> Result<void> {
+        if (!Record.Value)
+          return {};
+        BOOST_LEAF_AUTO(held, decodeHeld(*Record.Value, Record.Key));
+        Take(ServerName(Record.Key), held);
+        return {};
+      });
 }
 
 } // namespace wasabi
--- a/Wasabi/Dispatch/OrderKeeper.cpp
+++ b/Wasabi/Dispatch/OrderKeeper.cpp
@@ -11,9 +11,9 @@
                          EnginePort Engines,
                          std::shared_ptr<DecisionLog> Decisions,
                          Settings Limits)
-    : Limits(std::move(Limits)), Executor(Executor), Store(std::move(Store)),
-      Engines(std::move(Engines)), Decisions(std::move(Decisions)),
-      Changed(Executor) {}
+    : Limits(std::move(Limits)), Executor(std::move(Executor)),
+      Store(std::move(Store)), Engines(std::move(Engines)),
+      Decisions(std::move(Decisions)), Changed(this->Executor) {}
 
 std::shared_ptr<OrderKeeper>
 OrderKeeper::create(asio::any_io_executor Executor, RecordStore Store,
--- a/Wasabi/Upstream/Feed.cpp
+++ b/Wasabi/Upstream/Feed.cpp
@@ -25,7 +25,8 @@
 startFeed(const FeedParts &Parts, std::string Topic, Millis Pace,
           std::function<Result<void>(const KeyedRecord &)> Take) {
   KeyedFollower::Callbacks calls;
-  calls.Changed = [Parts, Topic, Take](const KeyedRecord &Record) {
+  calls.Changed = [Parts, Topic,
+                   Take = std::move(Take)](const KeyedRecord &Record) {
     takeLogged(Parts, Topic, Take, Record);
   };
   calls.Answered = [Parts] {
