--- a/UnitTests/Batch/BatchFoldTest.cpp
+++ b/UnitTests/Batch/BatchFoldTest.cpp
@@ -36,7 +36,7 @@
       break;
     case 3:
       topic.emplace_back(
-          TextRecord{job.Id, job.Items[index].Id, {"t", 1, {1}, false}});
+          TextRecord{job.Id, job.Items[index].Id, 1, 0, {"t", 1, {1}, false}});
       break;
     default:
       topic.emplace_back(JobEnd{job.Id});
@@ -125,6 +125,29 @@
   });
 }
 
+TEST_CASE("A saved text goes on only from its own dispatcher's", "[batch]") {
+  BatchFold fold;
+  BatchJob job = makeJob("a", 1);
+  ItemId item = job.Items[0].Id;
+  apply(fold, 0, JobPart{job, 0, 1}, TimePoint());
+  auto save = [&](Offset At, std::uint64_t Source, std::uint64_t After,
+                  const std::string &Text, std::uint64_t Events) {
+    PartialText text{Text, Events, {1}, false};
+    apply(fold, At, TextRecord{job.Id, item, Source, After, text}, TimePoint());
+    return findJob(fold, job.Id)->Texts.at(0).Text;
+  };
+  CHECK(save(1, 7, 0, "a", 1).Output == "a");
+  CHECK(save(2, 7, 1, "\nb", 2).Output == "a\nb");
+  // Another dispatcher's events are not joined to these, nor are later ones of
+  // the same one when some between are missing.
+  CHECK(save(3, 8, 2, "\nX", 3).Output == "a\nb");
+  CHECK(save(4, 7, 3, "\nd", 4).Output == "a\nb");
+  CHECK(save(5, 8, 0, "x\ny", 2).Output == "x\ny");
+  CHECK(save(6, 7, 2, "\nc", 3).Output == "x\ny");
+  apply(fold, 7, ResultRecord{job.Id, makeResult(job, 0, "done")}, TimePoint());
+  CHECK(findJob(fold, job.Id)->Texts.empty());
+}
+
 TEST_CASE("A renewal under an old term does not hold the lease", "[batch]") {
   BatchFold fold;
   TimePoint start = TimePoint() + Millis(1000);
--- a/UnitTests/Batch/BatchRecordTest.cpp
+++ b/UnitTests/Batch/BatchRecordTest.cpp
@@ -15,14 +15,14 @@
   BatchJob job = makeJob("a", 3);
   job.Items[1].Score = ScoreCall{"s", "h", "/p", std::string("\0x", 2)};
   std::string odd = "line\nquote\" \xff raw";
-  std::vector<BatchRecord> all{
-      JobPart{job, 0, 1},
-      ResultRecord{job.Id, makeResult(job, 2, odd)},
-      JobEnd{job.Id},
-      TextRecord{job.Id, job.Items[0].Id, PartialText{odd, 4, {3, 9}, true}},
-      LeaseClaim{{InstanceName("edge"), 77}},
-      LeaseRenewal{12},
-      LeaseRelease{12}};
+  std::vector<BatchRecord> all{JobPart{job, 0, 1},
+                               ResultRecord{job.Id, makeResult(job, 2, odd)},
+                               JobEnd{job.Id},
+                               TextRecord{job.Id, job.Items[0].Id, 5, 0,
+                                          PartialText{odd, 4, {3, 9}, true}},
+                               LeaseClaim{{InstanceName("edge"), 77}},
+                               LeaseRenewal{12},
+                               LeaseRelease{12}};
   for (const BatchRecord &it : all) {
     Outcome<BatchRecord> again = decoded(encodeRecord(it));
     REQUIRE(again);
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -56,6 +56,8 @@
     limits.LoadStallTime = Millis(120);
     limits.RetryPause = Millis(2);
     limits.SwapLimit = Millis(150);
+    limits.SaveEvery = Millis(10);
+    limits.SaveEvents = 4;
     Dispatch =
         Dispatcher::create(Context.get_executor(), View, Log, Store.port(),
                            Engines.port(), scores, Decisions, Counts, limits);
@@ -343,6 +345,70 @@
   CHECK(world.runUntil([&] { return wanted() == 4; }));
 }
 
+TEST_CASE("What was saved of a long text is not generated again",
+          "[dispatch]") {
+  DispatchWorld world;
+  world.Engines.Length = 60;
+  BatchJob job = makeJob("a", 2);
+  world.submit(job);
+  auto saved = [&] {
+    std::shared_ptr<JobState> known = findJob(world.Log->fold(), job.Id);
+    return known && known->Texts.size() == 2 &&
+           known->Texts.begin()->second.Text.Events >= 12;
+  };
+  REQUIRE(world.runUntil(saved));
+  // The dispatcher is killed: nothing is handed back.
+  world.Dispatch->deactivate();
+  world.Context.run_for(Millis(20));
+  CHECK(world.Engines.Resumed.empty());
+  world.Dispatch->activate();
+  REQUIRE(world.finishes(job));
+  REQUIRE(world.Engines.Resumed.size() == 2);
+  for (std::uint64_t it : world.Engines.Resumed)
+    CHECK(it >= 4);
+  for (const ItemResult &it : world.results(job))
+    CHECK(it.Output == wholeText(it.Item.Text, 60));
+}
+
+TEST_CASE("Saves whose outcome is unknown do not spoil a text", "[dispatch]") {
+  DispatchWorld world;
+  world.Engines.Length = 60;
+  BatchJob job = makeJob("a", 2);
+  world.submit(job);
+  REQUIRE(world.runUntil(
+      [&] { return findJob(world.Log->fold(), job.Id) != nullptr; }));
+  world.Store.Fates = {AppendFate::AnswerLost, AppendFate::Lost,
+                       AppendFate::AnswerLost, AppendFate::Refused,
+                       AppendFate::AnswerLost};
+  REQUIRE(world.runUntil([&] { return world.Store.Fates.empty(); }));
+  world.Dispatch->deactivate();
+  world.Context.run_for(Millis(20));
+  world.Dispatch->activate();
+  REQUIRE(world.finishes(job));
+  for (const ItemResult &it : world.results(job))
+    CHECK(it.Output == wholeText(it.Item.Text, 60));
+}
+
+TEST_CASE("Where one version is allowed a text of two begins anew",
+          "[dispatch]") {
+  DispatchWorld world;
+  RouteTable table = *world.View.Routes;
+  table.Routes[0].SingleVersion = true;
+  world.View.Routes = std::make_shared<const RouteTable>(table);
+  world.Engines.Length = 30;
+  BatchJob job = makeJob("a", 2);
+  world.submit(job);
+  world.Context.run_for(Millis(30));
+  // The weights change under the runs, and what is known of them lags behind.
+  for (const char *id : {"e1", "e2"})
+    world.server(id).Version = 2;
+  REQUIRE(world.finishes(job));
+  for (const ItemResult &it : world.results(job)) {
+    CHECK(it.Versions == std::vector<WeightVersion>{2});
+    CHECK(it.Output == wholeText(it.Item.Text, 30));
+  }
+}
+
 TEST_CASE("An engine that takes no weights does not hold up the others",
           "[dispatch]") {
   DispatchWorld world;
--- a/UnitTests/Dispatch/DutyKeeperTest.cpp
+++ b/UnitTests/Dispatch/DutyKeeperTest.cpp
@@ -63,8 +63,8 @@
   REQUIRE(world.runUntil([&] { return one.Duty->held(); }));
   DutyProcess two(world, "two", 2);
   REQUIRE(world.runUntil([&] { return two.Log->caughtUp(); }));
-  std::vector<std::string> texts{
-      encodeRecord(TextRecord{JobId("a"), ItemId("b"), {"t", 1, {1}, false}})};
+  std::vector<std::string> texts{encodeRecord(
+      TextRecord{JobId("a"), ItemId("b"), 1, 0, {"t", 1, {1}, false}})};
   world.run([&]() -> boost::asio::awaitable<void> {
     co_await one.Duty->release(texts);
   });
--- a/Wasabi/Batch/BatchFold.cpp
+++ b/Wasabi/Batch/BatchFold.cpp
@@ -71,8 +71,17 @@
   if (!job)
     return {};
   auto it = job->Index.find(What.Item.Text);
-  if (it != job->Index.end() && !job->Listed[it->second])
-    job->Texts[it->second] = What.Text;
+  if (it == job->Index.end() || job->Listed[it->second])
+    return {};
+  StoredText &stored = job->Texts[it->second];
+  bool goesOn = What.After > 0 && stored.Source == What.Source &&
+                stored.Text.Events == What.After;
+  if (What.After > 0 && !goesOn)
+    return {};
+  std::string output =
+      goesOn ? stored.Text.Output + What.Text.Output : What.Text.Output;
+  stored = StoredText{What.Text, What.Source};
+  stored.Text.Output = std::move(output);
   return {};
 }
 
--- a/Wasabi/Batch/BatchFold.h
+++ b/Wasabi/Batch/BatchFold.h
@@ -18,6 +18,13 @@
 
 namespace wasabi {
 
+/// An unfinished text, and whose it is.
+struct StoredText {
+  PartialText Text;
+  /// See `TextRecord::Source`.
+  std::uint64_t Source = 0;
+};
+
 /// An accepted job as this process knows it.
 struct JobState {
   BatchJob Job;
@@ -32,8 +39,8 @@
   std::unordered_map<std::string, std::size_t> Index;
   /// By item: whether it stands in `Results`.
   std::vector<bool> Listed;
-  /// Unfinished texts that a dispatcher handed back, by item.
-  std::map<std::size_t, PartialText> Texts;
+  /// Unfinished texts that dispatchers have saved, by item.
+  std::map<std::size_t, StoredText> Texts;
 };
 
 /// The dispatching duty.
--- a/Wasabi/Batch/BatchRecord.cpp
+++ b/Wasabi/Batch/BatchRecord.cpp
@@ -76,6 +76,8 @@
   return {{"kind", "text"},
           {"job", What.Job.Text},
           {"item", What.Item.Text},
+          {"source", What.Source},
+          {"after", What.After},
           {"text", What.Text.Output},
           {"events", What.Text.Events},
           {"whole", What.Text.Whole},
@@ -178,6 +180,8 @@
   TextRecord record;
   record.Job = JobId(textOf(From, "job"));
   record.Item = ItemId(textOf(From, "item"));
+  record.Source = numberOf(From, "source");
+  record.After = numberOf(From, "after");
   record.Text.Output = textOf(From, "text");
   record.Text.Events = numberOf(From, "events");
   record.Text.Versions = versionsOf(From);
--- a/Wasabi/Batch/BatchRecord.h
+++ b/Wasabi/Batch/BatchRecord.h
@@ -44,10 +44,17 @@
   bool operator==(const JobEnd &) const = default;
 };
 
-/// The text of an item that its dispatcher handed back unfinished.
+/// What an item's dispatcher has of its unfinished text, whole or what came
+/// since its last such record.
 struct TextRecord {
   JobId Job;
   ItemId Item;
+  /// Tells the texts of two dispatchers apart, which must not be joined.
+  std::uint64_t Source = 0;
+  /// Events that came before those here; 0 for a whole text.
+  std::uint64_t After = 0;
+  /// `Output` holds what came after them, `Events` and `Versions` are of the
+  /// whole text.
   PartialText Text;
   bool operator==(const TextRecord &) const = default;
 };
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <random>
 #include <tuple>
 
 namespace wasabi {
@@ -47,12 +48,16 @@
       Executor, [self] { return self->commitLoop(); }, asio::detached);
   asio::co_spawn(
       Executor, [self] { return self->lookLoop(); }, asio::detached);
+  asio::co_spawn(
+      Executor, [self] { return self->saveLoop(); }, asio::detached);
 }
 
 //===--- Items ------------------------------------------------------------===//
 
 void Dispatcher::activate() {
   Active = true;
+  std::random_device random;
+  Source = random();
   syncEngines();
   std::vector<std::shared_ptr<JobState>> open;
   for (const auto &[id, job] : Log->fold().Jobs) {
@@ -80,22 +85,21 @@
     bool unfinished = it->Stage == ItemStage::Running ||
                       it->Stage == ItemStage::Waiting ||
                       it->Stage == ItemStage::Scoring;
-    if (unfinished && it->Text.Events > 0)
-      records.push_back(
-          encodeRecord(TextRecord{it->Job->Job.Id, it->item().Id, it->Text}));
+    if (unfinished && it->Text.Events > it->SavedEvents)
+      records.push_back(encodeRecord(unsavedText(*it)));
   }
   deactivate();
   return records;
 }
 
-/// The text that an item may go on from: what a dispatcher handed back, or what
+/// The text that an item may go on from: what a dispatcher has saved, or what
 /// an earlier job left of it, if its versions are within the job's bound.
 PartialText Dispatcher::storedText(const JobState &Job,
                                    std::size_t Index) const {
   PartialText text;
   auto stored = Job.Texts.find(Index);
   if (stored != Job.Texts.end())
-    text = stored->second;
+    text = stored->second.Text;
   auto carried = Carried.find(Job.Job.Items[Index].Id.Text);
   if (carried != Carried.end() && carried->second.Events > text.Events)
     text = carried->second;
@@ -112,6 +116,8 @@
     work->Job = Job;
     work->Index = i;
     work->Text = storedText(*Job, i);
+    if (work->Text.Versions.size() > 1 && singleVersion(*work))
+      clearText(*work);
     Works.push_back(work);
     if (work->Text.Whole)
       startScore(work);
@@ -175,7 +181,27 @@
   return findRoute(*View.Routes, Work.Job->Job.Host, Work.item().Path);
 }
 
-EngineNeed Dispatcher::needOf(ItemWork &Work) const {
+bool Dispatcher::singleVersion(const ItemWork &Work) const {
+  const UpstreamRoute *route = routeOf(Work);
+  return route != nullptr && route->SingleVersion;
+}
+
+/// Drops a text that no engine can go on with under the one version that its
+/// route allows.
+void Dispatcher::dropMixedText(ItemWork &Work) const {
+  if (Work.Text.Events == 0 || Work.Text.Whole || !singleVersion(Work))
+    return;
+  const ModelName &model = Work.Job->Job.Model;
+  WeightVersion version = Work.Text.Versions.front();
+  bool there = std::any_of(
+      Pool.begin(), Pool.end(), [&](const std::shared_ptr<EngineState> &It) {
+        return It->Model == model && It->version(model) == version;
+      });
+  if (!there || Work.Text.Versions.size() > 1)
+    clearText(Work);
+}
+
+EngineNeed Dispatcher::needOf(const ItemWork &Work) const {
   EngineNeed need;
   need.Model = Work.Job->Job.Model;
   need.MinVersion = Work.Job->Job.MinVersion;
@@ -183,20 +209,8 @@
   auto prompt = PromptAt.find(Work.item().Group);
   if (prompt != PromptAt.end())
     need.Preferred = prompt->second;
-  const UpstreamRoute *route = routeOf(Work);
-  if (route != nullptr && route->SingleVersion && Work.Text.Events > 0) {
-    // A text of one version goes on under it, or begins anew where no engine
-    // has it any more.
-    WeightVersion version = Work.Text.Versions.front();
-    bool there = std::any_of(
-        Pool.begin(), Pool.end(), [&](const std::shared_ptr<EngineState> &It) {
-          return It->Model == need.Model && It->version(need.Model) == version;
-        });
-    if (there && Work.Text.Versions.size() == 1)
-      need.Exactly = version;
-    else
-      Work.Text = PartialText();
-  }
+  if (Work.Text.Events > 0 && singleVersion(Work))
+    need.Exactly = Work.Text.Versions.front();
   return need;
 }
 
@@ -229,6 +243,7 @@
   std::sort(waiting.begin(), waiting.end(),
             [](const auto &L, const auto &R) { return L.first < R.first; });
   for (const auto &[rank, work] : waiting) {
+    dropMixedText(*work);
     std::shared_ptr<EngineState> engine =
         chooseEngine(Pool, needOf(*work), UsualMs, Limits.Pool, now);
     if (engine)
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -36,6 +36,9 @@
   std::size_t Index = 0;
   ItemStage Stage = ItemStage::Waiting;
   PartialText Text;
+  /// Events and bytes of `Text` that this dispatcher has saved in the topic.
+  std::uint64_t SavedEvents = 0;
+  std::size_t SavedBytes = 0;
   /// Answers of 500 by engines.
   std::uint32_t Failures = 0;
   /// Not sent anywhere before this.
@@ -57,6 +60,9 @@
   const BatchItem &item() const { return Job->Job.Items[Index]; }
 };
 
+/// Lets an item begin anew.
+void clearText(ItemWork &Work);
+
 /// Used on one thread, that of its executor.
 class Dispatcher : public std::enable_shared_from_this<Dispatcher> {
 public:
@@ -74,6 +80,12 @@
     /// An engine without an event for this long has no known pace: faults that
     /// slow an engine last some seconds, and a trial costs a few events.
     Millis PaceSpan{4000};
+    /// Texts in progress are saved this often, so that a successor goes on from
+    /// there: the longest take 7 s of a step's 7.5.
+    Millis SaveEvery{700};
+    /// Fewer new events than this are not worth a record; most texts end
+    /// before.
+    std::uint64_t SaveEvents = 16;
     /// How long an answer of the store may take.
     Millis StoreTime{800};
     /// Weights that have not come after this are wanted anew, of this engine or
@@ -133,7 +145,13 @@
   void clearFinished();
   void schedule();
   void scheduleWaiting(double UsualMs);
-  EngineNeed needOf(ItemWork &Work) const;
+  EngineNeed needOf(const ItemWork &Work) const;
+  bool singleVersion(const ItemWork &Work) const;
+  void dropMixedText(ItemWork &Work) const;
+  TextRecord unsavedText(const ItemWork &Work) const;
+  boost::asio::awaitable<void> saveLoop();
+  boost::asio::awaitable<void>
+  saveTexts(std::vector<std::shared_ptr<ItemWork>> Due);
   void startRun(const std::shared_ptr<ItemWork> &Work,
                 const std::shared_ptr<EngineState> &On);
   boost::asio::awaitable<void> run(std::shared_ptr<ItemWork> Work);
@@ -173,6 +191,8 @@
   Metrics &Counts;
 
   bool Active = false;
+  /// Drawn anew each time the duty is taken up.
+  std::uint64_t Source = 0;
   std::vector<std::shared_ptr<ItemWork>> Works;
   /// Texts of items that were not finished, for jobs that carry them over.
   std::map<std::string, PartialText> Carried;
--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -131,13 +131,19 @@
     bool known = Head.Version.has_value();
     bool fresh = known ? *Head.Version >= Work->Job->Job.MinVersion
                        : Work->Text.Events > 0;
+    // Where one version is allowed, a text goes on under its own or not at all.
+    bool mixed = fresh && known && Work->Text.Events > 0 &&
+                 singleVersion(*Work) &&
+                 Work->Text.Versions.front() != *Head.Version;
+    if (mixed)
+      clearText(*Work);
     if (!fresh)
       Decisions->line(
           "item.stale_engine",
           {{"item", Work->item().Id.Text},
            {"server", engine.Server->Entry.Id.Text},
            {"version", known ? std::to_string(*Head.Version) : "unknown"}});
-    return fresh;
+    return fresh && !mixed;
   }
   if (status == Unprocessable) {
     terminate(Work, "the server can never do it");
@@ -185,6 +191,10 @@
     Work.Text.Output += (*event)->Data;
     Work.Text.Events = (*event)->Id;
     addVersion(Work.Text.Versions, *version);
+    if (Work.Text.Versions.size() > 1 && singleVersion(Work)) {
+      clearText(Work);
+      co_return false;
+    }
   }
 }
 
@@ -337,4 +347,62 @@
   }
 }
 
+//===--- Saved texts ------------------------------------------------------===//
+
+void clearText(ItemWork &Work) {
+  Work.Text = PartialText();
+  Work.SavedEvents = 0;
+  Work.SavedBytes = 0;
+}
+
+/// What the topic does not have of a text: what came since it was saved last,
+/// or, if this dispatcher has saved nothing of it, all.
+TextRecord Dispatcher::unsavedText(const ItemWork &Work) const {
+  TextRecord record{Work.Job->Job.Id, Work.item().Id, Source, Work.SavedEvents,
+                    Work.Text};
+  record.Text.Output.erase(0, Work.SavedBytes);
+  return record;
+}
+
+asio::awaitable<void> Dispatcher::saveLoop() {
+  for (;;) {
+    co_await pauseFor(Executor, Limits.SaveEvery);
+    std::vector<std::shared_ptr<ItemWork>> due;
+    for (const std::shared_ptr<ItemWork> &it : Works) {
+      bool grown = it->Text.Events >= it->SavedEvents + Limits.SaveEvents;
+      if (Active && it->Stage == ItemStage::Running && grown)
+        due.push_back(it);
+    }
+    if (!due.empty())
+      co_await saveTexts(std::move(due));
+  }
+}
+
+asio::awaitable<void>
+Dispatcher::saveTexts(std::vector<std::shared_ptr<ItemWork>> Due) {
+  std::vector<std::string> records;
+  std::vector<PartialText> saved;
+  std::size_t bytes = 0;
+  for (const std::shared_ptr<ItemWork> &it : Due) {
+    if (bytes > CommitBytes)
+      break;
+    records.push_back(encodeRecord(unsavedText(*it)));
+    bytes += records.back().size();
+    saved.push_back(it->Text);
+  }
+  Outcome<Offset> got = co_await Log->append(std::move(records));
+  Decisions->line("texts.saved",
+                  {{"texts", std::to_string(saved.size())},
+                   {"bytes", std::to_string(bytes)},
+                   {"result", got ? "written" : describe(got.failure())}});
+  for (std::size_t i = 0; i < saved.size(); ++i) {
+    // A text that began anew meanwhile has nothing saved. After an append of
+    // unknown outcome the next record holds the whole text.
+    bool same = Due[i]->Text.Events >= saved[i].Events &&
+                Due[i]->Text.Output.starts_with(saved[i].Output);
+    Due[i]->SavedEvents = got && same ? saved[i].Events : 0;
+    Due[i]->SavedBytes = got && same ? saved[i].Output.size() : 0;
+  }
+}
+
 } // namespace wasabi
