--- a/UnitTests/Batch/BatchDeskTest.cpp
+++ b/UnitTests/Batch/BatchDeskTest.cpp
@@ -23,8 +23,9 @@
   std::shared_ptr<BatchDesk> makeDesk(std::shared_ptr<RolloutLog> Of) {
     BatchDesk::Settings limits;
     limits.StaleAfter = Millis(30);
-    return BatchDesk::create(Context.get_executor(), std::move(Of), Decisions,
-                             limits);
+    return BatchDesk::create(std::move(Of),
+                             PayloadStore::create(Store.port(Cut), {}),
+                             Decisions, limits);
   }
 
   DeskVerdict submit(BatchDesk &At, const BatchJob &Job) {
@@ -64,6 +65,86 @@
   CHECK(world.submit(*world.Other, job) == DeskVerdict::Taken);
 }
 
+TEST_CASE("A submission whose items are not stored is refused, truly",
+          "[batch]") {
+  DeskWorld world;
+  BatchJob job = makeJob("a", 1);
+  world.Store.PayloadFates = {AppendFate::AnswerLost, AppendFate::Lost};
+  CHECK(world.submit(*world.Desk, job) == DeskVerdict::Refused);
+  CHECK(world.Store.Topics["rollout"].empty());
+  world.Store.PayloadFates = {AppendFate::AnswerLost};
+  CHECK(world.submit(*world.Desk, job) == DeskVerdict::Taken);
+}
+
+TEST_CASE("Bodies of items come from where they lie", "[batch]") {
+  DeskWorld world;
+  BatchJob job = makeJob("a", 3);
+  REQUIRE(world.submit(*world.Desk, job) == DeskVerdict::Taken);
+  auto body = [&](BatchDesk &At) {
+    std::optional<Outcome<std::string>> got;
+    world.run([&]() -> asio::awaitable<void> {
+      got.emplace(co_await At.body(job.Id, job.Items[2].Id));
+    });
+    return *got;
+  };
+  Outcome<std::string> first = body(*world.Other);
+  REQUIRE(first);
+  CHECK(*first == job.Items[2].Body);
+  *world.Cut = true;
+  Outcome<std::string> cut = body(*world.Desk);
+  REQUIRE_FALSE(cut);
+  CHECK(cut.failure().Code == FailureCode::Unavailable);
+}
+
+TEST_CASE("Long texts are read from where they lie, or are not shown",
+          "[batch]") {
+  DeskWorld world;
+  BatchJob job = makeJob("a", 2);
+  REQUIRE(world.submit(*world.Desk, job) == DeskVerdict::Taken);
+  std::string longText(3000, 'x');
+  world.Store.append("payload", longText);
+  ResultRecord record{job.Id, makeResult(job, 0, "")};
+  record.Result.OutputAt = {{world.Store.Topics["payload"].size() - 1, 3000}};
+  world.Store.append("rollout", encodeRecord(record));
+  world.list(job, 1, "short");
+  REQUIRE(world.runUntil([&] {
+    std::shared_ptr<JobState> known = findJob(world.Log->fold(), job.Id);
+    return known && known->Results.size() == 2;
+  }));
+  *world.Cut = true;
+  Outcome<ResultPage> away = world.read(*world.Desk, job, 0);
+  REQUIRE_FALSE(away);
+  CHECK(away.failure().Code == FailureCode::Unavailable);
+  *world.Cut = false;
+  Outcome<ResultPage> page = world.read(*world.Desk, job, 0);
+  REQUIRE(page);
+  REQUIRE(page->Results.size() == 2);
+  CHECK(page->Results[0].Output == longText);
+  CHECK(page->Results[1].Output == "short");
+  // What was read once stays at hand.
+  *world.Cut = true;
+  CHECK(world.read(*world.Desk, job, 0));
+}
+
+TEST_CASE("A process that has not caught up ends a job all the same",
+          "[batch]") {
+  DeskWorld world;
+  BatchJob job = makeJob("a", 4);
+  // A process that can append, and that reads nothing after its first look.
+  RecordStore blind = world.Store.port();
+  std::shared_ptr<bool> cut = std::make_shared<bool>(false);
+  blind.Read = world.Store.port(cut).Read;
+  std::shared_ptr<RolloutLog> log = world.follow(blind);
+  std::shared_ptr<BatchDesk> desk = world.makeDesk(log);
+  REQUIRE(world.runUntil([&] { return log->caughtUp(); }));
+  *cut = true;
+  REQUIRE(world.submit(*world.Other, job) == DeskVerdict::Taken);
+  CHECK(findJob(log->fold(), job.Id) == nullptr);
+  CHECK(world.end(*desk, job) == DeskVerdict::Taken);
+  CHECK(world.runUntil(
+      [&] { return findJob(world.OtherLog->fold(), job.Id)->Ended; }));
+}
+
 TEST_CASE("A refused submission is not in the topic", "[batch]") {
   DeskWorld world;
   BatchJob job = makeJob("a", 1);
--- a/UnitTests/Batch/BatchFixture.h
+++ b/UnitTests/Batch/BatchFixture.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -48,6 +49,9 @@
 /// A context, a store, and processes that follow it.
 struct BatchWorld {
   boost::asio::io_context Context;
+  /// Lets the context run on while nothing is to be done.
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      Rest = boost::asio::make_work_guard(Context);
   FakeStore Store{Context};
   std::shared_ptr<DecisionLog> Decisions = quietLog();
 
--- a/UnitTests/Batch/BatchFoldTest.cpp
+++ b/UnitTests/Batch/BatchFoldTest.cpp
@@ -134,7 +134,11 @@
                   const std::string &Text, std::uint64_t Events) {
     PartialText text{Text, Events, {1}, false};
     apply(fold, At, TextRecord{job.Id, item, Source, After, text}, TimePoint());
-    return findJob(fold, job.Id)->Texts.at(0).Text;
+    PartialText saved = findJob(fold, job.Id)->Texts.at(0).Text;
+    CHECK(saved.Output.empty());
+    for (const TextPiece &it : findJob(fold, job.Id)->Texts.at(0).Pieces)
+      saved.Output += it.Here;
+    return saved;
   };
   CHECK(save(1, 7, 0, "a", 1).Output == "a");
   CHECK(save(2, 7, 1, "\nb", 2).Output == "a\nb");
--- a/UnitTests/Batch/BatchRecordTest.cpp
+++ b/UnitTests/Batch/BatchRecordTest.cpp
@@ -15,8 +15,11 @@
   BatchJob job = makeJob("a", 3);
   job.Items[1].Score = ScoreCall{"s", "h", "/p", std::string("\0x", 2)};
   std::string odd = "line\nquote\" \xff raw";
+  ResultRecord stored{job.Id, makeResult(job, 1, "")};
+  stored.Result.OutputAt = {{7, 9000}, {8, 12}};
   std::vector<BatchRecord> all{JobPart{job, 0, 1},
                                ResultRecord{job.Id, makeResult(job, 2, odd)},
+                               stored,
                                JobEnd{job.Id},
                                TextRecord{job.Id, job.Items[0].Id, 5, 0,
                                           PartialText{odd, 4, {3, 9}, true}},
@@ -49,21 +52,50 @@
   CHECK(got.failure().Code == FailureCode::NewerSchema);
 }
 
-TEST_CASE("A large job is split into records below the limit", "[batch]") {
+TEST_CASE("A large job is split into payloads and records below the limit",
+          "[batch]") {
   constexpr std::size_t Limit = 4000;
   BatchJob job = makeJob("large", 60);
-  std::vector<std::string> records = encodeJob(job, Limit);
-  CHECK(records.size() > 3);
+  std::vector<JobPart> parts = splitJob(job, Limit);
+  CHECK(parts.size() > 3);
   BatchFold fold;
-  for (std::size_t i = 0; i < records.size(); ++i) {
-    CHECK(records[i].size() <= Limit);
+  std::vector<std::string> payloads;
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    payloads.push_back(encodeItems(parts[i].Job.Items));
+    CHECK(payloads.back().size() <= Limit);
+    parts[i].ItemsAt = {{100 + i, payloads.back().size()}};
+    std::string record = encodeRecord(parts[i]);
+    CHECK(record.size() <= Limit);
+    CHECK(record.find("X-Any") == std::string::npos);
     CHECK(findJob(fold, job.Id) == nullptr);
-    Outcome<BatchRecord> part = decoded(records[i]);
+    Outcome<BatchRecord> part = decoded(record);
     REQUIRE(part);
     apply(fold, i, *part, TimePoint());
   }
-  REQUIRE(findJob(fold, job.Id) != nullptr);
-  CHECK(findJob(fold, job.Id)->Job == job);
+  std::shared_ptr<JobState> known = findJob(fold, job.Id);
+  REQUIRE(known != nullptr);
+  REQUIRE(known->Places.size() == job.Items.size());
+  for (std::size_t i = 0; i < job.Items.size(); ++i) {
+    CHECK(known->Job.Items[i].Id == job.Items[i].Id);
+    CHECK(known->Job.Items[i].Group == job.Items[i].Group);
+    const ItemPlace &place = known->Places[i];
+    REQUIRE(place.Items.size() == 1);
+    Outcome<std::vector<BatchItem>> items = toOutcome<std::vector<BatchItem>>(
+        [&] { return decodeItems(payloads.at(place.Items[0].At - 100), "p"); });
+    REQUIRE(items);
+    CHECK(items->at(place.Index) == job.Items[i]);
+  }
+}
+
+TEST_CASE("A payload that is no list of items is an error with its place",
+          "[batch]") {
+  for (const char *text : {"", "{}", "[1]", R"([{"id":"a"}])"}) {
+    Outcome<std::vector<BatchItem>> got = toOutcome<std::vector<BatchItem>>(
+        [&] { return decodeItems(text, "payload@3"); });
+    REQUIRE_FALSE(got);
+    CHECK(got.failure().Code == FailureCode::BadInput);
+    CHECK(got.failure().Place == "payload@3");
+  }
 }
 
 } // namespace wasabi::batchtest
--- a/UnitTests/Batch/FakeStore.cpp
+++ b/UnitTests/Batch/FakeStore.cpp
@@ -37,7 +37,8 @@
     std::vector<std::string> records{Key + "|" + Value};
     return take(Cut, std::move(Topic), std::move(records), std::nullopt);
   };
-  port.Read = [this, Cut](std::string Topic, Offset From, Millis Wait) {
+  port.Read = [this, Cut](std::string Topic, Offset From, Millis Wait,
+                          std::size_t) {
     return read(Cut, std::move(Topic), From, Wait);
   };
   port.ReadKeyed = [this, Cut](std::string Topic, Offset From, Millis Wait) {
@@ -59,9 +60,10 @@
                 std::vector<std::string> Records, std::optional<Offset> At) {
   co_await pauseFor(Context.get_executor(), Millis(1));
   AppendFate fate = AppendFate::Taken;
-  if (!Fates.empty()) {
-    fate = Fates.front();
-    Fates.pop_front();
+  std::deque<AppendFate> &fates = Topic == "payload" ? PayloadFates : Fates;
+  if (!fates.empty()) {
+    fate = fates.front();
+    fates.pop_front();
   }
   if (Down || *Cut || fate == AppendFate::Lost)
     co_return unreachable();
--- a/UnitTests/Batch/FakeStore.h
+++ b/UnitTests/Batch/FakeStore.h
@@ -46,6 +46,8 @@
   std::map<std::string, Offset> First;
   /// Fates of the next appends; `Taken` when there are none.
   std::deque<AppendFate> Fates;
+  /// The same for the topic of payloads.
+  std::deque<AppendFate> PayloadFates;
   bool Down = false;
   /// Most records of one read.
   std::size_t MaxEntries = 1000;
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -39,6 +39,8 @@
   FleetView View;
   Metrics Counts;
   std::shared_ptr<RolloutLog> Log = follow(Store.port());
+  std::shared_ptr<PayloadStore> Payloads =
+      PayloadStore::create(Store.port(), {});
   std::shared_ptr<Dispatcher> Dispatch;
 
   DispatchWorld() {
@@ -58,9 +60,10 @@
     limits.SwapLimit = Millis(150);
     limits.SaveEvery = Millis(10);
     limits.SaveEvents = 4;
-    Dispatch =
-        Dispatcher::create(Context.get_executor(), View, Log, Store.port(),
-                           Engines.port(), scores, Decisions, Counts, limits);
+    Dispatch = Dispatcher::create({Context.get_executor(), View, Log, Payloads,
+                                   Store.port(), Engines.port(), scores,
+                                   Decisions, Counts},
+                                  limits);
     Log->onChange(
         [this](const FoldChange &Change) { Dispatch->onChange(Change); });
     Dispatch->start();
@@ -83,12 +86,25 @@
   void submit(const BatchJob &Job) {
     Store.append("rollout", encodeRecord(JobPart{Job, 0, 1}));
   }
+  /// The job's results, with their texts.
   std::vector<ItemResult> results(const BatchJob &Job) {
     std::shared_ptr<JobState> known = findJob(Log->fold(), Job.Id);
-    return known ? known->Results : std::vector<ItemResult>();
+    if (!known)
+      return {};
+    std::vector<ItemResult> all = known->Results;
+    for (ItemResult &it : all) {
+      run([&]() -> boost::asio::awaitable<void> {
+        Outcome<std::string> text = co_await Payloads->get(it.OutputAt);
+        it.Output += text ? *text : "(its text is not there)";
+      });
+    }
+    return all;
   }
   bool finishes(const BatchJob &Job) {
-    return runUntil([&] { return results(Job).size() == Job.Items.size(); });
+    return runUntil([&] {
+      std::shared_ptr<JobState> known = findJob(Log->fold(), Job.Id);
+      return known && known->Results.size() == Job.Items.size();
+    });
   }
 };
 
@@ -304,7 +320,10 @@
   BatchJob job = makeJob("a", 2);
   world.submit(job);
   world.Context.run_for(Millis(40));
-  std::vector<std::string> texts = world.Dispatch->handBack();
+  std::vector<std::string> texts;
+  world.run([&]() -> boost::asio::awaitable<void> {
+    texts = co_await world.Dispatch->handBack();
+  });
   CHECK(texts.size() == 2);
   for (const std::string &it : texts)
     world.Store.append("rollout", it);
--- a/Wasabi/Batch/BatchDesk.cpp
+++ b/Wasabi/Batch/BatchDesk.cpp
@@ -33,18 +33,18 @@
   return "unknown";
 }
 
-BatchDesk::BatchDesk(asio::any_io_executor Executor,
-                     std::shared_ptr<RolloutLog> Log,
+BatchDesk::BatchDesk(std::shared_ptr<RolloutLog> Log,
+                     std::shared_ptr<PayloadStore> Payloads,
                      std::shared_ptr<DecisionLog> Decisions, Settings Limits)
-    : Limits(Limits), Executor(std::move(Executor)), Log(std::move(Log)),
+    : Limits(Limits), Log(std::move(Log)), Payloads(std::move(Payloads)),
       Decisions(std::move(Decisions)) {}
 
 std::shared_ptr<BatchDesk>
-BatchDesk::create(asio::any_io_executor Executor,
-                  std::shared_ptr<RolloutLog> Log,
+BatchDesk::create(std::shared_ptr<RolloutLog> Log,
+                  std::shared_ptr<PayloadStore> Payloads,
                   std::shared_ptr<DecisionLog> Decisions, Settings Limits) {
   return std::shared_ptr<BatchDesk>(new BatchDesk(
-      std::move(Executor), std::move(Log), std::move(Decisions), Limits));
+      std::move(Log), std::move(Payloads), std::move(Decisions), Limits));
 }
 
 /// Appends until the store takes the records or the topic shows what they say.
@@ -68,15 +68,41 @@
   co_return DeskVerdict::Unknown;
 }
 
+/// Stores the items of a job and gives the records that make it one. Until one
+/// of these is in the topic nothing has been accepted.
+asio::awaitable<Outcome<std::vector<std::string>>>
+BatchDesk::storeItems(const BatchJob &Job) {
+  std::vector<JobPart> parts = splitJob(Job, Payloads->settings().RecordBytes);
+  std::vector<std::string> items;
+  items.reserve(parts.size());
+  for (const JobPart &it : parts)
+    items.push_back(encodeItems(it.Job.Items));
+  Outcome<std::vector<PayloadPlace>> places = co_await Payloads->put(items);
+  // A repeated store of items does no harm, so one lost answer is borne.
+  if (!places)
+    places = co_await Payloads->put(std::move(items));
+  if (!places)
+    co_return places.failure();
+  std::vector<std::string> records;
+  records.reserve(parts.size());
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    parts[i].ItemsAt = std::move((*places)[i]);
+    records.push_back(encodeRecord(parts[i]));
+  }
+  co_return records;
+}
+
 asio::awaitable<DeskVerdict> BatchDesk::submit(BatchJob Job) {
   std::shared_ptr<BatchDesk> self = shared_from_this();
   JobId id = Job.Id;
   auto shows = [this, id] { return findJob(Log->fold(), id) != nullptr; };
   DeskVerdict verdict = DeskVerdict::Taken;
-  if (!shows()) {
-    std::vector<std::string> records =
-        encodeJob(Job, Log->settings().RecordBytes);
-    verdict = co_await appendUntil(std::move(records), shows);
+  if (Log->contact().Lost && !shows())
+    verdict = DeskVerdict::Refused;
+  else if (!shows()) {
+    Outcome<std::vector<std::string>> records = co_await storeItems(Job);
+    verdict = records ? co_await appendUntil(std::move(*records), shows)
+                      : DeskVerdict::Refused;
   }
   Decisions->line("job.submitted", {{"job", id.Text},
                                     {"model", Job.Model.Text},
@@ -89,14 +115,18 @@
 asio::awaitable<DeskVerdict> BatchDesk::end(JobId Id) {
   std::shared_ptr<BatchDesk> self = shared_from_this();
   Outcome<std::shared_ptr<JobState>> job = co_await find(Id);
-  if (!job)
-    co_return job.failure().Code == FailureCode::Expired ? DeskVerdict::NoJob
-                                                         : DeskVerdict::Refused;
+  if (!job && job.failure().Code == FailureCode::Expired)
+    co_return DeskVerdict::NoJob;
   DeskVerdict verdict = DeskVerdict::Taken;
-  if (!(*job)->Ended) {
+  // Whether there is such a job matters to nobody: the end of none is passed
+  // over by all who read it.
+  if (!job || !(*job)->Ended) {
     std::vector<std::string> records{encodeRecord(JobEnd{Id})};
     // GCC 12 destroys a lambda that is a temporary of a `co_await` twice.
-    auto ended = [state = *job] { return state->Ended; };
+    auto ended = [this, Id] {
+      std::shared_ptr<JobState> state = findJob(Log->fold(), Id);
+      return state && state->Ended;
+    };
     verdict = co_await appendUntil(std::move(records), ended);
   }
   Decisions->line("job.ended", {{"job", Id.Text},
@@ -138,14 +168,29 @@
       co_return unsure(Id, fresh.failure().Reason);
   }
 
+  co_return co_await collect(*found, After);
+}
+
+/// The results from `After` on with their texts: as many as there are, as fit
+/// into a page and as the store gives now.
+asio::awaitable<Outcome<ResultPage>>
+BatchDesk::collect(std::shared_ptr<JobState> Job, std::size_t After) {
   ResultPage page;
-  page.Total = job.Job.Items.size();
+  page.Total = Job->Job.Items.size();
   std::size_t bytes = 0;
-  for (std::size_t i = After; i < job.Results.size(); ++i) {
-    bytes += job.Results[i].Output.size();
+  for (std::size_t i = After; i < Job->Results.size(); ++i) {
+    ItemResult result = Job->Results[i];
+    Outcome<std::string> text = co_await Payloads->get(result.OutputAt);
+    if (!text && page.Results.empty())
+      co_return unsure(Job->Job.Id, text.failure().Reason);
+    if (!text)
+      break;
+    result.Output += *text;
+    result.OutputAt.clear();
+    bytes += result.Output.size();
     if (!page.Results.empty() && bytes > Limits.PageBytes)
       break;
-    page.Results.push_back(job.Results[i]);
+    page.Results.push_back(std::move(result));
   }
   page.Next = After + page.Results.size();
   co_return page;
@@ -160,7 +205,17 @@
   auto it = job.Index.find(Item.Text);
   if (it == job.Index.end())
     co_return noJob(Id);
-  co_return job.Job.Items[it->second].Body;
+  ItemPlace place = job.Places[it->second];
+  if (place.Items.empty())
+    co_return job.Job.Items[it->second].Body;
+  Outcome<std::string> stored = co_await Payloads->get(place.Items);
+  if (!stored)
+    co_return unsure(Id, stored.failure().Reason);
+  Outcome<std::vector<BatchItem>> items = toOutcome<std::vector<BatchItem>>(
+      [&] { return decodeItems(*stored, "items of job " + Id.Text); });
+  if (!items)
+    co_return items.failure();
+  co_return items->at(place.Index).Body;
 }
 
 } // namespace wasabi
--- a/Wasabi/Batch/BatchDesk.h
+++ b/Wasabi/Batch/BatchDesk.h
@@ -5,6 +5,7 @@
 #ifndef WASABI_BATCH_BATCHDESK_H
 #define WASABI_BATCH_BATCHDESK_H
 
+#include "Wasabi/Batch/PayloadStore.h"
 #include "Wasabi/Batch/RolloutLog.h"
 
 #include <memory>
@@ -50,13 +51,15 @@
   };
 
   static std::shared_ptr<BatchDesk>
-  create(boost::asio::any_io_executor Executor, std::shared_ptr<RolloutLog> Log,
+  create(std::shared_ptr<RolloutLog> Log,
+         std::shared_ptr<PayloadStore> Payloads,
          std::shared_ptr<DecisionLog> Decisions, Settings Limits);
 
   /// Accepts a job once; a repeated submission is `Taken` again.
   boost::asio::awaitable<DeskVerdict> submit(BatchJob Job);
 
-  /// Ends a job; a repeated end is `Taken` again.
+  /// Ends a job; a repeated end is `Taken` again. A process that is behind the
+  /// store ends a job that it does not know of, too.
   boost::asio::awaitable<DeskVerdict> end(JobId Id);
 
   /// Results from `After` on, waiting up to `Wait` for one. Failures: `Expired`
@@ -68,17 +71,21 @@
   boost::asio::awaitable<Outcome<std::string>> body(JobId Id, ItemId Item);
 
 private:
-  BatchDesk(boost::asio::any_io_executor Executor,
-            std::shared_ptr<RolloutLog> Log,
+  BatchDesk(std::shared_ptr<RolloutLog> Log,
+            std::shared_ptr<PayloadStore> Payloads,
             std::shared_ptr<DecisionLog> Decisions, Settings Limits);
+  boost::asio::awaitable<Outcome<std::vector<std::string>>>
+  storeItems(const BatchJob &Job);
+  boost::asio::awaitable<Outcome<ResultPage>>
+  collect(std::shared_ptr<JobState> Job, std::size_t After);
   boost::asio::awaitable<Outcome<std::shared_ptr<JobState>>> find(JobId Id);
   template <typename Check>
   boost::asio::awaitable<DeskVerdict>
   appendUntil(std::vector<std::string> Records, Check Shows);
 
   const Settings Limits;
-  const boost::asio::any_io_executor Executor;
   const std::shared_ptr<RolloutLog> Log;
+  const std::shared_ptr<PayloadStore> Payloads;
   const std::shared_ptr<DecisionLog> Decisions;
 };
 
--- a/Wasabi/Batch/BatchFold.cpp
+++ b/Wasabi/Batch/BatchFold.cpp
@@ -4,8 +4,15 @@
 
 namespace {
 
-std::shared_ptr<JobState> makeState(BatchJob Job, Offset At, TimePoint Now) {
+void addPlaces(std::vector<ItemPlace> &To, const JobPart &Of) {
+  for (std::size_t i = 0; i < Of.Job.Items.size(); ++i)
+    To.push_back({Of.ItemsAt, i});
+}
+
+std::shared_ptr<JobState> makeState(BatchJob Job, std::vector<ItemPlace> Places,
+                                    Offset At, TimePoint Now) {
   std::shared_ptr<JobState> state = std::make_shared<JobState>();
+  state->Places = std::move(Places);
   state->At = At;
   state->Seen = Now;
   state->Listed.resize(Job.Items.size(), false);
@@ -19,15 +26,17 @@
 /// once; a part that does not continue the one before starts anew.
 FoldChange applyKind(BatchFold &Fold, Offset At, const JobPart &What,
                      TimePoint Now) {
-  if (What.Part == 0)
+  if (What.Part == 0) {
     Fold.Unfinished = What;
-  else if (Fold.Unfinished && Fold.Unfinished->Job.Id == What.Job.Id &&
-           Fold.Unfinished->Part + 1 == What.Part) {
+    Fold.UnfinishedPlaces.clear();
+  } else if (Fold.Unfinished && Fold.Unfinished->Job.Id == What.Job.Id &&
+             Fold.Unfinished->Part + 1 == What.Part) {
     std::vector<BatchItem> &items = Fold.Unfinished->Job.Items;
     items.insert(items.end(), What.Job.Items.begin(), What.Job.Items.end());
     Fold.Unfinished->Part = What.Part;
   } else
     return {};
+  addPlaces(Fold.UnfinishedPlaces, What);
   if (What.Part + 1 < What.Parts)
     return {};
 
@@ -37,7 +46,9 @@
   // The first submission counts; a repeated one is the same job.
   if (Fold.Jobs.contains(id))
     return {};
-  std::shared_ptr<JobState> state = makeState(std::move(job), At, Now);
+  std::shared_ptr<JobState> state =
+      makeState(std::move(job), std::move(Fold.UnfinishedPlaces), At, Now);
+  Fold.UnfinishedPlaces.clear();
   Fold.Jobs.emplace(std::move(id), state);
   return {FoldChange::Kind::Accepted, state};
 }
@@ -78,10 +89,12 @@
                 stored.Text.Events == What.After;
   if (What.After > 0 && !goesOn)
     return {};
-  std::string output =
-      goesOn ? stored.Text.Output + What.Text.Output : What.Text.Output;
-  stored = StoredText{What.Text, What.Source};
-  stored.Text.Output = std::move(output);
+  if (!goesOn)
+    stored.Pieces.clear();
+  stored.Pieces.push_back({What.Text.Output, What.OutputAt});
+  stored.Source = What.Source;
+  stored.Text = What.Text;
+  stored.Text.Output.clear();
   return {};
 }
 
--- a/Wasabi/Batch/BatchFold.h
+++ b/Wasabi/Batch/BatchFold.h
@@ -18,16 +18,34 @@
 
 namespace wasabi {
 
+/// A stretch of an unfinished text, here or in the payload topic.
+struct TextPiece {
+  std::string Here;
+  PayloadPlace There;
+};
+
 /// An unfinished text, and whose it is.
 struct StoredText {
+  /// `Output` is empty: `Pieces` joined.
   PartialText Text;
+  std::vector<TextPiece> Pieces;
   /// See `TextRecord::Source`.
   std::uint64_t Source = 0;
 };
 
+/// Where an item lies in the payload topic.
+struct ItemPlace {
+  /// Of the items that lie together; empty if the item is here as a whole.
+  PayloadPlace Items;
+  /// Its number among them.
+  std::size_t Index = 0;
+};
+
 /// An accepted job as this process knows it.
 struct JobState {
   BatchJob Job;
+  /// By item.
+  std::vector<ItemPlace> Places;
   /// Offset of its first record: jobs are ordered by it.
   Offset At = 0;
   /// When this process learnt of it.
@@ -70,6 +88,8 @@
   LeaseState Lease;
   /// Parts of a submission whose last part has not been seen.
   std::optional<JobPart> Unfinished;
+  /// Places of the items in `Unfinished`.
+  std::vector<ItemPlace> UnfinishedPlaces;
 };
 
 /// What a record changed, for whoever acts on it.
--- a/Wasabi/Batch/BatchJob.h
+++ b/Wasabi/Batch/BatchJob.h
@@ -12,6 +12,17 @@
 
 namespace wasabi {
 
+/// A record of the payload topic (`PayloadStore.h`). An immutable value.
+struct PayloadRecord {
+  Offset At = 0;
+  std::uint64_t Bytes = 0;
+  bool operator==(const PayloadRecord &) const = default;
+};
+
+/// Where bytes lie in the payload topic: those of the records, joined. Empty
+/// where the bytes stand in the record itself.
+using PayloadPlace = std::vector<PayloadRecord>;
+
 /// A batch job as its submitter names it.
 using JobId = Name<struct JobTag>;
 /// A sample of a batch job; carried over to a later job it keeps its name.
@@ -34,7 +45,8 @@
   bool operator==(const ScoreCall &) const = default;
 };
 
-/// One sample to generate. An immutable value.
+/// One sample to generate. An immutable value. Where its job's items lie in the
+/// payload topic, all but `Id`, `Group` and `ExpectedTokens` is empty.
 struct BatchItem {
   ItemId Id;
   std::string Path;
@@ -79,6 +91,8 @@
   std::vector<WeightVersion> Versions;
   /// What the scoring server signed; empty if the item needs no score.
   std::string Score;
+  /// Where `Output` lies if it isn't here.
+  PayloadPlace OutputAt = {};
   bool operator==(const ItemResult &) const = default;
 };
 
--- a/Wasabi/Batch/BatchRecord.cpp
+++ b/Wasabi/Batch/BatchRecord.cpp
@@ -16,8 +16,6 @@
 
 /// Raised when an older release could misread what a newer one writes.
 constexpr std::uint64_t Schema = 1;
-/// What a job's own data takes in each of its parts, in bytes, at most.
-constexpr std::size_t JobHeadBytes = 2048;
 /// What an item takes beside its texts, in bytes, at most.
 constexpr std::size_t ItemHeadBytes = 256;
 
@@ -41,10 +39,24 @@
   return value;
 }
 
+/// What every process needs of an item whose rest lies elsewhere.
+json::value sketchValue(const BatchItem &Item) {
+  return {{"id", Item.Id.Text},
+          {"group", Item.Group},
+          {"expect", Item.ExpectedTokens}};
+}
+
+json::array placeValue(const PayloadPlace &Place) {
+  json::array records;
+  for (const PayloadRecord &it : Place)
+    records.push_back(json::array{it.At, it.Bytes});
+  return records;
+}
+
 json::object fieldsOf(const JobPart &What) {
   json::array items;
   for (const BatchItem &it : What.Job.Items)
-    items.push_back(itemValue(it));
+    items.push_back(What.ItemsAt.empty() ? itemValue(it) : sketchValue(it));
   return {{"kind", "job"},
           {"job", What.Job.Id.Text},
           {"part", What.Part},
@@ -55,6 +67,7 @@
           {"step", What.Job.Step},
           {"min", What.Job.MinVersion},
           {"groups", What.Job.TargetGroups},
+          {"at", placeValue(What.ItemsAt)},
           {"items", std::move(items)}};
 }
 
@@ -64,6 +77,7 @@
           {"item", What.Result.Item.Text},
           {"done", What.Result.End == ItemEnd::Completed},
           {"text", What.Result.Output},
+          {"at", placeValue(What.Result.OutputAt)},
           {"versions", json::value_from(What.Result.Versions)},
           {"score", What.Result.Score}};
 }
@@ -79,6 +93,7 @@
           {"source", What.Source},
           {"after", What.After},
           {"text", What.Text.Output},
+          {"at", placeValue(What.OutputAt)},
           {"events", What.Text.Events},
           {"whole", What.Text.Whole},
           {"versions", json::value_from(What.Text.Versions)}};
@@ -128,17 +143,33 @@
   return json::value_to<std::vector<WeightVersion>>(From.at("versions"));
 }
 
-BatchItem readItem(const json::object &From) {
+PayloadPlace placeOf(const json::object &From) {
+  PayloadPlace place;
+  const json::value *records = From.if_contains("at");
+  if (records == nullptr)
+    return place;
+  for (const json::value &it : records->as_array())
+    place.push_back(
+        {it.at(0).to_number<Offset>(), it.at(1).to_number<std::uint64_t>()});
+  return place;
+}
+
+BatchItem readSketch(const json::object &From) {
   BatchItem item;
   item.Id = ItemId(textOf(From, "id"));
+  item.Group = textOf(From, "group");
+  item.ExpectedTokens = From.at("expect").to_number<double>();
+  return item;
+}
+
+BatchItem readItem(const json::object &From) {
+  BatchItem item = readSketch(From);
   item.Path = textOf(From, "path");
   for (const json::value &it : From.at("headers").as_array()) {
     const json::array &pair = it.as_array();
     item.Headers.push_back({plainText(pair.at(0)), plainText(pair.at(1))});
   }
   item.Body = bytesOf(From.at("body"));
-  item.Group = textOf(From, "group");
-  item.ExpectedTokens = From.at("expect").to_number<double>();
   const json::value *score = From.if_contains("score");
   if (score != nullptr) {
     const json::array &parts = score->as_array();
@@ -159,8 +190,10 @@
   part.Job.Step = numberOf(From, "step");
   part.Job.MinVersion = numberOf(From, "min");
   part.Job.TargetGroups = numberOf(From, "groups");
+  part.ItemsAt = placeOf(From);
   for (const json::value &it : From.at("items").as_array())
-    part.Job.Items.push_back(readItem(it.as_object()));
+    part.Job.Items.push_back(part.ItemsAt.empty() ? readItem(it.as_object())
+                                                  : readSketch(it.as_object()));
   return part;
 }
 
@@ -171,6 +204,7 @@
   record.Result.End =
       From.at("done").as_bool() ? ItemEnd::Completed : ItemEnd::Terminated;
   record.Result.Output = textOf(From, "text");
+  record.Result.OutputAt = placeOf(From);
   record.Result.Versions = versionsOf(From);
   record.Result.Score = textOf(From, "score");
   return record;
@@ -183,6 +217,7 @@
   record.Source = numberOf(From, "source");
   record.After = numberOf(From, "after");
   record.Text.Output = textOf(From, "text");
+  record.OutputAt = placeOf(From);
   record.Text.Events = numberOf(From, "events");
   record.Text.Versions = versionsOf(From);
   record.Text.Whole = From.at("whole").as_bool();
@@ -213,6 +248,13 @@
   throw std::invalid_argument("unknown kind '" + kind + "'");
 }
 
+json::value parseText(std::string_view Text) {
+  json::parse_options options;
+  // Generated text is passed on as it came, whatever its encoding.
+  options.allow_invalid_utf8 = true;
+  return json::parse({Text.data(), Text.size()}, json::storage_ptr(), options);
+}
+
 std::size_t sizeOf(const BatchItem &Item) {
   constexpr std::size_t PerHeader = 16;
   std::size_t bytes = ItemHeadBytes + Item.Path.size() + Item.Group.size() +
@@ -235,12 +277,8 @@
 
 Result<BatchRecord> decodeRecord(std::string_view Text,
                                  const std::string &Place) {
-  json::parse_options options;
-  // Generated text is passed on as it came, whatever its encoding.
-  options.allow_invalid_utf8 = true;
   try {
-    json::value value =
-        json::parse({Text.data(), Text.size()}, json::storage_ptr(), options);
+    json::value value = parseText(Text);
     const json::object &fields = value.as_object();
     if (numberOf(fields, "schema") > Schema) {
       return boost::leaf::new_error(Failure{Verdict::NotRun,
@@ -255,7 +293,27 @@
   }
 }
 
-std::vector<std::string> encodeJob(const BatchJob &Job, std::size_t MaxBytes) {
+std::string encodeItems(const std::vector<BatchItem> &Items) {
+  json::array items;
+  for (const BatchItem &it : Items)
+    items.push_back(itemValue(it));
+  return json::serialize(items);
+}
+
+Result<std::vector<BatchItem>> decodeItems(std::string_view Text,
+                                           const std::string &Place) {
+  try {
+    std::vector<BatchItem> items;
+    json::value value = parseText(Text);
+    for (const json::value &it : value.as_array())
+      items.push_back(readItem(it.as_object()));
+    return items;
+  } catch (const std::exception &Caught) {
+    return badInput(Place, Caught.what());
+  }
+}
+
+std::vector<JobPart> splitJob(const BatchJob &Job, std::size_t MaxBytes) {
   std::vector<JobPart> parts;
   std::size_t bytes = MaxBytes;
   for (const BatchItem &it : Job.Items) {
@@ -265,18 +323,16 @@
       part.Job = Job;
       part.Job.Items.clear();
       parts.push_back(std::move(part));
-      bytes = JobHeadBytes;
+      bytes = 0;
     }
     bytes += more;
     parts.back().Job.Items.push_back(it);
   }
-  std::vector<std::string> records;
-  for (JobPart &it : parts) {
-    it.Part = static_cast<std::uint32_t>(records.size());
-    it.Parts = static_cast<std::uint32_t>(parts.size());
-    records.push_back(encodeRecord(it));
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    parts[i].Part = static_cast<std::uint32_t>(i);
+    parts[i].Parts = static_cast<std::uint32_t>(parts.size());
   }
-  return records;
+  return parts;
 }
 
 } // namespace wasabi
--- a/Wasabi/Batch/BatchRecord.h
+++ b/Wasabi/Batch/BatchRecord.h
@@ -28,6 +28,8 @@
   BatchJob Job;
   std::uint32_t Part = 0;
   std::uint32_t Parts = 1;
+  /// Where the items of this part lie as a whole (`encodeItems`).
+  PayloadPlace ItemsAt = {};
   bool operator==(const JobPart &) const = default;
 };
 
@@ -56,6 +58,8 @@
   /// `Output` holds what came after them, `Events` and `Versions` are of the
   /// whole text.
   PartialText Text;
+  /// Where `Text.Output` lies if it isn't here.
+  PayloadPlace OutputAt = {};
   bool operator==(const TextRecord &) const = default;
 };
 
@@ -88,9 +92,20 @@
 Result<BatchRecord> decodeRecord(std::string_view Text,
                                  const std::string &Place);
 
-/// The records of one submission, each at most about `MaxBytes` long.
-/// Precondition: no item alone is longer. Thread-safe.
-std::vector<std::string> encodeJob(const BatchJob &Job, std::size_t MaxBytes);
+/// A text up to this long, in bytes, stands in its record: to name it and to
+/// read it elsewhere would cost as much.
+inline constexpr std::size_t InlineBytes = 256;
+
+/// The parts of one submission, the items of each some `MaxBytes` long.
+/// Thread-safe.
+std::vector<JobPart> splitJob(const BatchJob &Job, std::size_t MaxBytes);
+
+/// Items as a payload. Thread-safe.
+std::string encodeItems(const std::vector<BatchItem> &Items);
+
+/// The reverse. Errors: `BadInput` at `Place`. Thread-safe.
+Result<std::vector<BatchItem>> decodeItems(std::string_view Text,
+                                           const std::string &Place);
 
 } // namespace wasabi
 
--- a/Wasabi/Batch/RolloutLog.cpp
+++ b/Wasabi/Batch/RolloutLog.cpp
@@ -29,8 +29,8 @@
 
 asio::awaitable<void> RolloutLog::follow() {
   for (;;) {
-    Outcome<LogRange> got =
-        co_await Store.Read(Limits.Topic, Fold.Next, Limits.Wait);
+    Outcome<LogRange> got = co_await Store.Read(Limits.Topic, Fold.Next,
+                                                Limits.Wait, Limits.ReadBytes);
     if (!got) {
       failed(got.failure());
       co_await pauseFor(Executor, Limits.RetryPause);
@@ -48,8 +48,8 @@
 asio::awaitable<Outcome<Done>> RolloutLog::refresh() {
   std::shared_ptr<RolloutLog> self = shared_from_this();
   for (;;) {
-    Outcome<LogRange> got =
-        co_await Store.Read(Limits.Topic, Fold.Next, Millis(0));
+    Outcome<LogRange> got = co_await Store.Read(Limits.Topic, Fold.Next,
+                                                Millis(0), Limits.ReadBytes);
     if (!got) {
       failed(got.failure());
       co_return got.failure();
--- a/Wasabi/Batch/RolloutLog.h
+++ b/Wasabi/Batch/RolloutLog.h
@@ -30,8 +30,10 @@
     Millis Pace{30};
     /// Pause after a failed read.
     Millis RetryPause{100};
-    /// Longest record, in bytes; the store's own limit is above it.
-    std::size_t RecordBytes = 200000;
+    /// Most bytes of one read. After a power loss all processes read the topic
+    /// at once and share the store's bandwidth: 50 of them get this much within
+    /// 0.2 s at 80 MB/s, well inside a read's time limit.
+    std::size_t ReadBytes = 256u << 10;
     /// How long an append may take before its outcome is unknown.
     Millis AppendTimeout{1200};
   };
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 
 #include <fmt/format.h>
 
@@ -20,26 +21,15 @@
 
 } // namespace
 
-Dispatcher::Dispatcher(asio::any_io_executor Executor, FleetView &View,
-                       std::shared_ptr<RolloutLog> Log, RecordStore Store,
-                       EnginePort Engines, std::shared_ptr<Forwarder> Scores,
-                       std::shared_ptr<DecisionLog> Decisions, Metrics &Counts,
-                       Settings Limits)
-    : Limits(Limits), Executor(std::move(Executor)), View(View),
-      Log(std::move(Log)), Store(std::move(Store)), Engines(std::move(Engines)),
-      Scores(std::move(Scores)), Decisions(std::move(Decisions)),
-      Counts(Counts), Wake(this->Executor), CommitWake(this->Executor) {}
-
-std::shared_ptr<Dispatcher>
-Dispatcher::create(asio::any_io_executor Executor, FleetView &View,
-                   std::shared_ptr<RolloutLog> Log, RecordStore Store,
-                   EnginePort Engines, std::shared_ptr<Forwarder> Scores,
-                   std::shared_ptr<DecisionLog> Decisions, Metrics &Counts,
-                   Settings Limits) {
-  return std::shared_ptr<Dispatcher>(
-      new Dispatcher(std::move(Executor), View, std::move(Log),
-                     std::move(Store), std::move(Engines), std::move(Scores),
-                     std::move(Decisions), Counts, Limits));
+Dispatcher::Dispatcher(Parts With, Settings Limits)
+    : Limits(Limits), Executor(std::move(With.Executor)), View(With.View),
+      Log(std::move(With.Log)), Payloads(std::move(With.Payloads)),
+      Store(std::move(With.Store)), Engines(std::move(With.Engines)),
+      Scores(std::move(With.Scores)), Decisions(std::move(With.Decisions)),
+      Counts(With.Counts), Wake(this->Executor), CommitWake(this->Executor) {}
+
+std::shared_ptr<Dispatcher> Dispatcher::create(Parts With, Settings Limits) {
+  return std::shared_ptr<Dispatcher>(new Dispatcher(std::move(With), Limits));
 }
 
 void Dispatcher::start() {
@@ -79,49 +69,48 @@
   PromptAt.clear();
 }
 
-std::vector<std::string> Dispatcher::handBack() {
-  std::vector<std::string> records;
+asio::awaitable<std::vector<std::string>> Dispatcher::handBack() {
+  std::shared_ptr<Dispatcher> self = shared_from_this();
+  std::vector<TextRecord> texts;
   for (const std::shared_ptr<ItemWork> &it : Works) {
     bool unfinished = it->Stage == ItemStage::Running ||
                       it->Stage == ItemStage::Waiting ||
                       it->Stage == ItemStage::Scoring;
     if (unfinished && it->Text.Events > it->SavedEvents)
-      records.push_back(encodeRecord(unsavedText(*it)));
+      texts.push_back(unsavedText(*it));
   }
   deactivate();
-  return records;
+  Outcome<std::vector<std::string>> records =
+      co_await storeTexts(std::move(texts));
+  if (records)
+    co_return std::move(*records);
+  Decisions->line("texts.not_saved", {{"reason", describe(records.failure())}});
+  co_return std::vector<std::string>();
 }
 
-/// The text that an item may go on from: what a dispatcher has saved, or what
-/// an earlier job left of it, if its versions are within the job's bound.
-PartialText Dispatcher::storedText(const JobState &Job,
-                                   std::size_t Index) const {
-  PartialText text;
-  auto stored = Job.Texts.find(Index);
-  if (stored != Job.Texts.end())
-    text = stored->second.Text;
-  auto carried = Carried.find(Job.Job.Items[Index].Id.Text);
-  if (carried != Carried.end() && carried->second.Events > text.Events)
-    text = carried->second;
-  if (!text.Versions.empty() && text.Versions.front() < Job.Job.MinVersion)
-    text = PartialText();
-  return text;
+/// Whether an item may go on from a text, as the versions of that allow.
+bool Dispatcher::fits(const PartialText &Text, const ItemWork &For) const {
+  if (Text.Versions.empty())
+    return true;
+  bool fresh = Text.Versions.front() >= For.Job->Job.MinVersion;
+  return fresh && (Text.Versions.size() == 1 || !singleVersion(For));
 }
 
 void Dispatcher::takeUp(const std::shared_ptr<JobState> &Job) {
+  std::vector<std::shared_ptr<ItemWork>> all;
   for (std::size_t i = 0; i < Job->Job.Items.size(); ++i) {
     if (Job->Listed[i])
       continue;
     std::shared_ptr<ItemWork> work = std::make_shared<ItemWork>();
     work->Job = Job;
     work->Index = i;
-    work->Text = storedText(*Job, i);
-    if (work->Text.Versions.size() > 1 && singleVersion(*work))
-      clearText(*work);
-    Works.push_back(work);
-    if (work->Text.Whole)
-      startScore(work);
+    work->Item = Job->Job.Items[i];
+    all.push_back(std::move(work));
   }
+  Works.insert(Works.end(), all.begin(), all.end());
+  asio::co_spawn(
+      Executor, [self = shared_from_this(), all] { return self->load(all); },
+      asio::detached);
   Decisions->line("job.taken_up",
                   {{"job", Job->Job.Id.Text},
                    {"model", Job->Job.Model.Text},
@@ -159,7 +148,7 @@
       if (it->Job != Change.Job)
         continue;
       if (it->Text.Events > 0)
-        Carried[it->item().Id.Text] = it->Text;
+        Carried[it->Item.Id.Text] = it->Text;
       drop(it);
     }
     clearFinished();
@@ -170,15 +159,22 @@
 void Dispatcher::onView() {
   if (!Active)
     return;
-  syncEngines();
-  schedule();
+  // Registrations come in bursts, and one look serves them all.
   Wake.notify();
 }
 
+/// The item's route in the configuration in force. It is looked up once for
+/// each configuration: with hundreds of items waiting and hundreds of routes,
+/// looking at each change took a tenth of a core.
 const UpstreamRoute *Dispatcher::routeOf(const ItemWork &Work) const {
   if (!View.Routes)
     return nullptr;
-  return findRoute(*View.Routes, Work.Job->Job.Host, Work.item().Path);
+  if (Work.Found.Of != View.Routes) {
+    Work.Found.Route =
+        findRoute(*View.Routes, Work.Job->Job.Host, Work.Item.Path);
+    Work.Found.Of = View.Routes;
+  }
+  return Work.Found.Route;
 }
 
 bool Dispatcher::singleVersion(const ItemWork &Work) const {
@@ -206,7 +202,7 @@
   need.Model = Work.Job->Job.Model;
   need.MinVersion = Work.Job->Job.MinVersion;
   need.Avoid = Work.Avoid;
-  auto prompt = PromptAt.find(Work.item().Group);
+  auto prompt = PromptAt.find(Work.Item.Group);
   if (prompt != PromptAt.end())
     need.Preferred = prompt->second;
   if (Work.Text.Events > 0 && singleVersion(Work))
@@ -214,15 +210,34 @@
   return need;
 }
 
+/// Has waiting items placed, once for all that happens in one turn of the loop.
 void Dispatcher::schedule() {
-  if (!Active || !View.Routes)
+  if (!Active || Scheduled)
     return;
-  scheduleWaiting(usualEventMs(Pool));
+  Scheduled = true;
+  asio::post(Executor, [self = shared_from_this()] {
+    self->Scheduled = false;
+    if (self->Active && self->View.Routes)
+      self->scheduleNow();
+  });
 }
 
-void Dispatcher::scheduleWaiting(double UsualMs) {
+/// The engines of each model that take one more sample now.
+std::map<ModelName, EngineList>
+Dispatcher::enginesWithRoom(TimePoint Now) const {
+  std::map<ModelName, EngineList> found;
+  for (const std::shared_ptr<EngineState> &it : Pool) {
+    if (hasRoom(*it, Now))
+      found[it->Model].push_back(it);
+  }
+  return found;
+}
+
+void Dispatcher::scheduleNow() {
   using Rank = std::tuple<bool, std::uint32_t, Offset, double>;
   TimePoint now = monotonicNow();
+  double usual = usualEventMs(Pool);
+  std::map<ModelName, EngineList> free = enginesWithRoom(now);
   std::vector<std::pair<Rank, std::shared_ptr<ItemWork>>> waiting;
   for (const std::shared_ptr<ItemWork> &it : Works) {
     if (it->Stage != ItemStage::Waiting || it->Dropped || it->NotBefore > now)
@@ -232,11 +247,13 @@
       terminate(it, "its route is gone");
       continue;
     }
+    if (!free.contains(it->Job->Job.Model))
+      continue;
     // Jobs that are overdue earn less than those that can be whole in time;
     // within a job the longest text decides when it is whole.
     bool overdue = now - it->Job->Seen > route->ResultDeadline;
-    double expected = it->item().ExpectedTokens > 0 ? it->item().ExpectedTokens
-                                                    : Limits.UnknownTokens;
+    double expected = it->Item.ExpectedTokens > 0 ? it->Item.ExpectedTokens
+                                                  : Limits.UnknownTokens;
     waiting.emplace_back(Rank{overdue, route->Priority, it->Job->At, -expected},
                          it);
   }
@@ -244,8 +261,8 @@
             [](const auto &L, const auto &R) { return L.first < R.first; });
   for (const auto &[rank, work] : waiting) {
     dropMixedText(*work);
-    std::shared_ptr<EngineState> engine =
-        chooseEngine(Pool, needOf(*work), UsualMs, Limits.Pool, now);
+    std::shared_ptr<EngineState> engine = chooseEngine(
+        free[work->Job->Job.Model], needOf(*work), usual, Limits.Pool, now);
     if (engine)
       startRun(work, engine);
   }
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -10,6 +10,7 @@
 #define WASABI_DISPATCH_DISPATCHER_H
 
 #include "Wasabi/Adapters/Telemetry/Metrics.h"
+#include "Wasabi/Batch/PayloadStore.h"
 #include "Wasabi/Batch/RolloutLog.h"
 #include "Wasabi/Dispatch/EnginePool.h"
 #include "Wasabi/Dispatch/EngineTopics.h"
@@ -28,13 +29,30 @@
 namespace wasabi {
 
 /// How far an item has come.
-enum class ItemStage : std::uint8_t { Waiting, Running, Scoring, Finished };
+enum class ItemStage : std::uint8_t {
+  /// What it asks for, or the text that it goes on from, isn't here yet.
+  Loading,
+  Waiting,
+  Running,
+  Scoring,
+  Finished,
+};
+
+/// The route of an item in one configuration. Valid while `Of` is in force.
+struct ItemRoute {
+  std::shared_ptr<const RouteTable> Of;
+  const UpstreamRoute *Route = nullptr;
+};
 
 /// One item that the dispatcher works on.
 struct ItemWork {
   std::shared_ptr<JobState> Job;
   std::size_t Index = 0;
-  ItemStage Stage = ItemStage::Waiting;
+  /// The item; only what every process knows of it while `Stage` is `Loading`.
+  BatchItem Item;
+  ItemStage Stage = ItemStage::Loading;
+  /// Where its route was found last.
+  mutable ItemRoute Found;
   PartialText Text;
   /// Events and bytes of `Text` that this dispatcher has saved in the topic.
   std::uint64_t SavedEvents = 0;
@@ -56,8 +74,6 @@
   boost::asio::cancellation_signal Stop;
   /// Set when the run is to end without a result.
   bool Dropped = false;
-
-  const BatchItem &item() const { return Job->Job.Items[Index]; }
 };
 
 /// Lets an item begin anew.
@@ -107,12 +123,22 @@
     double UnknownTokens = 800;
   };
 
-  static std::shared_ptr<Dispatcher>
-  create(boost::asio::any_io_executor Executor, FleetView &View,
-         std::shared_ptr<RolloutLog> Log, RecordStore Store, EnginePort Engines,
-         std::shared_ptr<Forwarder> Scores,
-         std::shared_ptr<DecisionLog> Decisions, Metrics &Counts,
-         Settings Limits);
+  /// What a dispatcher works with.
+  struct Parts {
+    boost::asio::any_io_executor Executor;
+    /// Outlives the dispatcher.
+    FleetView &View;
+    std::shared_ptr<RolloutLog> Log;
+    std::shared_ptr<PayloadStore> Payloads;
+    RecordStore Store;
+    EnginePort Engines;
+    std::shared_ptr<Forwarder> Scores;
+    std::shared_ptr<DecisionLog> Decisions;
+    /// Outlives the dispatcher.
+    Metrics &Counts;
+  };
+
+  static std::shared_ptr<Dispatcher> create(Parts With, Settings Limits);
 
   /// Begins the loops, which rest while the duty is another's.
   void start();
@@ -122,7 +148,7 @@
   /// The duty is another's: stops all runs.
   void deactivate();
   /// Stops all runs and gives their texts as records for the successor.
-  std::vector<std::string> handBack();
+  boost::asio::awaitable<std::vector<std::string>> handBack();
 
   /// Takes a change of the rollout topic.
   void onChange(const FoldChange &Change);
@@ -132,26 +158,46 @@
   void onHeld(const ServerName &Of, const HeldWeights &Now);
 
 private:
-  Dispatcher(boost::asio::any_io_executor Executor, FleetView &View,
-             std::shared_ptr<RolloutLog> Log, RecordStore Store,
-             EnginePort Engines, std::shared_ptr<Forwarder> Scores,
-             std::shared_ptr<DecisionLog> Decisions, Metrics &Counts,
-             Settings Limits);
+  /// Items that lie together in the payload topic.
+  struct LoadedItems {
+    PayloadPlace From;
+    std::vector<BatchItem> Items;
+  };
+  /// A text that is saved, and the record of it.
+  struct TextSave {
+    std::shared_ptr<ItemWork> Work;
+    TextRecord Record;
+  };
+  /// A result that the topic does not show yet.
+  struct PendingResult {
+    ResultRecord Record;
+    /// Its text, until it is in the payload topic.
+    std::string Text;
+  };
+
+  Dispatcher(Parts With, Settings Limits);
 
   // Items.
   void takeUp(const std::shared_ptr<JobState> &Job);
-  PartialText storedText(const JobState &Job, std::size_t Index) const;
+  boost::asio::awaitable<void> load(std::vector<std::shared_ptr<ItemWork>> All);
+  boost::asio::awaitable<bool> loadItem(ItemWork &Work, LoadedItems &Near);
+  boost::asio::awaitable<void> loadSaved(ItemWork &Work);
+  boost::asio::awaitable<Outcome<PartialText>> loadText(StoredText From) const;
+  void loaded(const std::shared_ptr<ItemWork> &Work);
+  bool fits(const PartialText &Text, const ItemWork &For) const;
   void drop(const std::shared_ptr<ItemWork> &Work);
   void clearFinished();
   void schedule();
-  void scheduleWaiting(double UsualMs);
+  void scheduleNow();
+  std::map<ModelName, EngineList> enginesWithRoom(TimePoint Now) const;
   EngineNeed needOf(const ItemWork &Work) const;
   bool singleVersion(const ItemWork &Work) const;
   void dropMixedText(ItemWork &Work) const;
   TextRecord unsavedText(const ItemWork &Work) const;
   boost::asio::awaitable<void> saveLoop();
-  boost::asio::awaitable<void>
-  saveTexts(std::vector<std::shared_ptr<ItemWork>> Due);
+  boost::asio::awaitable<void> saveTexts(std::vector<TextSave> Due);
+  boost::asio::awaitable<Outcome<std::vector<std::string>>>
+  storeTexts(std::vector<TextRecord> Texts) const;
   void startRun(const std::shared_ptr<ItemWork> &Work,
                 const std::shared_ptr<EngineState> &On);
   boost::asio::awaitable<void> run(std::shared_ptr<ItemWork> Work);
@@ -163,6 +209,7 @@
   boost::asio::awaitable<void> score(std::shared_ptr<ItemWork> Work);
   void finish(const std::shared_ptr<ItemWork> &Work, ItemResult Result);
   boost::asio::awaitable<void> commitLoop();
+  boost::asio::awaitable<Outcome<Done>> commitSome();
   const UpstreamRoute *routeOf(const ItemWork &Work) const;
   http::Request askOf(const ItemWork &Work) const;
 
@@ -184,6 +231,7 @@
   const boost::asio::any_io_executor Executor;
   FleetView &View;
   const std::shared_ptr<RolloutLog> Log;
+  const std::shared_ptr<PayloadStore> Payloads;
   const RecordStore Store;
   const EnginePort Engines;
   const std::shared_ptr<Forwarder> Scores;
@@ -206,8 +254,9 @@
   };
   std::map<ServerName, HeldNews> Held;
   TimePoint LastMove;
-  /// Results that the topic does not show yet.
-  std::deque<ResultRecord> Uncommitted;
+  std::deque<PendingResult> Uncommitted;
+  /// Whether `scheduleNow` is on its way.
+  bool Scheduled = false;
   AsyncSignal Wake;
   AsyncSignal CommitWake;
 };
--- a/Wasabi/Dispatch/DispatcherEngines.cpp
+++ b/Wasabi/Dispatch/DispatcherEngines.cpp
@@ -126,7 +126,7 @@
     if (!stalled && !leaving)
       continue;
     Decisions->line("item.taken_away",
-                    {{"item", it->item().Id.Text},
+                    {{"item", it->Item.Id.Text},
                      {"server", engine.Server->Entry.Id.Text},
                      {"reason", stalled ? "silent" : "leaving"}});
     if (stalled)
@@ -160,7 +160,7 @@
       continue;
     ++more;
     Decisions->line("item.taken_away",
-                    {{"item", it->item().Id.Text},
+                    {{"item", it->Item.Id.Text},
                      {"server", it->Engine->Server->Entry.Id.Text},
                      {"reason", "slow"},
                      {"event_ms", fmt::format("{:.0f}", it->Engine->EventMs)},
--- /dev/null
+++ b/Wasabi/Dispatch/DispatcherRecords.cpp
@@ -0,0 +1,257 @@
+#include "Wasabi/Dispatch/Dispatcher.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace wasabi {
+
+namespace asio = boost::asio;
+
+//===--- Items and texts that are taken up --------------------------------===//
+
+/// Brings in what the items of a job ask for and the texts that they go on
+/// from, and lets each begin as soon as it has both.
+asio::awaitable<void>
+Dispatcher::load(std::vector<std::shared_ptr<ItemWork>> All) {
+  std::shared_ptr<Dispatcher> self = shared_from_this();
+  // Items of a job lie together: one read and one decoding serve dozens.
+  LoadedItems near;
+  for (const std::shared_ptr<ItemWork> &it : All) {
+    while (!it->Dropped && !co_await loadItem(*it, near))
+      co_await pauseFor(Executor, Limits.RetryPause);
+    if (!it->Dropped)
+      co_await loadSaved(*it);
+    if (!it->Dropped)
+      loaded(it);
+  }
+  schedule();
+  Wake.notify();
+}
+
+/// False if the store does not give the item now.
+asio::awaitable<bool> Dispatcher::loadItem(ItemWork &Work, LoadedItems &Near) {
+  const ItemPlace &place = Work.Job->Places[Work.Index];
+  if (place.Items.empty())
+    co_return true;
+  if (Near.From != place.Items) {
+    Outcome<std::string> stored = co_await Payloads->get(place.Items);
+    Outcome<std::vector<BatchItem>> items =
+        !stored ? Outcome<std::vector<BatchItem>>(stored.failure())
+                : toOutcome<std::vector<BatchItem>>([&] {
+                    return decodeItems(*stored,
+                                       "items of " + Work.Job->Job.Id.Text);
+                  });
+    if (!items) {
+      Decisions->line(
+          "item.not_loaded",
+          {{"item", Work.Item.Id.Text}, {"reason", describe(items.failure())}});
+      co_return false;
+    }
+    Near = {place.Items, std::move(*items)};
+  }
+  Work.Item = Near.Items.at(place.Index);
+  Work.Found = {};
+  co_return true;
+}
+
+/// Takes the text that a dispatcher before has saved. One that can't be had is
+/// generated anew.
+asio::awaitable<void> Dispatcher::loadSaved(ItemWork &Work) {
+  auto saved = Work.Job->Texts.find(Work.Index);
+  if (saved == Work.Job->Texts.end() || !fits(saved->second.Text, Work))
+    co_return;
+  Outcome<PartialText> text = co_await loadText(saved->second);
+  if (text)
+    Work.Text = std::move(*text);
+  else
+    Decisions->line("item.text_lost", {{"item", Work.Item.Id.Text},
+                                       {"reason", describe(text.failure())}});
+}
+
+asio::awaitable<Outcome<PartialText>>
+Dispatcher::loadText(StoredText From) const {
+  PartialText text = std::move(From.Text);
+  for (const TextPiece &it : From.Pieces) {
+    text.Output += it.Here;
+    Outcome<std::string> more = co_await Payloads->get(it.There);
+    if (!more)
+      co_return more.failure();
+    text.Output += *more;
+  }
+  co_return text;
+}
+
+/// The item has all that it needs: it goes on from the longest text that is
+/// known of it and that its job allows.
+void Dispatcher::loaded(const std::shared_ptr<ItemWork> &Work) {
+  auto carried = Carried.find(Work->Item.Id.Text);
+  if (carried != Carried.end() && carried->second.Events > Work->Text.Events &&
+      fits(carried->second, *Work))
+    Work->Text = carried->second;
+  Work->Stage = ItemStage::Waiting;
+  if (Work->Text.Whole)
+    startScore(Work);
+}
+
+//===--- Results ----------------------------------------------------------===//
+
+namespace {
+
+/// Results and texts of one append: together well under the store's limit.
+constexpr std::size_t AppendBytes = 1000000;
+
+/// Whether the topic shows a result of the item, or nobody waits for one.
+bool settled(const BatchFold &Fold, const ResultRecord &What) {
+  std::shared_ptr<JobState> job = findJob(Fold, What.Job);
+  if (!job || job->Ended)
+    return true;
+  auto it = job->Index.find(What.Result.Item.Text);
+  return it == job->Index.end() || job->Listed[it->second];
+}
+
+} // namespace
+
+asio::awaitable<void> Dispatcher::commitLoop() {
+  constexpr Millis Idle{10000};
+  for (;;) {
+    std::erase_if(Uncommitted, [this](const PendingResult &It) {
+      return settled(Log->fold(), It.Record);
+    });
+    if (Uncommitted.empty()) {
+      co_await CommitWake.wait(monotonicNow() + Idle);
+      continue;
+    }
+    Outcome<Done> done = co_await commitSome();
+    if (done)
+      continue;
+    Decisions->line("results.append_failed",
+                    {{"reason", describe(done.failure())}});
+    co_await pauseFor(Executor, Limits.RetryPause);
+  }
+}
+
+/// Appends the oldest results: first the texts that stand for themselves, then
+/// the records that name them. Only this function takes results away.
+asio::awaitable<Outcome<Done>> Dispatcher::commitSome() {
+  std::vector<std::string> texts;
+  std::vector<std::size_t> owners;
+  std::size_t count = 0;
+  std::size_t bytes = 0;
+  for (; count < Uncommitted.size() && bytes <= AppendBytes; ++count) {
+    const PendingResult &it = Uncommitted[count];
+    bytes += it.Text.size() + it.Record.Result.Output.size();
+    if (it.Text.empty())
+      continue;
+    texts.push_back(it.Text);
+    owners.push_back(count);
+  }
+  if (!texts.empty()) {
+    Outcome<std::vector<PayloadPlace>> places =
+        co_await Payloads->put(std::move(texts));
+    if (!places)
+      co_return places.failure();
+    for (std::size_t i = 0; i < owners.size(); ++i) {
+      PendingResult &of = Uncommitted[owners[i]];
+      of.Record.Result.OutputAt = std::move((*places)[i]);
+      of.Text.clear();
+    }
+  }
+  std::vector<std::string> records;
+  records.reserve(count);
+  for (std::size_t i = 0; i < count; ++i)
+    records.push_back(encodeRecord(Uncommitted[i].Record));
+  Outcome<Offset> got = co_await Log->append(std::move(records));
+  // An append of unknown outcome is made again: the first result counts.
+  if (!got)
+    co_return got.failure();
+  Uncommitted.erase(Uncommitted.begin(),
+                    Uncommitted.begin() + static_cast<std::ptrdiff_t>(count));
+  co_return Done{};
+}
+
+//===--- Saved texts ------------------------------------------------------===//
+
+/// What the topic does not have of a text: what came since it was saved last,
+/// or, if this dispatcher has saved nothing of it, all.
+TextRecord Dispatcher::unsavedText(const ItemWork &Work) const {
+  TextRecord record{Work.Job->Job.Id, Work.Item.Id, Source, Work.SavedEvents,
+                    Work.Text};
+  record.Text.Output.erase(0, Work.SavedBytes);
+  return record;
+}
+
+/// Puts long texts into the payload topic and gives the records that name them.
+asio::awaitable<Outcome<std::vector<std::string>>>
+Dispatcher::storeTexts(std::vector<TextRecord> Texts) const {
+  std::vector<std::string> payloads(Texts.size());
+  for (std::size_t i = 0; i < Texts.size(); ++i) {
+    if (Texts[i].Text.Output.size() > InlineBytes)
+      payloads[i].swap(Texts[i].Text.Output);
+  }
+  Outcome<std::vector<PayloadPlace>> places =
+      co_await Payloads->put(std::move(payloads));
+  if (!places)
+    co_return places.failure();
+  std::vector<std::string> records;
+  records.reserve(Texts.size());
+  for (std::size_t i = 0; i < Texts.size(); ++i) {
+    Texts[i].OutputAt = std::move((*places)[i]);
+    records.push_back(encodeRecord(Texts[i]));
+  }
+  co_return records;
+}
+
+asio::awaitable<void> Dispatcher::saveLoop() {
+  for (;;) {
+    co_await pauseFor(Executor, Limits.SaveEvery);
+    std::vector<TextSave> due;
+    std::size_t bytes = 0;
+    for (const std::shared_ptr<ItemWork> &it : Works) {
+      bool grown = it->Text.Events >= it->SavedEvents + Limits.SaveEvents;
+      if (!Active || it->Stage != ItemStage::Running || !grown ||
+          bytes > AppendBytes)
+        continue;
+      due.push_back({it, unsavedText(*it)});
+      bytes += due.back().Record.Text.Output.size();
+    }
+    if (!due.empty())
+      co_await saveTexts(std::move(due));
+  }
+}
+
+asio::awaitable<void> Dispatcher::saveTexts(std::vector<TextSave> Due) {
+  std::vector<PartialText> saved;
+  std::vector<TextRecord> texts;
+  for (TextSave &it : Due) {
+    saved.push_back(it.Work->Text);
+    texts.push_back(std::move(it.Record));
+  }
+  Outcome<std::vector<std::string>> records =
+      co_await storeTexts(std::move(texts));
+  std::optional<Failure> failed;
+  if (!records)
+    failed = records.failure();
+  else {
+    Outcome<Offset> got = co_await Log->append(std::move(*records));
+    if (!got)
+      failed = got.failure();
+  }
+  Decisions->line("texts.saved",
+                  {{"texts", std::to_string(saved.size())},
+                   {"result", failed ? describe(*failed) : "written"}});
+  for (std::size_t i = 0; i < saved.size(); ++i) {
+    ItemWork &work = *Due[i].Work;
+    // A text that began anew meanwhile has nothing saved. After an append of
+    // unknown outcome the next record holds the whole text.
+    bool same = work.Text.Events >= saved[i].Events &&
+                work.Text.Output.starts_with(saved[i].Output);
+    work.SavedEvents = !failed && same ? saved[i].Events : 0;
+    work.SavedBytes = !failed && same ? saved[i].Output.size() : 0;
+  }
+}
+
+} // namespace wasabi
--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -19,8 +19,6 @@
 constexpr unsigned InternalError = 500;
 constexpr unsigned FirstRedirect = 300;
 
-/// Results of one append: together well under the store's limit of a call.
-constexpr std::size_t CommitBytes = 1000000;
 void addVersion(std::vector<WeightVersion> &Versions, WeightVersion Version) {
   auto it = std::lower_bound(Versions.begin(), Versions.end(), Version);
   if (it == Versions.end() || *it != Version)
@@ -32,11 +30,11 @@
 http::Request Dispatcher::askOf(const ItemWork &Work) const {
   http::Request ask;
   ask.Method = "POST";
-  ask.Target = Work.item().Path;
+  ask.Target = Work.Item.Path;
   ask.Headers.push_back({"Host", Work.Job->Job.Host});
-  for (const PassedHeader &it : Work.item().Headers)
+  for (const PassedHeader &it : Work.Item.Headers)
     ask.Headers.push_back({it.Name, it.Value});
-  ask.Body = Work.item().Body;
+  ask.Body = Work.Item.Body;
   return ask;
 }
 
@@ -48,9 +46,9 @@
   Work->Begun = false;
   ++On->Running;
   ++On->Server->InFlight;
-  PromptAt[Work->item().Group] = On->Server->Entry.Id;
+  PromptAt[Work->Item.Group] = On->Server->Entry.Id;
   Decisions->line("item.run",
-                  {{"item", Work->item().Id.Text},
+                  {{"item", Work->Item.Id.Text},
                    {"job", Work->Job->Job.Id.Text},
                    {"server", On->Server->Entry.Id.Text},
                    {"version", std::to_string(On->version(On->Model))},
@@ -63,7 +61,7 @@
 asio::awaitable<void> Dispatcher::run(std::shared_ptr<ItemWork> Work) {
   std::shared_ptr<EngineState> engine = Work->Engine;
   SendOptions options;
-  options.RequestId = Work->item().Id.Text;
+  options.RequestId = Work->Item.Id.Text;
   if (Work->Text.Events > 0)
     options.ResumeAfter = Work->Text.Events;
   std::optional<Outcome<std::unique_ptr<EngineStream>>> opened =
@@ -140,7 +138,7 @@
     if (!fresh)
       Decisions->line(
           "item.stale_engine",
-          {{"item", Work->item().Id.Text},
+          {{"item", Work->Item.Id.Text},
            {"server", engine.Server->Entry.Id.Text},
            {"version", known ? std::to_string(*Head.Version) : "unknown"}});
     return fresh && !mixed;
@@ -171,7 +169,7 @@
       co_return Work.Text.Events > 0;
     if ((*event)->Id != Work.Text.Events + 1) {
       Decisions->line("item.event_out_of_order",
-                      {{"item", Work.item().Id.Text},
+                      {{"item", Work.Item.Id.Text},
                        {"server", engine.Server->Entry.Id.Text},
                        {"expected", std::to_string(Work.Text.Events + 1)},
                        {"got", std::to_string((*event)->Id)}});
@@ -219,7 +217,7 @@
   Work->Stage = ItemStage::Waiting;
   Work->NotBefore = monotonicNow() + Limits.RetryPause;
   Decisions->line("item.run_ended",
-                  {{"item", Work->item().Id.Text},
+                  {{"item", Work->Item.Id.Text},
                    {"server", Work->Avoid.Text},
                    {"events", std::to_string(Work->Text.Events)},
                    {"reason", describe(Why)}});
@@ -231,14 +229,14 @@
 
 void Dispatcher::terminate(const std::shared_ptr<ItemWork> &Work,
                            std::string_view Why) {
-  Decisions->line("item.terminated", {{"item", Work->item().Id.Text},
+  Decisions->line("item.terminated", {{"item", Work->Item.Id.Text},
                                       {"job", Work->Job->Job.Id.Text},
                                       {"reason", std::string(Why)}});
-  finish(Work, ItemResult{Work->item().Id, ItemEnd::Terminated, "", {}, ""});
+  finish(Work, ItemResult{Work->Item.Id, ItemEnd::Terminated, "", {}, ""});
 }
 
 asio::awaitable<void> Dispatcher::score(std::shared_ptr<ItemWork> Work) {
-  const BatchItem &item = Work->item();
+  const BatchItem &item = Work->Item;
   ItemResult result{item.Id, ItemEnd::Completed, Work->Text.Output,
                     Work->Text.Versions, ""};
   std::uint32_t failures = 0;
@@ -297,112 +295,18 @@
        {"took_ms", std::to_string(std::chrono::duration_cast<Millis>(
                                       monotonicNow() - Work->Job->Seen)
                                       .count())}});
-  Uncommitted.push_back(ResultRecord{Work->Job->Job.Id, std::move(Result)});
+  std::string text;
+  if (Result.Output.size() > InlineBytes)
+    text.swap(Result.Output);
+  Uncommitted.push_back(
+      {{Work->Job->Job.Id, std::move(Result)}, std::move(text)});
   CommitWake.notify();
 }
 
-namespace {
-
-/// Whether the topic shows a result of the item, or nobody waits for one.
-bool settled(const BatchFold &Fold, const ResultRecord &What) {
-  std::shared_ptr<JobState> job = findJob(Fold, What.Job);
-  if (!job || job->Ended)
-    return true;
-  auto it = job->Index.find(What.Result.Item.Text);
-  return it == job->Index.end() || job->Listed[it->second];
-}
-
-} // namespace
-
-asio::awaitable<void> Dispatcher::commitLoop() {
-  constexpr Millis Idle{10000};
-  for (;;) {
-    std::erase_if(Uncommitted, [this](const ResultRecord &It) {
-      return settled(Log->fold(), It);
-    });
-    if (Uncommitted.empty()) {
-      co_await CommitWake.wait(monotonicNow() + Idle);
-      continue;
-    }
-    std::vector<std::string> records;
-    std::size_t bytes = 0;
-    for (const ResultRecord &it : Uncommitted) {
-      if (bytes > CommitBytes)
-        break;
-      records.push_back(encodeRecord(it));
-      bytes += records.back().size();
-    }
-    std::size_t n = records.size();
-    Outcome<Offset> got = co_await Log->append(std::move(records));
-    // An append of unknown outcome is made again: the first result counts.
-    if (got)
-      Uncommitted.erase(Uncommitted.begin(),
-                        Uncommitted.begin() + static_cast<std::ptrdiff_t>(n));
-    else {
-      Decisions->line("results.append_failed",
-                      {{"results", std::to_string(n)},
-                       {"reason", describe(got.failure())}});
-      co_await pauseFor(Executor, Limits.RetryPause);
-    }
-  }
-}
-
-//===--- Saved texts ------------------------------------------------------===//
-
 void clearText(ItemWork &Work) {
   Work.Text = PartialText();
   Work.SavedEvents = 0;
   Work.SavedBytes = 0;
 }
 
-/// What the topic does not have of a text: what came since it was saved last,
-/// or, if this dispatcher has saved nothing of it, all.
-TextRecord Dispatcher::unsavedText(const ItemWork &Work) const {
-  TextRecord record{Work.Job->Job.Id, Work.item().Id, Source, Work.SavedEvents,
-                    Work.Text};
-  record.Text.Output.erase(0, Work.SavedBytes);
-  return record;
-}
-
-asio::awaitable<void> Dispatcher::saveLoop() {
-  for (;;) {
-    co_await pauseFor(Executor, Limits.SaveEvery);
-    std::vector<std::shared_ptr<ItemWork>> due;
-    for (const std::shared_ptr<ItemWork> &it : Works) {
-      bool grown = it->Text.Events >= it->SavedEvents + Limits.SaveEvents;
-      if (Active && it->Stage == ItemStage::Running && grown)
-        due.push_back(it);
-    }
-    if (!due.empty())
-      co_await saveTexts(std::move(due));
-  }
-}
-
-asio::awaitable<void>
-Dispatcher::saveTexts(std::vector<std::shared_ptr<ItemWork>> Due) {
-  std::vector<std::string> records;
-  std::vector<PartialText> saved;
-  std::size_t bytes = 0;
-  for (const std::shared_ptr<ItemWork> &it : Due) {
-    if (bytes > CommitBytes)
-      break;
-    records.push_back(encodeRecord(unsavedText(*it)));
-    bytes += records.back().size();
-    saved.push_back(it->Text);
-  }
-  Outcome<Offset> got = co_await Log->append(std::move(records));
-  Decisions->line("texts.saved",
-                  {{"texts", std::to_string(saved.size())},
-                   {"bytes", std::to_string(bytes)},
-                   {"result", got ? "written" : describe(got.failure())}});
-  for (std::size_t i = 0; i < saved.size(); ++i) {
-    // A text that began anew meanwhile has nothing saved. After an append of
-    // unknown outcome the next record holds the whole text.
-    bool same = Due[i]->Text.Events >= saved[i].Events &&
-                Due[i]->Text.Output.starts_with(saved[i].Output);
-    Due[i]->SavedEvents = got && same ? saved[i].Events : 0;
-    Due[i]->SavedBytes = got && same ? saved[i].Output.size() : 0;
-  }
-}
-
 } // namespace wasabi
--- a/Wasabi/Dispatch/EnginePool.cpp
+++ b/Wasabi/Dispatch/EnginePool.cpp
@@ -168,6 +168,12 @@
   return changed;
 }
 
+bool hasRoom(const EngineState &Engine, TimePoint Now) {
+  return !Engine.Loading && Engine.FullUntil <= Now &&
+         !Engine.Server->Replaced &&
+         Engine.Running < Engine.Server->Entry.Slots;
+}
+
 std::shared_ptr<EngineState>
 chooseEngine(const EngineList &Engines, const EngineNeed &Need, double UsualMs,
              const EnginePoolSettings &Limits, TimePoint Now) {
@@ -179,8 +185,7 @@
     WeightVersion has = it->version(Need.Model);
     bool fits = it->Model == Need.Model && has >= Need.MinVersion &&
                 (!Need.Exactly || has == *Need.Exactly);
-    if (!fits || it->Loading || it->FullUntil > Now || server.Replaced ||
-        it->Running >= server.Entry.Slots)
+    if (!fits || !hasRoom(*it, Now))
       continue;
     double load = static_cast<double>(it->Running) / server.Entry.Slots;
     Rank rank{server.SuspectUntil > Now, isSlow(*it, UsualMs, Limits),
--- a/Wasabi/Dispatch/EnginePool.h
+++ b/Wasabi/Dispatch/EnginePool.h
@@ -98,6 +98,9 @@
   ServerName Avoid;
 };
 
+/// Whether an engine takes one more sample of its model.
+bool hasRoom(const EngineState &Engine, TimePoint Now);
+
 /// The engine for one more sample, null if none has room.
 std::shared_ptr<EngineState>
 chooseEngine(const EngineList &Engines, const EngineNeed &Need, double UsualMs,
--- a/Wasabi/Ports/RecordStore.h
+++ b/Wasabi/Ports/RecordStore.h
@@ -50,10 +50,11 @@
   std::function<boost::asio::awaitable<Outcome<Offset>>(
       std::string Topic, std::string Key, std::string Value, Millis Timeout)>
       AppendKeyed;
-  /// Reads from `From`, waiting up to `Wait` for a record. When `From` has
-  /// expired, `First` is above it and there are no entries.
+  /// Reads from `From`, at most about `MaxBytes`, waiting up to `Wait` for a
+  /// record. When `From` has expired, `First` is above it and there are no
+  /// entries.
   std::function<boost::asio::awaitable<Outcome<LogRange>>(
-      std::string Topic, Offset From, Millis Wait)>
+      std::string Topic, Offset From, Millis Wait, std::size_t MaxBytes)>
       Read;
   /// As `Read`, of a keyed topic.
   std::function<boost::asio::awaitable<Outcome<KeyedRange>>(
