--- a/IntegrationTests/Cases/PlatformPathTest.cpp
+++ b/IntegrationTests/Cases/PlatformPathTest.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// The real processes on a stand-in of the users' platform.
-#include "IntegrationTests/Cases/PlatformWorld.h"
+#include "IntegrationTests/Platform/PlatformWorld.h"
 #include "IntegrationTests/Harness/Waiting.h"
 
 #include <catch2/catch.hpp>
--- a/IntegrationTests/Harness/FreePort.cpp
+++ b/IntegrationTests/Harness/FreePort.cpp
@@ -3,24 +3,48 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <random>
+
 namespace wasabi::harness {
 
-Result<Address> freePort() {
+namespace {
+
+/// Below the range from which the kernel takes ports of its own accord, for
+/// outgoing connections and for listeners without a port: none of these can
+/// take the port between here and its use.
+constexpr std::uint16_t FirstPort = 12000;
+constexpr std::uint16_t LastPort = 32000;
+constexpr int MostTries = 200;
+
+boost::system::error_code tryPort(std::uint16_t Port) {
   boost::asio::io_context context;
   boost::asio::ip::tcp::acceptor acceptor(context);
   boost::system::error_code ec;
   boost::asio::ip::tcp::endpoint loopback(
-      boost::asio::ip::address_v4::loopback(), 0);
+      boost::asio::ip::address_v4::loopback(), Port);
   acceptor.open(loopback.protocol(), ec);
   if (!ec)
     acceptor.bind(loopback, ec);
-  if (ec)
-    return boost::leaf::new_error(Failure{Verdict::NotRun,
-                                          FailureCode::Unavailable,
-                                          "free port",
-                                          ec.message(),
-                                          {}});
-  return Address{"127.0.0.1", acceptor.local_endpoint().port()};
+  return ec;
+}
+
+} // namespace
+
+Result<Address> freePort() {
+  std::random_device random;
+  boost::system::error_code ec;
+  for (int i = 0; i < MostTries; ++i) {
+    auto port = static_cast<std::uint16_t>(FirstPort +
+                                           random() % (LastPort - FirstPort));
+    ec = tryPort(port);
+    if (!ec)
+      return Address{"127.0.0.1", port};
+  }
+  return boost::leaf::new_error(Failure{Verdict::NotRun,
+                                        FailureCode::Unavailable,
+                                        "free port",
+                                        ec.message(),
+                                        {}});
 }
 
 } // namespace wasabi::harness
--- a/IntegrationTests/Harness/ProcessSpawner.cpp
+++ b/IntegrationTests/Harness/ProcessSpawner.cpp
@@ -37,6 +37,9 @@
   dup2(input, STDIN_FILENO);
   dup2(Request.Output, STDOUT_FILENO);
   dup2(Request.Errors, STDERR_FILENO);
+  // The harness' own sockets: a child that held one open would keep its port
+  // in use and its peer connected.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   // The harness ignores SIGPIPE; a child begins with the default.
   std::signal(SIGPIPE, SIG_DFL);
   execve(Request.Path.c_str(), Arguments, Environment);
--- a/IntegrationTests/Cases/PlatformServers.cpp
+++ b/IntegrationTests/Platform/PlatformServers.cpp
@@ -1,7 +1,8 @@
-#include "IntegrationTests/Cases/PlatformServers.h"
+#include "IntegrationTests/Platform/PlatformServers.h"
 
 #include "Wasabi/Core/AsyncSignal.h"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
@@ -18,6 +19,7 @@
 constexpr unsigned Accepted202 = 202;
 constexpr unsigned Conflict = 409;
 constexpr unsigned Misdirected = 421;
+constexpr unsigned InternalError = 500;
 constexpr unsigned Unavailable = 503;
 
 http::Header echo(const http::Request &Ask) {
@@ -50,7 +52,7 @@
                                          bool Draining) const {
   return json::serialize(
       json::object{{"service", Service},
-                   {"address", toText(address())},
+                   {"address", toText(publicAddress())},
                    {"zone", "hall"},
                    {"version", "v1"},
                    {"slots", 4},
@@ -64,27 +66,59 @@
   return http::jsonResponse(
       Ok, json::serialize(json::object{{"stage", "both"},
                                        {"models", modelList(Models)},
-                                       {"busy", false},
+                                       {"busy", Loading},
                                        {"sequence", Accepted},
                                        {"num_waiting", 0},
                                        {"num_running", 0}}));
 }
 
+void PlatformServer::restart(std::string NewId) {
+  Id = std::move(NewId);
+  ++Life;
+  Accepted = 0;
+  Loading = false;
+}
+
+std::uint64_t PlatformServer::lengthOf(const std::string &Item) const {
+  return Spread == 0 ? Length
+                     : Length + std::hash<std::string>()(Item) % Spread;
+}
+
 http::Response PlatformServer::order(const http::Request &Ask) {
   json::value body = json::parse(Ask.Body);
   ServerCall call;
+  call.At = monotonicNow();
+  call.Server = Id;
   call.Holder = json::value_to<std::string>(body.at("holder"));
   call.Token = body.at("fencing_token").to_number<std::uint64_t>();
   Orders.push_back(call);
   const json::value *expect = body.as_object().if_contains("expect");
   if (expect != nullptr && expect->to_number<std::uint64_t>() != Accepted)
     return http::jsonResponse(Conflict, "{}");
+  if (Loading)
+    return http::jsonResponse(Conflict, "{}");
   ++Accepted;
-  Models[json::value_to<std::string>(body.at("model"))] =
-      body.at("version").to_number<std::uint64_t>();
+  Loading = true;
+  std::shared_ptr<asio::steady_timer> timer =
+      std::make_shared<asio::steady_timer>(Context, LoadTime);
+  timer->async_wait(
+      [this, timer, body, life = Life](boost::system::error_code) {
+        if (life != Life)
+          return;
+        Loading = false;
+        Models[json::value_to<std::string>(body.at("model"))] =
+            body.at("version").to_number<std::uint64_t>();
+      });
   return http::jsonResponse(Accepted202, "{}");
 }
 
+std::string PlatformServer::eventText(const std::string &Of,
+                                      std::uint64_t Number,
+                                      std::uint64_t Version) const {
+  std::string text = Of + ":" + std::to_string(Number);
+  return TellsVersion ? text + ":v" + std::to_string(Version) : text;
+}
+
 asio::awaitable<void>
 PlatformServer::handle(http::Request Ask,
                        std::shared_ptr<http::Responder> Out) {
@@ -103,7 +137,7 @@
     co_await Out->send(order(Ask));
     co_return;
   }
-  if (Full) {
+  if (Full || (Slots > 0 && Running >= Slots)) {
     answer.Status = Unavailable;
     answer.Headers.push_back({"Wasabisail-Not-Executed", "1"});
     answer.Headers.push_back(echo(Ask));
@@ -111,16 +145,34 @@
     co_return;
   }
   ServerCall call;
+  call.At = monotonicNow();
+  call.Server = Id;
   call.Id = std::string(Ask.header("Wasabisail-Request-Id"));
   call.Path = Ask.Target;
   call.Body = Ask.Body;
   call.ResumeAfter = std::string(Ask.header("Last-Event-Id"));
   Runs.push_back(call);
+  if (Fails > 0) {
+    --Fails;
+    answer.Status = InternalError;
+    answer.Headers.push_back(echo(Ask));
+    answer.Headers.push_back({"Wasabisail-Server-Stamp", "stamp-" + call.Id});
+    co_await Out->send(std::move(answer));
+    co_return;
+  }
+  ++Running;
   if (!Models.empty()) {
     co_await generate(std::move(Ask), std::move(Out));
+    --Running;
     co_return;
   }
+  std::uint64_t life = Life;
   co_await pauseFor(Context.get_executor(), Pace);
+  --Running;
+  if (life != Life) {
+    Out->abort();
+    co_return;
+  }
   answer.Headers.push_back(echo(Ask));
   answer.Headers.push_back({"Wasabisail-Server-Stamp", "stamp-" + call.Id});
   answer.Body = "answer to " + call.Id;
@@ -142,11 +194,13 @@
   head.Headers.push_back(
       {"Wasabisail-Weight-Versions", std::to_string(version)});
   co_await Out->begin(std::move(head));
+  std::uint64_t life = Life;
+  std::uint64_t length = lengthOf(id);
   bool breaks = Breaks > 0;
   Breaks -= breaks ? 1 : 0;
-  for (std::uint64_t sent = 0; next < Length && !Out->gone(); ++sent) {
+  for (std::uint64_t sent = 0; next < length && !Out->gone(); ++sent) {
     co_await pauseFor(Context.get_executor(), Pace);
-    if (breaks && sent == 2) {
+    if (life != Life || (breaks && sent == 2)) {
       Out->abort();
       co_return;
     }
@@ -156,8 +210,8 @@
       event = "wasabisail-weight-versions: " + std::to_string(version) + "\n";
     }
     ++next;
-    event += "id: " + std::to_string(next) + "\ndata: " + id + ":" +
-             std::to_string(next) + "\n\n";
+    event += "id: " + std::to_string(next) +
+             "\ndata: " + eventText(id, next, version) + "\n\n";
     co_await Out->write(std::move(event));
   }
   if (!Out->gone())
--- a/IntegrationTests/Cases/PlatformServers.h
+++ b/IntegrationTests/Platform/PlatformServers.h
@@ -1,15 +1,18 @@
 /// \file
 /// Stand-ins of the platform's servers: model engines and plain services.
-#ifndef WASABI_INTEGRATIONTESTS_CASES_PLATFORMSERVERS_H
-#define WASABI_INTEGRATIONTESTS_CASES_PLATFORMSERVERS_H
+#ifndef WASABI_INTEGRATIONTESTS_PLATFORM_PLATFORMSERVERS_H
+#define WASABI_INTEGRATIONTESTS_PLATFORM_PLATFORMSERVERS_H
 
 #include "Wasabi/Adapters/Http/HttpServer.h"
 
 #include <boost/asio/io_context.hpp>
 
+#include "Wasabi/Core/Clock.h"
 #include <cstdint>
+
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -18,6 +21,9 @@
 
 /// What a server was asked. An immutable value.
 struct ServerCall {
+  /// When it came, and the id that the server had then.
+  TimePoint At;
+  std::string Server;
   std::string Id;
   std::string Path;
   std::string Body;
@@ -35,18 +41,33 @@
 
   const std::string &id() const { return Id; }
   Address address() const { return Serving->address(); }
+  /// Where others reach it, if not at its own address.
+  void setPublic(Address Where) { Public = std::move(Where); }
+  Address publicAddress() const { return Public.value_or(address()); }
+  /// Ends all runs and goes on as another incarnation, with the same weights.
+  void restart(std::string NewId);
+  /// Events of an item's text.
+  std::uint64_t lengthOf(const std::string &Item) const;
   /// Its registration as the store holds it.
   std::string registration(const std::string &Service, bool Draining) const;
 
   /// Weights by model.
   std::map<std::string, std::uint64_t> Models;
-  /// Events of a text, and the pause before each.
+  /// Events of a text: at least `Length`, and up to `Spread` more by its item.
   std::uint64_t Length = 6;
+  std::uint64_t Spread = 0;
+  /// The pause before each event.
   Millis Pace{5};
+  /// Whether each event tells the version that made it.
+  bool TellsVersion = false;
+  /// How long an order takes.
+  Millis LoadTime{0};
+  /// Runs at once; more are refused as not run. 0 for any number.
+  std::size_t Slots = 0;
+  /// The next so many requests run and fail.
+  int Fails = 0;
   /// The next so many runs break off after their second event.
   int Breaks = 0;
-  /// The next so many whole answers are followed by a second one.
-  int Extras = 0;
   /// Whether it answers that it is full.
   bool Full = false;
   std::vector<ServerCall> Runs;
@@ -59,13 +80,20 @@
                                         std::shared_ptr<http::Responder> Out);
   http::Response order(const http::Request &Ask);
   http::Response report() const;
+  std::string eventText(const std::string &Id, std::uint64_t Number,
+                        std::uint64_t Version) const;
 
   boost::asio::io_context &Context;
-  const std::string Id;
+  std::string Id;
+  std::optional<Address> Public;
   std::uint64_t Accepted = 0;
+  /// Counts the incarnations; a run ends with its own.
+  std::uint64_t Life = 0;
+  bool Loading = false;
+  std::size_t Running = 0;
   std::shared_ptr<http::Server> Serving;
 };
 
 } // namespace wasabi::test
 
-#endif // WASABI_INTEGRATIONTESTS_CASES_PLATFORMSERVERS_H
+#endif // WASABI_INTEGRATIONTESTS_PLATFORM_PLATFORMSERVERS_H
--- a/IntegrationTests/Cases/PlatformStore.cpp
+++ b/IntegrationTests/Platform/PlatformStore.cpp
@@ -1,4 +1,4 @@
-#include "IntegrationTests/Cases/PlatformStore.h"
+#include "IntegrationTests/Platform/PlatformStore.h"
 
 #include "Wasabi/Core/Base64.h"
 
@@ -98,6 +98,8 @@
     co_await Out->send(http::jsonResponse(Busy, "{}"));
     co_return;
   }
+  if (Mood == StoreMood::Slow)
+    co_await pauseFor(Context.get_executor(), SlowBy);
   if (Ask.path().ends_with("log-append"))
     co_await append(std::move(Ask), std::move(Out));
   else if (Ask.path().ends_with("log-read"))
@@ -109,20 +111,29 @@
 asio::awaitable<void>
 PlatformStore::append(http::Request Ask, std::shared_ptr<http::Responder> Out) {
   constexpr Millis VeryLong{60000};
+  bool answers = Mood != StoreMood::LosesAnswers && Mood != StoreMood::Late;
+  if (Mood == StoreMood::Late)
+    co_await pauseFor(Context.get_executor(), LateBy);
+  std::optional<std::size_t> first = take(Ask);
+  if (!answers)
+    co_await pauseFor(Context.get_executor(), VeryLong);
+  else if (first)
+    co_await Out->send(numberAnswer(Ok, "offset", *first));
+  else
+    co_await Out->send(numberAnswer(PreconditionFailed, "end",
+                                    Topics[Ask.query("topic")].Records.size()));
+}
+
+/// Appends, unless the topic has to end where it does not; the first offset.
+std::optional<std::size_t> PlatformStore::take(const http::Request &Ask) {
   Topic &topic = Topics[Ask.query("topic")];
   std::size_t end = topic.Records.size();
-  if (!Ask.query("at").empty() && number(Ask, "at") != end) {
-    co_await Out->send(numberAnswer(PreconditionFailed, "end", end));
-    co_return;
-  }
+  if (!Ask.query("at").empty() && number(Ask, "at") != end)
+    return std::nullopt;
   for (std::string &it : unframed(Ask.Body))
     topic.Records.push_back(std::move(it));
   Grown.notify();
-  if (Mood == StoreMood::LosesAnswers) {
-    co_await pauseFor(Context.get_executor(), VeryLong);
-    co_return;
-  }
-  co_await Out->send(numberAnswer(Ok, "offset", end));
+  return end;
 }
 
 asio::awaitable<void>
@@ -137,10 +148,15 @@
     co_await Out->send(numberAnswer(Gone, "first", topic.First));
     co_return;
   }
+  constexpr std::size_t PerKib = 1024;
+  std::size_t most = number(Ask, "max_kb") * PerKib;
   http::Response answer;
   addOffset(answer.Body, topic.Records.size());
   addOffset(answer.Body, topic.First);
   for (std::size_t i = from; i < topic.Records.size(); ++i) {
+    if (i > from && most > 0 &&
+        answer.Body.size() + topic.Records[i].size() > most)
+      break;
     addLength(answer.Body, topic.Records[i].size());
     answer.Body += topic.Records[i];
   }
--- a/IntegrationTests/Cases/PlatformStore.h
+++ b/IntegrationTests/Platform/PlatformStore.h
@@ -1,8 +1,8 @@
 /// \file
 /// A stand-in of the users' platform: its store and its servers, spoken to over
 /// HTTP by the real processes.
-#ifndef WASABI_INTEGRATIONTESTS_CASES_PLATFORMSTORE_H
-#define WASABI_INTEGRATIONTESTS_CASES_PLATFORMSTORE_H
+#ifndef WASABI_INTEGRATIONTESTS_PLATFORM_PLATFORMSTORE_H
+#define WASABI_INTEGRATIONTESTS_PLATFORM_PLATFORMSTORE_H
 
 #include "Wasabi/Adapters/Http/HttpServer.h"
 #include "Wasabi/Core/AsyncSignal.h"
@@ -28,6 +28,10 @@
   Reset,
   /// Done, but appends are not answered.
   LosesAnswers,
+  /// Appends are not answered, and done after `LateBy`.
+  Late,
+  /// Every answer takes `SlowBy`.
+  Slow,
 };
 
 /// The store. Everything happens on the context's thread.
@@ -45,6 +49,11 @@
   /// readable as such.
   void compact(const std::string &Topic);
 
+  /// How much later a late store does what it was asked.
+  Millis LateBy{1500};
+  /// How long a slow store takes.
+  Millis SlowBy{240};
+
 private:
   struct Topic {
     std::vector<std::string> Records;
@@ -57,6 +66,7 @@
                                       std::shared_ptr<http::Responder> Out);
   boost::asio::awaitable<void> read(http::Request Ask,
                                     std::shared_ptr<http::Responder> Out);
+  std::optional<std::size_t> take(const http::Request &Ask);
   http::Response newest(const Topic &Of) const;
 
   boost::asio::io_context &Context;
@@ -68,4 +78,4 @@
 
 } // namespace wasabi::test
 
-#endif // WASABI_INTEGRATIONTESTS_CASES_PLATFORMSTORE_H
+#endif // WASABI_INTEGRATIONTESTS_PLATFORM_PLATFORMSTORE_H
--- a/IntegrationTests/Cases/PlatformWorld.cpp
+++ b/IntegrationTests/Platform/PlatformWorld.cpp
@@ -1,4 +1,4 @@
-#include "IntegrationTests/Cases/PlatformWorld.h"
+#include "IntegrationTests/Platform/PlatformWorld.h"
 
 #include "IntegrationTests/Harness/FreePort.h"
 #include "IntegrationTests/Harness/HttpCall.h"
@@ -44,33 +44,88 @@
 
 } // namespace
 
-PlatformWorld::PlatformWorld(std::size_t EdgeCount) {
+PlatformWorld::PlatformWorld(WorldShape Shape) : Size(Shape) {
   Store = std::make_unique<PlatformStore>(Context);
-  for (const char *it : {"i-engine-1", "i-engine-2"}) {
-    Engines.push_back(std::make_unique<PlatformServer>(Context, it));
-    Engines.back()->Models[Model] = 1;
-  }
-  for (const char *it : {"i-desk-1", "i-desk-2"})
-    Desks.push_back(std::make_unique<PlatformServer>(Context, it));
+  makeServers();
   Folder = harness::TestFolder::create().value();
+  Edges.resize(Size.Edges);
+  for (EdgeProcess &it : Edges) {
+    it.Listens = harness::freePort().value();
+    it.Callers = it.Listens;
+    it.Readiness = harness::freePort().value();
+  }
+  if (Size.Proxied)
+    makeLinks();
   Thread = std::thread([this] { Context.run(); });
-  onPlatform([this] { registerAll(); });
+  for (std::size_t i = 0; i < servers(); ++i)
+    registerServer(i, false);
   configure(1);
-  for (std::size_t i = 0; i < Engines.size(); ++i) {
-    std::string name = "side-" + std::to_string(i);
-    std::string app = fmt::format(R"("listen":{{}},"app":"{}",)",
-                                  toText(Engines[i]->address()));
-    harness::Process::Settings setup;
-    setup.Program = "wasabi-side";
-    setup.Environment = {{"WASABISAIL_BOOT", bootFile(name, app)}};
-    Sides.push_back(harness::Process::start(std::move(setup)).value());
-  }
-  Edges.resize(EdgeCount);
-  for (std::size_t i = 0; i < EdgeCount; ++i) {
-    Edges[i].Callers = harness::freePort().value();
-    Edges[i].Readiness = harness::freePort().value();
+  Sides.resize(Size.Engines);
+  for (std::size_t i = 0; i < Size.Engines; ++i)
+    startSide(i);
+  for (std::size_t i = 0; i < Size.Edges; ++i)
     startEdge(i);
+}
+
+void PlatformWorld::makeServers() {
+  for (std::size_t i = 1; i <= Size.Engines; ++i) {
+    Engines.push_back(std::make_unique<PlatformServer>(
+        Context, "i-engine-" + std::to_string(i)));
+    Engines.back()->Models[Model] = 1;
   }
+  for (std::size_t i = 1; i <= Size.Desks; ++i)
+    Desks.push_back(std::make_unique<PlatformServer>(
+        Context, "i-desk-" + std::to_string(i)));
+}
+
+PlatformWorld::Proxy PlatformWorld::makeLink(const Address &Upstream) {
+  return standins::FaultProxy::create(Context, {{"127.0.0.1", 0}, Upstream, 1})
+      .value();
+}
+
+void PlatformWorld::makeLinks() {
+  for (std::size_t i = 0; i < servers(); ++i) {
+    ServerLinks.push_back(makeLink(server(i).address()));
+    server(i).setPublic(ServerLinks.back()->address());
+  }
+  for (EdgeProcess &it : Edges) {
+    CallerLinks.push_back(makeLink(it.Listens));
+    it.Callers = CallerLinks.back()->address();
+  }
+  for (std::size_t i = 0; i < Size.Edges + Size.Engines; ++i)
+    StoreLinks.push_back(makeLink(Store->address()));
+}
+
+void PlatformWorld::setFaults(const Proxy &Of,
+                              const boost::json::object &Changes) {
+  onPlatform([&] {
+    Of->Told.merge(Changes);
+    Of->faultsChanged();
+  });
+}
+
+void PlatformWorld::registerServer(std::size_t Index, bool Draining) {
+  onPlatform([&] {
+    PlatformServer &it = server(Index);
+    Store->write(
+        "keyed.servers", it.id(),
+        it.registration(Index < Size.Engines ? "llm" : "desk", Draining));
+  });
+}
+
+void PlatformWorld::unregisterServer(const std::string &Id) {
+  onPlatform([&] { Store->write("keyed.servers", Id, std::nullopt); });
+}
+
+void PlatformWorld::startSide(std::size_t Index) {
+  std::string app = fmt::format(R"("listen":{{}},"app":"{}",)",
+                                toText(Engines[Index]->publicAddress()));
+  harness::Process::Settings setup;
+  setup.Program = "wasabi-side";
+  setup.Environment = {
+      {"WASABISAIL_BOOT",
+       bootFile("side-" + std::to_string(Index), app, Size.Edges + Index)}};
+  Sides[Index] = harness::Process::start(std::move(setup)).value();
 }
 
 PlatformWorld::~PlatformWorld() {
@@ -82,12 +137,15 @@
 }
 
 std::string PlatformWorld::bootFile(const std::string &Name,
-                                    const std::string &Extra) {
+                                    const std::string &Extra,
+                                    std::size_t Process) {
+  Address store =
+      Size.Proxied ? StoreLinks[Process]->address() : Store->address();
   std::string path = Folder->file(Name + ".json");
   std::ofstream(path) << fmt::format(
       R"({{"node_name":"{}","zone":"hall","ip":"127.0.0.1",{}
       "bounds":{{"grace_s":5}},"platform":{{"address":"{}"}}}})",
-      Name, Extra, toText(Store->address()));
+      Name, Extra, toText(store));
   return path;
 }
 
@@ -95,25 +153,23 @@
   EdgeProcess &edge = Edges[Index];
   std::string listen =
       fmt::format(R"("listen":{{"front":"{}","ready_addr":"{}"}},)",
-                  toText(edge.Callers), toText(edge.Readiness));
+                  toText(edge.Listens), toText(edge.Readiness));
   harness::Process::Settings setup;
   setup.Program = "wasabi-edge";
   setup.Arguments = {"--metrics_port=0", "--drain_notice_ms=300"};
   setup.Environment = {
-      {"WASABISAIL_BOOT", bootFile("edge-" + std::to_string(Index), listen)}};
+      {"WASABISAIL_BOOT",
+       bootFile("edge-" + std::to_string(Index), listen, Index)}};
   edge.Running = harness::Process::start(std::move(setup)).value();
 }
 
-void PlatformWorld::registerAll() {
-  for (const std::unique_ptr<PlatformServer> &it : Engines)
-    Store->write("keyed.servers", it->id(), it->registration("llm", false));
-  for (const std::unique_ptr<PlatformServer> &it : Desks)
-    Store->write("keyed.servers", it->id(), it->registration("desk", false));
-}
-
 void PlatformWorld::configure(std::uint64_t Version) {
+  json::object stream = routeOf("/stream/", "streaming", "llm");
+  stream["resumable"] = true;
+  // Longer than the longest text takes.
+  stream["timeout_ms"] = 8000;
   json::array routes{
-      routeOf("/rollout/", "rollout", "llm"),
+      stream, routeOf("/rollout/", "rollout", "llm"),
       routeOf("/desk/", "idempotent", "desk"),
       routeOf("/once/", "non_idempotent", "desk"),
       routeOf(fmt::format("/desk-{}/", Version), "idempotent", "desk")};
--- a/IntegrationTests/Cases/PlatformWorld.h
+++ b/IntegrationTests/Platform/PlatformWorld.h
@@ -1,12 +1,13 @@
 /// \file
 /// The users' platform on loopback with the real processes on it.
-#ifndef WASABI_INTEGRATIONTESTS_CASES_PLATFORMWORLD_H
-#define WASABI_INTEGRATIONTESTS_CASES_PLATFORMWORLD_H
+#ifndef WASABI_INTEGRATIONTESTS_PLATFORM_PLATFORMWORLD_H
+#define WASABI_INTEGRATIONTESTS_PLATFORM_PLATFORMWORLD_H
 
-#include "IntegrationTests/Cases/PlatformServers.h"
-#include "IntegrationTests/Cases/PlatformStore.h"
 #include "IntegrationTests/Harness/Process.h"
 #include "IntegrationTests/Harness/TestFolder.h"
+#include "IntegrationTests/Platform/PlatformServers.h"
+#include "IntegrationTests/Platform/PlatformStore.h"
+#include "StandIns/FaultProxy.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/json/value.hpp>
@@ -21,18 +22,34 @@
 
 namespace wasabi::test {
 
+/// How large a world is.
+struct WorldShape {
+  std::size_t Edges = 1;
+  std::size_t Engines = 2;
+  std::size_t Desks = 2;
+  /// Whether each connection leads through a fault proxy.
+  bool Proxied = false;
+};
+
 /// An edge process and where it listens.
 struct EdgeProcess {
+  /// Where callers reach it.
   Address Callers;
+  /// Where it listens for them; the same unless a proxy lies between.
+  Address Listens;
   Address Readiness;
   std::unique_ptr<harness::Process> Running;
 };
 
-/// A store, two engines with a process beside each, two plain servers, and edge
+/// A store, engines with a process beside each, plain servers, and edge
 /// processes. The stand-ins run on a thread of their own.
 class PlatformWorld {
 public:
-  explicit PlatformWorld(std::size_t Edges);
+  using Proxy = std::shared_ptr<standins::FaultProxy>;
+
+  explicit PlatformWorld(std::size_t Edges)
+      : PlatformWorld(WorldShape{Edges, 2, 2, false}) {}
+  explicit PlatformWorld(WorldShape Size);
   ~PlatformWorld();
   PlatformWorld(const PlatformWorld &) = delete;
   PlatformWorld &operator=(const PlatformWorld &) = delete;
@@ -57,8 +74,26 @@
   EdgeProcess &edge(std::size_t Index) { return Edges[Index]; }
   harness::Process &side(std::size_t Index) { return *Sides[Index]; }
   std::size_t edges() const { return Edges.size(); }
+  const WorldShape &size() const { return Size; }
+  /// Engines first, then plain servers.
+  PlatformServer &server(std::size_t Index) {
+    return Index < Size.Engines ? *Engines[Index]
+                                : *Desks[Index - Size.Engines];
+  }
+  std::size_t servers() const { return Size.Engines + Size.Desks; }
+
+  // Links of a proxied world. Only these faults of a proxy are changed.
+  Proxy callerLink(std::size_t Edge) const { return CallerLinks[Edge]; }
+  /// Of the edge processes first, then of the side processes.
+  Proxy storeLink(std::size_t Process) const { return StoreLinks[Process]; }
+  Proxy serverLink(std::size_t Index) const { return ServerLinks[Index]; }
+  void setFaults(const Proxy &Of, const boost::json::object &Changes);
 
   void startEdge(std::size_t Index);
+  void startSide(std::size_t Index);
+  /// Writes a server's registration, or its end.
+  void registerServer(std::size_t Index, bool Draining);
+  void unregisterServer(const std::string &Id);
   /// Publishes a configuration; the desk's route is `/desk-VERSION/` too.
   void configure(std::uint64_t Version);
   void nameVersion(std::uint64_t Version);
@@ -79,9 +114,13 @@
   unsigned end(std::size_t Edge, const std::string &Job);
 
 private:
-  std::string bootFile(const std::string &Name, const std::string &Extra);
-  void registerAll();
+  std::string bootFile(const std::string &Name, const std::string &Extra,
+                       std::size_t Process);
+  Proxy makeLink(const Address &Upstream);
+  void makeServers();
+  void makeLinks();
 
+  const WorldShape Size;
   boost::asio::io_context Context{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       Work = boost::asio::make_work_guard(Context);
@@ -91,9 +130,12 @@
   std::unique_ptr<harness::TestFolder> Folder;
   std::vector<EdgeProcess> Edges;
   std::vector<std::unique_ptr<harness::Process>> Sides;
+  std::vector<Proxy> CallerLinks;
+  std::vector<Proxy> StoreLinks;
+  std::vector<Proxy> ServerLinks;
   std::thread Thread;
 };
 
 } // namespace wasabi::test
 
-#endif // WASABI_INTEGRATIONTESTS_CASES_PLATFORMWORLD_H
+#endif // WASABI_INTEGRATIONTESTS_PLATFORM_PLATFORMWORLD_H
--- /dev/null
+++ b/IntegrationTests/Soak/Main.cpp
@@ -0,0 +1,75 @@
+/// \file
+/// wasabi-soak: the real processes of the users' platform under faults drawn
+/// from a seed, judged by what callers, trainers and servers saw.
+#include "IntegrationTests/Soak/SoakRun.h"
+#include "Wasabi/Core/Program.h"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <iostream>
+
+DEFINE_uint64(seed, 1, "what every random choice is drawn from");
+DEFINE_uint32(seeds, 1, "how many seeds are run, from --seed on");
+DEFINE_uint32(seconds, 15, "how long faults happen, in seconds");
+DEFINE_uint32(edges, 3, "edge processes");
+DEFINE_uint32(engines, 3, "engines, with a process beside each");
+DEFINE_uint32(callers, 6, "callers at once");
+DEFINE_uint32(trainers, 2, "trainers at once");
+DEFINE_bool(plan_only, false, "print the plan of the seed and end");
+DEFINE_bool(keep, false, "keep the logs of a good run too");
+
+namespace {
+
+using wasabi::ExitCode;
+using wasabi::Result;
+
+const wasabi::ProgramDescription About{
+    "wasabi-soak", "",
+    "Runs wasabi-edge and wasabi-side on stand-ins of the users' platform\n"
+    "behind fault proxies, injects the faults that --seed gives, and judges\n"
+    "what was seen. A line a seed begins with \"soak:\"; exit code 0 only if\n"
+    "every promise held. The logs of a failed run are kept in soak-SEED.log."};
+
+bool runSeed(std::uint64_t Seed) {
+  constexpr std::size_t MostPrinted = 20;
+  std::vector<wasabi::soak::SoakStep> plan =
+      wasabi::soak::drawPlan(Seed, std::chrono::seconds(FLAGS_seconds));
+  if (FLAGS_plan_only) {
+    std::cout << wasabi::soak::describe(plan);
+    return true;
+  }
+  wasabi::soak::SoakSize size;
+  size.Edges = FLAGS_edges;
+  size.Engines = FLAGS_engines;
+  size.Callers = FLAGS_callers;
+  size.Trainers = FLAGS_trainers;
+  wasabi::soak::SoakResult got =
+      wasabi::soak::soakOnce(size, Seed, plan, FLAGS_keep);
+  if (!got.Faults.empty())
+    std::cout << wasabi::soak::describe(plan);
+  for (std::size_t i = 0; i < got.Faults.size() && i < MostPrinted; ++i)
+    std::cout << "broken: " << got.Faults[i] << '\n';
+  std::cout << fmt::format("soak: seed={} broken={} asks={} served={} jobs={} "
+                           "whole_jobs={} recovered_ms={}\n",
+                           Seed, got.Faults.size(), got.Asks, got.Served,
+                           got.Jobs, got.WholeJobs, got.Recovered.count())
+            << std::flush;
+  return got.Faults.empty();
+}
+
+Result<ExitCode> run() {
+  bool good = true;
+  for (std::uint32_t i = 0; i < FLAGS_seeds; ++i)
+    good = runSeed(FLAGS_seed + i) && good;
+  return good ? ExitCode::Success : ExitCode::OutcomeNotMet;
+}
+
+} // namespace
+
+int main(int Count, char **Values) {
+  wasabi::ProgramStart start = wasabi::startProgram(About, Count, Values);
+  if (start.Exit)
+    return static_cast<int>(*start.Exit);
+  return wasabi::runProgram(About, run);
+}
--- /dev/null
+++ b/IntegrationTests/Soak/SoakInjector.cpp
@@ -0,0 +1,334 @@
+#include "IntegrationTests/Soak/SoakRun.h"
+
+#include <csignal>
+#include <fstream>
+#include <thread>
+
+namespace wasabi::soak {
+
+namespace {
+
+/// An engine's usual pause between events, and a slow one's.
+constexpr Millis UsualPace{15};
+constexpr Millis SlowPace{120};
+/// A registration outlives its server by this.
+constexpr Millis RegistrationLag{1000};
+/// How long a stopped process may take.
+constexpr Millis StopLimit{12000};
+/// A leaving server goes on serving for this long after its report.
+constexpr Millis DrainTime{3500};
+
+} // namespace
+
+SoakInjector::SoakInjector(test::PlatformWorld &World, SoakClients &Clients)
+    : World(World), Clients(Clients) {}
+
+void SoakInjector::later(Millis After, std::function<void()> Act) {
+  Queue.push(Timed{monotonicNow() + After, Orders++, std::move(Act)});
+}
+
+void SoakInjector::play(const std::vector<SoakStep> &Plan) {
+  for (const SoakStep &it : Plan)
+    later(it.At, [this, it] { begin(it); });
+  while (!Queue.empty()) {
+    Timed next = Queue.top();
+    Queue.pop();
+    std::this_thread::sleep_until(next.At);
+    next.Act();
+  }
+}
+
+void SoakInjector::begin(const SoakStep &Step) {
+  TimePoint now = monotonicNow();
+  Done.Faults.push_back({Step.Kind, now, now + Step.For});
+  if (beginPlanned(Step) || beginOnProcess(Step) || beginOnStore(Step) ||
+      beginOnLink(Step))
+    return;
+  beginOnServer(Step);
+}
+
+//===--- Planned work -----------------------------------------------------===//
+
+bool SoakInjector::beginPlanned(const SoakStep &Step) {
+  std::size_t edge = Step.Target % World.edges();
+  switch (Step.Kind) {
+  case SoakFault::Configure:
+    World.configure(++Versions);
+    Done.Publications.push_back({Versions, monotonicNow()});
+    Clients.Configured = Versions;
+    return true;
+  case SoakFault::NameVersion:
+    World.nameVersion(Clients.Named + 1);
+    ++Clients.Named;
+    return true;
+  case SoakFault::StopEdge:
+    stopEdge(edge);
+    return true;
+  case SoakFault::ReloadEdge:
+    if (!EdgesAway.contains(edge))
+      World.edge(edge).Running->signal(SIGHUP);
+    return true;
+  case SoakFault::DrainServer:
+    drainServer(Step.Target % World.servers());
+    return true;
+  default:
+    return false;
+  }
+}
+
+/// A stop of the only process that is left is no planned work, so it is left
+/// out.
+void SoakInjector::stopEdge(std::size_t Edge) {
+  if (EdgesAway.contains(Edge) || EdgesAway.size() + 1 >= World.edges())
+    return;
+  EdgesAway.insert(Edge);
+  Done.Stops.push_back({Edge, Clients.Lives[Edge], monotonicNow()});
+  World.edge(Edge).Running->signal(SIGTERM);
+  later(Millis(0),
+        [this, Edge] { awaitStop(Edge, monotonicNow() + StopLimit); });
+}
+
+void SoakInjector::awaitStop(std::size_t Edge, TimePoint Until) {
+  constexpr Millis Look{50};
+  harness::Process &process = *World.edge(Edge).Running;
+  if (process.running() && monotonicNow() < Until) {
+    later(Look, [this, Edge, Until] { awaitStop(Edge, Until); });
+    return;
+  }
+  if (process.running())
+    Done.Unstopped.push_back(Edge);
+  restartEdge(Edge);
+}
+
+void SoakInjector::drainServer(std::size_t Index) {
+  if (Away.contains(Index) || Away.size() + 2 >= World.servers())
+    return;
+  Away.insert(Index);
+  std::string id = World.server(Index).id();
+  World.registerServer(Index, true);
+  Done.Drains.push_back({id, monotonicNow()});
+  later(DrainTime, [this, Index, id] {
+    World.unregisterServer(id);
+    returnServer(Index);
+  });
+}
+
+//===--- Processes --------------------------------------------------------===//
+
+bool SoakInjector::beginOnProcess(const SoakStep &Step) {
+  std::size_t edge = Step.Target % World.edges();
+  std::size_t side = Step.Target % World.size().Engines;
+  switch (Step.Kind) {
+  case SoakFault::KillEdge:
+    killEdge(edge, Step.For);
+    return true;
+  case SoakFault::KillAllEdges:
+    for (std::size_t i = 0; i < World.edges(); ++i)
+      killEdge(i, Step.For);
+    return true;
+  case SoakFault::PauseEdge:
+    if (EdgesAway.contains(edge))
+      return true;
+    World.edge(edge).Running->signal(SIGSTOP);
+    later(Step.For,
+          [this, edge] { World.edge(edge).Running->signal(SIGCONT); });
+    return true;
+  case SoakFault::KillSide:
+    if (!SidesAway.insert(side).second)
+      return true;
+    World.side(side).signal(SIGKILL);
+    later(Step.For, [this, side] {
+      SidesAway.erase(side);
+      World.startSide(side);
+    });
+    return true;
+  case SoakFault::PauseSide:
+    World.side(side).signal(SIGSTOP);
+    later(Step.For, [this, side] { World.side(side).signal(SIGCONT); });
+    return true;
+  default:
+    return false;
+  }
+}
+
+void SoakInjector::killEdge(std::size_t Edge, Millis Down) {
+  if (!EdgesAway.insert(Edge).second)
+    return;
+  World.edge(Edge).Running->signal(SIGKILL);
+  later(Down, [this, Edge] { restartEdge(Edge); });
+}
+
+void SoakInjector::restartEdge(std::size_t Edge) {
+  Done.Output += World.edge(Edge).Running->output();
+  ++Clients.Lives[Edge];
+  World.startEdge(Edge);
+  EdgesAway.erase(Edge);
+}
+
+//===--- The store --------------------------------------------------------===//
+
+void SoakInjector::mood(test::StoreMood What, Millis For) {
+  World.onPlatform([&] { World.store().setMood(What); });
+  later(For, [this] {
+    World.onPlatform([&] { World.store().setMood(test::StoreMood::Well); });
+  });
+}
+
+bool SoakInjector::beginOnStore(const SoakStep &Step) {
+  using test::StoreMood;
+  switch (Step.Kind) {
+  case SoakFault::StoreBusy:
+    mood(StoreMood::Busy, Step.For);
+    return true;
+  case SoakFault::StoreSilent:
+    mood(StoreMood::Silent, Step.For);
+    return true;
+  case SoakFault::StoreResets:
+    mood(StoreMood::Reset, Step.For);
+    return true;
+  case SoakFault::StoreLosesAnswers:
+    mood(StoreMood::LosesAnswers, Step.For);
+    return true;
+  case SoakFault::StoreLate:
+    mood(StoreMood::Late, Step.For);
+    return true;
+  case SoakFault::StoreSlow:
+    mood(StoreMood::Slow, Step.For);
+    return true;
+  case SoakFault::StoreForgets:
+    World.onPlatform([&] {
+      World.store().compact("keyed.op");
+      World.store().compact("keyed.servers");
+    });
+    return true;
+  case SoakFault::RegistrationsLapse:
+    lapse(Step);
+    return true;
+  default:
+    return false;
+  }
+}
+
+/// The store is away, and registrations lapse meanwhile; the servers are back
+/// in it within two seconds of its return.
+void SoakInjector::lapse(const SoakStep &Step) {
+  constexpr Millis BackAfter{1200};
+  mood(test::StoreMood::Busy, Step.For);
+  std::vector<std::size_t> lapsed;
+  for (std::size_t i = 0; i < World.servers(); ++i) {
+    if (!Away.contains(i))
+      lapsed.push_back(i);
+  }
+  later(Step.For / 2, [this, lapsed] {
+    for (std::size_t it : lapsed)
+      World.unregisterServer(World.server(it).id());
+  });
+  later(Step.For + BackAfter, [this, lapsed] {
+    for (std::size_t it : lapsed) {
+      if (!Away.contains(it))
+        World.registerServer(it, false);
+    }
+  });
+}
+
+//===--- Links ------------------------------------------------------------===//
+
+void SoakInjector::fault(const test::PlatformWorld::Proxy &Of, const char *Name,
+                         const boost::json::value &Begin,
+                         const boost::json::value &End, Millis For) {
+  World.setFaults(Of, {{Name, Begin}});
+  later(For, [this, Of, Name, End] { World.setFaults(Of, {{Name, End}}); });
+}
+
+bool SoakInjector::beginOnLink(const SoakStep &Step) {
+  constexpr double DelayMs = 250;
+  std::size_t process = Step.Target % (World.edges() + World.size().Engines);
+  test::PlatformWorld::Proxy store = World.storeLink(process);
+  test::PlatformWorld::Proxy caller =
+      World.callerLink(Step.Target % World.edges());
+  switch (Step.Kind) {
+  case SoakFault::StoreLinkRefuses:
+    World.setFaults(store, {{"cut_now", true}});
+    fault(store, "refuse", true, false, Step.For);
+    return true;
+  case SoakFault::StoreLinkSilent:
+    fault(store, "half_open", true, false, Step.For);
+    return true;
+  case SoakFault::StoreLinkOneWay:
+    fault(store, "one_way", true, false, Step.For);
+    return true;
+  case SoakFault::StoreLinkDelays:
+    fault(store, "delay_ms", DelayMs, 0.0, Step.For);
+    return true;
+  case SoakFault::CallerLinkCut:
+    World.setFaults(caller, {{"cut_now", true}});
+    return true;
+  case SoakFault::CallerLinkDelays:
+    fault(caller, "delay_ms", DelayMs, 0.0, Step.For);
+    return true;
+  default:
+    return false;
+  }
+}
+
+//===--- Servers ----------------------------------------------------------===//
+
+void SoakInjector::beginOnServer(const SoakStep &Step) {
+  std::size_t index = Step.Target % World.servers();
+  test::PlatformServer &server = World.server(index);
+  test::PlatformWorld::Proxy link = World.serverLink(index);
+  constexpr int Few = 3;
+  switch (Step.Kind) {
+  case SoakFault::ServerCrashes:
+    crashServer(index, Step.For);
+    return;
+  case SoakFault::ServerSilent:
+    fault(link, "half_open", true, false, Step.For);
+    return;
+  case SoakFault::ServerOneWay:
+    fault(link, "one_way", true, false, Step.For);
+    return;
+  case SoakFault::ServerLinkCut:
+    World.setFaults(link, {{"cut_now", true}});
+    return;
+  case SoakFault::ServerLosesAnswers:
+    fault(link, "answer_loss", Few, 0, Step.For);
+    return;
+  case SoakFault::ServerSlow:
+    World.onPlatform([&] { server.Pace = SlowPace; });
+    later(Step.For, [this, &server] {
+      World.onPlatform([&] { server.Pace = UsualPace; });
+    });
+    return;
+  case SoakFault::ServerBreaksOff:
+    World.onPlatform([&] { server.Breaks = Few; });
+    return;
+  case SoakFault::ServerFails:
+    World.onPlatform([&] { server.Fails = Few; });
+    return;
+  default:
+    return;
+  }
+}
+
+void SoakInjector::crashServer(std::size_t Index, Millis Down) {
+  if (!Away.insert(Index).second)
+    return;
+  std::string id = World.server(Index).id();
+  World.setFaults(World.serverLink(Index), {{"cut_now", true}});
+  World.setFaults(World.serverLink(Index), {{"refuse", true}});
+  later(std::min(Down, RegistrationLag),
+        [this, id] { World.unregisterServer(id); });
+  later(Down, [this, Index] { returnServer(Index); });
+}
+
+/// The server starts anew, as another incarnation at the same address.
+void SoakInjector::returnServer(std::size_t Index) {
+  std::string id = "i-again-" + std::to_string(++Starts);
+  World.onPlatform([&] { World.server(Index).restart(id); });
+  World.setFaults(World.serverLink(Index), {{"refuse", false}});
+  World.registerServer(Index, false);
+  Away.erase(Index);
+}
+
+} // namespace wasabi::soak
--- /dev/null
+++ b/IntegrationTests/Soak/SoakJudge.h
@@ -0,0 +1,80 @@
+/// \file
+/// Holds what clients and servers of a soak saw against the promises. Pure.
+#ifndef WASABI_INTEGRATIONTESTS_SOAK_SOAKJUDGE_H
+#define WASABI_INTEGRATIONTESTS_SOAK_SOAKJUDGE_H
+
+#include "IntegrationTests/Platform/PlatformServers.h"
+#include "IntegrationTests/Soak/SoakPlan.h"
+#include "IntegrationTests/Soak/SoakRecord.h"
+
+#include <string>
+#include <vector>
+
+namespace wasabi::soak {
+
+/// A step as it was carried out.
+struct FaultWindow {
+  SoakFault Kind = SoakFault::Configure;
+  TimePoint From;
+  TimePoint To;
+};
+
+/// A planned stop of an edge process.
+struct EdgeStop {
+  std::size_t Edge = 0;
+  /// Which start of it was stopped.
+  std::uint64_t Life = 0;
+  TimePoint At;
+};
+
+/// A server that reported that it leaves.
+struct ServerDrain {
+  std::string Server;
+  TimePoint At;
+};
+
+/// A configuration that was published.
+struct Publication {
+  std::uint64_t Version = 0;
+  TimePoint At;
+};
+
+/// Requests that the soak itself makes to see that all is served again.
+inline constexpr const char *OwnName = "soak-own";
+
+/// What really happened, as the servers and the injector know it.
+struct SoakTruth {
+  std::vector<test::ServerCall> PlainRuns;
+  std::vector<test::ServerCall> EngineRuns;
+  /// By engine.
+  std::vector<std::vector<test::ServerCall>> Orders;
+  std::vector<FaultWindow> Faults;
+  std::vector<EdgeStop> Stops;
+  std::vector<ServerDrain> Drains;
+  std::vector<Publication> Publications;
+  /// Edge processes that were still there long after their grace.
+  std::vector<std::size_t> Unstopped;
+  /// What processes that are gone had logged.
+  std::string Output;
+};
+
+/// Bounds of the promises that have a time, as the users' pages set them.
+struct SoakBounds {
+  /// Without a fault for this long, promises with a time hold.
+  Millis Calm{3000};
+  Millis Drain{2000};
+  Millis Configure{2000};
+  Millis Regress{250};
+  Millis Cancel{3000};
+  /// What the machine under the soak may add.
+  Millis Slack{400};
+  std::size_t MaxAttempts = 3;
+};
+
+/// Each broken promise, one line each.
+std::vector<std::string> judge(const SoakRecord &Seen, const SoakTruth &Truth,
+                               const SoakBounds &Bounds = {});
+
+} // namespace wasabi::soak
+
+#endif // WASABI_INTEGRATIONTESTS_SOAK_SOAKJUDGE_H
--- /dev/null
+++ b/IntegrationTests/Soak/SoakPlan.cpp
@@ -0,0 +1,98 @@
+#include "IntegrationTests/Soak/SoakPlan.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <random>
+
+namespace wasabi::soak {
+
+namespace {
+
+constexpr std::size_t Kinds = static_cast<std::size_t>(SoakFault::Count);
+
+constexpr std::array<std::string_view, Kinds> Names{
+    "configure",          "name-version",        "stop-edge",
+    "reload-edge",        "drain-server",        "kill-edge",
+    "pause-edge",         "kill-all-edges",      "kill-side",
+    "pause-side",         "store-busy",          "store-silent",
+    "store-resets",       "store-loses-answers", "store-late",
+    "store-slow",         "store-forgets",       "registrations-lapse",
+    "store-link-refuses", "store-link-silent",   "store-link-one-way",
+    "store-link-delays",  "server-crashes",      "server-silent",
+    "server-one-way",     "server-link-cut",     "server-loses-answers",
+    "server-slow",        "server-breaks-off",   "server-fails",
+    "caller-link-cut",    "caller-link-delays"};
+
+/// Not of the standard library's distributions, whose results differ between
+/// libraries: a seed must mean the same plan everywhere.
+struct Draw {
+  std::mt19937_64 From;
+
+  std::int64_t between(std::int64_t Least, std::int64_t Most) {
+    auto span = static_cast<std::uint64_t>(Most - Least + 1);
+    return Least + static_cast<std::int64_t>(From() % span);
+  }
+  bool oneIn(std::int64_t Count) { return between(1, Count) == 1; }
+  SoakFault kind() { return static_cast<SoakFault>(From() % Kinds); }
+};
+
+/// The steps of one kind that begin at `At`: one, or a series.
+std::vector<SoakStep> drawSeries(Draw &From, Millis At) {
+  constexpr std::int64_t ShortMs = 300;
+  constexpr std::int64_t LongMs = 4500;
+  SoakStep step;
+  step.At = At;
+  step.Kind = From.kind();
+  step.Target = static_cast<std::uint32_t>(From.between(0, 1000));
+  step.For = Millis(From.between(ShortMs, LongMs));
+  std::vector<SoakStep> series{step};
+  if (!From.oneIn(4))
+    return series;
+  std::int64_t more = From.between(1, 3);
+  for (std::int64_t i = 0; i < more; ++i) {
+    step.At += Millis(From.between(200, 1600));
+    step.For = Millis(From.between(ShortMs, LongMs / 2));
+    step.Target += From.oneIn(2) ? 1 : 0;
+    series.push_back(step);
+  }
+  return series;
+}
+
+} // namespace
+
+std::string_view toText(SoakFault Kind) {
+  return Names.at(static_cast<std::size_t>(Kind));
+}
+
+bool isPlanned(SoakFault Kind) { return Kind <= SoakFault::DrainServer; }
+
+std::vector<SoakStep> drawPlan(std::uint64_t Seed, Millis Length) {
+  Draw from{std::mt19937_64(Seed)};
+  std::vector<SoakStep> plan;
+  Millis at(from.between(300, 1200));
+  while (at < Length) {
+    std::vector<SoakStep> series = drawSeries(from, at);
+    plan.insert(plan.end(), series.begin(), series.end());
+    at += Millis(from.between(200, 1600));
+  }
+  std::erase_if(
+      plan, [Length](const SoakStep &It) { return It.At + It.For > Length; });
+  std::stable_sort(
+      plan.begin(), plan.end(),
+      [](const SoakStep &L, const SoakStep &R) { return L.At < R.At; });
+  return plan;
+}
+
+std::string describe(const std::vector<SoakStep> &Plan) {
+  std::string text;
+  for (const SoakStep &it : Plan)
+    fmt::format_to(std::back_inserter(text),
+                   "step: at_ms={} for_ms={} kind={} target={}\n",
+                   it.At.count(), it.For.count(), toText(it.Kind), it.Target);
+  return text;
+}
+
+} // namespace wasabi::soak
--- /dev/null
+++ b/IntegrationTests/Soak/SoakRecord.h
@@ -0,0 +1,73 @@
+/// \file
+/// What callers and trainers of a soak saw, for the judge.
+#ifndef WASABI_INTEGRATIONTESTS_SOAK_SOAKRECORD_H
+#define WASABI_INTEGRATIONTESTS_SOAK_SOAKRECORD_H
+
+#include "Wasabi/Core/Clock.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace wasabi::soak {
+
+enum class AskKind : std::uint8_t {
+  /// May run more than once.
+  Repeatable,
+  /// Runs at most once.
+  Once,
+  /// A stream of events.
+  Stream,
+  /// Shows which configuration is in force.
+  Probe,
+};
+
+/// One request of a caller and what came of it.
+struct AskRecord {
+  AskKind Kind = AskKind::Repeatable;
+  std::string Id;
+  /// Of a probe: the configuration whose own route it asks for.
+  std::uint64_t Version = 0;
+  std::size_t Edge = 0;
+  /// Which start of that edge process took it.
+  std::uint64_t Life = 0;
+  TimePoint Sent;
+  TimePoint Done;
+  /// 0 when there was no whole answer.
+  unsigned Status = 0;
+  /// The caller's own limit was up.
+  bool GaveUp = false;
+  /// What is wrong with an answer that looks whole; empty if nothing is.
+  std::string Wrong;
+};
+
+/// One batch job and what its trainer saw.
+struct JobRecord {
+  std::string Id;
+  std::vector<std::string> Items;
+  std::uint64_t MinVersion = 0;
+  /// Whether a submission was answered with an acceptance, and when.
+  bool Accepted = false;
+  TimePoint AcceptedAt;
+  /// Whether each submission was answered with a promise that nothing was
+  /// taken.
+  bool Promised = true;
+  bool EndAsked = false;
+  bool EndTaken = false;
+  TimePoint EndTakenAt;
+  /// Results by position, as they were read first.
+  std::map<std::size_t, std::string> Seen;
+  /// What was read and must not be.
+  std::vector<std::string> Wrong;
+};
+
+/// All of a run.
+struct SoakRecord {
+  std::vector<AskRecord> Asks;
+  std::vector<JobRecord> Jobs;
+};
+
+} // namespace wasabi::soak
+
+#endif // WASABI_INTEGRATIONTESTS_SOAK_SOAKRECORD_H
--- /dev/null
+++ b/IntegrationTests/Soak/SoakRun.cpp
@@ -0,0 +1,161 @@
+#include "IntegrationTests/Soak/SoakRun.h"
+
+#include "IntegrationTests/Harness/Waiting.h"
+
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <fstream>
+
+namespace wasabi::soak {
+
+namespace {
+
+/// The users' bound for a whole recovery.
+constexpr Millis RecoveryLimit{12000};
+constexpr unsigned Ok = 200;
+constexpr unsigned Accepted = 202;
+
+std::vector<ClientEdge> clientEdges(test::PlatformWorld &World) {
+  std::vector<ClientEdge> edges;
+  for (std::size_t i = 0; i < World.edges(); ++i)
+    edges.push_back({World.edge(i).Callers, World.edge(i).Readiness});
+  return edges;
+}
+
+void prepareServers(test::PlatformWorld &World) {
+  World.onPlatform([&] {
+    for (std::size_t i = 0; i < World.servers(); ++i) {
+      test::PlatformServer &it = World.server(i);
+      it.TellsVersion = true;
+      it.Length = 5;
+      it.Spread = 30;
+      it.Pace = Millis(15);
+      it.LoadTime = Millis(300);
+      it.Slots = 6;
+    }
+  });
+}
+
+SoakTruth gather(test::PlatformWorld &World, SoakTruth Done) {
+  World.onPlatform([&] {
+    for (std::size_t i = 0; i < World.servers(); ++i) {
+      test::PlatformServer &it = World.server(i);
+      bool engine = i < World.size().Engines;
+      std::vector<test::ServerCall> &runs =
+          engine ? Done.EngineRuns : Done.PlainRuns;
+      runs.insert(runs.end(), it.Runs.begin(), it.Runs.end());
+      if (engine)
+        Done.Orders.push_back(it.Orders);
+    }
+  });
+  auto byTime = [](const test::ServerCall &L, const test::ServerCall &R) {
+    return L.At < R.At;
+  };
+  std::sort(Done.EngineRuns.begin(), Done.EngineRuns.end(), byTime);
+  return Done;
+}
+
+/// After the last fault everything must be served again, everywhere.
+bool recovers(test::PlatformWorld &World, const std::string &Job,
+              std::uint64_t Version) {
+  constexpr std::size_t Items = 4;
+  std::string route = "/desk-" + std::to_string(Version) + "/";
+  auto serves = [&] {
+    for (std::size_t i = 0; i < World.edges(); ++i) {
+      if (!World.ready(i) || World.ask(i, route, OwnName).Status != Ok)
+        return false;
+    }
+    return true;
+  };
+  if (!harness::waitUntil(serves, RecoveryLimit))
+    return false;
+  auto submitted = [&] { return World.submit(0, Job, Items, 1) == Accepted; };
+  if (!harness::waitUntil(submitted, RecoveryLimit))
+    return false;
+  return World.finishes(World.edges() - 1, Job, Items);
+}
+
+/// What was accepted can be read at every process, as it was read before.
+void checkKept(test::PlatformWorld &World, const SoakRecord &Seen,
+               std::vector<std::string> &Faults) {
+  for (const JobRecord &job : Seen.Jobs) {
+    if (!job.Accepted)
+      continue;
+    for (std::size_t edge = 0; edge < World.edges(); ++edge) {
+      unsigned status = 0;
+      boost::json::value page = World.results(edge, job.Id, status);
+      if (status != Ok) {
+        Faults.push_back(job.Id + " can't be read at edge " +
+                         std::to_string(edge) + ": " + std::to_string(status));
+        continue;
+      }
+      const boost::json::array &results = page.at("results").as_array();
+      for (const auto &[position, text] : job.Seen) {
+        bool same = position < results.size() &&
+                    boost::json::serialize(results[position]) == text;
+        if (!same)
+          Faults.push_back(job.Id + " has something else at position " +
+                           std::to_string(position));
+      }
+    }
+  }
+}
+
+void keepLogs(test::PlatformWorld &World, const SoakTruth &Truth,
+              std::uint64_t Seed) {
+  std::string path = "soak-" + std::to_string(Seed) + ".log";
+  std::ofstream file(path);
+  file << Truth.Output;
+  for (std::size_t i = 0; i < World.edges(); ++i)
+    file << World.edge(i).Running->output();
+  for (std::size_t i = 0; i < World.size().Engines; ++i)
+    file << World.side(i).output();
+}
+
+} // namespace
+
+SoakResult soakOnce(const SoakSize &Size, std::uint64_t Seed,
+                    const std::vector<SoakStep> &Plan, bool KeepLogs) {
+  test::PlatformWorld world(
+      test::WorldShape{Size.Edges, Size.Engines, Size.Desks, true});
+  prepareServers(world);
+  SoakResult result;
+  if (!world.allReady()) {
+    result.Faults.push_back("the processes did not become ready");
+    return result;
+  }
+  SoakClients::Settings setup;
+  setup.Seed = Seed;
+  setup.Callers = Size.Callers;
+  setup.Trainers = Size.Trainers;
+  setup.LengthOf = [&world](const std::string &Item) {
+    return world.server(0).lengthOf(Item);
+  };
+  SoakClients clients(setup, clientEdges(world));
+  SoakInjector injector(world, clients);
+  injector.play(Plan);
+  TimePoint healed = monotonicNow();
+  if (!recovers(world, OwnName, clients.Configured))
+    result.Faults.push_back("not all is served again after the last fault");
+  result.Recovered =
+      std::chrono::duration_cast<Millis>(monotonicNow() - healed);
+  clients.stop();
+
+  SoakTruth truth = gather(world, injector.done());
+  const SoakRecord &seen = clients.record();
+  std::vector<std::string> faults = judge(seen, truth);
+  result.Faults.insert(result.Faults.end(), faults.begin(), faults.end());
+  checkKept(world, seen, result.Faults);
+  for (const AskRecord &it : seen.Asks)
+    result.Served += it.Status == Ok ? 1 : 0;
+  result.Asks = seen.Asks.size();
+  for (const JobRecord &it : seen.Jobs)
+    result.WholeJobs += it.Seen.size() == it.Items.size() ? 1 : 0;
+  result.Jobs = seen.Jobs.size();
+  if (KeepLogs || !result.Faults.empty())
+    keepLogs(world, truth, Seed);
+  return result;
+}
+
+} // namespace wasabi::soak
--- a/StandIns/FaultProxy.cpp
+++ b/StandIns/FaultProxy.cpp
@@ -35,6 +35,7 @@
                     {"refuse", false},
                     {"cut_now", false},
                     {"half_open", false},
+                    {"one_way", false},
                     {"answer_loss", 0},
                     {"bytes_per_s", 0},
                     {"cut_after_bytes", 0},
@@ -92,6 +93,7 @@
   LinkFaults.Rate = [this] { return Told.number("bytes_per_s"); };
   LinkFaults.CutAfter = [this] { return Told.number("cut_after_bytes"); };
   LinkFaults.HalfOpen = [this] { return Told.isOn("half_open"); };
+  LinkFaults.OneWay = [this] { return Told.isOn("one_way"); };
   LinkFaults.LoseAnswer = [this] {
     bool lost = Told.takeOne("answer_loss");
     Lost += lost ? 1 : 0;
@@ -125,10 +127,14 @@
   Placeholder.open(wanted.protocol(), ec);
   if (ec)
     return ec;
-  Placeholder.set_option(Tcp::socket::reuse_address(true), ec);
+  // Shared from the start, a port that the kernel chooses could be given to
+  // another proxy as well before either listens.
+  bool chosen = What.Listen.Port != 0;
+  Placeholder.set_option(Tcp::socket::reuse_address(chosen), ec);
   Placeholder.bind(wanted, ec);
   if (ec)
     return ec;
+  Placeholder.set_option(Tcp::socket::reuse_address(true), ec);
   Endpoint = Placeholder.local_endpoint(ec);
   Bound = Address{What.Listen.Host, Endpoint.port()};
   return ec;
@@ -222,7 +228,7 @@
     Told.turnOff("cut_now");
   }
   // What was swallowed cannot be brought back.
-  if (!Told.isOn("half_open"))
+  if (!Told.isOn("half_open") && !Told.isOn("one_way"))
     cutAll(true);
 
   ErrorCode ec;
--- a/StandIns/ProxyLink.cpp
+++ b/StandIns/ProxyLink.cpp
@@ -86,7 +86,7 @@
         co_await Way.From.async_read_some(boost::asio::buffer(buf), Awaited);
     if (Closed)
       co_return;
-    if (Faults.HalfOpen()) {
+    if (swallows(Way)) {
       Swallowed = true;
       if (ec)
         co_return;
@@ -104,6 +104,10 @@
   }
 }
 
+bool ProxyLink::swallows(const Flow &Way) const {
+  return Faults.HalfOpen() || (&Way == &Down && Faults.OneWay());
+}
+
 boost::asio::awaitable<void> ProxyLink::awaitRoom(Flow &Way) {
   while (Way.Queued > MaxQueued && !Closed)
     co_await Way.Changed.wait();
@@ -132,7 +136,7 @@
     Way.Queue.pop_front();
     Way.Queued -= piece.Bytes.size();
     Way.Changed.notify();
-    if (Faults.HalfOpen()) {
+    if (swallows(Way)) {
       Swallowed = true;
       continue;
     }
--- a/StandIns/ProxyLink.h
+++ b/StandIns/ProxyLink.h
@@ -27,6 +27,8 @@
   std::function<std::uint64_t()> CutAfter;
   /// Whether bytes and ends are swallowed.
   std::function<bool()> HalfOpen;
+  /// Whether only what comes from the upstream is swallowed.
+  std::function<bool()> OneWay;
   /// Whether the upstream's answer that begins now is to be lost.
   std::function<bool()> LoseAnswer;
 };
@@ -75,6 +77,7 @@
   boost::asio::awaitable<void> awaitRoom(Flow &Way);
   boost::asio::awaitable<void> writeTo(Flow &Way);
   boost::asio::awaitable<bool> deliver(Flow &Way, std::string Bytes);
+  bool swallows(const Flow &Way) const;
   void push(Flow &Way, std::string Bytes, bool Last);
   void spawn(boost::asio::awaitable<void> (ProxyLink::*Body)(Flow &),
              Flow &Way);
--- a/Wasabi/Adapters/Frames/RequestServer.cpp
+++ b/Wasabi/Adapters/Frames/RequestServer.cpp
@@ -186,8 +186,11 @@
     tcp::endpoint where(host, Setup.Listen.Port);
     if (!ec)
       Acceptor.open(where.protocol(), ec);
+    // A port that the kernel chooses must be ours alone: shared, it could be
+    // given to a second process before either listens.
+    bool chosen = Setup.Listen.Port != 0;
     if (!ec)
-      Acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+      Acceptor.set_option(tcp::acceptor::reuse_address(chosen), ec);
     if (!ec)
       Acceptor.bind(where, ec);
     if (!ec)
--- a/Wasabi/Adapters/Http/HttpServer.cpp
+++ b/Wasabi/Adapters/Http/HttpServer.cpp
@@ -572,7 +572,10 @@
   Acceptor.open(where.protocol(), ec);
   if (ec)
     return ec;
-  Acceptor.set_option(Tcp::acceptor::reuse_address(true), ec);
+  // A port that the kernel chooses must be ours alone: shared, it could be
+  // given to a second process before either listens.
+  bool chosen = Limits.Listen.Port != 0;
+  Acceptor.set_option(Tcp::acceptor::reuse_address(chosen), ec);
   if (ec)
     return ec;
   Acceptor.bind(where, ec);
--- a/Wasabi/Core/Program.cpp
+++ b/Wasabi/Core/Program.cpp
@@ -193,6 +193,11 @@
                                     printFailure(About, Why);
                                     return exitCodeFor(Why);
                                   },
+                                  [&](boost::leaf::catch_<std::exception> Of) {
+                                    std::cerr << About.Name << ": "
+                                              << Of.matched.what() << '\n';
+                                    return ExitCode::Internal;
+                                  },
                                   [&](const boost::leaf::error_info &) {
                                     std::cerr << About.Name
                                               << ": an error without a cause\n";
