--- /dev/null
+++ b/IntegrationTests/Cases/SoakTest.cpp
@@ -0,0 +1,226 @@
+/// \file
+/// The soak: its plan is the seed's, its judge finds each broken promise, and
+/// short fixed seeds hold every one. Longer ones run by `./run soak`.
+#include "IntegrationTests/Harness/Process.h"
+#include "IntegrationTests/Soak/SoakJudge.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+namespace wasabi::soak {
+
+namespace {
+
+using test::ServerCall;
+
+const TimePoint Start = TimePoint() + Millis(1000000);
+
+TimePoint at(int Ms) { return Start + Millis(Ms); }
+
+ServerCall runAt(int Ms, const std::string &Id,
+                 const std::string &Server = "s") {
+  ServerCall run;
+  run.At = at(Ms);
+  run.Id = Id;
+  run.Server = Server;
+  return run;
+}
+
+AskRecord asked(AskKind Kind, int Sent, int Done, unsigned Status) {
+  AskRecord record;
+  record.Kind = Kind;
+  record.Id = "r";
+  record.Sent = at(Sent);
+  record.Done = at(Done);
+  record.Status = Status;
+  return record;
+}
+
+AskRecord probed(std::uint64_t Version, int Sent, unsigned Status) {
+  AskRecord record = asked(AskKind::Probe, Sent, Sent + 10, Status);
+  record.Version = Version;
+  return record;
+}
+
+JobRecord endedJob() {
+  JobRecord job;
+  job.Id = "j";
+  job.Items = {"i"};
+  job.Accepted = true;
+  job.EndTaken = true;
+  job.EndTakenAt = at(1000);
+  return job;
+}
+
+/// Whether the judge finds exactly one fault, and one that says so.
+bool finds(const SoakRecord &Seen, const SoakTruth &Truth,
+           const std::string &What) {
+  std::vector<std::string> faults = judge(Seen, Truth);
+  for (const std::string &it : faults)
+    UNSCOPED_INFO(it);
+  return faults.size() == 1 && faults[0].find(What) != std::string::npos;
+}
+
+struct SoakEnd {
+  int Code = -1;
+  std::string Output;
+};
+
+SoakEnd runSoak(std::vector<std::string> Arguments) {
+  constexpr Millis Limit{150000};
+  harness::Process::Settings setup;
+  setup.Program = "wasabi-soak";
+  setup.Arguments = std::move(Arguments);
+  std::unique_ptr<harness::Process> process =
+      harness::Process::start(std::move(setup)).value();
+  std::optional<harness::ProcessEnd> end = process->waitAndRead(Limit);
+  return {end ? end->Code : -1, process->output()};
+}
+
+} // namespace
+
+TEST_CASE("Soak judge: a request that says it has not run, and has", "[soak]") {
+  SoakRecord seen;
+  SoakTruth truth;
+  seen.Asks = {asked(AskKind::Once, 0, 10, 503)};
+  CHECK(judge(seen, truth).empty());
+  truth.PlainRuns = {runAt(5, "r")};
+  CHECK(finds(seen, truth, "was answered 503 and has run"));
+}
+
+TEST_CASE("Soak judge: what may run once and ran twice", "[soak]") {
+  SoakRecord seen;
+  SoakTruth truth;
+  seen.Asks = {asked(AskKind::Once, 0, 10, 200)};
+  truth.PlainRuns = {runAt(5, "r"), runAt(7, "r")};
+  CHECK(finds(seen, truth, "ran 2 times"));
+  seen.Asks[0].Kind = AskKind::Repeatable;
+  CHECK(judge(seen, truth).empty());
+  truth.PlainRuns.insert(truth.PlainRuns.end(), 2, runAt(8, "r"));
+  CHECK(finds(seen, truth, "sent to 4 servers"));
+}
+
+TEST_CASE("Soak judge: a wrong answer, and a run that nobody asked for",
+          "[soak]") {
+  SoakRecord seen;
+  SoakTruth truth;
+  seen.Asks = {asked(AskKind::Repeatable, 0, 10, 200)};
+  seen.Asks[0].Wrong = "body: other";
+  CHECK(finds(seen, truth, "wrong answer"));
+  seen.Asks[0].Wrong.clear();
+  truth.EngineRuns = {runAt(5, "stranger")};
+  CHECK(finds(seen, truth, "nobody asked for stranger"));
+}
+
+TEST_CASE("Soak judge: items of refused and of ended jobs", "[soak]") {
+  SoakRecord seen;
+  SoakTruth truth;
+  seen.Jobs = {endedJob()};
+  truth.EngineRuns = {runAt(4300, "i")};
+  CHECK(judge(seen, truth).empty());
+  truth.EngineRuns = {runAt(4500, "i")};
+  CHECK(finds(seen, truth, "after its job had ended"));
+  // Under a fault the time does not count.
+  truth.Faults = {{SoakFault::StoreBusy, at(4400), at(4450)}};
+  CHECK(judge(seen, truth).empty());
+  seen.Jobs[0].Accepted = false;
+  seen.Jobs[0].EndTaken = false;
+  CHECK(finds(seen, truth, "its job was refused"));
+  seen.Jobs[0].Promised = false;
+  CHECK(judge(seen, truth).empty());
+  seen.Jobs[0].Wrong = {"position 1 changed"};
+  CHECK(finds(seen, truth, "position 1 changed"));
+}
+
+TEST_CASE("Soak judge: work that reaches a leaving server", "[soak]") {
+  SoakRecord seen;
+  SoakTruth truth;
+  seen.Asks = {asked(AskKind::Repeatable, 0, 5000, 200)};
+  truth.Drains = {{"leaving", at(0)}};
+  truth.PlainRuns = {runAt(2300, "r", "leaving")};
+  CHECK(judge(seen, truth).empty());
+  truth.PlainRuns = {runAt(2500, "r", "leaving")};
+  CHECK(finds(seen, truth, "reached the leaving"));
+}
+
+TEST_CASE("Soak judge: what a planned stop cuts off", "[soak]") {
+  SoakRecord seen;
+  SoakTruth truth;
+  truth.Stops = {{0, 0, at(100)}};
+  seen.Asks = {asked(AskKind::Repeatable, 50, 150, 0)};
+  // A request that crossed the close and reached nobody is sent again.
+  CHECK(judge(seen, truth).empty());
+  seen.Asks[0].Done = at(400);
+  CHECK(finds(seen, truth, "cut off by a planned stop"));
+  truth.Faults = {{SoakFault::KillEdge, at(0), at(10)}};
+  CHECK(judge(seen, truth).empty());
+  truth.Faults = {{SoakFault::Configure, at(0), at(10)}};
+  CHECK(finds(seen, truth, "cut off by a planned stop"));
+  truth.Unstopped = {0};
+  seen.Asks.clear();
+  CHECK(finds(seen, truth, "did not stop"));
+}
+
+TEST_CASE("Soak judge: a configuration that reverts or does not come",
+          "[soak]") {
+  SoakRecord seen;
+  SoakTruth truth;
+  seen.Asks = {probed(2, 0, 200), probed(1, 100, 200)};
+  CHECK(judge(seen, truth).empty());
+  seen.Asks[1].Sent = at(400);
+  CHECK(finds(seen, truth, "went back"));
+  seen.Asks[1].Life = 1;
+  CHECK(judge(seen, truth).empty());
+  truth.Publications = {{2, at(0)}};
+  seen.Asks = {probed(2, 2300, 404), probed(1, 2300, 200)};
+  CHECK(judge(seen, truth).empty());
+  seen.Asks = {probed(2, 2500, 404)};
+  CHECK(finds(seen, truth, "not in force"));
+  seen.Asks = {probed(1, 2500, 200)};
+  CHECK(finds(seen, truth, "not in force"));
+}
+
+TEST_CASE("Soak judge: orders of another holder or with an older token",
+          "[soak]") {
+  SoakTruth truth;
+  ServerCall order;
+  order.Holder = "side-0";
+  order.Token = 5;
+  truth.Orders = {{order, order}};
+  CHECK(judge({}, truth).empty());
+  truth.Orders[0][1].Token = 4;
+  CHECK(finds({}, truth, "older fencing token"));
+  truth.Orders[0][1] = order;
+  truth.Orders[0][1].Holder = "side-1";
+  CHECK(finds({}, truth, "ordered by side-1"));
+}
+
+TEST_CASE("A soak's plan is its seed's alone and ends in time", "[soak]") {
+  constexpr Millis Length{20000};
+  for (std::uint64_t seed = 0; seed < 30; ++seed) {
+    std::vector<SoakStep> plan = drawPlan(seed, Length);
+    CHECK(plan == drawPlan(seed, Length));
+    CHECK_FALSE(plan == drawPlan(seed + 3, Length));
+    for (const SoakStep &it : plan)
+      CHECK(it.At + it.For <= Length);
+    // Each third plan has planned work only.
+    bool planned =
+        std::all_of(plan.begin(), plan.end(),
+                    [](const SoakStep &It) { return isPlanned(It.Kind); });
+    CHECK(planned == (seed % 3 == 1));
+  }
+}
+
+TEST_CASE("Short soaks hold every promise", "[soak]") {
+  std::string seed = GENERATE("8", "10", "17");
+  SoakEnd end = runSoak({"--seed=" + seed, "--seconds=8"});
+  INFO(end.Output);
+  CHECK(end.Code == 0);
+  CHECK(end.Output.find("soak: seed=" + seed + " broken=0") !=
+        std::string::npos);
+  CHECK(end.Output.find(" served=0 ") == std::string::npos);
+  CHECK(end.Output.find(" whole_jobs=0 ") == std::string::npos);
+}
+
+} // namespace wasabi::soak
--- a/IntegrationTests/Harness/FreePort.cpp
+++ b/IntegrationTests/Harness/FreePort.cpp
@@ -3,7 +3,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
-#include <random>
+#include <atomic>
+
+#include <unistd.h>
 
 namespace wasabi::harness {
 
@@ -12,9 +14,17 @@
 /// Below the range from which the kernel takes ports of its own accord, for
 /// outgoing connections and for listeners without a port: none of these can
 /// take the port between here and its use.
-constexpr std::uint16_t FirstPort = 12000;
-constexpr std::uint16_t LastPort = 32000;
-constexpr int MostTries = 200;
+constexpr unsigned FirstPort = 12000;
+constexpr unsigned LastPort = 32000;
+/// Ports of one process lie together, apart from those of processes that run
+/// beside it: two that drew at random could draw the same.
+constexpr unsigned PortsPerProcess = 16;
+constexpr unsigned MostTries = 400;
+
+unsigned firstOfProcess() {
+  unsigned blocks = (LastPort - FirstPort) / PortsPerProcess;
+  return static_cast<unsigned>(getpid()) % blocks * PortsPerProcess;
+}
 
 boost::system::error_code tryPort(std::uint16_t Port) {
   boost::asio::io_context context;
@@ -31,11 +41,11 @@
 } // namespace
 
 Result<Address> freePort() {
-  std::random_device random;
+  static std::atomic<unsigned> next{firstOfProcess()};
   boost::system::error_code ec;
-  for (int i = 0; i < MostTries; ++i) {
-    auto port = static_cast<std::uint16_t>(FirstPort +
-                                           random() % (LastPort - FirstPort));
+  for (unsigned i = 0; i < MostTries; ++i) {
+    auto port =
+        static_cast<std::uint16_t>(FirstPort + next++ % (LastPort - FirstPort));
     ec = tryPort(port);
     if (!ec)
       return Address{"127.0.0.1", port};
--- a/IntegrationTests/Harness/FreePort.h
+++ b/IntegrationTests/Harness/FreePort.h
@@ -7,7 +7,7 @@
 
 namespace wasabi::harness {
 
-/// A loopback port that was free a moment ago, as the kernel chose it; nothing
+/// A loopback port that was free a moment ago, another one at each call; nothing
 /// keeps another process from taking it. Errors: `Unavailable`. Thread-safe.
 Result<Address> freePort();
 
--- a/IntegrationTests/Soak/SoakPlan.cpp
+++ b/IntegrationTests/Soak/SoakPlan.cpp
@@ -36,25 +36,47 @@
     return Least + static_cast<std::int64_t>(From() % span);
   }
   bool oneIn(std::int64_t Count) { return between(1, Count) == 1; }
-  SoakFault kind() { return static_cast<SoakFault>(From() % Kinds); }
+  SoakFault kind(bool PlannedOnly) {
+    std::size_t most =
+        PlannedOnly ? static_cast<std::size_t>(SoakFault::DrainServer) + 1
+                    : Kinds;
+    return static_cast<SoakFault>(From() % most);
+  }
+};
+
+/// How a plan is drawn.
+struct PlanStyle {
+  bool PlannedOnly = false;
+  /// Longest fault, and the pauses between two series.
+  std::int64_t LongMs = 4500;
+  std::int64_t LeastGapMs = 200;
+  std::int64_t MostGapMs = 1600;
 };
 
+PlanStyle styleOf(std::uint64_t Seed) {
+  constexpr PlanStyle Dense;
+  constexpr PlanStyle Planned{true, 2000, 300, 2000};
+  constexpr PlanStyle Sparse{false, 2000, 2500, 7000};
+  constexpr std::array<PlanStyle, 3> Styles{Dense, Planned, Sparse};
+  return Styles.at(Seed % Styles.size());
+}
+
 /// The steps of one kind that begin at `At`: one, or a series.
-std::vector<SoakStep> drawSeries(Draw &From, Millis At) {
+std::vector<SoakStep> drawSeries(Draw &From, const PlanStyle &Style,
+                                 Millis At) {
   constexpr std::int64_t ShortMs = 300;
-  constexpr std::int64_t LongMs = 4500;
   SoakStep step;
   step.At = At;
-  step.Kind = From.kind();
+  step.Kind = From.kind(Style.PlannedOnly);
   step.Target = static_cast<std::uint32_t>(From.between(0, 1000));
-  step.For = Millis(From.between(ShortMs, LongMs));
+  step.For = Millis(From.between(ShortMs, Style.LongMs));
   std::vector<SoakStep> series{step};
   if (!From.oneIn(4))
     return series;
   std::int64_t more = From.between(1, 3);
   for (std::int64_t i = 0; i < more; ++i) {
     step.At += Millis(From.between(200, 1600));
-    step.For = Millis(From.between(ShortMs, LongMs / 2));
+    step.For = Millis(From.between(ShortMs, Style.LongMs / 2));
     step.Target += From.oneIn(2) ? 1 : 0;
     series.push_back(step);
   }
@@ -72,11 +94,12 @@
 std::vector<SoakStep> drawPlan(std::uint64_t Seed, Millis Length) {
   Draw from{std::mt19937_64(Seed)};
   std::vector<SoakStep> plan;
+  PlanStyle style = styleOf(Seed);
   Millis at(from.between(300, 1200));
   while (at < Length) {
-    std::vector<SoakStep> series = drawSeries(from, at);
+    std::vector<SoakStep> series = drawSeries(from, style, at);
     plan.insert(plan.end(), series.begin(), series.end());
-    at += Millis(from.between(200, 1600));
+    at += Millis(from.between(style.LeastGapMs, style.MostGapMs));
   }
   std::erase_if(
       plan, [Length](const SoakStep &It) { return It.At + It.For > Length; });
--- a/IntegrationTests/Soak/SoakPlan.h
+++ b/IntegrationTests/Soak/SoakPlan.h
@@ -74,7 +74,9 @@
 };
 
 /// The steps of a run by time, all over by `Length`: single ones, series of the
-/// same kind, and overlaps. Pure.
+/// same kind, and overlaps. By the seed, a third of the plans is dense, a third
+/// has planned work only, and a third leaves calm stretches, since promises
+/// with a time hold only there. Pure.
 std::vector<SoakStep> drawPlan(std::uint64_t Seed, Millis Length);
 
 /// One line a step. Pure.
--- a/IntegrationTests/Soak/SoakRun.cpp
+++ b/IntegrationTests/Soak/SoakRun.cpp
@@ -123,6 +123,7 @@
   SoakResult result;
   if (!world.allReady()) {
     result.Faults.push_back("the processes did not become ready");
+    keepLogs(world, {}, Seed);
     return result;
   }
   SoakClients::Settings setup;
