--- a/IntegrationTests/Cases/PlatformPathTest.cpp
+++ b/IntegrationTests/Cases/PlatformPathTest.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// The real processes on a stand-in of the users' platform.
-#include "IntegrationTests/Platform/PlatformWorld.h"
 #include "IntegrationTests/Harness/Waiting.h"
+#include "IntegrationTests/Platform/PlatformWorld.h"
 
 #include <catch2/catch.hpp>
 
--- a/IntegrationTests/Harness/FreePort.h
+++ b/IntegrationTests/Harness/FreePort.h
@@ -7,8 +7,9 @@
 
 namespace wasabi::harness {
 
-/// A loopback port that was free a moment ago, another one at each call; nothing
-/// keeps another process from taking it. Errors: `Unavailable`. Thread-safe.
+/// A loopback port that was free a moment ago, another one at each call;
+/// nothing keeps another process from taking it. Errors: `Unavailable`.
+/// Thread-safe.
 Result<Address> freePort();
 
 } // namespace wasabi::harness
--- a/Wasabi/Core/Program.cpp
+++ b/Wasabi/Core/Program.cpp
@@ -187,22 +187,20 @@
 
 int runProgram(const ProgramDescription &About,
                const std::function<Result<ExitCode>()> &Body) {
-  ExitCode code =
-      boost::leaf::try_handle_all([&]() -> Result<ExitCode> { return Body(); },
-                                  [&](const Failure &Why) {
-                                    printFailure(About, Why);
-                                    return exitCodeFor(Why);
-                                  },
-                                  [&](boost::leaf::catch_<std::exception> Of) {
-                                    std::cerr << About.Name << ": "
-                                              << Of.matched.what() << '\n';
-                                    return ExitCode::Internal;
-                                  },
-                                  [&](const boost::leaf::error_info &) {
-                                    std::cerr << About.Name
-                                              << ": an error without a cause\n";
-                                    return ExitCode::Internal;
-                                  });
+  ExitCode code = boost::leaf::try_handle_all(
+      [&]() -> Result<ExitCode> { return Body(); },
+      [&](const Failure &Why) {
+        printFailure(About, Why);
+        return exitCodeFor(Why);
+      },
+      [&](boost::leaf::catch_<std::exception> Of) {
+        std::cerr << About.Name << ": " << Of.matched.what() << '\n';
+        return ExitCode::Internal;
+      },
+      [&](const boost::leaf::error_info &) {
+        std::cerr << About.Name << ": an error without a cause\n";
+        return ExitCode::Internal;
+      });
   return static_cast<int>(code);
 }
 
