A caller who leaves ends the call for it, and no other server is asked

Cause: a cancelled call came back as a failed try, since its errors are values; the forwarder then asked the next server for a caller who had gone. Found by a new test of the real processes (server still at work 900 ms after the caller left; bound 500 ms). Ruled out: the HTTP server's notice of a closed connection, which comes at once. Change: what was stopped gives no result, whatever it made of the error. Tests of streams, chunked bodies, reloads and settings without an address, which had none; an edge process without an address for callers refuses its settings.

--- a/IntegrationTests/Cases/PlatformPathTest.cpp
+++ b/IntegrationTests/Cases/PlatformPathTest.cpp
@@ -296,4 +296,133 @@
   CHECK(end->Code == 0);
 }
 
+namespace {
+
+/// A request for a stream of the engines, as bytes.
+std::string streamRequest(const std::string &Id, const std::string &Extra) {
+  return "POST /stream/x HTTP/1.1\r\nHost: host.example\r\n"
+         "Wasabisail-Request-Id: " +
+         Id + "\r\nWasabisail-Model: model\r\n" + Extra +
+         "Content-Length: 0\r\nConnection: close\r\n\r\n";
+}
+
+std::size_t running(PlatformWorld &World) {
+  return World.onPlatform<std::size_t>([&] {
+    std::size_t sum = 0;
+    for (std::size_t i = 0; i < World.servers(); ++i)
+      sum += World.server(i).running();
+    return sum;
+  });
+}
+
+} // namespace
+
+TEST_CASE("Platform: a stream comes through, and goes on at another server") {
+  PlatformWorld world(1);
+  REQUIRE(world.allReady());
+  world.onPlatform([&] {
+    world.engine(0).Breaks = 1;
+    world.engine(1).Breaks = 1;
+  });
+  std::string got = world.sendRaw(0, streamRequest("s", ""), Millis(5000));
+  INFO(got);
+  CHECK(got.starts_with("HTTP/1.1 200"));
+  CHECK(got.find("Wasabisail-Server-Stamp: stamp-s") != std::string::npos);
+  std::size_t from = 0;
+  for (int i = 1; i <= 6; ++i) {
+    std::string event = "data: s:" + std::to_string(i) + "\n";
+    std::size_t at = got.find(event, from);
+    REQUIRE(at != std::string::npos);
+    CHECK(got.find(event, at + 1) == std::string::npos);
+    from = at;
+  }
+  // The end of the last chunk: the stream is whole.
+  CHECK(got.ends_with("0\r\n\r\n"));
+}
+
+TEST_CASE("Platform: a stream that its caller resumes begins where it says") {
+  PlatformWorld world(1);
+  REQUIRE(world.allReady());
+  std::string got = world.sendRaw(0, streamRequest("s", "Last-Event-Id: 4\r\n"),
+                                  Millis(5000));
+  CHECK(got.find("data: s:4\n") == std::string::npos);
+  CHECK(got.find("data: s:5\n") != std::string::npos);
+  CHECK(got.find("data: s:6\n") != std::string::npos);
+}
+
+TEST_CASE("Platform: a caller who leaves stops the work for it") {
+  PlatformWorld world(1);
+  REQUIRE(world.allReady());
+  world.onPlatform([&] {
+    for (std::size_t i = 0; i < world.servers(); ++i)
+      world.server(i).Pace = Millis(300);
+  });
+  constexpr Millis UsersBound{500};
+  std::string plain = "POST /desk/x HTTP/1.1\r\nHost: host.example\r\n"
+                      "Wasabisail-Request-Id: p\r\nContent-Length: 0\r\n\r\n";
+  world.onPlatform([&] {
+    world.desk(0).Pace = Millis(5000);
+    world.desk(1).Pace = Millis(5000);
+  });
+  world.sendRaw(0, plain, Millis(200));
+  CHECK(harness::waitUntil([&] { return running(world) == 0; }, UsersBound));
+  std::string begun =
+      world.sendRaw(0, streamRequest("s", ""), Millis(3000), "data: s:1\n");
+  CHECK(begun.find("data: s:1\n") != std::string::npos);
+  CHECK(harness::waitUntil([&] { return running(world) == 0; }, UsersBound));
+}
+
+TEST_CASE("Platform: a body in chunks reaches its server whole") {
+  PlatformWorld world(1);
+  REQUIRE(world.allReady());
+  std::string got = world.sendRaw(
+      0,
+      "POST /desk/x HTTP/1.1\r\nHost: host.example\r\n"
+      "Wasabisail-Request-Id: c\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nfirst\r\n7\r\n second\r\n0\r\n\r\n",
+      Millis(3000), "answer to c");
+  CHECK(got.find("answer to c") != std::string::npos);
+  std::vector<ServerCall> runs = world.onPlatform<std::vector<ServerCall>>([&] {
+    return world.desk(0).Runs.empty() ? world.desk(1).Runs : world.desk(0).Runs;
+  });
+  REQUIRE(runs.size() == 1);
+  CHECK(runs[0].Body == "first second");
+}
+
+TEST_CASE("Platform: settings that change, in good or bad ways, stop nothing") {
+  PlatformWorld world(1);
+  REQUIRE(world.allReady());
+  for (const char *text : {"", "{", R"({"node_name":3})"}) {
+    world.onPlatform([&] {
+      world.desk(0).Pace = Millis(150);
+      world.desk(1).Pace = Millis(150);
+    });
+    std::future<http::Response> answer = std::async(
+        std::launch::async, [&] { return world.ask(0, "/desk/", "h"); });
+    world.breakBootFile("edge-0", text);
+    world.edge(0).Running->signal(SIGHUP);
+    CHECK(answer.get().Status == Ok);
+  }
+  CHECK(harness::waitUntil(
+      [&] {
+        return world.edge(0).Running->output().find("process.reload") !=
+               std::string::npos;
+      },
+      Patience));
+  CHECK(world.ready(0));
+}
+
+TEST_CASE("Platform: an edge process without an address for callers says so") {
+  PlatformWorld world(1);
+  harness::Process::Settings setup;
+  setup.Program = "wasabi-edge";
+  setup.Environment = {
+      {"WASABISAIL_BOOT", world.bootFile("bare", "\"listen\":{},", 0)}};
+  std::unique_ptr<harness::Process> process =
+      harness::Process::start(std::move(setup)).value();
+  std::optional<harness::ProcessEnd> end = process->waitAndRead(Patience);
+  REQUIRE(end.has_value());
+  CHECK(end->Code == 2);
+}
+
 } // namespace wasabi::test
--- a/IntegrationTests/Platform/PlatformServers.cpp
+++ b/IntegrationTests/Platform/PlatformServers.cpp
@@ -2,6 +2,8 @@
 
 #include "Wasabi/Core/AsyncSignal.h"
 
+#include <algorithm>
+
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -167,9 +169,14 @@
     co_return;
   }
   std::uint64_t life = Life;
-  co_await pauseFor(Context.get_executor(), Pace);
+  TimePoint until = monotonicNow() + Pace;
+  // A server drops a request whose connection has closed.
+  while (monotonicNow() < until && !Out->gone())
+    co_await pauseFor(Context.get_executor(),
+                      std::min(Millis(10), std::chrono::ceil<Millis>(
+                                               until - monotonicNow())));
   --Running;
-  if (life != Life) {
+  if (life != Life || Out->gone()) {
     Out->abort();
     co_return;
   }
--- a/IntegrationTests/Platform/PlatformServers.h
+++ b/IntegrationTests/Platform/PlatformServers.h
@@ -40,6 +40,8 @@
   PlatformServer(boost::asio::io_context &Context, std::string Id);
 
   const std::string &id() const { return Id; }
+  /// Requests that it works on now.
+  std::size_t running() const { return Running; }
   Address address() const { return Serving->address(); }
   /// Where others reach it, if not at its own address.
   void setPublic(Address Where) { Public = std::move(Where); }
--- a/IntegrationTests/Platform/PlatformWorld.cpp
+++ b/IntegrationTests/Platform/PlatformWorld.cpp
@@ -5,12 +5,15 @@
 #include "IntegrationTests/Harness/Waiting.h"
 #include "Wasabi/Core/Base64.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <fmt/format.h>
 
+#include <array>
 #include <fstream>
 
 namespace wasabi::test {
@@ -149,6 +152,11 @@
   return path;
 }
 
+void PlatformWorld::breakBootFile(const std::string &Name,
+                                  const std::string &Text) {
+  std::ofstream(Folder->file(Name + ".json")) << Text;
+}
+
 void PlatformWorld::startEdge(std::size_t Index) {
   EdgeProcess &edge = Edges[Index];
   std::string listen =
@@ -220,6 +228,36 @@
   return http::Response{0, {}, describe(got.failure())};
 }
 
+std::string PlatformWorld::sendRaw(std::size_t Edge, const std::string &Bytes,
+                                   Millis Wait, const std::string &Until) {
+  using Tcp = boost::asio::ip::tcp;
+  constexpr std::size_t ReadBytes = 4096;
+  boost::asio::io_context context;
+  Tcp::socket socket(context);
+  socket.connect(Tcp::endpoint(boost::asio::ip::address_v4::loopback(),
+                               Edges[Edge].Callers.Port));
+  boost::asio::write(socket, boost::asio::buffer(Bytes));
+  std::string got;
+  bool ended = false;
+  std::array<char, ReadBytes> buf{};
+  std::function<void()> readOn = [&] {
+    socket.async_read_some(boost::asio::buffer(buf),
+                           [&](boost::system::error_code ec, std::size_t n) {
+                             got.append(buf.data(), n);
+                             bool seen = !Until.empty() &&
+                                         got.find(Until) != std::string::npos;
+                             ended = ec || seen;
+                             if (!ended)
+                               readOn();
+                           });
+  };
+  readOn();
+  TimePoint latest = monotonicNow() + Wait;
+  while (!ended && monotonicNow() < latest)
+    context.run_one_for(Millis(20));
+  return got;
+}
+
 unsigned PlatformWorld::submit(std::size_t Edge, const std::string &Job,
                                std::size_t Items, std::uint64_t MinVersion) {
   json::array items;
--- a/IntegrationTests/Platform/PlatformWorld.h
+++ b/IntegrationTests/Platform/PlatformWorld.h
@@ -89,6 +89,12 @@
   Proxy serverLink(std::size_t Index) const { return ServerLinks[Index]; }
   void setFaults(const Proxy &Of, const boost::json::object &Changes);
 
+  /// Writes a process's settings file, with `Extra` fields, and gives its path.
+  /// `Process` counts the links to the store.
+  std::string bootFile(const std::string &Name, const std::string &Extra,
+                       std::size_t Process);
+  /// Puts other text into a settings file.
+  void breakBootFile(const std::string &Name, const std::string &Text);
   void startEdge(std::size_t Index);
   void startSide(std::size_t Index);
   /// Writes a server's registration, or its end.
@@ -103,6 +109,10 @@
 
   http::Response ask(std::size_t Edge, const std::string &Path,
                      const std::string &Id);
+  /// Sends bytes as they are and gives all that comes until the connection
+  /// ends, `Until` has come, or `Wait` is over; then closes.
+  std::string sendRaw(std::size_t Edge, const std::string &Bytes, Millis Wait,
+                      const std::string &Until = "");
   /// The status of a submission of `Items` scored items.
   unsigned submit(std::size_t Edge, const std::string &Job, std::size_t Items,
                   std::uint64_t MinVersion = 1);
@@ -114,8 +124,6 @@
   unsigned end(std::size_t Edge, const std::string &Job);
 
 private:
-  std::string bootFile(const std::string &Name, const std::string &Extra,
-                       std::size_t Process);
   Proxy makeLink(const Address &Upstream);
   void makeServers();
   void makeLinks();
--- a/Wasabi/Core/AsyncSignal.h
+++ b/Wasabi/Core/AsyncSignal.h
@@ -54,7 +54,8 @@
 }
 
 /// Runs `Work` until it ends or `Stop` is emitted, which ends what it waits for
-/// with an error; empty if it ended by an exception, as a stopped one does.
+/// with an error; empty if it was stopped, whatever it made of that error, or
+/// ended by an exception.
 template <typename T>
 boost::asio::awaitable<std::optional<T>>
 cancellable(boost::asio::any_io_executor Executor,
@@ -64,7 +65,11 @@
   co_await boost::asio::co_spawn(
       Executor,
       [&result, &Work]() -> boost::asio::awaitable<void> {
-        result.emplace(co_await std::move(Work));
+        T got = co_await std::move(Work);
+        boost::asio::cancellation_state state =
+            co_await boost::asio::this_coro::cancellation_state;
+        if (state.cancelled() == boost::asio::cancellation_type::none)
+          result.emplace(std::move(got));
       },
       boost::asio::bind_cancellation_slot(
           Stop.slot(), boost::asio::as_tuple(boost::asio::use_awaitable)));
