--- a/IntegrationTests/Platform/PlatformWorld.h
+++ b/IntegrationTests/Platform/PlatformWorld.h
@@ -62,7 +62,7 @@
     return result.get();
   }
   void onPlatform(const std::function<void()> &Body) {
-    onPlatform<int>([Body] {
+    onPlatform<int>([&Body] {
       Body();
       return 0;
     });
--- a/Wasabi/Batch/PayloadStore.cpp
+++ b/Wasabi/Batch/PayloadStore.cpp
@@ -53,6 +53,7 @@
     if (it.Records.empty())
       continue;
     std::vector<std::uint64_t> sizes;
+    sizes.reserve(it.Records.size());
     for (const std::string &record : it.Records)
       sizes.push_back(record.size());
     Outcome<Offset> first =
