--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -70,8 +70,6 @@
   TimePoint LastEvent;
   /// Whether its run has had an event.
   bool Begun = false;
-  /// Whether its run was stopped for it to go on at another engine.
-  bool Moving = false;
   /// Stops whatever it waits for.
   boost::asio::cancellation_signal Stop;
   /// Set when the run is to end without a result.
@@ -220,7 +218,7 @@
   std::map<ModelName, double> demand() const;
   boost::asio::awaitable<void> lookLoop();
   void lookAtRuns();
-  void moveHeldUpRuns(double UsualMs);
+  void takeFromSlow(double UsualMs);
   void forgetPaces();
   void takeHeld(EngineState &Engine) const;
   void wantVersions();
--- a/Wasabi/Dispatch/DispatcherEngines.cpp
+++ b/Wasabi/Dispatch/DispatcherEngines.cpp
@@ -106,8 +106,8 @@
     syncEngines();
     lookAtRuns();
     forgetPaces();
+    takeFromSlow(usualEventMs(Pool));
     wantVersions();
-    moveHeldUpRuns(usualEventMs(Pool));
     schedule();
   }
 }
@@ -138,23 +138,21 @@
   }
 }
 
-/// Moves runs to engines with room, from ones that are slow and from ones that
-/// take new weights: going on elsewhere costs some milliseconds of reading and
-/// an event of 36 ms; staying costs the rest of the text at a multiple of the
-/// time, or the 900 ms of a load.
-void Dispatcher::moveHeldUpRuns(double UsualMs) {
+/// Moves runs from engines that are slow to ones that are not and have room:
+/// going on elsewhere costs some milliseconds of reading, staying costs the
+/// rest of the text at a multiple of the time.
+void Dispatcher::takeFromSlow(double UsualMs) {
   TimePoint now = monotonicNow();
   std::map<const EngineState *, std::uint32_t> promised;
   for (const std::shared_ptr<ItemWork> &it : Works) {
-    bool runs = it->Stage == ItemStage::Running && it->Engine && it->Begun &&
-                it->Stream != nullptr && !it->Moving;
-    bool slow = runs && isSlow(*it->Engine, UsualMs, Limits.Pool);
-    if (!slow && !(runs && it->Engine->swapping()))
+    bool slow = it->Stage == ItemStage::Running && it->Engine && it->Begun &&
+                it->Stream != nullptr &&
+                isSlow(*it->Engine, UsualMs, Limits.Pool);
+    if (!slow)
       continue;
     std::shared_ptr<EngineState> other =
         chooseEngine(Pool, needOf(*it), UsualMs, Limits.Pool, now);
-    if (!other || other == it->Engine || other->swapping() ||
-        isSlow(*other, UsualMs, Limits.Pool) ||
+    if (!other || isSlow(*other, UsualMs, Limits.Pool) ||
         other->Server->SuspectUntil > now)
       continue;
     std::uint32_t &more = promised[other.get()];
@@ -164,10 +162,9 @@
     Decisions->line("item.taken_away",
                     {{"item", it->Item.Id.Text},
                      {"server", it->Engine->Server->Entry.Id.Text},
-                     {"reason", slow ? "slow" : "new weights"},
+                     {"reason", "slow"},
                      {"event_ms", fmt::format("{:.0f}", it->Engine->EventMs)},
                      {"usual_ms", fmt::format("{:.0f}", UsualMs)}});
-    it->Moving = true;
     it->Stream->cancel();
   }
 }
--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -44,7 +44,6 @@
   Work->Engine = On;
   Work->LastEvent = monotonicNow();
   Work->Begun = false;
-  Work->Moving = false;
   ++On->Running;
   ++On->Server->InFlight;
   PromptAt[Work->Item.Group] = On->Server->Entry.Id;
@@ -216,9 +215,7 @@
 void Dispatcher::endRun(const std::shared_ptr<ItemWork> &Work,
                         const Failure &Why) {
   Work->Stage = ItemStage::Waiting;
-  // What was moved has failed nowhere.
-  Work->NotBefore =
-      monotonicNow() + (Work->Moving ? Millis(0) : Limits.RetryPause);
+  Work->NotBefore = monotonicNow() + Limits.RetryPause;
   Decisions->line("item.run_ended",
                   {{"item", Work->Item.Id.Text},
                    {"server", Work->Avoid.Text},
--- a/Wasabi/Dispatch/EnginePool.cpp
+++ b/Wasabi/Dispatch/EnginePool.cpp
@@ -177,7 +177,7 @@
 std::shared_ptr<EngineState>
 chooseEngine(const EngineList &Engines, const EngineNeed &Need, double UsualMs,
              const EnginePoolSettings &Limits, TimePoint Now) {
-  using Rank = std::tuple<bool, bool, bool, bool, bool, double>;
+  using Rank = std::tuple<bool, bool, bool, bool, double>;
   std::shared_ptr<EngineState> best;
   Rank bestRank;
   for (const std::shared_ptr<EngineState> &it : Engines) {
@@ -188,9 +188,9 @@
     if (!fits || !hasRoom(*it, Now))
       continue;
     double load = static_cast<double>(it->Running) / server.Entry.Slots;
-    Rank rank{server.SuspectUntil > Now,         it->swapping(),
-              isSlow(*it, UsualMs, Limits),      server.Entry.Id == Need.Avoid,
-              server.Entry.Id != Need.Preferred, load};
+    Rank rank{server.SuspectUntil > Now, isSlow(*it, UsualMs, Limits),
+              server.Entry.Id == Need.Avoid, server.Entry.Id != Need.Preferred,
+              load};
     if (!best || rank < bestRank) {
       best = it;
       bestRank = rank;
