A duty that was given back is not taken up again by who gave it

Cause: until a stopping process had read its own release, the topic named it the holder, and it took up all jobs a second time beside its successor.

--- a/UnitTests/Dispatch/DutyKeeperTest.cpp
+++ b/UnitTests/Dispatch/DutyKeeperTest.cpp
@@ -72,6 +72,22 @@
   CHECK_FALSE(one.Duty->held());
 }
 
+TEST_CASE("A duty that was given back is not taken up again", "[dispatch]") {
+  BatchWorld world;
+  DutyProcess one(world, "one", 1);
+  REQUIRE(world.runUntil([&] { return one.Duty->held(); }));
+  // The topic says for a while that the lease is held, or for ever when the
+  // release is lost.
+  world.Store.Fates = {AppendFate::Lost};
+  world.run([&]() -> boost::asio::awaitable<void> {
+    std::vector<std::string> none;
+    co_await one.Duty->release(std::move(none));
+  });
+  world.Context.run_for(Millis(100));
+  CHECK(one.Gained == 1);
+  CHECK_FALSE(one.Duty->held());
+}
+
 TEST_CASE("An outage of the store costs the holder nothing", "[dispatch]") {
   BatchWorld world;
   DutyProcess one(world, "one", 1);
--- a/Wasabi/Dispatch/DutyKeeper.cpp
+++ b/Wasabi/Dispatch/DutyKeeper.cpp
@@ -70,7 +70,7 @@
          {"new_term", std::to_string(lease.Term)}});
     Calls.Lost();
   }
-  if (!Held && mine) {
+  if (!Held && mine && !Retired) {
     Held = true;
     Term = lease.Term;
     Decisions->line("duty.gained", {{"term", std::to_string(Term)}});
