--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -188,6 +188,18 @@
   CHECK(world.results(job)[0].Versions == std::vector<WeightVersion>{2});
 }
 
+TEST_CASE("An engine that refuses connections does not draw the items",
+          "[dispatch]") {
+  DispatchWorld world;
+  world.server("e1").Refuses = true;
+  world.server("e2").Pace = Millis(5);
+  BatchJob job = makeJob("a", 30);
+  world.submit(job);
+  REQUIRE(world.finishes(job));
+  // Its four places at the first look, and a trial now and then.
+  CHECK(world.server("e1").Runs.size() <= 8);
+}
+
 TEST_CASE("Items of a silent engine are run by another", "[dispatch]") {
   DispatchWorld world;
   world.server("e1").Dark = true;
--- a/UnitTests/Dispatch/FakeEngines.cpp
+++ b/UnitTests/Dispatch/FakeEngines.cpp
@@ -79,6 +79,9 @@
   co_await pauseFor(Context.get_executor(), Millis(1));
   FakeServer &server = Servers[Server.Id];
   server.Runs.push_back(Options.RequestId);
+  if (server.Refuses)
+    co_return Failure{Verdict::NotRun, FailureCode::Unreachable, Server.Id.Text,
+                      "refused", Millis(0)};
   std::uint64_t after = Options.ResumeAfter.value_or(0);
   if (after > 0)
     Resumed.push_back(after);
--- a/UnitTests/Dispatch/FakeEngines.h
+++ b/UnitTests/Dispatch/FakeEngines.h
@@ -23,6 +23,8 @@
   Millis Pace{2};
   /// A run breaks off after so many events; 0 for never.
   std::uint64_t BreakAfter = 0;
+  /// Refuses connections.
+  bool Refuses = false;
   /// Neither answers nor sends events.
   bool Dark = false;
   /// Runs that began here, by item.
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 #include <tuple>
 
 namespace wasabi {
@@ -222,12 +223,20 @@
   });
 }
 
-/// The engines of each model that take one more sample now.
+/// The engines of each model that take one more sample now. One that has just
+/// failed is left alone while others of its model are well, full or not: an
+/// engine that refuses all has room always.
 std::map<ModelName, EngineList>
 Dispatcher::enginesWithRoom(TimePoint Now) const {
+  std::set<ModelName> well;
+  for (const std::shared_ptr<EngineState> &it : Pool) {
+    if (it->Server->SuspectUntil <= Now)
+      well.insert(it->Model);
+  }
   std::map<ModelName, EngineList> found;
   for (const std::shared_ptr<EngineState> &it : Pool) {
-    if (hasRoom(*it, Now))
+    bool suspect = it->Server->SuspectUntil > Now && well.contains(it->Model);
+    if (!suspect && hasRoom(*it, Now))
       found[it->Model].push_back(it);
   }
   return found;
--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -72,8 +72,12 @@
   Failure why{Verdict::MayHaveRun, FailureCode::Cancelled, "dispatcher",
               "the run was stopped", Millis(0)};
   bool whole = false;
-  if (opened && !*opened)
+  if (opened && !*opened) {
     why = opened->failure();
+    // An engine without runs is the least loaded one: unless it is put last,
+    // one that refuses connections draws each waiting item once.
+    wasabi::noteFailure(View.Servers, *engine->Server, monotonicNow());
+  }
   if (opened && *opened && !Work->Dropped) {
     std::unique_ptr<EngineStream> stream = std::move(**opened);
     bool good = judgeHead(Work, stream->head());
