--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -55,7 +55,8 @@
     Dispatcher::Settings limits;
     limits.LookEvery = Millis(10);
     limits.StallTime = Millis(80);
-    limits.LoadStallTime = Millis(120);
+    limits.FirstEventTime = Millis(120);
+    limits.LoadStallTime = Millis(3000);
     limits.RetryPause = Millis(2);
     limits.SwapLimit = Millis(150);
     limits.SaveEvery = Millis(10);
@@ -210,6 +211,36 @@
     CHECK(it.Output == wholeText(it.Item.Text, 5));
 }
 
+TEST_CASE("A run without a first event does not wait as long as a load takes",
+          "[dispatch]") {
+  DispatchWorld world;
+  world.server("e1").Dark = true;
+  world.server("e2").Dark = true;
+  BatchJob job = makeJob("a", 1);
+  world.submit(job);
+  auto runs = [&] {
+    return world.server("e1").Runs.size() + world.server("e2").Runs.size();
+  };
+  REQUIRE(world.runUntil([&] { return runs() == 1; }));
+  TimePoint begun = monotonicNow();
+  REQUIRE(world.runUntil([&] { return runs() == 2; }));
+  CHECK(monotonicNow() - begun < Millis(1000));
+}
+
+TEST_CASE("A score that does not come is asked for again", "[dispatch]") {
+  DispatchWorld world;
+  world.addServer("j2", Judge);
+  world.server("j1").Dark = true;
+  world.server("j2").Dark = true;
+  BatchJob job = scoredJob("a", 1);
+  world.submit(job);
+  world.Context.run_for(Millis(60));
+  world.server("j1").Dark = false;
+  world.server("j2").Dark = false;
+  REQUIRE(world.finishes(job));
+  CHECK(world.results(job)[0].End == ItemEnd::Completed);
+}
+
 TEST_CASE("An item that fails at every attempt is terminated", "[dispatch]") {
   DispatchWorld world;
   world.server("e1").Status = 500;
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -90,8 +90,11 @@
     /// A run without an event for this long has lost its server. An event takes
     /// some 40 ms; a prompt that is read beside it some 10 ms more.
     Millis StallTime{450};
-    /// The same before the first event and while its server takes weights: a
-    /// load takes 0.9 s, and longer when several load.
+    /// The same before its first event, which waits for the prompt and may wait
+    /// for a slot: some 100 ms at an engine that has a place free.
+    Millis FirstEventTime{800};
+    /// The same while its server takes weights: a load takes 0.9 s, and longer
+    /// when several load.
     Millis LoadStallTime{2500};
     /// An engine without an event for this long has no known pace: faults that
     /// slow an engine last some seconds, and a trial costs a few events.
@@ -112,8 +115,11 @@
     Millis EventLimit{6000};
     /// Pause before an item is tried again after a failure.
     Millis RetryPause{60};
-    /// Time that a scoring call is given.
-    Millis ScoreTime{2000};
+    /// Time that a scoring call is given before it is made again elsewhere: it
+    /// takes 80 ms and in one case of a hundred 400.
+    Millis FirstScoreTime{450};
+    /// The same from the second time on.
+    Millis ScoreTime{1500};
     /// Pause between two moves of an engine to another model.
     Millis MoveEvery{4000};
     /// What a job's demand counts for: its expected tokens while it is younger
--- a/Wasabi/Dispatch/DispatcherEngines.cpp
+++ b/Wasabi/Dispatch/DispatcherEngines.cpp
@@ -119,8 +119,9 @@
     if (it->Stage != ItemStage::Running || !it->Engine)
       continue;
     EngineState &engine = *it->Engine;
-    Millis patience = engine.swapping() || !it->Begun ? Limits.LoadStallTime
-                                                      : Limits.StallTime;
+    Millis patience = engine.swapping() ? Limits.LoadStallTime
+                      : it->Begun       ? Limits.StallTime
+                                        : Limits.FirstEventTime;
     bool stalled = now - it->LastEvent > patience;
     bool leaving = !usable(View.Servers, *engine.Server, View.Contact, now);
     if (!stalled && !leaving)
--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -244,6 +244,7 @@
   ItemResult result{item.Id, ItemEnd::Completed, Work->Text.Output,
                     Work->Text.Versions, ""};
   std::uint32_t failures = 0;
+  std::uint32_t calls = 0;
   while (item.Score && !Work->Dropped && result.Score.empty()) {
     const UpstreamRoute *route =
         View.Routes
@@ -261,7 +262,7 @@
     ForwardRequest call;
     call.Id = item.Score->Id;
     call.Arrived = monotonicNow();
-    call.Patience = failures == 0 ? Limits.ScoreTime / 2 : Limits.ScoreTime;
+    call.Patience = ++calls == 1 ? Limits.FirstScoreTime : Limits.ScoreTime;
     call.Ask.Method = "POST";
     call.Ask.Target = item.Score->Path;
     call.Ask.Headers = {{"Host", item.Score->Host}};
