--- a/IntegrationTests/Platform/PlatformWorld.cpp
+++ b/IntegrationTests/Platform/PlatformWorld.cpp
@@ -258,11 +258,12 @@
   return got;
 }
 
-unsigned PlatformWorld::submit(std::size_t Edge, const std::string &Job,
-                               std::size_t Items, std::uint64_t MinVersion) {
+std::string jobText(const std::string &Job,
+                    const std::vector<std::string> &Items,
+                    std::uint64_t MinVersion) {
   json::array items;
-  for (std::size_t i = 0; i < Items; ++i) {
-    std::string id = Job + "-" + std::to_string(i);
+  for (std::size_t i = 0; i < Items.size(); ++i) {
+    const std::string &id = Items[i];
     json::object score{{"id", "score-" + id},
                        {"host", "host.example"},
                        {"path", "/desk/score"},
@@ -272,15 +273,23 @@
                      {"path", "/rollout/" + id},
                      {"headers", json::object{{"Wasabisail-Model", Model}}},
                      {"body", encodeBase64("prompt " + id)},
-                     {"group", "g" + std::to_string(i / 2)},
+                     {"group", Job + "-g" + std::to_string(i / 2)},
                      {"scorer_url", score}});
   }
+  return json::serialize(json::object{{"step", 0},
+                                      {"model", Model},
+                                      {"min_version", MinVersion},
+                                      {"target_groups", 1},
+                                      {"items", items}});
+}
+
+unsigned PlatformWorld::submit(std::size_t Edge, const std::string &Job,
+                               std::size_t Items, std::uint64_t MinVersion) {
+  std::vector<std::string> names;
+  for (std::size_t i = 0; i < Items; ++i)
+    names.push_back(Job + "-" + std::to_string(i));
   http::Request ask = request("POST", "/rollout/" + Job, Job);
-  ask.Body = json::serialize(json::object{{"step", 0},
-                                          {"model", Model},
-                                          {"min_version", MinVersion},
-                                          {"target_groups", 1},
-                                          {"items", items}});
+  ask.Body = jobText(Job, names, MinVersion);
   Outcome<http::Response> got =
       harness::call(Edges[Edge].Callers, std::move(ask));
   return got ? got->Status : 0;
--- a/IntegrationTests/Platform/PlatformWorld.h
+++ b/IntegrationTests/Platform/PlatformWorld.h
@@ -22,6 +22,11 @@
 
 namespace wasabi::test {
 
+/// A submission of scored items, two a group, as a trainer sends it.
+std::string jobText(const std::string &Job,
+                    const std::vector<std::string> &Items,
+                    std::uint64_t MinVersion);
+
 /// How large a world is.
 struct WorldShape {
   std::size_t Edges = 1;
--- a/IntegrationTests/Soak/SoakClients.cpp
+++ b/IntegrationTests/Soak/SoakClients.cpp
@@ -1,7 +1,7 @@
 #include "IntegrationTests/Soak/SoakClients.h"
 
+#include "IntegrationTests/Platform/PlatformWorld.h"
 #include "Wasabi/Core/AsyncSignal.h"
-#include "Wasabi/Core/Base64.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -62,29 +62,6 @@
   return text;
 }
 
-std::string jobBody(const JobRecord &Job) {
-  json::array items;
-  for (std::size_t i = 0; i < Job.Items.size(); ++i) {
-    const std::string &id = Job.Items[i];
-    json::object score{{"id", "score-" + id},
-                       {"host", Host},
-                       {"path", "/desk/score"},
-                       {"body", encodeBase64("score " + id)}};
-    items.push_back(
-        json::object{{"id", id},
-                     {"path", "/rollout/" + id},
-                     {"headers", json::object{{"Wasabisail-Model", Model}}},
-                     {"body", encodeBase64("prompt " + id)},
-                     {"group", Job.Id + "-" + std::to_string(i / 2)},
-                     {"scorer_url", score}});
-  }
-  return json::serialize(json::object{{"step", 0},
-                                      {"model", Model},
-                                      {"min_version", Job.MinVersion},
-                                      {"target_groups", 1},
-                                      {"items", items}});
-}
-
 } // namespace
 
 std::string faultOfText(const std::string &Text, const std::string &Item,
@@ -254,7 +231,7 @@
     // Weights that were named a moment ago are on their way.
     std::uint64_t named = Named;
     job.MinVersion = named > 1 ? named - 1 : 1;
-    std::string body = jobBody(job);
+    std::string body = test::jobText(job.Id, job.Items, job.MinVersion);
     std::size_t index = Record.Jobs.size();
     Record.Jobs.push_back(std::move(job));
     if (!co_await submit(index, std::move(body)))
