An item that the store has no more does not hold up the others of its job

Cause: found on reading: items of a job are brought in one after the other, and one that the store had no more was asked for each 60 ms for ever; a payload with too few items ended the process by an exception. Change: what is expired or makes no sense is left out with a log line, the others go on. A test fails first.

--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -139,6 +139,29 @@
   }
 }
 
+TEST_CASE("An item that the store has no more does not hold up the others",
+          "[dispatch]") {
+  DispatchWorld world;
+  BatchJob job = makeJob("a", 5);
+  JobPart part{job, 0, 3};
+  part.Job.Items = {job.Items[0], job.Items[1]};
+  part.ItemsAt = {{0, 10}};
+  JobPart few{job, 1, 3};
+  few.Job.Items = {job.Items[2]};
+  few.ItemsAt = {{1, 10}};
+  JobPart rest{job, 2, 3};
+  rest.Job.Items = {job.Items[3], job.Items[4]};
+  world.Store.append("payload", "no items");
+  world.Store.append("payload", encodeItems({}));
+  world.Store.append("payload", encodeItems(rest.Job.Items));
+  rest.ItemsAt = {{2, 10}};
+  for (const JobPart &it : {part, few, rest})
+    world.Store.append("rollout", encodeRecord(it));
+  REQUIRE(world.runUntil([&] { return world.results(job).size() == 2; }));
+  for (const ItemResult &it : world.results(job))
+    CHECK(it.Output == wholeText(it.Item.Text, 5));
+}
+
 TEST_CASE("A text that breaks off goes on after its last event", "[dispatch]") {
   DispatchWorld world;
   world.server("e1").BreakAfter = 2;
--- a/Wasabi/Batch/BatchDesk.cpp
+++ b/Wasabi/Batch/BatchDesk.cpp
@@ -79,7 +79,7 @@
     items.push_back(encodeItems(it.Job.Items));
   Outcome<std::vector<PayloadPlace>> places = co_await Payloads->put(items);
   // A repeated store of items does no harm, so one lost answer is borne.
-  if (!places)
+  if (!places && !Log->contact().Lost)
     places = co_await Payloads->put(std::move(items));
   if (!places)
     co_return places.failure();
@@ -208,14 +208,13 @@
   ItemPlace place = job.Places[it->second];
   if (place.Items.empty())
     co_return job.Job.Items[it->second].Body;
-  Outcome<std::string> stored = co_await Payloads->get(place.Items);
-  if (!stored)
-    co_return unsure(Id, stored.failure().Reason);
-  Outcome<std::vector<BatchItem>> items = toOutcome<std::vector<BatchItem>>(
-      [&] { return decodeItems(*stored, "items of job " + Id.Text); });
+  Outcome<std::vector<BatchItem>> items =
+      co_await getItems(*Payloads, place.Items, Id);
   if (!items)
-    co_return items.failure();
-  co_return items->at(place.Index).Body;
+    co_return unsure(Id, items.failure().Reason);
+  if (place.Index >= items->size())
+    co_return unsure(Id, "its items are too few");
+  co_return std::move((*items)[place.Index].Body);
 }
 
 } // namespace wasabi
--- a/Wasabi/Batch/PayloadStore.cpp
+++ b/Wasabi/Batch/PayloadStore.cpp
@@ -1,5 +1,7 @@
 #include "Wasabi/Batch/PayloadStore.h"
 
+#include "Wasabi/Batch/BatchRecord.h"
+
 #include <algorithm>
 
 namespace wasabi {
@@ -117,4 +119,13 @@
   co_return bytes;
 }
 
+asio::awaitable<Outcome<std::vector<BatchItem>>>
+getItems(PayloadStore &From, PayloadPlace Place, JobId Of) {
+  Outcome<std::string> stored = co_await From.get(std::move(Place));
+  if (!stored)
+    co_return stored.failure();
+  co_return toOutcome<std::vector<BatchItem>>(
+      [&] { return decodeItems(*stored, "items of " + Of.Text); });
+}
+
 } // namespace wasabi
--- a/Wasabi/Batch/PayloadStore.h
+++ b/Wasabi/Batch/PayloadStore.h
@@ -63,6 +63,11 @@
   std::size_t KeptBytes = 0;
 };
 
+/// The items of `Of` that lie at `Place`. Failures: those of
+/// `PayloadStore::get`; `BadInput` when these are no items.
+boost::asio::awaitable<Outcome<std::vector<BatchItem>>>
+getItems(PayloadStore &From, PayloadPlace Place, JobId Of);
+
 } // namespace wasabi
 
 #endif // WASABI_BATCH_PAYLOADSTORE_H
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -164,9 +164,9 @@
   Wake.notify();
 }
 
-/// The item's route in the configuration in force. It is looked up once for
-/// each configuration: with hundreds of items waiting and hundreds of routes,
-/// looking at each change took a tenth of a core.
+/// The item's route in the configuration in force, looked up once for each
+/// configuration: hundreds of items may wait, and there may be hundreds of
+/// routes.
 const UpstreamRoute *Dispatcher::routeOf(const ItemWork &Work) const {
   if (!View.Routes)
     return nullptr;
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -115,6 +115,8 @@
     Millis EventLimit{6000};
     /// Pause before an item is tried again after a failure.
     Millis RetryPause{60};
+    /// Pause before the store is asked again for an item that it did not give.
+    Millis LoadPause{200};
     /// Time that a scoring call is given before it is made again elsewhere: it
     /// takes 80 ms and in one case of a hundred 400.
     Millis FirstScoreTime{450};
@@ -164,6 +166,9 @@
   void onHeld(const ServerName &Of, const HeldWeights &Now);
 
 private:
+  /// What became of bringing in an item: the store may give it later, or has it
+  /// no more.
+  enum class LoadOutcome : std::uint8_t { Loaded, Later, Never };
   /// Items that lie together in the payload topic.
   struct LoadedItems {
     PayloadPlace From;
@@ -186,7 +191,8 @@
   // Items.
   void takeUp(const std::shared_ptr<JobState> &Job);
   boost::asio::awaitable<void> load(std::vector<std::shared_ptr<ItemWork>> All);
-  boost::asio::awaitable<bool> loadItem(ItemWork &Work, LoadedItems &Near);
+  boost::asio::awaitable<LoadOutcome> loadItem(ItemWork &Work,
+                                               LoadedItems &Near);
   boost::asio::awaitable<void> loadSaved(ItemWork &Work);
   boost::asio::awaitable<Outcome<PartialText>> loadText(StoredText From) const;
   void loaded(const std::shared_ptr<ItemWork> &Work);
--- a/Wasabi/Dispatch/DispatcherRecords.cpp
+++ b/Wasabi/Dispatch/DispatcherRecords.cpp
@@ -21,8 +21,15 @@
   // Items of a job lie together: one read and one decoding serve dozens.
   LoadedItems near;
   for (const std::shared_ptr<ItemWork> &it : All) {
-    while (!it->Dropped && !co_await loadItem(*it, near))
-      co_await pauseFor(Executor, Limits.RetryPause);
+    LoadOutcome got = LoadOutcome::Later;
+    while (!it->Dropped && got == LoadOutcome::Later) {
+      got = co_await loadItem(*it, near);
+      if (got == LoadOutcome::Later)
+        co_await pauseFor(Executor, Limits.LoadPause);
+    }
+    // Nobody can do it any more; the others of its job can be done.
+    if (got == LoadOutcome::Never)
+      it->Dropped = true;
     if (!it->Dropped)
       co_await loadSaved(*it);
     if (!it->Dropped)
@@ -32,30 +39,33 @@
   Wake.notify();
 }
 
-/// False if the store does not give the item now.
-asio::awaitable<bool> Dispatcher::loadItem(ItemWork &Work, LoadedItems &Near) {
+asio::awaitable<Dispatcher::LoadOutcome>
+Dispatcher::loadItem(ItemWork &Work, LoadedItems &Near) {
   const ItemPlace &place = Work.Job->Places[Work.Index];
   if (place.Items.empty())
-    co_return true;
+    co_return LoadOutcome::Loaded;
+  std::optional<Failure> failed;
   if (Near.From != place.Items) {
-    Outcome<std::string> stored = co_await Payloads->get(place.Items);
     Outcome<std::vector<BatchItem>> items =
-        !stored ? Outcome<std::vector<BatchItem>>(stored.failure())
-                : toOutcome<std::vector<BatchItem>>([&] {
-                    return decodeItems(*stored,
-                                       "items of " + Work.Job->Job.Id.Text);
-                  });
-    if (!items) {
-      Decisions->line(
-          "item.not_loaded",
-          {{"item", Work.Item.Id.Text}, {"reason", describe(items.failure())}});
-      co_return false;
-    }
-    Near = {place.Items, std::move(*items)};
+        co_await getItems(*Payloads, place.Items, Work.Job->Job.Id);
+    if (items)
+      Near = {place.Items, std::move(*items)};
+    else
+      failed = items.failure();
+  }
+  if (!failed && place.Index >= Near.Items.size())
+    failed = Failure{Verdict::NotRun, FailureCode::BadInput,
+                     "items of " + Work.Job->Job.Id.Text, "too few", Millis(0)};
+  if (!failed) {
+    Work.Item = Near.Items[place.Index];
+    Work.Found = {};
+    co_return LoadOutcome::Loaded;
   }
-  Work.Item = Near.Items.at(place.Index);
-  Work.Found = {};
-  co_return true;
+  Decisions->line("item.not_loaded",
+                  {{"item", Work.Item.Id.Text}, {"reason", describe(*failed)}});
+  bool gone = failed->Code == FailureCode::Expired ||
+              failed->Code == FailureCode::BadInput;
+  co_return gone ? LoadOutcome::Never : LoadOutcome::Later;
 }
 
 /// Takes the text that a dispatcher before has saved. One that can't be had is
