A listener's connections do not keep its successor off the port

Cause: the change that made kernel-chosen ports a process's own left the option off for accepted connections, and one of these in its last state kept a server from the port that its predecessor had. The option is set again once the port is bound.

--- a/Wasabi/Adapters/Frames/RequestServer.cpp
+++ b/Wasabi/Adapters/Frames/RequestServer.cpp
@@ -193,6 +193,9 @@
       Acceptor.set_option(tcp::acceptor::reuse_address(chosen), ec);
     if (!ec)
       Acceptor.bind(where, ec);
+    // Connections that outlive this listener must not keep its successor out.
+    if (!ec)
+      Acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
     if (!ec)
       Acceptor.listen(asio::socket_base::max_listen_connections, ec);
     if (ec)
--- a/Wasabi/Adapters/Http/HttpServer.cpp
+++ b/Wasabi/Adapters/Http/HttpServer.cpp
@@ -579,6 +579,10 @@
   if (ec)
     return ec;
   Acceptor.bind(where, ec);
+  if (ec)
+    return ec;
+  // Connections that outlive this listener must not keep its successor out.
+  Acceptor.set_option(Tcp::acceptor::reuse_address(true), ec);
   if (ec)
     return ec;
   Acceptor.listen(asio::socket_base::max_listen_connections, ec);
