--- a/IntegrationTests/Platform/PlatformWorld.h
+++ b/IntegrationTests/Platform/PlatformWorld.h
@@ -87,7 +87,7 @@
   }
   std::size_t servers() const { return Size.Engines + Size.Desks; }
 
-  // Links of a proxied world. Only these faults of a proxy are changed.
+  // Links of a proxied world, each a fault proxy.
   Proxy callerLink(std::size_t Edge) const { return CallerLinks[Edge]; }
   /// Of the edge processes first, then of the side processes.
   Proxy storeLink(std::size_t Process) const { return StoreLinks[Process]; }
