--- a/IntegrationTests/Cases/SoakTest.cpp
+++ b/IntegrationTests/Cases/SoakTest.cpp
@@ -2,6 +2,7 @@
 /// The soak: its plan is the seed's, its judge finds each broken promise, and
 /// short fixed seeds hold every one. Longer ones run by `./run soak`.
 #include "IntegrationTests/Harness/Process.h"
+#include "IntegrationTests/Soak/SoakClients.h"
 #include "IntegrationTests/Soak/SoakJudge.h"
 
 #include <catch2/catch.hpp>
@@ -196,6 +197,18 @@
   CHECK(finds({}, truth, "ordered by side-1"));
 }
 
+TEST_CASE("Soak clients: a text that is not whole, or not truly labelled",
+          "[soak]") {
+  const std::string whole = "i:1:v2\ni:2:v2\ni:3:v3";
+  CHECK(faultOfText(whole, "i", 3, {2, 3}).empty());
+  CHECK_FALSE(faultOfText(whole, "i", 4, {2, 3}).empty());
+  CHECK_FALSE(faultOfText(whole, "i", 3, {2}).empty());
+  CHECK_FALSE(faultOfText(whole, "i", 3, {1, 2, 3}).empty());
+  CHECK_FALSE(faultOfText(whole, "other", 3, {2, 3}).empty());
+  CHECK_FALSE(faultOfText("i:1:v2\ni:3:v2", "i", 2, {2}).empty());
+  CHECK_FALSE(faultOfText("i:1:v2\ni:1:v2\ni:2:v2", "i", 3, {2}).empty());
+}
+
 TEST_CASE("A soak's plan is its seed's alone and ends in time", "[soak]") {
   constexpr Millis Length{20000};
   for (std::uint64_t seed = 0; seed < 30; ++seed) {
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -250,18 +250,21 @@
   CHECK(monotonicNow() - begun < Millis(1000));
 }
 
-TEST_CASE("A score that does not come is asked for again", "[dispatch]") {
+TEST_CASE("A score that does not come is soon asked for again, then awaited",
+          "[dispatch]") {
   DispatchWorld world;
   world.addServer("j2", Judge);
   world.server("j1").Dark = true;
   world.server("j2").Dark = true;
   BatchJob job = scoredJob("a", 1);
   world.submit(job);
-  world.Context.run_for(Millis(60));
+  REQUIRE(world.runUntil([&] { return world.Engines.ScoreTimes.size() >= 2; }));
   world.server("j1").Dark = false;
   world.server("j2").Dark = false;
   REQUIRE(world.finishes(job));
   CHECK(world.results(job)[0].End == ItemEnd::Completed);
+  CHECK(world.Engines.ScoreTimes[0] <= Millis(450));
+  CHECK(world.Engines.ScoreTimes[1] > Millis(1000));
 }
 
 TEST_CASE("An item that fails at every attempt is terminated", "[dispatch]") {
--- a/UnitTests/Dispatch/FakeEngines.cpp
+++ b/UnitTests/Dispatch/FakeEngines.cpp
@@ -99,6 +99,7 @@
 asio::awaitable<Outcome<UpstreamAnswer>>
 FakeEngines::call(UpstreamEntry Server, SendOptions Options) {
   co_await pauseFor(Context.get_executor(), Millis(1));
+  ScoreTimes.push_back(Options.Deadline.value_or(Millis(0)));
   if (Servers[Server.Id].Dark)
     co_return lost(FailureCode::TimedOut);
   UpstreamAnswer answer;
--- a/UnitTests/Dispatch/FakeEngines.h
+++ b/UnitTests/Dispatch/FakeEngines.h
@@ -45,6 +45,8 @@
   std::vector<unsigned> ScoreStatuses;
   /// Scoring calls, by the scored text's item.
   std::vector<std::string> Scored;
+  /// Time that each scoring call was given.
+  std::vector<Millis> ScoreTimes;
   /// Resumptions, by the event that they went on after.
   std::vector<std::uint64_t> Resumed;
 
