A request that is read as its connection is due to close is answered

Cause: the look for late connections closed a socket whose read had completed in the same turn of the loop. The bytes were taken, the request was then passed on to a server, and its caller's connection was closed without an answer. It takes a kept connection (the watch of its last exchange completes first and puts the read's completion behind the timer) and a process that wakes with both ready, so it shows while processes are stopped under load.

Ruled out: the end of the drain itself. It waits until no connection is open, and one that reads counts as open until its coroutine has ended.

Change: a connection has a phase. Past its deadline an idle or reading one has its read cancelled, and its coroutine decides whether a request has come; only one that answers or lingers is closed from outside.

--- a/UnitTests/Adapters/Http/HttpServerTests.cpp
+++ b/UnitTests/Adapters/Http/HttpServerTests.cpp
@@ -2,6 +2,9 @@
 
 #include <boost/asio/error.hpp>
 
+#include <array>
+#include <thread>
+
 namespace wasabi::http {
 
 namespace {
@@ -186,6 +189,41 @@
   });
 }
 
+TEST_CASE(
+    "A request that is read as its connection is due to close is answered",
+    "[http]") {
+  HttpFixture fixture;
+  Server::Settings limits;
+  limits.DrainGrace = Millis(20);
+  fixture.serve(echo, limits);
+  fixture.run([&]() -> boost::asio::awaitable<void> {
+    RawSocket raw = co_await fixture.connect();
+    co_await HttpFixture::sendText(
+        raw, "POST /1 HTTP/1.1\r\nContent-Length: 3\r\n\r\none");
+    std::string first;
+    while (!Contains("one").match(first)) {
+      std::array<char, 512> buf{};
+      std::size_t n = co_await raw.async_read_some(boost::asio::buffer(buf),
+                                                   boost::asio::use_awaitable);
+      first.append(buf.data(), n);
+    }
+
+    // The process is paused: it wakes with the request arrived and the grace
+    // of a draining server over, both in one turn of its loop.
+    fixture.Serving->drain();
+    boost::asio::write(raw, boost::asio::buffer(std::string(
+                                "POST /2 HTTP/1.1\r\nContent-Length: 3\r\n"
+                                "\r\ntwo")));
+    std::this_thread::sleep_for(limits.DrainGrace * 2);
+
+    boost::system::error_code ended;
+    std::string second = co_await HttpFixture::readAll(raw, ended);
+    CHECK_THAT(second, StartsWith("HTTP/1.1 200 "));
+    CHECK_THAT(second, Contains("two"));
+    co_await fixture.untilClosed();
+  });
+}
+
 TEST_CASE("Stopping ends a handler's answer, not the handler", "[http]") {
   HttpFixture fixture;
   Event began(fixture.Context);
--- a/Wasabi/Adapters/Http/HttpServer.cpp
+++ b/Wasabi/Adapters/Http/HttpServer.cpp
@@ -75,8 +75,8 @@
   void abort();
   /// Graceful shutdown: an idle connection closes after a short grace.
   void drain();
-  /// Closes if it is later than its deadline.
-  void closeIfLate(TimePoint Now);
+  /// Ends what the connection waits for if that is later than its deadline.
+  void endIfLate(TimePoint Now);
 
   /// Whether the connection closes after its next answer.
   bool closing() const;
@@ -95,6 +95,17 @@
   void onReadable();
   void noticeGone();
 
+  /// What the connection does, and so what its deadline ends.
+  enum class Phase : std::uint8_t {
+    /// Nothing of a next request has been read.
+    Idle,
+    Reading,
+    /// A whole request has been read and its answer is owed.
+    Answering,
+    /// The last answer is sent; what the peer still sends is thrown away.
+    Lingering,
+  };
+
   Tcp::socket Socket;
   std::shared_ptr<ServerImpl> Owner;
   beast::flat_buffer Buffer;
@@ -102,7 +113,7 @@
   std::weak_ptr<Exchange> Current;
   /// When the connection is closed unless something happens before.
   TimePoint Deadline = Never;
-  bool Idle = true;
+  Phase Now = Phase::Idle;
   /// Whether a wait for readability is pending.
   bool Watching = false;
 };
@@ -356,13 +367,20 @@
 }
 
 void Connection::drain() {
-  if (!Idle || !Current.expired())
-    return;
-  Deadline = std::min(Deadline, monotonicNow() + Owner->Limits.DrainGrace);
+  if (Now == Phase::Idle)
+    Deadline = std::min(Deadline, monotonicNow() + Owner->Limits.DrainGrace);
 }
 
-void Connection::closeIfLate(TimePoint Now) {
-  if (Now >= Deadline)
+/// A read is cancelled, not cut off: a request that it has taken in the same
+/// turn of the loop is served, and `serve` alone decides that none has come. A
+/// read that ends and is followed by another one is cancelled at the next look.
+void Connection::endIfLate(TimePoint At) {
+  if (At < Deadline)
+    return;
+  ErrorCode ec;
+  if (Now == Phase::Idle || Now == Phase::Reading)
+    Socket.cancel(ec);
+  else
     close();
 }
 
@@ -399,8 +417,8 @@
 }
 
 asio::awaitable<bool> Connection::awaitBytes() {
-  Idle = Buffer.size() == 0;
-  if (!Idle)
+  Now = Buffer.size() == 0 ? Phase::Idle : Phase::Reading;
+  if (Now == Phase::Reading)
     co_return true;
   // Many idle connections must not hold on to many large buffers.
   if (Buffer.capacity() > ReadBytes)
@@ -411,8 +429,8 @@
   auto [ec, n] =
       co_await Socket.async_read_some(Buffer.prepare(ReadBytes), Awaited);
   Buffer.commit(n);
-  Idle = false;
-  co_return !ec;
+  Now = Phase::Reading;
+  co_return n > 0;
 }
 
 asio::awaitable<bool> Connection::readRequest(Parser &Parse) {
@@ -487,6 +505,7 @@
 }
 
 asio::awaitable<void> Connection::linger() {
+  Now = Phase::Lingering;
   // Closing with unread bytes would reset the connection, and the peer might
   // lose the answer; so what it still sends is read and thrown away.
   ErrorCode ec;
@@ -505,6 +524,7 @@
   constexpr unsigned InternalError = 500;
   std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>(
       shared_from_this(), Version, KeepAlive, Ask.Method == "HEAD");
+  Now = Phase::Answering;
   Current = exchange;
   ++Owner->InFlight;
   watch();
@@ -634,7 +654,7 @@
     for (Connection *it : Open)
       all.push_back(it->shared_from_this());
     for (const std::shared_ptr<Connection> &it : all)
-      it->closeIfLate(now);
+      it->endIfLate(now);
   }
 }
 
