--- a/UnitTests/Batch/FakeStore.cpp
+++ b/UnitTests/Batch/FakeStore.cpp
@@ -59,6 +59,10 @@
 FakeStore::take(std::shared_ptr<bool> Cut, std::string Topic,
                 std::vector<std::string> Records, std::optional<Offset> At) {
   co_await pauseFor(Context.get_executor(), Millis(1));
+  if (Silent) {
+    co_await hang();
+    co_return unreachable();
+  }
   AppendFate fate = AppendFate::Taken;
   std::deque<AppendFate> &fates = Topic == "payload" ? PayloadFates : Fates;
   if (!fates.empty()) {
@@ -81,9 +85,18 @@
   co_return first;
 }
 
+asio::awaitable<void> FakeStore::hang() {
+  asio::steady_timer never(Context, asio::steady_timer::time_point::max());
+  co_await never.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
 asio::awaitable<Outcome<LogRange>> FakeStore::read(std::shared_ptr<bool> Cut,
                                                    std::string Topic,
                                                    Offset From, Millis Wait) {
+  if (Silent) {
+    co_await pauseFor(Context.get_executor(), SilentTime);
+    co_return unreachable();
+  }
   TimePoint until = monotonicNow() + Wait;
   while (!Down && !*Cut && Topics[Topic].size() <= From &&
          monotonicNow() < until)
--- a/UnitTests/Batch/FakeStore.h
+++ b/UnitTests/Batch/FakeStore.h
@@ -49,6 +49,10 @@
   /// The same for the topic of payloads.
   std::deque<AppendFate> PayloadFates;
   bool Down = false;
+  /// Connections are taken and nothing is answered: appends hang for good,
+  /// reads until their time limit, `SilentTime`.
+  bool Silent = false;
+  Millis SilentTime{30};
   /// Most records of one read.
   std::size_t MaxEntries = 1000;
 
@@ -62,6 +66,7 @@
   boost::asio::awaitable<Outcome<KeyedRange>>
   readKeyed(std::shared_ptr<bool> Cut, std::string Topic, Offset From,
             Millis Wait);
+  boost::asio::awaitable<void> hang();
   boost::asio::awaitable<Outcome<KeyedRange>> newest(std::shared_ptr<bool> Cut,
                                                      std::string Topic);
 };
--- a/Wasabi/Batch/RolloutLog.cpp
+++ b/Wasabi/Batch/RolloutLog.cpp
@@ -31,6 +31,9 @@
   for (;;) {
     Outcome<LogRange> got = co_await Store.Read(Limits.Topic, Fold.Next,
                                                 Limits.Wait, Limits.ReadBytes);
+    // A read that was ended because the store is back is made again at once.
+    if (!got && got.failure().Code == FailureCode::Cancelled)
+      continue;
     if (!got) {
       failed(got.failure());
       co_await pauseFor(Executor, Limits.RetryPause);
--- a/Wasabi/Upstream/KeyedFollower.cpp
+++ b/Wasabi/Upstream/KeyedFollower.cpp
@@ -78,6 +78,9 @@
 
 asio::awaitable<bool> KeyedFollower::readWhole() {
   Outcome<KeyedRange> got = co_await Store.Newest(Limits.Topic);
+  // What was ended because the store is back is read again at once.
+  if (!got && got.failure().Code == FailureCode::Cancelled)
+    co_return true;
   if (!got) {
     Calls.Failed(got.failure());
     co_return false;
@@ -92,6 +95,9 @@
 asio::awaitable<bool> KeyedFollower::readNews() {
   Outcome<KeyedRange> got =
       co_await Store.ReadKeyed(Limits.Topic, Table.Next, Limits.Wait);
+  // What was ended because the store is back is read again at once.
+  if (!got && got.failure().Code == FailureCode::Cancelled)
+    co_return true;
   if (!got) {
     Calls.Failed(got.failure());
     co_return false;
