--- a/Wasabi/Batch/BatchDesk.cpp
+++ b/Wasabi/Batch/BatchDesk.cpp
@@ -155,7 +155,8 @@
   if (!found)
     co_return found.failure();
   const JobState &job = **found;
-  TimePoint until = monotonicNow() + Wait;
+  TimePoint arrived = monotonicNow();
+  TimePoint until = arrived + Wait;
   while (job.Results.size() <= After && !job.Ended && monotonicNow() < until)
     co_await Log->changes().wait(until);
   // That a position is empty may be said only by who knows the present: another
@@ -168,7 +169,18 @@
       co_return unsure(Id, fresh.failure().Reason);
   }
 
-  co_return co_await collect(*found, After);
+  Outcome<ResultPage> page = co_await collect(*found, After);
+  Decisions->line(
+      "job.read",
+      {{"job", Id.Text},
+       {"after", std::to_string(After)},
+       {"known", std::to_string(job.Results.size())},
+       {"given",
+        page ? std::to_string(page->Results.size()) : describe(page.failure())},
+       {"waited_ms", std::to_string(std::chrono::duration_cast<Millis>(
+                                        monotonicNow() - arrived)
+                                        .count())}});
+  co_return page;
 }
 
 /// The results from `After` on with their texts: as many as there are, as fit
