Long texts go to the engines that are always faster

Cause: a step waits for its longest texts. Trainers fell up to 16 s behind and the last four steps of each were never asked for.

Ruled out: waiting for a place (the longest texts began within 60 ms of their step), loads of weights (the longest texts ran through them), the readers (30 to 60 ms).

Change: the pace of each engine over some hundred pauses; a text that is expected to be long or has come far goes to the fastest grade that has room, and is moved there once, without the pause of a failed run.

--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -234,6 +234,22 @@
     CHECK(it.Output == wholeText(it.Item.Text, 5));
 }
 
+TEST_CASE("A text that turns out long goes on at a faster engine",
+          "[dispatch]") {
+  DispatchWorld world;
+  world.Engines.Length = 300;
+  world.server("e1").Pace = Millis(15);
+  world.server("e2").Pace = Millis(10);
+  BatchJob job = scoredJob("job", 4);
+  world.submit(job);
+  REQUIRE(world.finishes(job));
+  // All four have room at the faster engine, and go on after what they have.
+  CHECK(world.server("e2").Runs.size() >= 4);
+  CHECK_FALSE(world.Engines.Resumed.empty());
+  for (const ItemResult &it : world.results(job))
+    CHECK(it.Output == wholeText(it.Item.Text, 300));
+}
+
 TEST_CASE("A run without a first event does not wait as long as a load takes",
           "[dispatch]") {
   DispatchWorld world;
--- a/UnitTests/Dispatch/EnginePoolTest.cpp
+++ b/UnitTests/Dispatch/EnginePoolTest.cpp
@@ -28,7 +28,7 @@
 
 std::shared_ptr<EngineState> choose(const EngineList &Engines,
                                     const EngineNeed &Need) {
-  return chooseEngine(Engines, Need, usualEventMs(Engines),
+  return chooseEngine(Engines, Need, paceScale(Engines, EnginePoolSettings()),
                       EnginePoolSettings(), TimePoint() + Millis(1000));
 }
 
@@ -112,15 +112,36 @@
   CHECK(choose(engines, need) == nullptr);
 }
 
+TEST_CASE("A long text goes to a faster engine, a short one to its prompt",
+          "[dispatch]") {
+  EngineList engines{engine("near", 1, 1), engine("fast", 1, 1)};
+  double ms = 98;
+  for (const std::shared_ptr<EngineState> &it : engines) {
+    it->Model = Red;
+    for (int i = 0; i < 60; ++i)
+      notePause(it->Pace, ms, TimePoint(), EnginePaceSettings());
+    ms = 76;
+  }
+  engines[1]->Running = 3;
+  EngineNeed need;
+  need.Model = Red;
+  need.Preferred = ServerName("near");
+  CHECK(choose(engines, need) == engines[0]);
+  need.Long = true;
+  CHECK(choose(engines, need) == engines[1]);
+  engines[1]->Running = 4;
+  CHECK(choose(engines, need) == engines[0]);
+}
+
 TEST_CASE("Slow and suspect engines come last, the prompt's engine first",
           "[dispatch]") {
   EngineList engines{engine("slow", 1, 1), engine("ill", 1, 1),
                      engine("far", 1, 1), engine("near", 1, 1)};
   for (const std::shared_ptr<EngineState> &it : engines) {
     it->Model = Red;
-    it->EventMs = 40;
+    it->Pace.RecentMs = 40;
   }
-  engines[0]->EventMs = 140;
+  engines[0]->Pace.RecentMs = 140;
   engines[1]->Server->SuspectUntil = TimePoint() + Millis(2000);
   engines[3]->Running = 2;
   EngineNeed need;
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -20,6 +20,14 @@
 /// Texts kept for carried-over items.
 constexpr std::size_t MaxCarried = 2000;
 
+/// Expected tokens of an item of the job on average; 0 of a job without items.
+double meanExpected(const BatchJob &Job) {
+  double sum = 0;
+  for (const BatchItem &it : Job.Items)
+    sum += it.ExpectedTokens;
+  return Job.Items.empty() ? 0 : sum / static_cast<double>(Job.Items.size());
+}
+
 } // namespace
 
 Dispatcher::Dispatcher(Parts With, Settings Limits)
@@ -99,6 +107,7 @@
 
 void Dispatcher::takeUp(const std::shared_ptr<JobState> &Job) {
   std::vector<std::shared_ptr<ItemWork>> all;
+  double mean = meanExpected(Job->Job);
   for (std::size_t i = 0; i < Job->Job.Items.size(); ++i) {
     if (Job->Listed[i])
       continue;
@@ -106,6 +115,7 @@
     work->Job = Job;
     work->Index = i;
     work->Item = Job->Job.Items[i];
+    work->ExpectedLong = work->Item.ExpectedTokens > mean;
     all.push_back(std::move(work));
   }
   Works.insert(Works.end(), all.begin(), all.end());
@@ -208,9 +218,16 @@
     need.Preferred = prompt->second;
   if (Work.Text.Events > 0 && singleVersion(Work))
     need.Exactly = Work.Text.Versions.front();
+  need.Long = isLong(Work);
   return need;
 }
 
+/// Whether a text is one that its step is likely to wait for: it has come far
+/// already, or is expected to be longer than its job's mean.
+bool Dispatcher::isLong(const ItemWork &Work) const {
+  return Work.ExpectedLong || Work.Text.Events >= Limits.Pool.Pace.LongEvents;
+}
+
 /// Has waiting items placed, once for all that happens in one turn of the loop.
 void Dispatcher::schedule() {
   if (!Active || Scheduled)
@@ -245,7 +262,7 @@
 void Dispatcher::scheduleNow() {
   using Rank = std::tuple<bool, std::uint32_t, Offset, double>;
   TimePoint now = monotonicNow();
-  double usual = usualEventMs(Pool);
+  PaceScale scale = paceScale(Pool, Limits.Pool);
   std::map<ModelName, EngineList> free = enginesWithRoom(now);
   std::vector<std::pair<Rank, std::shared_ptr<ItemWork>>> waiting;
   for (const std::shared_ptr<ItemWork> &it : Works) {
@@ -271,7 +288,7 @@
   for (const auto &[rank, work] : waiting) {
     dropMixedText(*work);
     std::shared_ptr<EngineState> engine = chooseEngine(
-        free[work->Job->Job.Model], needOf(*work), usual, Limits.Pool, now);
+        free[work->Job->Job.Model], needOf(*work), scale, Limits.Pool, now);
     if (engine)
       startRun(work, engine);
   }
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -51,6 +51,8 @@
   /// The item; only what every process knows of it while `Stage` is `Loading`.
   BatchItem Item;
   ItemStage Stage = ItemStage::Loading;
+  /// Whether it is expected to be longer than its job's mean.
+  bool ExpectedLong = false;
   /// Where its route was found last.
   mutable ItemRoute Found;
   PartialText Text;
@@ -70,6 +72,11 @@
   TimePoint LastEvent;
   /// Whether its run has had an event.
   bool Begun = false;
+  /// Whether its run was ended for a faster engine.
+  bool Moved = false;
+  /// Whether it has been moved because others are always faster: once is
+  /// enough.
+  bool MovedForPace = false;
   /// Stops whatever it waits for.
   boost::asio::cancellation_signal Stop;
   /// Set when the run is to end without a result.
@@ -96,9 +103,6 @@
     /// The same while its server takes weights: a load takes 0.9 s, and longer
     /// when several load.
     Millis LoadStallTime{2500};
-    /// An engine without an event for this long has no known pace: faults that
-    /// slow an engine last some seconds, and a trial costs a few events.
-    Millis PaceSpan{4000};
     /// Texts in progress are saved this often, so that a successor goes on from
     /// there: the longest take 7 s of a step's 7.5.
     Millis SaveEvery{700};
@@ -230,7 +234,8 @@
   std::map<ModelName, double> demand() const;
   boost::asio::awaitable<void> lookLoop();
   void lookAtRuns();
-  void takeFromSlow(double UsualMs);
+  void moveToFaster();
+  bool isLong(const ItemWork &Work) const;
   void forgetPaces();
   void takeHeld(EngineState &Engine) const;
   void wantVersions();
--- a/Wasabi/Dispatch/DispatcherEngines.cpp
+++ b/Wasabi/Dispatch/DispatcherEngines.cpp
@@ -105,8 +105,9 @@
       continue;
     syncEngines();
     lookAtRuns();
-    forgetPaces();
-    takeFromSlow(usualEventMs(Pool));
+    for (const std::shared_ptr<EngineState> &it : Pool)
+      forgetRecent(it->Pace, monotonicNow(), Limits.Pool.Pace);
+    moveToFaster();
     wantVersions();
     schedule();
   }
@@ -139,47 +140,50 @@
   }
 }
 
-/// Moves runs from engines that are slow to ones that are not and have room:
-/// going on elsewhere costs some milliseconds of reading, staying costs the
-/// rest of the text at a multiple of the time.
-void Dispatcher::takeFromSlow(double UsualMs) {
+/// Moves runs to faster engines that have room: all of them from engines that
+/// are slow, long ones from any that is a grade slower. Going on elsewhere
+/// costs two or three events of reading, staying costs the rest of the text at
+/// a multiple of the time.
+void Dispatcher::moveToFaster() {
   TimePoint now = monotonicNow();
+  const EnginePaceSettings &limits = Limits.Pool.Pace;
+  PaceScale scale = paceScale(Pool, Limits.Pool);
   std::map<const EngineState *, std::uint32_t> promised;
   for (const std::shared_ptr<ItemWork> &it : Works) {
-    bool slow = it->Stage == ItemStage::Running && it->Engine && it->Begun &&
-                it->Stream != nullptr &&
-                isSlow(*it->Engine, UsualMs, Limits.Pool);
-    if (!slow)
+    if (it->Stage != ItemStage::Running || !it->Engine || !it->Begun ||
+        it->Stream == nullptr || it->Moved)
+      continue;
+    const EngineState &from = *it->Engine;
+    bool slow = isSlow(from.Pace, scale.UsualMs, limits);
+    std::uint32_t grade = paceGrade(from.Pace, scale.FastMs, limits);
+    bool late =
+        grade > 0 && !it->MovedForPace && it->Text.Events >= limits.LongEvents;
+    if (!slow && !late)
       continue;
     std::shared_ptr<EngineState> other =
-        chooseEngine(Pool, needOf(*it), UsualMs, Limits.Pool, now);
-    if (!other || isSlow(*other, UsualMs, Limits.Pool) ||
-        other->Server->SuspectUntil > now)
+        chooseEngine(Pool, needOf(*it), scale, Limits.Pool, now);
+    if (!other || other->Server->SuspectUntil > now ||
+        isSlow(other->Pace, scale.UsualMs, limits) ||
+        (!slow && paceGrade(other->Pace, scale.FastMs, limits) >= grade))
       continue;
     std::uint32_t &more = promised[other.get()];
     if (other->Running + more >= other->Server->Entry.Slots)
       continue;
     ++more;
-    Decisions->line("item.taken_away",
-                    {{"item", it->Item.Id.Text},
-                     {"server", it->Engine->Server->Entry.Id.Text},
-                     {"reason", "slow"},
-                     {"event_ms", fmt::format("{:.0f}", it->Engine->EventMs)},
-                     {"usual_ms", fmt::format("{:.0f}", UsualMs)}});
+    Decisions->line(
+        "item.taken_away",
+        {{"item", it->Item.Id.Text},
+         {"server", from.Server->Entry.Id.Text},
+         {"reason", slow ? "slow" : "slower than another"},
+         {"event_ms", fmt::format("{:.0f}", knownMs(from.Pace, limits))},
+         {"usual_ms", fmt::format("{:.0f}", scale.UsualMs)},
+         {"fast_ms", fmt::format("{:.0f}", scale.FastMs)}});
+    it->Moved = true;
+    it->MovedForPace = it->MovedForPace || !slow;
     it->Stream->cancel();
   }
 }
 
-/// Forgets the pace of engines that have had nothing to do for a while, so that
-/// one that was slow is tried again.
-void Dispatcher::forgetPaces() {
-  TimePoint now = monotonicNow();
-  for (const std::shared_ptr<EngineState> &it : Pool) {
-    if (it->EventMs > 0 && now - it->LastEvent > Limits.PaceSpan)
-      it->EventMs = 0;
-  }
-}
-
 //===--- Which weights they should hold
 //-------------------------------------===//
 
--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -44,6 +44,7 @@
   Work->Engine = On;
   Work->LastEvent = monotonicNow();
   Work->Begun = false;
+  Work->Moved = false;
   ++On->Running;
   ++On->Server->InFlight;
   PromptAt[Work->Item.Group] = On->Server->Entry.Id;
@@ -201,25 +202,23 @@
 }
 
 void Dispatcher::noteEvent(EngineState &On, ItemWork &Work) {
-  constexpr double Smoothing = 0.15;
   TimePoint now = monotonicNow();
   double gap =
       std::chrono::duration<double, std::milli>(now - Work.LastEvent).count();
   // The first pause is queue and prompt, and one across a load says nothing of
   // the engine's pace.
-  if (Work.Begun && !On.swapping()) {
-    double share = On.EventMs > 0 ? Smoothing : 1.0;
-    On.EventMs += share * (gap - On.EventMs);
-  }
+  if (Work.Begun && !On.swapping())
+    notePause(On.Pace, gap, now, Limits.Pool.Pace);
   Work.Begun = true;
   Work.LastEvent = now;
-  On.LastEvent = now;
+  On.Pace.LastEvent = now;
 }
 
 void Dispatcher::endRun(const std::shared_ptr<ItemWork> &Work,
                         const Failure &Why) {
   Work->Stage = ItemStage::Waiting;
-  Work->NotBefore = monotonicNow() + Limits.RetryPause;
+  Work->NotBefore =
+      Work->Moved ? TimePoint() : monotonicNow() + Limits.RetryPause;
   Decisions->line("item.run_ended",
                   {{"item", Work->Item.Id.Text},
                    {"server", Work->Avoid.Text},
--- a/Wasabi/Dispatch/EnginePool.cpp
+++ b/Wasabi/Dispatch/EnginePool.cpp
@@ -6,24 +6,34 @@
 
 namespace wasabi {
 
-double usualEventMs(const EngineList &Engines) {
-  std::vector<double> known;
-  for (const std::shared_ptr<EngineState> &it : Engines) {
-    if (it->EventMs > 0)
-      known.push_back(it->EventMs);
-  }
-  if (known.empty())
+namespace {
+
+/// The value that a part `Share` of `All` lies below; 0 of none.
+double quantile(std::vector<double> All, double Share) {
+  if (All.empty())
     return 0;
-  std::size_t middle = (known.size() - 1) / 2;
-  std::nth_element(known.begin(),
-                   known.begin() + static_cast<std::ptrdiff_t>(middle),
-                   known.end());
-  return known[middle];
+  auto place = All.begin() + static_cast<std::ptrdiff_t>(
+                                 static_cast<double>(All.size() - 1) * Share);
+  std::nth_element(All.begin(), place, All.end());
+  return *place;
 }
 
-bool isSlow(const EngineState &Engine, double UsualMs,
-            const EnginePoolSettings &Limits) {
-  return UsualMs > 0 && Engine.EventMs > UsualMs * Limits.SlowFactor;
+} // namespace
+
+PaceScale paceScale(const EngineList &Engines,
+                    const EnginePoolSettings &Limits) {
+  constexpr double Median = 0.5;
+  constexpr double Quarter = 0.25;
+  std::vector<double> recent;
+  std::vector<double> own;
+  for (const std::shared_ptr<EngineState> &it : Engines) {
+    if (it->Pace.RecentMs > 0)
+      recent.push_back(it->Pace.RecentMs);
+    if (knownMs(it->Pace, Limits.Pace) > 0)
+      own.push_back(knownMs(it->Pace, Limits.Pace));
+  }
+  return PaceScale{quantile(std::move(recent), Median),
+                   quantile(std::move(own), Quarter)};
 }
 
 std::map<ModelName, std::uint32_t>
@@ -174,10 +184,12 @@
          Engine.Running < Engine.Server->Entry.Slots;
 }
 
-std::shared_ptr<EngineState>
-chooseEngine(const EngineList &Engines, const EngineNeed &Need, double UsualMs,
-             const EnginePoolSettings &Limits, TimePoint Now) {
-  using Rank = std::tuple<bool, bool, bool, bool, double>;
+std::shared_ptr<EngineState> chooseEngine(const EngineList &Engines,
+                                          const EngineNeed &Need,
+                                          const PaceScale &Scale,
+                                          const EnginePoolSettings &Limits,
+                                          TimePoint Now) {
+  using Rank = std::tuple<bool, bool, bool, std::uint32_t, bool, double>;
   std::shared_ptr<EngineState> best;
   Rank bestRank;
   for (const std::shared_ptr<EngineState> &it : Engines) {
@@ -188,8 +200,13 @@
     if (!fits || !hasRoom(*it, Now))
       continue;
     double load = static_cast<double>(it->Running) / server.Entry.Slots;
-    Rank rank{server.SuspectUntil > Now, isSlow(*it, UsualMs, Limits),
-              server.Entry.Id == Need.Avoid, server.Entry.Id != Need.Preferred,
+    std::uint32_t grade =
+        Need.Long ? paceGrade(it->Pace, Scale.FastMs, Limits.Pace) : 0;
+    Rank rank{server.SuspectUntil > Now,
+              isSlow(it->Pace, Scale.UsualMs, Limits.Pace),
+              server.Entry.Id == Need.Avoid,
+              grade,
+              server.Entry.Id != Need.Preferred,
               load};
     if (!best || rank < bestRank) {
       best = it;
--- a/Wasabi/Dispatch/EnginePool.h
+++ b/Wasabi/Dispatch/EnginePool.h
@@ -6,6 +6,7 @@
 
 #include "Wasabi/Core/Clock.h"
 #include "Wasabi/Core/Ids.h"
+#include "Wasabi/Dispatch/EnginePace.h"
 #include "Wasabi/Upstream/UpstreamTable.h"
 
 #include <map>
@@ -27,11 +28,7 @@
   TimePoint Told;
   /// Samples of this process at it.
   std::uint32_t Running = 0;
-  /// Smoothed pause between two events of a run, in milliseconds; 0 before the
-  /// first.
-  double EventMs = 0;
-  /// When the last one came.
-  TimePoint LastEvent;
+  EnginePace Pace;
   /// The weights that this process wants of it and has not seen there yet, and
   /// when it said so.
   WeightVersion Wanted = 0;
@@ -53,9 +50,7 @@
 
 /// How choices are made.
 struct EnginePoolSettings {
-  /// An engine this many times slower than the usual one counts as slow. The
-  /// engines' steps differ by a few in a hundred between empty and full.
-  double SlowFactor = 1.8;
+  EnginePaceSettings Pace;
   /// Part of the engines that may take new weights at once: more slow each
   /// other down.
   double LoadShare = 0.2;
@@ -63,13 +58,18 @@
   std::uint32_t LeastLoads = 2;
 };
 
-/// The usual pause between events among `Engines`, in milliseconds: the lower
-/// median of those known; 0 if none is.
-double usualEventMs(const EngineList &Engines);
+/// What the paces of all engines say of one, in milliseconds an event; 0 where
+/// nothing is known.
+struct PaceScale {
+  /// The lower median of the recent paces.
+  double UsualMs = 0;
+  /// A fourth of the engines are as fast as this or faster.
+  double FastMs = 0;
+};
 
-/// Whether an engine is slow beside the others.
-bool isSlow(const EngineState &Engine, double UsualMs,
-            const EnginePoolSettings &Limits);
+/// The scale of `Engines`. Pure.
+PaceScale paceScale(const EngineList &Engines,
+                    const EnginePoolSettings &Limits);
 
 /// How many engines each model should have, of `Count` in all, by the models'
 /// demand. Each model with demand gets two at least, where there are so many:
@@ -96,15 +96,22 @@
   ServerName Preferred;
   /// The engine that has just failed the sample, if any.
   ServerName Avoid;
+  /// Whether its text is likely to be one that its step waits for: it gets the
+  /// fastest engine that has room, before the one that has its prompt. Reading
+  /// a prompt of 1,000 tokens takes 2 ms, a hundred events on an engine of the
+  /// next grade two seconds more.
+  bool Long = false;
 };
 
 /// Whether an engine takes one more sample of its model.
 bool hasRoom(const EngineState &Engine, TimePoint Now);
 
 /// The engine for one more sample, null if none has room.
-std::shared_ptr<EngineState>
-chooseEngine(const EngineList &Engines, const EngineNeed &Need, double UsualMs,
-             const EnginePoolSettings &Limits, TimePoint Now);
+std::shared_ptr<EngineState> chooseEngine(const EngineList &Engines,
+                                          const EngineNeed &Need,
+                                          const PaceScale &Scale,
+                                          const EnginePoolSettings &Limits,
+                                          TimePoint Now);
 
 } // namespace wasabi
 
