--- /dev/null
+++ b/Wasabi/Adapters/Http/HttpExchange.cpp
@@ -0,0 +1,134 @@
+#include "Wasabi/Adapters/Http/HttpExchange.h"
+
+#include "Wasabi/Adapters/Http/HttpConnection.h"
+#include "Wasabi/Adapters/Http/HttpWire.h"
+
+#include <array>
+#include <charconv>
+
+namespace wasabi::http {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// HTTP/1.1, as the parser counts; before it a body ends with its connection.
+constexpr unsigned FirstWithChunks = 11;
+
+Failure misuse(std::string Reason) {
+  return Failure{Verdict::NotRun,
+                 FailureCode::Internal,
+                 "http responder",
+                 std::move(Reason),
+                 {}};
+}
+
+} // namespace
+
+Failure peerGone() {
+  return Failure{Verdict::MayHaveRun,
+                 FailureCode::Cancelled,
+                 "http peer",
+                 "the peer has closed its connection",
+                 {}};
+}
+
+asio::awaitable<Outcome<Done>> Exchange::send(Response Answer) {
+  if (State != Stage::Fresh)
+    co_return misuse("an answer has been begun already");
+  if (Gone)
+    co_return peerGone();
+  State = Stage::Ended;
+  KeepAlive = KeepAlive && !Link->closing();
+  std::shared_ptr<Connection> link = Link;
+  std::string head = writeHead(Answer, Framing::Length, KeepAlive);
+  std::string_view body = HeadOnly ? std::string_view() : Answer.Body;
+  std::vector<asio::const_buffer> data{asio::buffer(head), asio::buffer(body)};
+  co_return co_await link->sendBytes(std::move(data));
+}
+
+asio::awaitable<Outcome<Done>> Exchange::begin(Response Head) {
+  if (State != Stage::Fresh)
+    co_return misuse("an answer has been begun already");
+  if (Gone)
+    co_return peerGone();
+  State = Stage::Begun;
+  bool chunked = Version >= FirstWithChunks;
+  KeepAlive = KeepAlive && chunked && !Link->closing();
+  std::shared_ptr<Connection> link = Link;
+  std::string head = writeHead(
+      Head, chunked ? Framing::Chunked : Framing::UntilClose, KeepAlive);
+  std::vector<asio::const_buffer> data{asio::buffer(head)};
+  co_return co_await link->sendBytes(std::move(data));
+}
+
+asio::awaitable<Outcome<Done>> Exchange::write(std::string Chunk) {
+  constexpr int Hexadecimal = 16;
+  if (State != Stage::Begun)
+    co_return misuse("no answer has been begun");
+  if (Gone)
+    co_return peerGone();
+  // An empty chunk would end the body.
+  if (Chunk.empty() || HeadOnly)
+    co_return Done{};
+  std::shared_ptr<Connection> link = Link;
+  std::vector<asio::const_buffer> data{asio::buffer(Chunk)};
+  std::array<char, 24> size{};
+  if (Version >= FirstWithChunks) {
+    std::to_chars_result last = std::to_chars(
+        size.data(), size.data() + size.size() - 2, Chunk.size(), Hexadecimal);
+    *last.ptr++ = '\r';
+    *last.ptr++ = '\n';
+    std::size_t n = static_cast<std::size_t>(last.ptr - size.data());
+    data.insert(data.begin(), asio::buffer(size.data(), n));
+    data.push_back(asio::buffer("\r\n", 2));
+  }
+  co_return co_await link->sendBytes(std::move(data));
+}
+
+asio::awaitable<Outcome<Done>> Exchange::end() {
+  constexpr std::string_view LastChunk = "0\r\n\r\n";
+  if (State != Stage::Begun)
+    co_return misuse("no answer has been begun");
+  if (Gone)
+    co_return peerGone();
+  State = Stage::Ended;
+  std::shared_ptr<Connection> link = Link;
+  if (Version < FirstWithChunks || HeadOnly)
+    co_return Done{};
+  std::vector<asio::const_buffer> data{asio::buffer(LastChunk)};
+  co_return co_await link->sendBytes(std::move(data));
+}
+
+void Exchange::abort() {
+  std::shared_ptr<Connection> link = Link;
+  if (link)
+    link->abort();
+}
+
+void Exchange::onGone(std::function<void()> Callback) {
+  if (Gone) {
+    Callback();
+    return;
+  }
+  this->Callback = std::move(Callback);
+}
+
+void Exchange::tellGone() {
+  if (Gone)
+    return;
+  Gone = true;
+  // The callback is taken out first: it runs once, and may call back.
+  std::function<void()> callback = std::move(Callback);
+  Callback = nullptr;
+  if (callback)
+    callback();
+}
+
+void Exchange::finish() {
+  Gone = true;
+  Callback = nullptr;
+  Link.reset();
+}
+
+} // namespace wasabi::http
