No bound of half of a model's engines for loads

Its test stays: four engines, and two of them are wanted at a time. Its name said why, and says what now.

--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -430,7 +430,7 @@
   CHECK(world.results(job).size() == 3);
 }
 
-TEST_CASE("Engines are wanted at the named version, half of them at a time",
+TEST_CASE("Engines are wanted at the named version, few enough at a time",
           "[dispatch]") {
   DispatchWorld world;
   world.addServer("e3", Llm);
--- a/Wasabi/Dispatch/DispatcherEngines.cpp
+++ b/Wasabi/Dispatch/DispatcherEngines.cpp
@@ -203,15 +203,11 @@
 void Dispatcher::wantVersions() {
   TimePoint now = monotonicNow();
   std::uint32_t swapping = 0;
-  std::map<ModelName, std::uint32_t> engines;
-  std::map<ModelName, std::uint32_t> swappingOf;
   std::vector<std::shared_ptr<EngineState>> due;
   for (const std::shared_ptr<EngineState> &it : Pool) {
-    ++engines[it->Model];
     bool late = now - it->WantedAt > Limits.SwapLimit;
     if (it->swapping() && !late) {
       ++swapping;
-      ++swappingOf[it->Model];
       continue;
     }
     auto named = View.Named.find(it->Model);
@@ -238,11 +234,6 @@
   for (const std::shared_ptr<EngineState> &it : due) {
     if (swapping >= most)
       return;
-    // Half of a model's engines go on serving it.
-    std::uint32_t &own = swappingOf[it->Model];
-    if (own > 0 && own >= engines[it->Model] / 2)
-      continue;
-    ++own;
     ++swapping;
     it->Wanted = View.Named[it->Model];
     it->WantedAt = now;
