A new dispatcher leaves each model its share of the engines

Cause: a dispatcher that takes over deals the engines by which weights they hold. When one of two models has just been named a version and the other none, every engine is behind on the first and on none of the second, so all nine went to the second; the first got one back each 4 s.

Ruled out: the store (the items were there at once), the lease (taken 1.5 s after the loss), places (36 were free).

Change: engines keep the model that they served, those first that lead most, and no more of them than its share; the others are dealt to whoever lacks most. The test failed before (1 and 8 engines instead of 4 and 5).

--- a/UnitTests/Dispatch/EnginePoolTest.cpp
+++ b/UnitTests/Dispatch/EnginePoolTest.cpp
@@ -73,6 +73,21 @@
   CHECK(count(engines, Blue) >= 2);
 }
 
+TEST_CASE("A model whose new weights no engine has yet keeps its engines",
+          "[dispatch]") {
+  // A dispatcher ends just after the first of two trainers has named a version:
+  // all engines are behind it, and none is behind the other model.
+  EngineList engines;
+  for (int i = 0; i < 9; ++i)
+    engines.push_back(engine("e" + std::to_string(i), 1, 1));
+  // The one engine that has taken it already serves it.
+  engines[0]->Versions[Red] = 2;
+  CHECK(assignModels(engines, {{Red, 4}, {Blue, 5}}, {{Red, 2}}, true));
+  CHECK(count(engines, Red) == 4);
+  CHECK(count(engines, Blue) == 5);
+  CHECK(engines[0]->Model == Red);
+}
+
 TEST_CASE("At most one engine crosses over at a time, an idle one",
           "[dispatch]") {
   EngineList engines{engine("a", 1, 1), engine("b", 1, 1), engine("c", 1, 1)};
--- a/Wasabi/Dispatch/EnginePool.cpp
+++ b/Wasabi/Dispatch/EnginePool.cpp
@@ -77,28 +77,34 @@
 
 namespace {
 
+/// A model that an engine has served of late, as its weights show.
+struct ServedModel {
+  ModelName Model;
+  /// By how many versions its weights are closer to the newest than those of
+  /// any other model.
+  WeightVersion Lead = 0;
+};
+
 /// The model whose weights on the engine are closest to the newest ones, if one
 /// is closer than all others. A model that was never named is at its first
 /// version everywhere.
-std::optional<ModelName>
+std::optional<ServedModel>
 servedModel(const EngineState &Engine,
             const std::map<ModelName, std::uint32_t> &Sizes,
             const std::map<ModelName, WeightVersion> &Named) {
-  std::optional<ModelName> best;
-  WeightVersion bestLag = 0;
-  bool tie = false;
+  std::vector<std::pair<WeightVersion, ModelName>> lags;
   for (const auto &[model, size] : Sizes) {
     auto named = Named.find(model);
     WeightVersion newest = named == Named.end() ? 0 : named->second;
-    WeightVersion lag = newest - std::min(Engine.version(model), newest);
-    if (!best || lag < bestLag) {
-      best = model;
-      bestLag = lag;
-      tie = false;
-    } else if (lag == bestLag)
-      tie = true;
+    lags.emplace_back(newest - std::min(Engine.version(model), newest), model);
   }
-  return tie ? std::nullopt : best;
+  std::sort(lags.begin(), lags.end());
+  if (lags.size() < 2)
+    return std::nullopt;
+  WeightVersion lead = lags[1].first - lags[0].first;
+  if (lead == 0)
+    return std::nullopt;
+  return ServedModel{lags[0].second, lead};
 }
 
 struct PoolCount {
@@ -149,21 +155,44 @@
 
 } // namespace
 
+namespace {
+
+/// Lets engines without a model keep the one that they served, those first that
+/// lead most, and no more of them than the model is to have: when a version has
+/// just been named every engine lags, and would go to the other models.
+bool keepServed(EngineList &Engines,
+                const std::map<ModelName, std::uint32_t> &Sizes,
+                const std::map<ModelName, WeightVersion> &Named) {
+  std::vector<std::pair<ServedModel, std::shared_ptr<EngineState>>> leaning;
+  for (const std::shared_ptr<EngineState> &it : Engines) {
+    std::optional<ServedModel> served = servedModel(*it, Sizes, Named);
+    if (it->Model.empty() && served)
+      leaning.emplace_back(*served, it);
+  }
+  std::stable_sort(leaning.begin(), leaning.end(),
+                   [](const auto &Left, const auto &Right) {
+                     return Left.first.Lead > Right.first.Lead;
+                   });
+  PoolCount count = countPools(Engines, Sizes);
+  bool changed = false;
+  for (const auto &[served, engine] : leaning) {
+    int &missing = count.Missing[served.Model];
+    if (missing < 1)
+      continue;
+    --missing;
+    engine->Model = served.Model;
+    changed = true;
+  }
+  return changed;
+}
+
+} // namespace
+
 bool assignModels(EngineList &Engines,
                   const std::map<ModelName, std::uint32_t> &Sizes,
                   const std::map<ModelName, WeightVersion> &Named,
                   bool MayMove) {
-  bool changed = false;
-  // Engines that already lean to a model keep it before the others are dealt.
-  for (const std::shared_ptr<EngineState> &it : Engines) {
-    if (!it->Model.empty())
-      continue;
-    std::optional<ModelName> served = servedModel(*it, Sizes, Named);
-    if (served) {
-      it->Model = *served;
-      changed = true;
-    }
-  }
+  bool changed = keepServed(Engines, Sizes, Named);
   for (const std::shared_ptr<EngineState> &it : Engines) {
     if (!it->Model.empty())
       continue;
