--- a/Wasabi/Adapters/Http/HttpConnection.h
+++ b/Wasabi/Adapters/Http/HttpConnection.h
@@ -41,6 +41,7 @@
 };
 
 /// One connection: reads requests one after the other and runs the handler.
+/// Used on the server's thread only.
 class Connection : public std::enable_shared_from_this<Connection> {
 public:
   Connection(boost::asio::ip::tcp::socket Socket,
--- a/Wasabi/Adapters/Http/HttpExchange.h
+++ b/Wasabi/Adapters/Http/HttpExchange.h
@@ -16,7 +16,8 @@
 /// What a sender hears whose peer has closed its connection.
 Failure peerGone();
 
-/// One request's answer; outlives its connection harmlessly.
+/// One request's answer; outlives its connection harmlessly. Used on the
+/// server's thread only.
 class Exchange final : public Responder {
 public:
   /// The answer to a request of HTTP/1.`Version` - 10 that came over `Link`.
--- a/Wasabi/Dispatch/DispatcherEngines.cpp
+++ b/Wasabi/Dispatch/DispatcherEngines.cpp
@@ -175,7 +175,8 @@
         {{"item", it->Item.Id.Text},
          {"server", from.Server->Entry.Id.Text},
          {"reason", slow ? "slow" : "slower than another"},
-         {"event_ms", fmt::format("{:.0f}", knownMs(from.Pace, limits))},
+         {"recent_ms", fmt::format("{:.0f}", from.Pace.RecentMs)},
+         {"own_ms", fmt::format("{:.0f}", knownMs(from.Pace, limits))},
          {"usual_ms", fmt::format("{:.0f}", scale.UsualMs)},
          {"fast_ms", fmt::format("{:.0f}", scale.FastMs)}});
     it->Moved = true;
