A server that starts again under its id is another one; foreign entries name none

Cause: what was known of a server hung on its id alone. One that came back under it stayed replaced or suspect for ever, spoke through the records of its earlier start, and got no orders; an older registration could replace a newer one.

Change: an incarnation (id and start) is the key of what is believed of a server, in the table of servers, prompts, moves, records of wanted and held weights, and what a request has tried. The engine's own report goes before its registration. A registration with a field missing or of another type, another state, an id that cannot stand in a header, or without the start that its server has told, names no server until a good one comes; it costs one line a reason and is counted.

Ruled out: to take the higher offset for the later start (an append may be carried out late). An order of the earlier start that is carried out late at the new one does no harm: its version was named, the stream says what generates, and the process beside the engine orders forward from what the engine reports.

The stand-in restarts servers under their id, in the soak by turns with new ids, and writes foreign entries.

--- a/IntegrationTests/Cases/PlatformPathTest.cpp
+++ b/IntegrationTests/Cases/PlatformPathTest.cpp
@@ -135,6 +135,81 @@
   }
 }
 
+TEST_CASE("Platform: a server that starts again under its id serves on") {
+  constexpr std::size_t Items = 24;
+  PlatformWorld world(2);
+  REQUIRE(world.allReady());
+  world.nameVersion(2);
+  auto holds = [&](std::uint64_t Version) {
+    return world.onPlatform<bool>([&] {
+      return world.engine(0).Models["model"] == Version &&
+             world.engine(1).Models["model"] == Version;
+    });
+  };
+  REQUIRE(harness::waitUntil([&] { return holds(2); }, Patience));
+  REQUIRE(world.submit(0, "job", Items, 2) == Accepted);
+  // It is back before its registration lapses, with the weights that it had and
+  // a count of orders that starts anew; in the middle of its work, twice.
+  for (int i = 0; i < 2; ++i) {
+    world.onPlatform([&] { world.engine(0).restart(world.engine(0).id()); });
+    world.registerServer(0, false);
+  }
+  REQUIRE(world.finishes(0, "job", Items));
+  checkWhole(world, 0, "job", Items, 6);
+  // The new start takes orders and items.
+  world.nameVersion(3);
+  bool done = harness::waitUntil([&] { return holds(3); }, Patience);
+  INFO(world.side(0).output() + world.edge(0).Running->output() +
+       world.edge(1).Running->output());
+  REQUIRE(done);
+  world.onPlatform([&] { world.engine(0).Runs.clear(); });
+  REQUIRE(world.submit(1, "next", Items, 3) == Accepted);
+  REQUIRE(world.finishes(1, "next", Items));
+  CHECK(world.onPlatform<bool>([&] { return !world.engine(0).Runs.empty(); }));
+}
+
+TEST_CASE("Platform: entries of other writers name no server, others hold") {
+  constexpr std::size_t Items = 8;
+  PlatformWorld world(1);
+  REQUIRE(world.allReady());
+  std::string odd = world.onPlatform<std::string>([&] {
+    std::string text = world.desk(0).registration("desk", false);
+    const std::string_view ready = R"("ready")";
+    return text.replace(text.find(ready), ready.size(), R"("warming")");
+  });
+  world.onPlatform([&] {
+    const std::string entries[] = {"{", "\xff\xfe", R"({"service":"desk"})",
+                                   std::string(200000, '['), odd};
+    for (std::size_t i = 0; i < std::size(entries); ++i)
+      world.store().write("keyed.servers", "x-" + std::to_string(i),
+                          entries[i]);
+    // One over a server's own: it is not used until it registers again.
+    world.store().write("keyed.servers", world.desk(1).id(), odd);
+    // What the topic's whole reading tells is the same.
+    world.store().compact("keyed.servers");
+  });
+  auto rejected = [&] {
+    std::string lines = world.edge(0).Running->output();
+    std::size_t count = 0;
+    for (std::size_t at = 0;
+         (at = lines.find("server.rejected", at)) != std::string::npos; ++at)
+      ++count;
+    return count;
+  };
+  REQUIRE(harness::waitUntil([&] { return rejected() == 6; }, Patience));
+  world.onPlatform([&] { world.desk(1).Runs.clear(); });
+  for (int i = 0; i < 6; ++i)
+    CHECK(world.ask(0, "/desk/x", "r" + std::to_string(i)).Status == Ok);
+  CHECK(world.onPlatform<bool>([&] { return world.desk(1).Runs.empty(); }));
+  REQUIRE(world.submit(0, "job", Items) == Accepted);
+  REQUIRE(world.finishes(0, "job", Items));
+  // It registers again, and is the only one that has room.
+  world.registerServer(3, false);
+  world.onPlatform([&] { world.desk(0).Full = true; });
+  auto served = [&] { return world.ask(0, "/desk/x", "again").Status == Ok; };
+  CHECK(harness::waitUntil(served, Patience));
+}
+
 TEST_CASE("Platform: every process killed, nothing accepted or read is lost") {
   constexpr std::size_t Items = 10;
   PlatformWorld world(2);
--- a/IntegrationTests/Platform/PlatformServers.cpp
+++ b/IntegrationTests/Platform/PlatformServers.cpp
@@ -52,31 +52,34 @@
 
 std::string PlatformServer::registration(const std::string &Service,
                                          bool Draining) const {
-  return json::serialize(
-      json::object{{"service", Service},
-                   {"address", toText(publicAddress())},
-                   {"zone", "hall"},
-                   {"version", "v1"},
-                   {"slots", 4},
-                   {"state", Draining ? "draining" : "ready"},
-                   {"cold_remaining_ms", 0},
-                   {"models", modelList(Models)},
-                   {"sequence", 1}});
+  json::object fields{{"service", Service},
+                      {"address", toText(publicAddress())},
+                      {"zone", "hall"},
+                      {"version", "v1"},
+                      {"slots", 4},
+                      {"state", Draining ? "draining" : "ready"},
+                      {"cold_remaining_ms", 0},
+                      {"models", modelList(Models)},
+                      {"sequence", 1}};
+  if (Born > 0)
+    fields["born"] = Born;
+  return json::serialize(fields);
 }
 
 http::Response PlatformServer::report() const {
-  return http::jsonResponse(
-      Ok, json::serialize(json::object{{"stage", "both"},
-                                       {"models", modelList(Models)},
-                                       {"busy", Loading},
-                                       {"sequence", Accepted},
-                                       {"num_waiting", 0},
-                                       {"num_running", 0}}));
+  json::object fields{{"stage", "both"},  {"models", modelList(Models)},
+                      {"busy", Loading},  {"sequence", Accepted},
+                      {"num_waiting", 0}, {"num_running", 0}};
+  if (Born > 0)
+    fields["born"] = Born;
+  return http::jsonResponse(Ok, json::serialize(fields));
 }
 
 void PlatformServer::restart(std::string NewId) {
   Id = std::move(NewId);
   ++Life;
+  if (Born > 0)
+    Born = std::max(Born + 1, wallMicros() / 1000);
   Accepted = 0;
   Loading = false;
 }
--- a/IntegrationTests/Platform/PlatformServers.h
+++ b/IntegrationTests/Platform/PlatformServers.h
@@ -46,13 +46,16 @@
   /// Where others reach it, if not at its own address.
   void setPublic(Address Where) { Public = std::move(Where); }
   Address publicAddress() const { return Public.value_or(address()); }
-  /// Ends all runs and goes on as another incarnation, with the same weights.
+  /// Ends all runs and goes on as another incarnation, with the same weights;
+  /// `NewId` may be the id that it had.
   void restart(std::string NewId);
   /// Events of an item's text.
   std::uint64_t lengthOf(const std::string &Item) const;
   /// Its registration as the store holds it.
   std::string registration(const std::string &Service, bool Draining) const;
 
+  /// When it started, in Unix milliseconds; 0 lets it say nothing of that.
+  std::uint64_t Born = wallMicros() / 1000;
   /// Weights by model.
   std::map<std::string, std::uint64_t> Models;
   /// Events of a text: at least `Length`, and up to `Spread` more by its item.
--- a/IntegrationTests/Soak/SoakInjector.cpp
+++ b/IntegrationTests/Soak/SoakInjector.cpp
@@ -109,7 +109,7 @@
   Done.Drains.push_back({id, monotonicNow()});
   later(DrainTime, [this, Index, id] {
     World.unregisterServer(id);
-    returnServer(Index);
+    returnServer(Index, newId());
   });
 }
 
@@ -200,6 +200,7 @@
       World.store().compact("keyed.op");
       World.store().compact("keyed.servers");
     });
+    writeForeignEntries(Step.Target % World.servers());
     return true;
   case SoakFault::RegistrationsLapse:
     lapse(Step);
@@ -209,6 +210,27 @@
   }
 }
 
+/// Another writer puts entries among the registrations, one over that of a
+/// server, which registers again a heartbeat later.
+void SoakInjector::writeForeignEntries(std::size_t Over) {
+  constexpr Millis Heartbeat{600};
+  const std::string entries[] = {
+      "{", R"({"service":"desk"})", "\xff\xfe bytes",
+      R"({"service":"desk","address":"127.0.0.1:9","zone":"hall",)"
+      R"("version":"v1","slots":4,"state":"warming","sequence":1})"};
+  World.onPlatform([&] {
+    for (std::size_t i = 0; i < std::size(entries); ++i)
+      World.store().write("keyed.servers", "x-" + std::to_string(i),
+                          entries[i]);
+    if (!Away.contains(Over))
+      World.store().write("keyed.servers", World.server(Over).id(), "{}");
+  });
+  later(Heartbeat, [this, Over] {
+    if (!Away.contains(Over))
+      World.registerServer(Over, false);
+  });
+}
+
 /// The store is away, and registrations lapse meanwhile; the servers are back
 /// in it within two seconds of its return.
 void SoakInjector::lapse(const SoakStep &Step) {
@@ -317,15 +339,21 @@
   std::string id = World.server(Index).id();
   World.setFaults(World.serverLink(Index), {{"cut_now", true}});
   World.setFaults(World.serverLink(Index), {{"refuse", true}});
-  later(std::min(Down, RegistrationLag),
-        [this, id] { World.unregisterServer(id); });
-  later(Down, [this, Index] { returnServer(Index); });
+  // One that is back sooner finds its registration as it was.
+  if (Down > RegistrationLag)
+    later(RegistrationLag, [this, id] { World.unregisterServer(id); });
+  // By turns it starts again under a new id and under the one that it had.
+  std::string next = ++Crashes % 2 == 0 ? newId() : id;
+  later(Down, [this, Index, next] { returnServer(Index, next); });
+}
+
+std::string SoakInjector::newId() {
+  return "i-again-" + std::to_string(++Starts);
 }
 
 /// The server starts anew, as another incarnation at the same address.
-void SoakInjector::returnServer(std::size_t Index) {
-  std::string id = "i-again-" + std::to_string(++Starts);
-  World.onPlatform([&] { World.server(Index).restart(id); });
+void SoakInjector::returnServer(std::size_t Index, const std::string &Id) {
+  World.onPlatform([&] { World.server(Index).restart(Id); });
   World.setFaults(World.serverLink(Index), {{"refuse", false}});
   World.registerServer(Index, false);
   Away.erase(Index);
--- a/IntegrationTests/Soak/SoakRun.h
+++ b/IntegrationTests/Soak/SoakRun.h
@@ -70,7 +70,9 @@
   void restartEdge(std::size_t Edge);
   void drainServer(std::size_t Index);
   void crashServer(std::size_t Index, Millis Down);
-  void returnServer(std::size_t Index);
+  std::string newId();
+  void returnServer(std::size_t Index, const std::string &Id);
+  void writeForeignEntries(std::size_t Over);
   void lapse(const SoakStep &Step);
   void fault(const test::PlatformWorld::Proxy &Of, const char *Name,
              const boost::json::value &Begin, const boost::json::value &End,
@@ -84,6 +86,8 @@
   std::uint64_t Orders = 0;
   /// Counts the starts of servers, for their names.
   std::uint64_t Starts = 0;
+  /// Counts the crashes of servers.
+  std::uint64_t Crashes = 0;
   /// Servers that are down or leaving.
   std::set<std::size_t> Away;
   /// Edge processes that are down or leaving.
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -43,7 +43,8 @@
       PayloadStore::create(Store.port(), {});
   std::shared_ptr<Dispatcher> Dispatch;
 
-  DispatchWorld() {
+  /// \param Stall silence after which a run has lost its engine.
+  explicit DispatchWorld(Millis Stall = Millis(80)) {
     View.Routes = makeRoutes();
     noteAnswer(View.Contact, monotonicNow());
     addServer("e1", Llm);
@@ -54,7 +55,8 @@
                           Decisions, Counts, Forwarder::Settings());
     Dispatcher::Settings limits;
     limits.LookEvery = Millis(10);
-    limits.StallTime = Millis(80);
+    limits.StallTime = Stall;
+    limits.EventLimit = std::max(limits.EventLimit, Stall);
     limits.FirstEventTime = Millis(120);
     limits.LoadStallTime = Millis(3000);
     limits.RetryPause = Millis(2);
@@ -449,6 +451,63 @@
   CHECK(world.runUntil([&] { return wanted() == 4; }));
 }
 
+TEST_CASE("What an engine held before it started again does not count",
+          "[dispatch]") {
+  DispatchWorld world;
+  for (const char *id : {"e1", "e2"}) {
+    UpstreamEntry entry = world.View.Servers.Servers[ServerName(id)]->Entry;
+    entry.Start = 1000;
+    registerServer(world.View.Servers, entry);
+    HeldWeights now{{{Model, 2}}, false, 1000};
+    world.Dispatch->onHeld(ServerName(id), now);
+  }
+  world.View.Named[Model] = 2;
+  world.Dispatch->onView();
+  world.Context.run_for(Millis(60));
+  auto wanted = [&] { return world.Store.Topics[WantedTopic]; };
+  REQUIRE(wanted().empty());
+  // It starts again with older weights, and then the record of the start
+  // before is read once more.
+  UpstreamEntry entry = world.View.Servers.Servers[ServerName("e1")]->Entry;
+  entry.Start = 2000;
+  registerServer(world.View.Servers, entry);
+  world.Dispatch->onHeld(ServerName("e1"), {{{Model, 2}}, false, 1000});
+  world.Dispatch->onView();
+  // Long before its registration would count against what it told.
+  constexpr Millis Soon{1500};
+  TimePoint end = monotonicNow() + Soon;
+  world.runUntil([&] { return !wanted().empty() || monotonicNow() > end; });
+  REQUIRE_FALSE(wanted().empty());
+  std::string text = wanted().back().substr(wanted().back().find('|') + 1);
+  Outcome<WantedWeights> what =
+      toOutcome<WantedWeights>([&] { return decodeWanted(text, "test"); });
+  REQUIRE(what);
+  CHECK(what->Start == 2000);
+  CHECK(what->Version == 2);
+}
+
+TEST_CASE("Runs of an engine that starts again go on at another",
+          "[dispatch]") {
+  constexpr Millis Never{60000};
+  DispatchWorld world(Never);
+  world.Engines.Length = 40;
+  BatchJob job = makeJob("a", 4);
+  world.submit(job);
+  REQUIRE(world.runUntil([&] {
+    return !world.server("e1").Runs.empty() && !world.server("e2").Runs.empty();
+  }));
+  world.Context.run_for(Millis(20));
+  // The crash is seen by nobody: connections stay open and silent.
+  world.server("e1").Dark = true;
+  UpstreamEntry entry = world.View.Servers.Servers[ServerName("e1")]->Entry;
+  entry.Start = 2000;
+  registerServer(world.View.Servers, entry);
+  world.Dispatch->onView();
+  REQUIRE(world.runUntil([&] { return !world.Engines.Resumed.empty(); }));
+  world.server("e1").Dark = false;
+  REQUIRE(world.finishes(job));
+}
+
 TEST_CASE("What was saved of a long text is not generated again",
           "[dispatch]") {
   DispatchWorld world;
--- a/UnitTests/Dispatch/EnginePoolTest.cpp
+++ b/UnitTests/Dispatch/EnginePoolTest.cpp
@@ -140,7 +140,7 @@
   engines[1]->Running = 3;
   EngineNeed need;
   need.Model = Red;
-  need.Preferred = ServerName("near");
+  need.Preferred = {ServerName("near"), 0};
   CHECK(choose(engines, need) == engines[0]);
   need.Long = true;
   CHECK(choose(engines, need) == engines[1]);
@@ -161,9 +161,9 @@
   engines[3]->Running = 2;
   EngineNeed need;
   need.Model = Red;
-  need.Preferred = ServerName("near");
+  need.Preferred = {ServerName("near"), 0};
   CHECK(choose(engines, need) == engines[3]);
-  need.Avoid = ServerName("near");
+  need.Avoid = {ServerName("near"), 0};
   CHECK(choose(engines, need) == engines[2]);
   engines[2]->Running = 4;
   engines[3]->Running = 4;
--- a/UnitTests/Dispatch/FakeEngines.cpp
+++ b/UnitTests/Dispatch/FakeEngines.cpp
@@ -32,6 +32,9 @@
     TimePoint until = monotonicNow() + (server.Dark ? Timeout : server.Pace);
     if (!Cancelled)
       co_await Wake.wait(until);
+    // It fell silent while the event was on its way.
+    if (!Cancelled && server.Dark)
+      co_await Wake.wait(monotonicNow() + Timeout);
     if (Cancelled || server.Dark)
       co_return lost(FailureCode::Cancelled);
     if (Next >= All.Length)
--- a/UnitTests/Dispatch/OrderKeeperTest.cpp
+++ b/UnitTests/Dispatch/OrderKeeperTest.cpp
@@ -13,7 +13,7 @@
   explicit FakeEngine(boost::asio::io_context &Context) : Context(Context) {}
 
   boost::asio::io_context &Context;
-  EngineReport Now{{{Red, 1}}, false, 0, 0, 0};
+  EngineReport Now{0, {{Red, 1}}, false, 0, 0, 0};
   std::vector<VersionOrder> Orders;
   /// Orders that are accepted without an answer, and carried out later.
   int Late = 0;
@@ -173,13 +173,59 @@
   CHECK(world.runUntil(told));
 }
 
+TEST_CASE("An engine that starts again under its name is told of anew",
+          "[dispatch]") {
+  OrderWorld world;
+  world.Engine.Now.Start = 1000;
+  world.Keeper->setWanted(Server, {Red, 2, SwapMode::Continue, 1000}, 0);
+  REQUIRE(world.comesTo(2));
+  auto told = [&](ServerStart Start) {
+    const std::vector<std::string> &all = world.Store.Topics[HeldTopic];
+    if (all.empty())
+      return false;
+    std::string text = all.back().substr(all.back().find('|') + 1);
+    Outcome<HeldWeights> held =
+        toOutcome<HeldWeights>([&] { return decodeHeld(text, "test"); });
+    return held && held->Models.at(Red) == 2 && held->Start == Start;
+  };
+  REQUIRE(world.runUntil([&] { return told(1000); }));
+  // It holds what it held, and its count of orders starts anew.
+  world.Engine.Now.Start = 2000;
+  world.Engine.Now.Accepted = 0;
+  CHECK(world.runUntil([&] { return told(2000); }));
+  // What was wanted of the start before is not wanted of this one.
+  std::size_t orders = world.Engine.Orders.size();
+  world.Engine.Now.Models[Red] = 1;
+  world.Context.run_for(Millis(50));
+  CHECK(world.Engine.Orders.size() == orders);
+  world.Keeper->setWanted(Server, {Red, 2, SwapMode::Continue, 2000}, 9);
+  REQUIRE(world.comesTo(2));
+  CHECK(world.Engine.Orders.back().Accepted == 0u);
+}
+
+TEST_CASE("An engine whose address another had is ordered when it is back",
+          "[dispatch]") {
+  OrderWorld world;
+  UpstreamEntry now;
+  now.Id = Server;
+  now.Start = 1000;
+  world.Engine.Name = ServerName("another");
+  world.Keeper->setEngines({now});
+  world.Keeper->setWanted(Server, {Red, 2, SwapMode::Continue}, 0);
+  REQUIRE(world.runUntil([&] { return !world.Engine.Orders.empty(); }));
+  world.Engine.Name = Server;
+  now.Start = 2000;
+  world.Keeper->setEngines({now});
+  CHECK(world.comesTo(2));
+}
+
 TEST_CASE("Records about engines read as they were written", "[dispatch]") {
-  WantedWeights wanted{Red, 7, SwapMode::Finish};
+  WantedWeights wanted{Red, 7, SwapMode::Finish, 1764000000123};
   Outcome<WantedWeights> again = toOutcome<WantedWeights>(
       [&] { return decodeWanted(encodeWanted(wanted), "test"); });
   REQUIRE(again);
   CHECK(*again == wanted);
-  HeldWeights held{{{Red, 7}, {ModelName("blue"), 1}}, true};
+  HeldWeights held{{{Red, 7}, {ModelName("blue"), 1}}, true, 1764000000123};
   Outcome<HeldWeights> same = toOutcome<HeldWeights>(
       [&] { return decodeHeld(encodeHeld(held), "test"); });
   REQUIRE(same);
--- a/UnitTests/Platform/TranslationTest.cpp
+++ b/UnitTests/Platform/TranslationTest.cpp
@@ -146,6 +146,95 @@
       [&] { return decodeServer("i-1", R"({"service":"s"})", "x"); }));
 }
 
+namespace {
+
+/// A registration with one member in other words; all as they are by default.
+std::string registration(const std::string &Member = "",
+                         const std::string &Now = "") {
+  std::string text =
+      R"({"service":"s","address":"10.128.0.9:8080","zone":"z",)"
+      R"("version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,)"
+      R"("models":[{"name":"m0","version":3,"adapters":[]}],"sequence":4,)"
+      R"("born":1764000000123})";
+  if (!Member.empty())
+    text.replace(text.find(Member), Member.size(), Now);
+  return text;
+}
+
+Outcome<UpstreamEntry> decoded(const std::string &Id, const std::string &Text) {
+  return outcomeOf<UpstreamEntry>(
+      [&] { return decodeServer(Id, Text, "registration"); });
+}
+
+} // namespace
+
+TEST_CASE("A server says when it started, in what it registers and reports",
+          "[platform]") {
+  Outcome<UpstreamEntry> entry = decoded("i-1", registration());
+  REQUIRE(entry);
+  CHECK(entry->incarnation() ==
+        ServerIncarnation{ServerName("i-1"), 1764000000123});
+  Outcome<EngineReport> report = outcomeOf<EngineReport>([&] {
+    return decodeReport(R"({"models":[],"sequence":0,"born":1764000000123})",
+                        "report");
+  });
+  REQUIRE(report);
+  CHECK(report->Start == 1764000000123);
+  Outcome<UpstreamEntry> without =
+      decoded("i-1", registration(R"(,"born":1764000000123)", ""));
+  REQUIRE(without);
+  CHECK(without->Start == 0);
+}
+
+TEST_CASE("An entry of another writer names no server", "[platform]") {
+  struct Change {
+    const char *Member;
+    const char *Now;
+  };
+  constexpr Change Changes[] = {
+      {R"("service":"s",)", ""},
+      {R"("service":"s")", R"("service":7)"},
+      {R"("service":"s")", R"("service":"")"},
+      {R"("address":"10.128.0.9:8080",)", ""},
+      {R"(10.128.0.9:8080)", "no-number:80"},
+      {R"(10.128.0.9:8080)", "10.128.0.9:99999"},
+      {R"("10.128.0.9:8080")", R"(["10.128.0.9:8080"])"},
+      {R"("zone":"z",)", ""},
+      {R"("zone":"z")", R"("zone":null)"},
+      {R"("version":"v1",)", ""},
+      {R"("slots":8,)", ""},
+      {R"("slots":8)", R"("slots":"8")"},
+      {R"("slots":8)", R"("slots":0)"},
+      {R"("slots":8)", R"("slots":-1)"},
+      {R"("slots":8)", R"("slots":1e30)"},
+      {R"("state":"ready",)", ""},
+      {R"("state":"ready")", R"("state":"warming")"},
+      {R"("state":"ready")", R"("state":true)"},
+      {R"("sequence":4,)", ""},
+      {R"("sequence":4)", R"("sequence":4.5)"},
+      {R"("models":[)", R"("models":[7,)"},
+      {R"("born":1764000000123)", R"("born":"1764000000123")"},
+      {R"("born":1764000000123)", R"("born":1764000000123.5)"},
+      {R"("born":1764000000123)", R"("born":-5)"},
+      {R"("born":1764000000123)", R"("born":null)"},
+      {R"("slots":8,)", R"("slots":8,"slots":9,)"},
+      {"}", ""},
+      {"{", "\xff\xfe{"},
+  };
+  for (const Change &it : Changes) {
+    INFO(it.Member << " -> " << it.Now);
+    CHECK_FALSE(decoded("i-1", registration(it.Member, it.Now)));
+  }
+  CHECK_FALSE(decoded("i-1", ""));
+  CHECK_FALSE(decoded("i-1", "[]"));
+  CHECK_FALSE(decoded("i-1", std::string(100000, '[')));
+  CHECK_FALSE(decoded("i-1", std::string(300000, '\0')));
+  // The id stands in headers.
+  for (const char *id : {"", "two words", "line\r\nbreak", "\xff"})
+    CHECK_FALSE(decoded(id, registration()));
+  REQUIRE(decoded("i-1", registration()));
+}
+
 TEST_CASE("A batch job is decoded with its expected lengths", "[platform]") {
   Outcome<BatchJob> got =
       outcomeOf<BatchJob>([] { return decodeJob(submission(Job)); });
--- a/UnitTests/Upstream/UpstreamTest.cpp
+++ b/UnitTests/Upstream/UpstreamTest.cpp
@@ -11,9 +11,10 @@
 const ServiceName Desk("desk");
 const TimePoint Start = TimePoint() + Millis(100000);
 
-UpstreamEntry entry(const std::string &Id) {
+UpstreamEntry entry(const std::string &Id, ServerStart Born = 0) {
   UpstreamEntry made;
   made.Id = ServerName(Id);
+  made.Start = Born;
   made.Service = Desk;
   made.Slots = 4;
   return made;
@@ -69,7 +70,7 @@
   CHECK(serversOf(table, Desk, contact, Start).size() == 2);
   UpstreamEntry leaving = entry("a");
   leaving.Draining = true;
-  CHECK(registerServer(table, leaving));
+  CHECK(registerServer(table, leaving) == RegistrationNews::Changed);
   unregisterServer(table, ServerName("b"), Start);
   CHECK(serversOf(table, Desk, contact, Start).empty());
   sweep(table, contact, Start);
@@ -87,7 +88,7 @@
   sweep(table, contact, Start + Millis(1000));
   CHECK(table.Servers.size() == 1);
   CHECK(serversOf(table, Desk, contact, Start + Millis(2300)).empty());
-  CHECK(registerServer(table, entry("a")));
+  CHECK(registerServer(table, entry("a")) == RegistrationNews::Changed);
   CHECK(serversOf(table, Desk, contact, Start + Millis(2300)).size() == 1);
   // One that leaves while all is well is gone at once.
   unregisterServer(table, ServerName("a"), Start + Millis(5000));
@@ -102,18 +103,105 @@
   StoreContact contact = contactSince(Start - Millis(60000));
   noteFailure(table, *table.Servers[ServerName("a")], Start);
   table.Servers[ServerName("b")]->InFlight = 4;
-  std::set<ServerName> tried;
+  std::set<ServerIncarnation> tried;
   for (const char *next : {"c", "b", "a"}) {
     std::shared_ptr<UpstreamServer> chosen =
         chooseServer(table, Desk, DomainName(), tried, contact, Start);
     REQUIRE(chosen);
     CHECK(chosen->Entry.Id.Text == next);
-    tried.insert(chosen->Entry.Id);
+    tried.insert(chosen->Entry.incarnation());
   }
   CHECK(chooseServer(table, Desk, DomainName(), tried, contact, Start) ==
         nullptr);
 }
 
+TEST_CASE("A server that starts again under its name is another one",
+          "[upstream]") {
+  UpstreamTable table;
+  CHECK(registerServer(table, entry("a", 1000)) ==
+        RegistrationNews::Registered);
+  std::shared_ptr<UpstreamServer> before = table.Servers[ServerName("a")];
+  noteFailure(table, *before, Start);
+  before->InFlight = 4;
+  before->AnswerMs = 900;
+  before->Replaced = true;
+  CHECK(registerServer(table, entry("a", 2000), 7) ==
+        RegistrationNews::Restarted);
+  std::shared_ptr<UpstreamServer> after = table.Servers[ServerName("a")];
+  CHECK(after != before);
+  CHECK(after->InFlight == 0);
+  CHECK(after->AnswerMs == 0);
+  CHECK(after->FirstSeen == 7);
+  CHECK(after->SuspectUntil == TimePoint());
+  StoreContact contact = contactSince(Start - Millis(60000));
+  CHECK(usable(table, *after, contact, Start));
+  // Whoever still holds the one before sends it nothing more.
+  CHECK_FALSE(usable(table, *before, contact, Start));
+  // A request that the one before has had may go to this one.
+  std::set<ServerIncarnation> tried{before->Entry.incarnation()};
+  CHECK(chooseServer(table, Desk, DomainName(), tried, contact, Start) ==
+        after);
+}
+
+TEST_CASE("A registration of an earlier start changes nothing", "[upstream]") {
+  UpstreamTable table;
+  registerServer(table, entry("a", 2000));
+  UpstreamEntry old = entry("a", 1000);
+  old.Draining = true;
+  CHECK(registerServer(table, old) == RegistrationNews::Outdated);
+  CHECK(table.Servers[ServerName("a")]->Entry == entry("a", 2000));
+  CHECK(registerServer(table, entry("a", 2000)) == RegistrationNews::None);
+}
+
+TEST_CASE("Where no start is told the name alone is the server", "[upstream]") {
+  UpstreamTable table;
+  registerServer(table, entry("a"));
+  std::shared_ptr<UpstreamServer> known = table.Servers[ServerName("a")];
+  known->Replaced = true;
+  CHECK(registerServer(table, entry("a")) == RegistrationNews::None);
+  CHECK(table.Servers[ServerName("a")] == known);
+  CHECK(known->Replaced);
+  // Others beside it may tell theirs.
+  registerServer(table, entry("b", 1000));
+  StoreContact contact = contactSince(Start - Millis(60000));
+  CHECK(serversOf(table, Desk, contact, Start).size() == 1);
+  // Another server has answered where it was, not where it is now.
+  UpstreamEntry moved = entry("a");
+  moved.Where = Address{"10.0.0.9", 80};
+  CHECK(registerServer(table, moved) == RegistrationNews::Changed);
+  CHECK(serversOf(table, Desk, contact, Start).size() == 2);
+}
+
+TEST_CASE("A rejected registration names no server until a good one comes",
+          "[upstream]") {
+  UpstreamTable table;
+  registerServer(table, entry("a", 2000));
+  registerServer(table, entry("b", 2000));
+  std::shared_ptr<UpstreamServer> before = table.Servers[ServerName("a")];
+  CHECK(rejectRegistration(table, ServerName("a"), "no JSON"));
+  StoreContact contact = contactSince(Start);
+  CHECK(serversOf(table, Desk, contact, Start).size() == 1);
+  CHECK_FALSE(usable(table, *before, contact, Start));
+  // A writer that goes on is counted, and told of once a reason.
+  CHECK_FALSE(rejectRegistration(table, ServerName("a"), "no JSON"));
+  CHECK(rejectRegistration(table, ServerName("a"), "no address"));
+  CHECK(table.RejectedCount == 3);
+  CHECK(registerServer(table, entry("a", 1000)) == RegistrationNews::Outdated);
+  CHECK(registerServer(table, entry("a", 2000)) ==
+        RegistrationNews::Registered);
+  CHECK(serversOf(table, Desk, contact, Start).size() == 2);
+  CHECK(table.Rejected.empty());
+}
+
+TEST_CASE("Rejected names are kept up to a bound", "[upstream]") {
+  UpstreamTable table;
+  table.Limits.MostRejected = 3;
+  for (int i = 0; i < 5; ++i)
+    rejectRegistration(table, ServerName(std::to_string(i)), "no JSON");
+  CHECK(table.Rejected.size() == 3);
+  CHECK(table.RejectedCount == 5);
+}
+
 TEST_CASE("A server that fails again stays out longer, up to a bound",
           "[upstream]") {
   UpstreamTable table;
--- a/Wasabi/Adapters/Telemetry/Log.cpp
+++ b/Wasabi/Adapters/Telemetry/Log.cpp
@@ -96,6 +96,14 @@
                       "' is not debug, info, warning or error");
 }
 
+std::string printable(std::string_view Text, std::size_t Most) {
+  std::string out(Text.substr(0, Most));
+  std::replace_if(
+      out.begin(), out.end(), [](char It) { return It < ' ' || It > '~'; },
+      '?');
+  return out;
+}
+
 std::string logLine(std::uint64_t WallMicroseconds, LogLevel Level,
                     std::string_view Instance, std::string_view Message,
                     const std::vector<EventField> &Fields) {
--- a/Wasabi/Adapters/Telemetry/Log.h
+++ b/Wasabi/Adapters/Telemetry/Log.h
@@ -35,6 +35,10 @@
                     std::string_view Instance, std::string_view Message,
                     const std::vector<EventField> &Fields);
 
+/// Foreign bytes as a field's value: at most `Most` of them, and what is not
+/// visible ASCII or a blank as a question mark. Pure.
+std::string printable(std::string_view Text, std::size_t Most);
+
 /// The log of one process. Thread-safe.
 class Log {
 public:
--- a/Wasabi/Core/Ids.h
+++ b/Wasabi/Core/Ids.h
@@ -45,6 +45,18 @@
 using WeightVersion = std::uint64_t;
 /// Start of a process, in wall microseconds: a restarted process is another.
 using Incarnation = std::uint64_t;
+/// When a server started, in Unix milliseconds by its own clock; 0 if it does
+/// not say.
+using ServerStart = std::uint64_t;
+
+/// One server from a start to its end. A server may start again under the name
+/// that it had: it then knows nothing of before, and nothing that was known of
+/// it holds. Immutable in use.
+struct ServerIncarnation {
+  ServerName Server;
+  ServerStart Start = 0;
+  auto operator<=>(const ServerIncarnation &) const = default;
+};
 
 } // namespace wasabi
 
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -65,7 +65,7 @@
   TimePoint NotBefore;
   std::shared_ptr<EngineState> Engine;
   /// The engine that it was taken from or that failed it.
-  ServerName Avoid;
+  ServerIncarnation Avoid;
   /// While it runs: its stream, once there is one.
   EngineStream *Stream = nullptr;
   /// When its run began or had its last event.
@@ -262,7 +262,7 @@
   /// Texts of items that were not finished, for jobs that carry them over.
   std::map<std::string, PartialText> Carried;
   /// The engine that read a group's prompt.
-  std::map<std::string, ServerName> PromptAt;
+  std::map<std::string, ServerIncarnation> PromptAt;
   EngineList Pool;
   /// What the processes beside the servers told last, and when it came.
   struct HeldNews {
--- a/Wasabi/Dispatch/DispatcherEngines.cpp
+++ b/Wasabi/Dispatch/DispatcherEngines.cpp
@@ -37,7 +37,8 @@
 /// registration.
 void Dispatcher::takeHeld(EngineState &Engine) const {
   auto news = Held.find(Engine.Server->Entry.Id);
-  if (news == Held.end())
+  if (news == Held.end() ||
+      !sameStart(news->second.Held.Start, Engine.Server->Entry.Start))
     return;
   for (const auto &[model, version] : news->second.Held.Models) {
     WeightVersion &has = Engine.Versions[model];
@@ -238,7 +239,8 @@
     ++swapping;
     it->Wanted = View.Named[it->Model];
     it->WantedAt = now;
-    WantedWeights what{it->Model, it->Wanted, swapMode(it->Model)};
+    WantedWeights what{it->Model, it->Wanted, swapMode(it->Model),
+                       it->Server->Entry.Start};
     asio::co_spawn(
         Executor,
         [self = shared_from_this(), it, what] { return self->want(it, what); },
@@ -254,6 +256,7 @@
                                  encodeWanted(What), Limits.StoreTime);
   Decisions->line("engine.wanted",
                   {{"server", On->Server->Entry.Id.Text},
+                   {"start", std::to_string(What.Start)},
                    {"model", What.Model.Text},
                    {"has", std::to_string(On->version(What.Model))},
                    {"wanted", std::to_string(What.Version)},
@@ -266,7 +269,9 @@
 void Dispatcher::onHeld(const ServerName &Of, const HeldWeights &Now) {
   Held[Of] = HeldNews{Now, monotonicNow()};
   for (const std::shared_ptr<EngineState> &it : Pool) {
-    if (it->Server->Entry.Id != Of)
+    // What a start that has not registered yet holds is taken up when it does.
+    if (it->Server->Entry.Id != Of ||
+        !sameStart(it->Server->Entry.Start, Now.Start))
       continue;
     for (const auto &[model, version] : Now.Models)
       it->Versions[model] = version;
--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -47,7 +47,7 @@
   Work->Moved = false;
   ++On->Running;
   ++On->Server->InFlight;
-  PromptAt[Work->Item.Group] = On->Server->Entry.Id;
+  PromptAt[Work->Item.Group] = On->Server->Entry.incarnation();
   Decisions->line("item.run",
                   {{"item", Work->Item.Id.Text},
                    {"job", Work->Job->Job.Id.Text},
@@ -95,7 +95,7 @@
   if (Work->Dropped || Work->Stage == ItemStage::Finished)
     co_return schedule();
   if (!whole) {
-    Work->Avoid = engine->Server->Entry.Id;
+    Work->Avoid = engine->Server->Entry.incarnation();
     endRun(Work, why);
     co_return;
   }
@@ -221,7 +221,7 @@
       Work->Moved ? TimePoint() : monotonicNow() + Limits.RetryPause;
   Decisions->line("item.run_ended",
                   {{"item", Work->Item.Id.Text},
-                   {"server", Work->Avoid.Text},
+                   {"server", Work->Avoid.Server.Text},
                    {"events", std::to_string(Work->Text.Events)},
                    {"reason", describe(Why)}});
   Counts.counter("item_runs_broken_total", "Runs of items that were not whole")
--- a/Wasabi/Dispatch/EnginePool.cpp
+++ b/Wasabi/Dispatch/EnginePool.cpp
@@ -233,9 +233,9 @@
         Need.Long ? paceGrade(it->Pace, Scale.FastMs, Limits.Pace) : 0;
     Rank rank{server.SuspectUntil > Now,
               isSlow(it->Pace, Scale.UsualMs, Limits.Pace),
-              server.Entry.Id == Need.Avoid,
+              server.Entry.incarnation() == Need.Avoid,
               grade,
-              server.Entry.Id != Need.Preferred,
+              server.Entry.incarnation() != Need.Preferred,
               load};
     if (!best || rank < bestRank) {
       best = it;
--- a/Wasabi/Dispatch/EnginePool.h
+++ b/Wasabi/Dispatch/EnginePool.h
@@ -93,9 +93,9 @@
   /// Set when the text must go on under this version.
   std::optional<WeightVersion> Exactly;
   /// The engine that has the group's prompt, if any.
-  ServerName Preferred;
+  ServerIncarnation Preferred;
   /// The engine that has just failed the sample, if any.
-  ServerName Avoid;
+  ServerIncarnation Avoid;
   /// Whether its text is likely to be one that its step waits for: it gets the
   /// fastest engine that has room, before the one that has its prompt. Reading
   /// a prompt of 1,000 tokens takes 2 ms, a hundred events on an engine of the
--- a/Wasabi/Dispatch/EngineTopics.cpp
+++ b/Wasabi/Dispatch/EngineTopics.cpp
@@ -14,21 +14,28 @@
 /// What is wanted should reach an engine within a fraction of a load's 0.9 s.
 constexpr Millis EnginePace{30};
 
+/// Records of a release before this one have none.
+ServerStart readStart(JsonReader &From) {
+  return From.has("start") ? From.number("start") : 0;
+}
+
 } // namespace
 
 std::string encodeWanted(const WantedWeights &What) {
   return json::serialize(json::object{
       {"model", What.Model.Text},
       {"version", What.Version},
-      {"mode", What.Mode == SwapMode::Finish ? "finish" : "continue"}});
+      {"mode", What.Mode == SwapMode::Finish ? "finish" : "continue"},
+      {"start", What.Start}});
 }
 
 std::string encodeHeld(const HeldWeights &What) {
   json::array models;
   for (const auto &[model, version] : What.Models)
     models.push_back({{"name", model.Text}, {"version", version}});
-  return json::serialize(
-      json::object{{"models", std::move(models)}, {"loading", What.Loading}});
+  return json::serialize(json::object{{"models", std::move(models)},
+                                      {"loading", What.Loading},
+                                      {"start", What.Start}});
 }
 
 Result<WantedWeights> decodeWanted(std::string_view Text,
@@ -41,6 +48,7 @@
   wanted.Version = root.number("version");
   bool finish = root.word("mode", {"continue", "finish"}, true) == 1;
   wanted.Mode = finish ? SwapMode::Finish : SwapMode::Continue;
+  wanted.Start = readStart(root);
   BOOST_LEAF_CHECK(root.finish());
   return wanted;
 }
@@ -58,6 +66,7 @@
     root.adopt(it);
   }
   held.Loading = root.boolean("loading", false);
+  held.Start = readStart(root);
   BOOST_LEAF_CHECK(root.finish());
   return held;
 }
--- a/Wasabi/Dispatch/EngineTopics.h
+++ b/Wasabi/Dispatch/EngineTopics.h
@@ -25,6 +25,8 @@
   ModelName Model;
   WeightVersion Version = 0;
   SwapMode Mode = SwapMode::Continue;
+  /// Of which start of the server it is wanted; 0 if that is not known.
+  ServerStart Start = 0;
   bool operator==(const WantedWeights &) const = default;
 };
 
@@ -33,9 +35,17 @@
   std::map<ModelName, WeightVersion> Models;
   /// Whether it is taking others now.
   bool Loading = false;
+  /// The start of the server that held them; 0 if that is not known.
+  ServerStart Start = 0;
   bool operator==(const HeldWeights &) const = default;
 };
 
+/// Whether what is known of one start of a server speaks for another. Where a
+/// start is not known, the server's name has to do. Pure.
+inline bool sameStart(ServerStart Left, ServerStart Right) {
+  return Left == 0 || Right == 0 || Left == Right;
+}
+
 /// The text of a record. Thread-safe.
 std::string encodeWanted(const WantedWeights &What);
 std::string encodeHeld(const HeldWeights &What);
--- a/Wasabi/Dispatch/OrderKeeper.cpp
+++ b/Wasabi/Dispatch/OrderKeeper.cpp
@@ -37,7 +37,7 @@
 
 const UpstreamEntry *OrderKeeper::engine() const {
   for (const UpstreamEntry &it : Entries) {
-    if (!Gone.contains(it.Id))
+    if (!Gone.contains(it.incarnation()))
       return &it;
   }
   return nullptr;
@@ -71,14 +71,16 @@
       co_await Engines.Report(engine, Limits.AnswerTime);
   if (!got)
     co_return true;
+  // The engine knows best which start it is; its registration may be late.
+  ServerIncarnation is{engine.Id, got->Start > 0 ? got->Start : engine.Start};
   // Without a token of this life nothing may be ordered.
   bool first = !Token;
   // Named, since GCC 12 destroys an aggregate that is a temporary of a
   // `co_await` twice.
-  HeldWeights held{got->Models, got->Busy};
+  HeldWeights held{got->Models, got->Busy, is.Start};
   if (first)
     co_await publish(engine.Id, held);
-  const WantedWeights *due = dueFor(engine.Id, *got);
+  const WantedWeights *due = dueFor(is, *got);
   if (due != nullptr && Token)
     co_await order(engine, *due, got->Accepted);
   if (!first)
@@ -87,12 +89,14 @@
 }
 
 /// What the engine should be ordered to take now, null if nothing.
-const WantedWeights *OrderKeeper::dueFor(const ServerName &Id,
+const WantedWeights *OrderKeeper::dueFor(const ServerIncarnation &Of,
                                          const EngineReport &Now) const {
-  auto wanted = ByServer.find(Id);
+  auto wanted = ByServer.find(Of.Server);
   if (Now.Busy || wanted == ByServer.end())
     return nullptr;
   const WantedWeights &what = wanted->second.What;
+  if (!sameStart(what.Start, Of.Start))
+    return nullptr;
   auto has = Now.Models.find(what.Model);
   bool there = has != Now.Models.end() && has->second >= what.Version;
   return there ? nullptr : &what;
@@ -107,7 +111,7 @@
       co_await Engines.Order(Engine, order, Limits.AnswerTime);
   bool begun = got && *got == OrderOutcome::Begun;
   if (got && *got == OrderOutcome::OtherServer)
-    Gone.insert(Engine.Id);
+    Gone.insert(Engine.incarnation());
   std::string result =
       got ? begun ? "begun" : "not begun" : describe(got.failure());
   Decisions->line("engine.order", {{"server", Engine.Id.Text},
@@ -127,6 +131,7 @@
       HeldTopic, Of.Text, encodeHeld(Now), Limits.StoreTime);
   Decisions->line("engine.state",
                   {{"server", Of.Text},
+                   {"start", std::to_string(Now.Start)},
                    {"loading", Now.Loading ? "yes" : "no"},
                    {"result", got ? "told" : describe(got.failure())}});
   if (!got)
--- a/Wasabi/Dispatch/OrderKeeper.h
+++ b/Wasabi/Dispatch/OrderKeeper.h
@@ -63,7 +63,7 @@
   const UpstreamEntry *engine() const;
   boost::asio::awaitable<void> keep();
   boost::asio::awaitable<bool> look();
-  const WantedWeights *dueFor(const ServerName &Id,
+  const WantedWeights *dueFor(const ServerIncarnation &Of,
                               const EngineReport &Now) const;
   boost::asio::awaitable<void> order(UpstreamEntry Engine, WantedWeights What,
                                      std::uint64_t Accepted);
@@ -77,7 +77,7 @@
   AsyncSignal Changed;
   std::vector<UpstreamEntry> Entries;
   /// Servers that are not at the address any more.
-  std::set<ServerName> Gone;
+  std::set<ServerIncarnation> Gone;
   std::map<ServerName, Wanted> ByServer;
   /// What the store was told last, and of whom.
   std::optional<HeldWeights> Published;
--- a/Wasabi/Ports/EnginePort.h
+++ b/Wasabi/Ports/EnginePort.h
@@ -119,6 +119,8 @@
 
 /// What an engine reports of itself. An immutable value.
 struct EngineReport {
+  /// When the engine started; 0 if it does not say.
+  ServerStart Start = 0;
   std::map<ModelName, WeightVersion> Models;
   /// Whether an order is under way.
   bool Busy = false;
--- a/Wasabi/Upstream/Feed.cpp
+++ b/Wasabi/Upstream/Feed.cpp
@@ -1,5 +1,7 @@
 #include "Wasabi/Upstream/Feed.h"
 
+#include "Wasabi/Adapters/Telemetry/Log.h"
+
 namespace wasabi {
 
 namespace {
@@ -12,11 +14,12 @@
     return Done{};
   });
   if (!taken)
-    Parts.Decisions->line("record.rejected",
-                          {{"topic", Topic},
-                           {"key", Record.Key},
-                           {"offset", std::to_string(Record.At)},
-                           {"reason", describe(taken.failure())}});
+    Parts.Decisions->line(
+        "record.rejected",
+        {{"topic", Topic},
+         {"key", printable(Record.Key, MostForeignText)},
+         {"offset", std::to_string(Record.At)},
+         {"reason", printable(describe(taken.failure()), MostForeignText)}});
 }
 
 } // namespace
--- a/Wasabi/Upstream/Feed.h
+++ b/Wasabi/Upstream/Feed.h
@@ -13,6 +13,9 @@
 
 namespace wasabi {
 
+/// Most bytes of a foreign text that a log line repeats.
+inline constexpr std::size_t MostForeignText = 200;
+
 /// What the feeds of one process share.
 struct FeedParts {
   boost::asio::any_io_executor Executor;
--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -72,7 +72,7 @@
   UpstreamRoute Route;
   ServiceName Service;
   TimePoint Deadline;
-  std::set<ServerName> Tried;
+  std::set<ServerIncarnation> Tried;
   /// Tries that may have run.
   std::uint32_t Runs = 0;
   /// Tries that certainly did not.
@@ -161,7 +161,7 @@
   bool unrun = *got ? (*got)->Proof == AnswerProof::NotRun
                     : got->failure().Run == Verdict::NotRun;
   ++(unrun ? Of.Unrun : Of.Runs);
-  Of.Tried.insert(server->Entry.Id);
+  Of.Tried.insert(server->Entry.incarnation());
   if (*got && (*got)->Response.Status == MisdirectedStatus)
     server->Replaced = true;
   if (*got && (*got)->Proof == AnswerProof::Ran)
@@ -283,7 +283,7 @@
     --server->InFlight;
     if (!got)
       break;
-    Of.Tried.insert(server->Entry.Id);
+    Of.Tried.insert(server->Entry.incarnation());
     if (*got && (**got)->head().Proof == AnswerProof::Ran) {
       ++Of.Runs;
       co_return std::move(**got);
--- a/Wasabi/Upstream/UpstreamTable.cpp
+++ b/Wasabi/Upstream/UpstreamTable.cpp
@@ -5,23 +5,82 @@
 
 namespace wasabi {
 
-bool registerServer(UpstreamTable &Table, UpstreamEntry Entry, Offset At) {
+std::string_view toText(RegistrationNews News) {
+  switch (News) {
+  case RegistrationNews::None:
+    return "unchanged";
+  case RegistrationNews::Changed:
+    return "changed";
+  case RegistrationNews::Registered:
+    return "registered";
+  case RegistrationNews::Restarted:
+    return "restarted";
+  case RegistrationNews::Outdated:
+    return "outdated, left";
+  }
+  return "";
+}
+
+ServerStart knownStart(const UpstreamTable &Table, const ServerName &Id) {
+  auto server = Table.Servers.find(Id);
+  if (server != Table.Servers.end())
+    return server->second->Entry.Start;
+  auto rejected = Table.Rejected.find(Id);
+  return rejected == Table.Rejected.end() ? 0 : rejected->second.Start;
+}
+
+RegistrationNews registerServer(UpstreamTable &Table, UpstreamEntry Entry,
+                                Offset At) {
+  if (Entry.Start < knownStart(Table, Entry.Id))
+    return RegistrationNews::Outdated;
+  Table.Rejected.erase(Entry.Id);
   std::shared_ptr<UpstreamServer> &server = Table.Servers[Entry.Id];
-  if (!server) {
+  bool restarted = server && Entry.Start > server->Entry.Start;
+  if (!server || restarted) {
+    // Whoever works with the incarnation before keeps its own record of it.
+    if (restarted)
+      server->Replaced = true;
     server = std::make_shared<UpstreamServer>();
     server->Entry = std::move(Entry);
     server->FirstSeen = At;
-    return true;
+    return restarted ? RegistrationNews::Restarted
+                     : RegistrationNews::Registered;
   }
   bool back = server->Vanished.has_value();
   server->Vanished.reset();
+  // Another server has answered where it was, not where it is now.
+  if (server->Entry.Where != Entry.Where)
+    server->Replaced = false;
   bool differs = server->Entry != Entry;
   server->Entry = std::move(Entry);
-  return differs || back;
+  return differs || back ? RegistrationNews::Changed : RegistrationNews::None;
+}
+
+bool rejectRegistration(UpstreamTable &Table, const ServerName &Id,
+                        const std::string &Reason) {
+  ++Table.RejectedCount;
+  ServerStart start = knownStart(Table, Id);
+  auto server = Table.Servers.find(Id);
+  if (server != Table.Servers.end()) {
+    // Whoever works with it learns that it gets nothing more.
+    server->second->Replaced = true;
+    Table.Servers.erase(server);
+  }
+  auto known = Table.Rejected.find(Id);
+  if (known != Table.Rejected.end()) {
+    bool news = known->second.Reason != Reason;
+    known->second.Reason = Reason;
+    return news;
+  }
+  if (Table.Rejected.size() >= Table.Limits.MostRejected)
+    return false;
+  Table.Rejected.emplace(Id, RejectedRegistration{Reason, start});
+  return true;
 }
 
 void unregisterServer(UpstreamTable &Table, const ServerName &Id,
                       TimePoint Now) {
+  Table.Rejected.erase(Id);
   auto it = Table.Servers.find(Id);
   if (it != Table.Servers.end() && !it->second->Vanished)
     it->second->Vanished = Now;
@@ -60,7 +119,7 @@
 
 std::shared_ptr<UpstreamServer>
 chooseServer(const UpstreamTable &Table, const ServiceName &Service,
-             const DomainName &Near, const std::set<ServerName> &Tried,
+             const DomainName &Near, const std::set<ServerIncarnation> &Tried,
              const StoreContact &Contact, TimePoint Now) {
   using Rank = std::tuple<bool, double, bool>;
   // Before the first answer a server counts as an ordinary one.
@@ -69,7 +128,7 @@
   Rank bestRank;
   for (const std::shared_ptr<UpstreamServer> &it :
        serversOf(Table, Service, Contact, Now)) {
-    if (Tried.contains(it->Entry.Id))
+    if (Tried.contains(it->Entry.incarnation()))
       continue;
     double perRequest = it->AnswerMs > 0 ? it->AnswerMs : UnknownMs;
     double waiting = static_cast<double>(it->InFlight + 1) /
--- a/Wasabi/Upstream/UpstreamTable.h
+++ b/Wasabi/Upstream/UpstreamTable.h
@@ -14,14 +14,18 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace wasabi {
 
 /// What a server has registered of itself. An immutable value.
 struct UpstreamEntry {
-  /// New at each start of the server.
+  /// May be that of an earlier start.
   ServerName Id;
+  /// When it started; 0 if it does not say, and then its name alone tells it
+  /// from others.
+  ServerStart Start = 0;
   ServiceName Service;
   Address Where;
   DomainName Domain;
@@ -31,19 +35,20 @@
   /// Weights that it holds, as of some hundred milliseconds ago.
   std::map<ModelName, WeightVersion> Models;
   bool operator==(const UpstreamEntry &) const = default;
+  ServerIncarnation incarnation() const { return {Id, Start}; }
 };
 
 /// Another server has the address that a request was sent to (RFC 9110).
 inline constexpr unsigned MisdirectedStatus = 421;
 
-/// A server and what this process has seen of it.
+/// One incarnation of a server and what this process has seen of it.
 struct UpstreamServer {
   UpstreamEntry Entry;
   /// Offset of the first registration that was read: later starts have greater
   /// ones.
   Offset FirstSeen = 0;
-  /// Whether another server has answered at its address. Each start has an id
-  /// of its own, so this one never comes back.
+  /// Whether another server has answered at its address or has its name now.
+  /// This incarnation never comes back.
   bool Replaced = false;
   /// When its registration vanished; empty while it is registered.
   std::optional<TimePoint> Vanished;
@@ -57,6 +62,13 @@
   double AnswerMs = 0;
 };
 
+/// A registration that names no server to use.
+struct RejectedRegistration {
+  std::string Reason;
+  /// The newest start that was known under its name.
+  ServerStart Start = 0;
+};
+
 /// All servers. Owned by one thread.
 struct UpstreamTable {
   struct Settings {
@@ -68,15 +80,49 @@
     Millis SuspectMost{3200};
     /// Weight of the newest answer in the smoothed time.
     double Smoothing = 0.2;
+    /// Most rejected names that are kept; further ones count only. Far above
+    /// the servers of the largest deployments.
+    std::size_t MostRejected = 1000;
   };
 
   Settings Limits;
   std::map<ServerName, std::shared_ptr<UpstreamServer>> Servers;
+  /// Names whose newest registration was rejected.
+  std::map<ServerName, RejectedRegistration> Rejected;
+  /// Registrations that were rejected, in all.
+  std::uint64_t RejectedCount = 0;
+};
+
+/// What a registration has changed.
+enum class RegistrationNews : std::uint8_t {
+  /// Nothing.
+  None,
+  /// It differs from the one before, or is back.
+  Changed,
+  /// A server that was not known has registered.
+  Registered,
+  /// A known server has started again: what was known of it is gone.
+  Restarted,
+  /// It tells of a start before the one that is known, and was left.
+  Outdated,
 };
 
-/// Takes a registration, read at `At`; true if it is new or differs in more
-/// than time.
-bool registerServer(UpstreamTable &Table, UpstreamEntry Entry, Offset At = 0);
+/// For logs.
+std::string_view toText(RegistrationNews News);
+
+/// The newest start that is known under a name; 0 if none is.
+ServerStart knownStart(const UpstreamTable &Table, const ServerName &Id);
+
+/// Takes a registration, read at `At`. One of an earlier start changes nothing,
+/// however late it is read.
+RegistrationNews registerServer(UpstreamTable &Table, UpstreamEntry Entry,
+                                Offset At = 0);
+
+/// Takes a registration that nobody can make sense of: no server is there under
+/// that name until one registers again. True if that is news: a writer that
+/// repeats itself each second is told of once.
+bool rejectRegistration(UpstreamTable &Table, const ServerName &Id,
+                        const std::string &Reason);
 
 /// Takes the end of a registration. Right after an outage of the store the
 /// server is kept for `LapseGrace` from the store's return.
@@ -100,7 +146,7 @@
 /// of `Tried`.
 std::shared_ptr<UpstreamServer>
 chooseServer(const UpstreamTable &Table, const ServiceName &Service,
-             const DomainName &Near, const std::set<ServerName> &Tried,
+             const DomainName &Near, const std::set<ServerIncarnation> &Tried,
              const StoreContact &Contact, TimePoint Now);
 
 /// Notes an answer that took `TookMs`.
