Claims are decided by the fold, saved texts fetched several at a time, records shorter

Each of 134 processes read the whole rollout topic and all share the store's 80 MB/s; the duty was claimed by an append at a known end, which any other record refused (1.0 s from the first claim to the one taken); and a takeover fetched saved texts one after the other, each piece with 128 KB behind it (2 s until the last ran).

Change: a claim names the newest record of the lease that its writer has seen and the fold decides; renewals name the holder; saved texts are fetched eight at a time, the longest first, nothing read ahead; results, texts and items in jobs are arrays (schema 2: processes of both schemas must not run side by side).

--- a/UnitTests/Batch/BatchFoldTest.cpp
+++ b/UnitTests/Batch/BatchFoldTest.cpp
@@ -155,9 +155,11 @@
 TEST_CASE("A renewal under an old term does not hold the lease", "[batch]") {
   BatchFold fold;
   TimePoint start = TimePoint() + Millis(1000);
-  apply(fold, 0, LeaseClaim{{InstanceName("a"), 1}}, start);
-  apply(fold, 1, LeaseClaim{{InstanceName("b"), 2}}, start + Millis(10));
-  apply(fold, 2, LeaseRenewal{0}, start + Millis(50));
+  LeaseHolder a{InstanceName("a"), 1};
+  LeaseHolder b{InstanceName("b"), 2};
+  apply(fold, 0, LeaseClaim{a}, start);
+  apply(fold, 1, LeaseClaim{b, 0}, start + Millis(10));
+  apply(fold, 2, LeaseRenewal{0, a}, start + Millis(50));
   CHECK(fold.Lease.Holder->Instance.Text == "b");
   CHECK(fold.Lease.Term == 1);
   CHECK(fold.Lease.Seen == start + Millis(10));
@@ -167,6 +169,53 @@
   CHECK(fold.Lease.Released);
 }
 
+TEST_CASE("Of claims at once the first one in the topic counts", "[batch]") {
+  BatchFold fold;
+  TimePoint now = TimePoint() + Millis(1000);
+  LeaseHolder a{InstanceName("a"), 1};
+  LeaseHolder b{InstanceName("b"), 2};
+  LeaseHolder c{InstanceName("c"), 3};
+  apply(fold, 0, LeaseClaim{a}, now);
+  apply(fold, 1, LeaseClaim{b}, now);
+  CHECK(fold.Lease.Holder == a);
+  // Of other records between, none matters.
+  apply(fold, 2, JobPart{makeJob("a", 1), 0, 1}, now);
+  apply(fold, 3, LeaseClaim{b, 0}, now);
+  apply(fold, 4, LeaseClaim{c, 0}, now);
+  CHECK(fold.Lease.Holder == b);
+  CHECK(fold.Lease.Term == 3);
+  // The holder has prolonged it since the claimant looked.
+  apply(fold, 5, LeaseRenewal{3, b}, now);
+  apply(fold, 6, LeaseClaim{c, 3}, now);
+  CHECK(fold.Lease.Holder == b);
+  apply(fold, 7, LeaseRelease{3}, now);
+  apply(fold, 8, LeaseClaim{c, 5}, now);
+  CHECK(fold.Lease.Released);
+  apply(fold, 9, LeaseClaim{c, 7}, now);
+  CHECK(fold.Lease.Holder == c);
+}
+
+TEST_CASE("Who reads from the middle of the topic learns who holds the lease",
+          "[batch]") {
+  TimePoint now = TimePoint() + Millis(1000);
+  LeaseHolder a{InstanceName("a"), 1};
+  LeaseHolder b{InstanceName("b"), 2};
+  std::vector<BatchRecord> topic{
+      LeaseClaim{a},      LeaseClaim{b, 0}, LeaseRenewal{0, a},
+      LeaseRenewal{1, b}, LeaseClaim{a, 0}, LeaseRenewal{0, a},
+      LeaseRenewal{1, b}, LeaseClaim{a, 3}, LeaseRenewal{1, b}};
+  for (std::size_t from = 0; from < topic.size() - 1; ++from) {
+    BatchFold fold;
+    fold.Next = from;
+    for (std::size_t i = from; i < topic.size(); ++i)
+      apply(fold, i, topic[i], now);
+    INFO("from " << from);
+    CHECK(fold.Lease.Holder == b);
+    CHECK(fold.Lease.Term == 1);
+    CHECK(fold.Lease.LastAt == 8);
+  }
+}
+
 TEST_CASE("A job is forgotten after nobody may read it any more", "[batch]") {
   BatchFold fold;
   BatchJob job = makeJob("a", 1);
--- a/UnitTests/Batch/BatchRecordTest.cpp
+++ b/UnitTests/Batch/BatchRecordTest.cpp
@@ -24,7 +24,8 @@
                                TextRecord{job.Id, job.Items[0].Id, 5, 0,
                                           PartialText{odd, 4, {3, 9}, true}},
                                LeaseClaim{{InstanceName("edge"), 77}},
-                               LeaseRenewal{12},
+                               LeaseClaim{{InstanceName("edge"), 77}, 41},
+                               LeaseRenewal{12, {InstanceName("edge"), 77}},
                                LeaseRelease{12}};
   for (const BatchRecord &it : all) {
     Outcome<BatchRecord> again = decoded(encodeRecord(it));
@@ -33,12 +34,35 @@
   }
 }
 
+TEST_CASE("Records of which there are thousands are short", "[batch]") {
+  // A step of 112 items on the largest deployment known, names as there.
+  const std::string id = "7c41e09b52d6a3f8";
+  ResultRecord result{JobId(id), {}};
+  result.Result = {ItemId(id), ItemEnd::Completed,         "",
+                   {106, 107}, "3e1b.07.5a2.600.c9f2a4d1", {{123456, 38000}}};
+  CHECK(encodeRecord(result).size() <= 125);
+  TextRecord text{
+      JobId(id),       ItemId(id), 4000000000, 64, {"", 72, {106}, false},
+      {{123456, 8000}}};
+  CHECK(encodeRecord(text).size() <= 110);
+  JobPart part{makeJob(id, 0), 0, 1, {{123456, 60000}}};
+  std::size_t head = encodeRecord(part).size();
+  BatchItem item;
+  item.Id = ItemId(id);
+  item.Group = "g1002a";
+  item.ExpectedTokens = 1160;
+  part.Job.Items = {item};
+  CHECK(encodeRecord(part).size() - head <= 40);
+}
+
 TEST_CASE("A malformed batch record is an error that names its place",
           "[batch]") {
   for (const char *text :
        {"", "{", "[]", R"({"schema":1})", R"({"schema":1,"kind":"what"})",
         R"({"schema":1,"kind":"end"})", R"({"schema":1,"kind":"end","job":3})",
-        R"({"schema":1,"kind":"renew","term":"x"})"}) {
+        R"({"schema":1,"kind":"renew","term":"x"})", R"(["result"])",
+        R"(["result",2,"a"])", R"(["what",2])", R"([7,2])",
+        R"(["text",2,"a","b",1,0,"t",[],1,"no",[1]])"}) {
     Outcome<BatchRecord> got = decoded(text);
     REQUIRE_FALSE(got);
     CHECK(got.failure().Code == FailureCode::BadInput);
@@ -47,9 +71,12 @@
 }
 
 TEST_CASE("A record of a later release is told from a broken one", "[batch]") {
-  Outcome<BatchRecord> got = decoded(R"({"schema":99,"kind":"end","job":"a"})");
-  REQUIRE_FALSE(got);
-  CHECK(got.failure().Code == FailureCode::NewerSchema);
+  for (const char *text : {R"({"schema":99,"kind":"end","job":"a"})",
+                           R"(["result",99,"a","b"])"}) {
+    Outcome<BatchRecord> got = decoded(text);
+    REQUIRE_FALSE(got);
+    CHECK(got.failure().Code == FailureCode::NewerSchema);
+  }
 }
 
 TEST_CASE("A large job is split into payloads and records below the limit",
--- a/Wasabi/Batch/BatchFold.cpp
+++ b/Wasabi/Batch/BatchFold.cpp
@@ -100,25 +100,37 @@
 
 FoldChange applyKind(BatchFold &Fold, Offset At, const LeaseClaim &What,
                      TimePoint Now) {
-  // A claim is appended only if the topic ends where its writer had read to,
-  // so each one that is in the topic found the lease free.
-  Fold.Lease = LeaseState{What.Holder, At, Now, false};
+  // Compare and swap: its writer found the lease free, and nobody has taken or
+  // prolonged it since.
+  std::optional<Offset> last;
+  if (Fold.Lease.Holder)
+    last = Fold.Lease.LastAt;
+  if (What.After != last)
+    return {};
+  Fold.Lease = LeaseState{What.Holder, At, At, Now, false};
   return {FoldChange::Kind::Lease, nullptr};
 }
 
-FoldChange applyKind(BatchFold &Fold, Offset, const LeaseRenewal &What,
+FoldChange applyKind(BatchFold &Fold, Offset At, const LeaseRenewal &What,
                      TimePoint Now) {
-  if (!Fold.Lease.Holder || Fold.Lease.Term != What.Term || Fold.Lease.Released)
+  // Only who has read a claim that is valid renews under it: one that is not
+  // known here has expired before this process began to read.
+  bool unread = !Fold.Lease.Holder || What.Term > Fold.Lease.Term;
+  if (unread)
+    Fold.Lease = LeaseState{What.Holder, What.Term, At, Now, false};
+  if (Fold.Lease.Term != What.Term || Fold.Lease.Released)
     return {};
+  Fold.Lease.LastAt = At;
   Fold.Lease.Seen = Now;
   return {FoldChange::Kind::Lease, nullptr};
 }
 
-FoldChange applyKind(BatchFold &Fold, Offset, const LeaseRelease &What,
+FoldChange applyKind(BatchFold &Fold, Offset At, const LeaseRelease &What,
                      TimePoint Now) {
   if (!Fold.Lease.Holder || Fold.Lease.Term != What.Term)
     return {};
   Fold.Lease.Released = true;
+  Fold.Lease.LastAt = At;
   Fold.Lease.Seen = Now;
   return {FoldChange::Kind::Lease, nullptr};
 }
--- a/Wasabi/Batch/BatchFold.h
+++ b/Wasabi/Batch/BatchFold.h
@@ -67,6 +67,8 @@
   std::optional<LeaseHolder> Holder;
   /// Offset of the holder's claim, its fencing token.
   FencingToken Term = 0;
+  /// Offset of the newest record that changed or prolonged it.
+  Offset LastAt = 0;
   /// When this process saw the holder's last record.
   TimePoint Seen;
   bool Released = false;
--- a/Wasabi/Batch/BatchRecord.cpp
+++ b/Wasabi/Batch/BatchRecord.cpp
@@ -15,7 +15,10 @@
 namespace json = boost::json;
 
 /// Raised when an older release could misread what a newer one writes.
-constexpr std::uint64_t Schema = 1;
+constexpr std::uint64_t Schema = 2;
+/// First member of a record that is an array.
+constexpr std::string_view ResultTag = "result";
+constexpr std::string_view TextTag = "text";
 /// What an item takes beside its texts, in bytes, at most.
 constexpr std::size_t ItemHeadBytes = 256;
 
@@ -41,9 +44,7 @@
 
 /// What every process needs of an item whose rest lies elsewhere.
 json::value sketchValue(const BatchItem &Item) {
-  return {{"id", Item.Id.Text},
-          {"group", Item.Group},
-          {"expect", Item.ExpectedTokens}};
+  return json::array{Item.Id.Text, Item.Group, Item.ExpectedTokens};
 }
 
 json::array placeValue(const PayloadPlace &Place) {
@@ -71,42 +72,52 @@
           {"items", std::move(items)}};
 }
 
-json::object fieldsOf(const ResultRecord &What) {
-  return {{"kind", "result"},
-          {"job", What.Job.Text},
-          {"item", What.Result.Item.Text},
-          {"done", What.Result.End == ItemEnd::Completed},
-          {"text", What.Result.Output},
-          {"at", placeValue(What.Result.OutputAt)},
-          {"versions", json::value_from(What.Result.Versions)},
-          {"score", What.Result.Score}};
+/// Records that there are thousands of are arrays: all processes read all of
+/// them, and at a restart of all at once.
+json::value fieldsOf(const ResultRecord &What) {
+  return json::array{ResultTag,
+                     Schema,
+                     What.Job.Text,
+                     What.Result.Item.Text,
+                     What.Result.End == ItemEnd::Completed,
+                     What.Result.Output,
+                     placeValue(What.Result.OutputAt),
+                     json::value_from(What.Result.Versions),
+                     What.Result.Score};
 }
 
 json::object fieldsOf(const JobEnd &What) {
   return {{"kind", "end"}, {"job", What.Job.Text}};
 }
 
-json::object fieldsOf(const TextRecord &What) {
-  return {{"kind", "text"},
-          {"job", What.Job.Text},
-          {"item", What.Item.Text},
-          {"source", What.Source},
-          {"after", What.After},
-          {"text", What.Text.Output},
-          {"at", placeValue(What.OutputAt)},
-          {"events", What.Text.Events},
-          {"whole", What.Text.Whole},
-          {"versions", json::value_from(What.Text.Versions)}};
+json::value fieldsOf(const TextRecord &What) {
+  return json::array{TextTag,
+                     Schema,
+                     What.Job.Text,
+                     What.Item.Text,
+                     What.Source,
+                     What.After,
+                     What.Text.Output,
+                     placeValue(What.OutputAt),
+                     What.Text.Events,
+                     What.Text.Whole,
+                     json::value_from(What.Text.Versions)};
 }
 
 json::object fieldsOf(const LeaseClaim &What) {
-  return {{"kind", "claim"},
-          {"holder", What.Holder.Instance.Text},
-          {"life", What.Holder.Life}};
+  json::object fields{{"kind", "claim"},
+                      {"holder", What.Holder.Instance.Text},
+                      {"life", What.Holder.Life}};
+  if (What.After)
+    fields["after"] = *What.After;
+  return fields;
 }
 
 json::object fieldsOf(const LeaseRenewal &What) {
-  return {{"kind", "renew"}, {"term", What.Term}};
+  return {{"kind", "renew"},
+          {"term", What.Term},
+          {"holder", What.Holder.Instance.Text},
+          {"life", What.Holder.Life}};
 }
 
 json::object fieldsOf(const LeaseRelease &What) {
@@ -139,31 +150,45 @@
   return std::string(text.data(), text.size());
 }
 
-std::vector<WeightVersion> versionsOf(const json::object &From) {
-  return json::value_to<std::vector<WeightVersion>>(From.at("versions"));
-}
-
-PayloadPlace placeOf(const json::object &From) {
+PayloadPlace placeOf(const json::value &From) {
   PayloadPlace place;
-  const json::value *records = From.if_contains("at");
-  if (records == nullptr)
-    return place;
-  for (const json::value &it : records->as_array())
+  for (const json::value &it : From.as_array())
     place.push_back(
         {it.at(0).to_number<Offset>(), it.at(1).to_number<std::uint64_t>()});
   return place;
 }
 
-BatchItem readSketch(const json::object &From) {
+/// The members of a record that is an array, in their order.
+class ArrayReader {
+public:
+  explicit ArrayReader(const json::array &From) : From(From) {}
+
+  const json::value &next() { return From.at(Place++); }
+  std::string text() { return plainText(next()); }
+  std::uint64_t number() { return next().to_number<std::uint64_t>(); }
+  std::vector<WeightVersion> versions() {
+    return json::value_to<std::vector<WeightVersion>>(next());
+  }
+
+private:
+  const json::array &From;
+  std::size_t Place = 0;
+};
+
+BatchItem readSketch(const json::array &From) {
+  ArrayReader at(From);
   BatchItem item;
-  item.Id = ItemId(textOf(From, "id"));
-  item.Group = textOf(From, "group");
-  item.ExpectedTokens = From.at("expect").to_number<double>();
+  item.Id = ItemId(at.text());
+  item.Group = at.text();
+  item.ExpectedTokens = at.next().to_number<double>();
   return item;
 }
 
 BatchItem readItem(const json::object &From) {
-  BatchItem item = readSketch(From);
+  BatchItem item;
+  item.Id = ItemId(textOf(From, "id"));
+  item.Group = textOf(From, "group");
+  item.ExpectedTokens = From.at("expect").to_number<double>();
   item.Path = textOf(From, "path");
   for (const json::value &it : From.at("headers").as_array()) {
     const json::array &pair = it.as_array();
@@ -190,64 +215,74 @@
   part.Job.Step = numberOf(From, "step");
   part.Job.MinVersion = numberOf(From, "min");
   part.Job.TargetGroups = numberOf(From, "groups");
-  part.ItemsAt = placeOf(From);
+  part.ItemsAt = placeOf(From.at("at"));
   for (const json::value &it : From.at("items").as_array())
     part.Job.Items.push_back(part.ItemsAt.empty() ? readItem(it.as_object())
-                                                  : readSketch(it.as_object()));
+                                                  : readSketch(it.as_array()));
   return part;
 }
 
-BatchRecord readResult(const json::object &From) {
+BatchRecord readResult(ArrayReader &From) {
   ResultRecord record;
-  record.Job = JobId(textOf(From, "job"));
-  record.Result.Item = ItemId(textOf(From, "item"));
+  record.Job = JobId(From.text());
+  record.Result.Item = ItemId(From.text());
   record.Result.End =
-      From.at("done").as_bool() ? ItemEnd::Completed : ItemEnd::Terminated;
-  record.Result.Output = textOf(From, "text");
-  record.Result.OutputAt = placeOf(From);
-  record.Result.Versions = versionsOf(From);
-  record.Result.Score = textOf(From, "score");
+      From.next().as_bool() ? ItemEnd::Completed : ItemEnd::Terminated;
+  record.Result.Output = From.text();
+  record.Result.OutputAt = placeOf(From.next());
+  record.Result.Versions = From.versions();
+  record.Result.Score = From.text();
   return record;
 }
 
-BatchRecord readText(const json::object &From) {
+BatchRecord readText(ArrayReader &From) {
   TextRecord record;
-  record.Job = JobId(textOf(From, "job"));
-  record.Item = ItemId(textOf(From, "item"));
-  record.Source = numberOf(From, "source");
-  record.After = numberOf(From, "after");
-  record.Text.Output = textOf(From, "text");
-  record.OutputAt = placeOf(From);
-  record.Text.Events = numberOf(From, "events");
-  record.Text.Versions = versionsOf(From);
-  record.Text.Whole = From.at("whole").as_bool();
+  record.Job = JobId(From.text());
+  record.Item = ItemId(From.text());
+  record.Source = From.number();
+  record.After = From.number();
+  record.Text.Output = From.text();
+  record.OutputAt = placeOf(From.next());
+  record.Text.Events = From.number();
+  record.Text.Whole = From.next().as_bool();
+  record.Text.Versions = From.versions();
   return record;
 }
 
+LeaseHolder readHolder(const json::object &From) {
+  return {InstanceName(textOf(From, "holder")), numberOf(From, "life")};
+}
+
 BatchRecord readClaim(const json::object &From) {
-  return LeaseClaim{
-      {InstanceName(textOf(From, "holder")), numberOf(From, "life")}};
+  LeaseClaim claim{readHolder(From)};
+  if (From.contains("after"))
+    claim.After = numberOf(From, "after");
+  return claim;
 }
 
 BatchRecord readRecord(const json::object &From) {
   std::string kind = textOf(From, "kind");
   if (kind == "job")
     return readJob(From);
-  if (kind == "result")
-    return readResult(From);
   if (kind == "end")
     return JobEnd{JobId(textOf(From, "job"))};
-  if (kind == "text")
-    return readText(From);
   if (kind == "claim")
     return readClaim(From);
   if (kind == "renew")
-    return LeaseRenewal{numberOf(From, "term")};
+    return LeaseRenewal{numberOf(From, "term"), readHolder(From)};
   if (kind == "release")
     return LeaseRelease{numberOf(From, "term")};
   throw std::invalid_argument("unknown kind '" + kind + "'");
 }
 
+BatchRecord readTagged(ArrayReader &From, const std::string &Tag) {
+  if (Tag == ResultTag)
+    return readResult(From);
+  if (Tag == TextTag)
+    return readText(From);
+  throw std::invalid_argument("unknown kind '" + Tag + "'");
+}
+
 json::value parseText(std::string_view Text) {
   json::parse_options options;
   // Generated text is passed on as it came, whatever its encoding.
@@ -269,24 +304,39 @@
 } // namespace
 
 std::string encodeRecord(const BatchRecord &What) {
-  json::object fields =
-      std::visit([](const auto &Kind) { return fieldsOf(Kind); }, What);
-  fields["schema"] = Schema;
+  json::value fields = std::visit(
+      [](const auto &Kind) { return json::value(fieldsOf(Kind)); }, What);
+  if (json::object *members = fields.if_object())
+    (*members)["schema"] = Schema;
   return json::serialize(fields);
 }
 
+namespace {
+
+Result<void> checkSchema(std::uint64_t Found, const std::string &Place) {
+  if (Found <= Schema)
+    return {};
+  return boost::leaf::new_error(Failure{Verdict::NotRun,
+                                        FailureCode::NewerSchema,
+                                        Place,
+                                        "written by a later release",
+                                        {}});
+}
+
+} // namespace
+
 Result<BatchRecord> decodeRecord(std::string_view Text,
                                  const std::string &Place) {
   try {
     json::value value = parseText(Text);
-    const json::object &fields = value.as_object();
-    if (numberOf(fields, "schema") > Schema) {
-      return boost::leaf::new_error(Failure{Verdict::NotRun,
-                                            FailureCode::NewerSchema,
-                                            Place,
-                                            "written by a later release",
-                                            {}});
+    if (const json::array *members = value.if_array()) {
+      ArrayReader from(*members);
+      std::string tag = from.text();
+      BOOST_LEAF_CHECK(checkSchema(from.number(), Place));
+      return readTagged(from, tag);
     }
+    const json::object &fields = value.as_object();
+    BOOST_LEAF_CHECK(checkSchema(numberOf(fields, "schema"), Place));
     return readRecord(fields);
   } catch (const std::exception &Caught) {
     return badInput(Place, Caught.what());
--- a/Wasabi/Batch/BatchRecord.h
+++ b/Wasabi/Batch/BatchRecord.h
@@ -7,6 +7,7 @@
 #include "Wasabi/Batch/BatchJob.h"
 #include "Wasabi/Core/Verdict.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -63,15 +64,21 @@
   bool operator==(const TextRecord &) const = default;
 };
 
-/// Takes the lease; valid if it was free when the record was appended.
+/// Takes the lease. Valid if no record of the lease lies between `After` and
+/// it: what else is appended meanwhile does not matter.
 struct LeaseClaim {
   LeaseHolder Holder;
+  /// Offset of the newest record of the lease that the claimant has seen; empty
+  /// if it has seen none.
+  std::optional<Offset> After = std::nullopt;
   bool operator==(const LeaseClaim &) const = default;
 };
 
-/// Holds the lease further. `Term` is the offset of the claim.
+/// Holds the lease further. `Term` is the offset of the claim. Names the holder
+/// for those who begin to read after the claim has expired.
 struct LeaseRenewal {
   FencingToken Term = 0;
+  LeaseHolder Holder;
   bool operator==(const LeaseRenewal &) const = default;
 };
 
--- a/Wasabi/Batch/PayloadStore.cpp
+++ b/Wasabi/Batch/PayloadStore.cpp
@@ -86,8 +86,10 @@
   }
 }
 
-asio::awaitable<Outcome<Done>> PayloadStore::load(PayloadRecord What) {
-  std::size_t most = std::max<std::size_t>(Limits.ReadBytes, What.Bytes);
+asio::awaitable<Outcome<Done>> PayloadStore::load(PayloadRecord What,
+                                                  ReadAhead More) {
+  std::size_t ahead = More == ReadAhead::Neighbours ? Limits.ReadBytes : 0;
+  std::size_t most = std::max<std::size_t>(ahead, What.Bytes);
   Outcome<LogRange> got =
       co_await Store.Read(Limits.Topic, What.At, Millis(0), most);
   if (!got)
@@ -105,12 +107,13 @@
   co_return Done{};
 }
 
-asio::awaitable<Outcome<std::string>> PayloadStore::get(PayloadPlace Place) {
+asio::awaitable<Outcome<std::string>> PayloadStore::get(PayloadPlace Place,
+                                                        ReadAhead More) {
   std::shared_ptr<PayloadStore> self = shared_from_this();
   std::string bytes;
   for (const PayloadRecord &it : Place) {
     if (!Kept.contains(it.At)) {
-      Outcome<Done> loaded = co_await load(it);
+      Outcome<Done> loaded = co_await load(it, More);
       if (!loaded)
         co_return loaded.failure();
     }
--- a/Wasabi/Batch/PayloadStore.h
+++ b/Wasabi/Batch/PayloadStore.h
@@ -16,6 +16,15 @@
 
 namespace wasabi {
 
+/// What is read beside the bytes that are asked for.
+enum class ReadAhead : std::uint8_t {
+  /// Those that lie behind them, up to `Settings::ReadBytes`.
+  Neighbours,
+  /// Nothing: hundreds of pieces that lie apart are wanted at once, and all
+  /// reads share the store's bandwidth.
+  None,
+};
+
 /// Used on one thread, that of the store's port.
 class PayloadStore : public std::enable_shared_from_this<PayloadStore> {
 public:
@@ -46,13 +55,15 @@
 
   /// The bytes at a place. Failures: `Expired` when the store has them no more,
   /// those of the store otherwise.
-  boost::asio::awaitable<Outcome<std::string>> get(PayloadPlace Place);
+  boost::asio::awaitable<Outcome<std::string>>
+  get(PayloadPlace Place, ReadAhead More = ReadAhead::Neighbours);
 
   const Settings &settings() const { return Limits; }
 
 private:
   PayloadStore(RecordStore Store, Settings Limits);
-  boost::asio::awaitable<Outcome<Done>> load(PayloadRecord What);
+  boost::asio::awaitable<Outcome<Done>> load(PayloadRecord What,
+                                             ReadAhead More);
   void keep(Offset At, std::string Bytes);
 
   const Settings Limits;
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -119,6 +119,9 @@
     Millis EventLimit{6000};
     /// Pause before an item is tried again after a failure.
     Millis RetryPause{60};
+    /// Saved texts of a job that are fetched at once: an answer of the store
+    /// takes 4 ms, and a text comes in up to ten pieces.
+    std::size_t TextFetchers = 8;
     /// Pause before the store is asked again for an item that it did not give.
     Millis LoadPause{200};
     /// Time that a scoring call is given before it is made again elsewhere: it
@@ -197,6 +200,10 @@
   boost::asio::awaitable<void> load(std::vector<std::shared_ptr<ItemWork>> All);
   boost::asio::awaitable<LoadOutcome> loadItem(ItemWork &Work,
                                                LoadedItems &Near);
+  const StoredText *savedText(const ItemWork &Work) const;
+  void loadSavedTexts(std::vector<std::shared_ptr<ItemWork>> All);
+  boost::asio::awaitable<void>
+  fetchTexts(std::shared_ptr<std::deque<std::shared_ptr<ItemWork>>> From);
   boost::asio::awaitable<void> loadSaved(ItemWork &Work);
   boost::asio::awaitable<Outcome<PartialText>> loadText(StoredText From) const;
   void loaded(const std::shared_ptr<ItemWork> &Work);
--- a/Wasabi/Dispatch/DispatcherRecords.cpp
+++ b/Wasabi/Dispatch/DispatcherRecords.cpp
@@ -20,6 +20,7 @@
   std::shared_ptr<Dispatcher> self = shared_from_this();
   // Items of a job lie together: one read and one decoding serve dozens.
   LoadedItems near;
+  std::vector<std::shared_ptr<ItemWork>> saved;
   for (const std::shared_ptr<ItemWork> &it : All) {
     LoadOutcome got = LoadOutcome::Later;
     while (!it->Dropped && got == LoadOutcome::Later) {
@@ -30,13 +31,58 @@
     // Nobody can do it any more; the others of its job can be done.
     if (got == LoadOutcome::Never)
       it->Dropped = true;
-    if (!it->Dropped)
-      co_await loadSaved(*it);
-    if (!it->Dropped)
+    if (it->Dropped)
+      continue;
+    if (savedText(*it) != nullptr)
+      saved.push_back(it);
+    else
       loaded(it);
   }
-  schedule();
-  Wake.notify();
+  loadSavedTexts(std::move(saved));
+}
+
+/// The text that a dispatcher before has saved of the item and that it may go
+/// on from; null if there is none.
+const StoredText *Dispatcher::savedText(const ItemWork &Work) const {
+  auto saved = Work.Job->Texts.find(Work.Index);
+  if (saved == Work.Job->Texts.end() || !fits(saved->second.Text, Work))
+    return nullptr;
+  return &saved->second;
+}
+
+/// Fetches saved texts, several at a time and the longest first: they decide
+/// when their step is whole. One after the other, a takeover of 400 items had
+/// its last ones running again after 2 s.
+void Dispatcher::loadSavedTexts(std::vector<std::shared_ptr<ItemWork>> All) {
+  auto events = [this](const std::shared_ptr<ItemWork> &Of) {
+    const StoredText *saved = savedText(*Of);
+    return saved == nullptr ? 0 : saved->Text.Events;
+  };
+  std::stable_sort(All.begin(), All.end(),
+                   [&events](const auto &Left, const auto &Right) {
+                     return events(Left) > events(Right);
+                   });
+  using Queue = std::deque<std::shared_ptr<ItemWork>>;
+  std::shared_ptr<Queue> queue =
+      std::make_shared<Queue>(All.begin(), All.end());
+  std::size_t fetchers = std::min(Limits.TextFetchers, queue->size());
+  for (std::size_t i = 0; i < fetchers; ++i)
+    asio::co_spawn(
+        Executor,
+        [self = shared_from_this(), queue] { return self->fetchTexts(queue); },
+        asio::detached);
+}
+
+asio::awaitable<void> Dispatcher::fetchTexts(
+    std::shared_ptr<std::deque<std::shared_ptr<ItemWork>>> From) {
+  while (!From->empty()) {
+    std::shared_ptr<ItemWork> next = From->front();
+    From->pop_front();
+    if (!next->Dropped)
+      co_await loadSaved(*next);
+    if (!next->Dropped)
+      loaded(next);
+  }
 }
 
 asio::awaitable<Dispatcher::LoadOutcome>
@@ -71,10 +117,10 @@
 /// Takes the text that a dispatcher before has saved. One that can't be had is
 /// generated anew.
 asio::awaitable<void> Dispatcher::loadSaved(ItemWork &Work) {
-  auto saved = Work.Job->Texts.find(Work.Index);
-  if (saved == Work.Job->Texts.end() || !fits(saved->second.Text, Work))
+  const StoredText *saved = savedText(Work);
+  if (saved == nullptr)
     co_return;
-  Outcome<PartialText> text = co_await loadText(saved->second);
+  Outcome<PartialText> text = co_await loadText(*saved);
   if (text)
     Work.Text = std::move(*text);
   else
@@ -87,7 +133,8 @@
   PartialText text = std::move(From.Text);
   for (const TextPiece &it : From.Pieces) {
     text.Output += it.Here;
-    Outcome<std::string> more = co_await Payloads->get(it.There);
+    Outcome<std::string> more =
+        co_await Payloads->get(it.There, ReadAhead::None);
     if (!more)
       co_return more.failure();
     text.Output += *more;
@@ -105,6 +152,7 @@
   Work->Stage = ItemStage::Waiting;
   if (Work->Text.Whole)
     startScore(Work);
+  schedule();
 }
 
 //===--- Results ----------------------------------------------------------===//
--- a/Wasabi/Dispatch/DutyKeeper.cpp
+++ b/Wasabi/Dispatch/DutyKeeper.cpp
@@ -39,7 +39,8 @@
                        DutySettings Limits, Callbacks Calls)
     : Limits(std::move(Limits)), Executor(std::move(Executor)),
       Log(std::move(Log)), Decisions(std::move(Decisions)),
-      Calls(std::move(Calls)), Random(this->Limits.Self.Life) {}
+      Calls(std::move(Calls)), Random(this->Limits.Self.Life),
+      Spread(drawSpread()) {}
 
 std::shared_ptr<DutyKeeper>
 DutyKeeper::create(asio::any_io_executor Executor,
@@ -57,6 +58,10 @@
       asio::detached);
 }
 
+Millis DutyKeeper::drawSpread() {
+  return Millis(Random() % (Limits.ClaimSpread.count() + 1));
+}
+
 /// Compares what the topic says with what this process believes.
 void DutyKeeper::look() {
   const LeaseState &lease = Log->fold().Lease;
@@ -81,16 +86,18 @@
 asio::awaitable<void> DutyKeeper::claim() {
   LeaseState before = Log->fold().Lease;
   TimePoint sent = monotonicNow();
-  Spread = Millis(Random() % (Limits.ClaimSpread.count() + 1));
-  std::vector<std::string> records{encodeRecord(LeaseClaim{Limits.Self})};
+  Spread = drawSpread();
+  LeaseClaim claim{Limits.Self};
+  if (before.Holder)
+    claim.After = before.LastAt;
+  std::vector<std::string> records{encodeRecord(claim)};
   LastRenewal = sent;
-  Outcome<Offset> got =
-      co_await Log->append(std::move(records), Log->fold().Next);
+  Outcome<Offset> got = co_await Log->append(std::move(records));
   Decisions->line(
       "duty.claim",
-      {{"at", std::to_string(Log->fold().Next)},
+      {{"after", claim.After ? std::to_string(*claim.After) : ""},
        {"before", before.Holder ? before.Holder->Instance.Text : ""},
-       {"result", got ? "taken" : describe(got.failure())}});
+       {"result", got ? "appended" : describe(got.failure())}});
   // What became of it is read from the topic.
   Outcome<Done> fresh = co_await Log->refresh();
   if (!fresh)
@@ -99,7 +106,8 @@
 
 asio::awaitable<void> DutyKeeper::renew() {
   LastRenewal = monotonicNow();
-  std::vector<std::string> records{encodeRecord(LeaseRenewal{Term})};
+  std::vector<std::string> records{
+      encodeRecord(LeaseRenewal{Term, Limits.Self})};
   Outcome<Offset> got = co_await Log->append(std::move(records));
   if (!got)
     Decisions->line(
--- a/Wasabi/Dispatch/DutyKeeper.h
+++ b/Wasabi/Dispatch/DutyKeeper.h
@@ -70,6 +70,7 @@
   boost::asio::awaitable<void> renew();
   void look();
   bool mayClaim();
+  Millis drawSpread();
 
   const DutySettings Limits;
   const boost::asio::any_io_executor Executor;
@@ -77,7 +78,8 @@
   const std::shared_ptr<DecisionLog> Decisions;
   const Callbacks Calls;
   std::mt19937_64 Random;
-  Millis Spread{0};
+  /// This process's part of `ClaimSpread`, drawn anew for each claim.
+  Millis Spread;
   bool Retired = false;
   bool Held = false;
   FencingToken Term = 0;
