--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -540,6 +540,7 @@
   world.Engines.Length = Items + 5;
   world.server("e1").Pace = Millis(20);
   world.server("e2").Pace = Millis(20);
+  world.Dispatch->deactivate();
   BatchJob job = makeJob("a", Items);
   world.submit(job);
   // Item i has i + 1 events, each saved by itself.
@@ -560,6 +561,11 @@
                                                  {{at, text.size()}}}));
     }
   }
+  Offset end = world.Store.Topics["rollout"].size();
+  REQUIRE(world.runUntil([&] { return world.Log->fold().Next == end; }));
+  // Each piece takes a read of its own from here on.
+  world.Store.MaxEntries = 1;
+  world.Dispatch->activate();
   auto begun = [&] {
     return world.server("e1").Runs.size() + world.server("e2").Runs.size();
   };
