A weak instance's first read is a look

It brought 256 KB beside what the strong ones read. 8 KB say how much is left; the pause is made where that is more than one read, by the size of the records that came. Not measured apart.

--- a/UnitTests/Batch/RolloutLogTest.cpp
+++ b/UnitTests/Batch/RolloutLogTest.cpp
@@ -10,6 +10,8 @@
   limits.Wait = Millis(50);
   limits.Pace = Millis(1);
   limits.ReplayDelay = Delay;
+  // Some thirty of the records here.
+  limits.ReadBytes = 1000;
   std::shared_ptr<RolloutLog> log =
       RolloutLog::create(World.Context.get_executor(), World.Store.port(),
                          World.Decisions, limits);
--- a/Wasabi/Batch/RolloutLog.cpp
+++ b/Wasabi/Batch/RolloutLog.cpp
@@ -35,8 +35,8 @@
 
 asio::awaitable<void> RolloutLog::follow() {
   for (;;) {
-    Outcome<LogRange> got = co_await Store.Read(Limits.Topic, Fold.Next,
-                                                Limits.Wait, Limits.ReadBytes);
+    Outcome<LogRange> got =
+        co_await Store.Read(Limits.Topic, Fold.Next, Limits.Wait, nextBytes());
     // A read that was ended because the store is back is made again at once.
     if (!got && got.failure().Code == FailureCode::Cancelled)
       continue;
@@ -79,9 +79,20 @@
                                   Limits.AppendTimeout);
 }
 
-/// Whether a read has left more than it brought.
+std::size_t RolloutLog::nextBytes() const {
+  bool look = !Delayed && Limits.ReplayDelay > Millis(0);
+  return look ? Limits.LookBytes : Limits.ReadBytes;
+}
+
+/// Whether what is left takes more than one read, by the size of what came.
 bool RolloutLog::farBehind(const LogRange &Range) const {
-  return Range.End > Fold.Next && Range.End - Fold.Next > Range.Entries.size();
+  if (Range.Entries.empty() || Range.End <= Fold.Next)
+    return false;
+  std::size_t bytes = 0;
+  for (const LogEntry &it : Range.Entries)
+    bytes += it.Text.size();
+  return bytes / Range.Entries.size() * (Range.End - Fold.Next) >
+         Limits.ReadBytes;
 }
 
 void RolloutLog::take(const LogRange &Range) {
--- a/Wasabi/Batch/RolloutLog.h
+++ b/Wasabi/Batch/RolloutLog.h
@@ -43,6 +43,8 @@
     /// A process that starts and finds more than one read's worth pauses this
     /// long before it reads the rest: see `replayDelay`.
     Millis ReplayDelay{0};
+    /// Most bytes of the first read of a process that may have to pause.
+    std::size_t LookBytes = 8u << 10;
     /// How long an append may take before its outcome is unknown.
     Millis AppendTimeout{1200};
   };
@@ -82,6 +84,7 @@
   RolloutLog(boost::asio::any_io_executor Executor, RecordStore Store,
              std::shared_ptr<DecisionLog> Decisions, Settings Limits);
   boost::asio::awaitable<void> follow();
+  std::size_t nextBytes() const;
   bool farBehind(const LogRange &Range) const;
   void take(const LogRange &Range);
   void takeEntry(const LogEntry &Entry);
