--- a/UnitTests/Dispatch/OrderKeeperTest.cpp
+++ b/UnitTests/Dispatch/OrderKeeperTest.cpp
@@ -75,6 +75,16 @@
     keeper->start();
     return keeper;
   }
+  /// What the store was told last.
+  std::optional<HeldWeights> lastHeld() {
+    const std::vector<std::string> &all = Store.Topics[HeldTopic];
+    if (all.empty())
+      return std::nullopt;
+    std::string text = all.back().substr(all.back().find('|') + 1);
+    Outcome<HeldWeights> held =
+        toOutcome<HeldWeights>([&] { return decodeHeld(text, "test"); });
+    return held ? std::optional<HeldWeights>(*held) : std::nullopt;
+  }
   bool comesTo(WeightVersion Version) {
     return runUntil([&] { return Engine.Now.Models[Red] == Version; });
   }
@@ -161,16 +171,10 @@
   OrderWorld world;
   world.Keeper->setWanted(Server, {Red, 2, SwapMode::Continue}, 0);
   REQUIRE(world.comesTo(2));
-  auto told = [&] {
-    const std::vector<std::string> &all = world.Store.Topics[HeldTopic];
-    if (all.empty())
-      return false;
-    std::string text = all.back().substr(all.back().find('|') + 1);
-    Outcome<HeldWeights> held =
-        toOutcome<HeldWeights>([&] { return decodeHeld(text, "test"); });
+  CHECK(world.runUntil([&] {
+    std::optional<HeldWeights> held = world.lastHeld();
     return held && held->Models.at(Red) == 2 && !held->Loading;
-  };
-  CHECK(world.runUntil(told));
+  }));
 }
 
 TEST_CASE("An engine that starts again under its name is told of anew",
@@ -180,12 +184,7 @@
   world.Keeper->setWanted(Server, {Red, 2, SwapMode::Continue, 1000}, 0);
   REQUIRE(world.comesTo(2));
   auto told = [&](ServerStart Start) {
-    const std::vector<std::string> &all = world.Store.Topics[HeldTopic];
-    if (all.empty())
-      return false;
-    std::string text = all.back().substr(all.back().find('|') + 1);
-    Outcome<HeldWeights> held =
-        toOutcome<HeldWeights>([&] { return decodeHeld(text, "test"); });
+    std::optional<HeldWeights> held = world.lastHeld();
     return held && held->Models.at(Red) == 2 && held->Start == Start;
   };
   REQUIRE(world.runUntil([&] { return told(1000); }));
