A lost try tells which request it was and who was beside it

Cause looked for: which request is in flight when a server ends. Lines named the id of one attempt only. request.lost and item.run_ended now have a digest that all attempts of a request share, and the number of others at the server.

--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -1,5 +1,7 @@
 #include "Wasabi/Dispatch/Dispatcher.h"
 
+#include "Wasabi/Quarantine/RequestDigest.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -221,6 +223,7 @@
       Work->Moved ? TimePoint() : monotonicNow() + Limits.RetryPause;
   Decisions->line("item.run_ended",
                   {{"item", Work->Item.Id.Text},
+                   {"digest", digestOf(askOf(*Work)).Text},
                    {"server", Work->Avoid.Server.Text},
                    {"events", std::to_string(Work->Text.Events)},
                    {"reason", describe(Why)}});
--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -1,6 +1,7 @@
 #include "Wasabi/Upstream/Forwarder.h"
 
 #include "Wasabi/Core/AsyncSignal.h"
+#include "Wasabi/Quarantine/RequestDigest.h"
 
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
@@ -175,6 +176,13 @@
                                    : describe(got->failure())},
                    {"unrun", unrun ? "yes" : "no"},
                    {"took_ms", fmt::format("{:.1f}", millisSince(began))}});
+  if (!*got && !unrun)
+    Decisions->line("request.lost",
+                    {{"request", Of.What.Id},
+                     {"digest", digestOf(Of.What.Ask).Text},
+                     {"server", server->Entry.Id.Text},
+                     {"start", std::to_string(server->Entry.Start)},
+                     {"beside", std::to_string(server->InFlight)}});
   co_return got;
 }
 
