--- a/IntegrationTests/Platform/PlatformServers.cpp
+++ b/IntegrationTests/Platform/PlatformServers.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -41,7 +43,12 @@
 
 PlatformServer::PlatformServer(asio::io_context &Context, std::string Id)
     : Context(Context), Id(std::move(Id)) {
+  listenAt(Address{"127.0.0.1", 0});
+}
+
+void PlatformServer::listenAt(const Address &Where) {
   http::Server::Settings limits;
+  limits.Listen = Where;
   Serving = http::Server::create(
                 Context, limits,
                 [this](http::Request Ask, std::shared_ptr<http::Responder> To) {
@@ -50,6 +57,18 @@
                 .value();
 }
 
+asio::awaitable<void> PlatformServer::crash() {
+  std::string before = Id;
+  Address where = address();
+  ++Ends;
+  restart(before + "+");
+  Serving->stop();
+  co_await pauseFor(Context.get_executor(), DownTime);
+  listenAt(where);
+  if (Back)
+    Back(before);
+}
+
 std::string PlatformServer::registration(const std::string &Service,
                                          bool Draining) const {
   json::object fields{{"service", Service},
@@ -157,6 +176,20 @@
   call.Body = Ask.Body;
   call.ResumeAfter = std::string(Ask.header("Last-Event-Id"));
   Runs.push_back(call);
+  bool crashes =
+      !CrashOn.empty() && (Ask.Target.find(CrashOn) != std::string::npos ||
+                           Ask.Body.find(CrashOn) != std::string::npos);
+  if (crashes) {
+    std::uint64_t life = Life;
+    co_await pauseFor(Context.get_executor(), Pace);
+    // Beside another such request it has ended meanwhile.
+    if (life == Life)
+      asio::co_spawn(
+          Context, [this] { return crash(); }, asio::detached);
+    else
+      Out->abort();
+    co_return;
+  }
   if (Fails > 0) {
     --Fails;
     answer.Status = InternalError;
--- a/IntegrationTests/Platform/PlatformServers.h
+++ b/IntegrationTests/Platform/PlatformServers.h
@@ -10,6 +10,7 @@
 #include "Wasabi/Core/Clock.h"
 #include <cstdint>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -75,6 +76,15 @@
   int Breaks = 0;
   /// Whether it answers that it is full.
   bool Full = false;
+  /// A request with this in its target or body ends the server that begins to
+  /// run it; empty for none. The server is back as another incarnation after
+  /// `DownTime`, and refuses connections until then.
+  std::string CrashOn;
+  Millis DownTime{300};
+  /// Ends by `CrashOn`.
+  int Ends = 0;
+  /// Called when it is back, with the id that it had.
+  std::function<void(const std::string &)> Back;
   std::vector<ServerCall> Runs;
   std::vector<ServerCall> Orders;
 
@@ -83,6 +93,8 @@
                                       std::shared_ptr<http::Responder> Out);
   boost::asio::awaitable<void> generate(http::Request Ask,
                                         std::shared_ptr<http::Responder> Out);
+  boost::asio::awaitable<void> crash();
+  void listenAt(const Address &Where);
   http::Response order(const http::Request &Ask);
   http::Response report() const;
   std::string eventText(const std::string &Id, std::uint64_t Number,
--- a/IntegrationTests/Platform/PlatformWorld.cpp
+++ b/IntegrationTests/Platform/PlatformWorld.cpp
@@ -116,6 +116,39 @@
   });
 }
 
+void PlatformWorld::crashOn(const std::string &Text) {
+  onPlatform([&] {
+    for (std::size_t i = 0; i < servers(); ++i) {
+      PlatformServer &it = server(i);
+      it.CrashOn = Text;
+      it.Back = [this, &it, i](const std::string &Before) {
+        const char *service = i < Size.Engines ? "llm" : "desk";
+        Store->write("keyed.servers", Before, std::nullopt);
+        Store->write("keyed.servers", it.id(), it.registration(service, false));
+        ++Returned;
+      };
+    }
+  });
+}
+
+int PlatformWorld::ends() {
+  return onPlatform<int>([&] {
+    int sum = 0;
+    for (std::size_t i = 0; i < servers(); ++i)
+      sum += server(i).Ends;
+    return sum;
+  });
+}
+
+bool PlatformWorld::allBack() {
+  return harness::waitUntil(
+      [this] {
+        int returned = onPlatform<int>([&] { return Returned; });
+        return returned == ends();
+      },
+      Patience);
+}
+
 void PlatformWorld::unregisterServer(const std::string &Id) {
   onPlatform([&] { Store->write("keyed.servers", Id, std::nullopt); });
 }
@@ -218,9 +251,16 @@
 
 http::Response PlatformWorld::ask(std::size_t Edge, const std::string &Path,
                                   const std::string &Id) {
+  return askAgain(Edge, Path, Id, "body of " + Id);
+}
+
+http::Response PlatformWorld::askAgain(std::size_t Edge,
+                                       const std::string &Path,
+                                       const std::string &Id,
+                                       const std::string &Body) {
   http::Request ask = request("POST", Path, Id);
   ask.Headers.push_back({"Wasabisail-Deadline-Ms", "2000"});
-  ask.Body = "body of " + Id;
+  ask.Body = Body;
   Outcome<http::Response> got =
       harness::call(Edges[Edge].Callers, std::move(ask));
   if (got)
--- a/IntegrationTests/Platform/PlatformWorld.h
+++ b/IntegrationTests/Platform/PlatformWorld.h
@@ -114,6 +114,15 @@
 
   http::Response ask(std::size_t Edge, const std::string &Path,
                      const std::string &Id);
+  /// The same with a body that does not tell one attempt from another.
+  http::Response askAgain(std::size_t Edge, const std::string &Path,
+                          const std::string &Id, const std::string &Body);
+  /// Lets all servers end that begin to run what has `Text` in it.
+  void crashOn(const std::string &Text);
+  /// How many servers have ended so.
+  int ends();
+  /// Waits until no server is down.
+  bool allBack();
   /// Sends bytes as they are and gives all that comes until the connection
   /// ends, `Until` has come, or `Wait` is over; then closes.
   std::string sendRaw(std::size_t Edge, const std::string &Bytes, Millis Wait,
@@ -146,6 +155,8 @@
   std::vector<Proxy> CallerLinks;
   std::vector<Proxy> StoreLinks;
   std::vector<Proxy> ServerLinks;
+  /// Servers that were back after an end by `crashOn`.
+  int Returned = 0;
   std::thread Thread;
 };
 
