Leases, deadlines and ages count the time that a machine is suspended

Cause: the standard monotonic clock and the kernel's timers stand still meanwhile, so that a lease that had run out looked fresh after it, and a deadline came later by as much. Ruled out: the time of day, which jumps on some machines.

--- a/Bench/LoadRun.cpp
+++ b/Bench/LoadRun.cpp
@@ -1,12 +1,12 @@
 #include "Bench/LoadRun.h"
 
 #include "Wasabi/Adapters/Http/HttpClient.h"
+#include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -59,14 +59,14 @@
   }
 
   asio::awaitable<void> cause(Incident What) {
-    asio::steady_timer timer(Context, Began + What.At);
+    BootTimer timer(Context, Began + What.At);
     co_await timer.async_wait(Awaited);
     What.Do();
   }
 
   asio::awaitable<void> arrive() {
     std::exponential_distribution<double> gap(Plan.Rate);
-    asio::steady_timer timer(Context);
+    BootTimer timer(Context);
     TimePoint end = Began + Plan.Span;
     double seconds = gap(Random);
     for (;;) {
--- a/Bench/StateMeasures.cpp
+++ b/Bench/StateMeasures.cpp
@@ -4,11 +4,11 @@
 #include "IntegrationTests/Harness/HttpCall.h"
 #include "Wasabi/Adapters/Http/HttpClient.h"
 #include "Wasabi/Adapters/PlatformLog/HttpLog.h"
+#include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
@@ -72,7 +72,7 @@
 /// Polls `Stream` at a phase of its own and notes when records came.
 asio::awaitable<void> poll(LogPort Log, Millis Phase, std::size_t Wanted,
                            std::vector<std::uint64_t> &Seen) {
-  asio::steady_timer timer(co_await asio::this_coro::executor, Phase);
+  BootTimer timer(co_await asio::this_coro::executor, Phase);
   Offset next = 0;
   while (Seen.size() < Wanted) {
     co_await timer.async_wait(asio::use_awaitable);
@@ -86,7 +86,7 @@
 
 asio::awaitable<void> appendRecords(LogPort Log,
                                     std::vector<std::uint64_t> &Appended) {
-  asio::steady_timer timer(co_await asio::this_coro::executor);
+  BootTimer timer(co_await asio::this_coro::executor);
   for (int n = 0; n < PolledRecords; ++n) {
     Outcome<Offset> at = co_await Log.Append("polled", R"({"change":1})");
     if (at)
--- a/Ctl/Fleet.cpp
+++ b/Ctl/Fleet.cpp
@@ -1,9 +1,9 @@
 #include "Ctl/Fleet.h"
 
 #include "Wasabi/Config/JsonReader.h"
+#include "Wasabi/Core/BootTimer.h"
 #include "Wasabi/Node/InstanceList.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
@@ -96,7 +96,7 @@
       co_return;
     if (monotonicNow() >= Until)
       co_return;
-    asio::steady_timer pause(co_await asio::this_coro::executor);
+    BootTimer pause(co_await asio::this_coro::executor);
     pause.expires_after(PollPeriod);
     co_await pause.async_wait(asio::use_awaitable);
   }
--- a/Daemon/Main.cpp
+++ b/Daemon/Main.cpp
@@ -6,6 +6,7 @@
 #include "Wasabi/Adapters/Proxy/DaemonProxy.h"
 #include "Wasabi/Adapters/Proxy/ProcessSettings.h"
 #include "Wasabi/Adapters/Telemetry/Metrics.h"
+#include "Wasabi/Core/BootTimer.h"
 #include "Wasabi/Core/Program.h"
 #include "Wasabi/Core/Published.h"
 #include "Wasabi/Core/Timeline.h"
@@ -14,7 +15,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <gflags/gflags.h>
 
@@ -262,8 +262,8 @@
   std::unique_ptr<ControlPlane> Control;
   std::unique_ptr<RolloutDuty> Rollouts;
   std::shared_ptr<void> Signals;
-  asio::steady_timer Loads{Context};
-  asio::steady_timer Drain{Context};
+  BootTimer Loads{Context};
+  BootTimer Drain{Context};
   std::atomic<bool> Leaving{false};
   TimePoint LeftAt;
   /// The loads as the admin thread shows them.
--- a/Entry/Main.cpp
+++ b/Entry/Main.cpp
@@ -6,6 +6,7 @@
 #include "Wasabi/Adapters/Proxy/EntryProxy.h"
 #include "Wasabi/Adapters/Proxy/ProcessSettings.h"
 #include "Wasabi/Adapters/Telemetry/Metrics.h"
+#include "Wasabi/Core/BootTimer.h"
 #include "Wasabi/Core/Program.h"
 #include "Wasabi/Core/Timeline.h"
 #include "Wasabi/Node/ControlPlane.h"
@@ -13,7 +14,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <gflags/gflags.h>
 
@@ -198,7 +198,7 @@
   std::shared_ptr<EntryProxy> Proxy;
   std::shared_ptr<http::Server> Front;
   std::shared_ptr<void> Signals;
-  asio::steady_timer Grace{Context};
+  BootTimer Grace{Context};
   std::atomic<bool> Leaving{false};
   TimePoint CloseBy;
   /// Set once the servers were known; asked on several threads.
--- a/IntegrationTests/Chaos/CallerLoad.cpp
+++ b/IntegrationTests/Chaos/CallerLoad.cpp
@@ -2,12 +2,12 @@
 
 #include "IntegrationTests/Chaos/AnswerCheck.h"
 #include "Wasabi/Adapters/Http/HttpClient.h"
+#include "Wasabi/Core/BootTimer.h"
 #include "Wasabi/Core/Published.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <atomic>
@@ -155,7 +155,7 @@
       Thread.join();
   }
   asio::awaitable<void> pause(Millis length) {
-    asio::steady_timer timer(Context, length);
+    BootTimer timer(Context, length);
     co_await timer.async_wait(asio::use_awaitable);
   }
   asio::awaitable<void> runCaller(std::uint32_t caller);
--- a/IntegrationTests/Platform/PlatformServers.cpp
+++ b/IntegrationTests/Platform/PlatformServers.cpp
@@ -1,12 +1,12 @@
 #include "IntegrationTests/Platform/PlatformServers.h"
 
 #include "Wasabi/Core/AsyncSignal.h"
+#include "Wasabi/Core/BootTimer.h"
 
 #include <algorithm>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
@@ -123,8 +123,8 @@
     return http::jsonResponse(Conflict, "{}");
   ++Accepted;
   Loading = true;
-  std::shared_ptr<asio::steady_timer> timer =
-      std::make_shared<asio::steady_timer>(Context, LoadTime);
+  std::shared_ptr<BootTimer> timer =
+      std::make_shared<BootTimer>(Context, LoadTime);
   timer->async_wait(
       [this, timer, body, life = Life](boost::system::error_code) {
         if (life != Life)
--- a/StandIns/Signal.cpp
+++ b/StandIns/Signal.cpp
@@ -1,4 +1,5 @@
 #include "StandIns/Signal.h"
+#include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -15,9 +16,9 @@
 
 boost::asio::awaitable<void> Signal::wait(TimePoint Deadline) {
   // The clock's own greatest time overflows when it is made finer.
-  boost::asio::steady_timer timer(Executor);
+  BootTimer timer(Executor);
   if (Deadline == TimePoint::max())
-    timer.expires_at(boost::asio::steady_timer::time_point::max());
+    timer.expires_at(BootTimer::time_point::max());
   else
     timer.expires_at(Deadline);
   Waiting.insert(&timer);
@@ -26,14 +27,14 @@
 }
 
 void Signal::notify() {
-  for (boost::asio::steady_timer *it : Waiting)
+  for (BootTimer *it : Waiting)
     it->cancel();
 }
 
 boost::asio::awaitable<void> pause(std::chrono::microseconds Time) {
   boost::asio::any_io_executor executor =
       co_await boost::asio::this_coro::executor;
-  boost::asio::steady_timer timer(executor, Time);
+  BootTimer timer(executor, Time);
   co_await timer.async_wait(Awaited);
 }
 
--- a/StandIns/Signal.h
+++ b/StandIns/Signal.h
@@ -3,11 +3,11 @@
 #ifndef WASABI_STANDINS_SIGNAL_H
 #define WASABI_STANDINS_SIGNAL_H
 
+#include "Wasabi/Core/BootTimer.h"
 #include "Wasabi/Core/Clock.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <set>
 
@@ -27,7 +27,7 @@
 
 private:
   boost::asio::any_io_executor Executor;
-  std::set<boost::asio::steady_timer *> Waiting;
+  std::set<BootTimer *> Waiting;
 };
 
 /// Waits for a time.
--- a/UnitTests/Adapters/Frames/RequestFramesTest.cpp
+++ b/UnitTests/Adapters/Frames/RequestFramesTest.cpp
@@ -5,12 +5,12 @@
 #include "Wasabi/Adapters/Frames/FrameSocket.h"
 #include "Wasabi/Adapters/Frames/RequestClient.h"
 #include "Wasabi/Adapters/Frames/RequestServer.h"
+#include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <catch2/catch.hpp>
@@ -47,7 +47,7 @@
 /// Lets pending handlers run until a condition holds.
 asio::awaitable<bool> eventually(asio::io_context &Context,
                                  std::function<bool()> Holds) {
-  asio::steady_timer timer(Context);
+  BootTimer timer(Context);
   for (int n = 0; n < 4000 && !Holds(); ++n) {
     timer.expires_after(Millis(1));
     co_await timer.async_wait(Awaited);
--- a/UnitTests/Adapters/Http/HttpFixture.h
+++ b/UnitTests/Adapters/Http/HttpFixture.h
@@ -5,12 +5,12 @@
 
 #include "Wasabi/Adapters/Http/HttpClient.h"
 #include "Wasabi/Adapters/Http/HttpServer.h"
+#include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -29,16 +29,16 @@
 class Event {
 public:
   explicit Event(boost::asio::io_context &Context) : Timer(Context) {
-    Timer.expires_at(boost::asio::steady_timer::time_point::max());
+    Timer.expires_at(BootTimer::time_point::max());
   }
-  void set() { Timer.expires_at(boost::asio::steady_timer::time_point::min()); }
+  void set() { Timer.expires_at(BootTimer::time_point::min()); }
   boost::asio::awaitable<void> wait() {
     co_await Timer.async_wait(
         boost::asio::as_tuple(boost::asio::use_awaitable));
   }
 
 private:
-  boost::asio::steady_timer Timer;
+  BootTimer Timer;
 };
 
 /// Runs one coroutine on its own context, with a server beside it.
@@ -82,7 +82,7 @@
 
   /// Waits until the server has let go of all connections.
   boost::asio::awaitable<void> untilClosed() {
-    boost::asio::steady_timer turn(Context);
+    BootTimer turn(Context);
     while (Serving->connections() > 0) {
       turn.expires_after(Millis(1));
       co_await turn.async_wait(
--- a/UnitTests/Adapters/Proxy/OrderTest.cpp
+++ b/UnitTests/Adapters/Proxy/OrderTest.cpp
@@ -2,12 +2,12 @@
 /// Orders at a daemon, before an engine that a test plays by HTTP.
 #include "Wasabi/Adapters/Http/HttpServer.h"
 #include "Wasabi/Adapters/Proxy/DaemonProxy.h"
+#include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <catch2/catch.hpp>
@@ -131,7 +131,7 @@
                                     std::to_string(Version) + "}");
     if (Ask.path() == "/v1/completions") {
       SampleRuns = true;
-      asio::steady_timer timer(Context);
+      BootTimer timer(Context);
       while (!FinishSamples && !Out->gone()) {
         timer.expires_after(Millis(1));
         co_await timer.async_wait(Awaited);
--- a/UnitTests/Batch/BatchDeskTest.cpp
+++ b/UnitTests/Batch/BatchDeskTest.cpp
@@ -1,5 +1,6 @@
 #include "Wasabi/Batch/BatchDesk.h"
 #include "UnitTests/Batch/BatchFixture.h"
+#include "Wasabi/Core/BootTimer.h"
 
 namespace wasabi::batchtest {
 
@@ -260,7 +261,7 @@
   DeskWorld world;
   BatchJob job = makeJob("a", 2);
   REQUIRE(world.submit(*world.Desk, job) == DeskVerdict::Taken);
-  asio::steady_timer timer(world.Context, Millis(40));
+  BootTimer timer(world.Context, Millis(40));
   timer.async_wait([&](boost::system::error_code) { world.list(job, 1, "x"); });
   Outcome<ResultPage> page = world.read(*world.Other, job, 0, Millis(5000));
   REQUIRE(page);
--- a/UnitTests/Node/FakePlatform.cpp
+++ b/UnitTests/Node/FakePlatform.cpp
@@ -1,8 +1,8 @@
 #include "UnitTests/Node/FakePlatform.h"
+#include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
@@ -120,7 +120,7 @@
   std::chrono::milliseconds wait(number(Ask.query("wait_ms")));
   std::chrono::steady_clock::time_point until =
       std::chrono::steady_clock::now() + wait;
-  asio::steady_timer timer(co_await asio::this_coro::executor);
+  BootTimer timer(co_await asio::this_coro::executor);
   bool expired = false;
   bool empty = false;
   std::string body = rangeJson(from, max, expired, empty);
--- a/Wasabi/Adapters/Frames/FrameSocket.cpp
+++ b/Wasabi/Adapters/Frames/FrameSocket.cpp
@@ -1,11 +1,11 @@
 #include "Wasabi/Adapters/Frames/FrameSocket.h"
 
 #include "Wasabi/Adapters/Frames/Generated/Wire_generated.h"
+#include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -85,7 +85,7 @@
                       {}};
 
   // The timer closes the socket, which ends the connect.
-  asio::steady_timer timer(Executor, Limits.ConnectTimeout);
+  BootTimer timer(Executor, Limits.ConnectTimeout);
   timer.async_wait([&socket](boost::system::error_code Late) {
     boost::system::error_code ignored;
     if (!Late)
--- a/Wasabi/Adapters/Frames/RequestClient.cpp
+++ b/Wasabi/Adapters/Frames/RequestClient.cpp
@@ -3,11 +3,11 @@
 #include "Wasabi/Adapters/Frames/FrameSocket.h"
 #include "Wasabi/Adapters/Frames/Generated/Wire_generated.h"
 #include "Wasabi/Adapters/Frames/RequestFrames.h"
+#include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <spdlog/spdlog.h>
@@ -52,7 +52,7 @@
   bool Ended = false;
   std::optional<Failure> Broken;
   /// Ended by cancelling: whoever waits looks again.
-  asio::steady_timer Changed;
+  BootTimer Changed;
 
   void breakOff(Failure Why) {
     if (!Ended && !Broken)
@@ -105,7 +105,7 @@
                           toText(Where),
                           "no connection within the deadline",
                           {}};
-      asio::steady_timer timer(Executor, Until);
+      BootTimer timer(Executor, Until);
       Waiting.push_back(&timer);
       co_await timer.async_wait(Awaited);
       std::erase(Waiting, &timer);
@@ -163,7 +163,7 @@
   }
 
   void wakeAll() {
-    for (asio::steady_timer *it : Waiting)
+    for (BootTimer *it : Waiting)
       it->cancel();
   }
 
@@ -234,7 +234,7 @@
 
   /// Sends signs of life, and closes a connection that gives none.
   asio::awaitable<void> watch(std::shared_ptr<FrameSocket> Watched) {
-    asio::steady_timer timer(Executor);
+    BootTimer timer(Executor);
     while (Watched->isOpen()) {
       timer.expires_after(Setup.HeartbeatPeriod);
       co_await timer.async_wait(Awaited);
@@ -371,7 +371,7 @@
   std::mt19937_64 Random;
   std::shared_ptr<FrameSocket> Socket;
   std::unordered_map<std::uint64_t, std::shared_ptr<Answer>> Answers;
-  std::vector<asio::steady_timer *> Waiting;
+  std::vector<BootTimer *> Waiting;
   std::uint64_t NextId = 1;
   std::uint32_t Failures = 0;
   TimePoint NextTry;
--- a/Wasabi/Adapters/Frames/RequestServer.cpp
+++ b/Wasabi/Adapters/Frames/RequestServer.cpp
@@ -3,11 +3,11 @@
 #include "Wasabi/Adapters/Frames/FrameSocket.h"
 #include "Wasabi/Adapters/Frames/Generated/Wire_generated.h"
 #include "Wasabi/Adapters/Frames/RequestFrames.h"
+#include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <spdlog/spdlog.h>
@@ -156,7 +156,7 @@
   const std::uint64_t Id;
   std::uint64_t Credit;
   std::uint64_t Sent = 0;
-  asio::steady_timer Changed;
+  BootTimer Changed;
   std::function<void()> Finish;
   std::function<void()> GoneCallback;
   bool Gone = false;
@@ -275,7 +275,7 @@
       if (std::get<0>(got)) {
         spdlog::warn("accept on {}: {}", toText(Bound),
                      std::get<0>(got).message());
-        asio::steady_timer pause(Context, AcceptPause);
+        BootTimer pause(Context, AcceptPause);
         co_await pause.async_wait(Awaited);
         continue;
       }
@@ -477,7 +477,7 @@
   const Settings Setup;
   const Handler Handle;
   tcp::acceptor Acceptor;
-  asio::steady_timer Tick;
+  BootTimer Tick;
   Address Bound;
   std::set<std::shared_ptr<Connection>> Connections;
   std::vector<LoadSeen> Loads;
--- a/Wasabi/Adapters/Http/HttpClient.cpp
+++ b/Wasabi/Adapters/Http/HttpClient.cpp
@@ -1,10 +1,10 @@
 #include "Wasabi/Adapters/Http/HttpClient.h"
 
 #include "Wasabi/Adapters/Http/HttpWire.h"
+#include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -120,7 +120,7 @@
   bool Cancelled = false;
 
 private:
-  asio::steady_timer Timer;
+  BootTimer Timer;
   bool Armed = false;
 };
 
@@ -195,6 +195,7 @@
   ClientImpl(asio::any_io_executor Executor, Settings Limits)
       : Executor(std::move(Executor)), Limits(std::move(Limits)) {}
 
+  asio::awaitable<Outcome<bool>> probe(Address Where, Millis Timeout) override;
   asio::awaitable<Outcome<Response>> call(Address Where, Request Ask,
                                           Millis Timeout) override;
   asio::awaitable<Outcome<std::unique_ptr<ResponseStream>>>
@@ -209,8 +210,8 @@
   start(Address Where, Request Ask, TimePoint Deadline, std::uint64_t MaxBody);
   asio::awaitable<Outcome<std::shared_ptr<Link>>>
   sendRequest(Address Where, const Request &Ask, TimePoint Deadline);
-  asio::awaitable<Outcome<std::shared_ptr<Link>>> connect(Address Where,
-                                                          TimePoint Deadline);
+  asio::awaitable<Outcome<std::shared_ptr<Link>>>
+  connect(Address Where, TimePoint Deadline, ErrorCode *Refused = nullptr);
   asio::awaitable<Outcome<Opened>>
   readHead(std::shared_ptr<Link> Via, bool HeadOnly, std::uint64_t MaxBody);
   asio::awaitable<bool> passOver(Opened &Foreign);
@@ -290,8 +291,9 @@
   }
 }
 
+/// `Refused`, if given, takes the error of the connect itself.
 asio::awaitable<Outcome<std::shared_ptr<Link>>>
-ClientImpl::connect(Address Where, TimePoint Deadline) {
+ClientImpl::connect(Address Where, TimePoint Deadline, ErrorCode *Refused) {
   Failure why{Verdict::NotRun, FailureCode::Unreachable, toText(Where), {}, {}};
   ErrorCode failed;
   asio::ip::address host = asio::ip::make_address(Where.Host, failed);
@@ -304,6 +306,8 @@
   link->arm(std::min(Deadline, latest));
   Tcp::endpoint peer(host, Where.Port);
   auto [ec] = co_await link->Socket.async_connect(peer, Awaited);
+  if (Refused != nullptr)
+    *Refused = ec;
   if (ec || link->TimedOut) {
     why.Reason = link->TimedOut ? "no connection in time" : ec.message();
     link->disarm();
@@ -313,6 +317,21 @@
   co_return link;
 }
 
+asio::awaitable<Outcome<bool>> ClientImpl::probe(Address Where,
+                                                 Millis Timeout) {
+  std::shared_ptr<ClientImpl> self = shared_from_this();
+  ErrorCode failed;
+  Outcome<std::shared_ptr<Link>> link =
+      co_await connect(std::move(Where), monotonicNow() + Timeout, &failed);
+  if (!link && failed == asio::error::connection_refused)
+    co_return false;
+  if (!link)
+    co_return link.failure();
+  (*link)->disarm();
+  (*link)->close();
+  co_return true;
+}
+
 //===--- Requests ---------------------------------------------------------===//
 
 asio::awaitable<Outcome<std::shared_ptr<Link>>>
--- a/Wasabi/Adapters/Http/HttpClient.h
+++ b/Wasabi/Adapters/Http/HttpClient.h
@@ -59,6 +59,10 @@
   static std::shared_ptr<Client> create(boost::asio::any_io_executor Executor,
                                         Settings Limits);
   virtual ~Client() = default;
+  /// Connects and closes again. A value says whether the connection was taken;
+  /// a failure that neither that nor a refusal came within `Timeout`.
+  virtual boost::asio::awaitable<Outcome<bool>> probe(Address Where,
+                                                      Millis Timeout) = 0;
   /// One request, one whole answer, within `Timeout`.
   virtual boost::asio::awaitable<Outcome<Response>>
   call(Address Where, Request Ask, Millis Timeout) = 0;
--- a/Wasabi/Adapters/Http/HttpConnection.h
+++ b/Wasabi/Adapters/Http/HttpConnection.h
@@ -5,10 +5,10 @@
 #define WASABI_ADAPTERS_HTTP_HTTPCONNECTION_H
 
 #include "Wasabi/Adapters/Http/HttpServer.h"
+#include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -37,7 +37,7 @@
   std::size_t InFlight = 0;
   std::unordered_set<Connection *> Open;
   /// Cancelled when a place for a connection becomes free.
-  boost::asio::steady_timer RoomTimer;
+  BootTimer RoomTimer;
 };
 
 /// One connection: reads requests one after the other and runs the handler.
--- a/Wasabi/Adapters/Http/HttpServer.cpp
+++ b/Wasabi/Adapters/Http/HttpServer.cpp
@@ -1,12 +1,12 @@
 #include "Wasabi/Adapters/Http/HttpServer.h"
 
 #include "Wasabi/Adapters/Http/HttpConnection.h"
+#include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -59,7 +59,7 @@
   const std::shared_ptr<ServerState> Shared;
   asio::io_context &Context;
   Tcp::acceptor Acceptor;
-  asio::steady_timer SweepTimer;
+  BootTimer SweepTimer;
   Address Bound;
   bool Stopped = false;
 };
@@ -106,7 +106,7 @@
 asio::awaitable<void> ServerImpl::acceptLoop() {
   while (Acceptor.is_open()) {
     if (Shared->Open.size() >= Shared->Limits.MaxConnections) {
-      Shared->RoomTimer.expires_at(asio::steady_timer::time_point::max());
+      Shared->RoomTimer.expires_at(BootTimer::time_point::max());
       co_await Shared->RoomTimer.async_wait(Awaited);
       continue;
     }
--- a/Wasabi/Adapters/PlatformLog/Commit.cpp
+++ b/Wasabi/Adapters/PlatformLog/Commit.cpp
@@ -1,8 +1,8 @@
 #include "Wasabi/Adapters/PlatformLog/Commit.h"
 
 #include "Wasabi/Adapters/PlatformLog/LogRecovery.h"
+#include "Wasabi/Core/BootTimer.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -18,7 +18,7 @@
 constexpr Millis EmptyPause{20};
 
 asio::awaitable<void> sleepFor(Millis Time) {
-  asio::steady_timer timer(co_await asio::this_coro::executor);
+  BootTimer timer(co_await asio::this_coro::executor);
   timer.expires_after(Time);
   co_await timer.async_wait(asio::use_awaitable);
 }
--- a/Wasabi/Adapters/Proxy/DaemonProxy.cpp
+++ b/Wasabi/Adapters/Proxy/DaemonProxy.cpp
@@ -6,12 +6,12 @@
 #include "Wasabi/Adapters/Proxy/KeyWitnesses.h"
 #include "Wasabi/Adapters/Proxy/ProxyHeaders.h"
 #include "Wasabi/Adapters/Proxy/ServerGate.h"
+#include "Wasabi/Core/BootTimer.h"
 #include "Wasabi/Weights/OrderGuard.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <spdlog/spdlog.h>
@@ -451,8 +451,8 @@
                      "the first request with this key still runs", ComeBack});
       co_return false;
     }
-    asio::steady_timer timer(
-        Context, std::min(What.Until, monotonicNow() + RepeatPause));
+    BootTimer timer(Context,
+                    std::min(What.Until, monotonicNow() + RepeatPause));
     Repeats.push_back(&timer);
     co_await timer.async_wait(Awaited);
     std::erase(Repeats, &timer);
@@ -460,7 +460,7 @@
   }
 
   void wakeRepeats() {
-    for (asio::steady_timer *it : Repeats)
+    for (BootTimer *it : Repeats)
       it->cancel();
   }
 
@@ -563,7 +563,7 @@
   }
 
   asio::awaitable<void> watch(Upstream &At) {
-    asio::steady_timer timer(Context);
+    BootTimer timer(Context);
     while (!Stopped) {
       if (At.Engine)
         co_await look(At);
@@ -696,7 +696,7 @@
                               "its model's version changes",
                               {}});
     TimePoint until = monotonicNow() + Setup.SwapWait;
-    asio::steady_timer timer(Context);
+    BootTimer timer(Context);
     while (At.Gate.admission().runningRollouts() > 0) {
       if (monotonicNow() >= until)
         co_return notRun(FailureCode::TimedOut,
@@ -721,8 +721,8 @@
   std::shared_ptr<RequestClient> Peers;
   std::vector<std::unique_ptr<Upstream>> Upstreams;
   std::vector<ServerStatus> Told;
-  std::vector<asio::steady_timer *> Repeats;
-  asio::steady_timer Tick;
+  std::vector<BootTimer *> Repeats;
+  BootTimer Tick;
   std::atomic<std::size_t> InFlight{0};
   std::uint64_t LastId = 0;
   bool Leaving = false;
--- a/Wasabi/Adapters/Proxy/EntryProxy.cpp
+++ b/Wasabi/Adapters/Proxy/EntryProxy.cpp
@@ -3,6 +3,7 @@
 #include "Wasabi/Adapters/Proxy/CallerAnswer.h"
 #include "Wasabi/Adapters/Proxy/EntryCounts.h"
 #include "Wasabi/Adapters/Proxy/ProxyHeaders.h"
+#include "Wasabi/Core/BootTimer.h"
 #include "Wasabi/Routing/CallerLimits.h"
 #include "Wasabi/Routing/CompletionStream.h"
 #include "Wasabi/Routing/IdempotencyKeys.h"
@@ -13,7 +14,6 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <spdlog/spdlog.h>
@@ -548,7 +548,7 @@
   std::shared_ptr<const View> Seen;
   std::map<ServiceName, std::vector<Candidate>> Known;
   std::map<Address, InstanceName> Instances;
-  asio::steady_timer Refresh;
+  BootTimer Refresh;
   std::atomic<std::size_t> InFlight{0};
   std::uint64_t LastName = 0;
   bool Stopped = false;
--- a/Wasabi/Adapters/Proxy/ServerGate.cpp
+++ b/Wasabi/Adapters/Proxy/ServerGate.cpp
@@ -1,7 +1,7 @@
 #include "Wasabi/Adapters/Proxy/ServerGate.h"
+#include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace wasabi {
@@ -15,7 +15,7 @@
 
 struct ServerGate::Waiter {
   explicit Waiter(const asio::any_io_executor &Executor) : Changed(Executor) {}
-  asio::steady_timer Changed;
+  BootTimer Changed;
   bool Started = false;
   std::optional<Failure> Refused;
 };
--- a/Wasabi/Adapters/Telemetry/DecisionLog.h
+++ b/Wasabi/Adapters/Telemetry/DecisionLog.h
@@ -4,11 +4,11 @@
 #ifndef WASABI_ADAPTERS_TELEMETRY_DECISIONLOG_H
 #define WASABI_ADAPTERS_TELEMETRY_DECISIONLOG_H
 
+#include "Wasabi/Core/BootTimer.h"
 #include "Wasabi/Core/Clock.h"
 #include "Wasabi/Core/Timeline.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <memory>
@@ -56,7 +56,7 @@
   void arm();
 
   const Settings Limits;
-  boost::asio::steady_timer Timer;
+  BootTimer Timer;
   std::string Pending;
   double Tokens;
   TimePoint Refilled;
--- a/Wasabi/Core/AsyncSignal.h
+++ b/Wasabi/Core/AsyncSignal.h
@@ -3,6 +3,7 @@
 #ifndef WASABI_CORE_ASYNCSIGNAL_H
 #define WASABI_CORE_ASYNCSIGNAL_H
 
+#include "Wasabi/Core/BootTimer.h"
 #include "Wasabi/Core/Clock.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -11,7 +12,6 @@
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <optional>
@@ -28,7 +28,7 @@
 
   /// Returns at the next `notify` or at `Until`. The signal must outlive it.
   boost::asio::awaitable<void> wait(TimePoint Until) {
-    boost::asio::steady_timer timer(Executor, Until);
+    BootTimer timer(Executor, Until);
     Waiters.insert(&timer);
     co_await timer.async_wait(
         boost::asio::as_tuple(boost::asio::use_awaitable));
@@ -37,19 +37,19 @@
 
   /// Wakes everyone who waits now.
   void notify() {
-    for (boost::asio::steady_timer *it : Waiters)
+    for (BootTimer *it : Waiters)
       it->cancel();
   }
 
 private:
   boost::asio::any_io_executor Executor;
-  std::set<boost::asio::steady_timer *> Waiters;
+  std::set<BootTimer *> Waiters;
 };
 
 /// Sleeps. Thread-safe as far as the executor is.
 inline boost::asio::awaitable<void>
 pauseFor(const boost::asio::any_io_executor &Executor, Millis Pause) {
-  boost::asio::steady_timer timer(Executor, Pause);
+  BootTimer timer(Executor, Pause);
   co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
 }
 
--- a/Wasabi/Core/Clock.h
+++ b/Wasabi/Core/Clock.h
@@ -7,18 +7,41 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <ctime>
 
 namespace wasabi {
 
 using Millis = std::chrono::milliseconds;
 using Micros = std::chrono::microseconds;
 
-/// Monotonic time of one process. Never compared between processes.
-using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Micros>;
+/// A monotonic clock that goes on while the machine is suspended, as the
+/// standard library's does not: a lease, a deadline or the age of what is known
+/// runs out meanwhile for everybody else. A standard `Clock`; thread-safe.
+struct BootClock {
+  // The standard prescribes these names.
+  // NOLINTBEGIN(readability-identifier-naming)
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<BootClock>;
+  static constexpr bool is_steady = true;
+  // NOLINTEND(readability-identifier-naming)
+
+  static time_point now() noexcept {
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(std::chrono::seconds(time.tv_sec) +
+                      std::chrono::nanoseconds(time.tv_nsec));
+  }
+};
+
+/// Monotonic time of one process, with the machine's suspensions. Never
+/// compared between processes.
+using TimePoint = std::chrono::time_point<BootClock, Micros>;
 
 /// Monotonic now. For adapters and mains only: the core is passed its time.
 inline TimePoint monotonicNow() {
-  return std::chrono::time_point_cast<Micros>(std::chrono::steady_clock::now());
+  return std::chrono::time_point_cast<Micros>(BootClock::now());
 }
 
 /// Wall time in microseconds since the epoch, for time lines and logs only.
--- a/Wasabi/Node/ControlPlane.cpp
+++ b/Wasabi/Node/ControlPlane.cpp
@@ -2,6 +2,7 @@
 
 #include "Wasabi/Adapters/Http/HttpClient.h"
 #include "Wasabi/Adapters/PlatformLog/HttpLog.h"
+#include "Wasabi/Core/BootTimer.h"
 #include "Wasabi/Node/ClaimKeeper.h"
 #include "Wasabi/Node/ControlServer.h"
 #include "Wasabi/Node/ControlStatus.h"
@@ -17,7 +18,6 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <spdlog/spdlog.h>
@@ -104,7 +104,7 @@
   ControlCounters Counters;
   asio::io_context Context{1};
   asio::executor_work_guard<asio::io_context::executor_type> Guard;
-  asio::steady_timer DutyTimer;
+  BootTimer DutyTimer;
   std::shared_ptr<http::Client> Client;
   std::shared_ptr<ControlServer> Server;
   std::shared_ptr<PeerLinks> Links;
@@ -426,7 +426,7 @@
   Keeper->unwantAll();
   TimePoint until = monotonicNow() + LeaveLimit;
   co_await Watch->leave();
-  asio::steady_timer timer(Context);
+  BootTimer timer(Context);
   while (!Stopped && Keeper->holdsAny(*state()) && monotonicNow() < until) {
     timer.expires_after(LeaveLook);
     co_await timer.async_wait(Awaited);
--- a/Wasabi/Node/ControlServer.cpp
+++ b/Wasabi/Node/ControlServer.cpp
@@ -1,11 +1,11 @@
 #include "Wasabi/Node/ControlServer.h"
 
 #include "Wasabi/Adapters/Frames/FrameSocket.h"
+#include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <spdlog/spdlog.h>
@@ -78,7 +78,7 @@
 
 asio::awaitable<void> ControlServer::accept() {
   std::shared_ptr<ControlServer> self = shared_from_this();
-  asio::steady_timer pause(Context);
+  BootTimer pause(Context);
   while (!Stopped) {
     std::tuple<boost::system::error_code, tcp::socket> got =
         co_await Acceptor.async_accept(Awaited);
--- a/Wasabi/Node/LogFollower.cpp
+++ b/Wasabi/Node/LogFollower.cpp
@@ -1,5 +1,6 @@
 #include "Wasabi/Node/LogFollower.h"
 
+#include "Wasabi/Core/BootTimer.h"
 #include "Wasabi/Membership/Fanout.h"
 #include "Wasabi/Membership/Rendezvous.h"
 #include "Wasabi/State/Record.h"
@@ -455,7 +456,7 @@
 asio::awaitable<void> LogFollower::askForGap(InstanceName Peer) {
   std::shared_ptr<LogFollower> self = shared_from_this();
   // What is missing may be on its way.
-  asio::steady_timer grace(Executor, Setup.GapGrace);
+  BootTimer grace(Executor, Setup.GapGrace);
   co_await grace.async_wait(Awaited);
   std::shared_ptr<const View> seen = Calls.CurrentView();
   auto found = seen->Members.find(Peer);
--- a/Wasabi/Node/LogFollower.h
+++ b/Wasabi/Node/LogFollower.h
@@ -5,6 +5,7 @@
 #ifndef WASABI_NODE_LOGFOLLOWER_H
 #define WASABI_NODE_LOGFOLLOWER_H
 
+#include "Wasabi/Core/BootTimer.h"
 #include "Wasabi/Core/Clock.h"
 #include "Wasabi/Core/Ids.h"
 #include "Wasabi/Core/Published.h"
@@ -18,7 +19,6 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
 #include <deque>
@@ -148,7 +148,7 @@
   ControlCounters &Counters;
   Timeline &Events;
   const Hooks Calls;
-  boost::asio::steady_timer Wake;
+  BootTimer Wake;
   std::mt19937_64 Random;
 
   FoldState Fold;
--- a/Wasabi/Node/MemberWatch.cpp
+++ b/Wasabi/Node/MemberWatch.cpp
@@ -1,6 +1,7 @@
 #include "Wasabi/Node/MemberWatch.h"
 
 #include "Wasabi/Adapters/Http/HttpClient.h"
+#include "Wasabi/Core/BootTimer.h"
 #include "Wasabi/Membership/Fanout.h"
 #include "Wasabi/Membership/Rendezvous.h"
 #include "Wasabi/Node/InstanceList.h"
@@ -43,7 +44,7 @@
 struct HelperWait {
   explicit HelperWait(const asio::any_io_executor &Executor)
       : Timer(Executor) {}
-  asio::steady_timer Timer;
+  BootTimer Timer;
   std::size_t Pending = 0;
   bool Reached = false;
   bool Answered = false;
@@ -100,7 +101,7 @@
 
 asio::awaitable<void> MemberWatch::probeLoop() {
   std::shared_ptr<MemberWatch> self = shared_from_this();
-  asio::steady_timer timer(Executor);
+  BootTimer timer(Executor);
   while (!Stopped) {
     // Who is not well probes less often.
     Millis period = Setup.Swim.ProbePeriod;
@@ -114,7 +115,7 @@
 
 asio::awaitable<void> MemberWatch::tickLoop() {
   std::shared_ptr<MemberWatch> self = shared_from_this();
-  asio::steady_timer timer(Executor);
+  BootTimer timer(Executor);
   while (!Stopped) {
     timer.expires_after(TickPeriod);
     co_await timer.async_wait(Awaited);
@@ -128,7 +129,7 @@
 
 asio::awaitable<void> MemberWatch::listLoop() {
   std::shared_ptr<MemberWatch> self = shared_from_this();
-  asio::steady_timer timer(Executor);
+  BootTimer timer(Executor);
   Millis failing = MinListBackOff;
   while (!Stopped) {
     bool good = true;
@@ -168,7 +169,7 @@
 
 asio::awaitable<void> MemberWatch::digestLoop() {
   std::shared_ptr<MemberWatch> self = shared_from_this();
-  asio::steady_timer timer(Executor);
+  BootTimer timer(Executor);
   // The first exchange comes early: it is how a new process learns the rest.
   Millis span = Setup.Swim.ProbePeriod;
   while (!Stopped) {
--- a/Wasabi/Node/MemberWatch.h
+++ b/Wasabi/Node/MemberWatch.h
@@ -4,6 +4,7 @@
 #ifndef WASABI_NODE_MEMBERWATCH_H
 #define WASABI_NODE_MEMBERWATCH_H
 
+#include "Wasabi/Core/BootTimer.h"
 #include "Wasabi/Core/Clock.h"
 #include "Wasabi/Core/Published.h"
 #include "Wasabi/Core/Timeline.h"
@@ -16,7 +17,6 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
--- a/Wasabi/Node/PeerLinks.cpp
+++ b/Wasabi/Node/PeerLinks.cpp
@@ -1,6 +1,7 @@
 #include "Wasabi/Node/PeerLinks.h"
 
 #include "Wasabi/Adapters/Frames/FrameSocket.h"
+#include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -24,7 +25,7 @@
 /// One question that waits for its answer.
 struct PeerLinks::Question {
   explicit Question(const asio::any_io_executor &Executor) : Timer(Executor) {}
-  asio::steady_timer Timer;
+  BootTimer Timer;
   std::optional<Outcome<ControlMessage>> Answer;
 
   void settle(Outcome<ControlMessage> With) {
--- a/Wasabi/Node/PeerLinks.h
+++ b/Wasabi/Node/PeerLinks.h
@@ -4,6 +4,7 @@
 #define WASABI_NODE_PEERLINKS_H
 
 #include "Wasabi/Core/Address.h"
+#include "Wasabi/Core/BootTimer.h"
 #include "Wasabi/Core/Clock.h"
 #include "Wasabi/Core/Verdict.h"
 #include "Wasabi/Node/ControlCounters.h"
@@ -11,7 +12,6 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <map>
@@ -71,7 +71,7 @@
   boost::asio::any_io_executor Executor;
   const Settings Limits;
   ControlCounters &Counters;
-  boost::asio::steady_timer SweepTimer;
+  BootTimer SweepTimer;
   std::map<Address, std::shared_ptr<Link>> Links;
   std::uint64_t LastSequence = 0;
   bool Stopped = false;
--- a/Wasabi/Node/RecordAppender.h
+++ b/Wasabi/Node/RecordAppender.h
@@ -4,6 +4,7 @@
 #ifndef WASABI_NODE_RECORDAPPENDER_H
 #define WASABI_NODE_RECORDAPPENDER_H
 
+#include "Wasabi/Core/BootTimer.h"
 #include "Wasabi/Core/Clock.h"
 #include "Wasabi/Core/Ids.h"
 #include "Wasabi/Core/Verdict.h"
@@ -15,7 +16,6 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstddef>
 #include <deque>
@@ -94,7 +94,7 @@
   LogPort Log;
   std::shared_ptr<LogFollower> Follower;
   ControlCounters &Counters;
-  boost::asio::steady_timer Wake;
+  BootTimer Wake;
   std::mt19937_64 Random;
   std::deque<Item> Queue;
   std::uint64_t Sequence = 0;
--- a/Wasabi/Rollout/RolloutContext.cpp
+++ b/Wasabi/Rollout/RolloutContext.cpp
@@ -1,7 +1,7 @@
 #include "Wasabi/Rollout/RolloutContext.h"
+#include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -70,8 +70,7 @@
 }
 
 boost::asio::awaitable<void> pause(Millis HowLong) {
-  boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
-                                  HowLong);
+  BootTimer timer(co_await boost::asio::this_coro::executor, HowLong);
   co_await timer.async_wait(boost::asio::use_awaitable);
 }
 
--- a/Wasabi/Rollout/TrainerLog.cpp
+++ b/Wasabi/Rollout/TrainerLog.cpp
@@ -1,4 +1,5 @@
 #include "Wasabi/Rollout/TrainerLog.h"
+#include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -53,7 +54,7 @@
   while (!Stopped) {
     if (Waiting.empty()) {
       boost::system::error_code ec;
-      Wake.expires_at(boost::asio::steady_timer::time_point::max());
+      Wake.expires_at(BootTimer::time_point::max());
       co_await Wake.async_wait(
           boost::asio::redirect_error(boost::asio::use_awaitable, ec));
       continue;
--- a/Wasabi/Rollout/TrainerLog.h
+++ b/Wasabi/Rollout/TrainerLog.h
@@ -4,11 +4,10 @@
 #ifndef WASABI_ROLLOUT_TRAINERLOG_H
 #define WASABI_ROLLOUT_TRAINERLOG_H
 
+#include "Wasabi/Core/BootTimer.h"
 #include "Wasabi/Rollout/RolloutContext.h"
 #include "Wasabi/Rollout/TrainerFold.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <deque>
 #include <functional>
 #include <memory>
@@ -66,7 +65,7 @@
   bool FirstSent = false;
   bool Stopped = false;
   bool Down = false;
-  boost::asio::steady_timer Wake;
+  BootTimer Wake;
 };
 
 } // namespace wasabi
