A request under which servers end is known to all and gets no further server

Cause: a server's end was taken for a lost answer, which calls for another server, and nothing of it was known at the next attempt or at another process; items and scoring calls were tried until their job ended. Change: Wasabi/Quarantine. A lost connection is followed by a connect to the server: if it is refused, the server ended under all that it ran, which is written to keyed.crashes. The third end convicts (the fourth where others share all of them), an answer acquits at all processes, and what a convicted request explains counts against nobody else. Suspects are kept apart and others away from them. Forwarded requests, streams, items and scoring calls go through it.

--- a/UnitTests/Batch/FakeStore.cpp
+++ b/UnitTests/Batch/FakeStore.cpp
@@ -1,4 +1,5 @@
 #include "UnitTests/Batch/FakeStore.h"
+#include "Wasabi/Core/BootTimer.h"
 
 namespace wasabi::batchtest {
 
@@ -34,7 +35,8 @@
   };
   port.AppendKeyed = [this, Cut](std::string Topic, const std::string &Key,
                                  const std::string &Value, Millis) {
-    std::vector<std::string> records{Key + "|" + Value};
+    // Without a value the key is dropped.
+    std::vector<std::string> records{Value.empty() ? Key : Key + "|" + Value};
     return take(Cut, std::move(Topic), std::move(records), std::nullopt);
   };
   port.Read = [this, Cut](std::string Topic, Offset From, Millis Wait,
@@ -86,7 +88,7 @@
 }
 
 asio::awaitable<void> FakeStore::hang() {
-  asio::steady_timer never(Context, asio::steady_timer::time_point::max());
+  BootTimer never(Context, BootTimer::time_point::max());
   co_await never.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -50,9 +50,14 @@
     addServer("e1", Llm);
     addServer("e2", Llm);
     addServer("j1", Judge);
+    std::shared_ptr<Quarantine> crashes = Quarantine::create(
+        {Context.get_executor(), Store.port(), Decisions, View}, Engines.port(),
+        Counts, Quarantine::Settings());
+    crashes->start();
     std::shared_ptr<Forwarder> scores =
-        Forwarder::create(Context.get_executor(), View, Engines.port(),
-                          Decisions, Counts, Forwarder::Settings());
+        Forwarder::create({Context.get_executor(), View, Engines.port(),
+                           crashes, Decisions, Counts},
+                          Forwarder::Settings());
     Dispatcher::Settings limits;
     limits.LookEvery = Millis(10);
     limits.StallTime = Stall;
@@ -65,7 +70,7 @@
     limits.SaveEvents = 4;
     Dispatch = Dispatcher::create({Context.get_executor(), View, Log, Payloads,
                                    Store.port(), Engines.port(), scores,
-                                   Decisions, Counts},
+                                   crashes, Decisions, Counts},
                                   limits);
     Log->onChange(
         [this](const FoldChange &Change) { Dispatch->onChange(Change); });
@@ -630,4 +635,28 @@
   }));
 }
 
+TEST_CASE("An item that ends its engines is let be, others finish",
+          "[dispatch]") {
+  DispatchWorld world;
+  for (const char *id : {"e3", "e4", "e5", "e6", "e7", "e8"})
+    world.addServer(id, Llm);
+  BatchJob job = scoredJob("a", 4);
+  world.Engines.CrashOn = job.Items[1].Id.Text;
+  world.submit(job);
+  auto listed = [&] {
+    std::shared_ptr<JobState> known = findJob(world.Log->fold(), job.Id);
+    return known && known->Results.size() == job.Items.size() - 1;
+  };
+  CHECK(world.runUntil(listed));
+  TimePoint until = monotonicNow() + Millis(300);
+  world.runUntil([&] { return monotonicNow() > until; });
+  std::size_t ends = 0;
+  for (const auto &[id, server] : world.Engines.Servers)
+    ends += server.Ended ? 1 : 0;
+  // Where an item of its group was beside it each time, one more.
+  CHECK(ends >= 3);
+  CHECK(ends <= 4);
+  CHECK(listed());
+}
+
 } // namespace wasabi::batchtest
--- a/UnitTests/Dispatch/FakeEngines.cpp
+++ b/UnitTests/Dispatch/FakeEngines.cpp
@@ -35,6 +35,8 @@
     // It fell silent while the event was on its way.
     if (!Cancelled && server.Dark)
       co_await Wake.wait(monotonicNow() + Timeout);
+    if (server.Ended)
+      co_return lost(FailureCode::ConnectionLost);
     if (Cancelled || server.Dark)
       co_return lost(FailureCode::Cancelled);
     if (Next >= All.Length)
@@ -74,15 +76,28 @@
                      SendOptions Options, Millis) {
     return call(std::move(Server), std::move(Options));
   };
+  port.Probe = [this](UpstreamEntry Server, Millis) {
+    return probe(std::move(Server));
+  };
   return port;
 }
 
+asio::awaitable<Outcome<ServerPresence>>
+FakeEngines::probe(UpstreamEntry Server) {
+  co_await pauseFor(Context.get_executor(), Millis(1));
+  co_return Servers[Server.Id].Ended ? ServerPresence::Refuses
+                                     : ServerPresence::Listens;
+}
+
 asio::awaitable<Outcome<std::unique_ptr<EngineStream>>>
 FakeEngines::open(UpstreamEntry Server, SendOptions Options) {
   co_await pauseFor(Context.get_executor(), Millis(1));
   FakeServer &server = Servers[Server.Id];
   server.Runs.push_back(Options.RequestId);
-  if (server.Refuses)
+  server.Ended = server.Ended || Options.RequestId == CrashOn;
+  if (Options.RequestId == CrashOn)
+    co_return lost(FailureCode::ConnectionLost);
+  if (server.Refuses || server.Ended)
     co_return Failure{Verdict::NotRun, FailureCode::Unreachable, Server.Id.Text,
                       "refused", Millis(0)};
   std::uint64_t after = Options.ResumeAfter.value_or(0);
--- a/UnitTests/Dispatch/FakeEngines.h
+++ b/UnitTests/Dispatch/FakeEngines.h
@@ -25,6 +25,8 @@
   std::uint64_t BreakAfter = 0;
   /// Refuses connections.
   bool Refuses = false;
+  /// Its process has ended: it refuses connections.
+  bool Ended = false;
   /// Neither answers nor sends events.
   bool Dark = false;
   /// Runs that began here, by item.
@@ -39,6 +41,8 @@
 
   boost::asio::io_context &Context;
   std::map<ServerName, FakeServer> Servers;
+  /// The item that ends each server which begins to run it; empty for none.
+  std::string CrashOn;
   /// Events of each text.
   std::uint64_t Length = 5;
   /// Statuses of the next scoring calls; 200 when there are none.
@@ -53,6 +57,7 @@
 private:
   boost::asio::awaitable<Outcome<std::unique_ptr<EngineStream>>>
   open(UpstreamEntry Server, SendOptions Options);
+  boost::asio::awaitable<Outcome<ServerPresence>> probe(UpstreamEntry Server);
   boost::asio::awaitable<Outcome<UpstreamAnswer>> call(UpstreamEntry Server,
                                                        SendOptions Options);
 };
--- a/UnitTests/Upstream/ForwarderTest.cpp
+++ b/UnitTests/Upstream/ForwarderTest.cpp
@@ -13,6 +13,8 @@
 enum class Answering : std::uint8_t {
   Whole,
   Full,
+  /// Its process ends while it runs the request.
+  Crashes,
   Lost,
   Unreachable,
   Fails,
@@ -25,6 +27,9 @@
   std::map<ServerName, Answering> Servers;
   std::vector<std::string> Asked;
   std::vector<Millis> Deadlines;
+  EnginePort Port;
+  std::string Target = "/desk/x";
+  std::shared_ptr<Quarantine> Crashes;
   std::shared_ptr<Forwarder> Forward;
   UpstreamRoute Route;
 
@@ -38,8 +43,34 @@
                        SendOptions Options, Millis) {
       return call(std::move(Server), std::move(Options));
     };
-    Forward = Forwarder::create(Context.get_executor(), View, port, Decisions,
-                                Counts, Forwarder::Settings());
+    port.Probe = [this](UpstreamEntry Server, Millis) {
+      return probe(std::move(Server));
+    };
+    Port = port;
+    Crashes = quarantine(Store.port());
+    Forward = Forwarder::create(
+        {Context.get_executor(), View, port, Crashes, Decisions, Counts},
+        Forwarder::Settings());
+  }
+  /// What one more process knows of requests that end servers.
+  std::shared_ptr<Quarantine> quarantine(RecordStore At) {
+    FeedParts feed{Context.get_executor(), std::move(At), Decisions, View};
+    Quarantine::Settings limits;
+    limits.WatchEvery = Millis(5);
+    limits.RetryPause = Millis(5);
+    std::shared_ptr<Quarantine> crashes =
+        Quarantine::create(feed, Port, Counts, limits);
+    crashes->start();
+    return crashes;
+  }
+  std::shared_ptr<UpstreamServer> server(const std::string &Id) {
+    return View.Servers.Servers[ServerName(Id)];
+  }
+  http::Request request() const {
+    http::Request ask;
+    ask.Method = "POST";
+    ask.Target = Target;
+    return ask;
   }
   void add(const std::string &Id, Answering How) {
     UpstreamEntry entry;
@@ -63,12 +94,19 @@
       answer.Proof = AnswerProof::NotRun;
     if (how == Answering::Misdirected)
       answer.Response.Status = MisdirectedStatus;
-    if (how == Answering::Lost)
+    if (how == Answering::Lost || how == Answering::Crashes)
       co_return failure(Verdict::MayHaveRun);
     if (how == Answering::Unreachable)
       co_return failure(Verdict::NotRun);
     co_return answer;
   }
+  /// A server whose answers are lost takes connections still.
+  asio::awaitable<Outcome<ServerPresence>> probe(UpstreamEntry Server) {
+    co_await pauseFor(Context.get_executor(), Millis(1));
+    Answering how = Servers[Server.Id];
+    bool refuses = how == Answering::Crashes || how == Answering::Unreachable;
+    co_return refuses ? ServerPresence::Refuses : ServerPresence::Listens;
+  }
   static Failure failure(Verdict Run) {
     return Failure{Run, FailureCode::ConnectionLost, "server", "as told", {}};
   }
@@ -78,6 +116,7 @@
     run([&]() -> asio::awaitable<void> {
       ForwardRequest what;
       what.Id = "r1";
+      what.Ask = request();
       what.Arrived = monotonicNow();
       what.Patience = Patience;
       Outcome<UpstreamAnswer> answer =
@@ -179,6 +218,137 @@
   CHECK(world.Asked == std::vector<std::string>{"a", "b", "b"});
 }
 
+TEST_CASE("A request that ends servers gets no more than three",
+          "[upstream][quarantine]") {
+  ForwardWorld world;
+  for (const char *id : {"a", "b", "c", "d", "e", "f"})
+    world.add(id, Answering::Crashes);
+  Outcome<UpstreamAnswer> got = world.ask();
+  REQUIRE_FALSE(got);
+  CHECK(world.Asked.size() == 2);
+  // Its second attempt ends one more, and that one may have run it.
+  got = world.ask();
+  REQUIRE_FALSE(got);
+  CHECK(got.failure().Run == Verdict::MayHaveRun);
+  CHECK(world.Asked.size() == 3);
+  for (int i = 0; i < 3; ++i) {
+    got = world.ask();
+    REQUIRE_FALSE(got);
+    CHECK(got.failure().Run == Verdict::NotRun);
+    CHECK(got.failure().Code == FailureCode::Quarantined);
+    CHECK(got.failure().RetryAfter > Millis(60000));
+  }
+  CHECK(world.Asked.size() == 3);
+  // Another request of the route is served on.
+  for (auto &[id, how] : world.Servers)
+    how = Answering::Whole;
+  world.Target = "/desk/other";
+  CHECK(world.ask());
+}
+
+TEST_CASE("What one process has seen of a request holds at all others",
+          "[upstream][quarantine]") {
+  ForwardWorld world;
+  for (const char *id : {"a", "b", "c", "d"})
+    world.add(id, Answering::Crashes);
+  // The store is away while servers end, and a record is lost on its way.
+  world.Store.Down = true;
+  world.ask();
+  world.ask();
+  world.Store.Down = false;
+  world.Store.Fates = {AppendFate::Lost, AppendFate::Refused};
+  std::shared_ptr<Quarantine> other = world.quarantine(world.Store.port());
+  RequestDigest digest = digestOf(world.request());
+  CHECK(world.runUntil(
+      [&] { return other->standing(digest) == CrashStanding::Quarantined; }));
+  // One that starts later, when the topic's records are gone but for the newest
+  // of each key.
+  std::shared_ptr<Quarantine> later = world.quarantine(world.Store.port());
+  CHECK(world.runUntil(
+      [&] { return later->standing(digest) == CrashStanding::Quarantined; }));
+  // A server's answer, at any of them, takes it back at all.
+  GuardedRequest guard{digest, "r"};
+  other->answered(guard);
+  CHECK(world.runUntil([&] {
+    return later->standing(digest) == CrashStanding::Clean &&
+           world.Crashes->standing(digest) == CrashStanding::Clean;
+  }));
+}
+
+TEST_CASE("Processes that write of one request at once lose no end",
+          "[quarantine]") {
+  ForwardWorld world;
+  for (const char *id : {"a", "b", "c"})
+    world.add(id, Answering::Crashes);
+  std::shared_ptr<Quarantine> other = world.quarantine(world.Store.port());
+  std::shared_ptr<GuardedRequest> guard = std::make_shared<GuardedRequest>(
+      GuardedRequest{digestOf(world.request()), "r"});
+  world.run([&]() -> asio::awaitable<void> {
+    co_await world.Crashes->connectionLost(guard, world.server("a"));
+    co_await other->connectionLost(guard, world.server("b"));
+    co_await world.Crashes->connectionLost(guard, world.server("c"));
+  });
+  std::shared_ptr<Quarantine> third = world.quarantine(world.Store.port());
+  CHECK(world.runUntil([&] {
+    return third->standing(guard->Digest) == CrashStanding::Quarantined;
+  }));
+}
+
+TEST_CASE("A lost answer of a server that goes on counts against nobody",
+          "[upstream][quarantine]") {
+  ForwardWorld world;
+  for (const char *id : {"a", "b"})
+    world.add(id, Answering::Lost);
+  for (int i = 0; i < 4; ++i)
+    world.ask();
+  CHECK(world.Asked.size() == 8);
+  CHECK(world.Crashes->standing(digestOf(world.request())) ==
+        CrashStanding::Clean);
+}
+
+TEST_CASE("A server whose end shows by its registration only has ended",
+          "[quarantine]") {
+  ForwardWorld world;
+  world.add("a", Answering::Lost);
+  std::shared_ptr<GuardedRequest> guard = std::make_shared<GuardedRequest>(
+      GuardedRequest{digestOf(world.request()), "r"});
+  std::shared_ptr<UpstreamServer> server = world.server("a");
+  world.run([&]() -> asio::awaitable<void> {
+    co_await world.Crashes->connectionLost(guard, server);
+  });
+  CHECK(world.Crashes->standing(guard->Digest) == CrashStanding::Clean);
+  server->Vanished = monotonicNow();
+  CHECK(world.runUntil([&] {
+    return world.Crashes->standing(guard->Digest) == CrashStanding::Suspect;
+  }));
+}
+
+TEST_CASE("Suspects are kept apart, and others away from them",
+          "[upstream][quarantine]") {
+  ForwardWorld world;
+  world.add("a", Answering::Whole);
+  world.add("b", Answering::Whole);
+  std::shared_ptr<GuardedRequest> guard = std::make_shared<GuardedRequest>(
+      GuardedRequest{RequestDigest("suspect"), "s"});
+  CHECK_FALSE(world.Crashes->beginRun(guard->Digest, {ServerName("a"), 0}));
+  world.add("gone", Answering::Crashes);
+  world.run([&]() -> asio::awaitable<void> {
+    co_await world.Crashes->connectionLost(guard, world.server("gone"));
+  });
+  world.View.Servers.Servers.erase(ServerName("gone"));
+  std::unique_ptr<Quarantine::SuspectRun> at =
+      world.Crashes->beginRun(guard->Digest, {ServerName("a"), 0});
+  REQUIRE(at);
+  for (int i = 0; i < 3; ++i)
+    CHECK(world.ask());
+  CHECK(world.Asked == std::vector<std::string>{"b", "b", "b"});
+  // Unless there is no other.
+  world.View.Servers.Servers.erase(ServerName("b"));
+  CHECK(world.ask());
+  at.reset();
+  CHECK(world.Crashes->suspectsAt().empty());
+}
+
 TEST_CASE("A refusal tells when to come back", "[upstream]") {
   http::Response answer = refusal("full", Millis(250));
   CHECK(answer.Status == 503);
--- a/UnitTests/Upstream/UpstreamTest.cpp
+++ b/UnitTests/Upstream/UpstreamTest.cpp
@@ -252,4 +252,19 @@
   CHECK(steadyFor(contact, Millis(100), Start + Millis(3100)));
 }
 
+TEST_CASE("A key that was written and deleted unread is told as deleted",
+          "[upstream]") {
+  KeyedTable table;
+  table.Written["own"] = 4;
+  table.Written["later"] = 9;
+  KeyedRange whole{0, 7, {KeyedRecord{5, "other", "text"}}};
+  std::vector<KeyedRecord> changed = takeWhole(table, whole);
+  REQUIRE(changed.size() == 2);
+  CHECK(changed[0] == KeyedRecord{4, "own", std::nullopt});
+  CHECK(changed[1] == KeyedRecord{5, "other", "text"});
+  // It is told once, and what is read in order needs no such news.
+  CHECK(takeNews(table, {KeyedRecord{9, "later", "text"}}).size() == 1);
+  CHECK(table.Written.empty());
+}
+
 } // namespace wasabi
--- a/Wasabi/Core/Verdict.cpp
+++ b/Wasabi/Core/Verdict.cpp
@@ -50,6 +50,8 @@
     return "unavailable";
   case FailureCode::NewerSchema:
     return "newer-schema";
+  case FailureCode::Quarantined:
+    return "quarantined";
   case FailureCode::Internal:
     return "internal";
   }
--- a/Wasabi/Core/Verdict.h
+++ b/Wasabi/Core/Verdict.h
@@ -41,6 +41,8 @@
   Expired,
   Unavailable,
   NewerSchema,
+  /// Servers have ended under the request; see `Wasabi/Quarantine`.
+  Quarantined,
   Internal,
 };
 
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -34,8 +34,9 @@
     : Limits(Limits), Executor(std::move(With.Executor)), View(With.View),
       Log(std::move(With.Log)), Payloads(std::move(With.Payloads)),
       Store(std::move(With.Store)), Engines(std::move(With.Engines)),
-      Scores(std::move(With.Scores)), Decisions(std::move(With.Decisions)),
-      Counts(With.Counts), Wake(this->Executor), CommitWake(this->Executor) {}
+      Scores(std::move(With.Scores)), Crashes(std::move(With.Crashes)),
+      Decisions(std::move(With.Decisions)), Counts(With.Counts),
+      Wake(this->Executor), CommitWake(this->Executor) {}
 
 std::shared_ptr<Dispatcher> Dispatcher::create(Parts With, Settings Limits) {
   return std::shared_ptr<Dispatcher>(new Dispatcher(std::move(With), Limits));
@@ -259,6 +260,43 @@
   return found;
 }
 
+/// Whether an item gets no engine since servers have ended under it. It stays
+/// open: it has neither been done nor failed, and its step is whole without it
+/// if enough others are.
+bool Dispatcher::letBe(ItemWork &Work) const {
+  bool now =
+      Crashes->standing(Work.Guard->Digest) == CrashStanding::Quarantined;
+  if (now != Work.Quarantined)
+    Decisions->line(now ? "item.quarantined" : "item.released",
+                    {{"item", Work.Item.Id.Text},
+                     {"job", Work.Job->Job.Id.Text},
+                     {"digest", Work.Guard->Digest.Text}});
+  Work.Quarantined = now;
+  return now;
+}
+
+/// The engine for an item; null if none has room. Suspects are kept apart as
+/// long as there are engines for that.
+std::shared_ptr<EngineState> Dispatcher::engineFor(const ItemWork &Work,
+                                                   const EngineList &Free,
+                                                   const PaceScale &Scale,
+                                                   TimePoint Now) const {
+  std::set<ServerIncarnation> suspects = Crashes->suspectsAt();
+  bool apart = !suspects.empty() &&
+               Crashes->standing(Work.Guard->Digest) != CrashStanding::Clean;
+  if (apart) {
+    EngineList others = Free;
+    std::erase_if(others, [&](const std::shared_ptr<EngineState> &It) {
+      return suspects.contains(It->Server->Entry.incarnation());
+    });
+    std::shared_ptr<EngineState> engine =
+        chooseEngine(others, needOf(Work), Scale, Limits.Pool, Now);
+    if (engine)
+      return engine;
+  }
+  return chooseEngine(Free, needOf(Work), Scale, Limits.Pool, Now);
+}
+
 void Dispatcher::scheduleNow() {
   using Rank = std::tuple<bool, std::uint32_t, Offset, double>;
   TimePoint now = monotonicNow();
@@ -277,6 +315,8 @@
       continue;
     // Jobs that are overdue earn less than those that can be whole in time;
     // within a job the longest text decides when it is whole.
+    if (letBe(*it))
+      continue;
     bool overdue = now - it->Job->Seen > route->ResultDeadline;
     double expected = it->Item.ExpectedTokens > 0 ? it->Item.ExpectedTokens
                                                   : Limits.UnknownTokens;
@@ -287,8 +327,8 @@
             [](const auto &L, const auto &R) { return L.first < R.first; });
   for (const auto &[rank, work] : waiting) {
     dropMixedText(*work);
-    std::shared_ptr<EngineState> engine = chooseEngine(
-        free[work->Job->Job.Model], needOf(*work), scale, Limits.Pool, now);
+    std::shared_ptr<EngineState> engine =
+        engineFor(*work, free[work->Job->Job.Model], scale, now);
     if (engine)
       startRun(work, engine);
   }
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -15,6 +15,7 @@
 #include "Wasabi/Dispatch/EnginePool.h"
 #include "Wasabi/Dispatch/EngineTopics.h"
 #include "Wasabi/Ports/EnginePort.h"
+#include "Wasabi/Quarantine/Quarantine.h"
 #include "Wasabi/Upstream/FleetView.h"
 #include "Wasabi/Upstream/Forwarder.h"
 
@@ -51,6 +52,10 @@
   /// The item; only what every process knows of it while `Stage` is `Loading`.
   BatchItem Item;
   ItemStage Stage = ItemStage::Loading;
+  /// Shared with whoever finds out why a run has ended.
+  std::shared_ptr<GuardedRequest> Guard;
+  /// Whether it is let be since servers have ended under it.
+  bool Quarantined = false;
   /// Whether it is expected to be longer than its job's mean.
   bool ExpectedLong = false;
   /// Where its route was found last.
@@ -72,6 +77,8 @@
   TimePoint LastEvent;
   /// Whether its run has had an event.
   bool Begun = false;
+  /// Why its last run broke off; empty if it did not by itself.
+  std::optional<Failure> Broken;
   /// Whether its run was ended for a faster engine.
   bool Moved = false;
   /// Whether it has been moved because others are always faster: once is
@@ -119,6 +126,9 @@
     Millis EventLimit{6000};
     /// Pause before an item is tried again after a failure.
     Millis RetryPause{60};
+    /// Pause before a quarantined scoring call is looked at again: it is free
+    /// again when a server has answered it, which is rare.
+    Millis QuarantinePause{1000};
     /// Saved texts of a job that are fetched at once: an answer of the store
     /// takes 4 ms, and a text comes in up to ten pieces.
     std::size_t TextFetchers = 8;
@@ -148,6 +158,7 @@
     RecordStore Store;
     EnginePort Engines;
     std::shared_ptr<Forwarder> Scores;
+    std::shared_ptr<Quarantine> Crashes;
     std::shared_ptr<DecisionLog> Decisions;
     /// Outlives the dispatcher.
     Metrics &Counts;
@@ -212,6 +223,11 @@
   void clearFinished();
   void schedule();
   void scheduleNow();
+  bool letBe(ItemWork &Work) const;
+  std::shared_ptr<EngineState> engineFor(const ItemWork &Work,
+                                         const EngineList &Free,
+                                         const PaceScale &Scale,
+                                         TimePoint Now) const;
   std::map<ModelName, EngineList> enginesWithRoom(TimePoint Now) const;
   EngineNeed needOf(const ItemWork &Work) const;
   bool singleVersion(const ItemWork &Work) const;
@@ -259,6 +275,7 @@
   const RecordStore Store;
   const EnginePort Engines;
   const std::shared_ptr<Forwarder> Scores;
+  const std::shared_ptr<Quarantine> Crashes;
   const std::shared_ptr<DecisionLog> Decisions;
   Metrics &Counts;
 
--- a/Wasabi/Dispatch/DispatcherRecords.cpp
+++ b/Wasabi/Dispatch/DispatcherRecords.cpp
@@ -149,6 +149,8 @@
   if (carried != Carried.end() && carried->second.Events > Work->Text.Events &&
       fits(carried->second, *Work))
     Work->Text = carried->second;
+  Work->Guard = std::make_shared<GuardedRequest>(
+      GuardedRequest{digestOf(askOf(*Work)), Work->Item.Id.Text});
   Work->Stage = ItemStage::Waiting;
   if (Work->Text.Whole)
     startScore(Work);
--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -1,7 +1,5 @@
 #include "Wasabi/Dispatch/Dispatcher.h"
 
-#include "Wasabi/Quarantine/RequestDigest.h"
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -46,6 +44,7 @@
   Work->Engine = On;
   Work->LastEvent = monotonicNow();
   Work->Begun = false;
+  Work->Broken.reset();
   Work->Moved = false;
   ++On->Running;
   ++On->Server->InFlight;
@@ -63,6 +62,8 @@
 
 asio::awaitable<void> Dispatcher::run(std::shared_ptr<ItemWork> Work) {
   std::shared_ptr<EngineState> engine = Work->Engine;
+  std::unique_ptr<Quarantine::SuspectRun> suspect = Crashes->beginRun(
+      Work->Guard->Digest, engine->Server->Entry.incarnation());
   SendOptions options;
   options.RequestId = Work->Item.Id.Text;
   if (Work->Text.Events > 0)
@@ -77,6 +78,7 @@
   bool whole = false;
   if (opened && !*opened) {
     why = opened->failure();
+    Work->Broken = why;
     // An engine without runs is the least loaded one: unless it is put last,
     // one that refuses connections draws each waiting item once.
     wasabi::noteFailure(View.Servers, *engine->Server, monotonicNow());
@@ -88,12 +90,21 @@
       Work->Stream = stream.get();
       whole = co_await readEvents(*Work);
       Work->Stream = nullptr;
+      why = Work->Broken.value_or(why);
     } else
       why.Reason = "status " + std::to_string(stream->head().Response.Status);
   }
   --engine->Running;
   --engine->Server->InFlight;
+  suspect.reset();
   Work->Engine.reset();
+  // A request that ends engines ends each at the same event; one that has come
+  // further was only there.
+  bool stuck = Work->Broken && !Work->Begun &&
+               Work->Broken->Run != Verdict::NotRun &&
+               Work->Broken->Code == FailureCode::ConnectionLost;
+  if (stuck)
+    co_await Crashes->connectionLost(Work->Guard, engine->Server);
   if (Work->Dropped || Work->Stage == ItemStage::Finished)
     co_return schedule();
   if (!whole) {
@@ -102,6 +113,7 @@
     co_return;
   }
   wasabi::noteSuccess(View.Servers, *engine->Server, 0);
+  Crashes->answered(*Work->Guard);
   Work->Text.Whole = true;
   startScore(Work);
   schedule();
@@ -150,6 +162,7 @@
            {"version", known ? std::to_string(*Head.Version) : "unknown"}});
     return fresh && !mixed;
   }
+  Crashes->answered(*Work->Guard);
   if (status == Unprocessable) {
     terminate(Work, "the server can never do it");
     return false;
@@ -170,8 +183,10 @@
     // Stalled runs are ended by `lookAtRuns`.
     Outcome<std::optional<EngineEvent>> event =
         co_await Work.Stream->next(Limits.EventLimit);
-    if (!event)
+    if (!event) {
+      Work.Broken = event.failure();
       co_return false;
+    }
     if (!*event)
       co_return Work.Text.Events > 0;
     if ((*event)->Id != Work.Text.Events + 1) {
@@ -223,7 +238,7 @@
       Work->Moved ? TimePoint() : monotonicNow() + Limits.RetryPause;
   Decisions->line("item.run_ended",
                   {{"item", Work->Item.Id.Text},
-                   {"digest", digestOf(askOf(*Work)).Text},
+                   {"digest", Work->Guard->Digest.Text},
                    {"server", Work->Avoid.Server.Text},
                    {"events", std::to_string(Work->Text.Events)},
                    {"reason", describe(Why)}});
@@ -280,8 +295,10 @@
       terminate(Work, "its scoring call failed at every attempt");
       co_return;
     }
+    bool quarantined = !got && got.failure().Code == FailureCode::Quarantined;
     if (!Work->Dropped)
-      co_await pauseFor(Executor, Limits.RetryPause);
+      co_await pauseFor(Executor, quarantined ? Limits.QuarantinePause
+                                              : Limits.RetryPause);
   }
   if (Work->Dropped)
     co_return;
--- a/Wasabi/Ports/EnginePort.h
+++ b/Wasabi/Ports/EnginePort.h
@@ -130,6 +130,14 @@
   std::uint32_t Waiting = 0;
 };
 
+/// Whether somebody listens at a server's address.
+enum class ServerPresence : std::uint8_t {
+  /// A connection was taken.
+  Listens,
+  /// It was refused: the server's process has ended.
+  Refuses,
+};
+
 /// Calls to servers, as plain functions; each is used on the thread that built
 /// it. Failures carry `NotRun` only where nothing can have run.
 struct EnginePort {
@@ -149,6 +157,11 @@
   std::function<boost::asio::awaitable<Outcome<EngineReport>>(
       UpstreamEntry Server, Millis Timeout)>
       Report;
+  /// Connects to the server and sends nothing. Fails when neither a connection
+  /// nor its refusal comes in time.
+  std::function<boost::asio::awaitable<Outcome<ServerPresence>>(
+      UpstreamEntry Server, Millis Timeout)>
+      Probe;
 };
 
 } // namespace wasabi
--- a/Wasabi/Ports/RecordStore.h
+++ b/Wasabi/Ports/RecordStore.h
@@ -46,7 +46,8 @@
       std::string Topic, std::vector<std::string> Records,
       std::optional<Offset> At, Millis Timeout)>
       Append;
-  /// Makes `Value` the newest record of `Key` in a keyed topic.
+  /// Makes `Value` the newest record of `Key` in a keyed topic; an empty one
+  /// deletes the key.
   std::function<boost::asio::awaitable<Outcome<Offset>>(
       std::string Topic, std::string Key, std::string Value, Millis Timeout)>
       AppendKeyed;
--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -1,7 +1,6 @@
 #include "Wasabi/Upstream/Forwarder.h"
 
 #include "Wasabi/Core/AsyncSignal.h"
-#include "Wasabi/Quarantine/RequestDigest.h"
 
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
@@ -79,6 +78,17 @@
   /// Tries that certainly did not.
   std::uint32_t Unrun = 0;
   std::shared_ptr<UpstreamServer> Server;
+  std::shared_ptr<GuardedRequest> Guard;
+
+  Progress(ForwardRequest What, UpstreamRoute Route, ServiceName Service)
+      : What(std::move(What)), Route(std::move(Route)),
+        Service(std::move(Service)) {
+    Millis patience = this->What.Patience.value_or(this->Route.Timeout);
+    Deadline = this->What.Arrived + std::min(patience, this->Route.Timeout) -
+               AnswerMargin;
+    Guard = std::make_shared<GuardedRequest>(
+        GuardedRequest{digestOf(this->What.Ask), this->What.Id});
+  }
 
   bool mayTry(const Settings &Limits) const {
     return Runs < std::max<std::uint32_t>(Route.MaxAttempts, 1) &&
@@ -87,26 +97,32 @@
   }
 };
 
-Forwarder::Forwarder(asio::any_io_executor Executor, FleetView &View,
-                     EnginePort Engines, std::shared_ptr<DecisionLog> Decisions,
-                     Metrics &Counts, Settings Limits)
-    : Limits(Limits), Executor(std::move(Executor)), View(View),
-      Engines(std::move(Engines)), Decisions(std::move(Decisions)),
-      Counts(Counts), Random(wallMicros()) {}
-
-std::shared_ptr<Forwarder>
-Forwarder::create(asio::any_io_executor Executor, FleetView &View,
-                  EnginePort Engines, std::shared_ptr<DecisionLog> Decisions,
-                  Metrics &Counts, Settings Limits) {
-  return std::shared_ptr<Forwarder>(
-      new Forwarder(std::move(Executor), View, std::move(Engines),
-                    std::move(Decisions), Counts, Limits));
+Forwarder::Forwarder(Parts With, Settings Limits)
+    : Limits(Limits), Executor(std::move(With.Executor)), View(With.View),
+      Engines(std::move(With.Engines)), Crashes(std::move(With.Crashes)),
+      Decisions(std::move(With.Decisions)), Counts(With.Counts),
+      Random(wallMicros()) {}
+
+std::shared_ptr<Forwarder> Forwarder::create(Parts With, Settings Limits) {
+  return std::shared_ptr<Forwarder>(new Forwarder(std::move(With), Limits));
+}
+
+/// Why no server may have the request; empty if one may.
+std::optional<Failure> Forwarder::quarantined(const Progress &Of) const {
+  if (Crashes->standing(Of.Guard->Digest) != CrashStanding::Quarantined)
+    return std::nullopt;
+  return Crashes->refuse(Of.Guard->Digest);
 }
 
 std::shared_ptr<UpstreamServer> Forwarder::nextServer(Progress &Of) {
   TimePoint now = monotonicNow();
+  std::set<ServerIncarnation> apart = Crashes->suspectsAt();
+  apart.insert(Of.Tried.begin(), Of.Tried.end());
   std::shared_ptr<UpstreamServer> server = chooseServer(
-      View.Servers, Of.Service, View.Domain, Of.Tried, View.Contact, now);
+      View.Servers, Of.Service, View.Domain, apart, View.Contact, now);
+  if (!server && apart.size() > Of.Tried.size())
+    server = chooseServer(View.Servers, Of.Service, View.Domain, Of.Tried,
+                          View.Contact, now);
   if (server || Of.Tried.empty() || Of.Runs == 0)
     return server;
   // Every server had its turn, and one of them may do better the second time.
@@ -152,11 +168,14 @@
   options.Deadline = until(Of.Deadline);
   options.RequestId = Of.What.Id;
   TimePoint began = monotonicNow();
+  std::unique_ptr<Quarantine::SuspectRun> suspect =
+      Crashes->beginRun(Of.Guard->Digest, server->Entry.incarnation());
   ++server->InFlight;
   std::optional<Outcome<UpstreamAnswer>> got = co_await cancellable(
       Executor, Engines.Call(server->Entry, Of.What.Ask, options, tryTime(Of)),
       Stop);
   --server->InFlight;
+  suspect.reset();
   if (!got)
     co_return got;
   bool unrun = *got ? (*got)->Proof == AnswerProof::NotRun
@@ -179,10 +198,16 @@
   if (!*got && !unrun)
     Decisions->line("request.lost",
                     {{"request", Of.What.Id},
-                     {"digest", digestOf(Of.What.Ask).Text},
+                     {"digest", Of.Guard->Digest.Text},
                      {"server", server->Entry.Id.Text},
                      {"start", std::to_string(server->Entry.Start)},
                      {"beside", std::to_string(server->InFlight)}});
+  if (*got && (*got)->Proof == AnswerProof::Ran)
+    Crashes->answered(*Of.Guard);
+  // An end that is not told from a lost answer calls for another server, which
+  // ends too.
+  if (!*got && got->failure().Code == FailureCode::ConnectionLost)
+    co_await Crashes->connectionLost(Of.Guard, server);
   co_return got;
 }
 
@@ -190,16 +215,17 @@
 Forwarder::answer(ForwardRequest What, UpstreamRoute Route,
                   asio::cancellation_signal &Stop) {
   std::shared_ptr<Forwarder> self = shared_from_this();
-  Progress at;
-  at.Service = pickService(Route, std::uniform_real_distribution<>()(Random));
-  Millis patience = What.Patience.value_or(Route.Timeout);
-  at.Deadline = What.Arrived + std::min(patience, Route.Timeout) - AnswerMargin;
-  at.What = std::move(What);
-  at.Route = std::move(Route);
+  ServiceName service =
+      pickService(Route, std::uniform_real_distribution<>()(Random));
+  Progress at(std::move(What), std::move(Route), std::move(service));
   std::optional<UpstreamAnswer> failing;
   Failure why{Verdict::NotRun, FailureCode::NoUpstream, at.Service.Text,
               "no server of the service is there", Limits.RetryAfter};
   while (at.mayTry(Limits)) {
+    if (std::optional<Failure> refused = quarantined(at)) {
+      why = *refused;
+      break;
+    }
     at.Server = nextServer(at);
     if (!at.Server)
       break;
@@ -234,7 +260,7 @@
   }
   if (at.Runs > 0)
     why.Run = Verdict::MayHaveRun;
-  if (monotonicNow() >= at.Deadline)
+  if (monotonicNow() >= at.Deadline && why.Code != FailureCode::Quarantined)
     why.Code = FailureCode::TimedOut;
   note(at, toText(why.Code), 0);
   co_return why;
@@ -244,7 +270,7 @@
 
 http::Response answerOf(const Failure &Why, Millis RetryAfter) {
   if (Why.Run == Verdict::NotRun)
-    return refusal(Why.Reason, RetryAfter);
+    return refusal(Why.Reason, std::max(RetryAfter, Why.RetryAfter));
   bool late = Why.Code == FailureCode::TimedOut;
   return failureAnswer(late ? GatewayTimeout : BadGateway, Why.Reason);
 }
@@ -273,7 +299,7 @@
 asio::awaitable<std::unique_ptr<EngineStream>>
 Forwarder::openStream(Progress &Of, std::optional<std::uint64_t> After,
                       asio::cancellation_signal &Stop) {
-  while (Of.mayTry(Limits)) {
+  while (Of.mayTry(Limits) && !quarantined(Of)) {
     Of.Server = nextServer(Of);
     if (!Of.Server)
       break;
@@ -282,6 +308,8 @@
     options.Deadline = until(Of.Deadline);
     options.RequestId = Of.What.Id;
     options.ResumeAfter = After;
+    std::unique_ptr<Quarantine::SuspectRun> suspect =
+        Crashes->beginRun(Of.Guard->Digest, server->Entry.incarnation());
     ++server->InFlight;
     std::optional<Outcome<std::unique_ptr<EngineStream>>> got =
         co_await cancellable(
@@ -303,6 +331,8 @@
       server->Replaced = true;
     if (!unrun)
       wasabi::noteFailure(View.Servers, *server, monotonicNow());
+    if (!*got && got->failure().Code == FailureCode::ConnectionLost)
+      co_await Crashes->connectionLost(Of.Guard, server);
   }
   co_return nullptr;
 }
@@ -310,13 +340,22 @@
 asio::awaitable<bool> Forwarder::passEvents(Progress &Of, EngineStream &From,
                                             std::uint64_t &Last,
                                             http::Responder &Out) {
+  std::uint64_t before = Last;
   while (!Out.gone()) {
     Outcome<std::optional<EngineEvent>> event =
         co_await From.next(until(Of.Deadline));
-    if (!event)
+    if (!event) {
+      // Where a stream is resumed, a request that ends servers ends each at the
+      // same event; one that comes further was only there.
+      bool stuck = !Of.Route.Resumable || Last == before;
+      if (stuck && event.failure().Code == FailureCode::ConnectionLost)
+        co_await Crashes->connectionLost(Of.Guard, Of.Server);
       co_return false;
-    if (!*event)
+    }
+    if (!*event) {
+      Crashes->answered(*Of.Guard);
       co_return true;
+    }
     Last = (*event)->Id;
     Outcome<Done> sent = co_await Out.write(std::move((*event)->Raw));
     if (!sent)
@@ -330,12 +369,9 @@
   constexpr unsigned Ok = 200;
   std::shared_ptr<Forwarder> self = shared_from_this();
   asio::cancellation_signal stop;
-  Progress at;
-  at.Service = pickService(Route, std::uniform_real_distribution<>()(Random));
-  Millis patience = What.Patience.value_or(Route.Timeout);
-  at.Deadline = What.Arrived + std::min(patience, Route.Timeout) - AnswerMargin;
-  at.What = std::move(What);
-  at.Route = std::move(Route);
+  ServiceName service =
+      pickService(Route, std::uniform_real_distribution<>()(Random));
+  Progress at(std::move(What), std::move(Route), std::move(service));
   std::unique_ptr<EngineStream> stream;
   // The caller may leave at any time, and the server's work stops with it.
   Out->onGone([&stop, &stream, self] {
@@ -350,11 +386,16 @@
     Failure why{at.Runs > 0 ? Verdict::MayHaveRun : Verdict::NotRun,
                 FailureCode::NoUpstream, at.Service.Text,
                 "no server took the request", Limits.RetryAfter};
+    if (std::optional<Failure> refused = quarantined(at)) {
+      refused->Run = why.Run;
+      why = *refused;
+    }
     note(at, "refused", 0);
     co_await Out->send(answerOf(why, Limits.RetryAfter));
     co_return;
   }
   if (stream->head().Response.Status != Ok) {
+    Crashes->answered(*at.Guard);
     http::Response whole = stream->head().Response;
     note(at, "answered", whole.Status);
     co_await Out->send(std::move(whole));
--- a/Wasabi/Upstream/Forwarder.h
+++ b/Wasabi/Upstream/Forwarder.h
@@ -8,6 +8,7 @@
 #include "Wasabi/Adapters/Telemetry/DecisionLog.h"
 #include "Wasabi/Adapters/Telemetry/Metrics.h"
 #include "Wasabi/Ports/EnginePort.h"
+#include "Wasabi/Quarantine/Quarantine.h"
 #include "Wasabi/Upstream/FleetView.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -44,10 +45,19 @@
     std::uint32_t MaxUnrun = 6;
   };
 
-  static std::shared_ptr<Forwarder>
-  create(boost::asio::any_io_executor Executor, FleetView &View,
-         EnginePort Engines, std::shared_ptr<DecisionLog> Decisions,
-         Metrics &Counts, Settings Limits);
+  /// What a forwarder works with.
+  struct Parts {
+    boost::asio::any_io_executor Executor;
+    /// Outlives the forwarder.
+    FleetView &View;
+    EnginePort Engines;
+    std::shared_ptr<Quarantine> Crashes;
+    std::shared_ptr<DecisionLog> Decisions;
+    /// Outlives the forwarder.
+    Metrics &Counts;
+  };
+
+  static std::shared_ptr<Forwarder> create(Parts With, Settings Limits);
 
   /// Answers a caller's request of an idempotent or non-idempotent route. When
   /// the caller leaves, the work at the server is stopped.
@@ -69,12 +79,11 @@
   /// How far a request has come.
   struct Progress;
 
-  Forwarder(boost::asio::any_io_executor Executor, FleetView &View,
-            EnginePort Engines, std::shared_ptr<DecisionLog> Decisions,
-            Metrics &Counts, Settings Limits);
+  Forwarder(Parts With, Settings Limits);
 
   std::shared_ptr<UpstreamServer> nextServer(Progress &Of);
   Millis tryTime(const Progress &Of) const;
+  std::optional<Failure> quarantined(const Progress &Of) const;
   boost::asio::awaitable<std::optional<Outcome<UpstreamAnswer>>>
   tryOnce(Progress &Of, boost::asio::cancellation_signal &Stop);
   boost::asio::awaitable<std::unique_ptr<EngineStream>>
@@ -89,6 +98,7 @@
   const boost::asio::any_io_executor Executor;
   FleetView &View;
   const EnginePort Engines;
+  const std::shared_ptr<Quarantine> Crashes;
   const std::shared_ptr<DecisionLog> Decisions;
   Metrics &Counts;
   std::mt19937_64 Random;
--- a/Wasabi/Upstream/KeyedFollower.cpp
+++ b/Wasabi/Upstream/KeyedFollower.cpp
@@ -20,6 +20,8 @@
     Table.Keys[it.Key] = it.At;
     changed.push_back(it);
   }
+  std::erase_if(Table.Written,
+                [&](const auto &It) { return It.second < Table.Next; });
   return changed;
 }
 
@@ -36,6 +38,10 @@
     changed.push_back(KeyedRecord{it->second, it->first, std::nullopt});
     it = Table.Keys.erase(it);
   }
+  for (const auto &[key, at] : Table.Written) {
+    if (at < Range.End && !present.contains(key) && !Table.Keys.contains(key))
+      changed.push_back(KeyedRecord{at, key, std::nullopt});
+  }
   Offset next = Table.Next;
   std::vector<KeyedRecord> news = takeNews(Table, Range.Records);
   changed.insert(changed.end(), news.begin(), news.end());
--- a/Wasabi/Upstream/KeyedFollower.h
+++ b/Wasabi/Upstream/KeyedFollower.h
@@ -17,6 +17,8 @@
 /// The newest offset of each key seen. A value.
 struct KeyedTable {
   std::map<std::string, Offset, std::less<>> Keys;
+  /// Keys that this process has written and not read yet, by their offset.
+  std::map<std::string, Offset, std::less<>> Written;
   Offset Next = 0;
 };
 
@@ -27,7 +29,8 @@
 
 /// Takes the newest record of each key as of `Range.End`: a key that is not
 /// among them was deleted, unless its record is newer than that. Returns what
-/// changed, deletions without a value. Pure but for `Table`.
+/// changed, deletions without a value: also of a key that this process has
+/// written and that was deleted before it was read. Pure but for `Table`.
 std::vector<KeyedRecord> takeWhole(KeyedTable &Table, const KeyedRange &Range);
 
 /// Used on one thread, that of its executor.
@@ -55,6 +58,9 @@
 
   /// Begins to follow, for as long as the context runs.
   void start();
+  /// This process has written `Key`: a whole reading that does not show it
+  /// tells that it was deleted meanwhile.
+  void wrote(const std::string &Key, Offset At) { Table.Written[Key] = At; }
   /// Whether the whole table has been read once.
   bool primed() const { return Primed; }
 
