--- a/IntegrationTests/Cases/SoakTest.cpp
+++ b/IntegrationTests/Cases/SoakTest.cpp
@@ -225,6 +225,37 @@
   }
 }
 
+TEST_CASE("Soak judge: a request that goes on ending servers", "[soak]") {
+  SoakRecord seen;
+  SoakTruth truth;
+  auto endAt = [&](int Ms) {
+    AskRecord ask = asked(AskKind::Crashing, Ms - 1, Ms + 1, 502);
+    ask.Id += std::to_string(Ms);
+    seen.Asks.push_back(ask);
+    ServerCall run = runAt(Ms, ask.Id);
+    run.Path = std::string(CrashPath) + "0";
+    truth.PlainRuns.push_back(run);
+  };
+  for (int ms : {0, 10, 20, 30, 40, 50, 5000, 5010, 5020})
+    endAt(ms);
+  CHECK(judge(seen, truth).empty());
+  endAt(5030);
+  CHECK(finds(seen, truth, "4 of them long after it was known"));
+  // A process that was ill just before need not have known.
+  truth.Faults = {{SoakFault::KillEdge, at(4000), at(4500)}};
+  CHECK(judge(seen, truth).empty());
+}
+
+TEST_CASE("A short soak with requests that end servers holds every promise",
+          "[soak]") {
+  std::string seed = GENERATE("10", "11");
+  SoakEnd end = runSoak({"--seed=" + seed, "--seconds=12", "--crashing=2"});
+  INFO(end.Output);
+  CHECK(end.Code == 0);
+  CHECK(end.Output.find("soak: seed=" + seed + " broken=0") !=
+        std::string::npos);
+}
+
 TEST_CASE("Short soaks hold every promise", "[soak]") {
   std::string seed = GENERATE("8", "10", "17");
   SoakEnd end = runSoak({"--seed=" + seed, "--seconds=8"});
--- a/IntegrationTests/Soak/Main.cpp
+++ b/IntegrationTests/Soak/Main.cpp
@@ -16,6 +16,7 @@
 DEFINE_uint32(engines, 3, "engines, with a process beside each");
 DEFINE_uint32(callers, 6, "callers at once");
 DEFINE_uint32(trainers, 2, "trainers at once");
+DEFINE_uint32(crashing, 0, "callers whose one request ends servers");
 DEFINE_bool(plan_only, false, "print the plan of the seed and end");
 DEFINE_bool(keep, false, "keep the logs of a good run too");
 
@@ -44,6 +45,7 @@
   size.Engines = FLAGS_engines;
   size.Callers = FLAGS_callers;
   size.Trainers = FLAGS_trainers;
+  size.Crashing = FLAGS_crashing;
   wasabi::soak::SoakResult got =
       wasabi::soak::soakOnce(size, Seed, plan, FLAGS_keep);
   if (!got.Faults.empty())
--- a/IntegrationTests/Soak/SoakClients.cpp
+++ b/IntegrationTests/Soak/SoakClients.cpp
@@ -97,6 +97,8 @@
   for (std::size_t i = 0; i < this->Setup.Trainers; ++i)
     spawn([this, i] { return train(i); });
   spawn([this] { return probe(); });
+  for (std::size_t i = 0; i < this->Setup.Crashing; ++i)
+    spawn([this, i] { return crash(i); });
   Thread = std::thread([this] { Context.run(); });
 }
 
@@ -166,6 +168,17 @@
   }
 }
 
+SoakClients::Task<void> SoakClients::crash(std::size_t Number) {
+  constexpr std::uint64_t LeastPauseMs = 200;
+  constexpr std::uint64_t MorePauseMs = 700;
+  while (!Stopping) {
+    co_await ask(AskKind::Crashing, CrashPath + std::to_string(Number),
+                 pickEdge(), 0);
+    co_await pauseFor(Context.get_executor(),
+                      Millis(LeastPauseMs + draw(MorePauseMs)));
+  }
+}
+
 SoakClients::Task<void> SoakClients::ask(AskKind Kind, std::string Path,
                                          std::size_t Edge,
                                          std::uint64_t Version) {
@@ -181,7 +194,7 @@
   what.Headers.push_back(
       {"Wasabisail-Deadline-Ms", std::to_string(patience.count())});
   what.Headers.push_back({"Wasabisail-Model", Model});
-  what.Body = "body of " + record.Id;
+  what.Body = Kind == AskKind::Crashing ? "body" : "body of " + record.Id;
   record.Sent = monotonicNow();
   std::optional<Outcome<http::Response>> got;
   if (stream)
--- a/IntegrationTests/Soak/SoakClients.h
+++ b/IntegrationTests/Soak/SoakClients.h
@@ -30,6 +30,8 @@
     std::uint64_t Seed = 1;
     std::size_t Callers = 6;
     std::size_t Trainers = 2;
+    /// Callers whose one request ends servers.
+    std::size_t Crashing = 0;
     std::size_t ItemsPerJob = 8;
     /// How long a caller waits, as it says.
     Millis Deadline{2000};
@@ -61,6 +63,7 @@
   Task<void> watch(std::size_t Edge);
   Task<void> call(std::size_t Number);
   Task<void> probe();
+  Task<void> crash(std::size_t Number);
   Task<void> train(std::size_t Number);
   Task<void> ask(AskKind Kind, std::string Path, std::size_t Edge,
                  std::uint64_t Version);
--- a/IntegrationTests/Soak/SoakInjector.cpp
+++ b/IntegrationTests/Soak/SoakInjector.cpp
@@ -353,6 +353,10 @@
 
 /// The server starts anew, as another incarnation at the same address.
 void SoakInjector::returnServer(std::size_t Index, const std::string &Id) {
+  // A request may have ended it meanwhile, and it registered under a new id.
+  std::string before = World.server(Index).id();
+  if (before != Id)
+    World.unregisterServer(before);
   World.onPlatform([&] { World.server(Index).restart(Id); });
   World.setFaults(World.serverLink(Index), {{"refuse", false}});
   World.registerServer(Index, false);
--- a/IntegrationTests/Soak/SoakJudge.cpp
+++ b/IntegrationTests/Soak/SoakJudge.cpp
@@ -164,6 +164,30 @@
   }
 }
 
+/// A request that ends servers gets none any more, once it has ended some.
+void judgeCrashing(Case &Of) {
+  std::map<std::string, std::vector<TimePoint>> tries;
+  for (const ServerCall &it : Of.Truth.PlainRuns) {
+    if (it.Path.starts_with(CrashPath))
+      tries[it.Path].push_back(it.At);
+  }
+  for (auto &[path, times] : tries) {
+    if (times.size() <= Of.Bounds.Ends)
+      continue;
+    std::sort(times.begin(), times.end());
+    TimePoint latest =
+        times[Of.Bounds.Ends - 1] + Of.Bounds.Calm + Of.Bounds.Slack;
+    std::ptrdiff_t late =
+        std::count_if(times.begin(), times.end(), [&](TimePoint At) {
+          return At > latest && Of.calm(At, At);
+        });
+    if (late > static_cast<std::ptrdiff_t>(Of.Bounds.LateTries))
+      Of.Faults.push_back(fmt::format(
+          "{} ended servers {} times, {} of them long after it was known", path,
+          times.size(), late));
+  }
+}
+
 void judgeOrders(Case &Of) {
   for (std::size_t i = 0; i < Of.Truth.Orders.size(); ++i) {
     std::string holder = "side-" + std::to_string(i);
@@ -197,6 +221,7 @@
   judgeRegress(all);
   judgeForce(all);
   judgeOrders(all);
+  judgeCrashing(all);
   return all.Faults;
 }
 
--- a/IntegrationTests/Soak/SoakJudge.h
+++ b/IntegrationTests/Soak/SoakJudge.h
@@ -69,6 +69,10 @@
   /// What the machine under the soak may add.
   Millis Slack{400};
   std::size_t MaxAttempts = 3;
+  /// Servers that a request may end, and the tries that may come later than
+  /// `Calm` after the last of these.
+  std::size_t Ends = 3;
+  std::size_t LateTries = 3;
 };
 
 /// Each broken promise, one line each.
--- a/IntegrationTests/Soak/SoakRecord.h
+++ b/IntegrationTests/Soak/SoakRecord.h
@@ -21,8 +21,13 @@
   Stream,
   /// Shows which configuration is in force.
   Probe,
+  /// Ends each server that begins to run it; the same each time but for its id.
+  Crashing,
 };
 
+/// Requests whose path has this end the servers that begin to run them.
+inline constexpr const char *CrashPath = "/desk/crash-";
+
 /// One request of a caller and what came of it.
 struct AskRecord {
   AskKind Kind = AskKind::Repeatable;
--- a/IntegrationTests/Soak/SoakRun.cpp
+++ b/IntegrationTests/Soak/SoakRun.cpp
@@ -130,6 +130,9 @@
   setup.Seed = Seed;
   setup.Callers = Size.Callers;
   setup.Trainers = Size.Trainers;
+  setup.Crashing = Size.Crashing;
+  if (Size.Crashing > 0)
+    world.crashOn(CrashPath);
   setup.LengthOf = [&world](const std::string &Item) {
     return world.server(0).lengthOf(Item);
   };
--- a/IntegrationTests/Soak/SoakRun.h
+++ b/IntegrationTests/Soak/SoakRun.h
@@ -22,6 +22,8 @@
   std::size_t Desks = 2;
   std::size_t Callers = 6;
   std::size_t Trainers = 2;
+  /// Callers whose one request ends servers.
+  std::size_t Crashing = 0;
 };
 
 /// What came of a soak.
--- a/UnitTests/Core/BootTimerTest.cpp
+++ b/UnitTests/Core/BootTimerTest.cpp
@@ -23,7 +23,7 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<SuspendedClock>;
-  static constexpr bool is_steady = true;
+  [[maybe_unused]] static constexpr bool is_steady = true;
   // NOLINTEND(readability-identifier-naming)
 
   static time_point now() {
@@ -53,9 +53,8 @@
 
 TEST_CASE("A timer that came due while the machine was suspended fires soon",
           "[core]") {
-  using Timer =
-      boost::asio::basic_waitable_timer<SuspendedClock,
-                                        BoundedWait<SuspendedClock>>;
+  using Timer = boost::asio::basic_waitable_timer<SuspendedClock,
+                                                  BoundedWait<SuspendedClock>>;
   constexpr Millis Wait{60000};
   boost::asio::io_context context;
   Timer timer(context, Wait);
--- a/Wasabi/Core/Verdict.h
+++ b/Wasabi/Core/Verdict.h
@@ -41,9 +41,10 @@
   Expired,
   Unavailable,
   NewerSchema,
+  Internal,
+  // Frames carry these as numbers: a new one comes last.
   /// Servers have ended under the request; see `Wasabi/Quarantine`.
   Quarantined,
-  Internal,
 };
 
 /// A failure with its verdict. An immutable value.
--- a/Wasabi/Quarantine/CrashLedger.cpp
+++ b/Wasabi/Quarantine/CrashLedger.cpp
@@ -115,12 +115,12 @@
                                                  : CrashStanding::Suspect;
   bool explained = true;
   for (const ServerIncarnation &end : it->second.Ends) {
-    explained = explained &&
-                std::any_of(Ledger.Requests.begin(), Ledger.Requests.end(),
-                            [&](const auto &Other) {
-                              return Other.second.Convicted &&
-                                     Other.second.Ends.contains(end);
-                            });
+    explained =
+        explained && std::any_of(Ledger.Requests.begin(), Ledger.Requests.end(),
+                                 [&](const auto &Other) {
+                                   return Other.second.Convicted &&
+                                          Other.second.Ends.contains(end);
+                                 });
   }
   return explained ? CrashStanding::Clean : CrashStanding::Suspect;
 }
@@ -130,8 +130,8 @@
   auto it = Ledger.Requests.find(Of);
   if (it == Ledger.Requests.end() || !it->second.Convicted)
     return Millis(0);
-  Millis left = std::chrono::ceil<Millis>(it->second.Newest +
-                                          Ledger.Limits.Term - Now);
+  Millis left =
+      std::chrono::ceil<Millis>(it->second.Newest + Ledger.Limits.Term - Now);
   return std::max(left, Millis(0));
 }
 
@@ -144,11 +144,11 @@
   for (const RequestDigest &it : old)
     Ledger.Requests.erase(it);
   while (Ledger.Requests.size() > Ledger.Limits.MostRequests) {
-    auto first = std::min_element(Ledger.Requests.begin(),
-                                  Ledger.Requests.end(),
-                                  [](const auto &L, const auto &R) {
-                                    return goesBefore(L.second, R.second);
-                                  });
+    auto first =
+        std::min_element(Ledger.Requests.begin(), Ledger.Requests.end(),
+                         [](const auto &L, const auto &R) {
+                           return goesBefore(L.second, R.second);
+                         });
     old.insert(first->first);
     Ledger.Requests.erase(first);
   }
