A caller who leaves while a server's end is looked at gets no other server; digests without a copy

Cause: the caller's leaving was heard by nothing during the look of 40 ms at most, so that the next server was asked for nobody. Test: the look lasts a minute and the caller leaves. A digest is taken in place: a body of 32 MB was copied once more.

--- a/UnitTests/Upstream/ForwarderTest.cpp
+++ b/UnitTests/Upstream/ForwarderTest.cpp
@@ -27,6 +27,9 @@
   std::map<ServerName, Answering> Servers;
   std::vector<std::string> Asked;
   std::vector<Millis> Deadlines;
+  /// How long a connect takes, and how many there were.
+  Millis ProbeTime{1};
+  int Probes = 0;
   EnginePort Port;
   std::string Target = "/desk/x";
   std::shared_ptr<Quarantine> Crashes;
@@ -102,7 +105,8 @@
   }
   /// A server whose answers are lost takes connections still.
   asio::awaitable<Outcome<ServerPresence>> probe(UpstreamEntry Server) {
-    co_await pauseFor(Context.get_executor(), Millis(1));
+    ++Probes;
+    co_await pauseFor(Context.get_executor(), ProbeTime);
     Answering how = Servers[Server.Id];
     bool refuses = how == Answering::Crashes || how == Answering::Unreachable;
     co_return refuses ? ServerPresence::Refuses : ServerPresence::Listens;
@@ -294,6 +298,33 @@
   }));
 }
 
+TEST_CASE("A caller who leaves while an end is looked at gets no other server",
+          "[upstream][quarantine]") {
+  ForwardWorld world;
+  world.add("a", Answering::Crashes);
+  world.add("b", Answering::Whole);
+  world.ProbeTime = Millis(60000);
+  asio::cancellation_signal stop;
+  std::optional<Outcome<UpstreamAnswer>> got;
+  asio::co_spawn(
+      world.Context,
+      [&]() -> asio::awaitable<void> {
+        ForwardRequest what;
+        what.Arrived = monotonicNow();
+        what.Ask = world.request();
+        Outcome<UpstreamAnswer> answer =
+            co_await world.Forward->answer(std::move(what), world.Route, stop);
+        got.emplace(std::move(answer));
+      },
+      asio::detached);
+  REQUIRE(world.runUntil([&] { return world.Probes == 1; }));
+  stop.emit(asio::cancellation_type::terminal);
+  REQUIRE(world.runUntil([&] { return got.has_value(); }));
+  REQUIRE_FALSE(*got);
+  CHECK(got->failure().Code == FailureCode::Cancelled);
+  CHECK(world.Asked == std::vector<std::string>{"a"});
+}
+
 TEST_CASE("A lost answer of a server that goes on counts against nobody",
           "[upstream][quarantine]") {
   ForwardWorld world;
--- a/Wasabi/Quarantine/Quarantine.cpp
+++ b/Wasabi/Quarantine/Quarantine.cpp
@@ -100,7 +100,7 @@
 
 //===--- Ends and answers -------------------------------------------------===//
 
-asio::awaitable<void>
+asio::awaitable<Done>
 Quarantine::connectionLost(std::shared_ptr<GuardedRequest> Of,
                            std::shared_ptr<UpstreamServer> On) {
   std::shared_ptr<Quarantine> self = shared_from_this();
@@ -115,6 +115,7 @@
     asio::co_spawn(
         Feed.Executor, [self, Of, On] { return self->watch(Of, On); },
         asio::detached);
+  co_return Done{};
 }
 
 asio::awaitable<void> Quarantine::watch(std::shared_ptr<GuardedRequest> Of,
--- a/Wasabi/Quarantine/Quarantine.h
+++ b/Wasabi/Quarantine/Quarantine.h
@@ -77,7 +77,7 @@
   /// `On` gave no answer to a request that may have run there and lost its
   /// connection. Returns once it is known whether the server has ended, or that
   /// this takes longer than the request should wait for.
-  boost::asio::awaitable<void>
+  boost::asio::awaitable<Done>
   connectionLost(std::shared_ptr<GuardedRequest> Of,
                  std::shared_ptr<UpstreamServer> On);
   /// A server has run the request and answered: it ends no servers.
--- a/Wasabi/Quarantine/RequestDigest.cpp
+++ b/Wasabi/Quarantine/RequestDigest.cpp
@@ -3,29 +3,36 @@
 #include <fmt/format.h>
 #include <xxhash.h>
 
-#include <string>
+#include <memory>
 
 namespace wasabi {
 
 namespace {
 
+/// Frees a state of xxhash.
+struct StateEnd {
+  void operator()(XXH3_state_t *State) const { XXH3_freeState(State); }
+};
+using HashState = std::unique_ptr<XXH3_state_t, StateEnd>;
+
 /// Each part with its length, so that no two lists of parts read alike.
-void addPart(std::string &Text, std::string_view Part) {
-  Text += std::to_string(Part.size());
-  Text += ':';
-  Text += Part;
+void addPart(XXH3_state_t &State, std::string_view Part) {
+  std::uint64_t size = Part.size();
+  XXH3_128bits_update(&State, &size, sizeof(size));
+  XXH3_128bits_update(&State, Part.data(), Part.size());
 }
 
 } // namespace
 
 RequestDigest digestOf(const http::Request &Ask) {
-  std::string text;
-  addPart(text, Ask.Method);
-  addPart(text, Ask.Target);
+  HashState state(XXH3_createState());
+  XXH3_128bits_reset(state.get());
+  addPart(*state, Ask.Method);
+  addPart(*state, Ask.Target);
   for (const char *it : {"Host", "Authorization", "User-Agent"})
-    addPart(text, Ask.header(it));
-  addPart(text, Ask.Body);
-  XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
+    addPart(*state, Ask.header(it));
+  addPart(*state, Ask.Body);
+  XXH128_hash_t hash = XXH3_128bits_digest(state.get());
   return RequestDigest(fmt::format("{:016x}{:016x}", hash.high64, hash.low64));
 }
 
--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -204,13 +204,27 @@
                      {"beside", std::to_string(server->InFlight)}});
   if (*got && (*got)->Proof == AnswerProof::Ran)
     Crashes->answered(*Of.Guard);
-  // An end that is not told from a lost answer calls for another server, which
-  // ends too.
-  if (!*got && got->failure().Code == FailureCode::ConnectionLost)
-    co_await Crashes->connectionLost(Of.Guard, server);
+  bool stays = true;
+  if (!*got)
+    stays = co_await lookAtEnd(Of, got->failure(), Stop);
+  if (!stays)
+    co_return std::nullopt;
   co_return got;
 }
 
+/// After a failed try: finds out whether its server has ended. An end that is
+/// not told from a lost answer calls for another server, which ends too. False
+/// when the caller has left meanwhile.
+asio::awaitable<bool> Forwarder::lookAtEnd(Progress &Of, const Failure &Why,
+                                           asio::cancellation_signal &Stop) {
+  if (Why.Code != FailureCode::ConnectionLost || Why.Run == Verdict::NotRun)
+    co_return true;
+  asio::awaitable<Done> look = Crashes->connectionLost(Of.Guard, Of.Server);
+  std::optional<Done> done =
+      co_await cancellable(Executor, std::move(look), Stop);
+  co_return done.has_value();
+}
+
 asio::awaitable<Outcome<UpstreamAnswer>>
 Forwarder::answer(ForwardRequest What, UpstreamRoute Route,
                   asio::cancellation_signal &Stop) {
@@ -331,8 +345,11 @@
       server->Replaced = true;
     if (!unrun)
       wasabi::noteFailure(View.Servers, *server, monotonicNow());
-    if (!*got && got->failure().Code == FailureCode::ConnectionLost)
-      co_await Crashes->connectionLost(Of.Guard, server);
+    bool stays = true;
+    if (!*got)
+      stays = co_await lookAtEnd(Of, got->failure(), Stop);
+    if (!stays)
+      break;
   }
   co_return nullptr;
 }
--- a/Wasabi/Upstream/Forwarder.h
+++ b/Wasabi/Upstream/Forwarder.h
@@ -86,6 +86,9 @@
   std::optional<Failure> quarantined(const Progress &Of) const;
   boost::asio::awaitable<std::optional<Outcome<UpstreamAnswer>>>
   tryOnce(Progress &Of, boost::asio::cancellation_signal &Stop);
+  boost::asio::awaitable<bool>
+  lookAtEnd(Progress &Of, const Failure &Why,
+            boost::asio::cancellation_signal &Stop);
   boost::asio::awaitable<std::unique_ptr<EngineStream>>
   openStream(Progress &Of, std::optional<std::uint64_t> After,
              boost::asio::cancellation_signal &Stop);
