Several requests that end servers at once are convicted, whatever explains their ends

Cause: each end was shared, a convicted request explained the others' ends, and conviction passed from one to the other. Ruled out: that processes did not know of the ends, whose records were at all of them within 0.3 s. Change: the fifth end convicts whatever explains it. Test: three requests that share all their ends; it failed before.

--- a/UnitTests/Quarantine/CrashLedgerTest.cpp
+++ b/UnitTests/Quarantine/CrashLedgerTest.cpp
@@ -111,6 +111,26 @@
   CHECK(standing(ledger, third) == CrashStanding::Clean);
 }
 
+// Six such requests at two servers: each end was shared by some of them, one
+// that was convicted explained the others, and these went on ending servers,
+// 15 times and more.
+TEST_CASE("Requests that share all their ends are all convicted at the fifth",
+          "[quarantine]") {
+  CrashLedger ledger;
+  RequestDigest third("third");
+  for (int i = 1; i <= 5; ++i) {
+    for (const RequestDigest &it : {Poison, Beside, third})
+      end(ledger, it, i, i);
+  }
+  for (const RequestDigest &it : {Poison, Beside, third})
+    CHECK(standing(ledger, it) == CrashStanding::Quarantined);
+  // A later end that they share with another changes nothing.
+  end(ledger, RequestDigest("other"), 5, 5);
+  for (const RequestDigest &it : {Poison, Beside, third})
+    CHECK(standing(ledger, it) == CrashStanding::Quarantined);
+  CHECK(standing(ledger, RequestDigest("other")) == CrashStanding::Clean);
+}
+
 TEST_CASE("A term served, one end is enough for the next", "[quarantine]") {
   CrashLedger ledger;
   end(ledger, Poison, 1, 3);
--- a/Wasabi/Quarantine/CrashLedger.cpp
+++ b/Wasabi/Quarantine/CrashLedger.cpp
@@ -29,6 +29,8 @@
 
 bool convicts(const CrashLedger &Ledger, const CrashRecord &Of,
               const EndCounts &Counts) {
+  if (Of.Ends.size() >= Ledger.Limits.AnyEnds)
+    return true;
   std::size_t ends = unexplained(Of, Counts);
   if (ends >= Ledger.Limits.SharedEnds)
     return true;
@@ -48,7 +50,7 @@
   std::pair<bool, std::size_t> rank;
   for (auto &[digest, record] : Ledger.Requests) {
     std::pair<bool, std::size_t> own(Before.contains(digest),
-                                     unexplained(record, Counts));
+                                     record.Ends.size());
     if (record.Convicted || own <= rank || !convicts(Ledger, record, Counts))
       continue;
     next = &record;
--- a/Wasabi/Quarantine/CrashLedger.h
+++ b/Wasabi/Quarantine/CrashLedger.h
@@ -50,6 +50,11 @@
     /// Ends that convict it however many other suspects share them all. With
     /// suspects kept apart an innocent one is answered long before.
     std::size_t SharedEnds = 4;
+    /// Ends that convict it whatever explains them: several requests that end
+    /// servers at once share all of theirs, and one would explain the others.
+    /// An innocent one would have to be beside such a request five times
+    /// without an answer in between.
+    std::size_t AnyEnds = 5;
     /// How long a convicted request gets no server after its last end; then it
     /// may run, and one more end convicts it again. Bounds what a caller who
     /// never stops costs to a server an hour, and what a wrong conviction costs
@@ -73,9 +78,9 @@
 /// Adds ends to what is known against a request, and judges all anew. Returns
 /// whether any of them is news.
 ///
-/// An end that a convicted request shares counts against nobody else: it
-/// explains it. Those that were convicted before are judged first, then those
-/// with the most ends.
+/// An end that a convicted request shares counts against nobody else, up to
+/// `Settings::AnyEnds`: it explains it. Those that were convicted before are
+/// judged first, then those with the most ends.
 bool noteEnds(CrashLedger &Ledger, const RequestDigest &Of,
               const std::set<ServerIncarnation> &Ends, TimePoint Now);
 
