--- /dev/null
+++ b/IntegrationTests/Cases/CustomerTest.cpp
@@ -0,0 +1,272 @@
+/// \file
+/// Customers and their keys: who may call, whose request a server is told it
+/// is, and whose batch job it stays.
+#include "IntegrationTests/Harness/Waiting.h"
+#include "IntegrationTests/Platform/PlatformWorld.h"
+
+#include <catch2/catch.hpp>
+
+#include <boost/json/value.hpp>
+
+#include <csignal>
+
+namespace wasabi::test {
+
+namespace {
+
+constexpr unsigned Ok = 200;
+constexpr unsigned Accepted = 202;
+constexpr unsigned Unauthorized = 401;
+constexpr unsigned NotFound = 404;
+constexpr unsigned ServiceUnavailable = 503;
+constexpr Millis Patience{20000};
+
+// Nothing else that a process writes has these words in it.
+constexpr const char *KeyOfAnna = "k3y0fanna";
+constexpr const char *SecondKeyOfAnna = "k3y2fanna";
+constexpr const char *KeyOfBert = "k3y0fbert";
+
+std::vector<WorldCustomer> annaAndBert() {
+  return {{"anna", {KeyOfAnna, SecondKeyOfAnna}, 1}, {"bert", {KeyOfBert}, 1}};
+}
+
+/// A world whose newest configuration, the second, has customers.
+std::unique_ptr<PlatformWorld> customerWorld(std::size_t Edges) {
+  std::unique_ptr<PlatformWorld> world = std::make_unique<PlatformWorld>(Edges);
+  REQUIRE(world->allReady());
+  world->configureCustomers(2, annaAndBert());
+  return world;
+}
+
+/// Checks that no key was passed on and whom each run was told to be for.
+void checkRuns(const std::vector<ServerCall> &Runs,
+               const std::string &Customer) {
+  CHECK_FALSE(Runs.empty());
+  for (const ServerCall &it : Runs) {
+    INFO(it.Path);
+    CHECK_FALSE(it.KeyCame);
+    CHECK(it.Customer == Customer);
+    CHECK(it.CustomersNamed == (Customer.empty() ? 0 : 1));
+  }
+}
+
+} // namespace
+
+TEST_CASE(
+    "Customers: a key names its customer to the server and stays behind") {
+  std::unique_ptr<PlatformWorld> world = customerWorld(1);
+  for (const char *key : {KeyOfAnna, SecondKeyOfAnna}) {
+    http::Request ask;
+    ask.Method = "POST";
+    ask.Target = "/desk/x";
+    // A caller may say what it likes of whose request it is.
+    ask.Headers = {{"Host", "host.example"},
+                   {"Wasabisail-Request-Id", key},
+                   {"Wasabisail-Tenant", "bert"},
+                   {"wasabisail-tenant", "carl"},
+                   {"WASABISAIL-KEY", key}};
+    CHECK(world->send(0, ask).Status == Ok);
+  }
+  checkRuns(world->deskRuns(), "anna");
+  world->useKey(KeyOfBert);
+  http::Response stream = world->ask(0, "/stream/s", "s1");
+  CHECK(stream.Status == Ok);
+  checkRuns(world->engineRuns(), "bert");
+}
+
+TEST_CASE("Customers: a request without a customer's key is refused at once") {
+  std::unique_ptr<PlatformWorld> world = customerWorld(1);
+  CHECK(world->ask(0, "/desk/x", "r1").Status == Unauthorized);
+  world->useKey("nobodys");
+  CHECK(world->ask(0, "/desk/x", "r2").Status == Unauthorized);
+  CHECK(world->ask(0, "/stream/x", "r3").Status == Unauthorized);
+  CHECK(world->submit(0, "job", 2) == Unauthorized);
+  CHECK(world->end(0, "job") == Unauthorized);
+  CHECK(world->itemBody(0, "job", "job-0") == Unauthorized);
+  CHECK(world->ask(0, "/nowhere/", "r4").Status == NotFound);
+  // Two keys are no key.
+  http::Request two;
+  two.Method = "POST";
+  two.Target = "/desk/x";
+  two.Headers = {{"Host", "host.example"},
+                 {"Wasabisail-Request-Id", "r5"},
+                 {"Wasabisail-Key", KeyOfAnna},
+                 {"Wasabisail-Key", KeyOfBert}};
+  CHECK(world->send(0, two).Status == Unauthorized);
+  CHECK(world->deskRuns().empty());
+  CHECK(world->engineRuns().empty());
+}
+
+TEST_CASE("Customers: a public route asks for no key and passes on none") {
+  std::unique_ptr<PlatformWorld> world = customerWorld(1);
+  CHECK(world->ask(0, "/open/x", "r1").Status == Ok);
+  world->useKey("nobodys");
+  CHECK(world->ask(0, "/open/x", "r2").Status == Ok);
+  checkRuns(world->deskRuns(), "");
+  // Whose request it is stays true where somebody's key comes with it.
+  world->useKey(KeyOfBert);
+  CHECK(world->ask(0, "/open/x", "r3").Status == Ok);
+  ServerCall last;
+  for (const ServerCall &it : world->deskRuns()) {
+    if (it.Id == "r3")
+      last = it;
+  }
+  CHECK(last.Customer == "bert");
+  CHECK_FALSE(last.KeyCame);
+}
+
+TEST_CASE("Customers: a key that is taken away counts no more, at once and on "
+          "open connections") {
+  std::unique_ptr<PlatformWorld> world = customerWorld(1);
+  world->useKey(KeyOfBert);
+  CHECK(world->ask(0, "/desk/x", "r1").Status == Ok);
+  std::string head = std::string("POST /desk/x HTTP/1.1\r\n"
+                                 "Host: host.example\r\n"
+                                 "Wasabisail-Key: ") +
+                     KeyOfBert +
+                     "\r\nContent-Length: 0\r\n"
+                     "Wasabisail-Request-Id: ";
+  std::string first = world->sendRaw(
+      0, head + "r2\r\n\r\n" + head + "r3\r\n\r\n", Patience, "answer to r3");
+  CHECK(first.find("answer to r3") != std::string::npos);
+  world->configureCustomers(3, {{"anna", {KeyOfAnna}, 1}, {"bert", {}, 1}});
+  CHECK(world->ask(0, "/desk/x", "r4").Status == Unauthorized);
+  world->useKey(SecondKeyOfAnna);
+  CHECK(world->ask(0, "/desk/x", "r5").Status == Unauthorized);
+  world->useKey(KeyOfAnna);
+  CHECK(world->ask(0, "/desk/x", "r6").Status == Ok);
+  world->configureCustomers(4, annaAndBert());
+  world->useKey(KeyOfBert);
+  CHECK(world->ask(0, "/desk/x", "r7").Status == Ok);
+}
+
+TEST_CASE("Customers: a process that may have missed a configuration refuses "
+          "no key for good") {
+  std::unique_ptr<PlatformWorld> world = customerWorld(1);
+  world->onPlatform([&] { world->store().setMood(StoreMood::Reset); });
+  REQUIRE(harness::waitUntil(
+      [&] {
+        world->useKey("a-new-one");
+        return world->ask(0, "/desk/x", "r1").Status == ServiceUnavailable;
+      },
+      Patience));
+  CHECK(world->ask(0, "/nowhere/", "r2").Status == ServiceUnavailable);
+  // No configuration makes a request without a key a good one.
+  world->useKey("");
+  CHECK(world->ask(0, "/desk/x", "r3").Status == Unauthorized);
+  world->useKey(KeyOfAnna);
+  CHECK(world->ask(0, "/desk/x", "r4").Status == Ok);
+}
+
+TEST_CASE("Customers: a job is its customer's, and nobody else learns of it") {
+  constexpr std::size_t Items = 4;
+  std::unique_ptr<PlatformWorld> world = customerWorld(2);
+  world->useKey(KeyOfAnna);
+  REQUIRE(world->submit(0, "job", Items) == Accepted);
+  REQUIRE(world->finishes(0, "job", Items));
+  unsigned status = 0;
+  // The other key of the same customer does as well.
+  world->useKey(SecondKeyOfAnna);
+  world->results(1, "job", status);
+  CHECK(status == Ok);
+  CHECK(world->submit(1, "job", Items) == Accepted);
+  checkRuns(world->engineRuns(), "anna");
+  // Scoring calls are the system's own.
+  checkRuns(world->deskRuns(), "");
+
+  world->useKey(KeyOfBert);
+  for (const char *job : {"job", "never-there"}) {
+    world->results(1, job, status);
+    CHECK(status == NotFound);
+    CHECK(world->itemBody(0, job, "job-0") == NotFound);
+    CHECK(world->end(0, job) == NotFound);
+  }
+  // Under the same name he gets a job of his own.
+  REQUIRE(world->submit(1, "job", 2) == Accepted);
+  REQUIRE(world->finishes(0, "job", 2));
+  CHECK(world->end(0, "job") == Ok);
+  world->useKey(KeyOfAnna);
+  boost::json::value page = world->results(1, "job", status);
+  CHECK(status == Ok);
+  CHECK(page.at("total") == Items);
+}
+
+TEST_CASE("Customers: a job whose customer lost all keys goes on as its own, "
+          "also after all processes have ended") {
+  constexpr std::size_t Items = 6;
+  std::unique_ptr<PlatformWorld> world = customerWorld(2);
+  world->onPlatform([&] {
+    world->engine(0).Full = true;
+    world->engine(1).Full = true;
+  });
+  world->useKey(KeyOfBert);
+  REQUIRE(world->submit(0, "job", Items) == Accepted);
+  world->configureCustomers(3, {{"anna", {KeyOfAnna}, 1}});
+  for (std::size_t i = 0; i < world->edges(); ++i) {
+    world->edge(i).Running->signal(SIGKILL);
+    REQUIRE(world->edge(i).Running->wait(Patience));
+    world->startEdge(i);
+  }
+  REQUIRE(world->allReady());
+  world->onPlatform([&] {
+    world->engine(0).Full = false;
+    world->engine(1).Full = false;
+  });
+  REQUIRE(harness::waitUntil([&] { return world->deskRuns().size() == Items; },
+                             Patience));
+  checkRuns(world->engineRuns(), "bert");
+  CHECK(world->end(0, "job") == Unauthorized);
+  // With another key of his he sees his job again.
+  world->configureCustomers(
+      4, {{"anna", {KeyOfAnna}, 1}, {"bert", {"k3y9fbert"}, 1}});
+  world->useKey("k3y9fbert");
+  CHECK(world->finishes(1, "job", Items));
+}
+
+TEST_CASE("Customers: no key is written anywhere") {
+  std::unique_ptr<PlatformWorld> world = customerWorld(1);
+  for (const char *key : {KeyOfAnna, KeyOfBert, "k3y-of-nobody"}) {
+    world->useKey(key);
+    world->ask(0, "/desk/x", "r1");
+    world->ask(0, "/stream/x", "r2");
+    world->ask(0, "/once/x", "r3");
+    world->ask(0, "/open/x", "r4");
+    world->submit(0, "job", 2);
+    world->itemBody(0, "job", "job-0");
+    world->end(0, "job");
+  }
+  // Neither of a job that carries keys in its items' headers.
+  http::Request submission;
+  submission.Method = "POST";
+  submission.Target = "/rollout/keyed";
+  submission.Headers = {{"Host", "host.example"},
+                        {"Wasabisail-Request-Id", "keyed"},
+                        {"Wasabisail-Key", KeyOfAnna}};
+  submission.Body =
+      R"({"model":"model","items":[{"id":"keyed-0","path":"/rollout/0","headers":
+      {"Wasabisail-Model":"model","Wasabisail-Key":"k3yinitem",
+       "Wasabisail-Tenant":"bert"},"body":""}]})";
+  REQUIRE(world->send(0, submission).Status == Accepted);
+  world->useKey(KeyOfAnna);
+  REQUIRE(world->finishes(0, "keyed", 1));
+  for (const ServerCall &it : world->engineRuns()) {
+    CHECK_FALSE(it.KeyCame);
+    CHECK((it.Id != "keyed-0" || it.Customer == "anna"));
+  }
+  // Nor of a configuration that can't be read.
+  world->onPlatform([&] {
+    world->store().write("keyed.op", "config",
+                         R"({"version":9,"routes":[],"services":[],"tenants":
+      [{"name":"anna","api_keys":["k3yinbad",7]}]})");
+  });
+  REQUIRE(harness::waitUntil(
+      [&] { return world->output().find("api_keys") != std::string::npos; },
+      Patience));
+  std::string written = world->output() + world->onPlatform<std::string>([&] {
+    return world->store().content();
+  });
+  CHECK(written.size() > 1000);
+  CHECK(written.find("k3y") == std::string::npos);
+}
+
+} // namespace wasabi::test
--- a/IntegrationTests/Platform/PlatformServers.cpp
+++ b/IntegrationTests/Platform/PlatformServers.cpp
@@ -1,5 +1,6 @@
 #include "IntegrationTests/Platform/PlatformServers.h"
 
+#include "Wasabi/Adapters/Http/HttpWire.h"
 #include "Wasabi/Core/AsyncSignal.h"
 #include "Wasabi/Core/BootTimer.h"
 
@@ -31,6 +32,17 @@
           std::string(Ask.header("Wasabisail-Request-Id"))};
 }
 
+void noteCustomer(ServerCall &In, const http::Request &Ask) {
+  for (const http::Header &it : Ask.Headers) {
+    if (http::sameName(it.Name, "Wasabisail-Key"))
+      In.KeyCame = true;
+    if (!http::sameName(it.Name, "Wasabisail-Tenant"))
+      continue;
+    In.Customer = it.Value;
+    ++In.CustomersNamed;
+  }
+}
+
 json::array modelList(const std::map<std::string, std::uint64_t> &Models) {
   json::array list;
   for (const auto &[name, version] : Models)
@@ -175,6 +187,7 @@
   call.Path = Ask.Target;
   call.Body = Ask.Body;
   call.ResumeAfter = std::string(Ask.header("Last-Event-Id"));
+  noteCustomer(call, Ask);
   Runs.push_back(call);
   bool crashes =
       !CrashOn.empty() && (Ask.Target.find(CrashOn) != std::string::npos ||
--- a/IntegrationTests/Platform/PlatformServers.h
+++ b/IntegrationTests/Platform/PlatformServers.h
@@ -29,6 +29,11 @@
   std::string Path;
   std::string Body;
   std::string ResumeAfter;
+  /// Whose request it is, as the server was told, and how often it was.
+  std::string Customer;
+  std::size_t CustomersNamed = 0;
+  /// Whether a key was passed on.
+  bool KeyCame = false;
   /// Of an order: who gave it, and its token.
   std::string Holder;
   std::uint64_t Token = 0;
--- a/IntegrationTests/Platform/PlatformStore.cpp
+++ b/IntegrationTests/Platform/PlatformStore.cpp
@@ -78,6 +78,18 @@
   Grown.notify();
 }
 
+std::string PlatformStore::content() const {
+  std::string all;
+  for (const auto &[name, topic] : Topics) {
+    // What the operator writes has the keys in it.
+    if (name == "keyed.op")
+      continue;
+    for (const std::string &it : topic.Records)
+      all += it + "\n";
+  }
+  return all;
+}
+
 void PlatformStore::compact(const std::string &Name) {
   Topics[Name].First = Topics[Name].Records.size();
   Grown.notify();
--- a/IntegrationTests/Platform/PlatformStore.h
+++ b/IntegrationTests/Platform/PlatformStore.h
@@ -49,6 +49,9 @@
   /// readable as such.
   void compact(const std::string &Topic);
 
+  /// All records that the system has written, one after the other.
+  std::string content() const;
+
   /// How much later a late store does what it was asked.
   Millis LateBy{1500};
   /// How long a slow store takes.
--- a/IntegrationTests/Platform/PlatformWorld.cpp
+++ b/IntegrationTests/Platform/PlatformWorld.cpp
@@ -25,6 +25,7 @@
 constexpr const char *Model = "model";
 constexpr Millis Patience{30000};
 constexpr unsigned Ok = 200;
+constexpr unsigned NotFound = 404;
 
 json::object routeOf(const std::string &Prefix, const std::string &Kind,
                      const std::string &Service) {
@@ -36,17 +37,30 @@
           {"retention_s", 40.0}};
 }
 
-http::Request request(const std::string &Method, const std::string &Target,
-                      const std::string &Id) {
+json::array customerList(const std::vector<WorldCustomer> &Of) {
+  json::array list;
+  for (const WorldCustomer &it : Of)
+    list.push_back(
+        json::object{{"name", it.Name},
+                     {"api_keys", json::array(it.Keys.begin(), it.Keys.end())},
+                     {"priority", it.Priority}});
+  return list;
+}
+
+} // namespace
+
+http::Request PlatformWorld::request(const std::string &Method,
+                                     const std::string &Target,
+                                     const std::string &Id) const {
   http::Request ask;
   ask.Method = Method;
   ask.Target = Target;
   ask.Headers = {{"Host", "host.example"}, {"Wasabisail-Request-Id", Id}};
+  if (!KeyInUse.empty())
+    ask.Headers.push_back({"Wasabisail-Key", KeyInUse});
   return ask;
 }
 
-} // namespace
-
 PlatformWorld::PlatformWorld(WorldShape Shape) : Size(Shape) {
   Store = std::make_unique<PlatformStore>(Context);
   makeServers();
@@ -209,8 +223,12 @@
   stream["resumable"] = true;
   // Longer than the longest text takes.
   stream["timeout_ms"] = 8000;
+  json::object open = routeOf("/open/", "idempotent", "desk");
+  open["public"] = true;
   json::array routes{
-      stream, routeOf("/rollout/", "rollout", "llm"),
+      stream,
+      open,
+      routeOf("/rollout/", "rollout", "llm"),
       routeOf("/desk/", "idempotent", "desk"),
       routeOf("/once/", "non_idempotent", "desk"),
       routeOf(fmt::format("/desk-{}/", Version), "idempotent", "desk")};
@@ -218,11 +236,28 @@
                       {"models", json::array{json::object{{"name", Model}}}}};
   json::array services{json::object{{"name", "llm"}, {"engine", engine}},
                        json::object{{"name", "desk"}}};
-  std::string text = json::serialize(json::object{
-      {"version", Version}, {"routes", routes}, {"services", services}});
+  json::object whole{
+      {"version", Version}, {"routes", routes}, {"services", services}};
+  if (!Customers.empty())
+    whole["tenants"] = customerList(Customers);
+  std::string text = json::serialize(whole);
   onPlatform([this, text] { Store->write("keyed.op", "config", text); });
 }
 
+void PlatformWorld::configureCustomers(std::uint64_t Version,
+                                       std::vector<WorldCustomer> Known) {
+  Customers = std::move(Known);
+  configure(Version);
+  // A configuration brings a route of its own, which is not there before.
+  http::Request probe;
+  probe.Method = "GET";
+  probe.Target = fmt::format("/desk-{}/", Version);
+  probe.Headers = {{"Host", "host.example"}};
+  for (std::size_t i = 0; i < Edges.size(); ++i)
+    harness::waitUntil([&] { return send(i, probe).Status != NotFound; },
+                       Patience);
+}
+
 void PlatformWorld::nameVersion(std::uint64_t Version) {
   std::string text =
       json::serialize(json::object{{"model", Model}, {"version", Version}});
@@ -249,6 +284,14 @@
       Patience);
 }
 
+http::Response PlatformWorld::send(std::size_t Edge, http::Request Ask) {
+  Outcome<http::Response> got =
+      harness::call(Edges[Edge].Callers, std::move(Ask));
+  if (got)
+    return *got;
+  return http::Response{0, {}, describe(got.failure())};
+}
+
 http::Response PlatformWorld::ask(std::size_t Edge, const std::string &Path,
                                   const std::string &Id) {
   return askAgain(Edge, Path, Id, "body of " + Id);
@@ -261,11 +304,7 @@
   http::Request ask = request("POST", Path, Id);
   ask.Headers.push_back({"Wasabisail-Deadline-Ms", "2000"});
   ask.Body = Body;
-  Outcome<http::Response> got =
-      harness::call(Edges[Edge].Callers, std::move(ask));
-  if (got)
-    return *got;
-  return http::Response{0, {}, describe(got.failure())};
+  return send(Edge, std::move(ask));
 }
 
 std::string PlatformWorld::sendRaw(std::size_t Edge, const std::string &Bytes,
@@ -355,6 +394,39 @@
       Patience);
 }
 
+unsigned PlatformWorld::itemBody(std::size_t Edge, const std::string &Job,
+                                 const std::string &Item) {
+  return send(Edge, request("GET", "/api/items/" + Job + "?id=" + Item, "body"))
+      .Status;
+}
+
+std::vector<ServerCall> PlatformWorld::deskRuns() {
+  return onPlatform<std::vector<ServerCall>>([&] {
+    std::vector<ServerCall> all;
+    for (const std::unique_ptr<PlatformServer> &it : Desks)
+      all.insert(all.end(), it->Runs.begin(), it->Runs.end());
+    return all;
+  });
+}
+
+std::vector<ServerCall> PlatformWorld::engineRuns() {
+  return onPlatform<std::vector<ServerCall>>([&] {
+    std::vector<ServerCall> all;
+    for (const std::unique_ptr<PlatformServer> &it : Engines)
+      all.insert(all.end(), it->Runs.begin(), it->Runs.end());
+    return all;
+  });
+}
+
+std::string PlatformWorld::output() {
+  std::string all;
+  for (const EdgeProcess &it : Edges)
+    all += it.Running->output();
+  for (const std::unique_ptr<harness::Process> &it : Sides)
+    all += it->output();
+  return all;
+}
+
 unsigned PlatformWorld::end(std::size_t Edge, const std::string &Job) {
   Outcome<http::Response> got = harness::call(
       Edges[Edge].Callers, request("DELETE", "/api/lots/" + Job, "end"));
--- a/IntegrationTests/Platform/PlatformWorld.h
+++ b/IntegrationTests/Platform/PlatformWorld.h
@@ -36,6 +36,13 @@
   bool Proxied = false;
 };
 
+/// A customer as the operator configures it.
+struct WorldCustomer {
+  std::string Name;
+  std::vector<std::string> Keys;
+  std::uint32_t Priority = 1;
+};
+
 /// An edge process and where it listens.
 struct EdgeProcess {
   /// Where callers reach it.
@@ -105,13 +112,21 @@
   /// Writes a server's registration, or its end.
   void registerServer(std::size_t Index, bool Draining);
   void unregisterServer(const std::string &Id);
-  /// Publishes a configuration; the desk's route is `/desk-VERSION/` too.
+  /// Publishes a configuration; the desk's route is `/desk-VERSION/` too. It
+  /// asks for keys if there are `Customers`; not on the route `/open/`.
   void configure(std::uint64_t Version);
+  /// Publishes one with other customers, and waits until it is in force.
+  void configureCustomers(std::uint64_t Version,
+                          std::vector<WorldCustomer> Known);
   void nameVersion(std::uint64_t Version);
   /// Whether an edge process is ready for callers.
   bool ready(std::size_t Index);
   bool allReady();
 
+  /// The key that the requests from now on bring; empty for none.
+  void useKey(std::string Key) { KeyInUse = std::move(Key); }
+  /// Sends a request as it is.
+  http::Response send(std::size_t Edge, http::Request Ask);
   http::Response ask(std::size_t Edge, const std::string &Path,
                      const std::string &Id);
   /// The same with a body that does not tell one attempt from another.
@@ -136,8 +151,18 @@
   /// Waits until a job's results are whole at an edge process.
   bool finishes(std::size_t Edge, const std::string &Job, std::size_t Items);
   unsigned end(std::size_t Edge, const std::string &Job);
+  /// The status of asking for the body of an item.
+  unsigned itemBody(std::size_t Edge, const std::string &Job,
+                    const std::string &Item);
+  /// What all servers of a kind were asked.
+  std::vector<ServerCall> deskRuns();
+  std::vector<ServerCall> engineRuns();
+  /// All that the processes that run now have logged.
+  std::string output();
 
 private:
+  http::Request request(const std::string &Method, const std::string &Target,
+                        const std::string &Id) const;
   Proxy makeLink(const Address &Upstream);
   void makeServers();
   void makeLinks();
@@ -155,6 +180,8 @@
   std::vector<Proxy> CallerLinks;
   std::vector<Proxy> StoreLinks;
   std::vector<Proxy> ServerLinks;
+  std::vector<WorldCustomer> Customers;
+  std::string KeyInUse;
   /// Servers that were back after an end by `crashOn`.
   int Returned = 0;
   std::thread Thread;
--- a/UnitTests/Batch/BatchFoldTest.cpp
+++ b/UnitTests/Batch/BatchFoldTest.cpp
@@ -54,6 +54,26 @@
 
 } // namespace
 
+TEST_CASE("Jobs of two customers are two, whatever their names", "[batch]") {
+  BatchFold fold;
+  BatchJob anna = makeJob("a", 2);
+  BatchJob bert = makeJob("a", 3);
+  anna.Id.Customer = CustomerName("anna");
+  bert.Id.Customer = CustomerName("bert");
+  apply(fold, 0, JobPart{anna, 0, 1}, TimePoint());
+  apply(fold, 1, JobPart{bert, 0, 1}, TimePoint());
+  apply(fold, 2, ResultRecord{anna.Id, makeResult(anna, 1, "hers")},
+        TimePoint());
+  apply(fold, 3, JobEnd{bert.Id}, TimePoint());
+  REQUIRE(findJob(fold, anna.Id));
+  REQUIRE(findJob(fold, bert.Id));
+  CHECK(findJob(fold, anna.Id)->Job.Items.size() == 2);
+  CHECK(findJob(fold, bert.Id)->Job.Items.size() == 3);
+  CHECK_FALSE(findJob(fold, anna.Id)->Ended);
+  CHECK(findJob(fold, bert.Id)->Results.empty());
+  CHECK_FALSE(findJob(fold, JobId("a")));
+}
+
 TEST_CASE("The first submission of a job counts", "[batch]") {
   BatchFold fold;
   BatchJob job = makeJob("a", 2);
--- a/UnitTests/Batch/BatchRecordTest.cpp
+++ b/UnitTests/Batch/BatchRecordTest.cpp
@@ -34,6 +34,28 @@
   }
 }
 
+TEST_CASE("A record names its job's customer, and one without is read by the "
+          "release before",
+          "[batch]") {
+  JobId named("a", CustomerName("anna"));
+  BatchJob job = makeJob("a", 1);
+  job.Id = named;
+  std::vector<BatchRecord> all{JobPart{job, 0, 1},
+                               ResultRecord{named, makeResult(job, 0, "x")},
+                               JobEnd{named},
+                               TextRecord{named, job.Items[0].Id, 5, 0,
+                                          PartialText{"x", 1, {1}, false}}};
+  for (const BatchRecord &it : all) {
+    std::string text = encodeRecord(it);
+    CHECK(text.find("3") != std::string::npos);
+    Outcome<BatchRecord> again = decoded(text);
+    REQUIRE(again);
+    CHECK(*again == it);
+  }
+  CHECK(encodeRecord(JobEnd{JobId("a")}) ==
+        R"({"kind":"end","schema":2,"job":"a"})");
+}
+
 TEST_CASE("Records of which there are thousands are short", "[batch]") {
   // A step of 112 items on the largest deployment known, names as there.
   const std::string id = "7c41e09b52d6a3f8";
--- /dev/null
+++ b/UnitTests/Customers/CustomerTableTest.cpp
@@ -0,0 +1,120 @@
+#include "Wasabi/Customers/CustomerTable.h"
+#include "UnitTests/Core/Property.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <set>
+#include <string>
+#include <type_traits>
+
+namespace wasabi {
+
+namespace {
+
+const KeyDigester &keys() {
+  static const KeyDigester Keys = KeyDigester::create().value();
+  return Keys;
+}
+
+CustomerTable::Entry entry(const std::string &Name,
+                           const std::vector<std::string> &Keys) {
+  CustomerTable::Entry made;
+  made.Who.Name = CustomerName(Name);
+  for (const std::string &it : Keys)
+    made.Keys.push_back(keys().digest(it));
+  return made;
+}
+
+/// The name of a key's holder; empty if it has none.
+std::string holder(const CustomerTable &In, const std::string &Key) {
+  const Customer *found = In.holderOf(keys().digest(Key));
+  return found == nullptr ? "" : found->Name.Text;
+}
+
+template <typename T, typename = void> struct Prints : std::false_type {};
+template <typename T>
+struct Prints<T, std::void_t<decltype(std::declval<std::ostream &>()
+                                      << std::declval<T>())>> : std::true_type {
+};
+
+} // namespace
+
+TEST_CASE("A customer is known by each of its keys", "[customers]") {
+  CustomerTable table = CustomerTable::create(
+      {entry("anna", {"a1", "a2"}), entry("bert", {"b1"}), entry("carl", {})});
+  CHECK(holder(table, "a1") == "anna");
+  CHECK(holder(table, "a2") == "anna");
+  CHECK(holder(table, "b1") == "bert");
+  CHECK(holder(table, "c1").empty());
+  CHECK(holder(table, "").empty());
+  CHECK(table.customers() == 3);
+  CHECK(table.keys() == 3);
+  REQUIRE(table.find(CustomerName("carl")) != nullptr);
+  CHECK(table.find(CustomerName("dora")) == nullptr);
+}
+
+TEST_CASE("A key that two customers have is held by neither", "[customers]") {
+  CustomerTable table = CustomerTable::create({entry("anna", {"shared", "a"}),
+                                               entry("bert", {"b", "shared"}),
+                                               entry("carl", {"shared"})});
+  CHECK(holder(table, "shared").empty());
+  CHECK(holder(table, "a") == "anna");
+  CHECK(holder(table, "b") == "bert");
+  CHECK(table.ambiguousKeys() == 1);
+  // Listed twice for one it is hers all the same.
+  CustomerTable twice = CustomerTable::create({entry("anna", {"a", "a"})});
+  CHECK(holder(twice, "a") == "anna");
+}
+
+TEST_CASE("A customer that could not be named to a server is left out",
+          "[customers]") {
+  CustomerTable table =
+      CustomerTable::create({entry("", {"k1"}), entry("two\r\nlines", {"k2"}),
+                             entry("a b", {"k3"}), entry("anna", {"k4"})});
+  for (const char *key : {"k1", "k2", "k3"})
+    CHECK(holder(table, key).empty());
+  CHECK(holder(table, "k4") == "anna");
+  CHECK(table.unusable() == 3);
+}
+
+TEST_CASE("Digests of one key are equal in one process only", "[customers]") {
+  CHECK(keys().digest("key") == keys().digest("key"));
+  CHECK_FALSE(keys().digest("key") == keys().digest("kez"));
+  KeyDigester other = KeyDigester::create().value();
+  CHECK_FALSE(keys().digest("key") == other.digest("key"));
+  CHECK_FALSE(Prints<KeyDigest>::value);
+  CHECK_FALSE(Prints<KeyDigester>::value);
+}
+
+TEST_CASE("Keys of any bytes name who holds them alone", "[customers]") {
+  test::holds([](const std::map<std::string, std::uint8_t> &Holders) {
+    std::map<std::uint8_t, std::vector<std::string>> byCustomer;
+    for (const auto &[key, customer] : Holders)
+      byCustomer[customer].push_back(key);
+    std::vector<CustomerTable::Entry> entries;
+    for (const auto &[customer, keys] : byCustomer)
+      entries.push_back(entry(std::to_string(customer), keys));
+    CustomerTable table = CustomerTable::create(entries);
+    for (const auto &[key, customer] : Holders) {
+      RC_ASSERT(holder(table, key) == std::to_string(customer));
+      std::string longer = key + '\0';
+      auto also = Holders.find(longer);
+      RC_ASSERT(holder(table, longer) ==
+                (also == Holders.end() ? "" : std::to_string(also->second)));
+    }
+  });
+}
+
+TEST_CASE("A customer's name of any bytes never reaches a header broken",
+          "[customers]") {
+  test::holds([](const std::string &Name) {
+    CustomerTable table = CustomerTable::create({entry(Name, {"key"})});
+    std::string named = holder(table, "key");
+    RC_ASSERT(named.empty() || named == Name);
+    for (unsigned char it : named)
+      RC_ASSERT(it > ' ' && it <= '~');
+  });
+}
+
+} // namespace wasabi
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -361,6 +361,25 @@
   CHECK_FALSE(world.Engines.Resumed.empty());
 }
 
+TEST_CASE("A text is carried over to jobs of its own customer only",
+          "[dispatch]") {
+  DispatchWorld world;
+  world.Engines.Length = 30;
+  BatchJob job = makeJob("a", 1);
+  job.Id.Customer = CustomerName("anna");
+  world.submit(job);
+  world.Context.run_for(Millis(40));
+  world.Store.append("rollout", encodeRecord(JobEnd{job.Id}));
+  world.Context.run_for(Millis(20));
+  // Another customer's item may have the same name by chance or by guessing.
+  BatchJob next = job;
+  next.Id = JobId("b", CustomerName("bert"));
+  world.submit(next);
+  REQUIRE(world.finishes(next));
+  CHECK(world.Engines.Resumed.empty());
+  CHECK(world.Engines.Customers == std::set<std::string>{"anna", "bert"});
+}
+
 TEST_CASE("A carried-over text that lacks only its score is not run again",
           "[dispatch]") {
   DispatchWorld world;
--- a/UnitTests/Dispatch/FakeEngines.cpp
+++ b/UnitTests/Dispatch/FakeEngines.cpp
@@ -102,6 +102,7 @@
     co_return Failure{Verdict::NotRun, FailureCode::Unreachable, Server.Id.Text,
                       "refused", Millis(0)};
   std::uint64_t after = Options.ResumeAfter.value_or(0);
+  Customers.insert(Options.Customer.Text);
   if (after > 0)
     Resumed.push_back(after);
   StreamHead head;
--- a/UnitTests/Dispatch/FakeEngines.h
+++ b/UnitTests/Dispatch/FakeEngines.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,8 @@
   std::vector<Millis> ScoreTimes;
   /// Resumptions, by the event that they went on after.
   std::vector<std::uint64_t> Resumed;
+  /// Customers that runs were told to be for.
+  std::set<std::string> Customers;
 
 private:
   boost::asio::awaitable<Outcome<std::unique_ptr<EngineStream>>>
--- a/UnitTests/Platform/FrontTest.cpp
+++ b/UnitTests/Platform/FrontTest.cpp
@@ -11,7 +11,11 @@
   // good.
   http::HttpFixture fixture;
   FleetView view;
-  fixture.serve(makeFront({view, nullptr, nullptr, [] { return false; }}));
+  AccessSettings access;
+  Metrics counts;
+  fixture.serve(
+      makeFront({view, nullptr, nullptr, [] { return false; },
+                 KeyDigester::create().value(), access, nullptr, counts}));
   fixture.run([&]() -> boost::asio::awaitable<void> {
     http::Request ask;
     ask.Method = "GET";
--- a/UnitTests/Platform/TranslationTest.cpp
+++ b/UnitTests/Platform/TranslationTest.cpp
@@ -44,6 +44,11 @@
   return toOutcome<T>([&] { return Of(); });
 }
 
+const KeyDigester &keys() {
+  static const KeyDigester Keys = KeyDigester::create().value();
+  return Keys;
+}
+
 http::Request submission(std::string Body) {
   http::Request ask;
   ask.Method = "POST";
@@ -104,8 +109,8 @@
 
 TEST_CASE("The operator's configuration becomes the route table",
           "[platform]") {
-  Outcome<RouteTable> got =
-      outcomeOf<RouteTable>([] { return decodeRoutes(Routes, "config"); });
+  Outcome<RouteTable> got = outcomeOf<RouteTable>(
+      [] { return decodeRoutes(Routes, "config", keys()); });
   REQUIRE(got);
   CHECK(got->Version == 7);
   REQUIRE(got->Routes.size() == 2);
@@ -121,16 +126,72 @@
   CHECK(got->Limits.IdleTimeout == Millis(15000));
 }
 
+TEST_CASE("A configuration's customers are held by digests of their keys",
+          "[platform]") {
+  std::string text = Routes;
+  text.insert(text.rfind('}'), R"(,"tenants":[
+    {"name":"anna","api_keys":["k1","k2"],"priority":4},
+    {"name":"bert","api_keys":[]},{"name":"carl"}])");
+  std::string open = R"("max_attempts":4)";
+  text.insert(text.find(open) + open.size(), R"(,"public":true)");
+  Outcome<RouteTable> got = outcomeOf<RouteTable>(
+      [&] { return decodeRoutes(text, "config", keys()); });
+  REQUIRE(got);
+  CHECK(got->Routes[0].Public);
+  CHECK_FALSE(got->Routes[1].Public);
+  REQUIRE(got->Customers);
+  CHECK(got->Customers->customers() == 3);
+  const Customer *anna = got->Customers->holderOf(keys().digest("k2"));
+  REQUIRE(anna != nullptr);
+  CHECK(*anna == Customer{CustomerName("anna"), 4});
+  // Without the member nobody is asked for a key.
+  Outcome<RouteTable> plain = outcomeOf<RouteTable>(
+      [] { return decodeRoutes(Routes, "config", keys()); });
+  CHECK_FALSE(plain->Customers);
+}
+
+TEST_CASE("A configuration's faults name no key", "[platform]") {
+  for (const char *member :
+       {R"("api_keys":["secret",7])", R"("api_keys":"secret")",
+        R"("api_keys":["secret"],"priority":"secret")"}) {
+    std::string text = Routes;
+    text.insert(text.rfind('}'),
+                R"(,"tenants":[{"name":"anna",)" + std::string(member) + "}]");
+    Outcome<RouteTable> got = outcomeOf<RouteTable>(
+        [&] { return decodeRoutes(text, "config", keys()); });
+    REQUIRE_FALSE(got);
+    CHECK(describe(got.failure()).find("secret") == std::string::npos);
+    // Nor does a text that is cut off after a key.
+    std::string cut = text.substr(0, text.find("secret") + 6);
+    Outcome<RouteTable> broken = outcomeOf<RouteTable>(
+        [&] { return decodeRoutes(cut, "config", keys()); });
+    REQUIRE_FALSE(broken);
+    CHECK(describe(broken.failure()).find("secret") == std::string::npos);
+  }
+}
+
 TEST_CASE("A configuration that is wrong is refused as a whole", "[platform]") {
   for (const char *word :
        {"\"rollout\"", "\"host\"", "\"version\":7", "7500"}) {
     std::string text = Routes;
     text.replace(text.find(word), std::string(word).size(), "\"?\"");
-    CHECK_FALSE(
-        outcomeOf<RouteTable>([&] { return decodeRoutes(text, "config"); }));
+    CHECK_FALSE(outcomeOf<RouteTable>(
+        [&] { return decodeRoutes(text, "config", keys()); }));
   }
 }
 
+TEST_CASE("What an item says of its customer and of keys is dropped",
+          "[platform]") {
+  std::string text = Job;
+  text.replace(text.find(R"("X":"y")"), 7,
+               R"("X":"y","wasabisail-key":"k","WASABISAIL-TENANT":"bert")");
+  Outcome<BatchJob> got = outcomeOf<BatchJob>(
+      [&] { return decodeJob(submission(text), CustomerName("anna")); });
+  REQUIRE(got);
+  CHECK(got->Id == JobId("job-1", CustomerName("anna")));
+  CHECK(got->Items[0].Headers.size() == 2);
+}
+
 TEST_CASE("A server's registration is decoded", "[platform]") {
   std::string text =
       R"({"service":"s","address":"10.128.0.9:8080","zone":"z","version":"v1",
@@ -239,8 +300,8 @@
 }
 
 TEST_CASE("A batch job is decoded with its expected lengths", "[platform]") {
-  Outcome<BatchJob> got =
-      outcomeOf<BatchJob>([] { return decodeJob(submission(Job)); });
+  Outcome<BatchJob> got = outcomeOf<BatchJob>(
+      [] { return decodeJob(submission(Job), CustomerName()); });
   REQUIRE(got);
   CHECK(got->Id.Text == "job-1");
   CHECK(got->MinVersion == 6);
@@ -257,8 +318,8 @@
   std::string broken = Job;
   broken.replace(broken.find("q83v"), 4, "q*3v");
   for (const std::string &it : {std::string("{"), std::string("{}"), broken}) {
-    Outcome<BatchJob> got =
-        outcomeOf<BatchJob>([&] { return decodeJob(submission(it)); });
+    Outcome<BatchJob> got = outcomeOf<BatchJob>(
+        [&] { return decodeJob(submission(it), CustomerName()); });
     REQUIRE_FALSE(got);
     CHECK(got.failure().Run == Verdict::NotRun);
   }
--- a/Wasabi/Batch/BatchFold.cpp
+++ b/Wasabi/Batch/BatchFold.cpp
@@ -42,7 +42,7 @@
 
   BatchJob job = std::move(Fold.Unfinished->Job);
   Fold.Unfinished.reset();
-  std::string id = job.Id.Text;
+  JobId id = job.Id;
   // The first submission counts; a repeated one is the same job.
   if (Fold.Jobs.contains(id))
     return {};
@@ -159,7 +159,7 @@
 }
 
 std::shared_ptr<JobState> findJob(const BatchFold &Fold, const JobId &Id) {
-  auto it = Fold.Jobs.find(Id.Text);
+  auto it = Fold.Jobs.find(Id);
   return it == Fold.Jobs.end() ? nullptr : it->second;
 }
 
--- a/Wasabi/Batch/BatchFold.h
+++ b/Wasabi/Batch/BatchFold.h
@@ -86,7 +86,7 @@
   Settings Limits;
   /// The next offset to read.
   Offset Next = 0;
-  std::unordered_map<std::string, std::shared_ptr<JobState>> Jobs;
+  std::unordered_map<JobId, std::shared_ptr<JobState>> Jobs;
   LeaseState Lease;
   /// Parts of a submission whose last part has not been seen.
   std::optional<JobPart> Unfinished;
--- a/Wasabi/Batch/BatchJob.h
+++ b/Wasabi/Batch/BatchJob.h
@@ -23,8 +23,20 @@
 /// where the bytes stand in the record itself.
 using PayloadPlace = std::vector<PayloadRecord>;
 
-/// A batch job as its submitter names it.
-using JobId = Name<struct JobTag>;
+/// A batch job as its submitter names it. Names are a customer's own: two
+/// customers may choose the same one, and know nothing of each other's job.
+/// Immutable in use.
+struct JobId {
+  std::string Text;
+  /// Empty where customers are not told apart.
+  CustomerName Customer;
+
+  JobId() = default;
+  explicit JobId(std::string Text, CustomerName Customer = {})
+      : Text(std::move(Text)), Customer(std::move(Customer)) {}
+  bool empty() const { return Text.empty(); }
+  auto operator<=>(const JobId &) const = default;
+};
 /// A sample of a batch job; carried over to a later job it keeps its name.
 using ItemId = Name<struct ItemTag>;
 
@@ -109,4 +121,12 @@
 
 } // namespace wasabi
 
+template <> struct std::hash<wasabi::JobId> {
+  std::size_t operator()(const wasabi::JobId &Value) const noexcept {
+    constexpr std::size_t Spread = 31;
+    return std::hash<std::string>()(Value.Text) * Spread +
+           std::hash<wasabi::CustomerName>()(Value.Customer);
+  }
+};
+
 #endif // WASABI_BATCH_BATCHJOB_H
--- a/Wasabi/Batch/BatchRecord.cpp
+++ b/Wasabi/Batch/BatchRecord.cpp
@@ -15,7 +15,9 @@
 namespace json = boost::json;
 
 /// Raised when an older release could misread what a newer one writes.
-constexpr std::uint64_t Schema = 2;
+constexpr std::uint64_t Schema = 3;
+/// Of records that name no customer: the release before reads them.
+constexpr std::uint64_t SchemaWithoutCustomer = 2;
 /// First member of a record that is an array.
 constexpr std::string_view ResultTag = "result";
 constexpr std::string_view TextTag = "text";
@@ -24,6 +26,17 @@
 
 //===--- Writing ----------------------------------------------------------===//
 
+std::uint64_t schemaFor(const JobId &Of) {
+  return Of.Customer.empty() ? SchemaWithoutCustomer : Schema;
+}
+
+/// A job's name, with its customer's if it has one.
+json::value jobValue(const JobId &Id) {
+  if (Id.Customer.empty())
+    return json::string(Id.Text);
+  return json::array{Id.Customer.Text, Id.Text};
+}
+
 json::value itemValue(const BatchItem &Item) {
   json::array headers;
   for (const PassedHeader &it : Item.Headers)
@@ -59,7 +72,8 @@
   for (const BatchItem &it : What.Job.Items)
     items.push_back(What.ItemsAt.empty() ? itemValue(it) : sketchValue(it));
   return {{"kind", "job"},
-          {"job", What.Job.Id.Text},
+          {"schema", schemaFor(What.Job.Id)},
+          {"job", jobValue(What.Job.Id)},
           {"part", What.Part},
           {"parts", What.Parts},
           {"host", What.Job.Host},
@@ -76,8 +90,8 @@
 /// them, and at a restart of all at once.
 json::value fieldsOf(const ResultRecord &What) {
   return json::array{ResultTag,
-                     Schema,
-                     What.Job.Text,
+                     schemaFor(What.Job),
+                     jobValue(What.Job),
                      What.Result.Item.Text,
                      What.Result.End == ItemEnd::Completed,
                      What.Result.Output,
@@ -87,13 +101,15 @@
 }
 
 json::object fieldsOf(const JobEnd &What) {
-  return {{"kind", "end"}, {"job", What.Job.Text}};
+  return {{"kind", "end"},
+          {"schema", schemaFor(What.Job)},
+          {"job", jobValue(What.Job)}};
 }
 
 json::value fieldsOf(const TextRecord &What) {
   return json::array{TextTag,
-                     Schema,
-                     What.Job.Text,
+                     schemaFor(What.Job),
+                     jobValue(What.Job),
                      What.Item.Text,
                      What.Source,
                      What.After,
@@ -158,6 +174,12 @@
   return place;
 }
 
+JobId jobOf(const json::value &From) {
+  if (From.is_string())
+    return JobId(plainText(From));
+  return JobId(plainText(From.at(1)), CustomerName(plainText(From.at(0))));
+}
+
 /// The members of a record that is an array, in their order.
 class ArrayReader {
 public:
@@ -208,7 +230,7 @@
   JobPart part;
   part.Part = static_cast<std::uint32_t>(numberOf(From, "part"));
   part.Parts = static_cast<std::uint32_t>(numberOf(From, "parts"));
-  part.Job.Id = JobId(textOf(From, "job"));
+  part.Job.Id = jobOf(From.at("job"));
   part.Job.Host = textOf(From, "host");
   part.Job.Path = textOf(From, "path");
   part.Job.Model = ModelName(textOf(From, "model"));
@@ -224,7 +246,7 @@
 
 BatchRecord readResult(ArrayReader &From) {
   ResultRecord record;
-  record.Job = JobId(From.text());
+  record.Job = jobOf(From.next());
   record.Result.Item = ItemId(From.text());
   record.Result.End =
       From.next().as_bool() ? ItemEnd::Completed : ItemEnd::Terminated;
@@ -237,7 +259,7 @@
 
 BatchRecord readText(ArrayReader &From) {
   TextRecord record;
-  record.Job = JobId(From.text());
+  record.Job = jobOf(From.next());
   record.Item = ItemId(From.text());
   record.Source = From.number();
   record.After = From.number();
@@ -265,7 +287,7 @@
   if (kind == "job")
     return readJob(From);
   if (kind == "end")
-    return JobEnd{JobId(textOf(From, "job"))};
+    return JobEnd{jobOf(From.at("job"))};
   if (kind == "claim")
     return readClaim(From);
   if (kind == "renew")
@@ -306,8 +328,9 @@
 std::string encodeRecord(const BatchRecord &What) {
   json::value fields = std::visit(
       [](const auto &Kind) { return json::value(fieldsOf(Kind)); }, What);
+  // Records that name no job read alike in both.
   if (json::object *members = fields.if_object())
-    (*members)["schema"] = Schema;
+    members->emplace("schema", SchemaWithoutCustomer);
   return json::serialize(fields);
 }
 
--- a/Wasabi/Core/Ids.h
+++ b/Wasabi/Core/Ids.h
@@ -34,6 +34,8 @@
 using TrainerName = Name<struct TrainerTag>;
 /// A declared preset: ordinary, peak, maintenance.
 using PresetName = Name<struct PresetTag>;
+/// A customer: who calls, and whose requests are counted together.
+using CustomerName = Name<struct CustomerTag>;
 /// A model as the engines and the weight store name it.
 using ModelName = Name<struct ModelTag>;
 
--- /dev/null
+++ b/Wasabi/Customers/Access.cpp
@@ -0,0 +1,43 @@
+#include "Wasabi/Customers/Access.h"
+
+namespace wasabi {
+
+std::string_view toText(AccessVerdict Verdict) {
+  switch (Verdict) {
+  case AccessVerdict::Granted:
+    return "granted";
+  case AccessVerdict::UnknownKey:
+    return "unknown-key";
+  case AccessVerdict::Unsure:
+    return "unsure";
+  }
+  return "unsure";
+}
+
+Access decideAccess(const std::optional<CustomerTable> &Known,
+                    const AccessAsk &Ask, const StoreContact &Contact,
+                    const AccessSettings &Limits, TimePoint Now) {
+  if (!Known)
+    return {AccessVerdict::Granted, std::nullopt};
+  const Customer *holder = Ask.Key ? Known->holderOf(*Ask.Key) : nullptr;
+  if (holder != nullptr) {
+    bool withdrawn =
+        Limits.StrictRevoke && lostFor(Contact, Limits.RevokeTime, Now);
+    if (!withdrawn)
+      return {AccessVerdict::Granted, *holder};
+    return {Ask.Public ? AccessVerdict::Granted : AccessVerdict::Unsure,
+            std::nullopt};
+  }
+  if (Ask.Public)
+    return {AccessVerdict::Granted, std::nullopt};
+  bool mayBeNew = Ask.Key.has_value() && Contact.Lost;
+  return {mayBeNew ? AccessVerdict::Unsure : AccessVerdict::UnknownKey,
+          std::nullopt};
+}
+
+std::uint32_t priorityOf(const std::optional<Customer> &By,
+                         std::uint32_t OfRoute) {
+  return By && By->Priority ? *By->Priority : OfRoute;
+}
+
+} // namespace wasabi
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -160,7 +160,7 @@
       if (it->Job != Change.Job)
         continue;
       if (it->Text.Events > 0)
-        Carried[it->Item.Id.Text] = it->Text;
+        Carried[{it->Job->Job.Id.Customer, it->Item.Id}] = it->Text;
       drop(it);
     }
     clearFinished();
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -283,8 +283,9 @@
   /// Drawn anew each time the duty is taken up.
   std::uint64_t Source = 0;
   std::vector<std::shared_ptr<ItemWork>> Works;
-  /// Texts of items that were not finished, for jobs that carry them over.
-  std::map<std::string, PartialText> Carried;
+  /// Texts of items that were not finished, for jobs that carry them over: a
+  /// customer's own only.
+  std::map<std::pair<CustomerName, ItemId>, PartialText> Carried;
   /// The engine that read a group's prompt.
   std::map<std::string, ServerIncarnation> PromptAt;
   EngineList Pool;
--- a/Wasabi/Dispatch/DispatcherRecords.cpp
+++ b/Wasabi/Dispatch/DispatcherRecords.cpp
@@ -145,12 +145,12 @@
 /// The item has all that it needs: it goes on from the longest text that is
 /// known of it and that its job allows.
 void Dispatcher::loaded(const std::shared_ptr<ItemWork> &Work) {
-  auto carried = Carried.find(Work->Item.Id.Text);
+  auto carried = Carried.find({Work->Job->Job.Id.Customer, Work->Item.Id});
   if (carried != Carried.end() && carried->second.Events > Work->Text.Events &&
       fits(carried->second, *Work))
     Work->Text = carried->second;
-  Work->Guard = std::make_shared<GuardedRequest>(
-      GuardedRequest{digestOf(askOf(*Work)), Work->Item.Id.Text});
+  Work->Guard = std::make_shared<GuardedRequest>(GuardedRequest{
+      digestOf(askOf(*Work), Work->Job->Job.Id.Customer), Work->Item.Id.Text});
   Work->Stage = ItemStage::Waiting;
   if (Work->Text.Whole)
     startScore(Work);
--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -67,6 +67,7 @@
       Work->Guard->Digest, engine->Server->Entry.incarnation());
   SendOptions options;
   options.RequestId = Work->Item.Id.Text;
+  options.Customer = Work->Job->Job.Id.Customer;
   if (Work->Text.Events > 0)
     options.ResumeAfter = Work->Text.Events;
   std::optional<Outcome<std::unique_ptr<EngineStream>>> opened =
--- a/Wasabi/Ports/EnginePort.h
+++ b/Wasabi/Ports/EnginePort.h
@@ -80,6 +80,9 @@
   std::optional<std::uint64_t> ResumeAfter;
   /// The request's id, for one that the system makes; a caller's has its own.
   std::string RequestId;
+  /// Whose request it is, as the server is told; empty for nobody's. What the
+  /// caller's headers say of that is not passed on.
+  CustomerName Customer;
 };
 
 /// What becomes of runs when a server takes new weights.
--- a/Wasabi/Quarantine/RequestDigest.cpp
+++ b/Wasabi/Quarantine/RequestDigest.cpp
@@ -24,13 +24,15 @@
 
 } // namespace
 
-RequestDigest digestOf(const http::Request &Ask) {
+RequestDigest digestOf(const http::Request &Ask, const CustomerName &By) {
   HashState state(XXH3_createState());
   XXH3_128bits_reset(state.get());
   addPart(*state, Ask.Method);
   addPart(*state, Ask.Target);
   for (const char *it : {"Host", "Authorization", "User-Agent"})
     addPart(*state, Ask.header(it));
+  if (!By.empty())
+    addPart(*state, By.Text);
   addPart(*state, Ask.Body);
   XXH128_hash_t hash = XXH3_128bits_digest(state.get());
   return RequestDigest(fmt::format("{:016x}{:016x}", hash.high64, hash.low64));
--- a/Wasabi/Quarantine/RequestDigest.h
+++ b/Wasabi/Quarantine/RequestDigest.h
@@ -13,9 +13,11 @@
 
 /// Of what a server is given of a request and what stays the same when it is
 /// sent again: its method, host, target, caller and body. The caller is named
-/// by its credentials and its agent. Left out is what each attempt has anew:
-/// its id, what is left of its time, where a stream goes on. Pure; thread-safe.
-RequestDigest digestOf(const http::Request &Ask);
+/// by its customer, its credentials and its agent. Left out is what each
+/// attempt has anew: its id, what is left of its time, where a stream goes on.
+/// Pure; thread-safe.
+RequestDigest digestOf(const http::Request &Ask,
+                       const CustomerName &By = CustomerName());
 
 } // namespace wasabi
 
--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -87,7 +87,12 @@
     Deadline = this->What.Arrived + std::min(patience, this->Route.Timeout) -
                AnswerMargin;
     Guard = std::make_shared<GuardedRequest>(
-        GuardedRequest{digestOf(this->What.Ask), this->What.Id});
+        GuardedRequest{digestOf(this->What.Ask, customer()), this->What.Id});
+  }
+
+  /// Whose request it is; empty for nobody's.
+  CustomerName customer() const {
+    return What.By ? What.By->Name : CustomerName();
   }
 
   bool mayTry(const Settings &Limits) const {
@@ -146,6 +151,7 @@
       "request.done",
       {{"request", Of.What.Id},
        {"route", Of.Route.Name},
+       {"customer", Of.customer().Text},
        {"service", Of.Service.Text},
        {"server", Of.Server ? Of.Server->Entry.Id.Text : ""},
        {"outcome", std::string(Outcome)},
@@ -167,6 +173,7 @@
   SendOptions options;
   options.Deadline = until(Of.Deadline);
   options.RequestId = Of.What.Id;
+  options.Customer = Of.customer();
   TimePoint began = monotonicNow();
   std::unique_ptr<Quarantine::SuspectRun> suspect =
       Crashes->beginRun(Of.Guard->Digest, server->Entry.incarnation());
@@ -321,6 +328,7 @@
     SendOptions options;
     options.Deadline = until(Of.Deadline);
     options.RequestId = Of.What.Id;
+    options.Customer = Of.customer();
     options.ResumeAfter = After;
     std::unique_ptr<Quarantine::SuspectRun> suspect =
         Crashes->beginRun(Of.Guard->Digest, server->Entry.incarnation());
--- a/Wasabi/Upstream/Forwarder.h
+++ b/Wasabi/Upstream/Forwarder.h
@@ -24,7 +24,10 @@
 struct ForwardRequest {
   /// For logs.
   std::string Id;
+  /// Without the caller's key.
   http::Request Ask;
+  /// Whose request it is; empty for nobody's.
+  std::optional<Customer> By;
   /// What the caller will wait at most; empty if it does not say.
   std::optional<Millis> Patience;
   TimePoint Arrived;
--- a/Wasabi/Upstream/RouteTable.h
+++ b/Wasabi/Upstream/RouteTable.h
@@ -6,6 +6,7 @@
 
 #include "Wasabi/Core/Clock.h"
 #include "Wasabi/Core/Ids.h"
+#include "Wasabi/Customers/CustomerTable.h"
 
 #include <cstdint>
 #include <optional>
@@ -56,6 +57,8 @@
   std::vector<ServiceShare> Services;
   /// Whether a stream may go on at another server.
   bool Resumable = false;
+  /// Whether requests need no key.
+  bool Public = false;
   /// Whether a sample's text must come from one weight version.
   bool SingleVersion = false;
   /// When the results of a batch job are due, from its submission.
@@ -100,6 +103,8 @@
   std::vector<UpstreamRoute> Routes;
   std::vector<UpstreamService> Services;
   RequestLimits Limits;
+  /// Who may call; empty where nobody is asked for a key.
+  std::optional<CustomerTable> Customers;
   bool operator==(const RouteTable &) const = default;
 };
 
