Usage is counted through the log and reported by the holder of the dispatching duty

Change: Wasabi/Usage. Each process writes what servers begin to run for it to the topic usage, when it is sent and beside its run, and takes back what proves not to have run. The holder of the dispatching duty folds the topic, decides a window there once all processes have told it (or it can wait no longer), and sends what was decided. Calls leave only under a permit: a renewal that this process has read as valid in the topic, reckoned from when it was sent, and not before lease_ms after a takeover. A request may be bound to a time after which a client writes nothing of it.

--- a/Wasabi/Adapters/Http/HttpClient.cpp
+++ b/Wasabi/Adapters/Http/HttpClient.cpp
@@ -189,6 +189,12 @@
   return std::max(seconds * PerSecond - Limits.KeepMargin, Millis(0));
 }
 
+// A function of its own: GCC 12 destroys temporaries of a co_return twice.
+Failure outdated(const Address &Where) {
+  return Failure{Verdict::NotRun, FailureCode::StaleFence, toText(Where),
+                 "it was too late to send the request", Millis(0)};
+}
+
 class ClientImpl final : public Client,
                          public std::enable_shared_from_this<ClientImpl> {
 public:
@@ -348,6 +354,11 @@
         co_return fresh;
       link = *fresh;
     }
+    if (Ask.SendBefore && monotonicNow() >= *Ask.SendBefore) {
+      link->disarm();
+      link->close();
+      co_return outdated(Where);
+    }
     link->arm(Deadline);
     auto [ec, n] = co_await asio::async_write(link->Socket, data, Awaited);
     if (!ec && !link->TimedOut)
--- a/Wasabi/Dispatch/DutyKeeper.cpp
+++ b/Wasabi/Dispatch/DutyKeeper.cpp
@@ -78,9 +78,33 @@
   if (!Held && mine && !Retired) {
     Held = true;
     Term = lease.Term;
+    Gained = monotonicNow();
+    Proven.reset();
+    Renewals.clear();
     Decisions->line("duty.gained", {{"term", std::to_string(Term)}});
     Calls.Gained();
   }
+  prove();
+}
+
+/// Takes up renewals of this process that the topic shows as valid.
+void DutyKeeper::prove() {
+  const LeaseState &lease = Log->fold().Lease;
+  if (!Held || lease.Term != Term || lease.Released)
+    return;
+  auto it = Renewals.find(lease.LastAt);
+  if (it == Renewals.end())
+    return;
+  Proven = it->second;
+  Renewals.erase(Renewals.begin(), std::next(it));
+}
+
+std::optional<DutyPermit> DutyKeeper::permit() const {
+  if (!Held || Retired || !Proven)
+    return std::nullopt;
+  TimePoint from = Succeeds ? Gained + Limits.TakeoverPause : Gained;
+  // The first claim of all may lie at offset 0.
+  return DutyPermit{Term + 1, from, *Proven + Limits.HoldTime};
 }
 
 asio::awaitable<void> DutyKeeper::claim() {
@@ -90,6 +114,7 @@
   LeaseClaim claim{Limits.Self};
   if (before.Holder)
     claim.After = before.LastAt;
+  Succeeds = before.Holder.has_value();
   std::vector<std::string> records{encodeRecord(claim)};
   LastRenewal = sent;
   Outcome<Offset> got = co_await Log->append(std::move(records));
@@ -108,7 +133,12 @@
   LastRenewal = monotonicNow();
   std::vector<std::string> records{
       encodeRecord(LeaseRenewal{Term, Limits.Self})};
+  FencingToken term = Term;
+  TimePoint sent = LastRenewal;
   Outcome<Offset> got = co_await Log->append(std::move(records));
+  if (got && term == Term)
+    Renewals[*got] = sent;
+  prove();
   if (!got)
     Decisions->line(
         "duty.renewal_failed",
--- a/Wasabi/Ports/HttpMessage.h
+++ b/Wasabi/Ports/HttpMessage.h
@@ -3,6 +3,9 @@
 #ifndef WASABI_PORTS_HTTPMESSAGE_H
 #define WASABI_PORTS_HTTPMESSAGE_H
 
+#include "Wasabi/Core/Clock.h"
+
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +26,9 @@
   std::string Target;
   std::vector<Header> Headers;
   std::string Body;
+  /// A client writes nothing of it after this, however long the connection took
+  /// or the process was suspended: what allowed it to be sent has run out.
+  std::optional<TimePoint> SendBefore;
 
   /// The first value of a header, compared without case; empty if absent.
   std::string_view header(std::string_view Name) const;
--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -79,6 +79,8 @@
   std::uint32_t Unrun = 0;
   std::shared_ptr<UpstreamServer> Server;
   std::shared_ptr<GuardedRequest> Guard;
+  /// How it was counted as running, once; empty while it is not.
+  std::optional<UsageEntry> Counted;
 
   Progress(ForwardRequest What, UpstreamRoute Route, ServiceName Service)
       : What(std::move(What)), Route(std::move(Route)),
@@ -106,12 +108,26 @@
     : Limits(Limits), Executor(std::move(With.Executor)), View(With.View),
       Engines(std::move(With.Engines)), Crashes(std::move(With.Crashes)),
       Decisions(std::move(With.Decisions)), Counts(With.Counts),
-      Random(wallMicros()) {}
+      Usage(std::move(With.Usage)), Random(wallMicros()) {}
 
 std::shared_ptr<Forwarder> Forwarder::create(Parts With, Settings Limits) {
   return std::shared_ptr<Forwarder>(new Forwarder(std::move(With), Limits));
 }
 
+/// Counts the request for its customer: a server begins to run it.
+void Forwarder::count(Progress &Of) const {
+  if (Usage && Of.What.By && !Of.Counted)
+    Of.Counted = Usage->began(Of.What.By->Name);
+}
+
+/// No server has run it.
+void Forwarder::withdraw(Progress &Of) const {
+  if (!Of.Counted || Of.Runs > 0)
+    return;
+  Usage->withdraw(*Of.Counted);
+  Of.Counted.reset();
+}
+
 /// Why no server may have the request; empty if one may.
 std::optional<Failure> Forwarder::quarantined(const Progress &Of) const {
   if (Crashes->standing(Of.Guard->Digest) != CrashStanding::Quarantined)
@@ -178,6 +194,7 @@
   std::unique_ptr<Quarantine::SuspectRun> suspect =
       Crashes->beginRun(Of.Guard->Digest, server->Entry.incarnation());
   ++server->InFlight;
+  count(Of);
   std::optional<Outcome<UpstreamAnswer>> got = co_await cancellable(
       Executor, Engines.Call(server->Entry, Of.What.Ask, options, tryTime(Of)),
       Stop);
@@ -188,6 +205,7 @@
   bool unrun = *got ? (*got)->Proof == AnswerProof::NotRun
                     : got->failure().Run == Verdict::NotRun;
   ++(unrun ? Of.Unrun : Of.Runs);
+  withdraw(Of);
   Of.Tried.insert(server->Entry.incarnation());
   if (*got && (*got)->Response.Status == MisdirectedStatus)
     server->Replaced = true;
@@ -382,6 +400,8 @@
       Crashes->answered(*Of.Guard);
       co_return true;
     }
+    // Tokens are what a stream's customer pays for: it runs with the first.
+    count(Of);
     Last = (*event)->Id;
     Outcome<Done> sent = co_await Out.write(std::move((*event)->Raw));
     if (!sent)
--- a/Wasabi/Upstream/Forwarder.h
+++ b/Wasabi/Upstream/Forwarder.h
@@ -10,6 +10,7 @@
 #include "Wasabi/Ports/EnginePort.h"
 #include "Wasabi/Quarantine/Quarantine.h"
 #include "Wasabi/Upstream/FleetView.h"
+#include "Wasabi/Usage/UsageMeter.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/cancellation_signal.hpp>
@@ -58,6 +59,8 @@
     std::shared_ptr<DecisionLog> Decisions;
     /// Outlives the forwarder.
     Metrics &Counts;
+    /// Counts what servers begin to run; null where nobody wants to know.
+    std::shared_ptr<UsageMeter> Usage = nullptr;
   };
 
   static std::shared_ptr<Forwarder> create(Parts With, Settings Limits);
@@ -98,6 +101,8 @@
   boost::asio::awaitable<bool> passEvents(Progress &Of, EngineStream &From,
                                           std::uint64_t &Last,
                                           http::Responder &Out);
+  void count(Progress &Of) const;
+  void withdraw(Progress &Of) const;
   void note(const Progress &Of, std::string_view Outcome, unsigned Status);
 
   const Settings Limits;
@@ -107,6 +112,7 @@
   const std::shared_ptr<Quarantine> Crashes;
   const std::shared_ptr<DecisionLog> Decisions;
   Metrics &Counts;
+  const std::shared_ptr<UsageMeter> Usage;
   std::mt19937_64 Random;
 };
 
--- /dev/null
+++ b/Wasabi/Usage/UsageFold.h
@@ -0,0 +1,117 @@
+/// \file
+/// What follows from the usage topic's order: who counts, what was counted and
+/// is not decided yet, which windows are decided and not told. Pure.
+#ifndef WASABI_USAGE_USAGEFOLD_H
+#define WASABI_USAGE_USAGEFOLD_H
+
+#include "Wasabi/Usage/UsageRecord.h"
+
+#include <optional>
+#include <set>
+
+namespace wasabi {
+
+/// How windows are told apart and when they are decided.
+struct UsageSettings {
+  /// Length of a window.
+  Millis Window{5000};
+  /// When a window's report is due, after its end.
+  Millis Due{10000};
+  /// Kept of `Due` for a decision without those that are missing: a report
+  /// takes some milliseconds, and a reporter that ends then has no successor in
+  /// time anyway.
+  Millis DueMargin{2000};
+  /// A window is decided this long after its end at the earliest: what was sent
+  /// in its last moments may yet prove not to have run, for which a server that
+  /// refuses connections takes 0.3 s.
+  Millis Settle{1000};
+  /// A process that has written nothing for this long is gone: it writes once a
+  /// window at least.
+  Millis SilentAfter{12000};
+  /// Ended processes are kept this long, so that a batch of theirs that comes a
+  /// second time is known; records of the store expire then.
+  Millis KeepEnded{300000};
+  /// Clocks that differ from the middle one by more than this have been set
+  /// wrong; smaller differences can't be told from the time that a record
+  /// takes.
+  Millis ClockSlack{500};
+  bool operator==(const UsageSettings &) const = default;
+};
+
+/// What is known of a process that counts.
+struct UsageSourceState {
+  /// The newest batch that was taken.
+  std::uint64_t Sequence = 0;
+  WallTime Through;
+  /// How far its clock was ahead of this process's when its newest record came;
+  /// less the time that the record took. Empty if it came long before it was
+  /// read.
+  std::optional<Millis> Ahead;
+  /// When this process read its newest record.
+  TimePoint Heard;
+  bool Left = false;
+};
+
+/// An entry and whose it is.
+struct CountedEntry {
+  UsageSource From;
+  UsageEntry What;
+};
+
+/// The folded state. Owned by one thread.
+struct UsageFold {
+  /// The next offset to read.
+  Offset Next = 0;
+  std::map<UsageSource, UsageSourceState> Sources;
+  /// Of windows that are not decided.
+  std::vector<CountedEntry> Entries;
+  /// The first window that is not decided: at the beginning that in which the
+  /// first process began to count. Empty while none has.
+  std::optional<UsageWindow> Undecided;
+  /// Decided, and not known to be told.
+  std::map<UsageWindow, UsageCounts> Untold;
+  /// Requests that came to be known after their window was decided.
+  std::uint64_t Late = 0;
+};
+
+/// When a record is read.
+struct UsageReading {
+  TimePoint Now;
+  /// The wall time of this process.
+  WallTime Wall;
+  /// Whether the record has just been written, as far as this process knows.
+  bool Fresh = false;
+};
+
+/// Applies the record at `At`. One before `Next` was applied already and
+/// changes nothing. Precondition: records come in their order.
+void apply(UsageFold &Fold, Offset At, const UsageRecord &What,
+           const UsageReading &When, const UsageSettings &Limits);
+
+/// Forgets processes that ended long ago.
+void expire(UsageFold &Fold, TimePoint Now, const UsageSettings &Limits);
+
+/// How far a process's clock is ahead of the middle one of all that are known;
+/// 0 if that is within `ClockSlack` or not known.
+Millis clockError(const UsageFold &Fold, const UsageSource &Of,
+                  const UsageSettings &Limits);
+
+/// The requests of a window as they are known.
+UsageCounts countsOf(const UsageFold &Fold, UsageWindow Window,
+                     const UsageSettings &Limits);
+
+/// The window that can be decided at a true time, as far as it is known; empty
+/// if none can. It is the first undecided one, once all processes that count
+/// have told what they counted in it, or it can wait for them no longer.
+std::optional<UsageWindow> windowDue(const UsageFold &Fold, WallTime TrueNow,
+                                     TimePoint Now,
+                                     const UsageSettings &Limits);
+
+/// Processes whose counts of a window are missing.
+std::vector<UsageSource> missingFrom(const UsageFold &Fold, UsageWindow Window,
+                                     TimePoint Now,
+                                     const UsageSettings &Limits);
+
+} // namespace wasabi
+
+#endif // WASABI_USAGE_USAGEFOLD_H
--- /dev/null
+++ b/Wasabi/Usage/UsageMeter.cpp
@@ -0,0 +1,180 @@
+#include "Wasabi/Usage/UsageMeter.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <map>
+
+namespace wasabi {
+
+namespace asio = boost::asio;
+
+UsageMeter::UsageMeter(Parts With, Settings Limits)
+    : Limits(std::move(Limits)), With(std::move(With)),
+      Wake(this->With.Executor) {
+  std::mt19937_64 random(this->Limits.Self.Life);
+  Spread = Millis(static_cast<std::int64_t>(
+      random() %
+      static_cast<std::uint64_t>(this->Limits.EndSpread.count() + 1)));
+}
+
+std::shared_ptr<UsageMeter> UsageMeter::create(Parts With, Settings Limits) {
+  return std::shared_ptr<UsageMeter>(
+      new UsageMeter(std::move(With), std::move(Limits)));
+}
+
+void UsageMeter::start() {
+  asio::co_spawn(
+      With.Executor, [self = shared_from_this()] { return self->writeLoop(); },
+      asio::detached);
+}
+
+UsageEntry UsageMeter::began(const CustomerName &Of) {
+  UsageEntry entry{Of, now(), 1};
+  add(entry);
+  With.Counts.counter("usage_counted_total", "Requests that were counted")
+      .add();
+  return entry;
+}
+
+void UsageMeter::withdraw(const UsageEntry &What) {
+  // What nobody has read yet is as if it had not been.
+  auto from = Waiting.begin() + static_cast<std::ptrdiff_t>(sending());
+  auto found = std::find(from, Waiting.end(), What);
+  if (found != Waiting.end())
+    Waiting.erase(found);
+  else
+    add({What.Of, What.At, -What.Count});
+  With.Counts
+      .counter("usage_withdrawn_total", "Counted requests that did not run")
+      .add();
+}
+
+void UsageMeter::add(UsageEntry What) {
+  Waiting.push_back(std::move(What));
+  if (Waiting.size() > Limits.MostWaiting)
+    compact();
+  Wake.notify();
+}
+
+/// Joins the entries of each customer and second, but for those on their way.
+void UsageMeter::compact() {
+  using Second = std::chrono::sys_seconds;
+  std::map<std::pair<CustomerName, Second>, std::int64_t> sums;
+  for (std::size_t i = sending(); i < Waiting.size(); ++i)
+    sums[{Waiting[i].Of,
+          std::chrono::floor<std::chrono::seconds>(Waiting[i].At)}] +=
+        Waiting[i].Count;
+  Waiting.resize(sending());
+  for (const auto &[key, sum] : sums) {
+    if (sum != 0)
+      Waiting.push_back({key.first, key.second, sum});
+  }
+}
+
+/// Whether there is something to write: counts, or that there were none in a
+/// window that has ended.
+bool UsageMeter::due() const {
+  if (!Waiting.empty())
+    return true;
+  Millis length = Limits.Windows.Window;
+  return windowOf(now() - Spread, length) > windowOf(Written, length);
+}
+
+TimePoint UsageMeter::nextLook() const {
+  WallTime end =
+      endOf(windowOf(Written, Limits.Windows.Window), Limits.Windows.Window);
+  return monotonicNow() + std::max(Millis(1), end + Spread - now());
+}
+
+asio::awaitable<void> UsageMeter::writeLoop() {
+  // All processes start at once, and the store has more urgent calls then.
+  co_await pauseFor(With.Executor, Spread);
+  while (!Left) {
+    TimePoint now = monotonicNow();
+    if (!due())
+      co_await Wake.wait(nextLook());
+    else if (now < NotBefore)
+      co_await pauseFor(With.Executor,
+                        std::chrono::ceil<Millis>(NotBefore - now));
+    else
+      co_await writeBatch();
+  }
+  Ended = true;
+  Wake.notify();
+}
+
+/// Writes one batch; true if the topic holds it. One of unknown outcome is
+/// written again under its number, so that it counts once.
+asio::awaitable<bool> UsageMeter::writeBatch() {
+  TimePoint sent = monotonicNow();
+  if (!Sending)
+    Sending = std::min(Waiting.size(), Limits.BatchEntries);
+  bool all = *Sending == Waiting.size();
+  UsageBatch batch;
+  batch.From = Limits.Self;
+  batch.Sequence = Sequence;
+  // What waits beside it is not in it.
+  batch.Through = all ? this->now() : Written;
+  auto end = Waiting.begin() + static_cast<std::ptrdiff_t>(*Sending);
+  batch.Entries.assign(Waiting.begin(), end);
+  std::vector<std::string> records{encodeUsage(batch)};
+  Outcome<Offset> got = co_await With.Store.Append(
+      UsageTopic, std::move(records), std::nullopt, Limits.AppendTimeout);
+  TimePoint now = monotonicNow();
+  if (!got) {
+    With.Counts
+        .counter("usage_appends_failed_total",
+                 "Records of counts that the store did not take")
+        .add();
+    NotBefore = now + Limits.RetryPause;
+    // Of one that certainly isn't there the number is free again.
+    if (got.failure().Run == Verdict::NotRun)
+      Sending.reset();
+    co_return false;
+  }
+  With.Decisions->line(
+      "usage.written",
+      {{"sequence", std::to_string(Sequence)},
+       {"requests", std::to_string(batch.Entries.size())},
+       {"offset", std::to_string(*got)},
+       {"took_ms",
+        std::to_string(
+            std::chrono::duration_cast<Millis>(now - sent).count())}});
+  Waiting.erase(Waiting.begin(),
+                Waiting.begin() + static_cast<std::ptrdiff_t>(*Sending));
+  Sending.reset();
+  ++Sequence;
+  Written = batch.Through;
+  auto pause =
+      std::chrono::duration_cast<Millis>((now - sent) * Limits.PaceFactor);
+  NotBefore = sent + std::max(Limits.Pace, pause);
+  co_return true;
+}
+
+asio::awaitable<void> UsageMeter::leave(TimePoint Until) {
+  std::shared_ptr<UsageMeter> self = shared_from_this();
+  Left = true;
+  Wake.notify();
+  while (!Ended && monotonicNow() < Until)
+    co_await Wake.wait(Until);
+  while (monotonicNow() < Until) {
+    if (!Waiting.empty()) {
+      bool written = co_await writeBatch();
+      if (!written)
+        co_await pauseFor(With.Executor, Limits.RetryPause);
+      continue;
+    }
+    std::vector<std::string> records{encodeUsage(UsageLeave{Limits.Self})};
+    Outcome<Offset> got = co_await With.Store.Append(
+        UsageTopic, std::move(records), std::nullopt, Limits.AppendTimeout);
+    if (got)
+      co_return;
+    co_await pauseFor(With.Executor, Limits.RetryPause);
+  }
+  With.Decisions->line("usage.left_unwritten",
+                       {{"requests", std::to_string(Waiting.size())}});
+}
+
+} // namespace wasabi
--- /dev/null
+++ b/Wasabi/Usage/UsageMeter.h
@@ -0,0 +1,110 @@
+/// \file
+/// Counts the requests that servers begin to run for this process, and writes
+/// the counts to the usage topic before they can be lost.
+///
+/// The pattern that this answers: a handful of requests a window and customer,
+/// where one that is missing makes the report wrong, and processes that are
+/// killed half a second after they served one. A request is written when it is
+/// sent, beside its run, and taken back in the rare case that it proves not to
+/// have run; a process writes at once what it counts after a pause, and
+/// gathers what comes faster than that.
+#ifndef WASABI_USAGE_USAGEMETER_H
+#define WASABI_USAGE_USAGEMETER_H
+
+#include "Wasabi/Adapters/Telemetry/DecisionLog.h"
+#include "Wasabi/Adapters/Telemetry/Metrics.h"
+#include "Wasabi/Core/AsyncSignal.h"
+#include "Wasabi/Ports/RecordStore.h"
+#include "Wasabi/Usage/UsageFold.h"
+#include "Wasabi/Usage/WallClock.h"
+
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace wasabi {
+
+/// The topic of `UsageRecord`s.
+inline constexpr const char *UsageTopic = "usage";
+
+/// Used on one thread, that of its executor.
+class UsageMeter : public std::enable_shared_from_this<UsageMeter> {
+public:
+  struct Settings {
+    UsageSource Self;
+    UsageSettings Windows;
+    /// How long an append may take before its outcome is unknown.
+    Millis AppendTimeout{1200};
+    /// Least pause between two appends of this process.
+    Millis Pace{50};
+    /// The pause is this many times what the last append took, if that is more:
+    /// hundreds of processes share one partition, which takes 500 appends a
+    /// second, and what they gather meanwhile costs them nothing.
+    double PaceFactor = 25;
+    /// Pause after an append that failed.
+    Millis RetryPause{200};
+    /// Windows end for all processes at once: each writes within this long
+    /// after.
+    Millis EndSpread{300};
+    /// Most entries of a record; further ones go into the next.
+    std::size_t BatchEntries = 2000;
+    /// Entries that wait for the store, at most: those of one customer and
+    /// second are then kept as one.
+    std::size_t MostWaiting = 20000;
+  };
+
+  /// What a meter works with.
+  struct Parts {
+    boost::asio::any_io_executor Executor;
+    RecordStore Store;
+    std::shared_ptr<DecisionLog> Decisions;
+    /// Outlives the meter.
+    Metrics &Counts;
+    WallClock Wall;
+  };
+
+  static std::shared_ptr<UsageMeter> create(Parts With, Settings Limits);
+
+  /// Begins to write, for as long as the context runs.
+  void start();
+  /// Writes what is counted, says that no more will be, and ends; gives up at
+  /// `Until`.
+  boost::asio::awaitable<void> leave(TimePoint Until);
+
+  /// A server begins to run a request of a customer now.
+  UsageEntry began(const CustomerName &Of);
+  /// What was counted has proved not to have run.
+  void withdraw(const UsageEntry &What);
+
+private:
+  UsageMeter(Parts With, Settings Limits);
+  std::size_t sending() const { return Sending.value_or(0); }
+  WallTime now() const { return With.Wall.at(monotonicNow()); }
+  void add(UsageEntry What);
+  void compact();
+  bool due() const;
+  TimePoint nextLook() const;
+  boost::asio::awaitable<void> writeLoop();
+  boost::asio::awaitable<bool> writeBatch();
+
+  const Settings Limits;
+  const Parts With;
+  std::vector<UsageEntry> Waiting;
+  /// How many of `Waiting` are in the batch that was sent and whose outcome is
+  /// not known yet: these and no others go with its number. Empty for none.
+  std::optional<std::size_t> Sending;
+  std::uint64_t Sequence = 1;
+  /// Through when the topic holds all that was counted.
+  WallTime Written;
+  TimePoint NotBefore;
+  /// This process's part of `EndSpread`.
+  Millis Spread{0};
+  bool Left = false;
+  /// Whether the loop writes nothing any more.
+  bool Ended = false;
+  AsyncSignal Wake;
+};
+
+} // namespace wasabi
+
+#endif // WASABI_USAGE_USAGEMETER_H
