Usage: tests of records, windows, meter, reporter and permits; the reporting address as a stand-in

A process that served two requests within 50 ms and was killed at once lost the second one (integration test, before: anna 3 of 6): appends may follow each other without a pause up to eight, and are paced in the long run only.

--- /dev/null
+++ b/IntegrationTests/Cases/UsageTest.cpp
@@ -0,0 +1,199 @@
+/// \file
+/// Usage of customers: counted by the real processes, reported once for each
+/// window, whatever befalls those that count and the one that reports.
+#include "IntegrationTests/Harness/Waiting.h"
+#include "IntegrationTests/Platform/PlatformWorld.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+#include <set>
+
+namespace wasabi::test {
+
+namespace {
+
+constexpr unsigned Ok = 200;
+constexpr Millis Patience{30000};
+constexpr Millis Lease{3000};
+
+using Sums = std::map<std::string, std::uint64_t>;
+
+std::unique_ptr<PlatformWorld> usageWorld(std::size_t Edges,
+                                          bool Proxied = false) {
+  WorldShape shape;
+  shape.Edges = Edges;
+  shape.Engines = 1;
+  shape.Proxied = Proxied;
+  shape.Reports = true;
+  std::unique_ptr<PlatformWorld> world = std::make_unique<PlatformWorld>(shape);
+  REQUIRE(world->allReady());
+  world->configureCustomers(2,
+                            {{"anna", {"key-a"}, 1}, {"bert", {"key-b"}, 1}});
+  return world;
+}
+
+std::vector<ReportCall> calls(PlatformWorld &World) {
+  return World.onPlatform<std::vector<ReportCall>>(
+      [&] { return World.reports().Calls; });
+}
+
+bool reported(PlatformWorld &World, const Sums &What) {
+  return harness::waitUntil([&] { return sumsOf(calls(World)) == What; },
+                            Patience);
+}
+
+void checkCalls(PlatformWorld &World) {
+  for (const std::string &it : judgeCalls(calls(World), Lease))
+    FAIL_CHECK(it);
+}
+
+/// The edge process that reports; empty if none has.
+std::optional<std::size_t> reporter(PlatformWorld &World) {
+  std::vector<ReportCall> all = calls(World);
+  if (all.empty())
+    return std::nullopt;
+  return std::stoul(all.back().Holder.substr(std::string("edge-").size()));
+}
+
+void askTimes(PlatformWorld &World, const std::string &Key, std::size_t Times,
+              std::size_t Edge) {
+  World.useKey(Key);
+  for (std::size_t i = 0; i < Times; ++i)
+    CHECK(World.ask(Edge, "/desk/x", Key + std::to_string(i)).Status == Ok);
+}
+
+void restart(PlatformWorld &World, std::size_t Edge) {
+  World.edge(Edge).Running->signal(SIGKILL);
+  REQUIRE(World.edge(Edge).Running->wait(Patience));
+  World.startEdge(Edge);
+}
+
+} // namespace
+
+TEST_CASE("Usage: each customer's requests are reported, and nobody else's") {
+  std::unique_ptr<PlatformWorld> world = usageWorld(2);
+  askTimes(*world, "key-a", 5, 0);
+  askTimes(*world, "key-a", 2, 1);
+  askTimes(*world, "key-b", 3, 1);
+  CHECK(world->ask(0, "/stream/s", "s1").Status == Ok);
+  // Public requests, batch items and their scoring calls count for nobody.
+  world->useKey("");
+  CHECK(world->ask(0, "/open/x", "o1").Status == Ok);
+  world->useKey("key-a");
+  CHECK(world->submit(0, "job", 2) == 202);
+  CHECK(world->finishes(0, "job", 2));
+  // Nor what no server began to run.
+  world->onPlatform([&] {
+    world->desk(0).Full = true;
+    world->desk(1).Full = true;
+  });
+  CHECK(world->ask(0, "/desk/x", "full").Status == 503);
+  CHECK(reported(*world, {{"anna", 7}, {"bert", 4}}));
+  std::this_thread::sleep_for(Millis(2500));
+  CHECK(sumsOf(calls(*world)) == Sums{{"anna", 7}, {"bert", 4}});
+  checkCalls(*world);
+}
+
+TEST_CASE("Usage: what a process has served counts though it is killed then") {
+  std::unique_ptr<PlatformWorld> world = usageWorld(3);
+  for (std::size_t i = 0; i < world->edges(); ++i) {
+    askTimes(*world, "key-a", 2, i);
+    // An append takes some milliseconds.
+    std::this_thread::sleep_for(Millis(100));
+    restart(*world, i);
+  }
+  REQUIRE(world->allReady());
+  askTimes(*world, "key-b", 1, 0);
+  CHECK(reported(*world, {{"anna", 6}, {"bert", 1}}));
+  checkCalls(*world);
+}
+
+TEST_CASE("Usage: a reporter that is killed, frozen or stopped has a successor "
+          "that tells no window otherwise") {
+  std::unique_ptr<PlatformWorld> world = usageWorld(3);
+  std::uint64_t asked = 0;
+  for (int signal : {SIGKILL, SIGSTOP, SIGTERM}) {
+    REQUIRE(harness::waitUntil([&] { return reporter(*world).has_value(); },
+                               Patience));
+    std::size_t now = *reporter(*world);
+    std::size_t other = (now + 1) % world->edges();
+    askTimes(*world, "key-a", 2, other);
+    asked += 2;
+    world->edge(now).Running->signal(signal);
+    askTimes(*world, "key-a", 2, other);
+    asked += 2;
+    REQUIRE(
+        harness::waitUntil([&] { return reporter(*world) != now; }, Patience));
+    if (signal == SIGSTOP)
+      world->edge(now).Running->signal(SIGCONT);
+    else {
+      REQUIRE(world->edge(now).Running->wait(Patience));
+      world->startEdge(now);
+    }
+    REQUIRE(world->allReady());
+  }
+  CHECK(reported(*world, {{"anna", asked}}));
+  checkCalls(*world);
+}
+
+TEST_CASE("Usage: a reporter cut off from the store calls no more, though it "
+          "reaches the platform") {
+  std::unique_ptr<PlatformWorld> world = usageWorld(2, true);
+  REQUIRE(harness::waitUntil([&] { return reporter(*world).has_value(); },
+                             Patience));
+  std::size_t first = *reporter(*world);
+  std::size_t other = 1 - first;
+  world->setFaults(world->storeLink(first), {{"half_open", true}});
+  askTimes(*world, "key-a", 3, other);
+  REQUIRE(
+      harness::waitUntil([&] { return reporter(*world) == other; }, Patience));
+  world->setFaults(world->storeLink(first), {{"half_open", false}});
+  CHECK(reported(*world, {{"anna", 3}}));
+  std::this_thread::sleep_for(Millis(1500));
+  checkCalls(*world);
+}
+
+TEST_CASE("Usage: reports that are refused, unanswered or lost come again as "
+          "they were") {
+  std::unique_ptr<PlatformWorld> world = usageWorld(1);
+  std::uint64_t asked = 0;
+  for (ReportMood mood :
+       {ReportMood::Busy, ReportMood::LosesAnswers, ReportMood::Silent}) {
+    world->onPlatform([&] { world->reports().setMood(mood); });
+    askTimes(*world, "key-a", 2, 0);
+    asked += 2;
+    std::this_thread::sleep_for(Millis(2500));
+    world->onPlatform([&] { world->reports().setMood(ReportMood::Well); });
+    CHECK(reported(*world, {{"anna", asked}}));
+  }
+  checkCalls(*world);
+  // No window is left out between the first and the last one.
+  std::set<std::uint64_t> windows;
+  for (const ReportCall &it : calls(*world)) {
+    if (it.Taken)
+      windows.insert(it.Window);
+  }
+  CHECK(windows.size() == *windows.rbegin() - *windows.begin() + 1);
+}
+
+TEST_CASE(
+    "Usage: all processes may end, and nothing is told otherwise or lost") {
+  std::unique_ptr<PlatformWorld> world = usageWorld(2);
+  world->onPlatform([&] {
+    world->reports().setMood(ReportMood::LosesAnswers);
+    world->reports().ChecksFences = true;
+  });
+  askTimes(*world, "key-a", 3, 0);
+  askTimes(*world, "key-b", 2, 1);
+  std::this_thread::sleep_for(Millis(1500));
+  for (std::size_t i = 0; i < world->edges(); ++i)
+    restart(*world, i);
+  REQUIRE(world->allReady());
+  world->onPlatform([&] { world->reports().setMood(ReportMood::Well); });
+  askTimes(*world, "key-b", 1, 0);
+  CHECK(reported(*world, {{"anna", 3}, {"bert", 3}}));
+  checkCalls(*world);
+}
+
+} // namespace wasabi::test
--- /dev/null
+++ b/IntegrationTests/Platform/PlatformReports.cpp
@@ -0,0 +1,141 @@
+#include "IntegrationTests/Platform/PlatformReports.h"
+
+#include "Wasabi/Core/AsyncSignal.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace wasabi::test {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr unsigned Ok = 200;
+constexpr unsigned PreconditionFailed = 412;
+constexpr unsigned TooMany = 429;
+
+ReportCall readCall(const http::Request &Ask) {
+  ReportCall call;
+  call.At = monotonicNow();
+  call.Path = std::string(Ask.path());
+  call.Holder = std::string(Ask.header("Wasabisail-Lease-Holder"));
+  std::string token(Ask.header("Wasabisail-Fencing-Token"));
+  call.Token = token.empty() ? 0 : std::stoull(token);
+  call.Body = Ask.Body;
+  if (call.Path != "/usage")
+    return call;
+  json::value body = json::parse(Ask.Body);
+  call.Window = body.at("window").to_number<std::uint64_t>();
+  for (const json::key_value_pair &it : body.at("counts").as_object())
+    call.Counts[std::string(it.key())] = it.value().to_number<std::uint64_t>();
+  return call;
+}
+
+bool excused(const std::vector<TimeSpan> &Spans, TimePoint At) {
+  return std::any_of(Spans.begin(), Spans.end(), [At](const TimeSpan &It) {
+    return At >= It.From && At <= It.To;
+  });
+}
+
+/// Whether a holder's call follows another's that follows one of its own, all
+/// within the lease.
+bool takesTurns(const std::vector<ReportCall> &Calls, std::size_t Last,
+                Millis Lease) {
+  bool another = false;
+  for (std::size_t i = Last; i-- > 0;) {
+    if (Calls[Last].At - Calls[i].At >= Lease)
+      return false;
+    bool own = Calls[i].Holder == Calls[Last].Holder;
+    if (own && another)
+      return true;
+    another = another || !own;
+  }
+  return false;
+}
+
+} // namespace
+
+PlatformReports::PlatformReports(asio::io_context &Context) : Context(Context) {
+  http::Server::Settings limits;
+  Serving = http::Server::create(
+                Context, limits,
+                [this](http::Request Ask, std::shared_ptr<http::Responder> To) {
+                  return handle(std::move(Ask), std::move(To));
+                })
+                .value();
+}
+
+asio::awaitable<void>
+PlatformReports::handle(http::Request Ask,
+                        std::shared_ptr<http::Responder> Out) {
+  constexpr Millis VeryLong{60000};
+  ReportCall call = readCall(Ask);
+  bool stale = ChecksFences && call.Token < Greatest;
+  call.Taken =
+      !stale && (Mood == ReportMood::Well || Mood == ReportMood::LosesAnswers);
+  Greatest = std::max(Greatest, call.Token);
+  Calls.push_back(call);
+  if (Mood == ReportMood::Silent) {
+    co_await pauseFor(Context.get_executor(), VeryLong);
+    co_return;
+  }
+  if (Mood == ReportMood::LosesAnswers) {
+    Out->abort();
+    co_return;
+  }
+  unsigned status = stale                      ? PreconditionFailed
+                    : Mood == ReportMood::Busy ? TooMany
+                                               : Ok;
+  co_await Out->send(http::jsonResponse(status, "{}"));
+}
+
+std::vector<std::string> judgeCalls(const std::vector<ReportCall> &Calls,
+                                    Millis Lease,
+                                    const std::vector<TimeSpan> &Excused) {
+  std::vector<std::string> faults;
+  std::map<std::uint64_t, std::string> bodies;
+  std::map<std::uint64_t, std::string> holders;
+  std::uint64_t greatest = 0;
+  for (std::size_t i = 0; i < Calls.size(); ++i) {
+    const ReportCall &it = Calls[i];
+    if (it.Path == "/usage" && it.Taken &&
+        bodies.emplace(it.Window, it.Body).first->second != it.Body)
+      faults.push_back(
+          fmt::format("window {} was told twice, differently", it.Window));
+    if (it.Token == 0 || it.Holder.empty())
+      faults.push_back("a call without a holder or a token");
+    if (holders.emplace(it.Token, it.Holder).first->second != it.Holder)
+      faults.push_back(fmt::format("token {} was used by two", it.Token));
+    bool held = excused(Excused, it.At);
+    if (!held && it.Token < greatest)
+      faults.push_back(
+          fmt::format("token {} came after {}", it.Token, greatest));
+    if (!held && takesTurns(Calls, i, Lease))
+      faults.push_back(fmt::format("{} took turns with another", it.Holder));
+    greatest = std::max(greatest, it.Token);
+  }
+  return faults;
+}
+
+std::map<std::string, std::uint64_t>
+sumsOf(const std::vector<ReportCall> &Calls) {
+  std::map<std::uint64_t, const ReportCall *> windows;
+  for (const ReportCall &it : Calls) {
+    if (it.Taken && it.Path == "/usage")
+      windows.emplace(it.Window, &it);
+  }
+  std::map<std::string, std::uint64_t> sums;
+  for (const auto &[window, call] : windows) {
+    for (const auto &[customer, count] : call->Counts)
+      sums[customer] += count;
+  }
+  return sums;
+}
+
+} // namespace wasabi::test
--- a/IntegrationTests/Platform/PlatformWorld.cpp
+++ b/IntegrationTests/Platform/PlatformWorld.cpp
@@ -63,6 +63,7 @@
 
 PlatformWorld::PlatformWorld(WorldShape Shape) : Size(Shape) {
   Store = std::make_unique<PlatformStore>(Context);
+  Reports = std::make_unique<PlatformReports>(Context);
   makeServers();
   Folder = harness::TestFolder::create().value();
   Edges.resize(Size.Edges);
@@ -111,6 +112,8 @@
   }
   for (std::size_t i = 0; i < Size.Edges + Size.Engines; ++i)
     StoreLinks.push_back(makeLink(Store->address()));
+  for (std::size_t i = 0; i < Size.Edges; ++i)
+    ReportLinks.push_back(makeLink(Reports->address()));
 }
 
 void PlatformWorld::setFaults(const Proxy &Of,
@@ -191,11 +194,20 @@
                                     std::size_t Process) {
   Address store =
       Size.Proxied ? StoreLinks[Process]->address() : Store->address();
+  std::string reports;
+  if (Size.Reports && Process < Size.Edges)
+    reports = fmt::format(
+        R"("cloud_api":{{"address":"{}","duties":["usage_report"],
+        "duty_per_s":50.0}},)",
+        toText(Size.Proxied ? ReportLinks[Process]->address()
+                            : Reports->address()));
   std::string path = Folder->file(Name + ".json");
   std::ofstream(path) << fmt::format(
-      R"({{"node_name":"{}","zone":"hall","ip":"127.0.0.1",{}
-      "bounds":{{"grace_s":5}},"platform":{{"address":"{}"}}}})",
-      Name, Extra, toText(store));
+      R"({{"node_name":"{}","zone":"hall","ip":"127.0.0.1",{}{}
+      "bounds":{{"grace_s":5,"report_window_s":1,"usage_late_s":6,
+      "usage_tolerance":0.05,"lease_ms":3000}},
+      "platform":{{"address":"{}"}}}})",
+      Name, Extra, reports, toText(store));
   return path;
 }
 
--- a/IntegrationTests/Platform/PlatformWorld.h
+++ b/IntegrationTests/Platform/PlatformWorld.h
@@ -5,6 +5,7 @@
 
 #include "IntegrationTests/Harness/Process.h"
 #include "IntegrationTests/Harness/TestFolder.h"
+#include "IntegrationTests/Platform/PlatformReports.h"
 #include "IntegrationTests/Platform/PlatformServers.h"
 #include "IntegrationTests/Platform/PlatformStore.h"
 #include "StandIns/FaultProxy.h"
@@ -34,6 +35,8 @@
   std::size_t Desks = 2;
   /// Whether each connection leads through a fault proxy.
   bool Proxied = false;
+  /// Whether usage is reported, in windows of one second.
+  bool Reports = false;
 };
 
 /// A customer as the operator configures it.
@@ -81,6 +84,7 @@
   }
 
   PlatformStore &store() { return *Store; }
+  PlatformReports &reports() { return *Reports; }
   PlatformServer &engine(std::size_t Index) { return *Engines[Index]; }
   PlatformServer &desk(std::size_t Index) { return *Desks[Index]; }
   EdgeProcess &edge(std::size_t Index) { return Edges[Index]; }
@@ -99,6 +103,8 @@
   /// Of the edge processes first, then of the side processes.
   Proxy storeLink(std::size_t Process) const { return StoreLinks[Process]; }
   Proxy serverLink(std::size_t Index) const { return ServerLinks[Index]; }
+  /// Of the edge processes to the address that takes reports.
+  Proxy reportLink(std::size_t Edge) const { return ReportLinks[Edge]; }
   void setFaults(const Proxy &Of, const boost::json::object &Changes);
 
   /// Writes a process's settings file, with `Extra` fields, and gives its path.
@@ -172,6 +178,7 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       Work = boost::asio::make_work_guard(Context);
   std::unique_ptr<PlatformStore> Store;
+  std::unique_ptr<PlatformReports> Reports;
   std::vector<std::unique_ptr<PlatformServer>> Engines;
   std::vector<std::unique_ptr<PlatformServer>> Desks;
   std::unique_ptr<harness::TestFolder> Folder;
@@ -180,6 +187,7 @@
   std::vector<Proxy> CallerLinks;
   std::vector<Proxy> StoreLinks;
   std::vector<Proxy> ServerLinks;
+  std::vector<Proxy> ReportLinks;
   std::vector<WorldCustomer> Customers;
   std::string KeyInUse;
   /// Servers that were back after an end by `crashOn`.
--- a/UnitTests/Adapters/Http/HttpClientTests.cpp
+++ b/UnitTests/Adapters/Http/HttpClientTests.cpp
@@ -41,6 +41,32 @@
 
 } // namespace
 
+TEST_CASE("Nothing of a request is written when it is too late for it",
+          "[http]") {
+  HttpFixture fixture;
+  int asked = 0;
+  fixture.serve([&asked](Request Ask, std::shared_ptr<Responder> Out) {
+    ++asked;
+    return echo(std::move(Ask), std::move(Out));
+  });
+  fixture.run([&]() -> boost::asio::awaitable<void> {
+    Address where = fixture.Serving->address();
+    // The second one has an open connection to go out on.
+    for (Millis left : {Millis(-1), Millis(5000), Millis(0)}) {
+      Request ask = post("x");
+      ask.SendBefore = monotonicNow() + left;
+      Outcome<Response> answer =
+          co_await fixture.Calling->call(where, std::move(ask), Patience);
+      CHECK(bool(answer) == (left > Millis(0)));
+      if (!answer) {
+        CHECK(answer.failure().Run == Verdict::NotRun);
+        CHECK(answer.failure().Code == FailureCode::StaleFence);
+      }
+    }
+  });
+  CHECK(asked == 1);
+}
+
 TEST_CASE("A connection is reused, and a closed one replaced", "[http]") {
   HttpFixture fixture;
   fixture.serve(echo);
--- a/UnitTests/Platform/TranslationTest.cpp
+++ b/UnitTests/Platform/TranslationTest.cpp
@@ -2,6 +2,7 @@
 #include "platform/BootSettings.h"
 #include "platform/Decoding.h"
 #include "platform/EngineClient.h"
+#include "platform/ReportClient.h"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/value.hpp>
@@ -93,6 +94,48 @@
   CHECK_FALSE(got->Engine.has_value());
 }
 
+TEST_CASE("Settings say what is reported to the platform", "[platform]") {
+  CHECK_FALSE(outcomeOf<BootSettings>([] {
+                return parseBootSettings(Settings, "local.json");
+              })->Reports);
+  std::string text = Settings;
+  text.insert(text.rfind('}'),
+              R"(,"cloud_api":{"address":"10.200.0.177:8147","rate_per_s":50.0,
+      "duties":["usage_report","autoscale"],"duty_per_s":25.5})");
+  std::string bounds = R"("lease_ms": 3000)";
+  text.replace(text.find(bounds), bounds.size(),
+               R"("lease_ms": 2500, "report_window_s": 7, "usage_late_s": 9,
+      "usage_tolerance": 0.02, "strict_revoke": true, "revoke_ms": 4000)");
+  Outcome<BootSettings> got = outcomeOf<BootSettings>(
+      [&] { return parseBootSettings(text, "local.json"); });
+  REQUIRE(got);
+  REQUIRE(got->Reports);
+  CHECK(*got->Reports == ReportSettings{Address{"10.200.0.177", 8147}, true,
+                                        true, 25.5, Millis(7000), Millis(9000),
+                                        0.02, Millis(2500)});
+  CHECK(got->Access == AccessSettings{true, Millis(4000)});
+  for (const char *wrong :
+       {R"("duty_per_s":25.5)", R"("address":"10.200.0.177:8147")",
+        R"("usage_tolerance": 0.02)", R"("report_window_s": 7)"}) {
+    std::string broken = text;
+    std::string member(wrong);
+    broken.replace(broken.find(member), member.size(),
+                   member.substr(0, member.find(':')) + ":\"?\"");
+    Outcome<BootSettings> refused = outcomeOf<BootSettings>(
+        [&] { return parseBootSettings(broken, "local.json"); });
+    REQUIRE_FALSE(refused);
+    CHECK(refused.failure().Place.starts_with("local.json"));
+  }
+}
+
+TEST_CASE("Equal reports have equal bytes", "[platform]") {
+  UsageDecision what{353445120,
+                     {{CustomerName("seje681"), 3}, {CustomerName("cuka"), 1}}};
+  CHECK(encodeReport(what) ==
+        R"({"window":353445120,"counts":{"cuka":1,"seje681":3}})");
+  CHECK(encodeReport({7, {}}) == R"({"window":7,"counts":{}})");
+}
+
 TEST_CASE("A settings file that is wrong is named with its member",
           "[platform]") {
   std::string text = Settings;
--- a/UnitTests/Upstream/ForwarderTest.cpp
+++ b/UnitTests/Upstream/ForwarderTest.cpp
@@ -27,14 +27,18 @@
   std::map<ServerName, Answering> Servers;
   std::vector<std::string> Asked;
   std::vector<Millis> Deadlines;
+  /// Whose requests the servers were told they are.
+  std::set<std::string> Customers;
   /// How long a connect takes, and how many there were.
   Millis ProbeTime{1};
   int Probes = 0;
   EnginePort Port;
   std::string Target = "/desk/x";
   std::shared_ptr<Quarantine> Crashes;
+  std::shared_ptr<UsageMeter> Usage;
   std::shared_ptr<Forwarder> Forward;
   UpstreamRoute Route;
+  std::optional<Customer> By;
 
   ForwardWorld() {
     noteAnswer(View.Contact, monotonicNow());
@@ -55,6 +59,33 @@
         {Context.get_executor(), View, port, Crashes, Decisions, Counts},
         Forwarder::Settings());
   }
+  /// Lets the forwarder count requests for their customers.
+  void countUsage() {
+    UsageMeter::Settings counting;
+    counting.Self = {InstanceName("edge"), 1};
+    counting.Pace = Millis(1);
+    counting.PaceFactor = 0;
+    Usage = UsageMeter::create({Context.get_executor(), Store.port(), Decisions,
+                                Counts, WallClock::create()},
+                               counting);
+    Usage->start();
+    Forward = Forwarder::create(
+        {Context.get_executor(), View, Port, Crashes, Decisions, Counts, Usage},
+        Forwarder::Settings());
+    REQUIRE(runUntil([this] { return Usage->known(); }));
+  }
+  /// Requests of a customer that are counted, as the topic has it.
+  std::int64_t counted(const CustomerName &Of) {
+    std::int64_t sum = 0;
+    for (const std::string &it : Store.Topics[UsageTopic]) {
+      UsageRecord record = decodeUsage(it, "test").value();
+      const UsageBatch *batch = std::get_if<UsageBatch>(&record);
+      for (std::size_t i = 0; batch != nullptr && i < batch->Entries.size();
+           ++i)
+        sum += batch->Entries[i].Of == Of ? batch->Entries[i].Count : 0;
+    }
+    return sum;
+  }
   /// What one more process knows of requests that end servers.
   std::shared_ptr<Quarantine> quarantine(RecordStore At) {
     FeedParts feed{Context.get_executor(), std::move(At), Decisions, View};
@@ -89,6 +120,7 @@
     if (how != Answering::Unreachable)
       Asked.push_back(Server.Id.Text);
     Deadlines.push_back(*Options.Deadline);
+    Customers.insert(Options.Customer.Text);
     UpstreamAnswer answer;
     answer.Proof = AnswerProof::Ran;
     answer.Response.Status = how == Answering::Fails ? 500 : 200;
@@ -123,6 +155,7 @@
       what.Ask = request();
       what.Arrived = monotonicNow();
       what.Patience = Patience;
+      what.By = By;
       Outcome<UpstreamAnswer> answer =
           co_await Forward->answer(std::move(what), Route, stop);
       got.emplace(std::move(answer));
@@ -142,6 +175,43 @@
   CHECK(got->Signature == "b");
 }
 
+TEST_CASE("A request counts once for its customer, if a server began to run it",
+          "[upstream]") {
+  struct Case {
+    std::vector<Answering> Servers;
+    std::int64_t Counted;
+  };
+  const Case cases[] = {
+      {{Answering::Whole}, 1},
+      {{Answering::Full, Answering::Whole}, 1},
+      {{Answering::Full, Answering::Full}, 0},
+      {{Answering::Unreachable}, 0},
+      {{Answering::Misdirected}, 0},
+      {{Answering::Fails}, 1},
+      // It runs twice, and is one request.
+      {{Answering::Lost, Answering::Whole}, 1},
+      {{Answering::Lost, Answering::Full, Answering::Unreachable}, 1},
+  };
+  for (const Case &it : cases) {
+    ForwardWorld world;
+    world.countUsage();
+    world.By = Customer{CustomerName("anna"), std::nullopt};
+    char id = 'a';
+    for (Answering how : it.Servers)
+      world.add(std::string(1, id++), how);
+    world.ask();
+    world.Context.run_for(Millis(20));
+    CHECK(world.counted(CustomerName("anna")) == it.Counted);
+    CHECK(world.Customers == std::set<std::string>{"anna"});
+  }
+  // Nobody's request counts for nobody.
+  ForwardWorld open;
+  open.countUsage();
+  open.add("a", Answering::Whole);
+  CHECK(open.ask());
+  CHECK(open.counted(CustomerName("")) == 0);
+}
+
 TEST_CASE("A lost answer is asked for again only where that is allowed",
           "[upstream]") {
   ForwardWorld world;
--- a/Wasabi/Dispatch/DutyKeeper.cpp
+++ b/Wasabi/Dispatch/DutyKeeper.cpp
@@ -78,33 +78,18 @@
   if (!Held && mine && !Retired) {
     Held = true;
     Term = lease.Term;
-    Gained = monotonicNow();
-    Proven.reset();
-    Renewals.clear();
+    Proof = beginProof(Term, Succeeds, monotonicNow());
     Decisions->line("duty.gained", {{"term", std::to_string(Term)}});
     Calls.Gained();
   }
-  prove();
-}
-
-/// Takes up renewals of this process that the topic shows as valid.
-void DutyKeeper::prove() {
-  const LeaseState &lease = Log->fold().Lease;
-  if (!Held || lease.Term != Term || lease.Released)
-    return;
-  auto it = Renewals.find(lease.LastAt);
-  if (it == Renewals.end())
-    return;
-  Proven = it->second;
-  Renewals.erase(Renewals.begin(), std::next(it));
+  if (Held)
+    prove(Proof, lease);
 }
 
 std::optional<DutyPermit> DutyKeeper::permit() const {
-  if (!Held || Retired || !Proven)
+  if (!Held || Retired)
     return std::nullopt;
-  TimePoint from = Succeeds ? Gained + Limits.TakeoverPause : Gained;
-  // The first claim of all may lie at offset 0.
-  return DutyPermit{Term + 1, from, *Proven + Limits.HoldTime};
+  return permitOf(Proof, {Limits.HoldTime, Limits.TakeoverPause});
 }
 
 asio::awaitable<void> DutyKeeper::claim() {
@@ -136,9 +121,9 @@
   FencingToken term = Term;
   TimePoint sent = LastRenewal;
   Outcome<Offset> got = co_await Log->append(std::move(records));
-  if (got && term == Term)
-    Renewals[*got] = sent;
-  prove();
+  if (got && Held && term == Term)
+    noteRenewal(Proof, *got, sent);
+  look();
   if (!got)
     Decisions->line(
         "duty.renewal_failed",
--- a/Wasabi/Dispatch/DutyKeeper.h
+++ b/Wasabi/Dispatch/DutyKeeper.h
@@ -5,27 +5,15 @@
 #define WASABI_DISPATCH_DUTYKEEPER_H
 
 #include "Wasabi/Batch/RolloutLog.h"
+#include "Wasabi/Dispatch/DutyPermit.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <random>
 
 namespace wasabi {
 
-/// When calls may be made that nothing but the lease guards: whoever takes them
-/// checks no fencing token. An immutable value.
-struct DutyPermit {
-  /// Greater than those of all holders before, and never 0.
-  FencingToken Token = 0;
-  /// Not before this: calls of the holder before may be on their way.
-  TimePoint From;
-  /// Not after this: another process may hold the lease then.
-  TimePoint Until;
-  bool operator==(const DutyPermit &) const = default;
-};
-
 /// How long the lease holds.
 struct DutySettings {
   LeaseHolder Self;
@@ -37,8 +25,7 @@
   Millis RenewEvery{400};
   /// Spread of claims after an expiry, so that not all claim at once.
   Millis ClaimSpread{200};
-  /// How long calls under the lease of a holder before may still arrive, and
-  /// how far apart two holders' calls must be.
+  /// See `PermitSettings`.
   Millis TakeoverPause{3000};
   /// This process waits longer by this before it claims, so that a stronger
   /// instance comes first: the holder's work grows with the whole deployment.
@@ -77,10 +64,7 @@
   bool held() const { return Held; }
 
   /// When calls may be made that nothing but the lease guards; empty if this
-  /// process does not hold it, or has not proved so. `Until` is reckoned from
-  /// when the newest renewal was sent that this process has read in the topic:
-  /// the others read it later and wait for `HoldTime` from then. A renewal that
-  /// was only answered proves nothing, since a claim may lie before it.
+  /// process does not hold it, or has not proved so.
   std::optional<DutyPermit> permit() const;
 
 private:
@@ -92,7 +76,6 @@
   boost::asio::awaitable<void> claim();
   boost::asio::awaitable<void> renew();
   void look();
-  void prove();
   bool mayClaim();
   Millis drawSpread();
 
@@ -108,13 +91,9 @@
   bool Held = false;
   FencingToken Term = 0;
   TimePoint LastRenewal;
-  /// When a renewal was sent, by its offset; those that were not read yet.
-  std::map<Offset, TimePoint> Renewals;
-  /// When the newest renewal under `Term` was sent that the topic shows.
-  std::optional<TimePoint> Proven;
+  DutyProof Proof;
   /// Whether there was a holder before this process claimed the lease.
   bool Succeeds = true;
-  TimePoint Gained;
   /// Since when the lease has been seen to be free; empty while it is not.
   std::optional<TimePoint> FreeSince;
 };
--- a/Wasabi/Usage/UsageFold.cpp
+++ b/Wasabi/Usage/UsageFold.cpp
@@ -73,6 +73,17 @@
   return next == Fold.Sources.end() || next->first.Instance != Source.Instance;
 }
 
+/// Whether so many processes of those that count make no difference.
+bool isFew(const UsageFold &Fold, std::size_t Missing, TimePoint Now,
+           const UsageSettings &Limits) {
+  std::size_t all = 0;
+  for (const auto &[source, state] : Fold.Sources)
+    all += counts(Fold, source, state, Now, Limits) ? 1 : 0;
+  constexpr double Margin = 2;
+  return static_cast<double>(Missing) * Margin <=
+         static_cast<double>(all) * Limits.Tolerance;
+}
+
 } // namespace
 
 void apply(UsageFold &Fold, Offset At, const UsageRecord &What,
@@ -145,8 +156,11 @@
   WallTime end = endOf(window, Limits.Window);
   if (TrueNow < end + Limits.Settle)
     return std::nullopt;
-  bool latest = TrueNow >= end + Limits.Due - Limits.DueMargin;
-  if (!latest && !missingFrom(Fold, window, Now, Limits).empty())
+  std::size_t missing = missingFrom(Fold, window, Now, Limits).size();
+  Millis patience = Limits.Due - Limits.DueMargin;
+  if (isFew(Fold, missing, Now, Limits))
+    patience = std::min(patience, Limits.FewMissing);
+  if (missing > 0 && TrueNow < end + patience)
     return std::nullopt;
   return window;
 }
--- a/Wasabi/Usage/UsageFold.h
+++ b/Wasabi/Usage/UsageFold.h
@@ -25,9 +25,16 @@
   /// in its last moments may yet prove not to have run, for which a server that
   /// refuses connections takes 0.3 s.
   Millis Settle{1000};
+  /// Part of a window's requests by which its report may be off.
+  double Tolerance = 0.05;
+  /// Where half of `Tolerance` at most can be missing, as far as processes
+  /// count alike, a window waits this long only: what a single process may yet
+  /// bring is not worth the risk that the store or the reporter is gone when
+  /// the report is due.
+  Millis FewMissing{2500};
   /// A process that has written nothing for this long is gone: it writes once a
   /// window at least.
-  Millis SilentAfter{12000};
+  Millis SilentAfter{30000};
   /// Ended processes are kept this long, so that a batch of theirs that comes a
   /// second time is known; records of the store expire then.
   Millis KeepEnded{300000};
@@ -102,7 +109,7 @@
 
 /// The window that can be decided at a true time, as far as it is known; empty
 /// if none can. It is the first undecided one, once all processes that count
-/// have told what they counted in it, or it can wait for them no longer.
+/// have told what they counted in it, or it should wait for them no longer.
 std::optional<UsageWindow> windowDue(const UsageFold &Fold, WallTime TrueNow,
                                      TimePoint Now,
                                      const UsageSettings &Limits);
--- a/Wasabi/Usage/UsageMeter.cpp
+++ b/Wasabi/Usage/UsageMeter.cpp
@@ -12,6 +12,7 @@
 
 UsageMeter::UsageMeter(Parts With, Settings Limits)
     : Limits(std::move(Limits)), With(std::move(With)),
+      Allowed(this->Limits.Burst), Pause(this->Limits.Pace),
       Wake(this->With.Executor) {
   std::mt19937_64 random(this->Limits.Self.Life);
   Spread = Millis(static_cast<std::int64_t>(
@@ -89,15 +90,16 @@
 }
 
 asio::awaitable<void> UsageMeter::writeLoop() {
-  // All processes start at once, and the store has more urgent calls then.
-  co_await pauseFor(With.Executor, Spread);
   while (!Left) {
     TimePoint now = monotonicNow();
+    refill(now);
     if (!due())
       co_await Wake.wait(nextLook());
     else if (now < NotBefore)
       co_await pauseFor(With.Executor,
                         std::chrono::ceil<Millis>(NotBefore - now));
+    else if (Allowed < 1)
+      co_await pauseFor(With.Executor, Pause);
     else
       co_await writeBatch();
   }
@@ -105,10 +107,18 @@
   Wake.notify();
 }
 
+void UsageMeter::refill(TimePoint Now) {
+  double pauses = std::chrono::duration<double>(Now - Refilled) /
+                  std::chrono::duration<double>(Pause);
+  Allowed = std::min(Limits.Burst, Allowed + pauses);
+  Refilled = Now;
+}
+
 /// Writes one batch; true if the topic holds it. One of unknown outcome is
 /// written again under its number, so that it counts once.
 asio::awaitable<bool> UsageMeter::writeBatch() {
   TimePoint sent = monotonicNow();
+  Allowed -= 1;
   if (!Sending)
     Sending = std::min(Waiting.size(), Limits.BatchEntries);
   bool all = *Sending == Waiting.size();
@@ -147,9 +157,8 @@
   Sending.reset();
   ++Sequence;
   Written = batch.Through;
-  auto pause =
-      std::chrono::duration_cast<Millis>((now - sent) * Limits.PaceFactor);
-  NotBefore = sent + std::max(Limits.Pace, pause);
+  Pause = std::max(Limits.Pace, std::chrono::duration_cast<Millis>(
+                                    (now - sent) * Limits.PaceFactor));
   co_return true;
 }
 
--- a/Wasabi/Usage/UsageMeter.h
+++ b/Wasabi/Usage/UsageMeter.h
@@ -35,11 +35,14 @@
     UsageSettings Windows;
     /// How long an append may take before its outcome is unknown.
     Millis AppendTimeout{1200};
-    /// Least pause between two appends of this process.
+    /// Appends that may follow each other without a pause: what waits for one
+    /// is lost if the process is killed meanwhile.
+    double Burst = 8;
+    /// Least pause between two appends in the long run.
     Millis Pace{50};
-    /// The pause is this many times what the last append took, if that is more:
-    /// hundreds of processes share one partition, which takes 500 appends a
-    /// second, and what they gather meanwhile costs them nothing.
+    /// That pause is this many times what the last append took, if that is
+    /// more: hundreds of processes share one partition, which takes 500 appends
+    /// a second, and what they gather meanwhile costs them nothing.
     double PaceFactor = 25;
     /// Pause after an append that failed.
     Millis RetryPause{200};
@@ -67,6 +70,9 @@
 
   /// Begins to write, for as long as the context runs.
   void start();
+  /// Whether the topic knows that this process counts: windows wait for it from
+  /// then on.
+  bool known() const { return Sequence > 1; }
   /// Writes what is counted, says that no more will be, and ends; gives up at
   /// `Until`.
   boost::asio::awaitable<void> leave(TimePoint Until);
@@ -86,6 +92,7 @@
   TimePoint nextLook() const;
   boost::asio::awaitable<void> writeLoop();
   boost::asio::awaitable<bool> writeBatch();
+  void refill(TimePoint Now);
 
   const Settings Limits;
   const Parts With;
@@ -96,6 +103,10 @@
   std::uint64_t Sequence = 1;
   /// Through when the topic holds all that was counted.
   WallTime Written;
+  /// Appends that may be made now; one more comes each `Pause`.
+  double Allowed;
+  Millis Pause;
+  TimePoint Refilled;
   TimePoint NotBefore;
   /// This process's part of `EndSpread`.
   Millis Spread{0};
