Customers' priorities decide who waits, who is refused and whose job runs first

Cause: no priority decided anything for plain requests: when all servers of a service were full, whoever came was refused at once.

Change: the edge has a gate per service (the daemon's Admission, moved to Wasabi/Routing/AdmissionGate): it bounds nothing until servers refuse, then requests wait up to half of their time, by priority and customer. The customer's priority goes before the route's there and among the items of jobs. Customers share alike but for one that is served less than half as often as all.

--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -361,6 +361,34 @@
   CHECK_FALSE(world.Engines.Resumed.empty());
 }
 
+TEST_CASE("The jobs of a more urgent customer run first, whatever their route "
+          "says",
+          "[dispatch]") {
+  DispatchWorld world;
+  std::shared_ptr<RouteTable> routes =
+      std::make_shared<RouteTable>(*world.View.Routes);
+  routes->Customers =
+      CustomerTable::create({{Customer{CustomerName("anna"), 7}, {}},
+                             {Customer{CustomerName("bert"), 0}, {}}});
+  world.View.Routes = routes;
+  // Both wait until the engines answer again, and cannot all run at once.
+  for (const char *id : {"e1", "e2"})
+    world.server(id).Refuses = true;
+  BatchJob first = makeJob("a", 20);
+  first.Id.Customer = CustomerName("anna");
+  BatchJob urgent = makeJob("b", 4);
+  urgent.Id.Customer = CustomerName("bert");
+  world.submit(first);
+  world.submit(urgent);
+  world.Context.run_for(Millis(60));
+  for (const char *id : {"e1", "e2"}) {
+    world.server(id).Runs.clear();
+    world.server(id).Refuses = false;
+  }
+  REQUIRE(world.finishes(urgent));
+  CHECK(world.results(first).size() < 20);
+}
+
 TEST_CASE("A text is carried over to jobs of its own customer only",
           "[dispatch]") {
   DispatchWorld world;
--- a/Wasabi/Adapters/Proxy/DaemonProxy.cpp
+++ b/Wasabi/Adapters/Proxy/DaemonProxy.cpp
@@ -5,8 +5,8 @@
 #include "Wasabi/Adapters/Proxy/Forwarding.h"
 #include "Wasabi/Adapters/Proxy/KeyWitnesses.h"
 #include "Wasabi/Adapters/Proxy/ProxyHeaders.h"
-#include "Wasabi/Adapters/Proxy/ServerGate.h"
 #include "Wasabi/Core/BootTimer.h"
+#include "Wasabi/Routing/AdmissionGate.h"
 #include "Wasabi/Weights/OrderGuard.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -46,7 +46,7 @@
         Gate(Executor, this->Setup.Server.Text, Limits) {}
 
   const UpstreamServer Setup;
-  ServerGate Gate;
+  AdmissionGate Gate;
   /// Engines only: what they said last, and how many looks failed since.
   bool Engine = false;
   std::optional<EngineState> State;
@@ -334,7 +334,8 @@
     Upstream &at = *What.At;
     What.Sink->onGone([&at, id = What.Id] { at.Gate.wake(id); });
     AdmissionAsk ask = askOf(What);
-    Outcome<Done> entered = co_await at.Gate.enter(ask, What.Sink);
+    std::function<bool()> gone = [sink = What.Sink] { return sink->gone(); };
+    Outcome<Done> entered = co_await at.Gate.enter(ask, std::move(gone));
     if (!entered) {
       refuse(What, entered.failure());
       co_return;
@@ -487,7 +488,8 @@
     What.KeyProved = true;
     What.Sink->onGone([&at, id = What.Id] { at.Gate.wake(id); });
     AdmissionAsk ask = askOf(What);
-    Outcome<Done> entered = co_await at.Gate.enter(ask, What.Sink);
+    std::function<bool()> gone = [sink = What.Sink] { return sink->gone(); };
+    Outcome<Done> entered = co_await at.Gate.enter(ask, std::move(gone));
     if (!entered) {
       refuse(What, entered.failure());
       co_await Witnesses->release(recordOf(What), What.Reserved);
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -189,6 +189,17 @@
   return Work.Found.Route;
 }
 
+/// The priority of its job's customer before that of its route.
+std::uint32_t Dispatcher::priorityOf(const ItemWork &Work,
+                                     const UpstreamRoute &Route) const {
+  const CustomerName &by = Work.Job->Job.Id.Customer;
+  if (by.empty() || !View.Routes || !View.Routes->Customers)
+    return Route.Priority;
+  const Customer *customer = View.Routes->Customers->find(by);
+  return customer != nullptr ? wasabi::priorityOf(*customer, Route.Priority)
+                             : Route.Priority;
+}
+
 bool Dispatcher::singleVersion(const ItemWork &Work) const {
   const UpstreamRoute *route = routeOf(Work);
   return route != nullptr && route->SingleVersion;
@@ -320,8 +331,8 @@
     bool overdue = now - it->Job->Seen > route->ResultDeadline;
     double expected = it->Item.ExpectedTokens > 0 ? it->Item.ExpectedTokens
                                                   : Limits.UnknownTokens;
-    waiting.emplace_back(Rank{overdue, route->Priority, it->Job->At, -expected},
-                         it);
+    waiting.emplace_back(
+        Rank{overdue, priorityOf(*it, *route), it->Job->At, -expected}, it);
   }
   std::sort(waiting.begin(), waiting.end(),
             [](const auto &L, const auto &R) { return L.first < R.first; });
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -250,6 +250,8 @@
   boost::asio::awaitable<void> commitLoop();
   boost::asio::awaitable<Outcome<Done>> commitSome();
   const UpstreamRoute *routeOf(const ItemWork &Work) const;
+  std::uint32_t priorityOf(const ItemWork &Work,
+                           const UpstreamRoute &Route) const;
   http::Request askOf(const ItemWork &Work) const;
 
   // Engines.
--- a/Wasabi/Adapters/Proxy/ServerGate.cpp
+++ b/Wasabi/Routing/AdmissionGate.cpp
@@ -1,4 +1,4 @@
-#include "Wasabi/Adapters/Proxy/ServerGate.h"
+#include "Wasabi/Routing/AdmissionGate.h"
 #include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -13,22 +13,22 @@
 
 } // namespace
 
-struct ServerGate::Waiter {
+struct AdmissionGate::Waiter {
   explicit Waiter(const asio::any_io_executor &Executor) : Changed(Executor) {}
   BootTimer Changed;
   bool Started = false;
   std::optional<Failure> Refused;
 };
 
-ServerGate::ServerGate(asio::any_io_executor Executor, std::string Server,
-                       Admission::Settings Setup)
+AdmissionGate::AdmissionGate(asio::any_io_executor Executor, std::string Name,
+                             Admission::Settings Setup)
     : Executor(std::move(Executor)),
-      Rules(std::move(Server), Setup, monotonicNow()) {}
+      Rules(std::move(Name), Setup, monotonicNow()) {}
 
-ServerGate::~ServerGate() = default;
+AdmissionGate::~AdmissionGate() = default;
 
 asio::awaitable<Outcome<Done>>
-ServerGate::enter(AdmissionAsk Ask, std::shared_ptr<AnswerSink> For) {
+AdmissionGate::enter(AdmissionAsk Ask, std::function<bool()> Gone) {
   const std::uint64_t id = Ask.Id;
   const TimePoint until = Ask.Until;
   AdmissionChange change = Rules.offer(std::move(Ask), monotonicNow());
@@ -40,7 +40,7 @@
   std::shared_ptr<Waiter> waiter = std::make_shared<Waiter>(Executor);
   Waiters.emplace(id, waiter);
   apply(change);
-  while (!waiter->Started && !waiter->Refused && !For->gone()) {
+  while (!waiter->Started && !waiter->Refused && !Gone()) {
     waiter->Changed.expires_at(until);
     co_await waiter->Changed.async_wait(Awaited);
     if (monotonicNow() >= until)
@@ -59,7 +59,7 @@
                     {}};
 }
 
-void ServerGate::apply(const AdmissionChange &Change) {
+void AdmissionGate::apply(const AdmissionChange &Change) {
   for (std::uint64_t it : Change.Started) {
     std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>>::iterator found =
         Waiters.find(it);
@@ -78,32 +78,43 @@
   }
 }
 
-void ServerGate::wake(std::uint64_t Id) {
+void AdmissionGate::wake(std::uint64_t Id) {
   std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>>::iterator it =
       Waiters.find(Id);
   if (it != Waiters.end())
     it->second->Changed.cancel();
 }
 
-void ServerGate::finish(std::uint64_t Id) {
+void AdmissionGate::finish(std::uint64_t Id) {
   apply(Rules.finish(Id, monotonicNow()));
 }
 
-void ServerGate::abandon(std::uint64_t Id, bool Overloaded) {
+void AdmissionGate::abandon(std::uint64_t Id, bool Overloaded) {
+  Waiters.erase(Id);
   apply(Rules.abandon(Id, Overloaded, monotonicNow()));
 }
 
-void ServerGate::tick() { apply(Rules.tick(monotonicNow())); }
+void AdmissionPass::finish() {
+  Ended = true;
+  In->finish(Id);
+}
+
+void AdmissionPass::leave(bool Overloaded) {
+  if (!Ended)
+    In->abandon(Id, Overloaded);
+}
+
+void AdmissionGate::tick() { apply(Rules.tick(monotonicNow())); }
 
-void ServerGate::setRolloutPercent(std::uint32_t Percent) {
+void AdmissionGate::setRolloutPercent(std::uint32_t Percent) {
   apply(Rules.setRolloutPercent(Percent, monotonicNow()));
 }
 
-void ServerGate::setSlots(std::uint32_t Slots) {
+void AdmissionGate::setSlots(std::uint32_t Slots) {
   apply(Rules.setSlots(Slots, monotonicNow()));
 }
 
-void ServerGate::holdRollouts(bool Held) {
+void AdmissionGate::holdRollouts(bool Held) {
   apply(Rules.holdRollouts(Held, monotonicNow()));
 }
 
--- a/Wasabi/Routing/ConcurrencyLimit.cpp
+++ b/Wasabi/Routing/ConcurrencyLimit.cpp
@@ -131,6 +131,8 @@
       Now - Limit.WindowBegan < Limit.Limits.Window && Limit.WindowSamples == 0;
   if (again)
     return Limit;
+  if (Limit.Limits.FromRunning)
+    Limit.Limit = std::min(Limit.Limit, static_cast<double>(Limit.Running));
   Limit.Limit *= Limit.Limits.Decrease;
   clamp(Limit);
   return freshWindow(Limit, Now);
--- a/Wasabi/Routing/ConcurrencyLimit.h
+++ b/Wasabi/Routing/ConcurrencyLimit.h
@@ -34,6 +34,9 @@
     double Tolerance = 2.0;
     /// Factor of a decrease.
     double Decrease = 0.9;
+    /// Whether a refusal for overload lowers the limit from what runs, if that
+    /// is less: for a limit that is far above what runs as long as all is well.
+    bool FromRunning = false;
     /// Samples are judged together over at least this long.
     Millis Window{100};
     /// and at least this many of them.
--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -1,6 +1,7 @@
 #include "Wasabi/Upstream/Forwarder.h"
 
 #include "Wasabi/Core/AsyncSignal.h"
+#include "Wasabi/Upstream/ForwardProgress.h"
 
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
@@ -20,19 +21,11 @@
 constexpr unsigned GatewayTimeout = 504;
 constexpr unsigned FirstServerError = 500;
 
-/// Answers are sent this long before the route's timeout is up, so that they
-/// arrive within it.
-constexpr Millis AnswerMargin{30};
-
 double millisSince(TimePoint Start) {
   return std::chrono::duration<double, std::milli>(monotonicNow() - Start)
       .count();
 }
 
-Millis until(TimePoint When) {
-  return std::chrono::duration_cast<Millis>(When - monotonicNow());
-}
-
 std::string errorBody(std::string_view Reason) {
   boost::json::value body = {{"error", Reason}};
   return boost::json::serialize(body);
@@ -46,11 +39,6 @@
                  {}};
 }
 
-bool mayRepeat(const UpstreamRoute &Route) {
-  return Route.Kind != RouteKind::NonIdempotent &&
-         (Route.Kind != RouteKind::Streaming || Route.Resumable);
-}
-
 } // namespace
 
 http::Response refusal(std::string_view Reason, Millis RetryAfter) {
@@ -67,43 +55,6 @@
   return http::jsonResponse(Status, errorBody(Reason));
 }
 
-struct Forwarder::Progress {
-  ForwardRequest What;
-  UpstreamRoute Route;
-  ServiceName Service;
-  TimePoint Deadline;
-  std::set<ServerIncarnation> Tried;
-  /// Tries that may have run.
-  std::uint32_t Runs = 0;
-  /// Tries that certainly did not.
-  std::uint32_t Unrun = 0;
-  std::shared_ptr<UpstreamServer> Server;
-  std::shared_ptr<GuardedRequest> Guard;
-  /// How it was counted as running, once; empty while it is not.
-  std::optional<UsageEntry> Counted;
-
-  Progress(ForwardRequest What, UpstreamRoute Route, ServiceName Service)
-      : What(std::move(What)), Route(std::move(Route)),
-        Service(std::move(Service)) {
-    Millis patience = this->What.Patience.value_or(this->Route.Timeout);
-    Deadline = this->What.Arrived + std::min(patience, this->Route.Timeout) -
-               AnswerMargin;
-    Guard = std::make_shared<GuardedRequest>(
-        GuardedRequest{digestOf(this->What.Ask, customer()), this->What.Id});
-  }
-
-  /// Whose request it is; empty for nobody's.
-  CustomerName customer() const {
-    return What.By ? What.By->Name : CustomerName();
-  }
-
-  bool mayTry(const Settings &Limits) const {
-    return Runs < std::max<std::uint32_t>(Route.MaxAttempts, 1) &&
-           Unrun < Limits.MaxUnrun && monotonicNow() < Deadline &&
-           (Runs == 0 || mayRepeat(Route));
-  }
-};
-
 Forwarder::Forwarder(Parts With, Settings Limits)
     : Limits(Limits), Executor(std::move(With.Executor)), View(With.View),
       Engines(std::move(With.Engines)), Crashes(std::move(With.Crashes)),
@@ -153,8 +104,8 @@
 }
 
 Millis Forwarder::tryTime(const Progress &Of) const {
-  Millis left = until(Of.Deadline);
-  bool last = Of.Runs + 1 >= Of.Route.MaxAttempts || !mayRepeat(Of.Route);
+  Millis left = Of.left();
+  bool last = Of.Runs + 1 >= Of.Route.MaxAttempts || !Of.mayRepeat();
   if (last)
     return left;
   Millis share = std::chrono::duration_cast<Millis>(left * Limits.TryShare);
@@ -187,7 +138,7 @@
 Forwarder::tryOnce(Progress &Of, asio::cancellation_signal &Stop) {
   std::shared_ptr<UpstreamServer> server = Of.Server;
   SendOptions options;
-  options.Deadline = until(Of.Deadline);
+  options.Deadline = Of.left();
   options.RequestId = Of.What.Id;
   options.Customer = Of.customer();
   TimePoint began = monotonicNow();
@@ -207,8 +158,11 @@
   ++(unrun ? Of.Unrun : Of.Runs);
   withdraw(Of);
   Of.Tried.insert(server->Entry.incarnation());
-  if (*got && (*got)->Response.Status == MisdirectedStatus)
+  bool elsewhere = *got && (*got)->Response.Status == MisdirectedStatus;
+  if (elsewhere)
     server->Replaced = true;
+  if (*got && unrun && !elsewhere)
+    Of.Refused = true;
   if (*got && (*got)->Proof == AnswerProof::Ran)
     noteSuccess(View.Servers, *server, millisSince(began));
   else if (!*got || (*got)->Proof == AnswerProof::Nothing)
@@ -250,62 +204,168 @@
   co_return done.has_value();
 }
 
-asio::awaitable<Outcome<UpstreamAnswer>>
-Forwarder::answer(ForwardRequest What, UpstreamRoute Route,
-                  asio::cancellation_signal &Stop) {
-  std::shared_ptr<Forwarder> self = shared_from_this();
-  ServiceName service =
-      pickService(Route, std::uniform_real_distribution<>()(Random));
-  Progress at(std::move(What), std::move(Route), std::move(service));
-  std::optional<UpstreamAnswer> failing;
-  Failure why{Verdict::NotRun, FailureCode::NoUpstream, at.Service.Text,
-              "no server of the service is there", Limits.RetryAfter};
-  while (at.mayTry(Limits)) {
-    if (std::optional<Failure> refused = quarantined(at)) {
-      why = *refused;
+/// The gate of a service: how many requests of this process are there at once,
+/// and who is next when its servers refuse some.
+Forwarder::ServiceAdmission &Forwarder::admissionTo(const ServiceName &Of) {
+  ServiceAdmission &to = Admissions[Of];
+  if (!to.Gate) {
+    Admission::Settings setup;
+    setup.Concurrency = Limits.Concurrency;
+    to.Gate = std::make_shared<AdmissionGate>(Executor, Of.Text, setup);
+  }
+  return to;
+}
+
+AdmissionAsk Forwarder::admissionAsk(const Progress &Of, std::uint64_t Id) {
+  // Between two priorities there is room for customers that are behind.
+  constexpr std::int32_t Step = 2;
+  AdmissionAsk ask;
+  ask.Id = Id;
+  ask.Priority = -Step * static_cast<std::int32_t>(
+                             priorityOf(Of.What.By, Of.Route.Priority));
+  if (isBehind(admissionTo(Of.Service).Shares, Of.customer()))
+    ++ask.Priority;
+  // Requests that are nobody's share as one customer's.
+  ask.Flow = Of.customer().Text;
+  ask.Until =
+      Of.What.Arrived + std::chrono::duration_cast<Micros>(
+                            (Of.Deadline - Of.What.Arrived) * Limits.WaitShare);
+  return ask;
+}
+
+/// The pause of a request that all servers were too full for: the more urgent
+/// asks again sooner, and takes the place that has come free.
+Millis Forwarder::fullPause(const Progress &Of) const {
+  constexpr std::uint32_t MostPriority = 9;
+  std::uint32_t priority = priorityOf(Of.What.By, Of.Route.Priority);
+  return Limits.FullPause * (1 + std::min(priority, MostPriority));
+}
+
+/// Sends a request to one server after the other until one answers it.
+asio::awaitable<Forwarder::Round>
+Forwarder::tryServers(Progress &Of, asio::cancellation_signal &Stop) {
+  Round round;
+  round.Why = Failure{Verdict::NotRun, FailureCode::NoUpstream, Of.Service.Text,
+                      "no server of the service is there", Limits.RetryAfter};
+  while (Of.mayTry(Limits)) {
+    if (std::optional<Failure> refused = quarantined(Of)) {
+      round.Why = *refused;
       break;
     }
-    at.Server = nextServer(at);
-    if (!at.Server)
+    Of.Server = nextServer(Of);
+    if (!Of.Server)
       break;
-    std::optional<Outcome<UpstreamAnswer>> got = co_await tryOnce(at, Stop);
+    std::optional<Outcome<UpstreamAnswer>> got = co_await tryOnce(Of, Stop);
     if (!got) {
-      note(at, "caller_left", 0);
-      co_return callerLeft();
+      round.CallerLeft = true;
+      break;
     }
     if (!*got) {
-      why = got->failure();
+      round.Why = got->failure();
       continue;
     }
     if ((*got)->Proof == AnswerProof::Ran) {
-      if ((*got)->Response.Status < FirstServerError) {
-        note(at, "answered", (*got)->Response.Status);
-        co_return std::move(**got);
-      }
-      failing = std::move(**got);
+      bool failed = (*got)->Response.Status >= FirstServerError;
+      round.Answer = std::move(**got);
+      if (!failed)
+        break;
       continue;
     }
     bool unrun = (*got)->Proof == AnswerProof::NotRun;
-    why = Failure{unrun ? Verdict::NotRun : Verdict::MayHaveRun,
-                  unrun ? FailureCode::Overloaded : FailureCode::ConnectionLost,
-                  at.Server->Entry.Id.Text,
-                  unrun ? "the server took no more work"
-                        : "no whole answer to this request",
-                  Limits.RetryAfter};
+    round.Why =
+        Failure{unrun ? Verdict::NotRun : Verdict::MayHaveRun,
+                unrun ? FailureCode::Overloaded : FailureCode::ConnectionLost,
+                Of.Server->Entry.Id.Text,
+                unrun ? "the server took no more work"
+                      : "no whole answer to this request",
+                Limits.RetryAfter};
   }
-  if (failing) {
-    note(at, "server_error", failing->Response.Status);
-    co_return std::move(*failing);
+  if (!round.Answer && Of.foundFull())
+    round.Why.Code = FailureCode::Overloaded;
+  co_return round;
+}
+
+asio::awaitable<Outcome<UpstreamAnswer>>
+Forwarder::answer(ForwardRequest What, UpstreamRoute Route,
+                  asio::cancellation_signal &Stop) {
+  std::shared_ptr<Forwarder> self = shared_from_this();
+  ServiceName service =
+      pickService(Route, std::uniform_real_distribution<>()(Random));
+  Progress at(std::move(What), std::move(Route), std::move(service));
+  for (;;) {
+    AdmissionPass pass(admissionTo(at.Service).Gate, ++Asks);
+    std::optional<Outcome<Done>> entered = co_await enter(at, pass, Stop);
+    if (entered && !*entered) {
+      noteServed(at, false);
+      note(at, "refused", 0);
+      co_return entered->failure();
+    }
+    Round round;
+    round.CallerLeft = !entered;
+    if (entered)
+      round = co_await tryServers(at, Stop);
+    if (round.CallerLeft) {
+      note(at, "caller_left", 0);
+      co_return callerLeft();
+    }
+    if (round.Answer) {
+      pass.finish();
+      noteServed(at, true);
+      unsigned status = round.Answer->Response.Status;
+      note(at, status < FirstServerError ? "answered" : "server_error", status);
+      co_return std::move(*round.Answer);
+    }
+    bool full = at.foundFull();
+    pass.leave(full);
+    if (!full || !mayWait(at)) {
+      noteServed(at, false);
+      co_return failed(at, std::move(round.Why));
+    }
+    std::optional<Done> paused =
+        co_await cancellable(Executor, pause(fullPause(at)), Stop);
+    if (!paused) {
+      note(at, "caller_left", 0);
+      co_return callerLeft();
+    }
+    at.askAnew();
   }
-  if (at.Runs > 0)
-    why.Run = Verdict::MayHaveRun;
-  if (monotonicNow() >= at.Deadline && why.Code != FailureCode::Quarantined)
-    why.Code = FailureCode::TimedOut;
-  note(at, toText(why.Code), 0);
-  co_return why;
 }
 
-namespace {
+/// Whether a request that all servers were too full for may ask again: its
+/// caller has time enough left to come back elsewhere if that is in vain, too.
+bool Forwarder::mayWait(const Progress &Of) {
+  return monotonicNow() + fullPause(Of) < admissionAsk(Of, 0).Until;
+}
+
+void Forwarder::noteServed(const Progress &Of, bool Served) {
+  noteEnd(admissionTo(Of.Service).Shares, Of.customer(), Served,
+          monotonicNow());
+}
+
+asio::awaitable<Done> Forwarder::pause(Millis For) const {
+  co_await pauseFor(Executor, For);
+  co_return Done{};
+}
+
+/// Waits until the request may be sent; empty if its caller has left.
+asio::awaitable<std::optional<Outcome<Done>>>
+Forwarder::enter(const Progress &Of, AdmissionPass &With,
+                 asio::cancellation_signal &Stop) {
+  AdmissionAsk ask = admissionAsk(Of, With.id());
+  std::function<bool()> stays = [] { return false; };
+  co_return co_await cancellable(
+      Executor, With.gate().enter(std::move(ask), std::move(stays)), Stop);
+}
+
+/// What the caller of a request that no server has answered is told.
+Failure Forwarder::failed(const Progress &Of, Failure Why) {
+  if (Of.Runs > 0)
+    Why.Run = Verdict::MayHaveRun;
+  if (monotonicNow() >= Of.Deadline && Why.Code != FailureCode::Quarantined)
+    Why.Code = FailureCode::TimedOut;
+  note(Of, toText(Why.Code), 0);
+  return Why;
+}
 
 http::Response answerOf(const Failure &Why, Millis RetryAfter) {
   if (Why.Run == Verdict::NotRun)
@@ -314,8 +374,6 @@
   return failureAnswer(late ? GatewayTimeout : BadGateway, Why.Reason);
 }
 
-} // namespace
-
 asio::awaitable<void> Forwarder::forward(ForwardRequest What,
                                          UpstreamRoute Route,
                                          std::shared_ptr<http::Responder> Out) {
@@ -333,137 +391,4 @@
     co_await Out->send(answerOf(got.failure(), Limits.RetryAfter));
 }
 
-//===--- Streams ----------------------------------------------------------===//
-
-asio::awaitable<std::unique_ptr<EngineStream>>
-Forwarder::openStream(Progress &Of, std::optional<std::uint64_t> After,
-                      asio::cancellation_signal &Stop) {
-  while (Of.mayTry(Limits) && !quarantined(Of)) {
-    Of.Server = nextServer(Of);
-    if (!Of.Server)
-      break;
-    std::shared_ptr<UpstreamServer> server = Of.Server;
-    SendOptions options;
-    options.Deadline = until(Of.Deadline);
-    options.RequestId = Of.What.Id;
-    options.Customer = Of.customer();
-    options.ResumeAfter = After;
-    std::unique_ptr<Quarantine::SuspectRun> suspect =
-        Crashes->beginRun(Of.Guard->Digest, server->Entry.incarnation());
-    ++server->InFlight;
-    std::optional<Outcome<std::unique_ptr<EngineStream>>> got =
-        co_await cancellable(
-            Executor,
-            Engines.Open(server->Entry, Of.What.Ask, options, tryTime(Of)),
-            Stop);
-    --server->InFlight;
-    if (!got)
-      break;
-    Of.Tried.insert(server->Entry.incarnation());
-    if (*got && (**got)->head().Proof == AnswerProof::Ran) {
-      ++Of.Runs;
-      co_return std::move(**got);
-    }
-    bool unrun = *got ? (**got)->head().Proof == AnswerProof::NotRun
-                      : got->failure().Run == Verdict::NotRun;
-    ++(unrun ? Of.Unrun : Of.Runs);
-    if (*got && (**got)->head().Response.Status == MisdirectedStatus)
-      server->Replaced = true;
-    if (!unrun)
-      wasabi::noteFailure(View.Servers, *server, monotonicNow());
-    bool stays = true;
-    if (!*got)
-      stays = co_await lookAtEnd(Of, got->failure(), Stop);
-    if (!stays)
-      break;
-  }
-  co_return nullptr;
-}
-
-asio::awaitable<bool> Forwarder::passEvents(Progress &Of, EngineStream &From,
-                                            std::uint64_t &Last,
-                                            http::Responder &Out) {
-  TimePoint began = monotonicNow();
-  std::uint64_t before = Last;
-  while (!Out.gone()) {
-    Outcome<std::optional<EngineEvent>> event =
-        co_await From.next(until(Of.Deadline));
-    if (!event) {
-      // A stream that isn't resumed begins anew each time.
-      bool progress = Of.Route.Resumable && Last > before;
-      bool lost = event.failure().Code == FailureCode::ConnectionLost;
-      if (lost && Crashes->suspicious(began, progress))
-        co_await Crashes->connectionLost(Of.Guard, Of.Server);
-      co_return false;
-    }
-    if (!*event) {
-      Crashes->answered(*Of.Guard);
-      co_return true;
-    }
-    // Tokens are what a stream's customer pays for: it runs with the first.
-    count(Of);
-    Last = (*event)->Id;
-    Outcome<Done> sent = co_await Out.write(std::move((*event)->Raw));
-    if (!sent)
-      co_return true;
-  }
-  co_return true;
-}
-
-asio::awaitable<void> Forwarder::relay(ForwardRequest What, UpstreamRoute Route,
-                                       std::shared_ptr<http::Responder> Out) {
-  constexpr unsigned Ok = 200;
-  std::shared_ptr<Forwarder> self = shared_from_this();
-  asio::cancellation_signal stop;
-  ServiceName service =
-      pickService(Route, std::uniform_real_distribution<>()(Random));
-  Progress at(std::move(What), std::move(Route), std::move(service));
-  std::unique_ptr<EngineStream> stream;
-  // The caller may leave at any time, and the server's work stops with it.
-  Out->onGone([&stop, &stream, self] {
-    stop.emit(asio::cancellation_type::terminal);
-    if (stream)
-      stream->cancel();
-  });
-  stream = co_await openStream(at, std::nullopt, stop);
-  if (Out->gone())
-    co_return;
-  if (!stream) {
-    Failure why{at.Runs > 0 ? Verdict::MayHaveRun : Verdict::NotRun,
-                FailureCode::NoUpstream, at.Service.Text,
-                "no server took the request", Limits.RetryAfter};
-    if (std::optional<Failure> refused = quarantined(at)) {
-      refused->Run = why.Run;
-      why = *refused;
-    }
-    note(at, "refused", 0);
-    co_await Out->send(answerOf(why, Limits.RetryAfter));
-    co_return;
-  }
-  if (stream->head().Response.Status != Ok) {
-    Crashes->answered(*at.Guard);
-    http::Response whole = stream->head().Response;
-    note(at, "answered", whole.Status);
-    co_await Out->send(std::move(whole));
-    co_return;
-  }
-  co_await Out->begin(stream->head().Response);
-  std::uint64_t last = 0;
-  bool whole = co_await passEvents(at, *stream, last, *Out);
-  while (!whole && !Out->gone() && at.Route.Resumable) {
-    stream = co_await openStream(at, last, stop);
-    if (!stream || stream->head().Response.Status != Ok)
-      break;
-    whole = co_await passEvents(at, *stream, last, *Out);
-  }
-  note(at, whole ? "streamed" : "broken_off", Ok);
-  if (Out->gone())
-    co_return;
-  // A stream that is not whole must not look as if it were.
-  if (whole)
-    co_await Out->end();
-  else
-    Out->abort();
-}
-
 } // namespace wasabi
--- a/Wasabi/Upstream/Forwarder.h
+++ b/Wasabi/Upstream/Forwarder.h
@@ -7,14 +7,18 @@
 #include "Wasabi/Adapters/Http/HttpServer.h"
 #include "Wasabi/Adapters/Telemetry/DecisionLog.h"
 #include "Wasabi/Adapters/Telemetry/Metrics.h"
+#include "Wasabi/Customers/Access.h"
+#include "Wasabi/Customers/ServedShares.h"
 #include "Wasabi/Ports/EnginePort.h"
 #include "Wasabi/Quarantine/Quarantine.h"
+#include "Wasabi/Routing/AdmissionGate.h"
 #include "Wasabi/Upstream/FleetView.h"
 #include "Wasabi/Usage/UsageMeter.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/cancellation_signal.hpp>
 
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -47,6 +51,22 @@
     Millis RetryAfter{100};
     /// Most tries that no server ran.
     std::uint32_t MaxUnrun = 6;
+    /// How many requests of this process are at a service at once. It bounds
+    /// nothing until the servers refuse some; then it falls below what runs,
+    /// rises again by one each 100 ms in which a request was answered, and
+    /// those that wait go by priority and customer.
+    ConcurrencyLimit::Settings Concurrency{.Start = 4096,
+                                           .Least = 4,
+                                           .Most = 4096,
+                                           .ByLatency = false,
+                                           .FromRunning = true,
+                                           .LeastSamples = 1};
+    /// Part of a request's time in which it may wait for servers that are all
+    /// full: half is left to come back to another process.
+    double WaitShare = 0.5;
+    /// Pause of the most urgent of these before they ask again; a request takes
+    /// 25 ms on average, so that a place has come free.
+    Millis FullPause{20};
   };
 
   /// What a forwarder works with.
@@ -84,6 +104,19 @@
 private:
   /// How far a request has come.
   struct Progress;
+  /// Who is next at a service whose servers are full.
+  struct ServiceAdmission {
+    std::shared_ptr<AdmissionGate> Gate;
+    ServedShares Shares;
+  };
+  /// What the tries of a request came to.
+  struct Round {
+    /// The last answer; one of a server that failed is better than none.
+    std::optional<UpstreamAnswer> Answer;
+    bool CallerLeft = false;
+    /// Why there is no answer.
+    Failure Why;
+  };
 
   Forwarder(Parts With, Settings Limits);
 
@@ -98,9 +131,25 @@
   boost::asio::awaitable<std::unique_ptr<EngineStream>>
   openStream(Progress &Of, std::optional<std::uint64_t> After,
              boost::asio::cancellation_signal &Stop);
+  Failure noStream(const Progress &Of) const;
+  boost::asio::awaitable<Outcome<std::unique_ptr<EngineStream>>>
+  openFirst(Progress &Of, std::optional<AdmissionPass> &Pass,
+            boost::asio::cancellation_signal &Stop);
   boost::asio::awaitable<bool> passEvents(Progress &Of, EngineStream &From,
                                           std::uint64_t &Last,
                                           http::Responder &Out);
+  ServiceAdmission &admissionTo(const ServiceName &Of);
+  AdmissionAsk admissionAsk(const Progress &Of, std::uint64_t Id);
+  Millis fullPause(const Progress &Of) const;
+  bool mayWait(const Progress &Of);
+  void noteServed(const Progress &Of, bool Served);
+  boost::asio::awaitable<Done> pause(Millis For) const;
+  boost::asio::awaitable<std::optional<Outcome<Done>>>
+  enter(const Progress &Of, AdmissionPass &With,
+        boost::asio::cancellation_signal &Stop);
+  boost::asio::awaitable<Round>
+  tryServers(Progress &Of, boost::asio::cancellation_signal &Stop);
+  Failure failed(const Progress &Of, Failure Why);
   void count(Progress &Of) const;
   void withdraw(Progress &Of) const;
   void note(const Progress &Of, std::string_view Outcome, unsigned Status);
@@ -114,6 +163,9 @@
   Metrics &Counts;
   const std::shared_ptr<UsageMeter> Usage;
   std::mt19937_64 Random;
+  std::map<ServiceName, ServiceAdmission> Admissions;
+  /// Counts the requests that asked for admission.
+  std::uint64_t Asks = 0;
 };
 
 /// The answer to a request that no server has run and none will run.
