--- a/Ctl/Commands.h
+++ b/Ctl/Commands.h
@@ -29,6 +29,9 @@
 Result<ExitCode> history(Session &With);
 /// The merged time line of all instances.
 Result<ExitCode> timeline(Session &With);
+/// Who reports customers' usage, and which windows are told, by the store of
+/// the users' platform.
+Result<ExitCode> usage(Session &With);
 /// Whether no request is in flight anywhere and none is admitted.
 Result<ExitCode> drainCheck(Session &With);
 
--- a/Ctl/Main.cpp
+++ b/Ctl/Main.cpp
@@ -6,6 +6,7 @@
 #include <gflags/gflags.h>
 
 DEFINE_string(log, "", "IP:PORT of the platform's log.");
+DEFINE_string(store, "", "IP:PORT of the users' platform's store.");
 DEFINE_string(instances, "", "IP:PORT of the platform's list of instances.");
 DEFINE_string(peers, "", "Admin addresses IP:PORT,... of processes to ask.");
 DEFINE_string(operator, "", "Who makes the change, for the history.");
@@ -43,6 +44,8 @@
     "  status           what is agreed, and how far each instance is\n"
     "  history          changes with operator, fate and reason\n"
     "  timeline         the merged time line of all instances\n"
+    "  usage            who reports customers' usage, which windows are told "
+    "(--store)\n"
     "  drain-check      whether nothing is in flight or admitted\n"
     "Exit codes besides those below: 1 also for a change that was refused,\n"
     "5 accepted, but not seen in force everywhere, 6 unknown: settle it."};
@@ -56,6 +59,7 @@
 Result<Settings> readSettings() {
   Settings out;
   BOOST_LEAF_ASSIGN(out.Log, optionalAddress("--log", FLAGS_log));
+  BOOST_LEAF_ASSIGN(out.Store, optionalAddress("--store", FLAGS_store));
   BOOST_LEAF_ASSIGN(out.Instances,
                     optionalAddress("--instances", FLAGS_instances));
   BOOST_LEAF_ASSIGN(out.Peers, wasabi::checkAddresses("--peers", FLAGS_peers));
@@ -104,6 +108,7 @@
     {"status", wasabi::ctl::status},
     {"history", wasabi::ctl::history},
     {"timeline", wasabi::ctl::timeline},
+    {"usage", wasabi::ctl::usage},
     {"drain-check", wasabi::ctl::drainCheck}};
 
 Result<ExitCode> runCommand(const std::vector<std::string> &Arguments) {
--- a/Ctl/Session.cpp
+++ b/Ctl/Session.cpp
@@ -1,6 +1,7 @@
 #include "Ctl/Session.h"
 
 #include "Wasabi/Adapters/PlatformLog/HttpLog.h"
+#include "platform/StoreClient.h"
 
 #include <algorithm>
 
@@ -35,6 +36,12 @@
   return httpLog(Client, Given.Log);
 }
 
+Result<RecordStore> Session::store() {
+  if (Given.Store.empty())
+    return badInput("--store", "is needed: IP:PORT of the platform's store");
+  return platform::makeStore(Context.get_executor(), Given.Store);
+}
+
 void Session::runEach(
     std::size_t Count,
     const std::function<asio::awaitable<void>(std::size_t)> &Body) {
--- a/Ctl/Session.h
+++ b/Ctl/Session.h
@@ -7,6 +7,7 @@
 #include "Wasabi/Adapters/Http/HttpClient.h"
 #include "Wasabi/Core/Program.h"
 #include "Wasabi/Ports/LogPort.h"
+#include "Wasabi/Ports/RecordStore.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -27,6 +28,8 @@
 /// The flags of all commands. An immutable value.
 struct Settings {
   Address Log;
+  /// Of the users' platform.
+  Address Store;
   Address Instances;
   /// Admin addresses of processes, besides the platform's list.
   std::vector<Address> Peers;
@@ -57,6 +60,9 @@
   http::Client &client() { return *Client; }
   /// The log. Errors: `BadInput` when `--log` is missing.
   Result<LogPort> log();
+  /// The store of the users' platform. Errors: `BadInput` when `--store` is
+  /// missing.
+  Result<RecordStore> store();
 
   /// Runs a coroutine to its end.
   template <typename T> T run(boost::asio::awaitable<T> Body) {
--- a/IntegrationTests/Cases/SoakTest.cpp
+++ b/IntegrationTests/Cases/SoakTest.cpp
@@ -3,6 +3,7 @@
 /// short fixed seeds hold every one. Longer ones run by `./run soak`.
 #include "IntegrationTests/Harness/Process.h"
 #include "IntegrationTests/Soak/SoakClients.h"
+#include "IntegrationTests/Soak/SoakCustomers.h"
 #include "IntegrationTests/Soak/SoakJudge.h"
 
 #include <catch2/catch.hpp>
@@ -246,6 +247,132 @@
   CHECK(judge(seen, truth).empty());
 }
 
+namespace {
+
+/// One customer's request that ran and was reported.
+struct CustomerCase {
+  SoakRecord Seen;
+  SoakTruth Truth;
+
+  CustomerCase() {
+    Seen.Asks = {asked(AskKind::Repeatable, 10000, 10010, 200)};
+    Seen.Asks[0].Customer = "customer-0";
+    ServerCall run = runAt(10005, "r");
+    run.Customer = "customer-0";
+    Truth.PlainRuns = {run};
+    Truth.Reports = {report(11000, 7, {{"customer-0", 1}})};
+  }
+  static test::ReportCall report(int Ms, std::uint64_t Window,
+                                 std::map<std::string, std::uint64_t> Counts,
+                                 std::uint64_t Token = 1,
+                                 const std::string &Holder = "edge-0") {
+    test::ReportCall call;
+    call.At = at(Ms);
+    call.Path = "/usage";
+    call.Holder = Holder;
+    call.Token = Token;
+    call.Window = Window;
+    call.Counts = std::move(Counts);
+    call.Body = std::to_string(Window) + ":" +
+                std::to_string(call.Counts["customer-0"]);
+    call.Taken = true;
+    return call;
+  }
+  bool finds(const std::string &What) const {
+    std::vector<std::string> faults = judgeCustomers(Seen, Truth, {});
+    for (const std::string &it : faults)
+      UNSCOPED_INFO(it);
+    return faults.size() == 1 && faults[0].find(What) != std::string::npos;
+  }
+};
+
+} // namespace
+
+TEST_CASE("Soak judge: whose request a server is told it is", "[soak]") {
+  CustomerCase it;
+  CHECK(judgeCustomers(it.Seen, it.Truth, {}).empty());
+  it.Truth.PlainRuns[0].Customer = "customer-1";
+  CHECK(it.finds("a server was told customer-1"));
+  it.Truth.PlainRuns[0].Customer = "customer-0";
+  it.Truth.PlainRuns[0].KeyCame = true;
+  CHECK(it.finds("brought a key"));
+}
+
+TEST_CASE("Soak judge: a key that is taken away, and one that is good",
+          "[soak]") {
+  CustomerCase it;
+  it.Seen.Asks[0].PassingKey = true;
+  it.Truth.KeyChanges = {{0, true, at(7000)}};
+  CHECK(it.finds("for a key that is taken away"));
+  it.Truth.Faults = {{SoakFault::StoreBusy, at(6000), at(8000)}};
+  CHECK(judgeCustomers(it.Seen, it.Truth, {}).empty());
+  it.Truth.Faults.clear();
+  it.Truth.KeyChanges.push_back({0, false, at(9500)});
+  CHECK(judgeCustomers(it.Seen, it.Truth, {}).empty());
+  it.Truth.KeyChanges = {{0, true, at(9000)}};
+  CHECK(judgeCustomers(it.Seen, it.Truth, {}).empty());
+  CustomerCase denied;
+  denied.Seen.Asks.push_back(asked(AskKind::Repeatable, 100, 110, 401));
+  denied.Seen.Asks[1].Id = "r2";
+  CHECK(denied.finds("denied though its key is good"));
+}
+
+TEST_CASE("Soak judge: windows that are missed, wrong or told twice",
+          "[soak]") {
+  CustomerCase it;
+  it.Truth.Reports[0].Counts["customer-0"] = 2;
+  CHECK(it.finds("2 requests of customer-0 were reported, 1 ran"));
+  it.Truth.Reports[0].Counts["customer-0"] = 0;
+  CHECK(it.finds("0 requests of customer-0 were reported, 1 ran"));
+  // A process that was killed then may have lost it.
+  it.Truth.Kills = {{0, 0, at(10200)}};
+  CHECK(judgeCustomers(it.Seen, it.Truth, {}).empty());
+  CustomerCase gap;
+  gap.Truth.Reports.push_back(CustomerCase::report(13000, 9, {}));
+  CHECK(gap.finds("window 8 was never reported"));
+  CustomerCase twice;
+  twice.Truth.Reports.push_back(
+      CustomerCase::report(11500, 7, {{"customer-0", 3}}));
+  CHECK(twice.finds("window 7 was told twice"));
+  twice.Truth.Reports[1].Body = twice.Truth.Reports[0].Body;
+  CHECK(judgeCustomers(twice.Seen, twice.Truth, {}).empty());
+}
+
+TEST_CASE("Soak judge: tokens and turns of holders", "[soak]") {
+  CustomerCase it;
+  auto add = [&it](int Ms, std::uint64_t Window, std::uint64_t Token,
+                   const std::string &Holder) {
+    it.Truth.Reports.push_back(
+        CustomerCase::report(Ms, Window, {}, Token, Holder));
+  };
+  add(15000, 8, 5, "edge-1");
+  CHECK(judgeCustomers(it.Seen, it.Truth, {}).empty());
+  add(15500, 9, 4, "edge-1");
+  CHECK(it.finds("token 4 came after 5"));
+  // What was held up by a cut may arrive when it heals.
+  it.Truth.HeldUp = {{at(15400), at(15600)}};
+  CHECK(judgeCustomers(it.Seen, it.Truth, {}).empty());
+  it.Truth.HeldUp.clear();
+  it.Truth.Reports.pop_back();
+  add(15500, 9, 5, "edge-2");
+  CHECK(it.finds("token 5 was used by two"));
+  it.Truth.Reports.pop_back();
+  add(16000, 9, 6, "edge-0");
+  add(17900, 10, 7, "edge-1");
+  CHECK(it.finds("edge-1 took turns"));
+  it.Truth.Reports.back().At = at(18100);
+  CHECK(judgeCustomers(it.Seen, it.Truth, {}).empty());
+}
+
+TEST_CASE("A short soak with customers holds every promise", "[soak]") {
+  std::string seed = GENERATE("900", "901");
+  SoakEnd end = runSoak({"--seed=" + seed, "--seconds=10", "--customers=5"});
+  INFO(end.Output);
+  CHECK(end.Code == 0);
+  CHECK(end.Output.find("soak: seed=" + seed + " broken=0") !=
+        std::string::npos);
+}
+
 TEST_CASE("A short soak with requests that end servers holds every promise",
           "[soak]") {
   std::string seed = GENERATE("10", "11");
--- a/IntegrationTests/Cases/UsageTest.cpp
+++ b/IntegrationTests/Cases/UsageTest.cpp
@@ -26,6 +26,7 @@
   shape.Engines = 1;
   shape.Proxied = Proxied;
   shape.Reports = true;
+  shape.ReportDueSeconds = 6;
   std::unique_ptr<PlatformWorld> world = std::make_unique<PlatformWorld>(shape);
   REQUIRE(world->allReady());
   world->configureCustomers(2,
@@ -154,6 +155,33 @@
   checkCalls(*world);
 }
 
+TEST_CASE("Usage: wasabictl shows who reports and which windows are told") {
+  std::unique_ptr<PlatformWorld> world = usageWorld(2);
+  askTimes(*world, "key-a", 3, 0);
+  REQUIRE(reported(*world, {{"anna", 3}}));
+  auto run = [](std::vector<std::string> Arguments) {
+    harness::Process::Settings setup;
+    setup.Program = "wasabictl";
+    setup.Arguments = std::move(Arguments);
+    std::unique_ptr<harness::Process> process =
+        harness::Process::start(std::move(setup)).value();
+    std::optional<harness::ProcessEnd> end = process->waitAndRead(Patience);
+    return std::make_pair(end ? end->Code : -1, process->output());
+  };
+  auto [code, text] =
+      run({"--store=" + toText(world->store().address()), "usage"});
+  INFO(text);
+  CHECK(code == 0);
+  CHECK(text.find("reporter: edge-" + std::to_string(*reporter(*world))) !=
+        std::string::npos);
+  CHECK(text.find("0 of them not told") != std::string::npos);
+  CHECK(text.find("counts: edge-0") != std::string::npos);
+  CHECK(text.find("counts: edge-1") != std::string::npos);
+  CHECK(run({"usage"}).first == 2);
+  CHECK(run({"--store=nowhere", "usage"}).first == 2);
+  CHECK(run({"--store=127.0.0.1:1", "usage"}).first != 0);
+}
+
 TEST_CASE("Usage: reports that are refused, unanswered or lost come again as "
           "they were") {
   std::unique_ptr<PlatformWorld> world = usageWorld(1);
--- a/IntegrationTests/Platform/PlatformWorld.cpp
+++ b/IntegrationTests/Platform/PlatformWorld.cpp
@@ -61,7 +61,8 @@
   return ask;
 }
 
-PlatformWorld::PlatformWorld(WorldShape Shape) : Size(Shape) {
+PlatformWorld::PlatformWorld(WorldShape Shape)
+    : Size(std::move(Shape)), Customers(Size.Customers) {
   Store = std::make_unique<PlatformStore>(Context);
   Reports = std::make_unique<PlatformReports>(Context);
   makeServers();
@@ -204,10 +205,10 @@
   std::string path = Folder->file(Name + ".json");
   std::ofstream(path) << fmt::format(
       R"({{"node_name":"{}","zone":"hall","ip":"127.0.0.1",{}{}
-      "bounds":{{"grace_s":5,"report_window_s":1,"usage_late_s":6,
+      "bounds":{{"grace_s":5,"report_window_s":1,"usage_late_s":{},
       "usage_tolerance":0.05,"lease_ms":3000}},
       "platform":{{"address":"{}"}}}})",
-      Name, Extra, reports, toText(store));
+      Name, Extra, reports, Size.ReportDueSeconds, toText(store));
   return path;
 }
 
--- a/IntegrationTests/Platform/PlatformWorld.h
+++ b/IntegrationTests/Platform/PlatformWorld.h
@@ -28,6 +28,13 @@
                     const std::vector<std::string> &Items,
                     std::uint64_t MinVersion);
 
+/// A customer as the operator configures it.
+struct WorldCustomer {
+  std::string Name;
+  std::vector<std::string> Keys;
+  std::uint32_t Priority = 1;
+};
+
 /// How large a world is.
 struct WorldShape {
   std::size_t Edges = 1;
@@ -37,13 +44,10 @@
   bool Proxied = false;
   /// Whether usage is reported, in windows of one second.
   bool Reports = false;
-};
-
-/// A customer as the operator configures it.
-struct WorldCustomer {
-  std::string Name;
-  std::vector<std::string> Keys;
-  std::uint32_t Priority = 1;
+  /// When the report of a window is due after its end, in seconds.
+  unsigned ReportDueSeconds = 12;
+  /// Of the first configuration.
+  std::vector<WorldCustomer> Customers = {};
 };
 
 /// An edge process and where it listens.
@@ -121,6 +125,14 @@
   /// Publishes a configuration; the desk's route is `/desk-VERSION/` too. It
   /// asks for keys if there are `Customers`; not on the route `/open/`.
   void configure(std::uint64_t Version);
+  /// The customers of the configurations that are published from now on.
+  void setCustomers(std::vector<WorldCustomer> Known) {
+    Customers = std::move(Known);
+  }
+  /// When a window's report is due after its end.
+  Millis reportsDue() const {
+    return std::chrono::seconds(Size.ReportDueSeconds);
+  }
   /// Publishes one with other customers, and waits until it is in force.
   void configureCustomers(std::uint64_t Version,
                           std::vector<WorldCustomer> Known);
--- a/IntegrationTests/Soak/Main.cpp
+++ b/IntegrationTests/Soak/Main.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// wasabi-soak: the real processes of the users' platform under faults drawn
 /// from a seed, judged by what callers, trainers and servers saw.
+#include "IntegrationTests/Soak/SoakCustomers.h"
 #include "IntegrationTests/Soak/SoakRun.h"
 #include "Wasabi/Core/Program.h"
 
@@ -17,6 +18,7 @@
 DEFINE_uint32(callers, 6, "callers at once");
 DEFINE_uint32(trainers, 2, "trainers at once");
 DEFINE_uint32(crashing, 0, "callers whose one request ends servers");
+DEFINE_uint32(customers, 0, "customers, whose usage is reported");
 DEFINE_bool(plan_only, false, "print the plan of the seed and end");
 DEFINE_bool(keep, false, "keep the logs of a good run too");
 
@@ -36,6 +38,9 @@
   constexpr std::size_t MostPrinted = 20;
   std::vector<wasabi::soak::SoakStep> plan =
       wasabi::soak::drawPlan(Seed, std::chrono::seconds(FLAGS_seconds));
+  if (FLAGS_customers > 0)
+    wasabi::soak::addCustomerFaults(plan, Seed,
+                                    std::chrono::seconds(FLAGS_seconds));
   if (FLAGS_plan_only) {
     std::cout << wasabi::soak::describe(plan);
     return true;
@@ -46,6 +51,7 @@
   size.Callers = FLAGS_callers;
   size.Trainers = FLAGS_trainers;
   size.Crashing = FLAGS_crashing;
+  size.Customers = FLAGS_customers;
   wasabi::soak::SoakResult got =
       wasabi::soak::soakOnce(size, Seed, plan, FLAGS_keep);
   if (!got.Faults.empty())
--- a/IntegrationTests/Soak/SoakClients.cpp
+++ b/IntegrationTests/Soak/SoakClients.cpp
@@ -1,6 +1,7 @@
 #include "IntegrationTests/Soak/SoakClients.h"
 
 #include "IntegrationTests/Platform/PlatformWorld.h"
+#include "IntegrationTests/Soak/SoakCustomers.h"
 #include "Wasabi/Core/AsyncSignal.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -134,6 +135,24 @@
   return ready.empty() ? draw(Edges.size()) : ready[draw(ready.size())];
 }
 
+/// Any customer's request, now and then by the key that may be gone.
+void SoakClients::chooseKey(AskRecord &For) {
+  if (Setup.Customers == 0)
+    return;
+  For.CustomerNumber = draw(Setup.Customers);
+  For.Customer = customerName(For.CustomerNumber);
+  For.PassingKey = For.Kind != AskKind::Probe && draw(4) == 0;
+}
+
+http::Request SoakClients::jobRequest(const JobRecord &Job,
+                                      const std::string &Method,
+                                      const std::string &Target) {
+  http::Request ask = request(Method, Target, Job.Id);
+  if (Setup.Customers > 0)
+    ask.Headers.push_back({"Wasabisail-Key", lastingKey(Job.CustomerNumber)});
+  return ask;
+}
+
 //===--- Callers ----------------------------------------------------------===//
 
 SoakClients::Task<void> SoakClients::call(std::size_t Number) {
@@ -188,12 +207,18 @@
   record.Version = Version;
   record.Edge = Edge;
   record.Life = Lives[Edge];
+  chooseKey(record);
   http::Request what = request("POST", Path, record.Id);
   bool stream = Kind == AskKind::Stream;
   Millis patience = stream ? 4 * Setup.Deadline : Setup.Deadline;
   what.Headers.push_back(
       {"Wasabisail-Deadline-Ms", std::to_string(patience.count())});
   what.Headers.push_back({"Wasabisail-Model", Model});
+  if (Setup.Customers > 0)
+    what.Headers.push_back(
+        {"Wasabisail-Key", record.PassingKey
+                               ? passingKey(record.CustomerNumber)
+                               : lastingKey(record.CustomerNumber)});
   what.Body = Kind == AskKind::Crashing ? "body" : "body of " + record.Id;
   record.Sent = monotonicNow();
   std::optional<Outcome<http::Response>> got;
@@ -239,6 +264,10 @@
   for (std::size_t step = 0; !Stopping; ++step) {
     JobRecord job;
     job.Id = "job-" + std::to_string(Number) + "-" + std::to_string(step);
+    if (Setup.Customers > 0) {
+      job.CustomerNumber = Number % Setup.Customers;
+      job.Customer = customerName(job.CustomerNumber);
+    }
     for (std::size_t i = 0; i < Setup.ItemsPerJob; ++i)
       job.Items.push_back(job.Id + "-" + std::to_string(i));
     // Weights that were named a moment ago are on their way.
@@ -260,7 +289,7 @@
   TimePoint until = monotonicNow() + Setup.StepTime;
   while (monotonicNow() < until) {
     const std::string id = Record.Jobs[Job].Id;
-    http::Request ask = request("POST", "/rollout/" + id, id);
+    http::Request ask = jobRequest(Record.Jobs[Job], "POST", "/rollout/" + id);
     ask.Body = Body;
     Outcome<http::Response> got = co_await Client->call(
         Edges[pickEdge()].Callers, std::move(ask), Setup.Deadline + Slack);
@@ -288,17 +317,33 @@
       co_return;
     // Now and then from the start, elsewhere.
     co_await readOnce(Job, draw(3) == 0 ? 0 : known);
+    if (Setup.Customers > 1 && draw(4) == 0)
+      co_await readForeign(Job);
     co_await pauseFor(Context.get_executor(), Pause);
   }
 }
 
+/// Another customer asks for a job and learns nothing.
+SoakClients::Task<void> SoakClients::readForeign(std::size_t Job) {
+  JobRecord other;
+  other.Id = Record.Jobs[Job].Id;
+  other.CustomerNumber =
+      (Record.Jobs[Job].CustomerNumber + 1) % Setup.Customers;
+  http::Request ask =
+      jobRequest(other, "GET", "/api/lots/" + other.Id + "?after=0");
+  Outcome<http::Response> got = co_await Client->call(
+      Edges[pickEdge()].Callers, std::move(ask), Setup.Deadline + Slack);
+  if (got && got->Status == Ok)
+    Record.Jobs[Job].Wrong.push_back("another customer could read it");
+}
+
 /// Reads a page and holds it against what was read before.
 SoakClients::Task<bool> SoakClients::readOnce(std::size_t Job,
                                               std::size_t After) {
   constexpr Millis Wait{300};
   std::string target =
       "/api/lots/" + Record.Jobs[Job].Id + "?after=" + std::to_string(After);
-  http::Request ask = request("GET", target, "read");
+  http::Request ask = jobRequest(Record.Jobs[Job], "GET", target);
   ask.Headers.push_back({"Wasabisail-Wait-Ms", std::to_string(Wait.count())});
   TimePoint sent = monotonicNow();
   Outcome<http::Response> got = co_await Client->call(
@@ -359,10 +404,10 @@
   TimePoint until = monotonicNow() + Setup.StepTime;
   Record.Jobs[Job].EndAsked = true;
   while (monotonicNow() < until) {
+    http::Request ask = jobRequest(Record.Jobs[Job], "DELETE",
+                                   "/api/lots/" + Record.Jobs[Job].Id);
     Outcome<http::Response> got = co_await Client->call(
-        Edges[pickEdge()].Callers,
-        request("DELETE", "/api/lots/" + Record.Jobs[Job].Id, "end"),
-        Setup.Deadline + Slack);
+        Edges[pickEdge()].Callers, std::move(ask), Setup.Deadline + Slack);
     JobRecord &job = Record.Jobs[Job];
     if (got && got->Status == Ok) {
       job.EndTaken = true;
--- a/IntegrationTests/Soak/SoakClients.h
+++ b/IntegrationTests/Soak/SoakClients.h
@@ -32,6 +32,8 @@
     std::size_t Trainers = 2;
     /// Callers whose one request ends servers.
     std::size_t Crashing = 0;
+    /// Customers that callers and trainers belong to; 0 for none.
+    std::size_t Customers = 0;
     std::size_t ItemsPerJob = 8;
     /// How long a caller waits, as it says.
     Millis Deadline{2000};
@@ -75,6 +77,10 @@
                             const boost::json::value &Result) const;
   Task<void> end(std::size_t Job);
   std::size_t pickEdge();
+  void chooseKey(AskRecord &For);
+  http::Request jobRequest(const JobRecord &Job, const std::string &Method,
+                           const std::string &Target);
+  Task<void> readForeign(std::size_t Job);
   std::uint64_t draw(std::uint64_t Below) { return Random() % Below; }
 
   const Settings Setup;
--- a/IntegrationTests/Soak/SoakInjector.cpp
+++ b/IntegrationTests/Soak/SoakInjector.cpp
@@ -20,8 +20,9 @@
 
 } // namespace
 
-SoakInjector::SoakInjector(test::PlatformWorld &World, SoakClients &Clients)
-    : World(World), Clients(Clients) {}
+SoakInjector::SoakInjector(test::PlatformWorld &World, SoakClients &Clients,
+                           std::size_t Customers)
+    : World(World), Clients(Clients), Customers(Customers) {}
 
 void SoakInjector::later(Millis After, std::function<void()> Act) {
   Queue.push(Timed{monotonicNow() + After, Orders++, std::move(Act)});
@@ -41,8 +42,10 @@
 void SoakInjector::begin(const SoakStep &Step) {
   TimePoint now = monotonicNow();
   Done.Faults.push_back({Step.Kind, now, now + Step.For});
+  noteStoreCut(Step, now);
   if (beginPlanned(Step) || beginOnProcess(Step) || beginOnStore(Step) ||
-      beginOnLink(Step))
+      beginOnLink(Step) || beginOnKeys(Step) || beginOnReporter(Step) ||
+      beginOnReports(Step))
     return;
   beginOnServer(Step);
 }
@@ -53,9 +56,7 @@
   std::size_t edge = Step.Target % World.edges();
   switch (Step.Kind) {
   case SoakFault::Configure:
-    World.configure(++Versions);
-    Done.Publications.push_back({Versions, monotonicNow()});
-    Clients.Configured = Versions;
+    publish();
     return true;
   case SoakFault::NameVersion:
     World.nameVersion(Clients.Named + 1);
@@ -76,6 +77,12 @@
   }
 }
 
+void SoakInjector::publish() {
+  World.configure(++Versions);
+  Done.Publications.push_back({Versions, monotonicNow()});
+  Clients.Configured = Versions;
+}
+
 /// A stop of the only process that is left is no planned work, so it is left
 /// out.
 void SoakInjector::stopEdge(std::size_t Edge) {
@@ -127,11 +134,7 @@
       killEdge(i, Step.For);
     return true;
   case SoakFault::PauseEdge:
-    if (EdgesAway.contains(edge))
-      return true;
-    World.edge(edge).Running->signal(SIGSTOP);
-    later(Step.For,
-          [this, edge] { World.edge(edge).Running->signal(SIGCONT); });
+    pauseEdge(edge, Step.For);
     return true;
   case SoakFault::KillSide:
     if (!SidesAway.insert(side).second)
@@ -151,9 +154,21 @@
   }
 }
 
+/// What it has written before may arrive when it goes on.
+void SoakInjector::pauseEdge(std::size_t Edge, Millis For) {
+  if (EdgesAway.contains(Edge))
+    return;
+  World.edge(Edge).Running->signal(SIGSTOP);
+  later(For, [this, Edge] {
+    World.edge(Edge).Running->signal(SIGCONT);
+    heldUpUntil(Millis(0));
+  });
+}
+
 void SoakInjector::killEdge(std::size_t Edge, Millis Down) {
   if (!EdgesAway.insert(Edge).second)
     return;
+  Done.Kills.push_back({Edge, Clients.Lives[Edge], monotonicNow()});
   World.edge(Edge).Running->signal(SIGKILL);
   later(Down, [this, Edge] { restartEdge(Edge); });
 }
@@ -293,6 +308,128 @@
   }
 }
 
+//===--- Keys and the reporter
+//---------------------------------------------===//
+
+bool SoakInjector::beginOnKeys(const SoakStep &Step) {
+  if (Step.Kind != SoakFault::RevokeKey)
+    return false;
+  std::size_t customer = Step.Target % Customers;
+  if (!Revoked.insert(customer).second)
+    return true;
+  World.setCustomers(customersOf(Customers, Revoked));
+  publish();
+  Done.KeyChanges.push_back({customer, true, monotonicNow()});
+  later(Step.For + Millis(3000), [this, customer] {
+    Revoked.erase(customer);
+    World.setCustomers(customersOf(Customers, Revoked));
+    Done.KeyChanges.push_back({customer, false, monotonicNow()});
+    publish();
+  });
+  return true;
+}
+
+/// Notes for whom the store is out of reach during a step.
+void SoakInjector::noteStoreCut(const SoakStep &Step, TimePoint Now) {
+  bool ofReporter = Step.Kind >= SoakFault::ReporterStoreRefuses &&
+                    Step.Kind <= SoakFault::ReporterStoreDelays;
+  bool ofLink = Step.Kind >= SoakFault::StoreLinkRefuses &&
+                Step.Kind <= SoakFault::StoreLinkDelays;
+  bool ofAll = Step.Kind >= SoakFault::StoreBusy &&
+               Step.Kind <= SoakFault::RegistrationsLapse;
+  std::optional<std::size_t> edge;
+  if (ofReporter)
+    edge = reporter();
+  if (ofLink)
+    edge = Step.Target % (World.edges() + World.size().Engines);
+  if (ofAll || edge)
+    Done.StoreCuts.push_back({edge, {Now, Now + Step.For}});
+}
+
+/// The edge process that reported last; empty if none has.
+std::optional<std::size_t> SoakInjector::reporter() {
+  std::string holder = World.onPlatform<std::string>([&] {
+    const std::vector<test::ReportCall> &calls = World.reports().Calls;
+    return calls.empty() ? std::string() : calls.back().Holder;
+  });
+  constexpr std::string_view Prefix = "edge-";
+  if (!holder.starts_with(Prefix))
+    return std::nullopt;
+  return std::stoul(holder.substr(Prefix.size()));
+}
+
+bool SoakInjector::beginOnReporter(const SoakStep &Step) {
+  constexpr double DelayMs = 400;
+  if (Step.Kind < SoakFault::KillReporter ||
+      Step.Kind > SoakFault::ReporterStoreDelays)
+    return false;
+  std::optional<std::size_t> found = reporter();
+  if (!found)
+    return true;
+  test::PlatformWorld::Proxy store = World.storeLink(*found);
+  switch (Step.Kind) {
+  case SoakFault::KillReporter:
+    killEdge(*found, Step.For);
+    break;
+  case SoakFault::PauseReporter:
+    pauseEdge(*found, Step.For);
+    break;
+  case SoakFault::StopReporter:
+    stopEdge(*found);
+    break;
+  case SoakFault::ReporterStoreRefuses:
+    World.setFaults(store, {{"cut_now", true}});
+    fault(store, "refuse", true, false, Step.For);
+    break;
+  case SoakFault::ReporterStoreSilent:
+    fault(store, "half_open", true, false, Step.For);
+    break;
+  default:
+    fault(store, "delay_ms", DelayMs, 0.0, Step.For);
+  }
+  return true;
+}
+
+void SoakInjector::reportMood(test::ReportMood What, Millis For) {
+  World.onPlatform([&] { World.reports().setMood(What); });
+  later(For, [this] {
+    World.onPlatform([&] { World.reports().setMood(test::ReportMood::Well); });
+  });
+}
+
+/// Calls that were held up may arrive until shortly after `After` from now.
+void SoakInjector::heldUpUntil(Millis After) {
+  constexpr Millis Thaw{300};
+  TimePoint now = monotonicNow();
+  Done.HeldUp.push_back({now, now + After + Thaw});
+}
+
+bool SoakInjector::beginOnReports(const SoakStep &Step) {
+  constexpr double DelayMs = 700;
+  test::PlatformWorld::Proxy link =
+      World.reportLink(Step.Target % World.edges());
+  switch (Step.Kind) {
+  case SoakFault::ReportsBusy:
+    reportMood(test::ReportMood::Busy, Step.For);
+    return true;
+  case SoakFault::ReportsLoseAnswers:
+    reportMood(test::ReportMood::LosesAnswers, Step.For);
+    return true;
+  case SoakFault::ReportsSilent:
+    reportMood(test::ReportMood::Silent, Step.For);
+    return true;
+  case SoakFault::ReportLinkSilent:
+    fault(link, "half_open", true, false, Step.For);
+    later(Step.For, [this] { heldUpUntil(Millis(0)); });
+    return true;
+  case SoakFault::ReportLinkDelays:
+    fault(link, "delay_ms", DelayMs, 0.0, Step.For);
+    return true;
+  default:
+    return false;
+  }
+}
+
 //===--- Servers ----------------------------------------------------------===//
 
 void SoakInjector::beginOnServer(const SoakStep &Step) {
--- a/IntegrationTests/Soak/SoakJudge.cpp
+++ b/IntegrationTests/Soak/SoakJudge.cpp
@@ -22,13 +22,8 @@
   std::unordered_map<std::string, std::vector<const ServerCall *>> Runs;
   std::vector<std::string> Faults;
 
-  /// Whether nothing unplanned was wrong from `Calm` before `From` to `To`.
   bool calm(TimePoint From, TimePoint To) const {
-    TimePoint start = From - Bounds.Calm;
-    return std::none_of(
-        Truth.Faults.begin(), Truth.Faults.end(), [&](const FaultWindow &It) {
-          return !isPlanned(It.Kind) && It.From <= To && It.To >= start;
-        });
+    return calmFor(Truth, Bounds, From, To);
   }
   std::size_t runsOf(const std::string &Id) const {
     auto it = Runs.find(Id);
@@ -206,6 +201,15 @@
 
 } // namespace
 
+bool calmFor(const SoakTruth &Truth, const SoakBounds &Bounds, TimePoint From,
+             TimePoint To) {
+  TimePoint start = From - Bounds.Calm;
+  return std::none_of(
+      Truth.Faults.begin(), Truth.Faults.end(), [&](const FaultWindow &It) {
+        return !isPlanned(It.Kind) && It.From <= To && It.To >= start;
+      });
+}
+
 std::vector<std::string> judge(const SoakRecord &Seen, const SoakTruth &Truth,
                                const SoakBounds &Bounds) {
   Case all{Seen, Truth, Bounds, {}, {}};
--- a/IntegrationTests/Soak/SoakJudge.h
+++ b/IntegrationTests/Soak/SoakJudge.h
@@ -3,6 +3,7 @@
 #ifndef WASABI_INTEGRATIONTESTS_SOAK_SOAKJUDGE_H
 #define WASABI_INTEGRATIONTESTS_SOAK_SOAKJUDGE_H
 
+#include "IntegrationTests/Platform/PlatformReports.h"
 #include "IntegrationTests/Platform/PlatformServers.h"
 #include "IntegrationTests/Soak/SoakPlan.h"
 #include "IntegrationTests/Soak/SoakRecord.h"
@@ -39,6 +40,13 @@
   TimePoint At;
 };
 
+/// A customer's passing key was taken away, or is back.
+struct KeyChange {
+  std::size_t Customer = 0;
+  bool Revoked = false;
+  TimePoint At;
+};
+
 /// Requests that the soak itself makes to see that all is served again.
 inline constexpr const char *OwnName = "soak-own";
 
@@ -52,6 +60,19 @@
   std::vector<EdgeStop> Stops;
   std::vector<ServerDrain> Drains;
   std::vector<Publication> Publications;
+  /// Edge processes that were killed.
+  std::vector<EdgeStop> Kills;
+  /// When processes could not write to the store; `Edge` is empty for all.
+  struct StoreCut {
+    std::optional<std::size_t> Edge;
+    test::TimeSpan When;
+  };
+  std::vector<StoreCut> StoreCuts;
+  std::vector<KeyChange> KeyChanges;
+  /// Calls that arrived where usage is reported.
+  std::vector<test::ReportCall> Reports;
+  /// When such calls may arrive that were held up.
+  std::vector<test::TimeSpan> HeldUp;
   /// Edge processes that were still there long after their grace.
   std::vector<std::size_t> Unstopped;
   /// What processes that are gone had logged.
@@ -75,6 +96,10 @@
   std::size_t LateTries = 3;
 };
 
+/// Whether nothing unplanned was wrong from `Calm` before `From` to `To`.
+bool calmFor(const SoakTruth &Truth, const SoakBounds &Bounds, TimePoint From,
+             TimePoint To);
+
 /// Each broken promise, one line each.
 std::vector<std::string> judge(const SoakRecord &Seen, const SoakTruth &Truth,
                                const SoakBounds &Bounds = {});
--- a/IntegrationTests/Soak/SoakPlan.cpp
+++ b/IntegrationTests/Soak/SoakPlan.cpp
@@ -13,18 +13,54 @@
 
 constexpr std::size_t Kinds = static_cast<std::size_t>(SoakFault::Count);
 
-constexpr std::array<std::string_view, Kinds> Names{
-    "configure",          "name-version",        "stop-edge",
-    "reload-edge",        "drain-server",        "kill-edge",
-    "pause-edge",         "kill-all-edges",      "kill-side",
-    "pause-side",         "store-busy",          "store-silent",
-    "store-resets",       "store-loses-answers", "store-late",
-    "store-slow",         "store-forgets",       "registrations-lapse",
-    "store-link-refuses", "store-link-silent",   "store-link-one-way",
-    "store-link-delays",  "server-crashes",      "server-silent",
-    "server-one-way",     "server-link-cut",     "server-loses-answers",
-    "server-slow",        "server-breaks-off",   "server-fails",
-    "caller-link-cut",    "caller-link-delays"};
+constexpr std::array<std::string_view, Kinds> Names{"configure",
+                                                    "name-version",
+                                                    "stop-edge",
+                                                    "reload-edge",
+                                                    "drain-server",
+                                                    "kill-edge",
+                                                    "pause-edge",
+                                                    "kill-all-edges",
+                                                    "kill-side",
+                                                    "pause-side",
+                                                    "store-busy",
+                                                    "store-silent",
+                                                    "store-resets",
+                                                    "store-loses-answers",
+                                                    "store-late",
+                                                    "store-slow",
+                                                    "store-forgets",
+                                                    "registrations-lapse",
+                                                    "store-link-refuses",
+                                                    "store-link-silent",
+                                                    "store-link-one-way",
+                                                    "store-link-delays",
+                                                    "server-crashes",
+                                                    "server-silent",
+                                                    "server-one-way",
+                                                    "server-link-cut",
+                                                    "server-loses-answers",
+                                                    "server-slow",
+                                                    "server-breaks-off",
+                                                    "server-fails",
+                                                    "caller-link-cut",
+                                                    "caller-link-delays",
+                                                    "revoke-key",
+                                                    "kill-reporter",
+                                                    "pause-reporter",
+                                                    "stop-reporter",
+                                                    "reporter-store-refuses",
+                                                    "reporter-store-silent",
+                                                    "reporter-store-delays",
+                                                    "reports-busy",
+                                                    "reports-lose-answers",
+                                                    "reports-silent",
+                                                    "report-link-silent",
+                                                    "report-link-delays"};
+
+/// Those that each soak draws from: a seed must go on meaning the same plan.
+constexpr std::size_t CommonKinds =
+    static_cast<std::size_t>(SoakFault::RevokeKey);
 
 /// Not of the standard library's distributions, whose results differ between
 /// libraries: a seed must mean the same plan everywhere.
@@ -39,7 +75,7 @@
   SoakFault kind(bool PlannedOnly) {
     std::size_t most =
         PlannedOnly ? static_cast<std::size_t>(SoakFault::DrainServer) + 1
-                    : Kinds;
+                    : CommonKinds;
     return static_cast<SoakFault>(From() % most);
   }
 };
@@ -89,7 +125,9 @@
   return Names.at(static_cast<std::size_t>(Kind));
 }
 
-bool isPlanned(SoakFault Kind) { return Kind <= SoakFault::DrainServer; }
+bool isPlanned(SoakFault Kind) {
+  return Kind <= SoakFault::DrainServer || Kind == SoakFault::RevokeKey;
+}
 
 std::vector<SoakStep> drawPlan(std::uint64_t Seed, Millis Length) {
   Draw from{std::mt19937_64(Seed)};
--- a/IntegrationTests/Soak/SoakPlan.h
+++ b/IntegrationTests/Soak/SoakPlan.h
@@ -53,6 +53,20 @@
   // Callers' ways to the system.
   CallerLinkCut,
   CallerLinkDelays,
+  // Of a soak with customers only: their keys, and the process that reports
+  // their usage, at whichever step of it.
+  RevokeKey,
+  KillReporter,
+  PauseReporter,
+  StopReporter,
+  ReporterStoreRefuses,
+  ReporterStoreSilent,
+  ReporterStoreDelays,
+  ReportsBusy,
+  ReportsLoseAnswers,
+  ReportsSilent,
+  ReportLinkSilent,
+  ReportLinkDelays,
   Count,
 };
 
--- a/IntegrationTests/Soak/SoakRecord.h
+++ b/IntegrationTests/Soak/SoakRecord.h
@@ -35,6 +35,10 @@
   /// Of a probe: the configuration whose own route it asks for.
   std::uint64_t Version = 0;
   std::size_t Edge = 0;
+  /// Whose request it is, and whether by the key that comes and goes.
+  std::string Customer;
+  std::size_t CustomerNumber = 0;
+  bool PassingKey = false;
   /// Which start of that edge process took it.
   std::uint64_t Life = 0;
   TimePoint Sent;
@@ -50,6 +54,8 @@
 /// One batch job and what its trainer saw.
 struct JobRecord {
   std::string Id;
+  std::string Customer;
+  std::size_t CustomerNumber = 0;
   std::vector<std::string> Items;
   std::uint64_t MinVersion = 0;
   /// Whether a submission was answered with an acceptance, and when.
--- a/IntegrationTests/Soak/SoakRun.cpp
+++ b/IntegrationTests/Soak/SoakRun.cpp
@@ -84,6 +84,8 @@
       continue;
     for (std::size_t edge = 0; edge < World.edges(); ++edge) {
       unsigned status = 0;
+      if (!job.Customer.empty())
+        World.useKey(lastingKey(job.CustomerNumber));
       boost::json::value page = World.results(edge, job.Id, status);
       if (status != Ok) {
         Faults.push_back(job.Id + " can't be read at edge " +
@@ -102,6 +104,23 @@
   }
 }
 
+/// All calls once the windows of the last requests have been reported.
+std::vector<test::ReportCall> lastReports(test::PlatformWorld &World,
+                                          const SoakRecord &Seen) {
+  auto calls = [&] {
+    return World.onPlatform<std::vector<test::ReportCall>>(
+        [&] { return World.reports().Calls; });
+  };
+  TimePoint last;
+  for (const AskRecord &it : Seen.Asks)
+    last = std::max(last, it.Done);
+  // A report that leaves late enough holds all that was counted before it.
+  TimePoint until = last + World.reportsDue() + Millis(1000);
+  harness::waitUntil([&] { return monotonicNow() > until; },
+                     World.reportsDue() + Millis(2000));
+  return calls();
+}
+
 void keepLogs(test::PlatformWorld &World, const SoakTruth &Truth,
               std::uint64_t Seed) {
   std::string path = "soak-" + std::to_string(Seed) + ".log";
@@ -117,8 +136,13 @@
 
 SoakResult soakOnce(const SoakSize &Size, std::uint64_t Seed,
                     const std::vector<SoakStep> &Plan, bool KeepLogs) {
-  test::PlatformWorld world(
-      test::WorldShape{Size.Edges, Size.Engines, Size.Desks, true});
+  test::WorldShape shape{Size.Edges, Size.Engines, Size.Desks, true};
+  shape.Reports = Size.Customers > 0;
+  if (Size.Customers > 0)
+    shape.Customers = customersOf(Size.Customers, {});
+  test::PlatformWorld world(shape);
+  if (Size.Customers > 0)
+    world.useKey(OwnKey);
   prepareServers(world);
   SoakResult result;
   if (!world.allReady()) {
@@ -131,13 +155,14 @@
   setup.Callers = Size.Callers;
   setup.Trainers = Size.Trainers;
   setup.Crashing = Size.Crashing;
+  setup.Customers = Size.Customers;
   if (Size.Crashing > 0)
     world.crashOn(CrashPath);
   setup.LengthOf = [&world](const std::string &Item) {
     return world.server(0).lengthOf(Item);
   };
   SoakClients clients(setup, clientEdges(world));
-  SoakInjector injector(world, clients);
+  SoakInjector injector(world, clients, Size.Customers);
   injector.play(Plan);
   TimePoint healed = monotonicNow();
   if (!recovers(world, OwnName, clients.Configured))
@@ -149,6 +174,11 @@
   SoakTruth truth = gather(world, injector.done());
   const SoakRecord &seen = clients.record();
   std::vector<std::string> faults = judge(seen, truth);
+  if (Size.Customers > 0) {
+    truth.Reports = lastReports(world, seen);
+    std::vector<std::string> more = judgeCustomers(seen, truth, {});
+    faults.insert(faults.end(), more.begin(), more.end());
+  }
   result.Faults.insert(result.Faults.end(), faults.begin(), faults.end());
   checkKept(world, seen, result.Faults);
   for (const AskRecord &it : seen.Asks)
--- a/IntegrationTests/Soak/SoakRun.h
+++ b/IntegrationTests/Soak/SoakRun.h
@@ -6,6 +6,7 @@
 
 #include "IntegrationTests/Platform/PlatformWorld.h"
 #include "IntegrationTests/Soak/SoakClients.h"
+#include "IntegrationTests/Soak/SoakCustomers.h"
 #include "IntegrationTests/Soak/SoakJudge.h"
 
 #include <functional>
@@ -24,6 +25,8 @@
   std::size_t Trainers = 2;
   /// Callers whose one request ends servers.
   std::size_t Crashing = 0;
+  /// Customers whose usage is reported; 0 for none.
+  std::size_t Customers = 0;
 };
 
 /// What came of a soak.
@@ -41,7 +44,8 @@
 /// thread, which is not the stand-ins'.
 class SoakInjector {
 public:
-  SoakInjector(test::PlatformWorld &World, SoakClients &Clients);
+  SoakInjector(test::PlatformWorld &World, SoakClients &Clients,
+               std::size_t Customers);
 
   /// Returns when all steps are over and undone.
   void play(const std::vector<SoakStep> &Plan);
@@ -66,6 +70,15 @@
   bool beginOnStore(const SoakStep &Step);
   bool beginOnLink(const SoakStep &Step);
   void beginOnServer(const SoakStep &Step);
+  bool beginOnKeys(const SoakStep &Step);
+  bool beginOnReporter(const SoakStep &Step);
+  bool beginOnReports(const SoakStep &Step);
+  std::optional<std::size_t> reporter();
+  void publish();
+  void pauseEdge(std::size_t Edge, Millis For);
+  void reportMood(test::ReportMood What, Millis For);
+  void heldUpUntil(Millis After);
+  void noteStoreCut(const SoakStep &Step, TimePoint Now);
   void stopEdge(std::size_t Edge);
   void awaitStop(std::size_t Edge, TimePoint Until);
   void killEdge(std::size_t Edge, Millis Down);
@@ -96,6 +109,9 @@
   std::set<std::size_t> EdgesAway;
   std::set<std::size_t> SidesAway;
   std::uint64_t Versions = 1;
+  const std::size_t Customers;
+  /// Customers without their passing key.
+  std::set<std::size_t> Revoked;
 };
 
 /// Runs one soak.
--- a/UnitTests/Usage/UsageFoldTest.cpp
+++ b/UnitTests/Usage/UsageFoldTest.cpp
@@ -27,8 +27,8 @@
   /// The reader's time when the true time is `At`.
   static TimePoint reader(WallTime At) { return TimePoint(At - Begin); }
 
-  void take(const UsageRecord &What, WallTime At, bool Fresh = true) {
-    apply(Fold, Next++, What, {reader(At), At, Fresh}, Limits);
+  void take(const UsageRecord &What, WallTime At, Millis Age = Millis(0)) {
+    apply(Fold, Next++, What, {reader(At), At, Age}, Limits);
   }
   /// A batch that is written at `At`, by a clock that is ahead by `Ahead`.
   void batch(const UsageSource &From, WallTime At,
@@ -205,10 +205,23 @@
   for (const char *name : {"a", "b", "c"})
     it.batch(source(name), Begin + Millis(10));
   UsageBatch old{source("c"), 2, Begin + Millis(100), {}};
-  it.take(old, Begin + Millis(9000), false);
+  it.take(old, Begin + Millis(9000), Millis(8900));
   CHECK(clockError(it.Fold, source("c"), it.Limits) == Millis(0));
 }
 
+TEST_CASE("Records that a slow link delays say nothing of clocks", "[usage]") {
+  FoldCase it;
+  for (const char *name : {"a", "b", "c"})
+    it.batch(source(name), Begin + Millis(10));
+  // Carried out by the store seconds after they were sent.
+  UsageBatch delayed{
+      source("c"), 2, Begin + Millis(100), {{Anna, Begin + Millis(90), 1}}};
+  it.Sequences[source("c")] = 2;
+  it.take(delayed, Begin + Millis(3000));
+  CHECK(clockError(it.Fold, source("c"), it.Limits) == Millis(0));
+  CHECK(it.counts() == oneFor(Anna));
+}
+
 TEST_CASE("However batches are cut, repeated and mingled, each request counts "
           "once in its window",
           "[usage]") {
--- a/Wasabi/Usage/UsageFold.cpp
+++ b/Wasabi/Usage/UsageFold.cpp
@@ -23,8 +23,9 @@
                const UsageReading &When, const UsageSettings &Limits) {
   UsageSourceState &source = Fold.Sources[What.From];
   source.Heard = When.Now;
-  if (When.Fresh)
-    source.Ahead = std::chrono::duration_cast<Millis>(What.Through - When.Wall);
+  Millis ahead = What.Through - When.Wall;
+  if (When.Age <= Limits.FreshAge)
+    source.Ahead = std::max(source.Ahead.value_or(ahead), ahead);
   if (What.Sequence <= source.Sequence)
     return;
   if (!Fold.Undecided)
--- a/Wasabi/Usage/UsageFold.h
+++ b/Wasabi/Usage/UsageFold.h
@@ -41,7 +41,10 @@
   /// Clocks that differ from the middle one by more than this have been set
   /// wrong; smaller differences can't be told from the time that a record
   /// takes.
-  Millis ClockSlack{500};
+  Millis ClockSlack{1000};
+  /// A record that may be older than this when it is read says nothing of
+  /// clocks.
+  Millis FreshAge{500};
   bool operator==(const UsageSettings &) const = default;
 };
 
@@ -50,9 +53,10 @@
   /// The newest batch that was taken.
   std::uint64_t Sequence = 0;
   WallTime Through;
-  /// How far its clock was ahead of this process's when its newest record came;
-  /// less the time that the record took. Empty if it came long before it was
-  /// read.
+  /// How far its clock is ahead of this process's, less the time that a record
+  /// takes: the most that any record showed, since a process's clock keeps its
+  /// error (`WallClock`) and its records are delayed now and then. Empty while
+  /// none was read as soon as it was written.
   std::optional<Millis> Ahead;
   /// When this process read its newest record.
   TimePoint Heard;
@@ -86,8 +90,9 @@
   TimePoint Now;
   /// The wall time of this process.
   WallTime Wall;
-  /// Whether the record has just been written, as far as this process knows.
-  bool Fresh = false;
+  /// How long ago the record may have been written, as far as this process
+  /// knows.
+  Millis Age{0};
 };
 
 /// Applies the record at `At`. One before `Next` was applied already and
--- a/Wasabi/Usage/UsageMeter.cpp
+++ b/Wasabi/Usage/UsageMeter.cpp
@@ -41,8 +41,7 @@
 
 void UsageMeter::withdraw(const UsageEntry &What) {
   // What nobody has read yet is as if it had not been.
-  auto from = Waiting.begin() + static_cast<std::ptrdiff_t>(sending());
-  auto found = std::find(from, Waiting.end(), What);
+  auto found = std::find(Waiting.begin(), Waiting.end(), What);
   if (found != Waiting.end())
     Waiting.erase(found);
   else
@@ -59,15 +58,13 @@
   Wake.notify();
 }
 
-/// Joins the entries of each customer and second, but for those on their way.
+/// Joins the entries of each customer and second.
 void UsageMeter::compact() {
   using Second = std::chrono::sys_seconds;
   std::map<std::pair<CustomerName, Second>, std::int64_t> sums;
-  for (std::size_t i = sending(); i < Waiting.size(); ++i)
-    sums[{Waiting[i].Of,
-          std::chrono::floor<std::chrono::seconds>(Waiting[i].At)}] +=
-        Waiting[i].Count;
-  Waiting.resize(sending());
+  for (const UsageEntry &it : Waiting)
+    sums[{it.Of, std::chrono::floor<std::chrono::seconds>(it.At)}] += it.Count;
+  Waiting.clear();
   for (const auto &[key, sum] : sums) {
     if (sum != 0)
       Waiting.push_back({key.first, key.second, sum});
@@ -77,15 +74,15 @@
 /// Whether there is something to write: counts, or that there were none in a
 /// window that has ended.
 bool UsageMeter::due() const {
-  if (!Waiting.empty())
+  if (!Waiting.empty() || !Unacked.empty())
     return true;
   Millis length = Limits.Windows.Window;
-  return windowOf(now() - Spread, length) > windowOf(Written, length);
+  return windowOf(now() - Spread, length) > windowOf(Through, length);
 }
 
 TimePoint UsageMeter::nextLook() const {
   WallTime end =
-      endOf(windowOf(Written, Limits.Windows.Window), Limits.Windows.Window);
+      endOf(windowOf(Through, Limits.Windows.Window), Limits.Windows.Window);
   return monotonicNow() + std::max(Millis(1), end + Spread - now());
 }
 
@@ -101,7 +98,7 @@
     else if (Allowed < 1)
       co_await pauseFor(With.Executor, Pause);
     else
-      co_await writeBatch();
+      co_await write();
   }
   Ended = true;
   Wake.notify();
@@ -114,22 +111,42 @@
   Refilled = Now;
 }
 
-/// Writes one batch; true if the topic holds it. One of unknown outcome is
-/// written again under its number, so that it counts once.
-asio::awaitable<bool> UsageMeter::writeBatch() {
-  TimePoint sent = monotonicNow();
-  Allowed -= 1;
-  if (!Sending)
-    Sending = std::min(Waiting.size(), Limits.BatchEntries);
-  bool all = *Sending == Waiting.size();
+/// Makes a batch of what waits; of nothing, it says that there was nothing.
+UsageBatch UsageMeter::nextBatch() {
+  std::size_t count = std::min(Waiting.size(), Limits.BatchEntries);
+  auto end = Waiting.begin() + static_cast<std::ptrdiff_t>(count);
   UsageBatch batch;
   batch.From = Limits.Self;
-  batch.Sequence = Sequence;
-  // What waits beside it is not in it.
-  batch.Through = all ? this->now() : Written;
-  auto end = Waiting.begin() + static_cast<std::ptrdiff_t>(*Sending);
+  batch.Sequence = Sequence++;
+  // What waits on is not in it.
+  if (end == Waiting.end())
+    Through = now();
+  batch.Through = Through;
   batch.Entries.assign(Waiting.begin(), end);
-  std::vector<std::string> records{encodeUsage(batch)};
+  Waiting.erase(Waiting.begin(), end);
+  return batch;
+}
+
+/// The newest batch certainly isn't in the topic: its number is free again.
+void UsageMeter::takeBack(UsageBatch Unwritten) {
+  --Sequence;
+  Waiting.insert(Waiting.begin(), Unwritten.Entries.begin(),
+                 Unwritten.Entries.end());
+  if (Waiting.size() > Limits.MostWaiting)
+    compact();
+}
+
+/// Writes what is counted; true if the topic holds it. Batches of unknown
+/// outcome go before the newest one, all or none.
+asio::awaitable<bool> UsageMeter::write() {
+  TimePoint sent = monotonicNow();
+  Allowed -= 1;
+  WallTime before = Through;
+  Unacked.push_back(nextBatch());
+  std::vector<std::string> records;
+  records.reserve(Unacked.size());
+  for (const UsageBatch &it : Unacked)
+    records.push_back(encodeUsage(it));
   Outcome<Offset> got = co_await With.Store.Append(
       UsageTopic, std::move(records), std::nullopt, Limits.AppendTimeout);
   TimePoint now = monotonicNow();
@@ -139,26 +156,26 @@
                  "Records of counts that the store did not take")
         .add();
     NotBefore = now + Limits.RetryPause;
-    // Of one that certainly isn't there the number is free again.
-    if (got.failure().Run == Verdict::NotRun)
-      Sending.reset();
+    if (got.failure().Run == Verdict::NotRun) {
+      takeBack(std::move(Unacked.back()));
+      Unacked.pop_back();
+      Through = before;
+    }
     co_return false;
   }
   With.Decisions->line(
       "usage.written",
-      {{"sequence", std::to_string(Sequence)},
-       {"requests", std::to_string(batch.Entries.size())},
+      {{"sequence", std::to_string(Sequence - 1)},
+       {"requests", std::to_string(Unacked.back().Entries.size())},
        {"offset", std::to_string(*got)},
        {"took_ms",
         std::to_string(
             std::chrono::duration_cast<Millis>(now - sent).count())}});
-  Waiting.erase(Waiting.begin(),
-                Waiting.begin() + static_cast<std::ptrdiff_t>(*Sending));
-  Sending.reset();
-  ++Sequence;
-  Written = batch.Through;
-  Pause = std::max(Limits.Pace, std::chrono::duration_cast<Millis>(
-                                    (now - sent) * Limits.PaceFactor));
+  Unacked.clear();
+  Known = true;
+  Pause = std::clamp(
+      std::chrono::duration_cast<Millis>((now - sent) * Limits.PaceFactor),
+      Limits.Pace, Limits.MostPace);
   co_return true;
 }
 
@@ -169,8 +186,8 @@
   while (!Ended && monotonicNow() < Until)
     co_await Wake.wait(Until);
   while (monotonicNow() < Until) {
-    if (!Waiting.empty()) {
-      bool written = co_await writeBatch();
+    if (!Waiting.empty() || !Unacked.empty()) {
+      bool written = co_await write();
       if (!written)
         co_await pauseFor(With.Executor, Limits.RetryPause);
       continue;
@@ -183,7 +200,8 @@
     co_await pauseFor(With.Executor, Limits.RetryPause);
   }
   With.Decisions->line("usage.left_unwritten",
-                       {{"requests", std::to_string(Waiting.size())}});
+                       {{"requests", std::to_string(Waiting.size())},
+                        {"batches", std::to_string(Unacked.size())}});
 }
 
 } // namespace wasabi
--- a/Wasabi/Usage/UsageMeter.h
+++ b/Wasabi/Usage/UsageMeter.h
@@ -33,13 +33,18 @@
   struct Settings {
     UsageSource Self;
     UsageSettings Windows;
-    /// How long an append may take before its outcome is unknown.
-    Millis AppendTimeout{1200};
+    /// How long an append may take before its outcome is unknown. What comes
+    /// meanwhile waits, and a second append of the same does no harm: two and a
+    /// half times what a store takes that is sixty times slower than usual.
+    Millis AppendTimeout{600};
     /// Appends that may follow each other without a pause: what waits for one
     /// is lost if the process is killed meanwhile.
     double Burst = 8;
     /// Least pause between two appends in the long run.
     Millis Pace{50};
+    /// Most of it: counts of a second may be lost then if the process is
+    /// killed.
+    Millis MostPace{1000};
     /// That pause is this many times what the last append took, if that is
     /// more: hundreds of processes share one partition, which takes 500 appends
     /// a second, and what they gather meanwhile costs them nothing.
@@ -72,7 +77,7 @@
   void start();
   /// Whether the topic knows that this process counts: windows wait for it from
   /// then on.
-  bool known() const { return Sequence > 1; }
+  bool known() const { return Known; }
   /// Writes what is counted, says that no more will be, and ends; gives up at
   /// `Until`.
   boost::asio::awaitable<void> leave(TimePoint Until);
@@ -84,25 +89,30 @@
 
 private:
   UsageMeter(Parts With, Settings Limits);
-  std::size_t sending() const { return Sending.value_or(0); }
   WallTime now() const { return With.Wall.at(monotonicNow()); }
   void add(UsageEntry What);
   void compact();
   bool due() const;
   TimePoint nextLook() const;
   boost::asio::awaitable<void> writeLoop();
-  boost::asio::awaitable<bool> writeBatch();
+  UsageBatch nextBatch();
+  void takeBack(UsageBatch Unwritten);
+  boost::asio::awaitable<bool> write();
   void refill(TimePoint Now);
 
   const Settings Limits;
   const Parts With;
+  /// Counted, and in no batch yet.
   std::vector<UsageEntry> Waiting;
-  /// How many of `Waiting` are in the batch that was sent and whose outcome is
-  /// not known yet: these and no others go with its number. Empty for none.
-  std::optional<std::size_t> Sending;
+  /// Batches that may stand in the topic or not: they are written again under
+  /// their numbers, before newer ones, until the store says that it has them.
+  std::vector<UsageBatch> Unacked;
+  /// Of the next batch.
   std::uint64_t Sequence = 1;
-  /// Through when the topic holds all that was counted.
-  WallTime Written;
+  /// Through when all that was counted is in some batch.
+  WallTime Through;
+  /// Whether the store has taken a batch.
+  bool Known = false;
   /// Appends that may be made now; one more comes each `Pause`.
   double Allowed;
   Millis Pause;
--- a/Wasabi/Usage/UsageReporter.cpp
+++ b/Wasabi/Usage/UsageReporter.cpp
@@ -71,6 +71,7 @@
 /// Reads a stretch of the topic; false if the store did not give it.
 asio::awaitable<bool> UsageReporter::readOnce() {
   bool fresh = CaughtUp;
+  TimePoint before = ReadAt;
   Outcome<LogRange> got = co_await With.Store.Read(
       UsageTopic, Fold.Next, Limits.Wait, Limits.ReadBytes);
   if (!got) {
@@ -78,15 +79,18 @@
     CaughtUp = false;
     co_return got.failure().Code == FailureCode::Cancelled;
   }
-  take(*got, fresh);
+  ReadAt = monotonicNow();
+  // What comes now was written since the last read, if that saw the end.
+  take(*got,
+       fresh ? std::chrono::ceil<Millis>(ReadAt - before) : Millis::max());
   if (fresh && !got->Entries.empty())
     co_await pauseFor(With.Executor, Limits.Pace);
   co_return true;
 }
 
-void UsageReporter::take(const LogRange &Range, bool Fresh) {
+void UsageReporter::take(const LogRange &Range, Millis Age) {
   TimePoint now = monotonicNow();
-  UsageReading when{now, With.Wall.at(now), Fresh};
+  UsageReading when{now, With.Wall.at(now), Age};
   if (Range.First > Fold.Next) {
     With.Decisions->line("usage.records_expired",
                          {{"expected", std::to_string(Fold.Next)},
--- a/Wasabi/Usage/UsageReporter.h
+++ b/Wasabi/Usage/UsageReporter.h
@@ -71,7 +71,7 @@
   WallTime trueNow() const;
   boost::asio::awaitable<void> followLoop();
   boost::asio::awaitable<bool> readOnce();
-  void take(const LogRange &Range, bool Fresh);
+  void take(const LogRange &Range, Millis Age);
   boost::asio::awaitable<void> decide();
   boost::asio::awaitable<void> tellLoop();
   boost::asio::awaitable<bool> tellOldest(DutyPermit Under);
@@ -82,6 +82,8 @@
   UsageFold Fold;
   /// Whether the last read showed the end of the topic.
   bool CaughtUp = false;
+  /// When that read ended.
+  TimePoint ReadAt;
   std::uint64_t LateLogged = 0;
   AsyncSignal Changed;
 };
