Usage: appends become rare where the store is slow, and stay frequent where it is away

Cause: an append then takes 120 ms of the partition, 40 processes each followed one by the next, and timed-out ones came again each 200 ms. Change: the pause grows with what an append takes up to a window's length, doubles with each that fails, and no burst goes before it; a store that is out of reach is tried each 200 ms as before. Who a window waits for is logged.

--- a/UnitTests/Upstream/ForwarderTest.cpp
+++ b/UnitTests/Upstream/ForwarderTest.cpp
@@ -66,7 +66,7 @@
     counting.Pace = Millis(1);
     counting.PaceFactor = 0;
     Usage = UsageMeter::create({Context.get_executor(), Store.port(), Decisions,
-                                Counts, WallClock::create()},
+                                Counts, WallClock::create(), View.Contact},
                                counting);
     Usage->start();
     Forward = Forwarder::create(
--- a/UnitTests/Usage/UsageMeterTest.cpp
+++ b/UnitTests/Usage/UsageMeterTest.cpp
@@ -10,6 +10,7 @@
 
 struct MeterWorld : BatchWorld {
   Metrics Counts;
+  StoreContact Contact;
   std::shared_ptr<bool> Cut = std::make_shared<bool>(false);
   std::shared_ptr<UsageMeter> Meter;
 
@@ -19,11 +20,14 @@
     limits.Windows.Window = Window;
     limits.Pace = Millis(5);
     limits.PaceFactor = 0;
+    limits.MostPace = Millis(20);
+    limits.BurstSpan = Millis(40);
     limits.RetryPause = Millis(5);
     limits.EndSpread = Millis(5);
-    Meter = UsageMeter::create({Context.get_executor(), Store.port(Cut),
-                                Decisions, Counts, WallClock::create()},
-                               limits);
+    Meter =
+        UsageMeter::create({Context.get_executor(), Store.port(Cut), Decisions,
+                            Counts, WallClock::create(), Contact},
+                           limits);
     Meter->start();
   }
   std::vector<UsageBatch> batches() {
@@ -170,6 +174,29 @@
   }));
 }
 
+TEST_CASE("A store that has too much to do is written to ever less often",
+          "[usage]") {
+  MeterWorld world;
+  REQUIRE(world.runUntil([&] { return world.Meter->known(); }));
+  noteAnswer(world.Contact, monotonicNow());
+  world.Store.Fates.assign(1000, AppendFate::Refused);
+  for (int i = 0; i < 100; ++i) {
+    world.Meter->began(Anna);
+    world.Context.run_for(Millis(2));
+  }
+  // 200 ms in pauses of 20 ms, and some shorter ones first.
+  CHECK(1000 - world.Store.Fates.size() <= 16);
+  // One that is away is tried on, so that its return is heard of.
+  world.Contact.Lost = true;
+  world.Store.Fates.assign(1000, AppendFate::Refused);
+  world.Context.run_for(Millis(100));
+  CHECK(1000 - world.Store.Fates.size() >= 10);
+  world.Store.Fates.clear();
+  REQUIRE(world.runUntil([&] {
+    return world.counted() == UsageCounts{{Anna, 100}};
+  }));
+}
+
 TEST_CASE("A process without requests says so in each window", "[usage]") {
   MeterWorld world(Millis(40));
   REQUIRE(world.runUntil([&] { return world.batches().size() >= 5; }));
--- a/UnitTests/Usage/UsageReporterTest.cpp
+++ b/UnitTests/Usage/UsageReporterTest.cpp
@@ -71,9 +71,11 @@
     meter.Pace = Millis(2);
     meter.PaceFactor = 0;
     meter.RetryPause = Millis(3);
+    meter.MostPace = Millis(20);
     meter.EndSpread = Millis(2);
-    Meter = UsageMeter::create(
-        {executor, store, World.Decisions, Counts, WallClock::create()}, meter);
+    Meter = UsageMeter::create({executor, store, World.Decisions, Counts,
+                                WallClock::create(), Log->contact()},
+                               meter);
     UsageReporter::Settings reporter;
     reporter.Self = meter.Self;
     reporter.Windows = windows();
--- a/Wasabi/Usage/UsageMeter.cpp
+++ b/Wasabi/Usage/UsageMeter.cpp
@@ -11,9 +11,8 @@
 namespace asio = boost::asio;
 
 UsageMeter::UsageMeter(Parts With, Settings Limits)
-    : Limits(std::move(Limits)), With(std::move(With)),
-      Allowed(this->Limits.Burst), Pause(this->Limits.Pace),
-      Wake(this->With.Executor) {
+    : Limits(std::move(Limits)), With(std::move(With)), Allowed(1),
+      Pause(this->Limits.Pace), Wake(this->With.Executor) {
   std::mt19937_64 random(this->Limits.Self.Life);
   Spread = Millis(static_cast<std::int64_t>(
       random() %
@@ -93,10 +92,10 @@
     if (!due())
       co_await Wake.wait(nextLook());
     else if (now < NotBefore)
-      co_await pauseFor(With.Executor,
-                        std::chrono::ceil<Millis>(NotBefore - now));
+      co_await Wake.wait(NotBefore);
     else if (Allowed < 1)
-      co_await pauseFor(With.Executor, Pause);
+      co_await Wake.wait(now +
+                         std::chrono::ceil<Millis>(Pause * (1 - Allowed)));
     else
       co_await write();
   }
@@ -107,10 +106,25 @@
 void UsageMeter::refill(TimePoint Now) {
   double pauses = std::chrono::duration<double>(Now - Refilled) /
                   std::chrono::duration<double>(Pause);
-  Allowed = std::min(Limits.Burst, Allowed + pauses);
+  double burst = std::chrono::duration<double>(Limits.BurstSpan) /
+                 std::chrono::duration<double>(Pause);
+  Allowed = std::min(std::max(1.0, burst), Allowed + pauses);
   Refilled = Now;
 }
 
+/// The store did not take an append. One that is away is tried again and again,
+/// so that its return is heard of; one that answers has too much to do.
+void UsageMeter::slowDown(TimePoint Now) {
+  if (With.Contact.Lost) {
+    Allowed = 1;
+    NotBefore = Now + Limits.RetryPause;
+    return;
+  }
+  Pause = std::clamp(Pause * 2, Limits.RetryPause, Limits.MostPace);
+  Allowed = 0;
+  NotBefore = Now + Pause;
+}
+
 /// Makes a batch of what waits; of nothing, it says that there was nothing.
 UsageBatch UsageMeter::nextBatch() {
   std::size_t count = std::min(Waiting.size(), Limits.BatchEntries);
@@ -155,7 +169,9 @@
         .counter("usage_appends_failed_total",
                  "Records of counts that the store did not take")
         .add();
-    NotBefore = now + Limits.RetryPause;
+    // What was ended because the store is back is written again at once.
+    if (got.failure().Code != FailureCode::Cancelled)
+      slowDown(now);
     if (got.failure().Run == Verdict::NotRun) {
       takeBack(std::move(Unacked.back()));
       Unacked.pop_back();
--- a/Wasabi/Usage/UsageMeter.h
+++ b/Wasabi/Usage/UsageMeter.h
@@ -15,6 +15,7 @@
 #include "Wasabi/Adapters/Telemetry/Metrics.h"
 #include "Wasabi/Core/AsyncSignal.h"
 #include "Wasabi/Ports/RecordStore.h"
+#include "Wasabi/Upstream/StoreContact.h"
 #include "Wasabi/Usage/UsageFold.h"
 #include "Wasabi/Usage/WallClock.h"
 
@@ -33,23 +34,22 @@
   struct Settings {
     UsageSource Self;
     UsageSettings Windows;
-    /// How long an append may take before its outcome is unknown. What comes
-    /// meanwhile waits, and a second append of the same does no harm: two and a
-    /// half times what a store takes that is sixty times slower than usual.
-    Millis AppendTimeout{600};
-    /// Appends that may follow each other without a pause: what waits for one
-    /// is lost if the process is killed meanwhile.
-    double Burst = 8;
+    /// How long an append may take before its outcome is unknown.
+    Millis AppendTimeout{1200};
     /// Least pause between two appends in the long run.
     Millis Pace{50};
-    /// Most of it: counts of a second may be lost then if the process is
-    /// killed.
-    Millis MostPace{1000};
     /// That pause is this many times what the last append took, if that is
-    /// more: hundreds of processes share one partition, which takes 500 appends
-    /// a second, and what they gather meanwhile costs them nothing.
+    /// more: all processes share one partition, which takes one append after
+    /// the other, 500 a second as a rule and 8 when the store is sixty times
+    /// slower. What is gathered meanwhile costs nothing more.
     double PaceFactor = 25;
-    /// Pause after an append that failed.
+    /// Most of it: each process writes once a window anyway.
+    Millis MostPace{5000};
+    /// Appends whose pauses lie within this may follow each other at once: what
+    /// waits for one is lost if the process is killed meanwhile.
+    Millis BurstSpan{400};
+    /// Least pause after an append that failed; it doubles with each further
+    /// one.
     Millis RetryPause{200};
     /// Windows end for all processes at once: each writes within this long
     /// after.
@@ -69,6 +69,8 @@
     /// Outlives the meter.
     Metrics &Counts;
     WallClock Wall;
+    /// Of this process; outlives the meter.
+    const StoreContact &Contact;
   };
 
   static std::shared_ptr<UsageMeter> create(Parts With, Settings Limits);
@@ -99,6 +101,7 @@
   void takeBack(UsageBatch Unwritten);
   boost::asio::awaitable<bool> write();
   void refill(TimePoint Now);
+  void slowDown(TimePoint Now);
 
   const Settings Limits;
   const Parts With;
--- a/Wasabi/Usage/UsageReporter.cpp
+++ b/Wasabi/Usage/UsageReporter.cpp
@@ -120,6 +120,20 @@
     Changed.notify();
 }
 
+/// Logs once for whom a window waits that could be decided else.
+void UsageReporter::noteWaiting(WallTime TrueNow, TimePoint Now) {
+  if (!Fold.Undecided || WaitsFor == Fold.Undecided ||
+      TrueNow <
+          endOf(*Fold.Undecided, Limits.Windows.Window) + Limits.Windows.Settle)
+    return;
+  WaitsFor = Fold.Undecided;
+  With.Decisions->line(
+      "usage.waiting",
+      {{"window", std::to_string(*Fold.Undecided)},
+       {"missing",
+        namesOf(missingFrom(Fold, *Fold.Undecided, Now, Limits.Windows))}});
+}
+
 asio::awaitable<Outcome<Offset>> UsageReporter::append(UsageRecord What) {
   std::vector<std::string> records{encodeUsage(What)};
   co_return co_await With.Store.Append(UsageTopic, std::move(records),
@@ -132,8 +146,10 @@
   TimePoint now = monotonicNow();
   WallTime wall = trueNow();
   std::optional<UsageWindow> due = windowDue(Fold, wall, now, Limits.Windows);
-  if (!due)
+  if (!due) {
+    noteWaiting(wall, now);
     co_return;
+  }
   UsageDecision decision{*due, countsOf(Fold, *due, Limits.Windows)};
   std::vector<UsageSource> missing =
       missingFrom(Fold, *due, now, Limits.Windows);
--- a/Wasabi/Usage/UsageReporter.h
+++ b/Wasabi/Usage/UsageReporter.h
@@ -73,6 +73,7 @@
   boost::asio::awaitable<bool> readOnce();
   void take(const LogRange &Range, Millis Age);
   boost::asio::awaitable<void> decide();
+  void noteWaiting(WallTime TrueNow, TimePoint Now);
   boost::asio::awaitable<void> tellLoop();
   boost::asio::awaitable<bool> tellOldest(DutyPermit Under);
   boost::asio::awaitable<Outcome<Offset>> append(UsageRecord What);
@@ -85,6 +86,8 @@
   /// When that read ended.
   TimePoint ReadAt;
   std::uint64_t LateLogged = 0;
+  /// The window that was last logged as waiting.
+  std::optional<UsageWindow> WaitsFor;
   AsyncSignal Changed;
 };
 
