--- a/UnitTests/Usage/UsageFoldTest.cpp
+++ b/UnitTests/Usage/UsageFoldTest.cpp
@@ -23,6 +23,8 @@
   UsageSettings Limits;
   Offset Next = 0;
   std::map<UsageSource, std::uint64_t> Sequences;
+  /// With the store, for long.
+  StoreContact Contact{{}, TimePoint(), TimePoint(Millis(-100000)), false};
 
   /// The reader's time when the true time is `At`.
   static TimePoint reader(WallTime At) { return TimePoint(At - Begin); }
@@ -42,7 +44,7 @@
     return countsOf(Fold, Of, Limits);
   }
   std::optional<UsageWindow> due(WallTime At) const {
-    return windowDue(Fold, At, reader(At), Limits);
+    return windowDue(Fold, At, reader(At), Contact, Limits);
   }
 };
 
@@ -107,6 +109,16 @@
   CHECK(it.due(Begin + Millis(5000) + latest) == Window);
 }
 
+TEST_CASE("Nobody is given up as soon as the store is back", "[usage]") {
+  FoldCase it;
+  it.batch(source("a"), Begin + Millis(10));
+  it.batch(source("b"), Begin + Millis(20));
+  WallTime back = Begin + Millis(20000);
+  it.Contact.Since = FoldCase::reader(back);
+  CHECK_FALSE(it.due(back + it.Limits.AfterStore - Millis(1)));
+  CHECK(it.due(back + it.Limits.AfterStore) == Window);
+}
+
 TEST_CASE("One process of many is waited for a short while only", "[usage]") {
   FoldCase it;
   constexpr int Many = 40;
--- a/UnitTests/Usage/UsageReporterTest.cpp
+++ b/UnitTests/Usage/UsageReporterTest.cpp
@@ -83,10 +83,10 @@
     reporter.Pace = Millis(2);
     reporter.RetryPause = Millis(5);
     reporter.CallEvery = Millis(1);
-    Reporter =
-        UsageReporter::create({executor, store, To.port(), Duty,
-                               World.Decisions, Counts, WallClock::create()},
-                              reporter);
+    Reporter = UsageReporter::create({executor, store, To.port(), Duty,
+                                      World.Decisions, Counts,
+                                      WallClock::create(), Log->contact()},
+                                     reporter);
     Duty->start();
     Meter->start();
     Reporter->start();
@@ -99,6 +99,7 @@
     windows.Due = Millis(300);
     windows.DueMargin = Millis(100);
     windows.FewMissing = Millis(100);
+    windows.AfterStore = Millis(60);
     return windows;
   }
 };
@@ -222,7 +223,8 @@
   REQUIRE(world.runUntil([&] { return told.Calls.size() >= 2; }));
   one.Meter->began(Anna);
   world.Store.Down = true;
-  world.Context.run_for(Millis(500));
+  // Longer than it takes to notice that the store is away.
+  world.Context.run_for(StoreContact::Settings().Patience + Millis(300));
   world.Store.Down = false;
   REQUIRE(world.runUntil([&] { return sumFor(told, Anna) == 1; }));
   checkTold(told);
--- a/Wasabi/Usage/UsageFold.cpp
+++ b/Wasabi/Usage/UsageFold.cpp
@@ -149,7 +149,7 @@
 }
 
 std::optional<UsageWindow> windowDue(const UsageFold &Fold, WallTime TrueNow,
-                                     TimePoint Now,
+                                     TimePoint Now, const StoreContact &Contact,
                                      const UsageSettings &Limits) {
   if (!Fold.Undecided)
     return std::nullopt;
@@ -161,7 +161,8 @@
   Millis patience = Limits.Due - Limits.DueMargin;
   if (isFew(Fold, missing, Now, Limits))
     patience = std::min(patience, Limits.FewMissing);
-  if (missing > 0 && TrueNow < end + patience)
+  bool justBack = !steadyFor(Contact, Limits.AfterStore, Now);
+  if (missing > 0 && (justBack || TrueNow < end + patience))
     return std::nullopt;
   return window;
 }
--- a/Wasabi/Usage/UsageFold.h
+++ b/Wasabi/Usage/UsageFold.h
@@ -4,6 +4,7 @@
 #ifndef WASABI_USAGE_USAGEFOLD_H
 #define WASABI_USAGE_USAGEFOLD_H
 
+#include "Wasabi/Upstream/StoreContact.h"
 #include "Wasabi/Usage/UsageRecord.h"
 
 #include <optional>
@@ -25,6 +26,9 @@
   /// in its last moments may yet prove not to have run, for which a server that
   /// refuses connections takes 0.3 s.
   Millis Settle{1000};
+  /// After the store was away nobody is given up for this long: all write what
+  /// they counted meanwhile, and it takes them some hundred milliseconds.
+  Millis AfterStore{1000};
   /// Part of a window's requests by which its report may be off.
   double Tolerance = 0.05;
   /// Where half of `Tolerance` at most can be missing, as far as processes
@@ -115,8 +119,9 @@
 /// The window that can be decided at a true time, as far as it is known; empty
 /// if none can. It is the first undecided one, once all processes that count
 /// have told what they counted in it, or it should wait for them no longer.
+/// `Contact` is that of this process with the store.
 std::optional<UsageWindow> windowDue(const UsageFold &Fold, WallTime TrueNow,
-                                     TimePoint Now,
+                                     TimePoint Now, const StoreContact &Contact,
                                      const UsageSettings &Limits);
 
 /// Processes whose counts of a window are missing.
--- a/Wasabi/Usage/UsageReporter.cpp
+++ b/Wasabi/Usage/UsageReporter.cpp
@@ -145,7 +145,8 @@
 asio::awaitable<void> UsageReporter::decide() {
   TimePoint now = monotonicNow();
   WallTime wall = trueNow();
-  std::optional<UsageWindow> due = windowDue(Fold, wall, now, Limits.Windows);
+  std::optional<UsageWindow> due =
+      windowDue(Fold, wall, now, With.Contact, Limits.Windows);
   if (!due) {
     noteWaiting(wall, now);
     co_return;
--- a/Wasabi/Usage/UsageReporter.h
+++ b/Wasabi/Usage/UsageReporter.h
@@ -56,6 +56,8 @@
     /// Outlives the reporter.
     Metrics &Counts;
     WallClock Wall;
+    /// Of this process; outlives the reporter.
+    const StoreContact &Contact;
   };
 
   static std::shared_ptr<UsageReporter> create(Parts With, Settings Limits);
