A reader who waited gets the texts that end beside the first one

Seen: on the shifted deployment, from the text that completes a step to the end of the step it takes 0.53 s in the mean; the trainer ends a step at once when it has read as many groups as it waits for. Cause: a reader who waits was answered at the first new text. The longest texts of a step end within 100 ms of each other; the others were read at the next poll, half a second later. Change: a reader who has waited waits up to 250 ms more, within what it allows, and is answered at once when its step is whole.

--- a/UnitTests/Batch/BatchDeskTest.cpp
+++ b/UnitTests/Batch/BatchDeskTest.cpp
@@ -270,6 +270,72 @@
   CHECK(page->Next == 1);
 }
 
+namespace {
+
+/// When a result comes, from the begin of a read.
+struct TimedResult {
+  Millis At;
+  std::size_t Index;
+};
+
+/// How many results a reader who waits gets, and after what time.
+std::pair<std::size_t, Millis> readWhile(DeskWorld &World, const BatchJob &Job,
+                                         std::vector<TimedResult> Coming,
+                                         Millis Wait) {
+  for (const TimedResult &it : Coming)
+    asio::co_spawn(
+        World.Context,
+        [&World, &Job, it]() -> asio::awaitable<void> {
+          co_await pauseFor(World.Context.get_executor(), it.At);
+          World.list(Job, it.Index, "text");
+        },
+        asio::detached);
+  TimePoint begin = monotonicNow();
+  Outcome<ResultPage> page = World.read(*World.Desk, Job, 0, Wait);
+  REQUIRE(page);
+  Millis took = std::chrono::duration_cast<Millis>(monotonicNow() - begin);
+  return {page->Results.size(), took};
+}
+
+} // namespace
+
+TEST_CASE("The longest texts of a step end side by side and are read together",
+          "[batch]") {
+  // Two groups of two; the trainer waits for both.
+  BatchJob job = makeJob("a", 4);
+  job.TargetGroups = 2;
+  DeskWorld world;
+  REQUIRE(world.submit(*world.Desk, job) == DeskVerdict::Taken);
+  auto [count, took] = readWhile(
+      world, job,
+      {{Millis(20), 0}, {Millis(60), 1}, {Millis(90), 2}, {Millis(120), 3}},
+      Millis(1000));
+  CHECK(count == 4);
+  // A step that is whole is told at once.
+  CHECK(took < Millis(240));
+}
+
+TEST_CASE("A reader waits a short while only for what comes with a result",
+          "[batch]") {
+  BatchJob job = makeJob("a", 4);
+  job.TargetGroups = 2;
+  DeskWorld world;
+  REQUIRE(world.submit(*world.Desk, job) == DeskVerdict::Taken);
+  auto [count, took] =
+      readWhile(world, job, {{Millis(20), 0}, {Millis(500), 1}}, Millis(1000));
+  CHECK(count == 1);
+  CHECK(took < Millis(400));
+  // What is there already is told without a wait, and nobody waits longer than
+  // he allows.
+  TimePoint begin = monotonicNow();
+  CHECK(world.read(*world.Desk, job, 0, Millis(1000))->Results.size() == 1);
+  CHECK(monotonicNow() - begin < Millis(100));
+  DeskWorld other;
+  REQUIRE(other.submit(*other.Desk, job) == DeskVerdict::Taken);
+  CHECK(readWhile(other, job, {{Millis(20), 0}}, Millis(100)).second <
+        Millis(200));
+}
+
 TEST_CASE("An end is taken again when it is repeated", "[batch]") {
   DeskWorld world;
   BatchJob job = makeJob("a", 1);
--- a/UnitTests/Batch/BatchFoldTest.cpp
+++ b/UnitTests/Batch/BatchFoldTest.cpp
@@ -54,6 +54,31 @@
 
 } // namespace
 
+TEST_CASE("A step is whole when as many groups are as its trainer waits for",
+          "[batch]") {
+  BatchFold fold;
+  BatchJob job = makeJob("a", 6);
+  job.TargetGroups = 2;
+  apply(fold, 0, JobPart{job, 0, 1}, TimePoint());
+  const JobState &state = *findJob(fold, job.Id);
+  Offset at = 1;
+  for (std::size_t index : {0, 2, 4, 1}) {
+    CHECK_FALSE(isStepWhole(state));
+    apply(fold, at++, ResultRecord{job.Id, makeResult(job, index, "t")},
+          TimePoint());
+  }
+  CHECK_FALSE(isStepWhole(state));
+  apply(fold, at++, ResultRecord{job.Id, makeResult(job, 5, "t")}, TimePoint());
+  CHECK(isStepWhole(state));
+  // A trainer that names no number waits for all.
+  BatchJob all = makeJob("b", 2);
+  apply(fold, at++, JobPart{all, 0, 1}, TimePoint());
+  apply(fold, at++, ResultRecord{all.Id, makeResult(all, 0, "t")}, TimePoint());
+  CHECK_FALSE(isStepWhole(*findJob(fold, all.Id)));
+  apply(fold, at++, ResultRecord{all.Id, makeResult(all, 1, "t")}, TimePoint());
+  CHECK(isStepWhole(*findJob(fold, all.Id)));
+}
+
 TEST_CASE("Jobs of two customers are two, whatever their names", "[batch]") {
   BatchFold fold;
   BatchJob anna = makeJob("a", 2);
--- a/Wasabi/Batch/BatchDesk.cpp
+++ b/Wasabi/Batch/BatchDesk.cpp
@@ -157,8 +157,8 @@
   const JobState &job = **found;
   TimePoint arrived = monotonicNow();
   TimePoint until = arrived + Wait;
-  while (job.Results.size() <= After && !job.Ended && monotonicNow() < until)
-    co_await Log->changes().wait(until);
+  if (job.Results.size() <= After)
+    co_await awaitResult(*found, After, until);
   // That a position is empty may be said only by who knows the present: another
   // process may have shown what stands there.
   bool beyond = After > job.Results.size();
@@ -183,6 +183,17 @@
   co_return page;
 }
 
+/// Waits for a result at `After`, and for those that come with it.
+asio::awaitable<void> BatchDesk::awaitResult(std::shared_ptr<JobState> Job,
+                                             std::size_t After,
+                                             TimePoint Until) {
+  while (Job->Results.size() <= After && !Job->Ended && monotonicNow() < Until)
+    co_await Log->changes().wait(Until);
+  TimePoint gathered = std::min(Until, monotonicNow() + Limits.Gather);
+  while (!isStepWhole(*Job) && !Job->Ended && monotonicNow() < gathered)
+    co_await Log->changes().wait(gathered);
+}
+
 /// The results from `After` on with their texts: as many as there are, as fit
 /// into a page and as the store gives now.
 asio::awaitable<Outcome<ResultPage>>
--- a/Wasabi/Batch/BatchDesk.h
+++ b/Wasabi/Batch/BatchDesk.h
@@ -46,6 +46,11 @@
     /// read, and shorter than the second in which all deployments known must
     /// agree.
     Millis StaleAfter{850};
+    /// A reader who waited for a result waits this much longer, within what it
+    /// allows, for those that come with it, unless its step is whole before.
+    /// The longest texts of a step end side by side, and a reader who is given
+    /// the first of them comes back for the others half a second later.
+    Millis Gather{250};
     /// Text of one page of results, in bytes.
     std::size_t PageBytes = 900000;
   };
@@ -76,6 +81,8 @@
             std::shared_ptr<DecisionLog> Decisions, Settings Limits);
   boost::asio::awaitable<Outcome<std::vector<std::string>>>
   storeItems(const BatchJob &Job);
+  boost::asio::awaitable<void> awaitResult(std::shared_ptr<JobState> Job,
+                                           std::size_t After, TimePoint Until);
   boost::asio::awaitable<Outcome<ResultPage>>
   collect(std::shared_ptr<JobState> Job, std::size_t After);
   boost::asio::awaitable<Outcome<std::shared_ptr<JobState>>> find(JobId Id);
--- a/Wasabi/Batch/BatchFold.cpp
+++ b/Wasabi/Batch/BatchFold.cpp
@@ -1,5 +1,8 @@
 #include "Wasabi/Batch/BatchFold.h"
 
+#include <algorithm>
+#include <string_view>
+
 namespace wasabi {
 
 namespace {
@@ -158,6 +161,19 @@
   }
 }
 
+bool isStepWhole(const JobState &Of) {
+  std::unordered_map<std::string_view, bool> whole;
+  for (std::size_t i = 0; i < Of.Job.Items.size(); ++i) {
+    bool &group = whole.emplace(Of.Job.Items[i].Group, true).first->second;
+    group = group && Of.Listed[i];
+  }
+  auto count = static_cast<std::uint64_t>(std::count_if(
+      whole.begin(), whole.end(), [](const auto &It) { return It.second; }));
+  std::uint64_t wanted =
+      Of.Job.TargetGroups > 0 ? Of.Job.TargetGroups : whole.size();
+  return count >= wanted;
+}
+
 std::shared_ptr<JobState> findJob(const BatchFold &Fold, const JobId &Id) {
   auto it = Fold.Jobs.find(Id);
   return it == Fold.Jobs.end() ? nullptr : it->second;
--- a/Wasabi/Batch/BatchFold.h
+++ b/Wasabi/Batch/BatchFold.h
@@ -112,6 +112,10 @@
 /// Forgets jobs that nobody may ask for any more.
 void expire(BatchFold &Fold, TimePoint Now);
 
+/// Whether as many groups are listed whole as the job's trainer waits for.
+/// Pure.
+bool isStepWhole(const JobState &Of);
+
 /// The job of this name, null if it is not known.
 std::shared_ptr<JobState> findJob(const BatchFold &Fold, const JobId &Id);
 
