A request that found all servers full asks again in the time of an answer

Cause: the pause before another ask was fixed at 20 ms, four fifths of the 25 ms that a request takes on the users' sheets. Where answers take 10 ms, twice that passes between two asks, and the less urgent of other processes find the places. Change: the pause is a share of what the service's answers take, as seen; 20 ms is its upper bound.

--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace wasabi {
 
@@ -238,7 +239,13 @@
 Millis Forwarder::fullPause(const Progress &Of) const {
   constexpr std::uint32_t MostPriority = 9;
   std::uint32_t priority = priorityOf(Of.What.By, Of.Route.Priority);
-  return Limits.FullPause * (1 + std::min(priority, MostPriority));
+  Millis first = Limits.FullPause;
+  double answer =
+      usualAnswerMs(View.Servers, Of.Service, View.Contact, monotonicNow());
+  if (answer > 0)
+    first = std::clamp(Millis(std::lround(answer * Limits.FullPauseShare)),
+                       Millis(1), Limits.FullPause);
+  return first * (1 + std::min(priority, MostPriority));
 }
 
 /// Sends a request to one server after the other until one answers it.
--- a/Wasabi/Upstream/Forwarder.h
+++ b/Wasabi/Upstream/Forwarder.h
@@ -64,8 +64,12 @@
     /// Part of a request's time in which it may wait for servers that are all
     /// full: half is left to come back to another process.
     double WaitShare = 0.5;
-    /// Pause of the most urgent of these before they ask again; a request takes
-    /// 25 ms on average, so that a place has come free.
+    /// Pause of the most urgent of these before they ask again: this part of
+    /// the time that an answer of the service takes, in which a place comes
+    /// free somewhere. A fixed pause lets those of a service with short answers
+    /// ask so rarely that others find the places.
+    double FullPauseShare = 0.8;
+    /// Longest such pause, and the one while no answer has come yet.
     Millis FullPause{20};
   };
 
--- a/Wasabi/Upstream/UpstreamTable.cpp
+++ b/Wasabi/Upstream/UpstreamTable.cpp
@@ -143,6 +143,20 @@
   return best;
 }
 
+double usualAnswerMs(const UpstreamTable &Table, const ServiceName &Service,
+                     const StoreContact &Contact, TimePoint Now) {
+  double sum = 0;
+  std::uint32_t known = 0;
+  for (const std::shared_ptr<UpstreamServer> &it :
+       serversOf(Table, Service, Contact, Now)) {
+    if (it->AnswerMs <= 0)
+      continue;
+    sum += it->AnswerMs;
+    ++known;
+  }
+  return known == 0 ? 0 : sum / known;
+}
+
 void noteSuccess(const UpstreamTable &Table, UpstreamServer &Server,
                  double TookMs) {
   Server.Failures = 0;
--- a/Wasabi/Upstream/UpstreamTable.h
+++ b/Wasabi/Upstream/UpstreamTable.h
@@ -149,6 +149,11 @@
              const DomainName &Near, const std::set<ServerIncarnation> &Tried,
              const StoreContact &Contact, TimePoint Now);
 
+/// What an answer of a service's usable servers takes on average, in
+/// milliseconds; 0 if none has come yet.
+double usualAnswerMs(const UpstreamTable &Table, const ServiceName &Service,
+                     const StoreContact &Contact, TimePoint Now);
+
 /// Notes an answer that took `TookMs`.
 void noteSuccess(const UpstreamTable &Table, UpstreamServer &Server,
                  double TookMs);
