A reader of a trainer's step waits until it is whole

Cause: a trainer reads twice a second, and whenever it is answered it comes back, and acts, half a second after it came at the soonest. A read that is answered at one text leaves it away when the last one ends. Ruled out: the engines (a text of the greatest length takes 47 to 48 ms an event, 46.8 alone) and the wait for one (0.03 s). Change: a reader of a trainer's step is held until the step is whole: for as long as it allows if there is nothing to get, for the half second that it would stay away if there is, and not beyond the time in which what it gets counts. Jobs that are no steps and steps that are late are read as before. Whether a step is whole is counted with each result instead of found out at each look.

--- a/UnitTests/Batch/BatchDeskTest.cpp
+++ b/UnitTests/Batch/BatchDeskTest.cpp
@@ -10,6 +10,7 @@
 
 /// Two processes over one store.
 struct DeskWorld : BatchWorld {
+  Millis ResultTime{0};
   std::shared_ptr<bool> Cut = std::make_shared<bool>(false);
   std::shared_ptr<RolloutLog> Log = follow(Store.port(Cut));
   std::shared_ptr<RolloutLog> OtherLog = follow(Store.port());
@@ -24,9 +25,10 @@
   std::shared_ptr<BatchDesk> makeDesk(std::shared_ptr<RolloutLog> Of) {
     BatchDesk::Settings limits;
     limits.StaleAfter = Millis(30);
-    return BatchDesk::create(std::move(Of),
-                             PayloadStore::create(Store.port(Cut), {}),
-                             Decisions, limits);
+    return BatchDesk::create(
+        {std::move(Of), PayloadStore::create(Store.port(Cut), {}), Decisions,
+         [this](const BatchJob &) { return ResultTime; }},
+        limits);
   }
 
   DeskVerdict submit(BatchDesk &At, const BatchJob &Job) {
@@ -315,11 +317,47 @@
   CHECK(took < Millis(240));
 }
 
-TEST_CASE("A reader waits a short while only for what comes with a result",
+TEST_CASE("A reader of a step that is not whole waits as long as it allows",
+          "[batch]") {
+  BatchJob job = makeJob("a", 4);
+  job.TargetGroups = 2;
+  DeskWorld world;
+  REQUIRE(world.submit(*world.Desk, job) == DeskVerdict::Taken);
+  auto [count, took] =
+      readWhile(world, job, {{Millis(20), 0}, {Millis(250), 1}}, Millis(400));
+  CHECK(count == 2);
+  CHECK(took >= Millis(390));
+  CHECK(took < Millis(600));
+  // One that has results to get waits no longer than it would stay away.
+  TimePoint begin = monotonicNow();
+  CHECK(world.read(*world.Desk, job, 0, Millis(1000))->Results.size() == 2);
+  CHECK(monotonicNow() - begin < Millis(700));
+  begin = monotonicNow();
+  CHECK(world.read(*world.Desk, job, 0)->Results.size() == 2);
+  CHECK(monotonicNow() - begin < Millis(100));
+}
+
+TEST_CASE("A reader of a step that is late gets what there is at once",
           "[batch]") {
   BatchJob job = makeJob("a", 4);
   job.TargetGroups = 2;
   DeskWorld world;
+  world.ResultTime = Millis(1);
+  REQUIRE(world.submit(*world.Desk, job) == DeskVerdict::Taken);
+  world.Context.run_for(Millis(750));
+  auto [count, took] =
+      readWhile(world, job, {{Millis(20), 0}, {Millis(700), 1}}, Millis(1000));
+  CHECK(count == 1);
+  CHECK(took < Millis(500));
+  TimePoint begin = monotonicNow();
+  CHECK(world.read(*world.Desk, job, 0, Millis(1000))->Results.size() == 1);
+  CHECK(monotonicNow() - begin < Millis(100));
+}
+
+TEST_CASE("A reader waits a short while only for what comes with a result",
+          "[batch]") {
+  BatchJob job = makeJob("a", 4);
+  DeskWorld world;
   REQUIRE(world.submit(*world.Desk, job) == DeskVerdict::Taken);
   auto [count, took] =
       readWhile(world, job, {{Millis(20), 0}, {Millis(500), 1}}, Millis(1000));
--- a/Wasabi/Batch/BatchDesk.cpp
+++ b/Wasabi/Batch/BatchDesk.cpp
@@ -33,18 +33,13 @@
   return "unknown";
 }
 
-BatchDesk::BatchDesk(std::shared_ptr<RolloutLog> Log,
-                     std::shared_ptr<PayloadStore> Payloads,
-                     std::shared_ptr<DecisionLog> Decisions, Settings Limits)
-    : Limits(Limits), Log(std::move(Log)), Payloads(std::move(Payloads)),
-      Decisions(std::move(Decisions)) {}
-
-std::shared_ptr<BatchDesk>
-BatchDesk::create(std::shared_ptr<RolloutLog> Log,
-                  std::shared_ptr<PayloadStore> Payloads,
-                  std::shared_ptr<DecisionLog> Decisions, Settings Limits) {
-  return std::shared_ptr<BatchDesk>(new BatchDesk(
-      std::move(Log), std::move(Payloads), std::move(Decisions), Limits));
+BatchDesk::BatchDesk(Parts With, Settings Limits)
+    : Limits(Limits), Log(std::move(With.Log)),
+      Payloads(std::move(With.Payloads)), Decisions(std::move(With.Decisions)),
+      ResultTime(std::move(With.ResultTime)) {}
+
+std::shared_ptr<BatchDesk> BatchDesk::create(Parts With, Settings Limits) {
+  return std::shared_ptr<BatchDesk>(new BatchDesk(std::move(With), Limits));
 }
 
 /// Appends until the store takes the records or the topic shows what they say.
@@ -156,9 +151,7 @@
     co_return found.failure();
   const JobState &job = **found;
   TimePoint arrived = monotonicNow();
-  TimePoint until = arrived + Wait;
-  if (job.Results.size() <= After)
-    co_await awaitResult(*found, After, until);
+  co_await awaitResults(*found, After, arrived, Wait);
   // That a position is empty may be said only by who knows the present: another
   // process may have shown what stands there.
   bool beyond = After > job.Results.size();
@@ -183,13 +176,33 @@
   co_return page;
 }
 
-/// Waits for a result at `After`, and for those that come with it.
-asio::awaitable<void> BatchDesk::awaitResult(std::shared_ptr<JobState> Job,
-                                             std::size_t After,
-                                             TimePoint Until) {
-  while (Job->Results.size() <= After && !Job->Ended && monotonicNow() < Until)
-    co_await Log->changes().wait(Until);
-  TimePoint gathered = std::min(Until, monotonicNow() + Limits.Gather);
+/// Until when a reader of a trainer's step waits for it to be whole; `Came` for
+/// a reader of another job.
+TimePoint BatchDesk::holdUntil(const JobState &Job, std::size_t After,
+                               TimePoint Came, Millis Wait) const {
+  if (Job.Job.TargetGroups == 0)
+    return Came;
+  StepRead read{Came, Wait, Job.Results.size() > After, std::nullopt};
+  Millis time = ResultTime ? ResultTime(Job.Job) : Millis(0);
+  if (time > Millis(0))
+    read.Due = Job.Seen + time;
+  return wasabi::holdUntil(read, Limits.Steps);
+}
+
+/// Waits for a step to be whole; else for a result at `After`, and for those
+/// that come with it.
+asio::awaitable<void> BatchDesk::awaitResults(std::shared_ptr<JobState> Job,
+                                              std::size_t After, TimePoint Came,
+                                              Millis Wait) {
+  TimePoint held = holdUntil(*Job, After, Came, Wait);
+  while (!isStepWhole(*Job) && !Job->Ended && monotonicNow() < held)
+    co_await Log->changes().wait(held);
+  if (Job->Results.size() > After)
+    co_return;
+  TimePoint until = Came + Wait;
+  while (Job->Results.size() <= After && !Job->Ended && monotonicNow() < until)
+    co_await Log->changes().wait(until);
+  TimePoint gathered = std::min(until, monotonicNow() + Limits.Gather);
   while (!isStepWhole(*Job) && !Job->Ended && monotonicNow() < gathered)
     co_await Log->changes().wait(gathered);
 }
--- a/Wasabi/Batch/BatchDesk.h
+++ b/Wasabi/Batch/BatchDesk.h
@@ -7,7 +7,9 @@
 
 #include "Wasabi/Batch/PayloadStore.h"
 #include "Wasabi/Batch/RolloutLog.h"
+#include "Wasabi/Batch/StepRead.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -46,19 +48,27 @@
     /// read, and shorter than the second in which all deployments known must
     /// agree.
     Millis StaleAfter{850};
-    /// A reader who waited for a result waits this much longer, within what it
-    /// allows, for those that come with it, unless its step is whole before.
-    /// The longest texts of a step end side by side, and a reader who is given
-    /// the first of them comes back for the others half a second later.
+    /// A reader of a job that is no trainer's step, or of a step that is late,
+    /// waits this long after its first result, within what it allows, for those
+    /// that come with it.
     Millis Gather{250};
+    /// For readers of a trainer's step.
+    StepReadSettings Steps;
     /// Text of one page of results, in bytes.
     std::size_t PageBytes = 900000;
   };
 
-  static std::shared_ptr<BatchDesk>
-  create(std::shared_ptr<RolloutLog> Log,
-         std::shared_ptr<PayloadStore> Payloads,
-         std::shared_ptr<DecisionLog> Decisions, Settings Limits);
+  /// What a desk works with.
+  struct Parts {
+    std::shared_ptr<RolloutLog> Log;
+    std::shared_ptr<PayloadStore> Payloads;
+    std::shared_ptr<DecisionLog> Decisions;
+    /// Time after its submission in which a job's results are due; 0 if that is
+    /// not known.
+    std::function<Millis(const BatchJob &)> ResultTime;
+  };
+
+  static std::shared_ptr<BatchDesk> create(Parts With, Settings Limits);
 
   /// Accepts a job once; a repeated submission is `Taken` again.
   boost::asio::awaitable<DeskVerdict> submit(BatchJob Job);
@@ -67,8 +77,9 @@
   /// store ends a job that it does not know of, too.
   boost::asio::awaitable<DeskVerdict> end(JobId Id);
 
-  /// Results from `After` on, waiting up to `Wait` for one. Failures: `Expired`
-  /// when there is no such job, `Unavailable` when nobody can be sure here.
+  /// Results from `After` on, waiting up to `Wait` for one, or at a trainer's
+  /// step for it to be whole. Failures: `Expired` when there is no such job,
+  /// `Unavailable` when nobody can be sure here.
   boost::asio::awaitable<Outcome<ResultPage>> read(JobId Id, std::size_t After,
                                                    Millis Wait);
 
@@ -76,13 +87,14 @@
   boost::asio::awaitable<Outcome<std::string>> body(JobId Id, ItemId Item);
 
 private:
-  BatchDesk(std::shared_ptr<RolloutLog> Log,
-            std::shared_ptr<PayloadStore> Payloads,
-            std::shared_ptr<DecisionLog> Decisions, Settings Limits);
+  BatchDesk(Parts With, Settings Limits);
   boost::asio::awaitable<Outcome<std::vector<std::string>>>
   storeItems(const BatchJob &Job);
-  boost::asio::awaitable<void> awaitResult(std::shared_ptr<JobState> Job,
-                                           std::size_t After, TimePoint Until);
+  TimePoint holdUntil(const JobState &Job, std::size_t After, TimePoint Came,
+                      Millis Wait) const;
+  boost::asio::awaitable<void> awaitResults(std::shared_ptr<JobState> Job,
+                                            std::size_t After, TimePoint Came,
+                                            Millis Wait);
   boost::asio::awaitable<Outcome<ResultPage>>
   collect(std::shared_ptr<JobState> Job, std::size_t After);
   boost::asio::awaitable<Outcome<std::shared_ptr<JobState>>> find(JobId Id);
@@ -94,6 +106,7 @@
   const std::shared_ptr<RolloutLog> Log;
   const std::shared_ptr<PayloadStore> Payloads;
   const std::shared_ptr<DecisionLog> Decisions;
+  const std::function<Millis(const BatchJob &)> ResultTime;
 };
 
 /// The word for a verdict. Thread-safe.
--- a/Wasabi/Batch/BatchFold.cpp
+++ b/Wasabi/Batch/BatchFold.cpp
@@ -1,6 +1,5 @@
 #include "Wasabi/Batch/BatchFold.h"
 
-#include <algorithm>
 #include <string_view>
 
 namespace wasabi {
@@ -19,8 +18,15 @@
   state->At = At;
   state->Seen = Now;
   state->Listed.resize(Job.Items.size(), false);
-  for (std::size_t i = 0; i < Job.Items.size(); ++i)
+  std::unordered_map<std::string_view, std::size_t> groups;
+  for (std::size_t i = 0; i < Job.Items.size(); ++i) {
     state->Index.emplace(Job.Items[i].Id.Text, i);
+    std::size_t group =
+        groups.emplace(Job.Items[i].Group, groups.size()).first->second;
+    state->GroupOf.push_back(group);
+    state->Unlisted.resize(groups.size(), 0);
+    ++state->Unlisted[group];
+  }
   state->Job = std::move(Job);
   return state;
 }
@@ -66,6 +72,8 @@
   if (it == job->Index.end() || job->Listed[it->second])
     return {};
   job->Listed[it->second] = true;
+  if (--job->Unlisted[job->GroupOf[it->second]] == 0)
+    ++job->WholeGroups;
   job->Texts.erase(it->second);
   job->Results.push_back(What.Result);
   return {FoldChange::Kind::Listed, job};
@@ -162,16 +170,9 @@
 }
 
 bool isStepWhole(const JobState &Of) {
-  std::unordered_map<std::string_view, bool> whole;
-  for (std::size_t i = 0; i < Of.Job.Items.size(); ++i) {
-    bool &group = whole.emplace(Of.Job.Items[i].Group, true).first->second;
-    group = group && Of.Listed[i];
-  }
-  auto count = static_cast<std::uint64_t>(std::count_if(
-      whole.begin(), whole.end(), [](const auto &It) { return It.second; }));
   std::uint64_t wanted =
-      Of.Job.TargetGroups > 0 ? Of.Job.TargetGroups : whole.size();
-  return count >= wanted;
+      Of.Job.TargetGroups > 0 ? Of.Job.TargetGroups : Of.Unlisted.size();
+  return Of.WholeGroups >= wanted;
 }
 
 std::shared_ptr<JobState> findJob(const BatchFold &Fold, const JobId &Id) {
--- a/Wasabi/Batch/BatchFold.h
+++ b/Wasabi/Batch/BatchFold.h
@@ -57,6 +57,11 @@
   std::unordered_map<std::string, std::size_t> Index;
   /// By item: whether it stands in `Results`.
   std::vector<bool> Listed;
+  /// By item: the number of its group.
+  std::vector<std::size_t> GroupOf;
+  /// By group: its items that do not stand in `Results`.
+  std::vector<std::size_t> Unlisted;
+  std::size_t WholeGroups = 0;
   /// Unfinished texts that dispatchers have saved, by item.
   std::map<std::size_t, StoredText> Texts;
 };
