An engine that serves a step as it arrives loads new weights after it

A load costs running texts nothing (mean excess over their events' time 0.08 s without a load, 0.07 s with one), but its engine takes nothing new for a second. Cause: all engines of a model were due to load as soon as a version was named; its step comes 0.06 to 0.2 s later, would be allowed on the version before, and found them loading. Tried first and dropped: engines that waiting items need before all others, the models with the longest texts first. Change: an engine whose weights serve what waits, or what is about to be asked for under a version just named, does not load; engines that cannot serve what waits load first. The rule is a module without network. The test was seen to fail without the rule.

--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -44,7 +44,9 @@
   std::shared_ptr<Dispatcher> Dispatch;
 
   /// \param Stall silence after which a run has lost its engine.
-  explicit DispatchWorld(Millis Stall = Millis(80)) {
+  /// \param StepArrival how long a named version's step is expected.
+  explicit DispatchWorld(Millis Stall = Millis(80),
+                         Millis StepArrival = Millis(0)) {
     View.Routes = makeRoutes();
     noteAnswer(View.Contact, monotonicNow());
     addServer("e1", Llm);
@@ -68,6 +70,7 @@
     limits.SwapLimit = Millis(150);
     limits.SaveEvery = Millis(10);
     limits.SaveEvents = 4;
+    limits.StepArrival = StepArrival;
     Dispatch = Dispatcher::create({Context.get_executor(), View, Log, Payloads,
                                    Store.port(), Engines.port(), scores,
                                    crashes, Decisions, Counts},
@@ -503,6 +506,36 @@
   CHECK(world.runUntil([&] { return wanted() == 4; }));
 }
 
+TEST_CASE("A step that follows its version finds engines with places",
+          "[dispatch]") {
+  DispatchWorld world(Millis(80), Millis(5000));
+  world.Engines.Length = 12;
+  for (const char *id : {"e1", "e2"}) {
+    world.server(id).Version = 2;
+    world.Dispatch->onHeld(ServerName(id), {{{Model, 2}}, false});
+  }
+  world.View.Named[Model] = 2;
+  BatchJob before = makeJob("a", 2);
+  before.MinVersion = 1;
+  world.submit(before);
+  REQUIRE(world.finishes(before));
+  auto wanted = [&] { return world.Store.Topics[WantedTopic].size(); };
+  world.View.Named[Model] = 3;
+  world.Dispatch->onView();
+  world.Context.run_for(Millis(60));
+  CHECK(wanted() == 0);
+  // The step is more than the engines have places for: they load when all of it
+  // has had one.
+  BatchJob job = makeJob("b", 12);
+  job.MinVersion = 2;
+  world.submit(job);
+  REQUIRE(world.runUntil([&] { return wanted() > 0; }));
+  std::set<std::string> begun;
+  for (const char *id : {"e1", "e2"})
+    begun.insert(world.server(id).Runs.begin(), world.server(id).Runs.end());
+  CHECK(begun.size() == before.Items.size() + job.Items.size());
+}
+
 TEST_CASE("What an engine held before it started again does not count",
           "[dispatch]") {
   DispatchWorld world;
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -108,6 +108,8 @@
 
 void Dispatcher::takeUp(const std::shared_ptr<JobState> &Job) {
   std::vector<std::shared_ptr<ItemWork>> all;
+  WeightVersion &newest = NewestMin[Job->Job.Model];
+  newest = std::max(newest, Job->Job.MinVersion);
   double mean = meanExpected(Job->Job);
   for (std::size_t i = 0; i < Job->Job.Items.size(); ++i) {
     if (Job->Listed[i])
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -14,6 +14,7 @@
 #include "Wasabi/Batch/RolloutLog.h"
 #include "Wasabi/Dispatch/EnginePool.h"
 #include "Wasabi/Dispatch/EngineTopics.h"
+#include "Wasabi/Dispatch/LoadOrder.h"
 #include "Wasabi/Ports/EnginePort.h"
 #include "Wasabi/Quarantine/Quarantine.h"
 #include "Wasabi/Upstream/FleetView.h"
@@ -139,6 +140,9 @@
     Millis FirstScoreTime{450};
     /// The same from the second time on.
     Millis ScoreTime{1500};
+    /// A trainer asks for the step of a version this soon after naming it, if
+    /// it is not ahead of its time: 0.06 to 0.2 s.
+    Millis StepArrival{500};
     /// Pause between two moves of an engine to another model.
     Millis MoveEvery{4000};
     /// What a job's demand counts for: its expected tokens while it is younger
@@ -257,6 +261,7 @@
   // Engines.
   void syncEngines();
   std::map<ModelName, double> demand() const;
+  std::map<ModelName, ModelDemand> modelDemands();
   boost::asio::awaitable<void> lookLoop();
   void lookAtRuns();
   void moveToFaster();
@@ -298,6 +303,17 @@
   };
   std::map<ServerName, HeldNews> Held;
   TimePoint LastMove;
+  /// The oldest weights that the newest step of each model allows.
+  std::map<ModelName, WeightVersion> NewestMin;
+  /// The version that was named last.
+  struct NamedVersion {
+    WeightVersion Version = 0;
+    /// When this dispatcher learnt of it.
+    TimePoint Since;
+    /// `NewestMin` at that time.
+    WeightVersion MinBefore = 0;
+  };
+  std::map<ModelName, NamedVersion> Namings;
   std::deque<PendingResult> Uncommitted;
   /// Whether `scheduleNow` is on its way.
   bool Scheduled = false;
--- a/Wasabi/Dispatch/DispatcherEngines.cpp
+++ b/Wasabi/Dispatch/DispatcherEngines.cpp
@@ -200,40 +200,57 @@
   return SwapMode::Continue;
 }
 
+/// What is asked of each model by what waits, and by a step that is likely to
+/// follow a version that was just named.
+std::map<ModelName, ModelDemand> Dispatcher::modelDemands() {
+  TimePoint now = monotonicNow();
+  std::map<ModelName, ModelDemand> found;
+  for (const std::shared_ptr<ItemWork> &it : Works) {
+    if (it->Dropped || it->Stage != ItemStage::Waiting || it->Quarantined)
+      continue;
+    const BatchJob &job = it->Job->Job;
+    WeightVersion &waiting = found[job.Model].Waiting;
+    waiting = std::max(waiting, job.MinVersion);
+  }
+  for (const auto &[model, version] : View.Named) {
+    NamedVersion &named = Namings[model];
+    WeightVersion newest = NewestMin[model];
+    if (named.Version != version)
+      named = {version, now, newest};
+    ModelDemand &demand = found[model];
+    demand.Named = version;
+    bool expected =
+        newest == named.MinBefore && now - named.Since < Limits.StepArrival;
+    // Each version that is named lets a step's oldest one rise by one.
+    if (expected)
+      demand.Coming = named.MinBefore + 1;
+  }
+  return found;
+}
+
 /// Says which engines should take new weights now. Not all at once: the others
 /// go on serving, and more than a few loads slow each other down.
 void Dispatcher::wantVersions() {
   TimePoint now = monotonicNow();
   std::uint32_t swapping = 0;
-  std::vector<std::shared_ptr<EngineState>> due;
+  std::map<ModelName, ModelDemand> demands = modelDemands();
+  EngineList due;
   for (const std::shared_ptr<EngineState> &it : Pool) {
     bool late = now - it->WantedAt > Limits.SwapLimit;
     if (it->swapping() && !late) {
       ++swapping;
       continue;
     }
-    auto named = View.Named.find(it->Model);
-    if (named != View.Named.end() && it->version(it->Model) < named->second &&
+    auto demand = demands.find(it->Model);
+    if (demand != demands.end() && mayLoad(*it, demand->second) &&
         it->Server->SuspectUntil <= now)
       due.push_back(it);
   }
-  auto lag = [this](const EngineState &Of) {
-    return View.Named[Of.Model] - Of.version(Of.Model);
-  };
-  // One that was asked in vain comes last, else it would hold up the others;
-  // then the one that lags most, then the one with the least to hold up.
-  auto rank = [&](const std::shared_ptr<EngineState> &Of) {
-    bool inVain = Of->Wanted > Of->version(Of->Model);
-    return std::make_tuple(inVain, inVain ? Of->WantedAt : TimePoint(),
-                           -static_cast<std::int64_t>(lag(*Of)), Of->Running);
-  };
-  std::sort(due.begin(), due.end(), [&rank](const auto &L, const auto &R) {
-    return rank(L) < rank(R);
-  });
   auto share = static_cast<std::uint32_t>(static_cast<double>(Pool.size()) *
                                           Limits.Pool.LoadShare);
   std::uint32_t most = std::max(Limits.Pool.LeastLoads, share);
-  for (const std::shared_ptr<EngineState> &it : due) {
+  for (const std::shared_ptr<EngineState> &it :
+       loadOrder(std::move(due), demands)) {
     if (swapping >= most)
       return;
     ++swapping;
