--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -45,8 +45,10 @@
 
   /// \param Stall silence after which a run has lost its engine.
   /// \param StepArrival how long a named version's step is expected.
+  /// \param SaveEvery how often texts in progress are saved.
   explicit DispatchWorld(Millis Stall = Millis(80),
-                         Millis StepArrival = Millis(0)) {
+                         Millis StepArrival = Millis(0),
+                         Millis SaveEvery = Millis(10)) {
     View.Routes = makeRoutes();
     noteAnswer(View.Contact, monotonicNow());
     addServer("e1", Llm);
@@ -68,7 +70,7 @@
     limits.LoadStallTime = Millis(3000);
     limits.RetryPause = Millis(2);
     limits.SwapLimit = Millis(150);
-    limits.SaveEvery = Millis(10);
+    limits.SaveEvery = SaveEvery;
     limits.SaveEvents = 4;
     limits.StepArrival = StepArrival;
     Dispatch = Dispatcher::create({Context.get_executor(), View, Log, Payloads,
@@ -681,6 +683,30 @@
     CHECK(it.Output == wholeText(it.Item.Text, 60));
 }
 
+TEST_CASE("Texts that the store did not take are saved as soon as it does",
+          "[dispatch]") {
+  // Processes are killed in the half second after an outage, and the longest
+  // texts have generated seconds meanwhile.
+  DispatchWorld world(Millis(80), Millis(0), Millis(300));
+  world.Engines.Length = 200;
+  world.server("e1").Pace = Millis(10);
+  world.server("e2").Pace = Millis(10);
+  BatchJob job = makeJob("a", 3);
+  world.submit(job);
+  auto running = [&] {
+    return world.server("e1").Runs.size() + world.server("e2").Runs.size() == 3;
+  };
+  REQUIRE(world.runUntil(running));
+  TimePoint begun = monotonicNow();
+  world.Store.Fates = {AppendFate::Refused, AppendFate::Refused};
+  auto saved = [&] {
+    std::shared_ptr<JobState> known = findJob(world.Log->fold(), job.Id);
+    return known && known->Texts.size() == 3;
+  };
+  REQUIRE(world.runUntil(saved));
+  CHECK(monotonicNow() - begun < Millis(550));
+}
+
 TEST_CASE("Where one version is allowed a text of two begins anew",
           "[dispatch]") {
   DispatchWorld world;
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -238,7 +238,7 @@
   void dropMixedText(ItemWork &Work) const;
   TextRecord unsavedText(const ItemWork &Work) const;
   boost::asio::awaitable<void> saveLoop();
-  boost::asio::awaitable<void> saveTexts(std::vector<TextSave> Due);
+  boost::asio::awaitable<bool> saveTexts(std::vector<TextSave> Due);
   boost::asio::awaitable<Outcome<std::vector<std::string>>>
   storeTexts(std::vector<TextRecord> Texts) const;
   void startRun(const std::shared_ptr<ItemWork> &Work,
--- a/Wasabi/Dispatch/DispatcherRecords.cpp
+++ b/Wasabi/Dispatch/DispatcherRecords.cpp
@@ -265,25 +265,38 @@
   co_return records;
 }
 
+/// Saves what has grown, again and again. What the store did not take, or what
+/// did not fit, follows without the usual pause: processes are killed in the
+/// half second after an outage, when the texts have gone on for seconds
+/// unsaved.
 asio::awaitable<void> Dispatcher::saveLoop() {
+  Millis pause = Limits.SaveEvery;
   for (;;) {
-    co_await pauseFor(Executor, Limits.SaveEvery);
+    co_await pauseFor(Executor, pause);
+    pause = Limits.SaveEvery;
     std::vector<TextSave> due;
     std::size_t bytes = 0;
     for (const std::shared_ptr<ItemWork> &it : Works) {
       bool grown = it->Text.Events >= it->SavedEvents + Limits.SaveEvents;
-      if (!Active || it->Stage != ItemStage::Running || !grown ||
-          bytes > AppendBytes)
+      if (!Active || it->Stage != ItemStage::Running || !grown)
         continue;
+      if (bytes > AppendBytes) {
+        pause = Limits.RetryPause;
+        break;
+      }
       due.push_back({it, unsavedText(*it)});
       bytes += due.back().Record.Text.Output.size();
     }
-    if (!due.empty())
-      co_await saveTexts(std::move(due));
+    if (due.empty())
+      continue;
+    bool saved = co_await saveTexts(std::move(due));
+    if (!saved)
+      pause = Limits.RetryPause;
   }
 }
 
-asio::awaitable<void> Dispatcher::saveTexts(std::vector<TextSave> Due) {
+/// False if the store did not take them, as far as is known.
+asio::awaitable<bool> Dispatcher::saveTexts(std::vector<TextSave> Due) {
   std::vector<PartialText> saved;
   std::vector<TextRecord> texts;
   for (TextSave &it : Due) {
@@ -312,6 +325,7 @@
     work.SavedEvents = !failed && same ? saved[i].Events : 0;
     work.SavedBytes = !failed && same ? saved[i].Output.size() : 0;
   }
+  co_return !failed;
 }
 
 } // namespace wasabi
