--- a/UnitTests/Batch/BatchDeskTest.cpp
+++ b/UnitTests/Batch/BatchDeskTest.cpp
@@ -282,7 +282,7 @@
 
 /// How many results a reader who waits gets, and after what time.
 std::pair<std::size_t, Millis> readWhile(DeskWorld &World, const BatchJob &Job,
-                                         std::vector<TimedResult> Coming,
+                                         const std::vector<TimedResult> &Coming,
                                          Millis Wait) {
   for (const TimedResult &it : Coming)
     asio::co_spawn(
--- a/UnitTests/Batch/BatchRecordTest.cpp
+++ b/UnitTests/Batch/BatchRecordTest.cpp
@@ -47,7 +47,7 @@
                                           PartialText{"x", 1, {1}, false}}};
   for (const BatchRecord &it : all) {
     std::string text = encodeRecord(it);
-    CHECK(text.find("3") != std::string::npos);
+    CHECK(text.find('3') != std::string::npos);
     Outcome<BatchRecord> again = decoded(text);
     REQUIRE(again);
     CHECK(*again == it);
--- a/UnitTests/Customers/CustomerTableTest.cpp
+++ b/UnitTests/Customers/CustomerTableTest.cpp
@@ -93,6 +93,7 @@
     for (const auto &[key, customer] : Holders)
       byCustomer[customer].push_back(key);
     std::vector<CustomerTable::Entry> entries;
+    entries.reserve(byCustomer.size());
     for (const auto &[customer, keys] : byCustomer)
       entries.push_back(entry(std::to_string(customer), keys));
     CustomerTable table = CustomerTable::create(entries);
--- a/UnitTests/Upstream/OverloadTest.cpp
+++ b/UnitTests/Upstream/OverloadTest.cpp
@@ -54,7 +54,8 @@
       registerServer(View.Servers, entry);
     }
     EnginePort port;
-    port.Call = [this](UpstreamEntry Server, const http::Request &, SendOptions,
+    port.Call = [this](UpstreamEntry Server, const http::Request &,
+                       const SendOptions &,
                        Millis) { return call(std::move(Server)); };
     FeedParts feed{Context.get_executor(), Store.port(), Decisions, View};
     for (std::size_t i = 0; i < HowMany; ++i)
@@ -107,7 +108,7 @@
   /// Offers `Times` what the servers can do for a while. `PriorityOf` gives
   /// each customer's.
   void offer(double Times,
-             std::function<std::uint32_t(std::size_t)> PriorityOf) {
+             const std::function<std::uint32_t(std::size_t)> &PriorityOf) {
     constexpr Millis Length{1500};
     std::mt19937_64 random(7);
     std::vector<std::size_t> senders;
@@ -133,7 +134,7 @@
     REQUIRE(runUntil([this] { return Open == 0; }));
   }
 
-  Tally sum(std::function<bool(std::size_t)> Which) const {
+  Tally sum(const std::function<bool(std::size_t)> &Which) const {
     Tally all;
     for (std::size_t i = 0; i < Customers; ++i) {
       auto found = Tallies.find(CustomerName(std::to_string(i)));
