--- a/Wasabi/Usage/UsageReporter.cpp
+++ b/Wasabi/Usage/UsageReporter.cpp
@@ -21,6 +21,7 @@
 
 std::string namesOf(const std::vector<UsageSource> &Sources) {
   std::vector<std::string> names;
+  names.reserve(Sources.size());
   for (const UsageSource &it : Sources)
     names.push_back(it.Instance.Text);
   return fmt::format("{}", fmt::join(names, ","));
