Evacuation of failure domains, and cold engines within their limit

Cause: op/evacuate/DOMAIN, the cold time of a registration and the limits of cold servers existed nowhere in the code; an evacuation changed nothing.

Change: the operator's feed keeps the evacuated domains in the upstream table, and isUsable, through which each choice of a server goes, excludes their servers. Items that run there resume elsewhere with their text. The dispatcher spaces the samples of a cold engine. Durations that do not fit are clamped when they are decoded, where a double was cast unchecked.

Ruled out: marking the servers as draining (their next registration overwrites it) and dropping them (a registration brings them back).

--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -615,6 +615,28 @@
   REQUIRE(fixture.finishes(job));
 }
 
+TEST_CASE(
+    "Runs in an evacuated failure domain resume elsewhere with their text",
+    "[dispatch]") {
+  constexpr Millis Never{60000};
+  DispatcherFixture fixture(Never);
+  fixture.Engines.EventsPerText = 40;
+  const DomainName domain("north");
+  fixture.View.Servers.Servers[ServerName("e1")]->Entry.Domain = domain;
+  BatchJob job = makeJob("a", 8);
+  fixture.submit(job);
+  REQUIRE(
+      fixture.runUntil([&] { return fixture.server("e1").Runs.size() == 4; }));
+  fixture.Context.run_for(Millis(20));
+  beginEvacuation(fixture.View.Servers, domain);
+  fixture.Dispatch->onFleetChange();
+  REQUIRE(fixture.finishes(job));
+  CHECK(fixture.server("e1").Runs.size() == 4);
+  CHECK(fixture.Engines.ResumedAfter.size() == 4);
+  for (const ItemResult &it : fixture.results(job))
+    CHECK(it.Output == wholeText(it.Item.Text, 40));
+}
+
 TEST_CASE("The saved part of a text is not generated again", "[dispatch]") {
   DispatcherFixture fixture;
   fixture.Engines.EventsPerText = 60;
--- a/UnitTests/Dispatch/EnginePoolTest.cpp
+++ b/UnitTests/Dispatch/EnginePoolTest.cpp
@@ -178,4 +178,15 @@
   CHECK(choose(engines, need) == engines[1]);
 }
 
+TEST_CASE("A cold engine gets its samples one after the other", "[dispatch]") {
+  std::shared_ptr<DispatchEngine> engine = makeEngine("a", 1, 1);
+  TimePoint now = TimePoint() + Millis(1000);
+  engine->LastSent = now;
+  // One placement of several samples judges all of them at its start.
+  CHECK(hasRoom(*engine, now - Millis(1)));
+  engine->SendInterval = Millis(77);
+  CHECK_FALSE(hasRoom(*engine, now + Millis(76)));
+  CHECK(hasRoom(*engine, now + Millis(77)));
+}
+
 } // namespace wasabi
--- a/UnitTests/Platform/TranslationTest.cpp
+++ b/UnitTests/Platform/TranslationTest.cpp
@@ -294,6 +294,18 @@
   CHECK(without->Start == 0);
 }
 
+TEST_CASE("The remaining cold time of a server is bounded", "[platform]") {
+  auto coldTime = [](const std::string &Number) {
+    return decode("i-1", makeRegistration(R"("cold_remaining_ms":0)",
+                                          R"("cold_remaining_ms":)" + Number));
+  };
+  REQUIRE(coldTime("1500.7"));
+  CHECK(coldTime("1500.7")->ColdRemaining == Millis(1500));
+  REQUIRE(coldTime("1e300"));
+  CHECK(coldTime("1e300")->ColdRemaining <= std::chrono::hours(24 * 365));
+  CHECK_FALSE(coldTime("-0.5e9"));
+}
+
 TEST_CASE("Malformed registrations are rejected", "[platform]") {
   struct Change {
     const char *Member;
--- a/UnitTests/Upstream/UpstreamTest.cpp
+++ b/UnitTests/Upstream/UpstreamTest.cpp
@@ -81,6 +81,51 @@
   CHECK(table.Servers.size() == 1);
 }
 
+TEST_CASE("Servers of an evacuated failure domain get no requests",
+          "[upstream]") {
+  UpstreamTable table;
+  UpstreamRegistration north = makeRegistration("a");
+  north.Domain = DomainName("north");
+  UpstreamRegistration south = makeRegistration("b");
+  south.Domain = DomainName("south");
+  registerServer(table, north);
+  registerServer(table, south);
+  StoreContact contact = makeReachableContact(Start - Millis(60000));
+  auto choose = [&] {
+    std::shared_ptr<UpstreamServer> server =
+        chooseServer(table, Desk, north.Domain, {}, contact, Start);
+    return server ? server->Entry.Id.Text : "";
+  };
+  CHECK(choose() == "a");
+  CHECK(beginEvacuation(table, north.Domain));
+  CHECK_FALSE(beginEvacuation(table, north.Domain));
+  CHECK(choose() == "b");
+
+  SECTION("Servers that register meanwhile are excluded, too") {
+    UpstreamRegistration late = makeRegistration("c");
+    late.Domain = north.Domain;
+    registerServer(table, late);
+    CHECK(findUsableServers(table, Desk, contact, Start).size() == 1);
+  }
+  SECTION("With all domains evacuated no server is left") {
+    CHECK(beginEvacuation(table, south.Domain));
+    CHECK(choose().empty());
+  }
+  SECTION("A domain without servers excludes no other") {
+    CHECK(beginEvacuation(table, DomainName("nowhere")));
+    CHECK(choose() == "b");
+  }
+  SECTION("The servers return cold") {
+    const UpstreamServer &server = *table.Servers[north.Id];
+    CHECK(endEvacuation(table, north.Domain, Start));
+    CHECK_FALSE(endEvacuation(table, north.Domain, Start));
+    CHECK(choose() == "a");
+    CHECK(isCold(server, Millis(3000), Start + Millis(2999)));
+    CHECK_FALSE(isCold(server, Millis(3000), Start + Millis(3000)));
+    CHECK_FALSE(isCold(*table.Servers[south.Id], Millis(3000), Start));
+  }
+}
+
 TEST_CASE("Servers whose registrations lapse in an outage stay usable for the "
           "grace period",
           "[upstream]") {
--- a/Wasabi/Dispatch/DispatcherEngines.cpp
+++ b/Wasabi/Dispatch/DispatcherEngines.cpp
@@ -6,12 +6,29 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace wasabi {
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// Returns the minimum time between two samples that keeps a cold server within
+/// its limit; 0 if the server is not cold.
+Millis coldSendInterval(const UpstreamServer &Server,
+                        const UpstreamService &Service, TimePoint Now) {
+  constexpr double MillisPerSecond = 1000;
+  if (Service.ColdRequestsPerSecond <= 0 ||
+      !isCold(Server, Service.ColdStart, Now))
+    return Millis(0);
+  return Millis(
+      std::lround(std::ceil(MillisPerSecond / Service.ColdRequestsPerSecond)));
+}
+
+} // namespace
+
 //===--- Engine pool and pace ---------------------------------------------===//
 
 /// Returns the mean demand of a recent step of each model, in expected tokens.
@@ -68,6 +85,7 @@
       std::shared_ptr<DispatchEngine> engine =
           known == Pool.end() ? std::make_shared<DispatchEngine>() : *known;
       engine->Server = it;
+      engine->SendInterval = coldSendInterval(*it, service, now);
       // Recent reports of the engine take precedence over its registration.
       constexpr Millis RegistrationLag{2500};
       for (const auto &[model, version] : it->Entry.Models) {
--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -43,6 +43,7 @@
   Task->Stage = ItemStage::Running;
   Task->Engine = Engine;
   Task->LastEvent = monotonicNow();
+  Engine->LastSent = Task->LastEvent;
   Task->HasEvent = false;
   Task->RunFailure.reset();
   Task->Moved = false;
--- a/Wasabi/Dispatch/EnginePool.cpp
+++ b/Wasabi/Dispatch/EnginePool.cpp
@@ -214,7 +214,9 @@
 }
 
 bool hasRoom(const DispatchEngine &Engine, TimePoint Now) {
-  return !Engine.Loading && Engine.FullUntil <= Now &&
+  bool isPaused = Engine.SendInterval > Millis(0) &&
+                  Now - Engine.LastSent < Engine.SendInterval;
+  return !Engine.Loading && Engine.FullUntil <= Now && !isPaused &&
          !Engine.Server->Replaced &&
          Engine.Running < Engine.Server->Entry.Slots;
 }
--- a/Wasabi/Dispatch/EnginePool.h
+++ b/Wasabi/Dispatch/EnginePool.h
@@ -38,6 +38,11 @@
   TimePoint FullUntil;
   /// True while the engine loads weights.
   bool Loading = false;
+  /// Minimum time between two samples that are sent to the engine; 0 unless it
+  /// is cold.
+  Millis SendInterval{0};
+  /// Time at which the last sample was sent to the engine.
+  TimePoint LastSent;
 
   /// Returns the version of a model's weights; 0 if unknown.
   WeightVersion version(const ModelName &Name) const {
--- a/Wasabi/Upstream/RouteTable.h
+++ b/Wasabi/Upstream/RouteTable.h
@@ -84,6 +84,11 @@
   std::uint32_t MaxConnections = 0;
   /// Set for model engines.
   std::optional<EngineTraits> Engine;
+  /// Time for which a server is cold after its start.
+  Millis ColdStart{0};
+  /// Number of requests per second that a cold server tolerates; 0 if it
+  /// tolerates any number.
+  double ColdRequestsPerSecond = 0;
   bool operator==(const UpstreamService &) const = default;
 };
 
--- a/Wasabi/Upstream/UpstreamTable.cpp
+++ b/Wasabi/Upstream/UpstreamTable.cpp
@@ -87,9 +87,36 @@
     it->second->UnregisteredAt = Now;
 }
 
+bool beginEvacuation(UpstreamTable &Table, const DomainName &Domain) {
+  return Table.EvacuatedDomains.insert(Domain).second;
+}
+
+bool endEvacuation(UpstreamTable &Table, const DomainName &Domain,
+                   TimePoint Now) {
+  if (Table.EvacuatedDomains.erase(Domain) == 0)
+    return false;
+  for (const auto &[id, server] : Table.Servers) {
+    if (server->Entry.Domain == Domain)
+      server->ReturnedAt = Now;
+  }
+  return true;
+}
+
+std::size_t countServers(const UpstreamTable &Table, const DomainName &Domain) {
+  return static_cast<std::size_t>(std::count_if(
+      Table.Servers.begin(), Table.Servers.end(),
+      [&](const auto &It) { return It.second->Entry.Domain == Domain; }));
+}
+
+bool isCold(const UpstreamServer &Server, Millis ColdStart, TimePoint Now) {
+  return Now < Server.ColdUntil ||
+         (Server.ReturnedAt && Now < *Server.ReturnedAt + ColdStart);
+}
+
 bool isUsable(const UpstreamTable &Table, const UpstreamServer &Server,
               const StoreContact &Contact, TimePoint Now) {
-  if (Server.Entry.Draining || Server.Replaced)
+  if (Server.Entry.Draining || Server.Replaced ||
+      Table.EvacuatedDomains.contains(Server.Entry.Domain))
     return false;
   if (!Server.UnregisteredAt)
     return true;
--- a/Wasabi/Upstream/UpstreamTable.h
+++ b/Wasabi/Upstream/UpstreamTable.h
@@ -32,6 +32,9 @@
   /// Number of requests that the server runs concurrently.
   std::uint32_t Slots = 1;
   bool Draining = false;
+  /// Time for which the server is still cold, as of this registration. A cold
+  /// server tolerates fewer requests per second.
+  Millis ColdRemaining{0};
   /// Weight versions that the server holds, as of its last registration.
   std::map<ModelName, WeightVersion> Models;
   bool operator==(const UpstreamRegistration &) const = default;
@@ -60,6 +63,11 @@
   std::uint32_t Failures = 0;
   /// Until this time the server is chosen only if no other one is available.
   TimePoint SuspectUntil;
+  /// Until this time the server is cold.
+  TimePoint ColdUntil;
+  /// End of the last evacuation of its failure domain, from which the server
+  /// may return cold; empty if there was none.
+  std::optional<TimePoint> ReturnedAt;
   /// Exponentially smoothed latency in milliseconds; 0 before the first answer.
   double SmoothedLatencyMs = 0;
 };
@@ -94,6 +102,8 @@
   std::map<ServerName, RejectedRegistration> Rejected;
   /// Total number of rejected registrations.
   std::uint64_t RejectedCount = 0;
+  /// Failure domains whose servers get no requests, as set by the operator.
+  std::set<DomainName> EvacuatedDomains;
 };
 
 /// The effect of a registration on the table.
@@ -134,6 +144,22 @@
 void unregisterServer(UpstreamTable &Table, const ServerName &Id,
                       TimePoint Now);
 
+/// Excludes the servers of a failure domain from new requests until
+/// `endEvacuation`. Returns false if the domain is excluded already.
+bool beginEvacuation(UpstreamTable &Table, const DomainName &Domain);
+
+/// Allows requests to the servers of a failure domain again; they count as
+/// returned at `Now`. Returns false if the domain was not excluded.
+bool endEvacuation(UpstreamTable &Table, const DomainName &Domain,
+                   TimePoint Now);
+
+/// Returns the number of known servers in a failure domain.
+std::size_t countServers(const UpstreamTable &Table, const DomainName &Domain);
+
+/// Returns true if a server is cold. `ColdStart` is the time for which servers
+/// of its service are cold after a start. Pure.
+bool isCold(const UpstreamServer &Server, Millis ColdStart, TimePoint Now);
+
 /// Returns true if new requests may be sent to a server.
 bool isUsable(const UpstreamTable &Table, const UpstreamServer &Server,
               const StoreContact &Contact, TimePoint Now);
