The rollout topic is read where it is needed; the lease has its own topic

Cause: 633 edge processes each read all records of the rollout topic, up to 33 times a second: 20,900 reads a second when results flow, beyond the store's 16,000, so that the processes at which trainers wait were refused and late. The reads of the fleet grew as processes times work. After a restart of all, each process read the topic from its start.

A new holder reads the rollout topic before it dispatches.

Ruled out: a longer pause for all (reads still grow with the fleet, and 25 KB/s of records times its processes with them).

--- a/UnitTests/Batch/BatchServiceTest.cpp
+++ b/UnitTests/Batch/BatchServiceTest.cpp
@@ -272,6 +272,74 @@
   CHECK(page->Next == 4);
 }
 
+TEST_CASE("A process that follows the topic on demand gives current answers",
+          "[batch]") {
+  BatchServiceFixture fixture;
+  RolloutLog::Settings limits;
+  limits.PollTimeout = Millis(50);
+  limits.PollDelay = Millis(1);
+  limits.IdleTimeout = Millis(20);
+  std::shared_ptr<RolloutLog> log =
+      RolloutLog::create(fixture.Context.get_executor(), fixture.Store.port(),
+                         fixture.Decisions, limits);
+  log->start();
+  bool storeLost = false;
+  BatchService::Settings serviceLimits;
+  serviceLimits.MaxStateAge = Millis(30);
+  std::shared_ptr<BatchService> service = BatchService::create(
+      {log, PayloadStore::create(fixture.Store.port(), {}), fixture.Decisions,
+       nullptr, [&storeLost] { return storeLost; }},
+      serviceLimits);
+  auto becomeIdle = [&] {
+    fixture.Context.run_for(Millis(120));
+    REQUIRE_FALSE(log->isFollowing());
+  };
+  BatchJob first = makeJob("a", 2);
+  BatchJob second = makeJob("b", 2);
+
+  SECTION("It accepts a job without having read anything") {
+    CHECK(fixture.submit(*service, first) == JobRequestStatus::Accepted);
+  }
+  SECTION("It refuses at once while the store is unreachable") {
+    storeLost = true;
+    CHECK(fixture.submit(*service, first) == JobRequestStatus::Refused);
+    CHECK(fixture.Store.Topics["rollout"].empty());
+  }
+  SECTION("It knows the jobs and results of others after an idle time") {
+    CHECK(fixture.submit(*fixture.Service, first) ==
+          JobRequestStatus::Accepted);
+    CHECK(fixture.read(*service, first, 0)->Total == 2);
+    becomeIdle();
+    fixture.addResult(first, 1, "text");
+    Outcome<ResultPage> page = fixture.read(*service, first, 0);
+    REQUIRE(page);
+    CHECK(page->Results.size() == 1);
+    becomeIdle();
+    CHECK(fixture.submit(*fixture.Service, second) ==
+          JobRequestStatus::Accepted);
+    CHECK(fixture.end(*service, second) == JobRequestStatus::Accepted);
+    becomeIdle();
+    BatchJob unknown = makeJob("c", 1);
+    CHECK(fixture.end(*service, unknown) == JobRequestStatus::JobNotFound);
+  }
+  SECTION("Its reads wait for results like those of others") {
+    CHECK(fixture.submit(*fixture.Service, first) ==
+          JobRequestStatus::Accepted);
+    CHECK(fixture.read(*service, first, 0)->Total == 2);
+    becomeIdle();
+    asio::co_spawn(
+        fixture.Context,
+        [&]() -> asio::awaitable<void> {
+          co_await pauseFor(fixture.Context.get_executor(), Millis(30));
+          fixture.addResult(first, 0, "text");
+        },
+        asio::detached);
+    Outcome<ResultPage> page = fixture.read(*service, first, 0, Millis(1000));
+    REQUIRE(page);
+    CHECK(page->Results.size() == 1);
+  }
+}
+
 TEST_CASE("A read waits for a result and returns it when it is added",
           "[batch]") {
   BatchServiceFixture fixture;
--- a/UnitTests/Batch/FakeStore.cpp
+++ b/UnitTests/Batch/FakeStore.cpp
@@ -121,6 +121,10 @@
        at >= range.First && at < range.End && range.Entries.size() < MaxEntries;
        ++at)
     range.Entries.push_back({at, all[at]});
+  ReadTotals &totals = Reads[Topic];
+  ++totals.Calls;
+  for (const LogEntry &it : range.Entries)
+    totals.Bytes += it.Text.size();
   co_return range;
 }
 
@@ -156,6 +160,10 @@
     if (record.Value)
       range.Records.push_back(record);
   }
+  ReadTotals &totals = Reads[Topic];
+  ++totals.Calls;
+  for (const KeyedRecord &it : range.Records)
+    totals.Bytes += it.Key.size() + it.Value->size();
   co_return range;
 }
 
--- a/UnitTests/Batch/FakeStore.h
+++ b/UnitTests/Batch/FakeStore.h
@@ -26,6 +26,12 @@
   Lost,
 };
 
+/// What all processes together have read of a topic.
+struct ReadTotals {
+  std::size_t Calls = 0;
+  std::size_t Bytes = 0;
+};
+
 /// The topics of one store and its faults. Not thread-safe.
 struct FakeStore {
   explicit FakeStore(boost::asio::io_context &Context)
@@ -43,6 +49,8 @@
   boost::asio::io_context &Context;
   AsyncSignal Appended;
   std::map<std::string, std::vector<std::string>> Topics;
+  /// Answered reads by topic.
+  std::map<std::string, ReadTotals> Reads;
   /// The oldest offset that each topic still has.
   std::map<std::string, Offset> First;
   /// Faults of the next appends, in order; `None` if empty.
--- a/UnitTests/Dispatch/LeaseManagerTest.cpp
+++ b/UnitTests/Dispatch/LeaseManagerTest.cpp
@@ -65,10 +65,8 @@
   REQUIRE(world.runUntil([&] { return one.Manager->held(); }));
   LeaseProcess two(world, "two", 2);
   REQUIRE(world.runUntil([&] { return two.Log->caughtUp(); }));
-  std::vector<std::string> texts{encodeRecord(
-      PartialTextRecord{JobId("a"), ItemId("b"), 1, 0, {"t", 1, {1}, false}})};
   world.run([&]() -> boost::asio::awaitable<void> {
-    co_await one.Manager->release(texts);
+    co_await one.Manager->release();
   });
   REQUIRE(world.runUntil([&] { return two.Manager->held(); }));
   CHECK_FALSE(one.Manager->held());
@@ -83,8 +81,7 @@
   // holder.
   world.Store.AppendFaults = {AppendFault::Lost};
   world.run([&]() -> boost::asio::awaitable<void> {
-    std::vector<std::string> none;
-    co_await one.Manager->release(std::move(none));
+    co_await one.Manager->release();
   });
   world.Context.run_for(Millis(100));
   CHECK(one.Acquired == 1);
--- a/Wasabi/Batch/BatchService.cpp
+++ b/Wasabi/Batch/BatchService.cpp
@@ -37,7 +37,8 @@
     : Limits(Limits), Log(std::move(Components.Log)),
       Payloads(std::move(Components.Payloads)),
       Decisions(std::move(Components.Decisions)),
-      ResultTimeout(std::move(Components.ResultTimeout)) {}
+      ResultTimeout(std::move(Components.ResultTimeout)),
+      StoreUnreachable(std::move(Components.StoreUnreachable)) {}
 
 std::shared_ptr<BatchService> BatchService::create(Parts Components,
                                                    Settings Limits) {
@@ -45,6 +46,10 @@
       new BatchService(std::move(Components), Limits));
 }
 
+bool BatchService::isStoreUnreachable() const {
+  return StoreUnreachable ? StoreUnreachable() : Log->contact().Lost;
+}
+
 /// Appends records and, if the outcome is unknown, reads the topic to look for
 /// them. Returns `Refused` only if the records were not and will not be
 /// appended. `IsVisible` is true once the state contains their effect.
@@ -54,7 +59,7 @@
                                Check IsVisible) {
   // While the store is unreachable nothing is sent: the submitter gets an
   // immediate refusal and can try another process.
-  if (Log->contact().Lost)
+  if (isStoreUnreachable())
     co_return JobRequestStatus::Refused;
   Outcome<Offset> appended = co_await Log->append(std::move(Records));
   if (appended || IsVisible())
@@ -81,7 +86,7 @@
   Outcome<std::vector<PayloadLocation>> locations =
       co_await Payloads->put(items);
   // Storing the items twice is harmless, so a failed append is retried once.
-  if (!locations && !Log->contact().Lost)
+  if (!locations && !isStoreUnreachable())
     locations = co_await Payloads->put(std::move(items));
   if (!locations)
     co_return locations.failure();
@@ -96,10 +101,11 @@
 
 asio::awaitable<JobRequestStatus> BatchService::submit(BatchJob Job) {
   std::shared_ptr<BatchService> self = shared_from_this();
+  Log->demand();
   JobId id = Job.Id;
   auto isVisible = [this, id] { return findJob(Log->fold(), id) != nullptr; };
   JobRequestStatus status = JobRequestStatus::Accepted;
-  if (Log->contact().Lost && !isVisible())
+  if (isStoreUnreachable() && !isVisible())
     status = JobRequestStatus::Refused;
   else if (!isVisible()) {
     Outcome<std::vector<std::string>> records = co_await storeItems(Job);
@@ -138,6 +144,7 @@
 
 asio::awaitable<Outcome<std::shared_ptr<JobState>>>
 BatchService::findOrRefresh(JobId Id) {
+  Log->demand();
   std::shared_ptr<JobState> job = findJob(Log->fold(), Id);
   if (job)
     co_return job;
--- a/Wasabi/Batch/BatchService.h
+++ b/Wasabi/Batch/BatchService.h
@@ -66,6 +66,10 @@
     std::shared_ptr<DecisionLog> Decisions;
     /// Time after the submission until the job's results are due; 0 if unknown.
     std::function<Millis(const BatchJob &)> ResultTimeout;
+    /// Returns true while the store is unreachable, as seen by the reads of the
+    /// whole process; if null, as seen by those of `Log`, which must then be
+    /// followed always.
+    std::function<bool()> StoreUnreachable = nullptr;
   };
 
   static std::shared_ptr<BatchService> create(Parts Components,
@@ -102,6 +106,7 @@
   loadResultPage(std::shared_ptr<JobState> Job, std::size_t After);
   boost::asio::awaitable<Outcome<std::shared_ptr<JobState>>>
   findOrRefresh(JobId Id);
+  bool isStoreUnreachable() const;
   template <typename Check>
   boost::asio::awaitable<JobRequestStatus>
   appendAndConfirm(std::vector<std::string> Records, Check IsVisible);
@@ -111,6 +116,7 @@
   const std::shared_ptr<PayloadStore> Payloads;
   const std::shared_ptr<DecisionLog> Decisions;
   const std::function<Millis(const BatchJob &)> ResultTimeout;
+  const std::function<bool()> StoreUnreachable;
 };
 
 /// Returns the text of a status for the decision log. Thread-safe.
--- a/Wasabi/Batch/RolloutLog.cpp
+++ b/Wasabi/Batch/RolloutLog.cpp
@@ -7,17 +7,12 @@
 
 namespace asio = boost::asio;
 
-Millis replayDelay(double CpuShare) {
-  constexpr double MinUndelayedCpuShare = 0.5;
-  constexpr Millis Delay{800};
-  return CpuShare < MinUndelayedCpuShare ? Delay : Millis(0);
-}
-
 RolloutLog::RolloutLog(asio::any_io_executor Executor, RecordStore Store,
                        std::shared_ptr<DecisionLog> Decisions, Settings Limits)
     : Limits(std::move(Limits)), Executor(std::move(Executor)),
       Store(std::move(Store)), Decisions(std::move(Decisions)),
-      Changed(this->Executor) {}
+      Changed(this->Executor), Demanded(this->Executor),
+      Refreshed(this->Executor) {}
 
 std::shared_ptr<RolloutLog>
 RolloutLog::create(asio::any_io_executor Executor, RecordStore Store,
@@ -33,10 +28,35 @@
       asio::detached);
 }
 
+void RolloutLog::demand() {
+  bool wasFollowing = isFollowing();
+  LastDemand = monotonicNow();
+  if (!wasFollowing)
+    Demanded.notify();
+}
+
+void RolloutLog::pin() {
+  Pinned = true;
+  Demanded.notify();
+}
+
+bool RolloutLog::isFollowing() const {
+  return Pinned || !Limits.IdleTimeout ||
+         monotonicNow() - LastDemand < *Limits.IdleTimeout;
+}
+
 asio::awaitable<void> RolloutLog::followLoop() {
   for (;;) {
+    if (!isFollowing()) {
+      co_await Demanded.wait(TimePoint::max());
+      continue;
+    }
+    if (Refreshing) {
+      co_await Refreshed.wait(TimePoint::max());
+      continue;
+    }
     Outcome<LogRange> range = co_await Store.Read(
-        Limits.Topic, State.Next, Limits.PollTimeout, nextReadBytes());
+        Limits.Topic, State.Next, Limits.PollTimeout, Limits.MaxReadBytes);
     // A read is cancelled when the store becomes reachable again; read at once.
     if (!range && range.failure().Code == FailureCode::Cancelled)
       continue;
@@ -49,16 +69,31 @@
     applyRange(*range);
     expireJobs(State, monotonicNow());
     // While catching up, the next range is read without a delay.
-    if (hasRecords && CaughtUp)
+    if (hasRecords && State.Next >= range->End)
       co_await pauseFor(Executor, Limits.PollDelay);
-    if (!ReplayDelayDone && isFarBehind(*range))
-      co_await pauseFor(Executor, Limits.ReplayDelay);
-    ReplayDelayDone = true;
   }
 }
 
 asio::awaitable<Outcome<Done>> RolloutLog::refresh() {
   std::shared_ptr<RolloutLog> self = shared_from_this();
+  demand();
+  // A refresh that began before this call may miss the newest records.
+  std::uint64_t begunBefore = RefreshCount;
+  while (Refreshing)
+    co_await Refreshed.wait(TimePoint::max());
+  if (LastRefresh > begunBefore)
+    co_return Done{};
+  Refreshing = true;
+  std::uint64_t number = ++RefreshCount;
+  Outcome<Done> done = co_await readToEnd();
+  if (done)
+    LastRefresh = number;
+  Refreshing = false;
+  Refreshed.notify();
+  co_return done;
+}
+
+asio::awaitable<Outcome<Done>> RolloutLog::readToEnd() {
   for (;;) {
     Outcome<LogRange> range = co_await Store.Read(
         Limits.Topic, State.Next, Millis(0), Limits.MaxReadBytes);
@@ -79,23 +114,6 @@
                                   Limits.AppendTimeout);
 }
 
-std::size_t RolloutLog::nextReadBytes() const {
-  bool isFirstRead = !ReplayDelayDone && Limits.ReplayDelay > Millis(0);
-  return isFirstRead ? Limits.MaxFirstReadBytes : Limits.MaxReadBytes;
-}
-
-/// True if the remaining records need more than one read, estimated from the
-/// mean size of those just read.
-bool RolloutLog::isFarBehind(const LogRange &Range) const {
-  if (Range.Entries.empty() || Range.End <= State.Next)
-    return false;
-  std::size_t bytes = 0;
-  for (const LogEntry &it : Range.Entries)
-    bytes += it.Text.size();
-  return bytes / Range.Entries.size() * (Range.End - State.Next) >
-         Limits.MaxReadBytes;
-}
-
 void RolloutLog::applyRange(const LogRange &Range) {
   onReadSucceeded();
   if (Range.First > State.Next) {
--- a/Wasabi/Batch/RolloutLog.h
+++ b/Wasabi/Batch/RolloutLog.h
@@ -1,6 +1,7 @@
 /// \file
-/// Follows the rollout topic in one process: maintains the folded state and its
-/// freshness, and appends records.
+/// Reads the rollout topic in one process: maintains the folded state and its
+/// freshness, and appends records. A process that needs the state only at times
+/// follows the topic only then.
 #ifndef WASABI_BATCH_ROLLOUTLOG_H
 #define WASABI_BATCH_ROLLOUTLOG_H
 
@@ -12,16 +13,12 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace wasabi {
 
-/// Delay before an instance with `CpuShare` of a processor core reads a long
-/// topic after its start. When all processes start at once, this leaves the
-/// store's bandwidth to those that may hold the dispatch lease. Pure.
-Millis replayDelay(double CpuShare);
-
 /// Follows and extends the rollout topic. Not thread-safe: used only on the
 /// thread of its executor.
 class RolloutLog : public std::enable_shared_from_this<RolloutLog> {
@@ -39,11 +36,10 @@
     /// Maximum size of one read in bytes. Small enough that reads succeed
     /// within their time limit when all processes read the topic at once.
     std::size_t MaxReadBytes = 256u << 10;
-    /// Delay at the start if the topic is longer than one read; see
-    /// `replayDelay`.
-    Millis ReplayDelay{0};
-    /// Maximum size in bytes of the first read if `ReplayDelay` is set.
-    std::size_t MaxFirstReadBytes = 8u << 10;
+    /// Time for which the topic is followed after the state was last needed;
+    /// empty to follow it always. The bytes read in a deployment grow with its
+    /// processes times its work unless most of them read nothing.
+    std::optional<Millis> IdleTimeout;
     /// Time limit of an append, after which its outcome is unknown.
     Millis AppendTimeout{1200};
   };
@@ -52,8 +48,16 @@
   create(boost::asio::any_io_executor Executor, RecordStore Store,
          std::shared_ptr<DecisionLog> Decisions, Settings Limits);
 
-  /// Starts following the topic until the execution context stops.
+  /// Starts the loop that follows the topic until the execution context stops.
   void start();
+  /// Notes that the state is needed now. Follows the topic for `IdleTimeout`;
+  /// until the first read, the state is as old as `lastCaughtUpTime`.
+  void demand();
+  /// Follows the topic until `unpin`, whether or not the state is needed.
+  void pin();
+  void unpin() { Pinned = false; }
+  /// True while the topic is followed.
+  bool isFollowing() const;
 
   const BatchState &fold() const { return State; }
   const StoreContact &contact() const { return Contact; }
@@ -69,7 +73,8 @@
     Listener = std::move(Callback);
   }
 
-  /// Reads to the current end of the topic. On failure the state may be stale.
+  /// Reads to the current end of the topic, and follows it as after `demand`.
+  /// On failure the state may be stale.
   boost::asio::awaitable<Outcome<Done>> refresh();
 
   /// Appends records atomically; see `RecordStore::Append`.
@@ -82,8 +87,7 @@
   RolloutLog(boost::asio::any_io_executor Executor, RecordStore Store,
              std::shared_ptr<DecisionLog> Decisions, Settings Limits);
   boost::asio::awaitable<void> followLoop();
-  std::size_t nextReadBytes() const;
-  bool isFarBehind(const LogRange &Range) const;
+  boost::asio::awaitable<Outcome<Done>> readToEnd();
   void applyRange(const LogRange &Range);
   void applyEntry(const LogEntry &Entry);
   void onReadSucceeded();
@@ -98,10 +102,19 @@
   AsyncSignal Changed;
   std::function<void(const BatchStateChange &)> Listener;
   bool CaughtUp = false;
-  /// True once the first read is done and `Settings::ReplayDelay`, if needed,
-  /// has passed.
-  bool ReplayDelayDone = false;
   TimePoint LastCaughtUpTime;
+  bool Pinned = false;
+  /// Time of the last call of `demand`.
+  TimePoint LastDemand;
+  AsyncSignal Demanded;
+  /// True while a call of `refresh` reads. Other reads wait for it, so that a
+  /// long topic is read once.
+  bool Refreshing = false;
+  /// Number of refreshes that have begun.
+  std::uint64_t RefreshCount = 0;
+  /// Number of the last refresh that has succeeded.
+  std::uint64_t LastRefresh = 0;
+  AsyncSignal Refreshed;
 };
 
 } // namespace wasabi
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -60,6 +60,31 @@
 //===--- Items ------------------------------------------------------------===//
 
 void Dispatcher::activate() {
+  Log->pin();
+  asio::co_spawn(
+      Executor,
+      [self = shared_from_this(), number = ++Activations] {
+        return self->takeOver(number);
+      },
+      asio::detached);
+}
+
+/// Reads the rollout topic to its end and then starts dispatching, unless
+/// `activate` or `deactivate` has been called since.
+asio::awaitable<void> Dispatcher::takeOver(std::uint64_t Number) {
+  while (Activations == Number) {
+    Outcome<Done> current = co_await Log->refresh();
+    if (Activations != Number)
+      co_return;
+    if (current) {
+      startDispatching();
+      co_return;
+    }
+    co_await pauseFor(Executor, Limits.RetryDelay);
+  }
+}
+
+void Dispatcher::startDispatching() {
   Active = true;
   std::random_device random;
   Source = random();
@@ -69,6 +94,10 @@
     if (!job->Ended)
       open.push_back(job);
   }
+  Decisions->line("dispatch.started",
+                  {{"jobs", std::to_string(open.size())},
+                   {"engines", std::to_string(Pool.size())},
+                   {"next", std::to_string(Log->fold().Next)}});
   for (const std::shared_ptr<JobState> &it : open)
     addJob(it);
   schedule();
@@ -76,6 +105,8 @@
 }
 
 void Dispatcher::deactivate() {
+  ++Activations;
+  Log->unpin();
   Active = false;
   for (const std::shared_ptr<ItemTask> &it : Tasks)
     cancel(it);
@@ -84,7 +115,7 @@
   PromptEngines.clear();
 }
 
-asio::awaitable<std::vector<std::string>> Dispatcher::handOverTexts() {
+asio::awaitable<void> Dispatcher::handOverTexts() {
   std::shared_ptr<Dispatcher> self = shared_from_this();
   std::vector<PartialTextRecord> texts;
   for (const std::shared_ptr<ItemTask> &it : Tasks) {
@@ -95,12 +126,12 @@
       texts.push_back(unsavedText(*it));
   }
   deactivate();
-  Outcome<std::vector<std::string>> records =
-      co_await storeTexts(std::move(texts));
-  if (records)
-    co_return std::move(*records);
-  Decisions->line("texts.not_saved", {{"reason", describe(records.failure())}});
-  co_return std::vector<std::string>();
+  if (texts.empty())
+    co_return;
+  Outcome<Offset> appended = co_await appendTexts(std::move(texts));
+  if (!appended)
+    Decisions->line("texts.not_saved",
+                    {{"reason", describe(appended.failure())}});
 }
 
 /// Returns true if the versions of a text allow the item to resume from it.
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -175,14 +175,14 @@
   /// Starts the background loops, which idle while the dispatcher is inactive.
   void start();
 
-  /// Starts dispatching all open jobs. Call when this process has acquired the
-  /// dispatch lease.
+  /// Starts dispatching all open jobs as soon as the rollout topic has been
+  /// read to its end. Call when this process has acquired the dispatch lease.
   void activate();
   /// Cancels all runs. Call when this process has lost the dispatch lease.
   void deactivate();
-  /// Cancels all runs and returns records of their unsaved texts for the
-  /// successor. Returns none if the texts could not be stored.
-  boost::asio::awaitable<std::vector<std::string>> handOverTexts();
+  /// Cancels all runs and appends their unsaved texts to the rollout topic for
+  /// the successor.
+  boost::asio::awaitable<void> handOverTexts();
 
   /// Applies a change of the rollout topic.
   void onChange(const BatchStateChange &Change);
@@ -214,6 +214,9 @@
 
   Dispatcher(Parts Dependencies, Settings Limits);
 
+  boost::asio::awaitable<void> takeOver(std::uint64_t Number);
+  void startDispatching();
+
   // Items.
   void addJob(const std::shared_ptr<JobState> &Job);
   boost::asio::awaitable<void>
@@ -245,8 +248,8 @@
   PartialTextRecord unsavedText(const ItemTask &Task) const;
   boost::asio::awaitable<void> saveLoop();
   boost::asio::awaitable<bool> saveTexts(std::vector<TextSave> Due);
-  boost::asio::awaitable<Outcome<std::vector<std::string>>>
-  storeTexts(std::vector<PartialTextRecord> Texts) const;
+  boost::asio::awaitable<Outcome<Offset>>
+  appendTexts(std::vector<PartialTextRecord> Texts) const;
   void startRun(const std::shared_ptr<ItemTask> &Task,
                 const std::shared_ptr<DispatchEngine> &Engine);
   boost::asio::awaitable<void> run(std::shared_ptr<ItemTask> Task);
@@ -296,6 +299,8 @@
   Metrics &Counts;
 
   bool Active = false;
+  /// Number of calls of `activate` and `deactivate`.
+  std::uint64_t Activations = 0;
   /// Random identifier of the saved texts of one activation.
   std::uint64_t Source = 0;
   std::vector<std::shared_ptr<ItemTask>> Tasks;
--- a/Wasabi/Dispatch/DispatcherRecords.cpp
+++ b/Wasabi/Dispatch/DispatcherRecords.cpp
@@ -249,10 +249,10 @@
   return record;
 }
 
-/// Writes long texts to the payload topic and returns the records that refer to
-/// them.
-asio::awaitable<Outcome<std::vector<std::string>>>
-Dispatcher::storeTexts(std::vector<PartialTextRecord> Texts) const {
+/// Writes long texts to the payload topic, and the records of all to the
+/// rollout topic.
+asio::awaitable<Outcome<Offset>>
+Dispatcher::appendTexts(std::vector<PartialTextRecord> Texts) const {
   std::vector<std::string> payloads(Texts.size());
   for (std::size_t i = 0; i < Texts.size(); ++i) {
     if (Texts[i].Text.Output.size() > MaxInlineBytes)
@@ -268,7 +268,7 @@
     Texts[i].OutputLocation = std::move((*locations)[i]);
     records.push_back(encodeRecord(Texts[i]));
   }
-  co_return records;
+  co_return co_await Log->append(std::move(records));
 }
 
 /// Saves the texts that have grown, periodically. After a failed append or a
@@ -307,29 +307,21 @@
     saved.push_back(it.Task->Text);
     texts.push_back(std::move(it.Record));
   }
-  Outcome<std::vector<std::string>> records =
-      co_await storeTexts(std::move(texts));
-  std::optional<Failure> failed;
-  if (!records)
-    failed = records.failure();
-  else {
-    Outcome<Offset> appended = co_await Log->append(std::move(*records));
-    if (!appended)
-      failed = appended.failure();
-  }
-  Decisions->line("texts.saved",
-                  {{"texts", std::to_string(saved.size())},
-                   {"result", failed ? describe(*failed) : "written"}});
+  Outcome<Offset> appended = co_await appendTexts(std::move(texts));
+  Decisions->line(
+      "texts.saved",
+      {{"texts", std::to_string(saved.size())},
+       {"result", appended ? "written" : describe(appended.failure())}});
   for (std::size_t i = 0; i < saved.size(); ++i) {
     ItemTask &task = *Due[i].Task;
     // Nothing is saved of a text that was restarted during the append. After a
     // failed append, the next record contains the whole text.
     bool same = task.Text.Events >= saved[i].Events &&
                 task.Text.Output.starts_with(saved[i].Output);
-    task.SavedEvents = !failed && same ? saved[i].Events : 0;
-    task.SavedBytes = !failed && same ? saved[i].Output.size() : 0;
+    task.SavedEvents = appended && same ? saved[i].Events : 0;
+    task.SavedBytes = appended && same ? saved[i].Output.size() : 0;
   }
-  co_return !failed;
+  co_return bool(appended);
 }
 
 } // namespace wasabi
--- a/Wasabi/Dispatch/LeaseManager.cpp
+++ b/Wasabi/Dispatch/LeaseManager.cpp
@@ -124,8 +124,11 @@
   FencingToken term = Term;
   TimePoint sent = LastRenewal;
   Outcome<Offset> appended = co_await Log->append(std::move(records));
-  if (appended && Held && term == Term)
+  if (appended && Held && term == Term) {
     noteRenewal(Proof, *appended, sent);
+    // The renewal counts once it has been read back.
+    co_await Log->refresh();
+  }
   updateHeld();
   if (!appended)
     Decisions->line("duty.renewal_failed",
@@ -167,14 +170,14 @@
   }
 }
 
-asio::awaitable<void> LeaseManager::release(std::vector<std::string> Texts) {
+asio::awaitable<void> LeaseManager::release() {
   std::shared_ptr<LeaseManager> self = shared_from_this();
   ClaimingStopped = true;
   if (!Held)
     co_return;
   Held = false;
-  Texts.push_back(encodeRecord(LeaseRelease{Term}));
-  Outcome<Offset> appended = co_await Log->append(std::move(Texts));
+  std::vector<std::string> records{encodeRecord(LeaseRelease{Term})};
+  Outcome<Offset> appended = co_await Log->append(std::move(records));
   Decisions->line(
       "duty.release",
       {{"term", std::to_string(Term)},
--- a/Wasabi/Dispatch/LeaseManager.h
+++ b/Wasabi/Dispatch/LeaseManager.h
@@ -1,6 +1,8 @@
 /// \file
 /// Claims the dispatch lease when it is free and renews it. For dispatching, it
-/// only avoids duplicate work; calls that rely on it need a `LeasePermit`.
+/// only avoids duplicate work; calls that rely on it need a `LeasePermit`. The
+/// lease has a topic of its own, which all processes follow; they need not
+/// follow the work of its holder.
 #ifndef WASABI_DISPATCH_LEASEMANAGER_H
 #define WASABI_DISPATCH_LEASEMANAGER_H
 
@@ -22,8 +24,8 @@
   Millis LeaseTimeout{1500};
   /// Time between renewals.
   Millis RenewInterval{400};
-  /// Upper bound of the random delay of a claim after the lease has expired.
-  /// Keeps processes from claiming at the same time.
+  /// Upper bound of the random delay of a claim after the lease has become
+  /// free. Keeps processes from claiming at the same time.
   Millis MaxClaimJitter{200};
   /// See `PermitSettings`.
   Millis TakeoverDelay{3000};
@@ -64,9 +66,8 @@
   void start();
   /// Stops claiming. A lease that is held stays held until `release`.
   void stopClaiming() { ClaimingStopped = true; }
-  /// Appends the records `Texts` and then releases the lease. Stops claiming;
-  /// appends nothing if the lease is not held.
-  boost::asio::awaitable<void> release(std::vector<std::string> Texts);
+  /// Releases the lease if it is held, and stops claiming.
+  boost::asio::awaitable<void> release();
 
   bool held() const { return Held; }
 
