Few of hundreds of processes claim a free lease

Cause: 285 processes appended a claim within 0.1 s of the start of the fleet.

Change: the random delay applies to a lease without a holder, too, and a process reads the topic once more before it claims. A refused claim is followed by a pause.

--- a/UnitTests/Dispatch/LeaseManagerTest.cpp
+++ b/UnitTests/Dispatch/LeaseManagerTest.cpp
@@ -14,13 +14,13 @@
   int Lost = 0;
 
   LeaseProcess(BatchTestFixture &Fixture, const std::string &Name,
-               Incarnation Life) {
+               Incarnation Life, Millis MaxClaimJitter = Millis(10)) {
     Log = Fixture.startLog(Fixture.Store.port(Disconnected));
     LeaseSettings limits;
     limits.Self = LeaseHolder{InstanceName(Name), Life};
     limits.LeaseTimeout = Millis(120);
     limits.RenewInterval = Millis(20);
-    limits.MaxClaimJitter = Millis(10);
+    limits.MaxClaimJitter = MaxClaimJitter;
     Manager = LeaseManager::create(
         Fixture.Context.get_executor(), Log, Fixture.Decisions, limits,
         {[this] { ++Acquired; }, [this] { ++Lost; }});
@@ -40,6 +40,31 @@
   CHECK(one.Manager->held() != two.Manager->held());
 }
 
+TEST_CASE("Of hundreds of processes that find the lease free, few claim it",
+          "[dispatch]") {
+  constexpr int Processes = 300;
+  BatchTestFixture world;
+  std::vector<std::unique_ptr<LeaseProcess>> all;
+  for (int i = 0; i < Processes; ++i)
+    all.push_back(std::make_unique<LeaseProcess>(
+        world, "edge-" + std::to_string(i), i + 1, Millis(200)));
+  auto holders = [&] {
+    return std::count_if(all.begin(), all.end(),
+                         [](const auto &It) { return It->Manager->held(); });
+  };
+  REQUIRE(world.runUntil([&] { return holders() == 1; }));
+  world.Context.run_for(Millis(300));
+  CHECK(holders() == 1);
+  std::size_t claims = 0;
+  for (const std::string &it : world.Store.Topics["rollout"]) {
+    Outcome<BatchRecord> record =
+        toOutcome<BatchRecord>([&] { return decodeRecord(it, "test"); });
+    REQUIRE(record);
+    claims += std::holds_alternative<LeaseClaim>(*record) ? 1 : 0;
+  }
+  CHECK(claims <= Processes / 10);
+}
+
 TEST_CASE("A disconnected holder is succeeded by another process and gives up "
           "the lease when it is reconnected",
           "[dispatch]") {
--- a/Wasabi/Dispatch/LeaseManager.cpp
+++ b/Wasabi/Dispatch/LeaseManager.cpp
@@ -95,7 +95,18 @@
   return computePermit(Proof, {Limits.LeaseTimeout, Limits.TakeoverDelay});
 }
 
+/// Claims the lease unless another process has claimed it meanwhile. Hundreds
+/// of processes may find the lease free within a few milliseconds; each of them
+/// reads, and few append.
 asio::awaitable<void> LeaseManager::claim() {
+  Outcome<Done> current = co_await Log->refresh();
+  if (!current) {
+    co_await pauseFor(Executor, Limits.RenewInterval);
+    co_return;
+  }
+  updateHeld();
+  if (!mayClaim())
+    co_return;
   LeaseState before = Log->fold().Lease;
   TimePoint sent = monotonicNow();
   ClaimJitter = makeClaimJitter();
@@ -113,7 +124,7 @@
        {"result", appended ? "appended" : describe(appended.failure())}});
   // The append may succeed without winning the lease: the topic decides.
   Outcome<Done> refreshed = co_await Log->refresh();
-  if (!refreshed)
+  if (!appended || !refreshed)
     co_await pauseFor(Executor, Limits.RenewInterval);
 }
 
@@ -148,7 +159,7 @@
   }
   if (!FreeSince)
     FreeSince = now;
-  return now - *FreeSince >= Limits.ClaimDelay;
+  return now - *FreeSince >= Limits.ClaimDelay + ClaimJitter;
 }
 
 asio::awaitable<void> LeaseManager::renewLoop() {
@@ -157,9 +168,9 @@
     TimePoint now = monotonicNow();
     bool due = Held && now - LastRenewal >= Limits.RenewInterval;
     bool claimDue = mayClaim();
-    // A free lease is polled more often to keep to the claim delay.
-    TimePoint next =
-        now + (FreeSince ? Limits.MaxClaimJitter : Limits.RenewInterval);
+    TimePoint next = now + Limits.RenewInterval;
+    if (FreeSince)
+      next = std::max(now, *FreeSince + Limits.ClaimDelay + ClaimJitter);
     if (due)
       co_await renew();
     else if (claimDue)
