--- a/Wasabi/Upstream/KeyedFollower.cpp
+++ b/Wasabi/Upstream/KeyedFollower.cpp
@@ -55,7 +55,8 @@
 KeyedFollower::KeyedFollower(asio::any_io_executor Executor, RecordStore Store,
                              Settings Limits, Callbacks Handlers)
     : Limits(std::move(Limits)), Executor(std::move(Executor)),
-      Store(std::move(Store)), Handlers(std::move(Handlers)) {}
+      Store(std::move(Store)), Handlers(std::move(Handlers)),
+      Resumed(this->Executor) {}
 
 std::shared_ptr<KeyedFollower>
 KeyedFollower::create(asio::any_io_executor Executor, RecordStore Store,
@@ -71,8 +72,20 @@
       asio::detached);
 }
 
+void KeyedFollower::resume() {
+  if (!IsPaused)
+    return;
+  IsPaused = false;
+  NeedsSnapshot = true;
+  Resumed.notify();
+}
+
 asio::awaitable<void> KeyedFollower::followLoop() {
   for (;;) {
+    if (IsPaused) {
+      co_await Resumed.wait(TimePoint::max());
+      continue;
+    }
     bool ok = false;
     if (NeedsSnapshot)
       ok = co_await readSnapshot();
--- a/Wasabi/Upstream/KeyedFollower.h
+++ b/Wasabi/Upstream/KeyedFollower.h
@@ -68,6 +68,10 @@
 
   /// Starts to follow the topic, for as long as the execution context runs.
   void start();
+  /// Stops reading after the read that is under way.
+  void pause() { IsPaused = true; }
+  /// Continues after `pause` with a snapshot of the topic.
+  void resume();
   /// Notes that this process has written `Key` at offset `At`, so that a later
   /// snapshot without the key is reported as its deletion.
   void recordWritten(const std::string &Key, Offset At) {
@@ -91,6 +95,8 @@
   KeyedOffsets Table;
   bool HasSnapshot = false;
   bool NeedsSnapshot = true;
+  bool IsPaused = false;
+  AsyncSignal Resumed;
 };
 
 } // namespace wasabi
