The weight loads of a wave are requested in one append

Cause: each load was an append of its own, and each sidecar reads the requests of all engines: a wave of 72 loads cost 72 appends one after the other at the store and up to 72 reads of each of 350 sidecars.

Change: the store's port appends several values of a keyed topic at once; the dispatcher requests a wave in one append, which a sidecar reads in one call.

Ruled out for now: a topic partition for each sidecar, which the store limits.

--- a/UnitTests/Batch/FakeStore.cpp
+++ b/UnitTests/Batch/FakeStore.cpp
@@ -36,10 +36,11 @@
                          At);
   };
   port.AppendKeyed = [this, Disconnected](std::string Topic,
-                                          const std::string &Key,
-                                          const std::string &Value, Millis) {
-    // An empty value deletes the key.
-    std::vector<std::string> records{Value.empty() ? Key : Key + "|" + Value};
+                                          const std::vector<KeyedValue> &Values,
+                                          Millis) {
+    std::vector<std::string> records;
+    for (const KeyedValue &it : Values)
+      records.push_back(it.Value.empty() ? it.Key : it.Key + "|" + it.Value);
     return appendRecords(Disconnected, std::move(Topic), std::move(records),
                          std::nullopt);
   };
@@ -85,6 +86,7 @@
   std::vector<std::string> &all = Topics[Topic];
   if (At && *At != all.size())
     co_return failure(Verdict::NotRun, FailureCode::Conflict);
+  ++Appends[Topic];
   Offset first = all.size();
   for (std::string &it : Records)
     all.push_back(std::move(it));
--- a/UnitTests/Batch/FakeStore.h
+++ b/UnitTests/Batch/FakeStore.h
@@ -49,6 +49,8 @@
   boost::asio::io_context &Context;
   AsyncSignal Appended;
   std::map<std::string, std::vector<std::string>> Topics;
+  /// Number of executed appends by topic.
+  std::map<std::string, std::size_t> Appends;
   /// Answered reads by topic.
   std::map<std::string, ReadTotals> Reads;
   /// The oldest offset that each topic still has.
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -525,6 +525,20 @@
   CHECK(fixture.runUntil([&] { return wanted() == 4; }));
 }
 
+TEST_CASE("The loads of a wave are requested in one append", "[dispatch]") {
+  DispatcherFixture fixture;
+  constexpr std::size_t Engines = 60;
+  for (std::size_t i = 0; i < Engines; ++i)
+    fixture.addServer("engine-" + std::to_string(i), Llm);
+  fixture.Dispatch->onFleetChange();
+  fixture.Context.run_for(Millis(50));
+  fixture.View.NewestVersions[Model] = 2;
+  fixture.Dispatch->onFleetChange();
+  REQUIRE(fixture.runUntil(
+      [&] { return fixture.Store.Topics[WantedTopic].size() >= 12; }));
+  CHECK(fixture.Store.Appends[WantedTopic] == 1);
+}
+
 TEST_CASE("Loads are requested only after all items of the expected step have "
           "started",
           "[dispatch]") {
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -205,6 +205,11 @@
     std::shared_ptr<ItemTask> Task;
     PartialTextRecord Record;
   };
+  /// A weight load that is requested of an engine.
+  struct WeightLoad {
+    std::shared_ptr<DispatchEngine> Engine;
+    WantedWeights Weights;
+  };
   /// A result that is not yet in the folded state of the rollout topic.
   struct PendingResult {
     ResultRecord Record;
@@ -280,9 +285,7 @@
   void forgetPaces();
   void applyReportedWeights(DispatchEngine &Engine) const;
   void requestWeightLoads();
-  boost::asio::awaitable<void>
-  requestWeightLoad(std::shared_ptr<DispatchEngine> Engine,
-                    WantedWeights Weights);
+  boost::asio::awaitable<void> appendWeightLoads(std::vector<WeightLoad> Loads);
   void noteEvent(DispatchEngine &Engine, ItemTask &Task);
   SwapMode swapMode(const ModelName &Model) const;
 
--- a/Wasabi/Dispatch/DispatcherEngines.cpp
+++ b/Wasabi/Dispatch/DispatcherEngines.cpp
@@ -270,42 +270,55 @@
   auto share = static_cast<std::uint32_t>(static_cast<double>(Pool.size()) *
                                           Limits.Pool.MaxLoadingFraction);
   std::uint32_t maxLoading = std::max(Limits.Pool.MinLoadingLimit, share);
+  std::vector<WeightLoad> loads;
   for (const std::shared_ptr<DispatchEngine> &it :
        sortForLoading(std::move(due), demands)) {
     if (loading >= maxLoading)
-      return;
+      break;
     ++loading;
     it->Wanted = View.NewestVersions[it->Model];
     it->WantedAt = now;
-    WantedWeights weights{it->Model, it->Wanted, swapMode(it->Model),
-                          it->Server->Entry.Start};
-    asio::co_spawn(
-        Executor,
-        [self = shared_from_this(), it, weights] {
-          return self->requestWeightLoad(it, weights);
-        },
-        asio::detached);
+    loads.push_back({it,
+                     {it->Model, it->Wanted, swapMode(it->Model),
+                      it->Server->Entry.Start}});
   }
+  if (loads.empty())
+    return;
+  asio::co_spawn(
+      Executor,
+      [self = shared_from_this(), loads = std::move(loads)] {
+        return self->appendWeightLoads(loads);
+      },
+      asio::detached);
 }
 
+/// Requests weight loads in one append. Every sidecar reads the requests of all
+/// engines, so separate appends would cost one read of every sidecar for each
+/// engine.
 asio::awaitable<void>
-Dispatcher::requestWeightLoad(std::shared_ptr<DispatchEngine> Engine,
-                              WantedWeights Weights) {
+Dispatcher::appendWeightLoads(std::vector<WeightLoad> Loads) {
   std::shared_ptr<Dispatcher> self = shared_from_this();
-  Outcome<Offset> appended =
-      co_await Store.AppendKeyed(WantedTopic, Engine->Server->Entry.Id.Text,
-                                 encodeWanted(Weights), Limits.AppendTimeout);
-  Decisions->line(
-      "engine.wanted",
-      {{"server", Engine->Server->Entry.Id.Text},
-       {"start", std::to_string(Weights.Start)},
-       {"model", Weights.Model.Text},
-       {"has", std::to_string(Engine->version(Weights.Model))},
-       {"wanted", std::to_string(Weights.Version)},
-       {"result", appended ? "written" : describe(appended.failure())}});
-  // A request that could not be appended is made again by the monitor loop.
-  if (!appended && Engine->Wanted == Weights.Version)
-    Engine->Wanted = 0;
+  std::vector<KeyedValue> values;
+  values.reserve(Loads.size());
+  for (const WeightLoad &it : Loads)
+    values.push_back(
+        {it.Engine->Server->Entry.Id.Text, encodeWanted(it.Weights)});
+  Outcome<Offset> appended = co_await Store.AppendKeyed(
+      WantedTopic, std::move(values), Limits.AppendTimeout);
+  for (const WeightLoad &it : Loads) {
+    DispatchEngine &engine = *it.Engine;
+    Decisions->line(
+        "engine.wanted",
+        {{"server", engine.Server->Entry.Id.Text},
+         {"start", std::to_string(it.Weights.Start)},
+         {"model", it.Weights.Model.Text},
+         {"has", std::to_string(engine.version(it.Weights.Model))},
+         {"wanted", std::to_string(it.Weights.Version)},
+         {"result", appended ? "written" : describe(appended.failure())}});
+    // The monitor loop repeats a request that could not be appended.
+    if (!appended && engine.Wanted == it.Weights.Version)
+      engine.Wanted = 0;
+  }
 }
 
 void Dispatcher::onHeldWeights(const ServerName &Server,
--- a/Wasabi/Dispatch/WeightReconciler.cpp
+++ b/Wasabi/Dispatch/WeightReconciler.cpp
@@ -131,8 +131,9 @@
                                                 HeldWeights Held) {
   if (Token && Published == Held && PublishedServer == Server)
     co_return;
-  Outcome<Offset> got = co_await Store.AppendKeyed(
-      HeldTopic, Server.Text, encodeHeld(Held), Limits.AppendTimeout);
+  std::vector<KeyedValue> values{{Server.Text, encodeHeld(Held)}};
+  Outcome<Offset> got = co_await Store.AppendKeyed(HeldTopic, std::move(values),
+                                                   Limits.AppendTimeout);
   Decisions->line("engine.state",
                   {{"server", Server.Text},
                    {"start", std::to_string(Held.Start)},
--- a/Wasabi/Ports/RecordStore.h
+++ b/Wasabi/Ports/RecordStore.h
@@ -27,6 +27,13 @@
   bool operator==(const KeyedRecord &) const = default;
 };
 
+/// A key and its new value; an empty value deletes the key. A value.
+struct KeyedValue {
+  std::string Key;
+  std::string Value;
+  bool operator==(const KeyedValue &) const = default;
+};
+
 /// A contiguous range of a keyed topic.
 struct KeyedRange {
   /// Oldest retained offset; greater than the requested one if that has
@@ -48,10 +55,10 @@
       std::string Topic, std::vector<std::string> Records,
       std::optional<Offset> ExpectedEnd, Millis Timeout)>
       Append;
-  /// Appends `Value` as the latest record of `Key` in a keyed topic; an empty
-  /// value deletes the key.
+  /// Appends all values or none as the latest records of their keys in a keyed
+  /// topic, and returns the offset of the first.
   std::function<boost::asio::awaitable<Outcome<Offset>>(
-      std::string Topic, std::string Key, std::string Value, Millis Timeout)>
+      std::string Topic, std::vector<KeyedValue> Values, Millis Timeout)>
       AppendKeyed;
   /// Reads about `MaxBytes` at most from `FirstOffset` on; waits up to
   /// `PollTimeout` for the first record. If `FirstOffset` has expired, `First`
--- a/Wasabi/Quarantine/Quarantine.cpp
+++ b/Wasabi/Quarantine/Quarantine.cpp
@@ -246,8 +246,9 @@
     std::string text = known == History.Requests.end()
                            ? std::string()
                            : encodeCrashes(known->second.Crashes);
+    std::vector<KeyedValue> values{{digest.Text, std::move(text)}};
     Outcome<Offset> got = co_await Feed.Store.AppendKeyed(
-        CrashTopic, digest.Text, std::move(text), Limits.AppendTimeout);
+        CrashTopic, std::move(values), Limits.AppendTimeout);
     if (got) {
       Follower->recordWritten(digest.Text, *got);
       continue;
--- a/Wasabi/Upstream/StoreRecovery.cpp
+++ b/Wasabi/Upstream/StoreRecovery.cpp
@@ -153,10 +153,11 @@
     return recovery->call(recovery->Store.Append(
         std::move(Topic), std::move(Records), At, Timeout));
   };
-  port.AppendKeyed = [recovery](std::string Topic, std::string Key,
-                                std::string Value, Millis Timeout) {
+  port.AppendKeyed = [recovery](std::string Topic,
+                                std::vector<KeyedValue> Values,
+                                Millis Timeout) {
     return recovery->call(recovery->Store.AppendKeyed(
-        std::move(Topic), std::move(Key), std::move(Value), Timeout));
+        std::move(Topic), std::move(Values), Timeout));
   };
   port.Read = [recovery](std::string Topic, Offset From, Millis Timeout,
                          std::size_t MaxBytes) {
