The engine pool is matched with the servers by an index

Cause: each check searched the pool for each server, so its cost grew with the square of the engines: 364 x 364 comparisons, up to 20 times a second.

Change: one index of the pool a check.

--- a/Wasabi/Dispatch/DispatcherEngines.cpp
+++ b/Wasabi/Dispatch/DispatcherEngines.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cmath>
 #include <tuple>
+#include <unordered_map>
 
 namespace wasabi {
 
@@ -68,6 +69,10 @@
   if (!View.Routes)
     return;
   TimePoint now = monotonicNow();
+  std::unordered_map<const UpstreamServer *, std::shared_ptr<DispatchEngine>>
+      known;
+  for (const std::shared_ptr<DispatchEngine> &it : Pool)
+    known.emplace(it->Server.get(), it);
   EngineList next;
   std::map<ModelName, double> demand;
   for (const UpstreamService &service : View.Routes->Services) {
@@ -77,13 +82,10 @@
       demand[it] = 1;
     for (const std::shared_ptr<UpstreamServer> &it :
          findUsableServers(View.Servers, service.Name, View.Contact, now)) {
-      auto known =
-          std::find_if(Pool.begin(), Pool.end(),
-                       [&](const std::shared_ptr<DispatchEngine> &Engine) {
-                         return Engine->Server == it;
-                       });
+      auto previous = known.find(it.get());
+      bool isNew = previous == known.end();
       std::shared_ptr<DispatchEngine> engine =
-          known == Pool.end() ? std::make_shared<DispatchEngine>() : *known;
+          isNew ? std::make_shared<DispatchEngine>() : previous->second;
       engine->Server = it;
       engine->SendInterval = coldSendInterval(*it, service, now);
       // Recent reports of the engine take precedence over its registration.
@@ -93,7 +95,7 @@
         if (newer || now - engine->LastReported > RegistrationLag)
           engine->Versions[model] = version;
       }
-      if (known == Pool.end())
+      if (isNew)
         applyReportedWeights(*engine);
       next.push_back(std::move(engine));
     }
