--- a/UnitTests/Platform/FeedsTest.cpp
+++ b/UnitTests/Platform/FeedsTest.cpp
@@ -75,4 +75,14 @@
   }));
 }
 
+TEST_CASE("The servers known at the start are complete after the snapshot",
+          "[platform]") {
+  FeedsFixture fixture;
+  CHECK_FALSE(fixture.View.Servers.IsComplete);
+  for (int i = 0; i < 400; ++i)
+    fixture.registerColdServer("s" + std::to_string(i), 0);
+  REQUIRE(fixture.runUntil([&] { return fixture.View.Servers.IsComplete; }));
+  CHECK(fixture.View.Servers.Servers.size() == 400);
+}
+
 } // namespace wasabi::platform
--- a/Wasabi/Upstream/KeyedFollower.cpp
+++ b/Wasabi/Upstream/KeyedFollower.cpp
@@ -114,6 +114,7 @@
   notifyChanges(applySnapshot(Table, *got));
   HasSnapshot = true;
   NeedsSnapshot = false;
+  Handlers.OnSnapshot(got->Records.size());
   co_return true;
 }
 
--- a/Wasabi/Upstream/UpstreamTable.h
+++ b/Wasabi/Upstream/UpstreamTable.h
@@ -102,6 +102,9 @@
   std::map<ServerName, RejectedRegistration> Rejected;
   /// Total number of rejected registrations.
   std::uint64_t RejectedCount = 0;
+  /// True once all registrations have been read. Servers that register later
+  /// are news.
+  bool IsComplete = false;
   /// Failure domains whose servers get no requests, as set by the operator.
   std::set<DomainName> EvacuatedDomains;
 };
