A wait without a deadline no longer spins

Cause: TimePoint::max() is in microseconds; converted to the clock's nanoseconds it overflows, so that the timer of an idle log or a paused follower expired at once, again and again.

--- a/Wasabi/Batch/RolloutLog.cpp
+++ b/Wasabi/Batch/RolloutLog.cpp
@@ -50,11 +50,11 @@
 asio::awaitable<void> RolloutLog::followLoop() {
   for (;;) {
     if (!isFollowing()) {
-      co_await Demanded.wait(TimePoint::max());
+      co_await Demanded.wait();
       continue;
     }
     if (Refreshing) {
-      co_await Refreshed.wait(TimePoint::max());
+      co_await Refreshed.wait();
       continue;
     }
     Outcome<LogRange> range = co_await Store.Read(
@@ -83,7 +83,7 @@
   // A refresh that began before this call may miss the newest records.
   std::uint64_t begunBefore = RefreshCount;
   while (Refreshing)
-    co_await Refreshed.wait(TimePoint::max());
+    co_await Refreshed.wait();
   if (LastRefresh > begunBefore)
     co_return Done{};
   Refreshing = true;
--- a/Wasabi/Core/AsyncSignal.h
+++ b/Wasabi/Core/AsyncSignal.h
@@ -30,11 +30,13 @@
   /// Returns at the next `notify` or at `Until`. The signal must outlive the
   /// wait.
   boost::asio::awaitable<void> wait(TimePoint Until) {
-    BootTimer timer(Executor, Until);
-    Waiters.insert(&timer);
-    co_await timer.async_wait(
-        boost::asio::as_tuple(boost::asio::use_awaitable));
-    Waiters.erase(&timer);
+    return waitUntil(Until);
+  }
+
+  /// Returns at the next `notify`. The signal must outlive the wait.
+  boost::asio::awaitable<void> wait() {
+    // Not `TimePoint::max()`, which the finer unit of the clock cannot hold.
+    return waitUntil(BootClock::time_point::max());
   }
 
   /// Wakes all current waiters.
@@ -44,6 +46,14 @@
   }
 
 private:
+  boost::asio::awaitable<void> waitUntil(BootClock::time_point Until) {
+    BootTimer timer(Executor, Until);
+    Waiters.insert(&timer);
+    co_await timer.async_wait(
+        boost::asio::as_tuple(boost::asio::use_awaitable));
+    Waiters.erase(&timer);
+  }
+
   boost::asio::any_io_executor Executor;
   std::set<BootTimer *> Waiters;
 };
--- a/Wasabi/Upstream/KeyedFollower.cpp
+++ b/Wasabi/Upstream/KeyedFollower.cpp
@@ -85,7 +85,7 @@
 asio::awaitable<void> KeyedFollower::followLoop() {
   for (;;) {
     if (IsPaused) {
-      co_await Resumed.wait(TimePoint::max());
+      co_await Resumed.wait();
       continue;
     }
     bool ok = false;
