Registrations leave a line for each read, and none for loaded weights

Most were engines that had loaded weights, which their registrations repeat.

Change: the registrations of one read leave a line for each server if they are few and one for all otherwise; a change of the weights alone leaves none (the dispatcher logs what its engines hold).

--- a/UnitTests/Upstream/KeyedFollowerTest.cpp
+++ b/UnitTests/Upstream/KeyedFollowerTest.cpp
@@ -11,7 +11,7 @@
   callbacks.OnChange = [&](const KeyedRecord &Record) {
     values[Record.Key] = Record.Value.value_or("");
   };
-  callbacks.OnSnapshot = [](std::size_t) {};
+  callbacks.OnBatch = [] {};
   callbacks.OnAnswer = [] {};
   callbacks.OnFailure = [](const Failure &) {};
   KeyedFollower::Settings settings;
--- a/UnitTests/Upstream/UpstreamTest.cpp
+++ b/UnitTests/Upstream/UpstreamTest.cpp
@@ -206,6 +206,21 @@
         RegistrationChange::None);
 }
 
+TEST_CASE("A load of weights is told from other changes of a registration",
+          "[upstream]") {
+  UpstreamTable table;
+  UpstreamRegistration entry = makeRegistration("a");
+  entry.Models = {{ModelName("m"), 1}};
+  CHECK(registerServer(table, entry) == RegistrationChange::Registered);
+  CHECK(registerServer(table, entry) == RegistrationChange::None);
+  entry.Models = {{ModelName("m"), 2}};
+  CHECK(registerServer(table, entry) == RegistrationChange::WeightsChanged);
+  CHECK(table.Servers[entry.Id]->Entry == entry);
+  entry.Models = {{ModelName("m"), 3}};
+  entry.Draining = true;
+  CHECK(registerServer(table, entry) == RegistrationChange::Changed);
+}
+
 TEST_CASE("Without a start time the name identifies the server", "[upstream]") {
   UpstreamTable table;
   registerServer(table, makeRegistration("a"));
--- a/Wasabi/Upstream/Feed.cpp
+++ b/Wasabi/Upstream/Feed.cpp
@@ -28,20 +28,13 @@
 std::shared_ptr<KeyedFollower>
 startFeed(const FeedContext &Context, std::string Topic, Millis PollDelay,
           std::function<Result<void>(const KeyedRecord &)> Apply,
-          std::function<void()> OnSnapshot) {
+          std::function<void()> OnBatch) {
   KeyedFollower::Callbacks callbacks;
   callbacks.OnChange = [Context, Topic,
                         Apply = std::move(Apply)](const KeyedRecord &Record) {
     applyRecord(Context, Topic, Apply, Record);
   };
-  callbacks.OnSnapshot = [Context, Topic, OnSnapshot = std::move(OnSnapshot)](
-                             std::size_t Records) {
-    Context.Decisions->line(
-        "topic.snapshot",
-        {{"topic", Topic}, {"records", std::to_string(Records)}});
-    if (OnSnapshot)
-      OnSnapshot();
-  };
+  callbacks.OnBatch = OnBatch ? std::move(OnBatch) : [] {};
   callbacks.OnAnswer = [Context] {
     TimePoint now = monotonicNow();
     if (noteAnswer(Context.View.Contact, now))
--- a/Wasabi/Upstream/Feed.h
+++ b/Wasabi/Upstream/Feed.h
@@ -27,12 +27,12 @@
 
 /// Starts following `Topic` and updates `View.Contact` with each read. Calls
 /// `Apply` for each changed record; if it fails, the error is logged and the
-/// record is skipped. Calls `OnSnapshot`, if set, after each snapshot of the
-/// topic. Must be called on the executor's thread.
+/// record is skipped. Calls `OnBatch`, if set, after the changed records of one
+/// read. Must be called on the executor's thread.
 std::shared_ptr<KeyedFollower>
 startFeed(const FeedContext &Context, std::string Topic, Millis PollDelay,
           std::function<Result<void>(const KeyedRecord &)> Apply,
-          std::function<void()> OnSnapshot = nullptr);
+          std::function<void()> OnBatch = nullptr);
 
 } // namespace wasabi
 
--- a/Wasabi/Upstream/KeyedFollower.cpp
+++ b/Wasabi/Upstream/KeyedFollower.cpp
@@ -114,7 +114,6 @@
   notifyChanges(applySnapshot(Table, *got));
   HasSnapshot = true;
   NeedsSnapshot = false;
-  Handlers.OnSnapshot(got->Records.size());
   co_return true;
 }
 
@@ -143,6 +142,8 @@
 void KeyedFollower::notifyChanges(const std::vector<KeyedRecord> &Records) {
   for (const KeyedRecord &it : Records)
     Handlers.OnChange(it);
+  if (!Records.empty())
+    Handlers.OnBatch();
 }
 
 } // namespace wasabi
--- a/Wasabi/Upstream/KeyedFollower.h
+++ b/Wasabi/Upstream/KeyedFollower.h
@@ -56,12 +56,11 @@
     Millis RetryDelay{100};
   };
   /// Called on the executor's thread: `OnChange` for each changed record,
-  /// `OnSnapshot` after the changes of a snapshot, with the number of its
-  /// records, `OnAnswer` after each successful read and `OnFailure` after each
-  /// failed one.
+  /// `OnBatch` after the changed records of one read, `OnAnswer` after each
+  /// successful read and `OnFailure` after each failed one.
   struct Callbacks {
     std::function<void(const KeyedRecord &)> OnChange;
-    std::function<void(std::size_t)> OnSnapshot;
+    std::function<void()> OnBatch;
     std::function<void()> OnAnswer;
     std::function<void(const Failure &)> OnFailure;
   };
--- a/Wasabi/Upstream/UpstreamTable.cpp
+++ b/Wasabi/Upstream/UpstreamTable.cpp
@@ -9,6 +9,8 @@
   switch (Change) {
   case RegistrationChange::None:
     return "unchanged";
+  case RegistrationChange::WeightsChanged:
+    return "other weights";
   case RegistrationChange::Changed:
     return "changed";
   case RegistrationChange::Registered:
@@ -51,10 +53,14 @@
   // `Replaced` refers to the previous address.
   if (server->Entry.Endpoint != Entry.Endpoint)
     server->Replaced = false;
+  bool otherWeights = server->Entry.Models != Entry.Models;
+  server->Entry.Models = Entry.Models;
   bool differs = server->Entry != Entry;
   server->Entry = std::move(Entry);
-  return differs || returned ? RegistrationChange::Changed
-                             : RegistrationChange::None;
+  if (differs || returned)
+    return RegistrationChange::Changed;
+  return otherWeights ? RegistrationChange::WeightsChanged
+                      : RegistrationChange::None;
 }
 
 bool rejectRegistration(UpstreamTable &Table, const ServerName &Id,
--- a/Wasabi/Upstream/UpstreamTable.h
+++ b/Wasabi/Upstream/UpstreamTable.h
@@ -102,9 +102,6 @@
   std::map<ServerName, RejectedRegistration> Rejected;
   /// Total number of rejected registrations.
   std::uint64_t RejectedCount = 0;
-  /// True once all registrations have been read. Servers that register later
-  /// are news.
-  bool IsComplete = false;
   /// Failure domains whose servers get no requests, as set by the operator.
   std::set<DomainName> EvacuatedDomains;
 };
@@ -113,8 +110,10 @@
 enum class RegistrationChange : std::uint8_t {
   /// The table is unchanged.
   None,
-  /// The registration differs from the previous one, or the server was
-  /// unregistered before.
+  /// Only the weights that the server holds differ.
+  WeightsChanged,
+  /// The registration differs otherwise from the previous one, or the server
+  /// was unregistered before.
   Changed,
   /// An unknown server has registered.
   Registered,
