--- a/UnitTests/Batch/FakeStore.cpp
+++ b/UnitTests/Batch/FakeStore.cpp
@@ -52,7 +52,7 @@
                                         Millis PollTimeout) {
     return readKeyed(Disconnected, std::move(Topic), From, PollTimeout);
   };
-  port.Newest = [this, Disconnected](std::string Topic) {
+  port.Newest = [this, Disconnected](std::string Topic, Millis) {
     return newest(Disconnected, std::move(Topic));
   };
   return port;
--- a/UnitTests/Upstream/KeyedFollowerTest.cpp
+++ b/UnitTests/Upstream/KeyedFollowerTest.cpp
@@ -3,6 +3,67 @@
 
 namespace wasabi::batchtest {
 
+namespace {
+
+/// A store that serves snapshots one after the other, also those whose readers
+/// have given up.
+struct BusyStore {
+  boost::asio::io_context &Context;
+  Millis ServiceTime;
+  TimePoint FreeAt = monotonicNow();
+  int Served = 0;
+
+  boost::asio::awaitable<Outcome<KeyedRange>> newest(Millis Timeout) {
+    TimePoint now = monotonicNow();
+    FreeAt = std::max(now, FreeAt) + ServiceTime;
+    ++Served;
+    bool inTime = FreeAt - now <= Timeout;
+    co_await pauseFor(Context.get_executor(),
+                      inTime ? std::chrono::duration_cast<Millis>(FreeAt - now)
+                             : Timeout);
+    if (!inTime)
+      co_return Failure{
+          Verdict::MayHaveRun, FailureCode::TimedOut, "store", "busy", {}};
+    co_return KeyedRange{0, 0, {}};
+  }
+};
+
+} // namespace
+
+TEST_CASE("All processes get their snapshots from a store that serves them one "
+          "after the other",
+          "[upstream]") {
+  constexpr int Processes = 300;
+  BatchTestFixture fixture;
+  BusyStore busy{fixture.Context, Millis(2)};
+  RecordStore store = fixture.Store.port();
+  store.Newest = [&busy](const std::string &, Millis Timeout) {
+    return busy.newest(Timeout);
+  };
+  KeyedFollower::Callbacks callbacks;
+  callbacks.OnChange = [](const KeyedRecord &) {};
+  callbacks.OnBatch = [] {};
+  callbacks.OnAnswer = [] {};
+  callbacks.OnFailure = [](const Failure &) {};
+  KeyedFollower::Settings settings;
+  settings.Topic = "keyed.any";
+  settings.PollTimeout = Millis(20);
+  settings.RetryDelay = Millis(5);
+  // A tenth of the time that the store needs for all.
+  settings.SnapshotTimeout = Millis(60);
+  std::vector<std::shared_ptr<KeyedFollower>> all;
+  for (int i = 0; i < Processes; ++i) {
+    all.push_back(KeyedFollower::create(fixture.Context.get_executor(), store,
+                                        settings, callbacks));
+    all.back()->start();
+  }
+  REQUIRE(fixture.runUntil([&] {
+    return std::all_of(all.begin(), all.end(),
+                       [](const auto &It) { return It->hasSnapshot(); });
+  }));
+  CHECK(busy.Served <= 7 * Processes);
+}
+
 TEST_CASE("A paused follower reads nothing and continues with a snapshot",
           "[upstream]") {
   BatchTestFixture fixture;
--- a/UnitTests/Upstream/StoreRecoveryTest.cpp
+++ b/UnitTests/Upstream/StoreRecoveryTest.cpp
@@ -143,14 +143,14 @@
   fixture.Store.Down = true;
   fixture.run([&]() -> boost::asio::awaitable<void> {
     for (int i = 0; i < 10; ++i) {
-      Outcome<KeyedRange> got = co_await store.Newest("topic");
+      Outcome<KeyedRange> got = co_await store.Newest("topic", Millis(40));
       CHECK_FALSE(got);
       co_await pauseFor(fixture.Context.get_executor(), Millis(5));
     }
   });
   fixture.Store.Down = false;
   fixture.run([&]() -> boost::asio::awaitable<void> {
-    Outcome<KeyedRange> got = co_await store.Newest("topic");
+    Outcome<KeyedRange> got = co_await store.Newest("topic", Millis(40));
     CHECK(got);
   });
 }
--- a/Wasabi/Ports/RecordStore.h
+++ b/Wasabi/Ports/RecordStore.h
@@ -71,10 +71,11 @@
   std::function<boost::asio::awaitable<Outcome<KeyedRange>>(
       std::string Topic, Offset FirstOffset, Millis PollTimeout)>
       ReadKeyed;
-  /// Reads the latest record of each key. Continue reading at `End`; a record
-  /// may be returned again from there, so the record with the greater offset
-  /// wins.
-  std::function<boost::asio::awaitable<Outcome<KeyedRange>>(std::string Topic)>
+  /// Reads the latest record of each key, with `Timeout` for each page.
+  /// Continue reading at `End`; a record may be returned again from there, so
+  /// the record with the greater offset wins.
+  std::function<boost::asio::awaitable<Outcome<KeyedRange>>(std::string Topic,
+                                                            Millis Timeout)>
       Newest;
 };
 
--- a/Wasabi/Upstream/KeyedFollower.cpp
+++ b/Wasabi/Upstream/KeyedFollower.cpp
@@ -56,6 +56,7 @@
                              Settings Limits, Callbacks Handlers)
     : Limits(std::move(Limits)), Executor(std::move(Executor)),
       Store(std::move(Store)), Handlers(std::move(Handlers)),
+      SnapshotTimeout(this->Limits.SnapshotTimeout),
       Random(std::random_device()()), Resumed(this->Executor) {
   Backoff.Initial = this->Limits.RetryDelay;
 }
@@ -101,15 +102,20 @@
 }
 
 asio::awaitable<bool> KeyedFollower::readSnapshot() {
-  Outcome<KeyedRange> got = co_await Store.Newest(Limits.Topic);
+  Outcome<KeyedRange> got =
+      co_await Store.Newest(Limits.Topic, SnapshotTimeout);
   // The read was cancelled because the store is reachable again: retry without
   // a delay.
   if (!got && got.failure().Code == FailureCode::Cancelled)
     co_return true;
   if (!got) {
+    if (got.failure().Code == FailureCode::TimedOut)
+      SnapshotTimeout =
+          std::min(2 * SnapshotTimeout, Limits.MaxSnapshotTimeout);
     Handlers.OnFailure(got.failure());
     co_return false;
   }
+  SnapshotTimeout = Limits.SnapshotTimeout;
   Handlers.OnAnswer();
   notifyChanges(applySnapshot(Table, *got));
   HasSnapshot = true;
--- a/Wasabi/Upstream/KeyedFollower.h
+++ b/Wasabi/Upstream/KeyedFollower.h
@@ -54,6 +54,12 @@
     Millis PollDelay{50};
     /// Mean pause after a failed read; grows while reads fail.
     Millis RetryDelay{100};
+    /// Time limit of the first read of a snapshot. It doubles with each one
+    /// that times out, up to `MaxSnapshotTimeout`: a store that all processes
+    /// of a deployment read at once answers them one after the other, and a
+    /// read that is given up and sent again adds to its work.
+    Millis SnapshotTimeout{1600};
+    Millis MaxSnapshotTimeout{26000};
   };
   /// Called on the executor's thread: `OnChange` for each changed record,
   /// `OnBatch` after the changed records of one read, `OnAnswer` after each
@@ -98,6 +104,8 @@
   KeyedOffsets Table;
   bool HasSnapshot = false;
   bool NeedsSnapshot = true;
+  /// Time limit of the next read of a snapshot.
+  Millis SnapshotTimeout;
   RetryBackoff Backoff;
   std::mt19937_64 Random;
   bool IsPaused = false;
--- a/Wasabi/Upstream/StoreRecovery.cpp
+++ b/Wasabi/Upstream/StoreRecovery.cpp
@@ -67,10 +67,7 @@
     Pending.erase(position);
     if (!got)
       co_return makeSupersededFailure();
-    if (*got || isAnswer(got->failure()))
-      onAnswer();
-    else
-      onFailure();
+    noteOutcome(*got);
     co_return std::move(*got);
   }
 
@@ -95,13 +92,16 @@
     co_return co_await call(Store.ReadKeyed(std::move(Topic), From, Timeout));
   }
 
-  asio::awaitable<Outcome<KeyedRange>> newest(std::string Topic) {
+  asio::awaitable<Outcome<KeyedRange>> newest(std::string Topic,
+                                              Millis Timeout) {
     std::shared_ptr<StoreRecovery> self = shared_from_this();
     noteRead(Topic, 0);
     bool available = co_await awaitStore(Limits.SnapshotWait);
     if (!available)
       co_return makeUnavailableFailure(Topic);
-    co_return co_await call(Store.Newest(std::move(Topic)));
+    Outcome<KeyedRange> got = co_await Store.Newest(std::move(Topic), Timeout);
+    noteOutcome(got);
+    co_return got;
   }
 
   const StoreRecoverySettings Limits;
@@ -109,6 +109,13 @@
   const RecordStore Store;
 
 private:
+  template <typename T> void noteOutcome(const Outcome<T> &Got) {
+    if (Got || isAnswer(Got.failure()))
+      onAnswer();
+    else
+      onFailure();
+  }
+
   void noteRead(const std::string &Topic, Offset From) {
     ProbeTopic = Topic;
     ProbeOffset = From;
@@ -207,8 +214,8 @@
   port.ReadKeyed = [recovery](std::string Topic, Offset From, Millis Timeout) {
     return recovery->readKeyed(std::move(Topic), From, Timeout);
   };
-  port.Newest = [recovery](std::string Topic) {
-    return recovery->newest(std::move(Topic));
+  port.Newest = [recovery](std::string Topic, Millis Timeout) {
+    return recovery->newest(std::move(Topic), Timeout);
   };
   return port;
 }
--- a/Wasabi/Upstream/StoreRecovery.h
+++ b/Wasabi/Upstream/StoreRecovery.h
@@ -36,7 +36,9 @@
 /// `Store` is reachable again. While `Store` is unreachable, it is probed by
 /// repeating the last read without waiting for new records; reads that wait for
 /// records wait for a probe's answer, and fail with `Unavailable` and `NotRun`
-/// if none comes within their time. A cancelled call fails with `Cancelled` and
+/// if none comes within their time. Snapshots are not cancelled: they may be
+/// waiting for their turn at a store that serves other processes. A cancelled
+/// call fails with `Cancelled` and
 /// may have run. Must be used on the executor's
 /// thread; the returned store owns all that it needs.
 RecordStore makeRecoveringStore(boost::asio::any_io_executor Executor,
