--- a/UnitTests/Upstream/KeyedFollowerTest.cpp
+++ b/UnitTests/Upstream/KeyedFollowerTest.cpp
@@ -64,6 +64,35 @@
   CHECK(busy.Served <= 7 * Processes);
 }
 
+TEST_CASE("A longer pause reads the same records in fewer calls",
+          "[upstream]") {
+  auto countReads = [](Millis Delay) {
+    BatchTestFixture fixture;
+    Offset last = 0;
+    KeyedFollower::Callbacks callbacks;
+    callbacks.OnChange = [&](const KeyedRecord &Record) { last = Record.At; };
+    callbacks.OnBatch = [] {};
+    callbacks.OnAnswer = [] {};
+    callbacks.OnFailure = [](const Failure &) {};
+    KeyedFollower::Settings settings;
+    settings.Topic = "keyed.any";
+    settings.PollDelay = Millis(1);
+    std::shared_ptr<KeyedFollower> follower =
+        KeyedFollower::create(fixture.Context.get_executor(),
+                              fixture.Store.port(), settings, callbacks);
+    follower->setPollDelay(Delay);
+    follower->start();
+    constexpr int Records = 50;
+    for (int i = 0; i < Records; ++i) {
+      fixture.Store.append("keyed.any", "a|" + std::to_string(i));
+      fixture.Context.run_for(Millis(4));
+    }
+    REQUIRE(fixture.runUntil([&] { return last == Records - 1; }));
+    return fixture.Store.Reads["keyed.any"].Calls;
+  };
+  CHECK(countReads(Millis(60)) * 3 <= countReads(Millis(1)));
+}
+
 TEST_CASE("A paused follower reads nothing and continues with a snapshot",
           "[upstream]") {
   BatchTestFixture fixture;
--- a/Wasabi/Upstream/KeyedFollower.cpp
+++ b/Wasabi/Upstream/KeyedFollower.cpp
@@ -56,6 +56,7 @@
                              Settings Limits, Callbacks Handlers)
     : Limits(std::move(Limits)), Executor(std::move(Executor)),
       Store(std::move(Store)), Handlers(std::move(Handlers)),
+      PollDelay(this->Limits.PollDelay),
       SnapshotTimeout(this->Limits.SnapshotTimeout),
       Random(std::random_device()()), Resumed(this->Executor) {
   Backoff.Initial = this->Limits.RetryDelay;
@@ -141,7 +142,7 @@
   }
   notifyChanges(applyNewRecords(Table, got->Records));
   if (!got->Records.empty())
-    co_await pauseFor(Executor, Limits.PollDelay);
+    co_await pauseFor(Executor, PollDelay);
   co_return true;
 }
 
--- a/Wasabi/Upstream/KeyedFollower.h
+++ b/Wasabi/Upstream/KeyedFollower.h
@@ -50,7 +50,7 @@
     /// Time that a read waits at the store for new records; see
     /// `RolloutLog::Settings::PollTimeout`.
     Millis PollTimeout{700};
-    /// Pause after a read that returned records.
+    /// Pause after a read that returned records; see `setPollDelay`.
     Millis PollDelay{50};
     /// Mean pause after a failed read; grows while reads fail.
     Millis RetryDelay{100};
@@ -77,6 +77,8 @@
 
   /// Starts to follow the topic, for as long as the execution context runs.
   void start();
+  /// Sets the pause after a read that returns records, from the next read on.
+  void setPollDelay(Millis Delay) { PollDelay = Delay; }
   /// Stops reading after the read that is under way.
   void pause() { IsPaused = true; }
   /// Continues after `pause` with a snapshot of the topic.
@@ -104,6 +106,7 @@
   KeyedOffsets Table;
   bool HasSnapshot = false;
   bool NeedsSnapshot = true;
+  Millis PollDelay;
   /// Time limit of the next read of a snapshot.
   Millis SnapshotTimeout;
   RetryBackoff Backoff;
