Reads of the store time out by lack of progress, not by their length

The time limit assumed that a response's time does not depend on the number of readers.

Change: the limit applies until the response begins and between its pieces.

--- a/Wasabi/Ports/RecordStore.h
+++ b/Wasabi/Ports/RecordStore.h
@@ -71,7 +71,8 @@
   std::function<boost::asio::awaitable<Outcome<KeyedRange>>(
       std::string Topic, Offset FirstOffset, Millis PollTimeout)>
       ReadKeyed;
-  /// Reads the latest record of each key, with `Timeout` for each page.
+  /// Reads the latest record of each key. `Timeout` bounds the time without
+  /// progress, not the whole read.
   /// Continue reading at `End`; a record may be returned again from there, so
   /// the record with the greater offset wins.
   std::function<boost::asio::awaitable<Outcome<KeyedRange>>(std::string Topic,
