--- a/Wasabi/Upstream/KeyedFollower.h
+++ b/Wasabi/Upstream/KeyedFollower.h
@@ -58,8 +58,8 @@
     /// that times out, up to `MaxSnapshotTimeout`: a store that all processes
     /// of a deployment read at once answers them one after the other, and a
     /// read that is given up and sent again adds to its work.
-    Millis SnapshotTimeout{1600};
-    Millis MaxSnapshotTimeout{26000};
+    Millis SnapshotTimeout{5000};
+    Millis MaxSnapshotTimeout{20000};
   };
   /// Called on the executor's thread: `OnChange` for each changed record,
   /// `OnBatch` after the changed records of one read, `OnAnswer` after each
