--- a/UnitTests/Batch/FakeStore.cpp
+++ b/UnitTests/Batch/FakeStore.cpp
@@ -39,6 +39,7 @@
                                           const std::vector<KeyedValue> &Values,
                                           Millis) {
     std::vector<std::string> records;
+    records.reserve(Values.size());
     for (const KeyedValue &it : Values)
       records.push_back(it.Value.empty() ? it.Key : it.Key + "|" + it.Value);
     return appendRecords(Disconnected, std::move(Topic), std::move(records),
--- a/UnitTests/Batch/RolloutLogTest.cpp
+++ b/UnitTests/Batch/RolloutLogTest.cpp
@@ -34,6 +34,7 @@
   auto bytesRead = [](int Processes) {
     BatchTestFixture fixture;
     std::vector<std::shared_ptr<RolloutLog>> logs;
+    logs.reserve(static_cast<std::size_t>(Processes));
     for (int i = 0; i < Processes; ++i)
       logs.push_back(startLog(fixture, IdleTimeout));
     logs.front()->pin();
--- a/UnitTests/Dispatch/LeaseManagerTest.cpp
+++ b/UnitTests/Dispatch/LeaseManagerTest.cpp
@@ -45,6 +45,7 @@
   constexpr int Processes = 300;
   BatchTestFixture world;
   std::vector<std::unique_ptr<LeaseProcess>> all;
+  all.reserve(Processes);
   for (int i = 0; i < Processes; ++i)
     all.push_back(std::make_unique<LeaseProcess>(
         world, "edge-" + std::to_string(i), i + 1, Millis(200)));
--- a/UnitTests/Upstream/KeyedFollowerTest.cpp
+++ b/UnitTests/Upstream/KeyedFollowerTest.cpp
@@ -52,6 +52,7 @@
   // A tenth of the time that the store needs for all.
   settings.SnapshotTimeout = Millis(60);
   std::vector<std::shared_ptr<KeyedFollower>> all;
+  all.reserve(Processes);
   for (int i = 0; i < Processes; ++i) {
     all.push_back(KeyedFollower::create(fixture.Context.get_executor(), store,
                                         settings, callbacks));
--- a/UnitTests/Upstream/StoreRecoveryTest.cpp
+++ b/UnitTests/Upstream/StoreRecoveryTest.cpp
@@ -116,6 +116,7 @@
                                           counted, fixture.Decisions, settings);
   constexpr std::size_t Readers = 20;
   std::vector<std::shared_ptr<RolloutLog>> logs;
+  logs.reserve(Readers);
   for (std::size_t i = 0; i < Readers; ++i)
     logs.push_back(fixture.startLog(store));
   REQUIRE(fixture.runUntil([&] {
