wasabictl usage reads the lease from its own topic

Cause: the lease moved to a topic of its own; wasabictl still read the rollout topic and named no reporter. Found by 'Usage: wasabictl shows the reporter and reported windows' in the whole test run. One constant names the topic now.

--- a/Ctl/UsageCommand.cpp
+++ b/Ctl/UsageCommand.cpp
@@ -81,12 +81,12 @@
 
 Result<ExitCode> usage(Session &CtlSession) {
   BOOST_LEAF_AUTO(store, CtlSession.store());
-  BatchState rollout;
-  ApplyRecord applyRollout = [&rollout](const LogEntry &Entry) {
+  BatchState state;
+  ApplyRecord applyLease = [&state](const LogEntry &Entry) {
     Outcome<BatchRecord> record = toOutcome<BatchRecord>(
-        [&] { return decodeRecord(Entry.Text, "rollout"); });
+        [&] { return decodeRecord(Entry.Text, LeaseTopic); });
     if (record)
-      apply(rollout, Entry.At, *record, monotonicNow());
+      apply(state, Entry.At, *record, monotonicNow());
     return bool(record);
   };
   UsageState fold;
@@ -99,10 +99,10 @@
     return bool(record);
   };
   BOOST_LEAF_AUTO(lease, toResult(CtlSession.run(
-                             readTopic(store, "rollout", applyRollout))));
+                             readTopic(store, LeaseTopic, applyLease))));
   BOOST_LEAF_AUTO(
       read, toResult(CtlSession.run(readTopic(store, UsageTopic, applyUsage))));
-  printLease(rollout.Lease);
+  printLease(state.Lease);
   printWindows(fold);
   printSources(fold);
   if (lease.Unreadable + read.Unreadable > 0)
--- a/Wasabi/Batch/BatchRecord.h
+++ b/Wasabi/Batch/BatchRecord.h
@@ -1,6 +1,7 @@
 /// \file
-/// Records of the rollout topic: job submissions, results, job ends, partial
-/// texts and the dispatch lease. Encoded as JSON with a schema number.
+/// Records of the rollout topic: job submissions, results, job ends and partial
+/// texts; and of the topic of the dispatch lease. Encoded as JSON with a schema
+/// number.
 #ifndef WASABI_BATCH_BATCHRECORD_H
 #define WASABI_BATCH_BATCHRECORD_H
 
@@ -15,6 +16,9 @@
 
 namespace wasabi {
 
+/// Topic of the records of the dispatch lease.
+inline constexpr const char *LeaseTopic = "lease";
+
 /// The process that holds a lease. A value.
 struct LeaseHolder {
   InstanceName Instance;
