The growth of retry delays is a factor, not a time

Cause: 'Windows whose reports are overdue after an outage are still reported' failed once in the second whole test run, beside lint, and once in 12 plays alone: delays of failed reads grew to 400 ms whatever the first one was, 80 times the 5 ms of the test's log, so that it noticed the store's return too late.

Change: two doublings. In the programs that is 400 ms, as before.

--- a/Wasabi/Core/RetryBackoff.h
+++ b/Wasabi/Core/RetryBackoff.h
@@ -15,8 +15,8 @@
 struct RetryBackoff {
   /// Mean delay after the first failure.
   Millis Initial{100};
-  /// Maximum of the mean delay.
-  Millis Max{400};
+  /// Number of failures after which the mean delay no longer doubles.
+  std::uint32_t MaxDoublings = 2;
   /// Number of consecutive failures.
   std::uint32_t Failures = 0;
 };
@@ -26,12 +26,11 @@
 /// together. Modifies only `Backoff` and `Random`.
 template <typename Generator>
 Millis nextDelay(RetryBackoff &Backoff, Generator &Random) {
-  constexpr std::uint32_t MaxDoublings = 10;
   constexpr double MinFactor = 0.5;
   constexpr double MaxFactor = 1.5;
-  std::uint32_t doublings = std::min(Backoff.Failures, MaxDoublings);
+  std::uint32_t doublings = std::min(Backoff.Failures, Backoff.MaxDoublings);
   ++Backoff.Failures;
-  Millis mean = std::min(Backoff.Initial * (1 << doublings), Backoff.Max);
+  Millis mean = Backoff.Initial * (1 << doublings);
   double factor =
       std::uniform_real_distribution<>(MinFactor, MaxFactor)(Random);
   return std::chrono::duration_cast<Millis>(mean * factor);
