--- a/UnitTests/Upstream/UpstreamTest.cpp
+++ b/UnitTests/Upstream/UpstreamTest.cpp
@@ -1,5 +1,6 @@
 #include "Wasabi/Upstream/KeyedFollower.h"
 #include "Wasabi/Upstream/RouteTable.h"
+#include "Wasabi/Upstream/ServerSelection.h"
 #include "Wasabi/Upstream/UpstreamTable.h"
 
 #include <catch2/catch.hpp>
@@ -43,6 +44,19 @@
   return result;
 }
 
+/// Chooses a server of `Desk` at `Start` that is not in `Tried`.
+std::shared_ptr<UpstreamServer>
+chooseFor(const UpstreamTable &Table, const StoreContact &Contact,
+          const std::set<ServerIncarnation> &Tried,
+          const DomainName &PreferredDomain = {}) {
+  std::mt19937_64 random(1);
+  ServerQuery query;
+  query.Service = Desk;
+  query.PreferredDomain = PreferredDomain;
+  query.Excluded = Tried;
+  return chooseServer(Table, Contact, query, Start, random);
+}
+
 } // namespace
 
 TEST_CASE("The route with the longest matching prefix is selected",
@@ -93,7 +107,7 @@
   StoreContact contact = makeReachableContact(Start - Millis(60000));
   auto choose = [&] {
     std::shared_ptr<UpstreamServer> server =
-        chooseServer(table, Desk, north.Domain, {}, contact, Start);
+        chooseFor(table, contact, {}, north.Domain);
     return server ? server->Entry.Id.Text : "";
   };
   CHECK(choose() == "a");
@@ -157,14 +171,12 @@
   table.Servers[ServerName("b")]->InFlight = 4;
   std::set<ServerIncarnation> tried;
   for (const char *next : {"c", "b", "a"}) {
-    std::shared_ptr<UpstreamServer> chosen =
-        chooseServer(table, Desk, DomainName(), tried, contact, Start);
+    std::shared_ptr<UpstreamServer> chosen = chooseFor(table, contact, tried);
     REQUIRE(chosen);
     CHECK(chosen->Entry.Id.Text == next);
     tried.insert(chosen->Entry.incarnation());
   }
-  CHECK(chooseServer(table, Desk, DomainName(), tried, contact, Start) ==
-        nullptr);
+  CHECK(chooseFor(table, contact, tried) == nullptr);
 }
 
 TEST_CASE("A restarted server is a new incarnation", "[upstream]") {
@@ -191,8 +203,7 @@
   // A request that was sent to the previous incarnation may be sent to this
   // one.
   std::set<ServerIncarnation> tried{previous->Entry.incarnation()};
-  CHECK(chooseServer(table, Desk, DomainName(), tried, contact, Start) ==
-        current);
+  CHECK(chooseFor(table, contact, tried) == current);
 }
 
 TEST_CASE("A registration of an earlier incarnation is ignored", "[upstream]") {
--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "Wasabi/Core/AsyncSignal.h"
 #include "Wasabi/Upstream/ForwardProgress.h"
+#include "Wasabi/Upstream/ServerSelection.h"
 
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
@@ -96,19 +97,23 @@
 
 std::shared_ptr<UpstreamServer> Forwarder::selectNextServer(Progress &State) {
   TimePoint now = monotonicNow();
-  std::set<ServerIncarnation> excluded = CrashQuarantine->suspectServers();
-  excluded.insert(State.TriedServers.begin(), State.TriedServers.end());
-  std::shared_ptr<UpstreamServer> server = chooseServer(
-      View.Servers, State.Service, View.Domain, excluded, View.Contact, now);
-  if (!server && excluded.size() > State.TriedServers.size())
-    server = chooseServer(View.Servers, State.Service, View.Domain,
-                          State.TriedServers, View.Contact, now);
+  ServerQuery query;
+  query.Service = State.Service;
+  query.PreferredDomain = View.Domain;
+  query.Excluded = CrashQuarantine->suspectServers();
+  query.Excluded.insert(State.TriedServers.begin(), State.TriedServers.end());
+  std::shared_ptr<UpstreamServer> server =
+      chooseServer(View.Servers, View.Contact, query, now, Random);
+  if (!server && query.Excluded.size() > State.TriedServers.size()) {
+    query.Excluded = State.TriedServers;
+    server = chooseServer(View.Servers, View.Contact, query, now, Random);
+  }
   if (server || State.TriedServers.empty() || State.PossibleRuns == 0)
     return server;
   // Every server has been tried: allow each of them a second attempt.
   State.TriedServers.clear();
-  return chooseServer(View.Servers, State.Service, View.Domain,
-                      State.TriedServers, View.Contact, now);
+  query.Excluded.clear();
+  return chooseServer(View.Servers, View.Contact, query, now, Random);
 }
 
 Millis Forwarder::attemptTimeout(const Progress &State) const {
--- a/Wasabi/Upstream/UpstreamTable.cpp
+++ b/Wasabi/Upstream/UpstreamTable.cpp
@@ -1,7 +1,6 @@
 #include "Wasabi/Upstream/UpstreamTable.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace wasabi {
 
@@ -153,48 +152,6 @@
   return found;
 }
 
-std::shared_ptr<UpstreamServer>
-chooseServer(const UpstreamTable &Table, const ServiceName &Service,
-             const DomainName &PreferredDomain,
-             const std::set<ServerIncarnation> &Tried,
-             const StoreContact &Contact, TimePoint Now) {
-  using Rank = std::tuple<bool, double, bool>;
-  // Assumed until the server's first answer.
-  constexpr double DefaultLatencyMs = 30.0;
-  std::shared_ptr<UpstreamServer> best;
-  Rank bestRank;
-  for (const std::shared_ptr<UpstreamServer> &it :
-       findUsableServers(Table, Service, Contact, Now)) {
-    if (Tried.contains(it->Entry.incarnation()))
-      continue;
-    double latencyMs =
-        it->SmoothedLatencyMs > 0 ? it->SmoothedLatencyMs : DefaultLatencyMs;
-    double load = static_cast<double>(it->InFlight + 1) /
-                  std::max<std::uint32_t>(it->Entry.Slots, 1);
-    Rank rank{it->SuspectUntil > Now, latencyMs * std::max(load, 0.5),
-              it->Entry.Domain != PreferredDomain};
-    if (!best || rank < bestRank) {
-      best = it;
-      bestRank = rank;
-    }
-  }
-  return best;
-}
-
-double averageLatencyMs(const UpstreamTable &Table, const ServiceName &Service,
-                        const StoreContact &Contact, TimePoint Now) {
-  double sum = 0;
-  std::uint32_t known = 0;
-  for (const std::shared_ptr<UpstreamServer> &it :
-       findUsableServers(Table, Service, Contact, Now)) {
-    if (it->SmoothedLatencyMs <= 0)
-      continue;
-    sum += it->SmoothedLatencyMs;
-    ++known;
-  }
-  return known == 0 ? 0 : sum / known;
-}
-
 void noteSuccess(const UpstreamTable &Table, UpstreamServer &Server,
                  double LatencyMs) {
   Server.Failures = 0;
--- a/Wasabi/Upstream/UpstreamTable.h
+++ b/Wasabi/Upstream/UpstreamTable.h
@@ -176,20 +176,6 @@
 findUsableServers(const UpstreamTable &Table, const ServiceName &Service,
                   const StoreContact &Contact, TimePoint Now);
 
-/// Returns the best usable server for one more request, or null if there is
-/// none outside of `Tried`. Prefers servers that are not suspect, then the
-/// shortest expected wait, then the failure domain `PreferredDomain`.
-std::shared_ptr<UpstreamServer>
-chooseServer(const UpstreamTable &Table, const ServiceName &Service,
-             const DomainName &PreferredDomain,
-             const std::set<ServerIncarnation> &Tried,
-             const StoreContact &Contact, TimePoint Now);
-
-/// Returns the mean of the smoothed latencies of a service's usable servers, in
-/// milliseconds; 0 if none is known yet.
-double averageLatencyMs(const UpstreamTable &Table, const ServiceName &Service,
-                        const StoreContact &Contact, TimePoint Now);
-
 /// Records a successful answer, with its latency in milliseconds.
 void noteSuccess(const UpstreamTable &Table, UpstreamServer &Server,
                  double LatencyMs);
