After an outage the results of the step due first are appended first

Cause: the results that are withheld while the store is away are appended in the order in which they were finished, and texts in progress are saved between them, so that a step which is due soon waits for results that are late anyway. Change: CommitOrder sorts the pending results by the due time of their step, overdue steps last, and ends a batch between two steps; texts are not saved while a result has waited longer than 500 ms.

--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -10,6 +10,7 @@
 #include "Wasabi/Adapters/Telemetry/Metrics.h"
 #include "Wasabi/Batch/PayloadStore.h"
 #include "Wasabi/Batch/RolloutLog.h"
+#include "Wasabi/Dispatch/CommitOrder.h"
 #include "Wasabi/Dispatch/EnginePool.h"
 #include "Wasabi/Dispatch/EngineTopics.h"
 #include "Wasabi/Dispatch/LoadOrder.h"
@@ -119,6 +120,11 @@
     Millis SaveInterval{350};
     /// Minimum number of new events of a text that is saved.
     std::uint64_t MinSaveEvents = 8;
+    /// Time that a result may wait for its append before texts in progress are
+    /// no longer saved. After an outage of the store the results come first:
+    /// their trainers wait, whereas a text that is not saved costs some
+    /// generation if this process fails.
+    Millis MaxCommitDelay{500};
     /// Time limit of an append to the store.
     Millis AppendTimeout{800};
     /// Time limit of a weight load. Afterwards it no longer counts as in
@@ -215,6 +221,10 @@
     ResultRecord Record;
     /// Output to write to the payload topic; empty if written or stored inline.
     std::string Text;
+    TimePoint FinishedAt;
+    /// Time at which its step is due, and the offset of the step's submission.
+    TimePoint Due;
+    Offset Step = 0;
   };
 
   Dispatcher(Parts Dependencies, Settings Limits);
@@ -268,7 +278,8 @@
   boost::asio::awaitable<void> score(std::shared_ptr<ItemTask> Task);
   void finish(const std::shared_ptr<ItemTask> &Task, ItemResult Result);
   boost::asio::awaitable<void> commitLoop();
-  boost::asio::awaitable<Outcome<Done>> commitOldestResults();
+  boost::asio::awaitable<Outcome<Done>> commitNextResults();
+  std::vector<CommitEntry> pendingCommits() const;
   const UpstreamRoute *routeOf(const ItemTask &Task) const;
   std::uint32_t priorityOf(const ItemTask &Task,
                            const UpstreamRoute &Route) const;
@@ -331,7 +342,7 @@
     WeightVersion MinVersionAtNaming = 0;
   };
   std::map<ModelName, NamedVersion> NamedVersions;
-  std::deque<PendingResult> Uncommitted;
+  std::vector<PendingResult> Uncommitted;
   /// True if a call of `scheduleNow` is pending.
   bool Scheduled = false;
   AsyncSignal Wake;
--- a/Wasabi/Dispatch/DispatcherRecords.cpp
+++ b/Wasabi/Dispatch/DispatcherRecords.cpp
@@ -189,7 +189,7 @@
       co_await CommitWake.wait(monotonicNow() + IdleInterval);
       continue;
     }
-    Outcome<Done> done = co_await commitOldestResults();
+    Outcome<Done> done = co_await commitNextResults();
     if (done)
       continue;
     Decisions->line("results.append_failed",
@@ -198,21 +198,47 @@
   }
 }
 
-/// Appends the oldest results: first the texts that are stored as payloads,
-/// then the records that refer to them. Removes the appended results from
-/// `Uncommitted`; nothing else may remove results while this function runs.
-asio::awaitable<Outcome<Done>> Dispatcher::commitOldestResults() {
+/// Returns the properties of the pending results, in their present order.
+std::vector<CommitEntry> Dispatcher::pendingCommits() const {
+  std::vector<CommitEntry> entries;
+  entries.reserve(Uncommitted.size());
+  for (const PendingResult &it : Uncommitted)
+    entries.push_back({it.Due, it.Step, it.FinishedAt,
+                       it.Text.size() + it.Record.Result.Output.size()});
+  return entries;
+}
+
+/// Appends the results of the steps that are due first: first the texts that
+/// are stored as payloads, then the records that refer to them. Removes the
+/// appended results from `Uncommitted`; nothing else may remove or reorder
+/// results while this function runs.
+asio::awaitable<Outcome<Done>> Dispatcher::commitNextResults() {
+  TimePoint now = monotonicNow();
+  std::vector<CommitEntry> entries = pendingCommits();
+  std::vector<CommitEntry> sorted;
+  std::vector<PendingResult> results;
+  for (std::size_t it : sortForCommit(entries, now)) {
+    sorted.push_back(entries[it]);
+    results.push_back(std::move(Uncommitted[it]));
+  }
+  Uncommitted = std::move(results);
+  std::size_t count = commitBatchSize(sorted, MaxBatchBytes);
+  if (hasCommitBacklog(entries, Limits.MaxCommitDelay, now))
+    Decisions->line("results.backlog",
+                    {{"waiting", std::to_string(sorted.size())},
+                     {"appended", std::to_string(count)},
+                     {"overdue", std::to_string(std::count_if(
+                                     sorted.begin(), sorted.end(),
+                                     [now](const CommitEntry &It) {
+                                       return commitRank(It, now).Overdue;
+                                     }))}});
   std::vector<std::string> texts;
   std::vector<std::size_t> indices;
-  std::size_t count = 0;
-  std::size_t bytes = 0;
-  for (; count < Uncommitted.size() && bytes <= MaxBatchBytes; ++count) {
-    const PendingResult &it = Uncommitted[count];
-    bytes += it.Text.size() + it.Record.Result.Output.size();
-    if (it.Text.empty())
+  for (std::size_t i = 0; i < count; ++i) {
+    if (Uncommitted[i].Text.empty())
       continue;
-    texts.push_back(it.Text);
-    indices.push_back(count);
+    texts.push_back(Uncommitted[i].Text);
+    indices.push_back(i);
   }
   if (!texts.empty()) {
     Outcome<std::vector<PayloadLocation>> locations =
@@ -271,13 +297,19 @@
   co_return co_await Log->append(std::move(records));
 }
 
-/// Saves the texts that have grown, periodically. After a failed append or a
+/// Saves the texts that have grown, periodically, unless results wait for their
+/// append. After a failed append or a
 /// full batch, saves again after `RetryDelay` to keep the unsaved part short.
 asio::awaitable<void> Dispatcher::saveLoop() {
   Millis delay = Limits.SaveInterval;
   for (;;) {
     co_await pauseFor(Executor, delay);
     delay = Limits.SaveInterval;
+    if (hasCommitBacklog(pendingCommits(), Limits.MaxCommitDelay,
+                         monotonicNow())) {
+      delay = Limits.RetryDelay;
+      continue;
+    }
     std::vector<TextSave> due;
     std::size_t bytes = 0;
     for (const std::shared_ptr<ItemTask> &it : Tasks) {
--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -332,8 +332,13 @@
   std::string text;
   if (Result.Output.size() > MaxInlineBytes)
     text.swap(Result.Output);
-  Uncommitted.push_back(
-      {{Task->Job->Job.Id, std::move(Result)}, std::move(text)});
+  const UpstreamRoute *route = routeOf(*Task);
+  Millis resultDeadline = route != nullptr ? route->ResultDeadline : Millis(0);
+  Uncommitted.push_back({{Task->Job->Job.Id, std::move(Result)},
+                         std::move(text),
+                         monotonicNow(),
+                         Task->Job->Seen + resultDeadline,
+                         Task->Job->At});
   CommitWake.notify();
 }
 
