--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -62,7 +62,8 @@
       View(Dependencies.View), Engines(std::move(Dependencies.Engines)),
       CrashQuarantine(std::move(Dependencies.CrashQuarantine)),
       Decisions(std::move(Dependencies.Decisions)), Counts(Dependencies.Counts),
-      Usage(std::move(Dependencies.Usage)), Random(wallMicros()) {}
+      Usage(std::move(Dependencies.Usage)),
+      Loads(std::move(Dependencies.Loads)), Random(wallMicros()) {}
 
 std::shared_ptr<Forwarder> Forwarder::create(Parts Dependencies,
                                              Settings Limits) {
@@ -100,6 +101,7 @@
   ServerQuery query;
   query.Service = State.Service;
   query.PreferredDomain = View.Domain;
+  query.Others = Loads ? Loads->findLoad(State.Service) : nullptr;
   query.Excluded = CrashQuarantine->suspectServers();
   query.Excluded.insert(State.TriedServers.begin(), State.TriedServers.end());
   std::shared_ptr<UpstreamServer> server =
@@ -183,6 +185,7 @@
     server->Replaced = true;
   if (*got && notRun && !misdirected)
     State.Refused = true;
+  recordLoad(State, *server, *got, millisSince(attemptStart));
   if (*got && (*got)->Proof == AnswerProof::Ran)
     noteSuccess(View.Servers, *server, millisSince(attemptStart));
   else if (!*got || (*got)->Proof == AnswerProof::Unknown)
@@ -212,6 +215,21 @@
   co_return got;
 }
 
+/// Records the result of an attempt for the load exchange.
+void Forwarder::recordLoad(const Progress &State, const UpstreamServer &Server,
+                           const Outcome<UpstreamResponse> &Got,
+                           double LatencyMs) const {
+  if (!Loads || !Got)
+    return;
+  bool misdirected = Got->Response.Status == MisdirectedStatus;
+  if (Got->Proof == AnswerProof::NotRun && !misdirected)
+    Loads->recordRefusal(State.Service);
+  if (Got->Proof == AnswerProof::Ran)
+    Loads->recordAnswer(State.Service, Server.Entry.incarnation(), LatencyMs,
+                        monotonicNow() - State.Request.ArrivedAt >
+                            State.Route.LatencyTarget);
+}
+
 /// After a failed attempt, checks whether its server has crashed, so that a
 /// request that crashes servers is quarantined before it reaches further ones.
 /// Returns false if the caller has disconnected meanwhile.
@@ -332,6 +350,7 @@
   ServiceName service =
       pickService(Route, std::uniform_real_distribution<>()(Random));
   Progress state(std::move(Request), std::move(Route), std::move(service));
+  RecordedArrival arrival(Loads, state.Service, state.customer());
   for (;;) {
     AdmissionPermit permit(findOrCreateAdmission(state.Service).Gate,
                            ++LastAdmissionId);
--- a/Wasabi/Upstream/Forwarder.h
+++ b/Wasabi/Upstream/Forwarder.h
@@ -10,6 +10,7 @@
 #include "Wasabi/Adapters/Telemetry/Metrics.h"
 #include "Wasabi/Customers/Access.h"
 #include "Wasabi/Customers/ServedShares.h"
+#include "Wasabi/LoadExchange/LoadExchange.h"
 #include "Wasabi/Ports/EnginePort.h"
 #include "Wasabi/Quarantine/Quarantine.h"
 #include "Wasabi/Routing/AdmissionGate.h"
@@ -89,6 +90,9 @@
     /// Counts the requests that servers begin to run; null if usage is not
     /// metered.
     std::shared_ptr<UsageMeter> Usage = nullptr;
+    /// Exchanges the load of the services with other processes; null if this
+    /// process knows only its own requests.
+    std::shared_ptr<LoadExchange> Loads = nullptr;
   };
 
   static std::shared_ptr<Forwarder> create(Parts Dependencies, Settings Limits);
@@ -137,6 +141,8 @@
   std::optional<Failure> findQuarantineFailure(const Progress &State) const;
   boost::asio::awaitable<std::optional<Outcome<UpstreamResponse>>>
   tryOnce(Progress &State, boost::asio::cancellation_signal &Stop);
+  void recordLoad(const Progress &State, const UpstreamServer &Server,
+                  const Outcome<UpstreamResponse> &Got, double LatencyMs) const;
   boost::asio::awaitable<bool>
   checkServerCrash(Progress &State, const Failure &Error,
                    boost::asio::cancellation_signal &Stop);
@@ -177,6 +183,7 @@
   const std::shared_ptr<DecisionLog> Decisions;
   Metrics &Counts;
   const std::shared_ptr<UsageMeter> Usage;
+  const std::shared_ptr<LoadExchange> Loads;
   std::mt19937_64 Random;
   std::map<ServiceName, ServiceAdmission> Admissions;
   /// Id of the most recent admission request.
--- a/Wasabi/Upstream/ForwarderStreams.cpp
+++ b/Wasabi/Upstream/ForwarderStreams.cpp
@@ -48,6 +48,8 @@
       server->Replaced = true;
     if (*got && notRun && !misdirected)
       State.Refused = true;
+    if (Loads && *got && notRun && !misdirected)
+      Loads->recordRefusal(State.Service);
     if (!notRun)
       wasabi::noteFailure(View.Servers, *server, monotonicNow());
     bool callerPresent = true;
@@ -144,6 +146,7 @@
   ServiceName service =
       pickService(Route, std::uniform_real_distribution<>()(Random));
   Progress state(std::move(Request), std::move(Route), std::move(service));
+  RecordedArrival arrival(Loads, state.Service, state.customer());
   std::unique_ptr<EngineStream> stream;
   // Stop the server's work when the caller disconnects.
   Out->onGone([&stop, &stream, self] {
