A request at a slow server is sent to a second one

Cause: a lookup waits for its server until half of its time has passed, so one server that hangs or runs slowly makes it miss its latency target while others have capacity.

Change: requests of idempotent routes with a run to spare are sent to a second server once they are older than the 95th percentile of their route's recent latencies, at most half of the latency target. The first answer that is no server error wins; the other attempt is cancelled. Hedging holds the policy and the budget, ForwarderHedging the concurrent attempts. tryOnce is split into the start of an attempt, the record of its result and its effect on the request's result; other routes take the same steps as before, one attempt at a time.

--- a/Wasabi/Upstream/ForwardProgress.h
+++ b/Wasabi/Upstream/ForwardProgress.h
@@ -29,6 +29,8 @@
   std::shared_ptr<GuardedRequest> Guard;
   /// Usage recorded for this request; empty while none is recorded.
   std::optional<UsageEntry> MeteredUsage;
+  /// True once the request has added its part to the budget of hedges.
+  bool CountedForHedging = false;
 
   Progress(ForwardRequest Request, UpstreamRoute Route, ServiceName Service)
       : Request(std::move(Request)), Route(std::move(Route)),
@@ -77,6 +79,48 @@
   }
 };
 
+struct Forwarder::Attempt {
+  enum class Stage : std::uint8_t {
+    /// The call is in flight.
+    Calling,
+    /// The call has ended; its result has not been recorded yet.
+    Returned,
+    /// The result is recorded; a lost connection is being examined.
+    Examining,
+    /// The attempt is over.
+    Ended,
+    /// The attempt was cancelled; its result is ignored.
+    Cancelled,
+  };
+
+  std::shared_ptr<UpstreamServer> Server;
+  TimePoint Start;
+  /// True if another attempt was in flight at the start.
+  bool IsHedge = false;
+  Stage Current = Stage::Calling;
+  /// Set while the server is marked as running a suspect.
+  std::unique_ptr<Quarantine::SuspectRun> Suspect;
+  /// Cancels the call or the examination of an attempt that runs beside others.
+  boost::asio::cancellation_signal Stop;
+  /// Result of the call; empty if there is none yet.
+  std::optional<Outcome<UpstreamResponse>> Got;
+
+  double ageMs() const {
+    return std::chrono::duration<double, std::milli>(monotonicNow() - Start)
+        .count();
+  }
+  /// Precondition: there is a result.
+  bool isProvenNotRun() const {
+    return *Got ? (*Got)->Proof == AnswerProof::NotRun
+                : Got->failure().Run == Verdict::NotRun;
+  }
+  /// Undoes the marks at the server once the call has ended.
+  void release() {
+    --Server->InFlight;
+    Suspect.reset();
+  }
+};
+
 /// Returns the response for a request that failed: a refusal with a
 /// `Retry-After` header if it has not run, otherwise 502 or 504.
 http::Response makeResponseForFailure(const Failure &Error, Millis RetryAfter);
--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -62,7 +62,8 @@
       View(Dependencies.View), Engines(std::move(Dependencies.Engines)),
       CrashQuarantine(std::move(Dependencies.CrashQuarantine)),
       Decisions(std::move(Dependencies.Decisions)), Counts(Dependencies.Counts),
-      Usage(std::move(Dependencies.Usage)), Random(wallMicros()) {}
+      Usage(std::move(Dependencies.Usage)), Random(wallMicros()),
+      Hedges(makeHedging(Limits.Hedges)) {}
 
 std::shared_ptr<Forwarder> Forwarder::create(Parts Dependencies,
                                              Settings Limits) {
@@ -151,65 +152,124 @@
       .observe(millisSince(State.Request.ArrivedAt));
 }
 
-asio::awaitable<std::optional<Outcome<UpstreamResponse>>>
-Forwarder::tryOnce(Progress &State, asio::cancellation_signal &Stop) {
-  std::shared_ptr<UpstreamServer> server = State.Server;
+/// Marks the server as running the request.
+std::shared_ptr<Forwarder::Attempt>
+Forwarder::beginAttempt(Progress &State,
+                        std::shared_ptr<UpstreamServer> Server) {
+  std::shared_ptr<Attempt> started = std::make_shared<Attempt>();
+  started->Server = std::move(Server);
+  started->Start = monotonicNow();
+  started->Suspect = CrashQuarantine->trackSuspectRun(
+      State.Guard->Digest, started->Server->Entry.incarnation());
+  ++started->Server->InFlight;
+  meterUsage(State);
+  return started;
+}
+
+/// Returns the call of an attempt, which starts when it is awaited.
+asio::awaitable<Outcome<UpstreamResponse>>
+Forwarder::callServer(const Progress &State, const Attempt &Sent,
+                      Millis Timeout) const {
   SendOptions options;
   options.Deadline = State.remainingTime();
   options.RequestId = State.Request.Id;
   options.Customer = State.customer();
-  TimePoint attemptStart = monotonicNow();
-  std::unique_ptr<Quarantine::SuspectRun> suspect =
-      CrashQuarantine->trackSuspectRun(State.Guard->Digest,
-                                       server->Entry.incarnation());
-  ++server->InFlight;
-  meterUsage(State);
-  std::optional<Outcome<UpstreamResponse>> got = co_await cancellable(
-      Executor,
-      Engines.Call(server->Entry, State.Request.HttpRequest, options,
-                   attemptTimeout(State)),
-      Stop);
-  --server->InFlight;
-  suspect.reset();
-  if (!got)
-    co_return got;
-  bool notRun = *got ? (*got)->Proof == AnswerProof::NotRun
-                     : got->failure().Run == Verdict::NotRun;
+  return Engines.Call(Sent.Server->Entry, State.Request.HttpRequest,
+                      std::move(options), Timeout);
+}
+
+/// Records the result of an attempt whose call has ended. `IsLastInFlight` is
+/// false while another attempt of the request may still run it.
+void Forwarder::recordAttempt(Progress &State, Attempt &Ended,
+                              bool IsLastInFlight) {
+  UpstreamServer &server = *Ended.Server;
+  const Outcome<UpstreamResponse> &got = *Ended.Got;
+  bool notRun = Ended.isProvenNotRun();
   ++(notRun ? State.NotRunAttempts : State.PossibleRuns);
-  withdrawUsage(State);
-  State.TriedServers.insert(server->Entry.incarnation());
-  bool misdirected = *got && (*got)->Response.Status == MisdirectedStatus;
+  if (IsLastInFlight)
+    withdrawUsage(State);
+  State.TriedServers.insert(server.Entry.incarnation());
+  bool misdirected = got && got->Response.Status == MisdirectedStatus;
+  bool ran = got && got->Proof == AnswerProof::Ran;
   if (misdirected)
-    server->Replaced = true;
-  if (*got && notRun && !misdirected)
+    server.Replaced = true;
+  if (got && notRun && !misdirected)
     State.Refused = true;
-  if (*got && (*got)->Proof == AnswerProof::Ran)
-    noteSuccess(View.Servers, *server, millisSince(attemptStart));
-  else if (!*got || (*got)->Proof == AnswerProof::Unknown)
-    wasabi::noteFailure(View.Servers, *server, monotonicNow());
-  Decisions->line(
-      "request.try",
-      {{"request", State.Request.Id},
-       {"server", server->Entry.Id.Text},
-       {"result", *got ? std::to_string((*got)->Response.Status)
-                       : describe(got->failure())},
-       {"unrun", notRun ? "yes" : "no"},
-       {"took_ms", fmt::format("{:.1f}", millisSince(attemptStart))}});
-  if (!*got && !notRun)
+  if (ran)
+    noteSuccess(View.Servers, server, Ended.ageMs());
+  else if (!got || got->Proof == AnswerProof::Unknown)
+    wasabi::noteFailure(View.Servers, server, monotonicNow());
+  if (ran && got->Response.Status < FirstServerError &&
+      isHedgeable(State.Route))
+    addLatency(Hedges, State.Route.Name, State.Service, Ended.ageMs());
+  Decisions->line("request.try",
+                  {{"request", State.Request.Id},
+                   {"server", server.Entry.Id.Text},
+                   {"result", got ? std::to_string(got->Response.Status)
+                                  : describe(got.failure())},
+                   {"unrun", notRun ? "yes" : "no"},
+                   {"took_ms", fmt::format("{:.1f}", Ended.ageMs())}});
+  if (!got && !notRun)
     Decisions->line("request.lost",
                     {{"request", State.Request.Id},
                      {"digest", State.Guard->Digest.Text},
-                     {"server", server->Entry.Id.Text},
-                     {"start", std::to_string(server->Entry.Start)},
-                     {"beside", std::to_string(server->InFlight)}});
-  if (*got && (*got)->Proof == AnswerProof::Ran)
+                     {"server", server.Entry.Id.Text},
+                     {"start", std::to_string(server.Entry.Start)},
+                     {"beside", std::to_string(server.InFlight)}});
+  if (ran)
     CrashQuarantine->answered(*State.Guard);
+}
+
+/// Adds the result of an attempt to that of the request. Returns true if it is
+/// the answer: no further attempt is needed.
+bool Forwarder::mergeAttempt(Progress &State, const Attempt &Ended,
+                             AttemptResult &Result) const {
+  State.Server = Ended.Server;
+  const Outcome<UpstreamResponse> &got = *Ended.Got;
+  if (!got) {
+    Result.Error = got.failure();
+    return false;
+  }
+  if (got->Proof == AnswerProof::Ran) {
+    Result.Answer = *got;
+    return got->Response.Status < FirstServerError;
+  }
+  bool notRun = got->Proof == AnswerProof::NotRun;
+  Result.Error = Failure{
+      notRun ? Verdict::NotRun : Verdict::MayHaveRun,
+      notRun ? FailureCode::Overloaded : FailureCode::ConnectionLost,
+      Ended.Server->Entry.Id.Text,
+      notRun ? "the server refused the request"
+             : "the server did not return a complete response to this request",
+      Limits.RetryAfter};
+  return false;
+}
+
+/// Sends the request to `State.Server`; a request that may be hedged is sent to
+/// a second server as well if the first one is slow. Returns true if the
+/// request is over: it was answered, or the caller has disconnected.
+asio::awaitable<bool> Forwarder::tryOnce(Progress &State, AttemptResult &Result,
+                                         asio::cancellation_signal &Stop) {
+  if (mayHedge(State.Route, State.PossibleRuns + 1,
+               CrashQuarantine->crashStatus(State.Guard->Digest)))
+    co_return co_await tryHedged(State, Result, Stop);
+  std::shared_ptr<Attempt> attempt = beginAttempt(State, State.Server);
+  asio::awaitable<Outcome<UpstreamResponse>> call =
+      callServer(State, *attempt, attemptTimeout(State));
+  attempt->Got = co_await cancellable(Executor, std::move(call), Stop);
+  attempt->release();
+  Result.CallerLeft = !attempt->Got;
+  if (Result.CallerLeft)
+    co_return true;
+  recordAttempt(State, *attempt, /*IsLastInFlight=*/true);
   bool callerPresent = true;
-  if (!*got)
-    callerPresent = co_await checkServerCrash(State, got->failure(), Stop);
-  if (!callerPresent)
-    co_return std::nullopt;
-  co_return got;
+  if (!*attempt->Got)
+    callerPresent =
+        co_await checkServerCrash(State, attempt->Got->failure(), Stop);
+  Result.CallerLeft = !callerPresent;
+  if (Result.CallerLeft)
+    co_return true;
+  co_return mergeAttempt(State, *attempt, Result);
 }
 
 /// After a failed attempt, checks whether its server has crashed, so that a
@@ -285,6 +345,10 @@
   result.Error =
       Failure{Verdict::NotRun, FailureCode::NoUpstream, State.Service.Text,
               "no usable server for the service", Limits.RetryAfter};
+  if (isHedgeable(State.Route) && !State.CountedForHedging) {
+    State.CountedForHedging = true;
+    addRequest(Hedges);
+  }
   while (State.canAttempt(Limits)) {
     if (std::optional<Failure> refused = findQuarantineFailure(State)) {
       result.Error = *refused;
@@ -293,32 +357,8 @@
     State.Server = selectNextServer(State);
     if (!State.Server)
       break;
-    std::optional<Outcome<UpstreamResponse>> got =
-        co_await tryOnce(State, Stop);
-    if (!got) {
-      result.CallerLeft = true;
+    if (co_await tryOnce(State, result, Stop))
       break;
-    }
-    if (!*got) {
-      result.Error = got->failure();
-      continue;
-    }
-    if ((*got)->Proof == AnswerProof::Ran) {
-      bool failed = (*got)->Response.Status >= FirstServerError;
-      result.Answer = std::move(**got);
-      if (!failed)
-        break;
-      continue;
-    }
-    bool notRun = (*got)->Proof == AnswerProof::NotRun;
-    result.Error = Failure{
-        notRun ? Verdict::NotRun : Verdict::MayHaveRun,
-        notRun ? FailureCode::Overloaded : FailureCode::ConnectionLost,
-        State.Server->Entry.Id.Text,
-        notRun
-            ? "the server refused the request"
-            : "the server did not return a complete response to this request",
-        Limits.RetryAfter};
   }
   if (!result.Answer && State.allServersFull())
     result.Error.Code = FailureCode::Overloaded;
--- a/Wasabi/Upstream/Forwarder.h
+++ b/Wasabi/Upstream/Forwarder.h
@@ -14,6 +14,7 @@
 #include "Wasabi/Quarantine/Quarantine.h"
 #include "Wasabi/Routing/AdmissionGate.h"
 #include "Wasabi/Upstream/FleetView.h"
+#include "Wasabi/Upstream/Hedging.h"
 #include "Wasabi/Usage/UsageMeter.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -74,6 +75,8 @@
     double OverloadRetryShare = 0.8;
     /// Maximum of that delay; also used while the latency is unknown.
     Millis MaxOverloadRetryDelay{20};
+    /// When requests in flight are sent to a second server as well.
+    Hedging::Settings Hedges;
   };
 
   /// Dependencies of a forwarder.
@@ -116,6 +119,10 @@
 private:
   /// State of one request; defined in ForwardProgress.h.
   struct Progress;
+  /// One attempt to send a request; defined in ForwardProgress.h.
+  struct Attempt;
+  /// The concurrent attempts of one request; defined in ForwarderHedging.cpp.
+  struct AttemptRace;
   /// Admission of requests to one service.
   struct ServiceAdmission {
     std::shared_ptr<AdmissionGate> Gate;
@@ -135,8 +142,28 @@
   std::shared_ptr<UpstreamServer> selectNextServer(Progress &State);
   Millis attemptTimeout(const Progress &State) const;
   std::optional<Failure> findQuarantineFailure(const Progress &State) const;
-  boost::asio::awaitable<std::optional<Outcome<UpstreamResponse>>>
-  tryOnce(Progress &State, boost::asio::cancellation_signal &Stop);
+  std::shared_ptr<Attempt> beginAttempt(Progress &State,
+                                        std::shared_ptr<UpstreamServer> Server);
+  boost::asio::awaitable<Outcome<UpstreamResponse>>
+  callServer(const Progress &State, const Attempt &Sent, Millis Timeout) const;
+  void recordAttempt(Progress &State, Attempt &Ended, bool IsLastInFlight);
+  bool mergeAttempt(Progress &State, const Attempt &Ended,
+                    AttemptResult &Result) const;
+  boost::asio::awaitable<bool> tryOnce(Progress &State, AttemptResult &Result,
+                                       boost::asio::cancellation_signal &Stop);
+  boost::asio::awaitable<bool>
+  tryHedged(Progress &State, AttemptResult &Result,
+            boost::asio::cancellation_signal &Stop);
+  std::shared_ptr<UpstreamServer>
+  selectHedgeServer(const Progress &State, const Attempt &First, TimePoint Now);
+  void startHedge(Progress &State, const std::shared_ptr<AttemptRace> &Race);
+  void startCall(const Progress &State,
+                 const std::shared_ptr<AttemptRace> &Race,
+                 const std::shared_ptr<Attempt> &Started, Millis Timeout) const;
+  bool collectEnded(Progress &State, const std::shared_ptr<AttemptRace> &Race,
+                    AttemptResult &Result);
+  void cancelAttempts(Progress &State, AttemptRace &Race);
+  void recordHedgeEnd(const Progress &State, const AttemptRace &Race);
   boost::asio::awaitable<bool>
   checkServerCrash(Progress &State, const Failure &Error,
                    boost::asio::cancellation_signal &Stop);
@@ -178,6 +205,7 @@
   Metrics &Counts;
   const std::shared_ptr<UsageMeter> Usage;
   std::mt19937_64 Random;
+  Hedging Hedges;
   std::map<ServiceName, ServiceAdmission> Admissions;
   /// Id of the most recent admission request.
   std::uint64_t LastAdmissionId = 0;
