Usage stays counted when two attempts end at the same time

Cause: a refusal withdrew the usage of its request while the result of the other attempt was known but not recorded, so an answered request was not counted.

Change: usage is withdrawn only once no attempt has an unrecorded result.

--- a/UnitTests/Upstream/HedgingTest.cpp
+++ b/UnitTests/Upstream/HedgingTest.cpp
@@ -46,6 +46,8 @@
   Millis Delay{1};
   /// True if calls go on after their cancellation.
   bool IgnoresCancellation = false;
+  /// True if the reply is sent at the next notification of `Gate`.
+  bool IsGated = false;
 };
 
 /// One call to a fake server.
@@ -95,6 +97,7 @@
   UpstreamRoute Route;
   std::string Target = "/desk/x";
   Forwarder::Settings Limits;
+  AsyncSignal Gate{Context.get_executor()};
 
   /// The forwarder starts with enough budget for `Budget` hedges.
   explicit HedgingFixture(std::uint32_t Budget = 1) {
@@ -197,7 +200,9 @@
     Calls.push_back(record);
     CallEnd end(record);
     BootTimer timer(Context, std::min(behavior.Delay, Timeout));
-    if (behavior.IgnoresCancellation)
+    if (behavior.IsGated)
+      co_await Gate.wait(monotonicNow() + Timeout);
+    else if (behavior.IgnoresCancellation)
       co_await timer.async_wait(asio::bind_cancellation_slot(
           asio::cancellation_slot(), asio::as_tuple(asio::use_awaitable)));
     else
@@ -595,6 +600,52 @@
   CHECK(got->Response.Status == 500);
 }
 
+TEST_CASE("Attempts that end at the same time are both recorded",
+          "[upstream][hedging]") {
+  // Guards against the result of one attempt that hides or undoes that of the
+  // other: two answers, lost usage, a wrong verdict.
+  struct Case {
+    Reply First;
+    Reply Second;
+    /// The server of the answer; empty if there is none.
+    std::string Answered;
+    std::int64_t ExpectedUsage;
+  };
+  const Case cases[] = {
+      {Reply::Answers, Reply::Answers, "first", 1},
+      {Reply::Answers, Reply::LosesAnswer, "first", 1},
+      {Reply::Refuses, Reply::Answers, "second", 1},
+      {Reply::LosesAnswer, Reply::Answers, "second", 1},
+      {Reply::ReturnsError, Reply::Answers, "second", 1},
+      {Reply::Refuses, Reply::LosesAnswer, "", 1},
+      {Reply::Unreachable, Reply::Unreachable, "", 0},
+  };
+  for (const Case &it : cases) {
+    INFO("replies " << static_cast<int>(it.First) << " and "
+                    << static_cast<int>(it.Second));
+    HedgingFixture fixture;
+    fixture.enableUsageMeter();
+    fixture.addTwoServers(
+        {.Kind = it.First, .Delay = Millis(0), .IsGated = true},
+        {.Kind = it.Second, .Delay = Millis(0), .IsGated = true});
+    std::shared_ptr<PendingAnswer> pending = fixture.startRequest(Millis(500));
+    REQUIRE(fixture.runUntil([&] { return fixture.Calls.size() == 2; }));
+    fixture.Gate.notify();
+    // Retries are replied to as well.
+    REQUIRE(fixture.runUntil([&] {
+      fixture.Gate.notify();
+      return pending->Got.has_value();
+    }));
+    const Outcome<UpstreamResponse> &got = *pending->Got;
+    CHECK((got ? got->Signature : "") == it.Answered);
+    if (!got)
+      CHECK((got.failure().Run == Verdict::NotRun) == (it.ExpectedUsage == 0));
+    fixture.checkNothingInFlight();
+    fixture.Context.run_for(Millis(20));
+    CHECK(fixture.recordedUsage() == it.ExpectedUsage);
+  }
+}
+
 TEST_CASE("Usage of a hedged request is counted once", "[upstream][hedging]") {
   // Guards against customers that pay for the attempts of the system.
   const Reply firstReplies[] = {Reply::Answers, Reply::Refuses,
--- a/Wasabi/Upstream/ForwarderHedging.cpp
+++ b/Wasabi/Upstream/ForwarderHedging.cpp
@@ -33,12 +33,14 @@
   /// The attempt that was answered; null if there is none.
   std::shared_ptr<Attempt> Winner;
 
-  std::size_t callsInFlight() const {
-    return static_cast<std::size_t>(
-        std::count_if(Attempts.begin(), Attempts.end(),
-                      [](const std::shared_ptr<Attempt> &Each) {
-                        return Each->Current == Attempt::Stage::Calling;
-                      }));
+  /// Returns true if the result of an attempt has not been recorded yet, so
+  /// that a server may still run or have run it.
+  bool hasOpenAttempts() const {
+    return std::any_of(Attempts.begin(), Attempts.end(),
+                       [](const std::shared_ptr<Attempt> &Each) {
+                         return Each->Current == Attempt::Stage::Calling ||
+                                Each->Current == Attempt::Stage::Returned;
+                       });
   }
 
   /// Waits for the end of the call of an attempt.
@@ -179,9 +181,8 @@
   for (const std::shared_ptr<Attempt> &it : attempts) {
     if (it->Current == Attempt::Stage::Returned) {
       it->release();
-      bool isLastInFlight = Race->callsInFlight() == 0;
-      recordAttempt(State, *it, isLastInFlight);
       it->Current = Attempt::Stage::Ended;
+      recordAttempt(State, *it, /*IsLastInFlight=*/!Race->hasOpenAttempts());
       if (!*it->Got && it->Got->failure().Run != Verdict::NotRun &&
           it->Got->failure().Code == FailureCode::ConnectionLost) {
         it->Current = Attempt::Stage::Examining;
