Server selection: estimates that age, evidence in flight, trials

Work went to slow servers: the latency estimate moved by a fifth per answer in both directions and did not change while a server was silent, and equal servers were chosen in order of their names by every process.

The estimate now rises by half of a longer sample, ages toward the typical latency of its service with a half-life of 1 s, counts requests in flight that are older than it, and is merged with the reports of other processes. Among servers close to the best the choice is random, by free slots and inverse cost. The local failure domain is preferred while its best server is within a fifth of the best of all; the crossing costs 5 ms. One request in twenty may be sent to a slow server to find its recovery. Before the first answer of a service the choice is unchanged, in order of names.

--- a/UnitTests/Upstream/ForwarderTest.cpp
+++ b/UnitTests/Upstream/ForwarderTest.cpp
@@ -482,4 +482,54 @@
   CHECK(answer.header("Retry-After") == "0.250");
 }
 
+// Guards against attempts that count as in flight forever, and so make a server
+// look full and ever slower.
+TEST_CASE("No attempt is in flight after its end", "[upstream]") {
+  for (ServerBehavior behavior :
+       {ServerBehavior::Answers, ServerBehavior::Refuses,
+        ServerBehavior::Crashes, ServerBehavior::LosesAnswer,
+        ServerBehavior::Unreachable, ServerBehavior::ReturnsError,
+        ServerBehavior::Misdirected}) {
+    ForwarderFixture fixture;
+    fixture.addServer("a", behavior);
+    fixture.addServer("b", behavior);
+    fixture.sendRequest();
+    for (const char *id : {"a", "b"}) {
+      CHECK(fixture.server(id)->InFlight == 0);
+      CHECK(fixture.server(id)->AttemptStarts.empty());
+    }
+  }
+}
+
+// Guards against trials beyond their budget, and against changes that the
+// operator can't see.
+TEST_CASE("A slow server gets one of twenty requests of repeatable routes",
+          "[upstream]") {
+  ForwarderFixture fixture;
+  fixture.addServer("a", ServerBehavior::Answers);
+  fixture.addServer("b", ServerBehavior::Answers);
+  fixture.sendRequest();
+  Counter &trials = fixture.Counts.counter(
+      "trial_requests_total",
+      "Requests sent to a slow server to find its recovery");
+  Counter &slow = fixture.Counts.counter(
+      "server_slow_changes_total",
+      "Times that a server started or stopped being treated as slow",
+      {{"state", "slow"}});
+  // Not aged, so that the test does not depend on the time that it takes.
+  fixture.server("a")->SmoothedLatencyMs = 10000;
+  fixture.server("a")->LatencyMeasuredAt.reset();
+  fixture.Route.Kind = RouteKind::NonIdempotent;
+  fixture.RequestedServers.clear();
+  for (int i = 0; i < 25; ++i)
+    fixture.sendRequest();
+  CHECK(trials.value() == 0);
+  CHECK(fixture.RequestedServers == std::vector<std::string>(25, "b"));
+  CHECK(slow.value() == 1);
+  fixture.Route.Kind = RouteKind::Idempotent;
+  fixture.sendRequest();
+  CHECK(trials.value() == 1);
+  CHECK(fixture.RequestedServers.back() == "a");
+}
+
 } // namespace wasabi::batchtest
--- a/Wasabi/Upstream/ForwardProgress.h
+++ b/Wasabi/Upstream/ForwardProgress.h
@@ -25,6 +25,8 @@
   std::uint32_t NotRunAttempts = 0;
   /// True if a reachable server has refused the request since the last reset.
   bool Refused = false;
+  /// True once the request has been added to the budget of trial requests.
+  bool CountedForTrials = false;
   std::shared_ptr<UpstreamServer> Server;
   std::shared_ptr<GuardedRequest> Guard;
   /// Usage recorded for this request; empty while none is recorded.
--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -2,7 +2,6 @@
 
 #include "Wasabi/Core/AsyncSignal.h"
 #include "Wasabi/Upstream/ForwardProgress.h"
-#include "Wasabi/Upstream/ServerSelection.h"
 
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
@@ -102,18 +101,72 @@
   query.PreferredDomain = View.Domain;
   query.Excluded = CrashQuarantine->suspectServers();
   query.Excluded.insert(State.TriedServers.begin(), State.TriedServers.end());
-  std::shared_ptr<UpstreamServer> server =
-      chooseServer(View.Servers, View.Contact, query, now, Random);
-  if (!server && query.Excluded.size() > State.TriedServers.size()) {
+  query.MayTrial = mayTrial(State);
+  recordSlowServers(State.Service, query.Others, now);
+  ServerChoice choice =
+      selectServer(View.Servers, View.Contact, query, now, Random);
+  if (!choice.Server && query.Excluded.size() > State.TriedServers.size()) {
     query.Excluded = State.TriedServers;
-    server = chooseServer(View.Servers, View.Contact, query, now, Random);
+    choice = selectServer(View.Servers, View.Contact, query, now, Random);
+  }
+  if (!choice.Server && !State.TriedServers.empty() && State.PossibleRuns > 0) {
+    // Every server has been tried: allow each of them a second attempt.
+    State.TriedServers.clear();
+    query.Excluded.clear();
+    choice = selectServer(View.Servers, View.Contact, query, now, Random);
+  }
+  recordSelection(State, choice);
+  return choice.Server;
+}
+
+/// Returns true if a request may be sent to a server that looks slow: it is its
+/// first attempt, and the route and the time left allow a second one.
+bool Forwarder::mayTrial(const Progress &State) const {
+  return canSpend(Trials) && State.Route.Kind == RouteKind::Idempotent &&
+         State.Route.MaxAttempts > 1 && State.PossibleRuns == 0 &&
+         State.TriedServers.empty() &&
+         State.remainingTime() >= 2 * Limits.MinAttemptTimeout;
+}
+
+void Forwarder::recordSelection(Progress &State, const ServerChoice &Choice) {
+  if (!State.CountedForTrials)
+    Trials = addSuccess(Trials);
+  State.CountedForTrials = true;
+  if (Choice.Trial) {
+    Trials = spend(Trials);
+    Counts
+        .counter("trial_requests_total",
+                 "Requests sent to a slow server to find its recovery")
+        .add();
+  }
+  if (Choice.SpillOver)
+    Counts
+        .counter("spillover_requests_total",
+                 "Requests sent to another failure domain although this one "
+                 "has a usable server")
+        .add();
+}
+
+/// Updates which servers are treated as slow and logs the changes.
+void Forwarder::recordSlowServers(const ServiceName &Service,
+                                  const ServiceLoad *Others, TimePoint Now) {
+  for (const std::shared_ptr<UpstreamServer> &it :
+       updateSlowServers(View.Servers, Service, Others, Now)) {
+    double latencyMs = estimateLatencyMs(View.Servers, *it, Others, Now);
+    Decisions->line(
+        it->Slow ? "server.slow" : "server.recovered",
+        {{"service", Service.Text},
+         {"server", it->Entry.Id.Text},
+         {"latency_ms", fmt::format("{:.1f}", latencyMs)},
+         {"typical_ms",
+          fmt::format("{:.1f}",
+                      typicalLatencyMs(View.Servers, Service, Others))}});
+    Counts
+        .counter("server_slow_changes_total",
+                 "Times that a server started or stopped being treated as slow",
+                 {{"state", it->Slow ? "slow" : "recovered"}})
+        .add();
   }
-  if (server || State.TriedServers.empty() || State.PossibleRuns == 0)
-    return server;
-  // Every server has been tried: allow each of them a second attempt.
-  State.TriedServers.clear();
-  query.Excluded.clear();
-  return chooseServer(View.Servers, View.Contact, query, now, Random);
 }
 
 Millis Forwarder::attemptTimeout(const Progress &State) const {
@@ -162,19 +215,23 @@
   std::unique_ptr<Quarantine::SuspectRun> suspect =
       CrashQuarantine->trackSuspectRun(State.Guard->Digest,
                                        server->Entry.incarnation());
-  ++server->InFlight;
+  beginAttempt(*server, attemptStart);
   meterUsage(State);
   std::optional<Outcome<UpstreamResponse>> got = co_await cancellable(
       Executor,
       Engines.Call(server->Entry, State.Request.HttpRequest, options,
                    attemptTimeout(State)),
       Stop);
-  --server->InFlight;
+  endAttempt(*server, attemptStart);
   suspect.reset();
+  bool notRun = got && (*got ? (*got)->Proof == AnswerProof::NotRun
+                             : got->failure().Run == Verdict::NotRun);
+  bool answered = got && *got && (*got)->Proof == AnswerProof::Ran;
+  if (!answered && !notRun)
+    recordUnanswered(View.Servers, *server, millisSince(attemptStart),
+                     monotonicNow());
   if (!got)
     co_return got;
-  bool notRun = *got ? (*got)->Proof == AnswerProof::NotRun
-                     : got->failure().Run == Verdict::NotRun;
   ++(notRun ? State.NotRunAttempts : State.PossibleRuns);
   withdrawUsage(State);
   State.TriedServers.insert(server->Entry.incarnation());
@@ -183,8 +240,9 @@
     server->Replaced = true;
   if (*got && notRun && !misdirected)
     State.Refused = true;
-  if (*got && (*got)->Proof == AnswerProof::Ran)
-    noteSuccess(View.Servers, *server, millisSince(attemptStart));
+  if (answered)
+    recordAnswer(View.Servers, *server, millisSince(attemptStart),
+                 monotonicNow());
   else if (!*got || (*got)->Proof == AnswerProof::Unknown)
     wasabi::noteFailure(View.Servers, *server, monotonicNow());
   Decisions->line(
--- a/Wasabi/Upstream/Forwarder.h
+++ b/Wasabi/Upstream/Forwarder.h
@@ -14,6 +14,7 @@
 #include "Wasabi/Quarantine/Quarantine.h"
 #include "Wasabi/Routing/AdmissionGate.h"
 #include "Wasabi/Upstream/FleetView.h"
+#include "Wasabi/Upstream/ServerSelection.h"
 #include "Wasabi/Usage/UsageMeter.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -133,6 +134,10 @@
   Forwarder(Parts Dependencies, Settings Limits);
 
   std::shared_ptr<UpstreamServer> selectNextServer(Progress &State);
+  bool mayTrial(const Progress &State) const;
+  void recordSelection(Progress &State, const ServerChoice &Choice);
+  void recordSlowServers(const ServiceName &Service, const ServiceLoad *Others,
+                         TimePoint Now);
   Millis attemptTimeout(const Progress &State) const;
   std::optional<Failure> findQuarantineFailure(const Progress &State) const;
   boost::asio::awaitable<std::optional<Outcome<UpstreamResponse>>>
@@ -178,6 +183,9 @@
   Metrics &Counts;
   const std::shared_ptr<UsageMeter> Usage;
   std::mt19937_64 Random;
+  /// Trial requests that may be sent to servers that look slow; empty at the
+  /// start.
+  RetryBudget Trials{TrialBudget, 0};
   std::map<ServiceName, ServiceAdmission> Admissions;
   /// Id of the most recent admission request.
   std::uint64_t LastAdmissionId = 0;
--- a/Wasabi/Upstream/ServerSelection.cpp
+++ b/Wasabi/Upstream/ServerSelection.cpp
@@ -1,57 +1,431 @@
 #include "Wasabi/Upstream/ServerSelection.h"
 
 #include <algorithm>
-#include <tuple>
+#include <cmath>
+#include <optional>
 
 namespace wasabi {
 
-double expectedCompletionMs(const UpstreamTable & /*Table*/,
-                            const UpstreamServer &Server,
-                            const ServiceLoad * /*Others*/, TimePoint /*Now*/) {
-  // Assumed until the server's first answer.
-  constexpr double DefaultLatencyMs = 30.0;
-  double latencyMs = Server.SmoothedLatencyMs > 0 ? Server.SmoothedLatencyMs
-                                                  : DefaultLatencyMs;
-  double load = static_cast<double>(Server.InFlight + 1) /
-                std::max<std::uint32_t>(Server.Entry.Slots, 1);
-  return latencyMs * std::max(load, 0.5);
-}
-
-std::shared_ptr<UpstreamServer> chooseServer(const UpstreamTable &Table,
-                                             const StoreContact &Contact,
-                                             const ServerQuery &Query,
-                                             TimePoint Now,
-                                             std::mt19937_64 & /*Random*/) {
-  using Rank = std::tuple<bool, double, bool>;
-  std::shared_ptr<UpstreamServer> best;
-  Rank bestRank;
+namespace {
+
+/// Assumed until the first answer of a service.
+constexpr double DefaultLatencyMs = 30.0;
+/// Weight of a sample above the estimate, and of one below it. Slowness is to
+/// be noticed at once, whereas one fast answer doesn't prove a recovery.
+constexpr double RiseWeight = 0.5;
+constexpr double FallWeight = 0.2;
+/// Time in which an estimate loses half of its distance to the typical latency.
+constexpr Millis LatencyHalfLife{1000};
+/// Servers within this factor of the best one are chosen at random.
+constexpr double CloseFactor = 1.5;
+/// The preferred domain is used while its best server is within this factor of
+/// the best one of all.
+constexpr double LocalFactor = 1.2;
+/// Cost of a request to another failure domain in milliseconds: the round trip,
+/// and a surcharge because bytes between domains are charged.
+constexpr double CrossDomainCostMs = 5.0;
+/// A server is treated as slow above the first factor of the typical latency,
+/// and no longer below the second.
+constexpr double SlowFactor = 2.0;
+constexpr double RecoveredFactor = 1.5;
+/// Minimum time between two changes of whether a server is treated as slow.
+constexpr Millis MinSlowChangeInterval{1000};
+/// Number of in-flight requests that count as samples. With `RiseWeight`, more
+/// of them would change the estimate by less than a hundredth.
+constexpr std::size_t MaxAgeSamples = 8;
+
+/// Reports beyond these limits are ignored as absurd.
+constexpr double MaxLatencyMs = 60'000;
+constexpr double MaxReportedSamples = 10'000;
+/// In-flight requests per slot. Servers queue some four requests per slot.
+constexpr std::uint32_t MaxReportedLoad = 32;
+/// Age after which reported in-flight requests are ignored; the shortest
+/// validity of a report.
+constexpr Millis MaxInFlightAge{3000};
+/// Minimum number of servers that this process and others have measured, to
+/// relate their latencies to each other.
+constexpr std::size_t MinCommonServers = 3;
+
+/// What the estimates of all servers of one service have in common.
+struct EstimateBasis {
+  double TypicalMs = DefaultLatencyMs;
+  /// Factor by which others' latencies are multiplied. Processes send requests
+  /// of unlike work, so their latencies differ at the same server.
+  double OthersScale = 1;
+};
+
+/// A latency and the number of samples that it stands for.
+struct WeightedLatency {
+  double Ms = 0;
+  double Samples = 0;
+};
+
+double millisBetween(TimePoint Start, TimePoint End) {
+  return std::chrono::duration<double, std::milli>(End - Start).count();
+}
+
+/// Returns the part of a measurement that remains after `AgeMs`, from 0 to 1.
+double remainingPart(double AgeMs) {
+  return std::exp2(-std::max(AgeMs, 0.0) /
+                   static_cast<double>(LatencyHalfLife.count()));
+}
+
+bool isPlausible(const ServerLoad &Load) {
+  return std::isfinite(Load.LatencyMs) && Load.LatencyMs > 0 &&
+         Load.LatencyMs <= MaxLatencyMs && std::isfinite(Load.Samples) &&
+         Load.Samples > 0 && Load.Samples <= MaxReportedSamples;
+}
+
+double addSample(double EstimateMs, double SampleMs) {
+  double weight = SampleMs > EstimateMs ? RiseWeight : FallWeight;
+  return EstimateMs + weight * (SampleMs - EstimateMs);
+}
+
+/// Returns the local estimate of a server, aged toward the typical latency.
+WeightedLatency agedLatency(const UpstreamServer &Server, double TypicalMs,
+                            TimePoint Now) {
+  if (Server.SmoothedLatencyMs <= 0)
+    return {TypicalMs, 0};
+  if (!Server.LatencyMeasuredAt)
+    return {Server.SmoothedLatencyMs, 1};
+  double part = remainingPart(millisBetween(*Server.LatencyMeasuredAt, Now));
+  return {TypicalMs + part * (Server.SmoothedLatencyMs - TypicalMs),
+          part * Server.LatencySamples};
+}
+
+const ServerLoad *findReport(const UpstreamServer &Server,
+                             const ServiceLoad *Others, TimePoint Now) {
+  if (Others == nullptr)
+    return nullptr;
+  auto it = Others->Servers.find(Server.Entry.incarnation());
+  return it == Others->Servers.end() || it->second.MeasuredAt > Now
+             ? nullptr
+             : &it->second;
+}
+
+WeightedLatency agedReport(const ServerLoad *Report, const EstimateBasis &Basis,
+                           TimePoint Now) {
+  if (Report == nullptr || !isPlausible(*Report))
+    return {Basis.TypicalMs, 0};
+  double part = remainingPart(millisBetween(Report->MeasuredAt, Now));
+  double latencyMs = Report->LatencyMs * Basis.OthersScale;
+  return {Basis.TypicalMs + part * (latencyMs - Basis.TypicalMs),
+          part * Report->Samples};
+}
+
+/// Returns the upper median. Precondition: there is a value.
+double medianOf(std::vector<double> Values) {
+  auto middle = Values.begin() + static_cast<std::ptrdiff_t>(Values.size() / 2);
+  std::nth_element(Values.begin(), middle, Values.end());
+  return *middle;
+}
+
+EstimateBasis makeBasis(const UpstreamTable &Table, const ServiceName &Service,
+                        const ServiceLoad *Others, TimePoint Now) {
+  EstimateBasis basis;
+  basis.TypicalMs = typicalLatencyMs(Table, Service, Others);
+  if (Others == nullptr)
+    return basis;
+  std::vector<double> ratios;
+  for (const auto &[id, server] : Table.Servers) {
+    if (server->Entry.Service != Service || server->SmoothedLatencyMs <= 0)
+      continue;
+    const ServerLoad *report = findReport(*server, Others, Now);
+    if (report != nullptr && isPlausible(*report))
+      ratios.push_back(server->SmoothedLatencyMs / report->LatencyMs);
+  }
+  if (ratios.size() >= MinCommonServers)
+    basis.OthersScale = medianOf(std::move(ratios));
+  return basis;
+}
+
+double estimateLatencyMs(const EstimateBasis &Basis,
+                         const UpstreamServer &Server,
+                         const ServiceLoad *Others, TimePoint Now) {
+  WeightedLatency local = agedLatency(Server, Basis.TypicalMs, Now);
+  WeightedLatency other =
+      agedReport(findReport(Server, Others, Now), Basis, Now);
+  double samples = local.Samples + other.Samples;
+  double result =
+      samples > 0
+          ? (local.Ms * local.Samples + other.Ms * other.Samples) / samples
+          : Basis.TypicalMs;
+  // In order of age, the oldest first.
+  std::size_t counted = 0;
+  for (TimePoint it : Server.AttemptStarts) {
+    double ageMs = millisBetween(it, Now);
+    if (ageMs <= result || ++counted > MaxAgeSamples)
+      break;
+    result = addSample(result, ageMs);
+  }
+  return result;
+}
+
+std::uint32_t slotsOf(const UpstreamServer &Server) {
+  return std::max<std::uint32_t>(Server.Entry.Slots, 1);
+}
+
+/// Returns the number of all processes' requests in flight at a server.
+std::uint64_t inFlightAt(const UpstreamServer &Server,
+                         const ServiceLoad *Others, TimePoint Now) {
+  std::uint64_t result = Server.InFlight;
+  const ServerLoad *report = findReport(Server, Others, Now);
+  if (report != nullptr && Now - report->MeasuredAt <= MaxInFlightAge &&
+      report->InFlight / MaxReportedLoad <= slotsOf(Server))
+    result += report->InFlight;
+  return result;
+}
+
+double completionMs(double LatencyMs, std::uint64_t InFlight,
+                    const UpstreamServer &Server) {
+  double load = static_cast<double>(InFlight + 1) / slotsOf(Server);
+  return LatencyMs * std::max(load, 1.0);
+}
+
+/// A server that may be chosen.
+struct Candidate {
+  std::shared_ptr<UpstreamServer> Server;
+  double LatencyMs = 0;
+  /// Expected completion time plus the cost of crossing domains.
+  double CostMs = 0;
+  std::uint64_t InFlight = 0;
+  bool Local = false;
+};
+
+bool costsLess(const Candidate &Left, const Candidate &Right) {
+  return Left.CostMs < Right.CostMs;
+}
+
+std::vector<Candidate> findCandidates(const UpstreamTable &Table,
+                                      const StoreContact &Contact,
+                                      const ServerQuery &Query, TimePoint Now) {
+  EstimateBasis basis = makeBasis(Table, Query.Service, Query.Others, Now);
+  std::vector<Candidate> healthy;
+  std::vector<Candidate> suspect;
   for (const std::shared_ptr<UpstreamServer> &it :
        findUsableServers(Table, Query.Service, Contact, Now)) {
     if (Query.Excluded.contains(it->Entry.incarnation()))
       continue;
-    Rank rank{it->SuspectUntil > Now,
-              expectedCompletionMs(Table, *it, Query.Others, Now),
-              it->Entry.Domain != Query.PreferredDomain};
-    if (!best || rank < bestRank) {
-      best = it;
-      bestRank = rank;
+    Candidate found;
+    found.Server = it;
+    found.LatencyMs = estimateLatencyMs(basis, *it, Query.Others, Now);
+    found.InFlight = inFlightAt(*it, Query.Others, Now);
+    found.Local = it->Entry.Domain == Query.PreferredDomain;
+    found.CostMs = completionMs(found.LatencyMs, found.InFlight, *it) +
+                   (found.Local ? 0 : CrossDomainCostMs);
+    (it->SuspectUntil > Now ? suspect : healthy).push_back(std::move(found));
+  }
+  return healthy.empty() ? suspect : healthy;
+}
+
+/// Returns the slow server that was measured least recently and has no request
+/// of this process in flight; null if there is none.
+const Candidate *findTrial(const std::vector<Candidate> &Candidates,
+                           TimePoint Now) {
+  auto fastest =
+      std::min_element(Candidates.begin(), Candidates.end(),
+                       [](const Candidate &Left, const Candidate &Right) {
+                         return Left.LatencyMs < Right.LatencyMs;
+                       });
+  const Candidate *oldest = nullptr;
+  for (const Candidate &it : Candidates) {
+    bool looksSlow = it.LatencyMs > fastest->LatencyMs * CloseFactor;
+    if (!looksSlow || it.Server->InFlight > 0 ||
+        it.Server->SuspectUntil > Now || it.InFlight >= slotsOf(*it.Server))
+      continue;
+    if (oldest == nullptr ||
+        it.Server->LatencyMeasuredAt < oldest->Server->LatencyMeasuredAt)
+      oldest = &it;
+  }
+  return oldest;
+}
+
+/// Returns true if nothing is known yet that tells the servers apart.
+bool isAtRest(const std::vector<Candidate> &Candidates,
+              const ServiceLoad *Others) {
+  return Others == nullptr &&
+         std::all_of(
+             Candidates.begin(), Candidates.end(), [](const Candidate &It) {
+               return It.Server->SmoothedLatencyMs <= 0 && It.InFlight == 0;
+             });
+}
+
+/// Chooses at random among the candidates that are close to the best one, by
+/// their free slots and inverse cost. Precondition: there is a candidate.
+const Candidate &chooseAmongClose(const std::vector<Candidate> &Candidates,
+                                  std::mt19937_64 &Random) {
+  const Candidate &best =
+      *std::min_element(Candidates.begin(), Candidates.end(), costsLess);
+  std::vector<double> weights;
+  std::vector<double> weightsFull;
+  for (const Candidate &it : Candidates) {
+    std::uint64_t slots = slotsOf(*it.Server);
+    std::uint64_t freeSlots = slots - std::min(it.InFlight, slots);
+    double weight = it.CostMs <= best.CostMs * CloseFactor ? 1 / it.CostMs : 0;
+    weights.push_back(weight * static_cast<double>(freeSlots));
+    weightsFull.push_back(weight);
+  }
+  bool anyFree = std::any_of(weights.begin(), weights.end(),
+                             [](double It) { return It > 0; });
+  const std::vector<double> &used = anyFree ? weights : weightsFull;
+  std::discrete_distribution<std::size_t> pick(used.begin(), used.end());
+  return Candidates[pick(Random)];
+}
+
+} // namespace
+
+double typicalLatencyMs(const UpstreamTable &Table, const ServiceName &Service,
+                        const ServiceLoad *Others) {
+  auto local = Table.TypicalLatencies.find(Service);
+  if (local != Table.TypicalLatencies.end() && local->second.Ms > 0)
+    return local->second.Ms;
+  std::vector<double> reported;
+  if (Others != nullptr) {
+    for (const auto &[id, load] : Others->Servers) {
+      if (isPlausible(load))
+        reported.push_back(load.LatencyMs);
     }
   }
-  return best;
+  return reported.empty() ? DefaultLatencyMs : medianOf(std::move(reported));
+}
+
+double estimateLatencyMs(const UpstreamTable &Table,
+                         const UpstreamServer &Server,
+                         const ServiceLoad *Others, TimePoint Now) {
+  EstimateBasis basis = makeBasis(Table, Server.Entry.Service, Others, Now);
+  return estimateLatencyMs(basis, Server, Others, Now);
+}
+
+double expectedCompletionMs(const UpstreamTable &Table,
+                            const UpstreamServer &Server,
+                            const ServiceLoad *Others, TimePoint Now) {
+  return completionMs(estimateLatencyMs(Table, Server, Others, Now),
+                      inFlightAt(Server, Others, Now), Server);
+}
+
+ServerChoice selectServer(const UpstreamTable &Table,
+                          const StoreContact &Contact, const ServerQuery &Query,
+                          TimePoint Now, std::mt19937_64 &Random) {
+  std::vector<Candidate> candidates =
+      findCandidates(Table, Contact, Query, Now);
+  if (candidates.empty())
+    return {};
+  const Candidate *trial =
+      Query.MayTrial ? findTrial(candidates, Now) : nullptr;
+  if (trial != nullptr)
+    return {trial->Server, true, false};
+  std::vector<Candidate> local;
+  std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(local),
+               [](const Candidate &It) { return It.Local; });
+  auto best = std::min_element(candidates.begin(), candidates.end(), costsLess);
+  auto bestLocal = std::min_element(local.begin(), local.end(), costsLess);
+  bool stay = bestLocal != local.end() &&
+              bestLocal->CostMs <= best->CostMs * LocalFactor;
+  const std::vector<Candidate> &considered = stay ? local : candidates;
+  // Without measurements or load, the first server in order of names is chosen.
+  const Candidate &chosen = isAtRest(candidates, Query.Others)
+                                ? (stay ? *bestLocal : *best)
+                                : chooseAmongClose(considered, Random);
+  return {chosen.Server, false, !local.empty() && !chosen.Local};
+}
+
+std::shared_ptr<UpstreamServer>
+chooseServer(const UpstreamTable &Table, const StoreContact &Contact,
+             const ServerQuery &Query, TimePoint Now, std::mt19937_64 &Random) {
+  return selectServer(Table, Contact, Query, Now, Random).Server;
 }
 
 double averageLatencyMs(const UpstreamTable &Table, const ServiceName &Service,
                         const StoreContact &Contact, TimePoint Now) {
+  double typicalMs = typicalLatencyMs(Table, Service, nullptr);
   double sum = 0;
   std::uint32_t known = 0;
   for (const std::shared_ptr<UpstreamServer> &it :
        findUsableServers(Table, Service, Contact, Now)) {
     if (it->SmoothedLatencyMs <= 0)
       continue;
-    sum += it->SmoothedLatencyMs;
+    sum += agedLatency(*it, typicalMs, Now).Ms;
     ++known;
   }
   return known == 0 ? 0 : sum / known;
 }
 
+void beginAttempt(UpstreamServer &Server, TimePoint Now) {
+  ++Server.InFlight;
+  Server.AttemptStarts.insert(Now);
+}
+
+void endAttempt(UpstreamServer &Server, TimePoint StartedAt) {
+  --Server.InFlight;
+  auto it = Server.AttemptStarts.find(StartedAt);
+  if (it != Server.AttemptStarts.end())
+    Server.AttemptStarts.erase(it);
+}
+
+namespace {
+
+/// Moves the typical latency toward a sample by a bounded factor, so that it
+/// follows the median and a few very long answers hardly change it.
+void updateTypical(TypicalLatency &Typical, double LatencyMs) {
+  constexpr double MinStep = 0.05;
+  ++Typical.Samples;
+  if (Typical.Ms <= 0) {
+    Typical.Ms = LatencyMs;
+    return;
+  }
+  double step = std::max(MinStep, 1.0 / static_cast<double>(Typical.Samples));
+  Typical.Ms =
+      std::clamp(LatencyMs, Typical.Ms / (1 + step), Typical.Ms * (1 + step));
+}
+
+void updateLatency(UpstreamServer &Server, double TypicalMs, double SampleMs,
+                   TimePoint Now) {
+  WeightedLatency aged = agedLatency(Server, TypicalMs, Now);
+  Server.SmoothedLatencyMs = addSample(aged.Ms, SampleMs);
+  Server.LatencySamples = aged.Samples + 1;
+  Server.LatencyMeasuredAt = Now;
+}
+
+} // namespace
+
+void recordAnswer(UpstreamTable &Table, UpstreamServer &Server,
+                  double LatencyMs, TimePoint Now) {
+  Server.Failures = 0;
+  Server.SuspectUntil = TimePoint();
+  if (!std::isfinite(LatencyMs) || LatencyMs <= 0)
+    return;
+  TypicalLatency &typical = Table.TypicalLatencies[Server.Entry.Service];
+  updateTypical(typical, LatencyMs);
+  updateLatency(Server, typical.Ms, LatencyMs, Now);
+}
+
+void recordUnanswered(const UpstreamTable &Table, UpstreamServer &Server,
+                      double AgeMs, TimePoint Now) {
+  double typicalMs = typicalLatencyMs(Table, Server.Entry.Service, nullptr);
+  if (std::isfinite(AgeMs) && AgeMs > agedLatency(Server, typicalMs, Now).Ms)
+    updateLatency(Server, typicalMs, AgeMs, Now);
+}
+
+std::vector<std::shared_ptr<UpstreamServer>>
+updateSlowServers(const UpstreamTable &Table, const ServiceName &Service,
+                  const ServiceLoad *Others, TimePoint Now) {
+  EstimateBasis basis = makeBasis(Table, Service, Others, Now);
+  std::vector<std::shared_ptr<UpstreamServer>> changed;
+  for (const auto &[id, server] : Table.Servers) {
+    if (server->Entry.Service != Service ||
+        (server->SlowChangedAt &&
+         Now - *server->SlowChangedAt < MinSlowChangeInterval))
+      continue;
+    double latencyMs = estimateLatencyMs(basis, *server, Others, Now);
+    double factor = server->Slow ? RecoveredFactor : SlowFactor;
+    bool slow = latencyMs > basis.TypicalMs * factor;
+    if (slow == server->Slow)
+      continue;
+    server->Slow = slow;
+    server->SlowChangedAt = Now;
+    changed.push_back(server);
+  }
+  return changed;
+}
+
 } // namespace wasabi
--- a/Wasabi/Upstream/UpstreamTable.cpp
+++ b/Wasabi/Upstream/UpstreamTable.cpp
@@ -156,6 +156,8 @@
                  double LatencyMs) {
   Server.Failures = 0;
   Server.SuspectUntil = TimePoint();
+  if (LatencyMs <= 0)
+    return;
   double share = Server.SmoothedLatencyMs > 0 ? Table.Limits.Smoothing : 1.0;
   Server.SmoothedLatencyMs += share * (LatencyMs - Server.SmoothedLatencyMs);
 }
--- a/Wasabi/Upstream/UpstreamTable.h
+++ b/Wasabi/Upstream/UpstreamTable.h
@@ -70,6 +70,26 @@
   std::optional<TimePoint> ReturnedAt;
   /// Exponentially smoothed latency in milliseconds; 0 before the first answer.
   double SmoothedLatencyMs = 0;
+  /// Time of the last change of `SmoothedLatencyMs`; if empty, the latency does
+  /// not age.
+  std::optional<TimePoint> LatencyMeasuredAt;
+  /// Number of samples behind `SmoothedLatencyMs`, as of `LatencyMeasuredAt`;
+  /// older samples count less.
+  double LatencySamples = 0;
+  /// Start times of the forwarder's attempts that are in flight, ascending.
+  std::multiset<TimePoint> AttemptStarts;
+  /// True while the server is treated as slow.
+  bool Slow = false;
+  /// Time of the last change of `Slow`; empty if there was none.
+  std::optional<TimePoint> SlowChangedAt;
+};
+
+/// Median latency of the answers of a service, tracked over its latest answers.
+struct TypicalLatency {
+  /// In milliseconds; 0 before the first answer.
+  double Ms = 0;
+  /// Number of answers so far.
+  std::uint64_t Samples = 0;
 };
 
 /// A registration that could not be decoded or is invalid.
@@ -104,6 +124,8 @@
   std::uint64_t RejectedCount = 0;
   /// Failure domains whose servers get no requests, as set by the operator.
   std::set<DomainName> EvacuatedDomains;
+  /// Typical latency of each service that has answered.
+  std::map<ServiceName, TypicalLatency> TypicalLatencies;
 };
 
 /// The effect of a registration on the table.
@@ -176,7 +198,8 @@
 findUsableServers(const UpstreamTable &Table, const ServiceName &Service,
                   const StoreContact &Contact, TimePoint Now);
 
-/// Records a successful answer, with its latency in milliseconds.
+/// Records a successful answer, with its latency in milliseconds, or 0 if that
+/// was not measured. `recordAnswer` is to be used where the latency is to age.
 void noteSuccess(const UpstreamTable &Table, UpstreamServer &Server,
                  double LatencyMs);
 
