--- a/Wasabi/Upstream/Forwarder.h
+++ b/Wasabi/Upstream/Forwarder.h
@@ -16,6 +16,7 @@
 #include "Wasabi/Routing/AdmissionGate.h"
 #include "Wasabi/Upstream/FleetView.h"
 #include "Wasabi/Upstream/Hedging.h"
+#include "Wasabi/Upstream/ServerSelection.h"
 #include "Wasabi/Usage/UsageMeter.h"
 
 #include <boost/asio/any_io_executor.hpp>
@@ -144,6 +145,10 @@
   Forwarder(Parts Dependencies, Settings Limits);
 
   std::shared_ptr<UpstreamServer> selectNextServer(Progress &State);
+  bool mayTrial(const Progress &State) const;
+  void recordSelection(Progress &State, const ServerChoice &Choice);
+  void recordSlowServers(const ServiceName &Service, const ServiceLoad *Others,
+                         TimePoint Now);
   Millis attemptTimeout(const Progress &State) const;
   std::optional<Failure> findQuarantineFailure(const Progress &State) const;
   std::shared_ptr<Attempt> beginAttempt(Progress &State,
--- a/Wasabi/Upstream/ForwarderHedging.cpp
+++ b/Wasabi/Upstream/ForwarderHedging.cpp
@@ -124,7 +124,7 @@
   candidate.AgeMs = First.ageMs();
   // The server as it is without the attempt, whose completion is estimated.
   UpstreamServer firstServer = *First.Server;
-  --firstServer.InFlight;
+  endAttempt(firstServer, First.Start);
   candidate.FirstExpectedMs =
       expectedCompletionMs(View.Servers, firstServer, query.Others, Now);
   candidate.SecondExpectedMs =
@@ -219,18 +219,11 @@
     if (isExamined)
       continue;
     it->release();
+    recordUnanswered(View.Servers, *it->Server, it->ageMs(), monotonicNow());
     if (!Race.Winner)
       continue;
     ++State.PossibleRuns;
-    double ageMs = it->ageMs();
-    addLatency(Hedges, State.Route.Name, State.Service, ageMs);
-    // The age is a lower bound of the latency, so it can only raise the
-    // estimate.
-    UpstreamServer &server = *it->Server;
-    if (ageMs > server.SmoothedLatencyMs)
-      server.SmoothedLatencyMs +=
-          (server.SmoothedLatencyMs > 0 ? View.Servers.Limits.Smoothing : 1.0) *
-          (ageMs - server.SmoothedLatencyMs);
+    addLatency(Hedges, State.Route.Name, State.Service, it->ageMs());
   }
   Race.Attempts.clear();
 }
