A fast engine that slows down loses its pace tier

The tier followed the long-term pace only, so an engine that a fault had made three times slower kept its place as a fast one and went on getting long texts. Where most engines are much slower by nature, it was not slow by the median either, and its runs stayed.

The tier now follows the recent pace while that is slow compared with the engine's own long-term pace. Tested by EnginePaceTest.

--- a/UnitTests/Dispatch/EnginePaceTest.cpp
+++ b/UnitTests/Dispatch/EnginePaceTest.cpp
@@ -65,4 +65,19 @@
   CHECK(paceTier(makePace(76, 60), longTermMs(pace, Limits), Limits) == 0);
 }
 
+// Guards against long texts on an engine that was fast until a fault. It may
+// still be as fast as the median if most engines are much slower.
+TEST_CASE("A fast engine that slows down loses its tier until it recovers",
+          "[dispatch]") {
+  constexpr double Fast = 21;
+  EnginePace pace = makePace(Fast, 1000);
+  CHECK(paceTier(pace, Fast, Limits) == 0);
+  for (int i = 0; i < 20; ++i)
+    recordEventInterval(pace, 3 * Fast, TimePoint(), Limits);
+  CHECK(paceTier(pace, Fast, Limits) > 2);
+  for (int i = 0; i < 40; ++i)
+    recordEventInterval(pace, Fast, TimePoint(), Limits);
+  CHECK(paceTier(pace, Fast, Limits) <= 1);
+}
+
 } // namespace wasabi
--- a/Wasabi/Dispatch/EnginePace.cpp
+++ b/Wasabi/Dispatch/EnginePace.cpp
@@ -39,6 +39,9 @@
                        const EnginePaceSettings &Limits) {
   constexpr std::uint32_t MaxTier = 8;
   double ms = longTermMs(Pace, Limits);
+  // The long-term pace hides for long that a fast engine has become slow.
+  if (isSlow(Pace, ms, Limits))
+    ms = Pace.RecentMs;
   if (FastQuartileMs <= 0)
     return 0;
   std::uint32_t tier = 0;
--- a/Wasabi/Dispatch/EnginePace.h
+++ b/Wasabi/Dispatch/EnginePace.h
@@ -67,8 +67,9 @@
             const EnginePaceSettings &Limits);
 
 /// Returns by how many tiers the engine is slower than `FastQuartileMs`, in
-/// milliseconds per event (0: unknown). 0 if the engine's pace is unknown.
-/// Pure.
+/// milliseconds per event (0: unknown). Judged by its long-term pace, or by its
+/// recent one if it is slow compared with its own long-term pace. 0 if the
+/// engine's pace is unknown. Pure.
 std::uint32_t paceTier(const EnginePace &Pace, double FastQuartileMs,
                        const EnginePaceSettings &Limits);
 
