--- a/Wasabi/Dispatch/EnginePool.cpp
+++ b/Wasabi/Dispatch/EnginePool.cpp
@@ -238,12 +238,14 @@
       continue;
     double load = static_cast<double>(it->Running) / server.Entry.Slots;
     std::uint32_t tier =
-        Need.IsLong ? paceTier(it->Pace, Baseline.FastQuartileMs, Limits.Pace)
-                    : 0;
+        paceTier(it->Pace, Baseline.FastQuartileMs, Limits.Pace);
+    if (Need.LeaveLastFastSlot && tier == 0 &&
+        it->Running + 1 >= server.Entry.Slots)
+      continue;
     Rank rank{server.SuspectUntil > Now,
               isSlow(it->Pace, Baseline.MedianMs, Limits.Pace),
               server.Entry.incarnation() == Need.Avoid,
-              tier,
+              Need.IsLong ? tier : 0,
               server.Entry.incarnation() != Need.Preferred,
               load};
     if (!best || rank < bestRank) {
--- a/Wasabi/Dispatch/EnginePool.h
+++ b/Wasabi/Dispatch/EnginePool.h
@@ -107,6 +107,9 @@
   /// True if the text is long, so that its step is likely to wait for it. A
   /// fast engine is then preferred to the one that has the prompt cached.
   bool IsLong = false;
+  /// True if the last slot of an engine of the fastest tier is left to a long
+  /// text.
+  bool LeaveLastFastSlot = false;
 };
 
 /// Returns true if the engine can accept one more sample of its model.
