The dispatcher schedules by the step planner's order

Waiting items were ordered by their expected length alone, so items of groups that the trainer does not wait for started before needed ones.

scheduleNow collects the open items, steps and engines, starts items in the order of the plan and stops at a model when none of its engines has room. Where the engines of a model differ in speed, a short item leaves the last slot of a fast one to a long item that follows. An engine of unknown pace has the tier of the median engine. Lengths in tokens are converted to events by a ratio that is learned from ended texts. Without a waiting item nothing is planned.

--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -829,4 +829,58 @@
   CHECK(listed());
 }
 
+// Guards against a dispatcher that starts the items of groups that the trainer
+// can do without while needed ones wait.
+TEST_CASE("Items of groups that can be left out start last", "[dispatch]") {
+  DispatcherFixture fixture;
+  fixture.Engines.EventsPerText = 20;
+  BatchJob job = makeJob("a", 12);
+  job.TargetGroups = 4;
+  // The groups with the latest end. The longest first order starts them first.
+  for (std::size_t i : {2U, 3U, 6U, 7U})
+    job.Items[i].ExpectedTokens = 400;
+  fixture.submit(job);
+  REQUIRE(fixture.finishes(job));
+  std::set<std::string> last{"a-2", "a-3", "a-6", "a-7"};
+  for (const char *id : {"e1", "e2"}) {
+    const std::vector<std::string> &runs = fixture.server(id).Runs;
+    REQUIRE(runs.size() >= 4);
+    for (std::size_t i = 0; i < 4; ++i)
+      CHECK_FALSE(last.contains(runs[i]));
+  }
+}
+
+// Guards against leaving out groups that the trainer always waits for.
+TEST_CASE("Items that an earlier step contained are not left out",
+          "[dispatch]") {
+  DispatcherFixture fixture;
+  fixture.Engines.EventsPerText = 20;
+  BatchJob earlier = makeJob("a", 4);
+  fixture.submit(earlier);
+  REQUIRE(fixture.runUntil([&] { return !fixture.server("e1").Runs.empty(); }));
+  fixture.Store.append("rollout", encodeRecord(JobEnd{earlier.Id}));
+  std::shared_ptr<JobState> known = findJob(fixture.Log->fold(), earlier.Id);
+  REQUIRE(fixture.runUntil([&] { return known->Ended; }));
+  fixture.Context.run_for(Millis(20));
+  for (const char *id : {"e1", "e2"})
+    fixture.server(id).Runs.clear();
+  BatchJob job = makeJob("b", 10);
+  job.Items[4].Id = earlier.Items[2].Id;
+  job.Items[5].Id = earlier.Items[3].Id;
+  for (std::size_t i : {4U, 5U})
+    job.Items[i].ExpectedTokens = 400;
+  job.TargetGroups = 4;
+  fixture.submit(job);
+  REQUIRE(fixture.finishes(job));
+  std::size_t early = 0;
+  for (const char *id : {"e1", "e2"}) {
+    const std::vector<std::string> &runs = fixture.server(id).Runs;
+    REQUIRE(runs.size() >= 4);
+    early += static_cast<std::size_t>(
+        std::count_if(runs.begin(), runs.begin() + 4,
+                      [](const std::string &It) { return It[0] == 'a'; }));
+  }
+  CHECK(early == 2);
+}
+
 } // namespace wasabi::batchtest
--- a/UnitTests/Dispatch/EnginePoolTest.cpp
+++ b/UnitTests/Dispatch/EnginePoolTest.cpp
@@ -189,4 +189,48 @@
   CHECK(hasRoom(*engine, now + Millis(77)));
 }
 
+// Guards against short texts that leave only slow engines to a long one.
+TEST_CASE("The last slot of a fast engine is left to a long text",
+          "[dispatch]") {
+  EngineList engines{makeEngine("slow", 1, 1), makeEngine("fast", 1, 1)};
+  double ms = 98;
+  for (const std::shared_ptr<DispatchEngine> &it : engines) {
+    it->Model = Red;
+    for (int i = 0; i < 60; ++i)
+      recordEventInterval(it->Pace, ms, TimePoint(), EnginePaceSettings());
+    ms = 76;
+  }
+  EngineRequirements need;
+  need.Model = Red;
+  need.LeaveLastFastSlot = true;
+  engines[0]->Running = 3;
+  engines[1]->Running = 2;
+  CHECK(choose(engines, need) == engines[1]);
+  engines[1]->Running = 3;
+  CHECK(choose(engines, need) == engines[0]);
+  engines[0]->Running = 4;
+  CHECK(choose(engines, need) == nullptr);
+  need.LeaveLastFastSlot = false;
+  CHECK(choose(engines, need) == engines[1]);
+}
+
+// Guards against long texts on an engine only because nothing is known of it.
+TEST_CASE("An engine without a known pace has the tier of the median engine",
+          "[dispatch]") {
+  EngineList engines{makeEngine("new", 1, 1), makeEngine("fast", 1, 1),
+                     makeEngine("slow", 1, 1), makeEngine("slow2", 1, 1)};
+  double paces[] = {0, 76, 98, 98};
+  for (std::size_t i = 0; i < engines.size(); ++i) {
+    engines[i]->Model = Red;
+    for (int j = 0; j < 60 && i > 0; ++j)
+      recordEventInterval(engines[i]->Pace, paces[i], TimePoint(),
+                          EnginePaceSettings());
+  }
+  engines[1]->Running = 3;
+  EngineRequirements need;
+  need.Model = Red;
+  need.IsLong = true;
+  CHECK(choose(engines, need) == engines[1]);
+}
+
 } // namespace wasabi
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -9,7 +9,7 @@
 #include <algorithm>
 #include <random>
 #include <set>
-#include <tuple>
+#include <unordered_map>
 
 namespace wasabi {
 
@@ -148,6 +148,8 @@
   WeightVersion &newest = NewestMinVersions[Job->Job.Model];
   newest = std::max(newest, Job->Job.MinVersion);
   double mean = meanExpected(Job->Job);
+  // The items of a group are carried over together, so the first one tells.
+  std::vector<std::optional<bool>> carried(Job->PendingPerGroup.size());
   for (std::size_t i = 0; i < Job->Job.Items.size(); ++i) {
     if (Job->HasResult[i])
       continue;
@@ -156,6 +158,10 @@
     task->Index = i;
     task->Item = Job->Job.Items[i];
     task->ExpectedLong = task->Item.ExpectedTokens > mean;
+    std::optional<bool> &isCarried = carried[Job->GroupIndices[i]];
+    if (!isCarried)
+      isCarried = isCarriedOver(*Job, task->Item);
+    task->IsCarriedOver = *isCarried;
     tasks.push_back(std::move(task));
   }
   Tasks.insert(Tasks.end(), tasks.begin(), tasks.end());
@@ -331,62 +337,164 @@
 /// Returns the engine for an item; null if none has room. Avoids placing two
 /// items that may crash servers on one engine, if another engine has room.
 std::shared_ptr<DispatchEngine>
-Dispatcher::findEngineFor(const ItemTask &Task, const EngineList &Candidates,
+Dispatcher::findEngineFor(const ItemTask &Task, const EngineRequirements &Need,
+                          const EngineList &Candidates,
                           const PaceBaseline &Baseline, TimePoint Now) const {
-  std::set<ServerIncarnation> suspects = Crashes->suspectServers();
-  bool avoidSuspects =
-      !suspects.empty() &&
-      Crashes->crashStatus(Task.Guard->Digest) != CrashStatus::Clean;
-  if (avoidSuspects) {
+  if (Crashes->crashStatus(Task.Guard->Digest) != CrashStatus::Clean) {
+    std::set<ServerIncarnation> suspects = Crashes->suspectServers();
     EngineList others = Candidates;
     std::erase_if(others, [&](const std::shared_ptr<DispatchEngine> &It) {
       return suspects.contains(It->Server->Entry.incarnation());
     });
     std::shared_ptr<DispatchEngine> engine =
-        chooseEngine(others, requirementsOf(Task), Baseline, Limits.Pool, Now);
+        chooseEngine(others, Need, Baseline, Limits.Pool, Now);
     if (engine)
       return engine;
   }
-  return chooseEngine(Candidates, requirementsOf(Task), Baseline, Limits.Pool,
-                      Now);
+  return chooseEngine(Candidates, Need, Baseline, Limits.Pool, Now);
 }
 
-void Dispatcher::scheduleNow() {
-  using Rank = std::tuple<bool, std::uint32_t, Offset, double>;
-  TimePoint now = monotonicNow();
-  PaceBaseline baseline = computePaceBaseline(Pool, Limits.Pool);
-  std::map<ModelName, EngineList> candidates = enginesWithRoom(now);
-  std::vector<std::pair<Rank, std::shared_ptr<ItemTask>>> waiting;
+/// Returns true if the item was part of an earlier step of the same customer
+/// and model.
+bool Dispatcher::isCarriedOver(const JobState &Job,
+                               const BatchItem &Item) const {
+  const std::unordered_map<JobId, std::shared_ptr<JobState>> &jobs =
+      Log->fold().Jobs;
+  return std::any_of(jobs.begin(), jobs.end(), [&](const auto &It) {
+    const JobState &other = *It.second;
+    return other.At < Job.At && other.Job.Id.Customer == Job.Job.Id.Customer &&
+           other.Job.Model == Job.Job.Model &&
+           other.Index.contains(Item.Id.Text);
+  });
+}
+
+/// Returns the expected length of an item in events.
+double Dispatcher::expectedEvents(const BatchItem &Item) const {
+  double tokens = Item.ExpectedTokens > 0 ? Item.ExpectedTokens
+                                          : Limits.DefaultExpectedTokens;
+  return tokens / Lengths.tokensPerEvent();
+}
+
+/// Collects the open items, their steps and the engines. Terminates items that
+/// no route matches. `Candidates` are the engines with room; items of other
+/// models count as delayed.
+Dispatcher::PlannerView
+Dispatcher::makePlannerView(const std::map<ModelName, EngineList> &Candidates,
+                            TimePoint Now) {
+  PlannerView view;
+  std::map<ModelName, std::uint32_t> models;
+  auto indexOf = [&models](const ModelName &Model) {
+    auto next = static_cast<std::uint32_t>(models.size());
+    return models.emplace(Model, next).first->second;
+  };
+  std::unordered_map<const DispatchEngine *, std::uint32_t> engines;
+  for (const std::shared_ptr<DispatchEngine> &it : Pool) {
+    engines.emplace(it.get(),
+                    static_cast<std::uint32_t>(view.Input.Engines.size()));
+    double paceMs = it->Pace.RecentMs > 0
+                        ? it->Pace.RecentMs
+                        : longTermMs(it->Pace, Limits.Pool.Pace);
+    view.Input.Engines.push_back({indexOf(it->Model), it->version(it->Model),
+                                  paceMs, it->Server->Entry.Slots,
+                                  it->Running});
+  }
+  std::unordered_map<const JobState *, std::uint32_t> steps;
   for (const std::shared_ptr<ItemTask> &it : Tasks) {
-    if (it->Stage != ItemStage::Waiting || it->Cancelled || it->NotBefore > now)
+    if (it->Cancelled || it->Stage == ItemStage::Finished)
       continue;
-    const UpstreamRoute *route = routeOf(*it);
-    if (route == nullptr) {
+    const JobState &job = *it->Job;
+    // The path of an item that is not loaded may be unknown.
+    const UpstreamRoute *route =
+        it->Stage == ItemStage::Loading ? nullptr : routeOf(*it);
+    bool isDue = it->Stage == ItemStage::Waiting && it->NotBefore <= Now;
+    if (isDue && route == nullptr) {
       terminate(it, "no route matches the item");
       continue;
     }
-    if (!candidates.contains(it->Job->Job.Model))
-      continue;
-    // Overdue jobs come last. Within a job the longest texts come first because
-    // they determine when it is complete.
-    if (updateQuarantined(*it))
-      continue;
-    bool overdue = now - it->Job->Seen > route->ResultDeadline;
-    double expected = it->Item.ExpectedTokens > 0
-                          ? it->Item.ExpectedTokens
-                          : Limits.DefaultExpectedTokens;
-    waiting.emplace_back(
-        Rank{overdue, priorityOf(*it, *route), it->Job->At, -expected}, it);
+    auto [step, isNew] = steps.emplace(
+        &job, static_cast<std::uint32_t>(view.Input.Steps.size()));
+    if (isNew)
+      view.Input.Steps.push_back(
+          {job.Seen, job.At, indexOf(job.Job.Model), job.Job.MinVersion,
+           static_cast<std::uint32_t>(job.PendingPerGroup.size()),
+           job.Job.TargetGroups});
+    PlanItem item;
+    item.Step = step->second;
+    item.Group = static_cast<std::uint32_t>(job.GroupIndices[it->Index]);
+    item.IsCarriedOver = it->IsCarriedOver;
+    item.ExpectedEvents = expectedEvents(it->Item);
+    item.Events = static_cast<double>(it->Text.Events);
+    item.IsLong = isLong(*it);
+    if (route != nullptr) {
+      item.Priority = isDue ? priorityOf(*it, *route) : route->Priority;
+      view.Input.Steps[item.Step].Due = job.Seen + route->ResultDeadline;
+    }
+    auto engine = engines.find(it->Engine.get());
+    if (it->Stage == ItemStage::Scoring)
+      item.Stage = PlanStage::Generated;
+    else if (it->Stage == ItemStage::Running) {
+      // A run on an engine that has left the pool is about to end.
+      item.Stage =
+          engine == engines.end() ? PlanStage::Delayed : PlanStage::Running;
+      item.Engine = engine == engines.end() ? 0 : engine->second;
+    } else if (!isDue || !Candidates.contains(job.Job.Model))
+      item.Stage = it->Quarantined ? PlanStage::Blocked : PlanStage::Delayed;
+    else if (updateQuarantined(*it))
+      item.Stage = PlanStage::Blocked;
+    else
+      view.HasWaiting = true;
+    view.Input.Items.push_back(item);
+    view.Tasks.push_back(it);
   }
-  std::sort(waiting.begin(), waiting.end(),
-            [](const auto &L, const auto &R) { return L.first < R.first; });
-  for (const auto &[rank, task] : waiting) {
-    discardMixedText(*task);
-    std::shared_ptr<DispatchEngine> engine =
-        findEngineFor(*task, candidates[task->Job->Job.Model], baseline, now);
-    if (engine)
-      startRun(task, engine);
+  return view;
+}
+
+void Dispatcher::scheduleNow() {
+  TimePoint now = monotonicNow();
+  bool hasDue = std::any_of(Tasks.begin(), Tasks.end(),
+                            [now](const std::shared_ptr<ItemTask> &It) {
+                              return It->Stage == ItemStage::Waiting &&
+                                     !It->Cancelled && It->NotBefore <= now;
+                            });
+  if (!hasDue) {
+    clearFinished();
+    return;
   }
+  PaceBaseline baseline = computePaceBaseline(Pool, Limits.Pool);
+  std::map<ModelName, EngineList> candidates = enginesWithRoom(now);
+  PlannerView view = makePlannerView(candidates, now);
+  if (!view.HasWaiting) {
+    clearFinished();
+    return;
+  }
+  // Models whose engines differ in speed. Only there are slots worth leaving
+  // to other items.
+  std::set<ModelName> unequal;
+  for (const std::shared_ptr<DispatchEngine> &it : Pool) {
+    if (paceTier(*it, baseline, Limits.Pool) > 0)
+      unequal.insert(it->Model);
+  }
+  StepPlan plan = planSteps(view.Input, now, Limits.Planner);
+  placeItems(
+      plan, view.Input.Items, [&](std::uint32_t Index, bool LeaveLastFastSlot) {
+        const std::shared_ptr<ItemTask> &task = view.Tasks[Index];
+        const ModelName &model = task->Job->Job.Model;
+        EngineList &engines = candidates[model];
+        if (engines.empty())
+          return false;
+        discardMixedText(*task);
+        EngineRequirements need = requirementsOf(*task);
+        need.LeaveLastFastSlot = LeaveLastFastSlot && unequal.contains(model);
+        std::shared_ptr<DispatchEngine> engine =
+            findEngineFor(*task, need, engines, baseline, now);
+        if (!engine)
+          return false;
+        task->Urgency = plan.Items[Index].Urgency;
+        startRun(task, engine);
+        if (!hasRoom(*engine, now))
+          std::erase(engines, engine);
+        return true;
+      });
   clearFinished();
 }
 
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -13,6 +13,7 @@
 #include "Wasabi/Dispatch/EnginePool.h"
 #include "Wasabi/Dispatch/EngineTopics.h"
 #include "Wasabi/Dispatch/LoadOrder.h"
+#include "Wasabi/Dispatch/StepPlanner.h"
 #include "Wasabi/Ports/EnginePort.h"
 #include "Wasabi/Quarantine/Quarantine.h"
 #include "Wasabi/Upstream/FleetView.h"
@@ -60,6 +61,10 @@
   bool Quarantined = false;
   /// True if its expected length exceeds the mean of its job.
   bool ExpectedLong = false;
+  /// True if the item was part of an earlier step.
+  bool IsCarriedOver = false;
+  /// As of the plan by which the item was started last.
+  ItemUrgency Urgency = ItemUrgency::Needed;
   /// Result of the last route lookup.
   mutable CachedRoute RouteCache;
   PartialText Text;
@@ -104,6 +109,7 @@
 public:
   struct Settings {
     EnginePoolSettings Pool;
+    StepPlannerSettings Planner;
     /// Interval between checks of the runs and engines while there are items.
     Millis MonitorInterval{50};
     /// Maximum time between two events of a run before it is cancelled and its
@@ -210,6 +216,14 @@
     std::shared_ptr<DispatchEngine> Engine;
     WantedWeights Weights;
   };
+  /// The input of a plan.
+  struct PlannerView {
+    PlanInput Input;
+    /// By index into `Input.Items`.
+    std::vector<std::shared_ptr<ItemTask>> Tasks;
+    /// True if an item may be started now.
+    bool HasWaiting = false;
+  };
   /// A result that is not yet in the folded state of the rollout topic.
   struct PendingResult {
     ResultRecord Record;
@@ -241,8 +255,13 @@
   void clearFinished();
   void schedule();
   void scheduleNow();
+  PlannerView makePlannerView(const std::map<ModelName, EngineList> &Candidates,
+                              TimePoint Now);
+  bool isCarriedOver(const JobState &Job, const BatchItem &Item) const;
+  double expectedEvents(const BatchItem &Item) const;
   bool updateQuarantined(ItemTask &Task) const;
   std::shared_ptr<DispatchEngine> findEngineFor(const ItemTask &Task,
+                                                const EngineRequirements &Need,
                                                 const EngineList &Candidates,
                                                 const PaceBaseline &Baseline,
                                                 TimePoint Now) const;
@@ -313,6 +332,7 @@
   /// Engine of the last run of each group, which has read the group's prompt.
   std::map<std::string, ServerIncarnation> PromptEngines;
   EngineList Pool;
+  TextScale Lengths;
   /// Last report of a sidecar.
   struct HeldReport {
     HeldWeights Held;
--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -54,6 +54,7 @@
                   {{"item", Task->Item.Id.Text},
                    {"job", Task->Job->Job.Id.Text},
                    {"server", Engine->Server->Entry.Id.Text},
+                   {"urgency", toText(Task->Urgency)},
                    {"version", std::to_string(Engine->version(Engine->Model))},
                    {"resume_after", std::to_string(Task->Text.Events)}});
   asio::co_spawn(
@@ -119,6 +120,7 @@
   wasabi::noteSuccess(View.Servers, *engine->Server, 0);
   Crashes->answered(*Task->Guard);
   Task->Text.IsComplete = true;
+  recordTextLength(Lengths, Task->Item.ExpectedTokens, Task->Text.Events);
   startScoring(Task);
   schedule();
 }
--- a/Wasabi/Dispatch/EnginePool.cpp
+++ b/Wasabi/Dispatch/EnginePool.cpp
@@ -33,8 +33,9 @@
     if (longTermMs(it->Pace, Limits.Pace) > 0)
       longTerm.push_back(longTermMs(it->Pace, Limits.Pace));
   }
+  double longTermMedianMs = quantile(longTerm, Median);
   return PaceBaseline{quantile(std::move(recent), Median),
-                      quantile(std::move(longTerm), Quarter)};
+                      quantile(std::move(longTerm), Quarter), longTermMedianMs};
 }
 
 std::map<ModelName, std::uint32_t>
@@ -221,6 +222,17 @@
          Engine.Running < Engine.Server->Entry.Slots;
 }
 
+std::uint32_t paceTier(const DispatchEngine &Engine,
+                       const PaceBaseline &Baseline,
+                       const EnginePoolSettings &Limits) {
+  EnginePace pace = Engine.Pace;
+  if (longTermMs(pace, Limits.Pace) <= 0) {
+    pace.LongTermMs = Baseline.LongTermMedianMs;
+    pace.Count = Limits.Pace.MinEventCount;
+  }
+  return paceTier(pace, Baseline.FastQuartileMs, Limits.Pace);
+}
+
 std::shared_ptr<DispatchEngine> chooseEngine(const EngineList &Engines,
                                              const EngineRequirements &Need,
                                              const PaceBaseline &Baseline,
@@ -237,8 +249,7 @@
     if (!isSuitable || !hasRoom(*it, Now))
       continue;
     double load = static_cast<double>(it->Running) / server.Entry.Slots;
-    std::uint32_t tier =
-        paceTier(it->Pace, Baseline.FastQuartileMs, Limits.Pace);
+    std::uint32_t tier = paceTier(*it, Baseline, Limits);
     if (Need.LeaveLastFastSlot && tier == 0 &&
         it->Running + 1 >= server.Entry.Slots)
       continue;
--- a/Wasabi/Dispatch/EnginePool.h
+++ b/Wasabi/Dispatch/EnginePool.h
@@ -72,6 +72,9 @@
   double MedianMs = 0;
   /// Lower quartile of the long-term paces.
   double FastQuartileMs = 0;
+  /// Lower median of the long-term paces. Assumed for an engine whose pace is
+  /// unknown.
+  double LongTermMedianMs = 0;
 };
 
 /// Computes the baseline of `Engines`. Pure.
@@ -115,6 +118,12 @@
 /// Returns true if the engine can accept one more sample of its model.
 bool hasRoom(const DispatchEngine &Engine, TimePoint Now);
 
+/// Returns by how many tiers the engine is slower than the fastest quarter.
+/// Pure.
+std::uint32_t paceTier(const DispatchEngine &Engine,
+                       const PaceBaseline &Baseline,
+                       const EnginePoolSettings &Limits);
+
 /// Returns the best engine for a sample; null if no engine fits and has room.
 std::shared_ptr<DispatchEngine> chooseEngine(const EngineList &Engines,
                                              const EngineRequirements &Need,
