Engines get only runs that fit their memory

An engine whose memory is full preempts a run, which then has to be resumed. The dispatcher knew the slots of an engine only.

The member kv_capacity_tokens of a service's engine gives the memory, and the items' token usage header gives prompt and maximum output. An engine gets a run if its runs at their predicted ends fit 0.9 of its memory; one without runs takes any. Without the member nothing is counted. Records hold the counts only if they are given, so old records and old readers are not affected. Tested by [dispatch], [batch] and [platform].

--- a/UnitTests/Batch/BatchRecordTest.cpp
+++ b/UnitTests/Batch/BatchRecordTest.cpp
@@ -57,6 +57,33 @@
         R"({"kind":"end","schema":2,"job":"a"})");
 }
 
+// Guards against jobs that are lost or misread when two releases run together.
+TEST_CASE("Items are readable with and without their token counts", "[batch]") {
+  BatchJob job = makeJob("a", 2);
+  job.Items[0].PromptTokens = 540;
+  job.Items[0].MaxOutputTokens = 400;
+  job.Items[1].PromptTokens = 7;
+  Outcome<BatchRecord> inlined = decodeText(encodeRecord(JobPart{job, 0, 1}));
+  REQUIRE(inlined);
+  CHECK(std::get<JobPart>(*inlined).Job == job);
+  Outcome<std::vector<BatchItem>> stored = toOutcome<std::vector<BatchItem>>(
+      [&] { return decodeItems(encodeItems(job.Items), "p"); });
+  REQUIRE(stored);
+  CHECK(*stored == job.Items);
+  // As the previous release writes it.
+  const std::string old =
+      R"([{"id":"a-0","path":"/p","headers":[],"body":"","group":"g",)"
+      R"("expect":1E2}])";
+  Outcome<std::vector<BatchItem>> before =
+      toOutcome<std::vector<BatchItem>>([&] { return decodeItems(old, "p"); });
+  REQUIRE(before);
+  CHECK(before->at(0).ExpectedTokens == 100);
+  CHECK(before->at(0).PromptTokens == 0);
+  CHECK(before->at(0).MaxOutputTokens == 0);
+  // Without the counts, the record is the same as before.
+  CHECK(encodeItems(*before) == old);
+}
+
 TEST_CASE("Frequent records are short", "[batch]") {
   // Ids and sizes as in a large deployment.
   const std::string id = "7c41e09b52d6a3f8";
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -883,4 +883,31 @@
   CHECK(early == 2);
 }
 
+// Guards against a dispatcher that fills all slots of an engine although its
+// memory holds fewer runs.
+TEST_CASE("Runs of an engine fit its memory", "[dispatch]") {
+  DispatcherFixture fixture;
+  RouteTable table = *fixture.View.Routes;
+  table.Services[0].Engine->KvCapacityTokens = 2500;
+  fixture.View.Routes = std::make_shared<const RouteTable>(table);
+  BatchJob job = makeJob("a", 12);
+  // Two runs need 2,000 tokens, three more than 0.9 of the memory. The first
+  // item needs more than all of it.
+  for (BatchItem &it : job.Items) {
+    it.PromptTokens = 900;
+    it.MaxOutputTokens = 100;
+  }
+  job.Items[0].PromptTokens = 5000;
+  fixture.submit(job);
+  std::uint32_t most = 0;
+  REQUIRE(fixture.runUntil([&] {
+    for (const char *id : {"e1", "e2"})
+      most = std::max(most,
+                      fixture.View.Servers.Servers[ServerName(id)]->InFlight);
+    std::shared_ptr<JobState> known = findJob(fixture.Log->fold(), job.Id);
+    return known && known->Results.size() == job.Items.size();
+  }));
+  CHECK(most == 2);
+}
+
 } // namespace wasabi::batchtest
--- a/UnitTests/Dispatch/EnginePoolTest.cpp
+++ b/UnitTests/Dispatch/EnginePoolTest.cpp
@@ -233,4 +233,29 @@
   CHECK(choose(engines, need) == engines[1]);
 }
 
+// Guards against runs that the engine has to preempt for lack of memory, and
+// against an item that no engine ever takes.
+TEST_CASE("An engine gets the runs whose predicted tokens fit its memory",
+          "[dispatch]") {
+  EngineList engines{makeEngine("a", 1, 1)};
+  engines[0]->Model = Red;
+  engines[0]->KvCapacityTokens = 10000;
+  engines[0]->Running = 2;
+  engines[0]->PredictedTokens = 7000;
+  EngineRequirements need;
+  need.Model = Red;
+  need.Tokens = 2000;
+  CHECK(choose(engines, need) == engines[0]);
+  need.Tokens = 2001;
+  CHECK(choose(engines, need) == nullptr);
+  // Without a known capacity nothing is counted.
+  engines[0]->KvCapacityTokens = 0;
+  CHECK(choose(engines, need) == engines[0]);
+  engines[0]->KvCapacityTokens = 10000;
+  engines[0]->Running = 0;
+  engines[0]->PredictedTokens = 0;
+  need.Tokens = 50000;
+  CHECK(choose(engines, need) == engines[0]);
+}
+
 } // namespace wasabi
--- a/UnitTests/Dispatch/StepPlannerTest.cpp
+++ b/UnitTests/Dispatch/StepPlannerTest.cpp
@@ -159,8 +159,37 @@
     return plan;
   }
 
+  static double tokensOf(const Item &Item) {
+    constexpr double PromptTokens = 500;
+    return predictFinalTokens(PromptTokens, Item.Drawn.ExpectedEvents, 0,
+                              TextScale());
+  }
+
+  static void startRun(Item &Item, std::shared_ptr<DispatchEngine> Engine) {
+    ++Engine->Running;
+    Engine->PredictedTokens += tokensOf(Item);
+    Item.Engine = std::move(Engine);
+  }
+
+  static void endRun(Item &Item) {
+    --Item.Engine->Running;
+    Item.Engine->PredictedTokens -= tokensOf(Item);
+    Item.Engine.reset();
+  }
+
+  /// True if the memory of each engine holds its runs at their ends.
+  bool fitsMemory() const {
+    constexpr double MaxFraction = 0.9;
+    return std::all_of(Engines.begin(), Engines.end(), [](const auto &It) {
+      return It->KvCapacityTokens == 0 || It->Running <= 1 ||
+             It->PredictedTokens <=
+                 MaxFraction * static_cast<double>(It->KvCapacityTokens);
+    });
+  }
+
   EngineRequirements requirementsOf(const Item &Item) const {
     EngineRequirements need;
+    need.Tokens = tokensOf(Item);
     need.Model = Model;
     need.IsLong = Item.Drawn.IsLong;
     return need;
@@ -174,8 +203,7 @@
         Engines, need, computePaceBaseline(Engines, limits), limits, Now);
     if (!engine)
       return false;
-    Item.Engine = engine;
-    ++engine->Running;
+    startRun(Item, std::move(engine));
     return true;
   }
 
@@ -252,9 +280,8 @@
       if (!target || isSlow(target->Pace, baseline.MedianMs, limits.Pace) ||
           (!slow && tier(*target) >= tier(*it.Engine)))
         continue;
-      --it.Engine->Running;
-      it.Engine = target;
-      ++target->Running;
+      endRun(it);
+      startRun(it, std::move(target));
     }
   }
 
@@ -266,8 +293,7 @@
       it.Events += static_cast<double>(Time.count()) / it.Engine->Pace.RecentMs;
       if (it.Events < it.Drawn.Length)
         continue;
-      --it.Engine->Running;
-      it.Engine.reset();
+      endRun(it);
       it.IsDone = true;
     }
   }
@@ -669,4 +695,49 @@
   CHECK(scale.tokensPerEvent() == Approx(1).epsilon(0.05));
 }
 
+// Guards against engines that are assigned more than their memory holds, and
+// against idle memory while items wait.
+TEST_CASE("With memory for half of the runs, each item that fits is placed",
+          "[dispatch]") {
+  std::mt19937 random(Seed);
+  for (std::uint32_t i = 0; i < DrawCount; ++i) {
+    INFO("draw " << i << " of seed " << Seed);
+    Play play = makePlay(drawStep(random), PlayOrder::Planned, 9, 6);
+    double tokens = 0;
+    for (const Play::Item &it : play.Items)
+      tokens += Play::tokensOf(it);
+    double mean = tokens / static_cast<double>(play.Items.size());
+    for (const std::shared_ptr<DispatchEngine> &it : play.Engines)
+      it->KvCapacityTokens = static_cast<std::uint64_t>(3 * mean);
+    bool fits = true;
+    double ms = play.playStep(
+        0, [&](const Play &It) { fits = fits && It.fitsMemory(); });
+    CHECK(fits);
+    CHECK_FALSE(play.MissedPlace);
+    CHECK(ms > 0);
+  }
+}
+
+// Guards against a need that ignores the prompt or exceeds the output limit.
+TEST_CASE("The predicted tokens are the prompt and the bounded output",
+          "[dispatch]") {
+  TextScale scale;
+  CHECK(predictFinalTokens(540, 50, 0, scale) == Approx(940));
+  CHECK(predictFinalTokens(540, 50, 300, scale) == Approx(840));
+  CHECK(predictFinalTokens(0, 50, 0, scale) == Approx(400));
+}
+
+// Guards against a step planned for slots that have no memory.
+TEST_CASE("Engines without memory for another run count as full",
+          "[dispatch]") {
+  PlanInput input = makeInput(2, 1);
+  input.Items = {makeItem(0, 20), makeItem(1, 90)};
+  CHECK(planSteps(input, Start, Limits).Order ==
+        std::vector<std::uint32_t>{1, 0});
+  for (PlanEngine &it : input.Engines)
+    it.MaxRuns = 0;
+  CHECK(planSteps(input, Start, Limits).Order ==
+        std::vector<std::uint32_t>{0, 1});
+}
+
 } // namespace wasabi
--- a/UnitTests/Platform/TranslationTest.cpp
+++ b/UnitTests/Platform/TranslationTest.cpp
@@ -373,6 +373,41 @@
   CHECK_FALSE(got->Items[1].Score.has_value());
 }
 
+// Guards against engines that run out of memory because the need is unknown.
+TEST_CASE("The tokens of an item and of an engine's memory are decoded",
+          "[platform]") {
+  Outcome<BatchJob> got = outcomeOf<BatchJob>(
+      [] { return decodeBatchJob(makeSubmission(Job), CustomerName()); });
+  REQUIRE(got);
+  CHECK(got->Items[0].PromptTokens == 540);
+  CHECK(got->Items[0].MaxOutputTokens == 400);
+  CHECK(got->Items[1].PromptTokens == 0);
+  CHECK(got->Items[1].MaxOutputTokens == 0);
+  // A header that is not readable is no reason to reject the job.
+  for (const char *usage : {"", "x", "99999999999,4", "-5,4"}) {
+    std::string text = Job;
+    text.replace(text.find("540,400"), 7, usage);
+    Outcome<BatchJob> odd = outcomeOf<BatchJob>(
+        [&] { return decodeBatchJob(makeSubmission(text), CustomerName()); });
+    REQUIRE(odd);
+    CHECK(odd->Items[0].PromptTokens == 0);
+    CHECK(odd->Items[0].MaxOutputTokens == 0);
+  }
+  auto capacity = [](const std::string &Text) {
+    Outcome<RouteTable> table = outcomeOf<RouteTable>(
+        [&] { return decodeRoutes(Text, "config", digester()); });
+    REQUIRE(table);
+    return findService(*table, ServiceName("s1"))->Engine->KvCapacityTokens;
+  };
+  CHECK(capacity(Routes) == 0);
+  std::string text = Routes;
+  text.insert(text.find(R"("slots":8)"), R"("kv_capacity_tokens":34322,)");
+  CHECK(capacity(text) == 34322);
+  text.replace(text.find("34322"), 5, "-1");
+  CHECK_FALSE(outcomeOf<RouteTable>(
+      [&] { return decodeRoutes(text, "config", digester()); }));
+}
+
 TEST_CASE("An invalid batch job is rejected", "[platform]") {
   std::string broken = Job;
   broken.replace(broken.find("q83v"), 4, "q*3v");
--- a/Wasabi/Batch/BatchJob.h
+++ b/Wasabi/Batch/BatchJob.h
@@ -74,6 +74,10 @@
   /// Output length that the caller expects, in tokens; 0 if not given. An
   /// estimate of the median only.
   double ExpectedTokens = 0;
+  /// Length of the prompt and maximum length of the output, in tokens; 0 if not
+  /// given.
+  std::uint32_t PromptTokens = 0;
+  std::uint32_t MaxOutputTokens = 0;
   bool operator==(const BatchItem &) const = default;
 };
 
--- a/Wasabi/Batch/BatchRecord.cpp
+++ b/Wasabi/Batch/BatchRecord.cpp
@@ -47,6 +47,9 @@
                      {"body", encodeBase64(Item.Body)},
                      {"group", Item.Group},
                      {"expect", Item.ExpectedTokens}};
+  // An older release ignores members that it does not know.
+  if (Item.PromptTokens > 0 || Item.MaxOutputTokens > 0)
+    value["tokens"] = json::array{Item.PromptTokens, Item.MaxOutputTokens};
   if (Item.Score) {
     value["score"] =
         json::array{Item.Score->Id, Item.Score->Host, Item.Score->Path,
@@ -214,6 +217,11 @@
   item.Id = ItemId(readString(Object, "id"));
   item.Group = readString(Object, "group");
   item.ExpectedTokens = Object.at("expect").to_number<double>();
+  const json::value *tokens = Object.if_contains("tokens");
+  if (tokens != nullptr) {
+    item.PromptTokens = tokens->at(0).to_number<std::uint32_t>();
+    item.MaxOutputTokens = tokens->at(1).to_number<std::uint32_t>();
+  }
   item.Path = readString(Object, "path");
   for (const json::value &it : Object.at("headers").as_array()) {
     const json::array &pair = it.as_array();
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -278,6 +278,7 @@
   if (Task.Text.Events > 0 && requiresSingleVersion(Task))
     requirements.ExactVersion = Task.Text.Versions.front();
   requirements.IsLong = isLong(Task);
+  requirements.Tokens = predictedTokens(Task);
   return requirements;
 }
 
@@ -375,6 +376,26 @@
   return tokens / Lengths.tokensPerEvent();
 }
 
+/// Returns the tokens that an item holds in the memory of its engine at its
+/// predicted end.
+double Dispatcher::predictedTokens(const ItemTask &Task) const {
+  double events =
+      predictFinalEvents(expectedEvents(Task.Item),
+                         static_cast<double>(Task.Text.Events), Limits.Planner);
+  return predictFinalTokens(Task.Item.PromptTokens, events,
+                            Task.Item.MaxOutputTokens, Lengths);
+}
+
+/// Sums up the predicted tokens of the runs of each engine.
+void Dispatcher::updatePredictedTokens() {
+  for (const std::shared_ptr<DispatchEngine> &it : Pool)
+    it->PredictedTokens = 0;
+  for (const std::shared_ptr<ItemTask> &it : Tasks) {
+    if (it->Engine)
+      it->Engine->PredictedTokens += predictedTokens(*it);
+  }
+}
+
 /// Collects the open items, their steps and the engines. Terminates items that
 /// no route matches. `Candidates` are the engines with room; items of other
 /// models count as delayed.
@@ -382,6 +403,8 @@
 Dispatcher::makePlannerView(const std::map<ModelName, EngineList> &Candidates,
                             TimePoint Now) {
   PlannerView view;
+  double waitingTokens = 0;
+  double waitingItems = 0;
   std::map<ModelName, std::uint32_t> models;
   auto indexOf = [&models](const ModelName &Model) {
     auto next = static_cast<std::uint32_t>(models.size());
@@ -441,11 +464,28 @@
       item.Stage = it->Quarantined ? PlanStage::Blocked : PlanStage::Delayed;
     else if (updateQuarantined(*it))
       item.Stage = PlanStage::Blocked;
-    else
+    else {
       view.HasWaiting = true;
+      waitingTokens += predictedTokens(*it);
+      waitingItems += 1;
+    }
     view.Input.Items.push_back(item);
     view.Tasks.push_back(it);
   }
+  // How many more runs fit follows from the mean need of the waiting items.
+  for (std::size_t i = 0; i < Pool.size() && waitingTokens > 0; ++i) {
+    const DispatchEngine &engine = *Pool[i];
+    if (engine.KvCapacityTokens == 0)
+      continue;
+    double free = Limits.Pool.MaxMemoryFraction *
+                      static_cast<double>(engine.KvCapacityTokens) -
+                  engine.PredictedTokens;
+    double more = std::clamp(free * waitingItems / waitingTokens, 0.0,
+                             static_cast<double>(engine.Server->Entry.Slots));
+    std::uint32_t min = engine.Running == 0 ? 1 : 0;
+    view.Input.Engines[i].MaxRuns =
+        engine.Running + std::max(min, static_cast<std::uint32_t>(more));
+  }
   return view;
 }
 
@@ -462,6 +502,7 @@
   }
   PaceBaseline baseline = computePaceBaseline(Pool, Limits.Pool);
   std::map<ModelName, EngineList> candidates = enginesWithRoom(now);
+  updatePredictedTokens();
   PlannerView view = makePlannerView(candidates, now);
   if (!view.HasWaiting) {
     clearFinished();
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -259,6 +259,8 @@
                               TimePoint Now);
   bool isCarriedOver(const JobState &Job, const BatchItem &Item) const;
   double expectedEvents(const BatchItem &Item) const;
+  double predictedTokens(const ItemTask &Task) const;
+  void updatePredictedTokens();
   bool updateQuarantined(ItemTask &Task) const;
   std::shared_ptr<DispatchEngine> findEngineFor(const ItemTask &Task,
                                                 const EngineRequirements &Need,
--- a/Wasabi/Dispatch/DispatcherEngines.cpp
+++ b/Wasabi/Dispatch/DispatcherEngines.cpp
@@ -87,6 +87,7 @@
       std::shared_ptr<DispatchEngine> engine =
           isNew ? std::make_shared<DispatchEngine>() : previous->second;
       engine->Server = it;
+      engine->KvCapacityTokens = service.Engine->KvCapacityTokens;
       engine->SendInterval = coldSendInterval(*it, service, now);
       // Recent reports of the engine take precedence over its registration.
       constexpr Millis RegistrationLag{2500};
@@ -170,7 +171,12 @@
   TimePoint now = monotonicNow();
   const EnginePaceSettings &limits = Limits.Pool.Pace;
   PaceBaseline baseline = computePaceBaseline(Pool, Limits.Pool);
-  std::map<const DispatchEngine *, std::uint32_t> promised;
+  struct Promise {
+    std::uint32_t Runs = 0;
+    double Tokens = 0;
+  };
+  std::map<const DispatchEngine *, Promise> promised;
+  updatePredictedTokens();
   for (const std::shared_ptr<ItemTask> &it : Tasks) {
     if (it->Stage != ItemStage::Running || !it->Engine || !it->HasEvent ||
         it->Stream == nullptr || it->Moved)
@@ -189,10 +195,13 @@
         (!slow &&
          paceTier(target->Pace, baseline.FastQuartileMs, limits) >= tier))
       continue;
-    std::uint32_t &reserved = promised[target.get()];
-    if (target->Running + reserved >= target->Server->Entry.Slots)
+    Promise &reserved = promised[target.get()];
+    double tokens = predictedTokens(*it);
+    if (target->Running + reserved.Runs >= target->Server->Entry.Slots ||
+        !fitsMemory(*target, reserved.Tokens + tokens, Limits.Pool))
       continue;
-    ++reserved;
+    ++reserved.Runs;
+    reserved.Tokens += tokens;
     Decisions->line(
         "item.taken_away",
         {{"item", it->Item.Id.Text},
--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -48,6 +48,7 @@
   Task->RunFailure.reset();
   Task->Moved = false;
   ++Engine->Running;
+  Engine->PredictedTokens += predictedTokens(*Task);
   ++Engine->Server->InFlight;
   PromptEngines[Task->Item.Group] = Engine->Server->Entry.incarnation();
   Decisions->line("item.run",
--- a/Wasabi/Dispatch/EnginePool.cpp
+++ b/Wasabi/Dispatch/EnginePool.cpp
@@ -222,6 +222,14 @@
          Engine.Running < Engine.Server->Entry.Slots;
 }
 
+bool fitsMemory(const DispatchEngine &Engine, double Tokens,
+                const EnginePoolSettings &Limits) {
+  return Engine.KvCapacityTokens == 0 || Engine.Running == 0 ||
+         Engine.PredictedTokens + Tokens <=
+             Limits.MaxMemoryFraction *
+                 static_cast<double>(Engine.KvCapacityTokens);
+}
+
 std::uint32_t paceTier(const DispatchEngine &Engine,
                        const PaceBaseline &Baseline,
                        const EnginePoolSettings &Limits) {
@@ -246,7 +254,8 @@
     WeightVersion has = it->version(Need.Model);
     bool isSuitable = it->Model == Need.Model && has >= Need.MinVersion &&
                       (!Need.ExactVersion || has == *Need.ExactVersion);
-    if (!isSuitable || !hasRoom(*it, Now))
+    if (!isSuitable || !hasRoom(*it, Now) ||
+        !fitsMemory(*it, Need.Tokens, Limits))
       continue;
     double load = static_cast<double>(it->Running) / server.Entry.Slots;
     std::uint32_t tier = paceTier(*it, Baseline, Limits);
--- a/Wasabi/Dispatch/EnginePool.h
+++ b/Wasabi/Dispatch/EnginePool.h
@@ -29,6 +29,11 @@
   TimePoint LastReported;
   /// Number of samples that this process has in flight on the engine.
   std::uint32_t Running = 0;
+  /// Number of tokens that its memory holds; 0 if unknown.
+  std::uint64_t KvCapacityTokens = 0;
+  /// Tokens that its runs are predicted to hold at their ends. Set before an
+  /// engine is chosen.
+  double PredictedTokens = 0;
   EnginePace Pace;
   /// Version that this process has asked the engine to load, and the time of
   /// that request.
@@ -63,6 +68,9 @@
   double MaxLoadingFraction = 0.2;
   /// Number of engines that may always load at the same time.
   std::uint32_t MinLoadingLimit = 2;
+  /// Fraction of an engine's memory that its runs may fill at their predicted
+  /// ends. The rest is for texts that grow longer than predicted.
+  double MaxMemoryFraction = 0.9;
 };
 
 /// Paces of all engines that one engine is compared with, in milliseconds per
@@ -110,6 +118,8 @@
   /// True if the text is long, so that its step is likely to wait for it. A
   /// fast engine is then preferred to the one that has the prompt cached.
   bool IsLong = false;
+  /// Tokens that the sample is predicted to hold at its end: prompt and output.
+  double Tokens = 0;
   /// True if the last slot of an engine of the fastest tier is left to a long
   /// text.
   bool LeaveLastFastSlot = false;
@@ -118,6 +128,12 @@
 /// Returns true if the engine can accept one more sample of its model.
 bool hasRoom(const DispatchEngine &Engine, TimePoint Now);
 
+/// Returns true if the engine's memory holds its runs and one that needs
+/// `Tokens`, at their predicted ends. Otherwise the engine would have to
+/// preempt a run. An engine without runs accepts any sample. Pure.
+bool fitsMemory(const DispatchEngine &Engine, double Tokens,
+                const EnginePoolSettings &Limits);
+
 /// Returns by how many tiers the engine is slower than the fastest quarter.
 /// Pure.
 std::uint32_t paceTier(const DispatchEngine &Engine,
--- a/Wasabi/Dispatch/StepPlanner.cpp
+++ b/Wasabi/Dispatch/StepPlanner.cpp
@@ -172,8 +172,9 @@
       models = std::max(models, it.Model + 1);
     Backlogs.resize(models);
     for (const PlanEngine &it : Input.Engines) {
-      Backlogs[it.Model].Slots += it.Slots;
-      Backlogs[it.Model].FreeSlots += it.Slots - std::min(it.Slots, it.Running);
+      std::uint32_t slots = std::min(it.Slots, it.MaxRuns);
+      Backlogs[it.Model].Slots += slots;
+      Backlogs[it.Model].FreeSlots += slots - std::min(slots, it.Running);
     }
     for (std::size_t i = 0; i < Input.Items.size(); ++i) {
       const PlanItem &item = Input.Items[i];
@@ -364,6 +365,14 @@
                                  : Events * (1 + Limits.OverrunGrowth);
 }
 
+double predictFinalTokens(double PromptTokens, double FinalEvents,
+                          double MaxOutputTokens, const TextScale &Scale) {
+  double output = FinalEvents * Scale.tokensPerEvent();
+  if (MaxOutputTokens > 0)
+    output = std::min(output, MaxOutputTokens);
+  return PromptTokens + output;
+}
+
 const char *toText(ItemUrgency Urgency) {
   switch (Urgency) {
   case ItemUrgency::Needed:
--- a/Wasabi/Dispatch/StepPlanner.h
+++ b/Wasabi/Dispatch/StepPlanner.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <vector>
 
 namespace wasabi {
@@ -62,6 +63,13 @@
 double predictFinalEvents(double ExpectedEvents, double Events,
                           const StepPlannerSettings &Limits);
 
+/// Returns the number of tokens of the prompt and the output of an item at its
+/// predicted end. Pure.
+/// \param FinalEvents predicted final length of the text in events.
+/// \param MaxOutputTokens upper bound of the output; 0 for none.
+double predictFinalTokens(double PromptTokens, double FinalEvents,
+                          double MaxOutputTokens, const TextScale &Scale);
+
 /// State of an item that is not complete.
 enum class PlanStage : std::uint8_t {
   /// May be started now.
@@ -126,6 +134,8 @@
   std::uint32_t Slots = 1;
   /// Number of its runs.
   std::uint32_t Running = 0;
+  /// Number of runs that its memory holds, as far as known.
+  std::uint32_t MaxRuns = std::numeric_limits<std::uint32_t>::max();
   bool operator==(const PlanEngine &) const = default;
 };
 
--- a/Wasabi/Upstream/RouteTable.h
+++ b/Wasabi/Upstream/RouteTable.h
@@ -73,6 +73,9 @@
   /// Number of requests that one server runs concurrently.
   std::uint32_t Slots = 1;
   std::vector<ModelName> Models;
+  /// Number of tokens that the memory of one server holds, prompts and outputs
+  /// of all its runs together; 0 if unknown.
+  std::uint64_t KvCapacityTokens = 0;
   bool operator==(const EngineTraits &) const = default;
 };
 
