Items tell engines their priority

An engine admits and preempts requests by priority, and all items had the default one, also those that no trainer waits for.

SendOptions has a priority, sent as Wasabisail-Request-Priority in place of one in the item's own headers: 3 for needed groups of a step in time, 6 for groups that can be left out, 8 for overdue steps. Callers' requests and scoring calls are unchanged. Tested by [dispatch] and [platform].

--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -910,4 +910,27 @@
   CHECK(most == 2);
 }
 
+// Guards against engines that preempt or delay what the trainers wait for.
+TEST_CASE("Engines are told the priority of items, not of scoring calls",
+          "[dispatch]") {
+  DispatcherFixture fixture;
+  BatchJob job = scoredJob("a", 4);
+  job.TargetGroups = 1;
+  for (std::size_t i : {2U, 3U})
+    job.Items[i].ExpectedTokens = 400;
+  fixture.submit(job);
+  REQUIRE(fixture.finishes(job));
+  CHECK(fixture.Engines.Priorities ==
+        std::map<std::string, std::uint8_t>{
+            {"a-0", 3}, {"a-1", 3}, {"a-2", 6}, {"a-3", 6}});
+  CHECK(fixture.Engines.ScorePriorities.empty());
+  RouteTable table = *fixture.View.Routes;
+  table.Routes[0].ResultDeadline = Millis(0);
+  fixture.View.Routes = std::make_shared<const RouteTable>(table);
+  BatchJob late = makeJob("b", 1);
+  fixture.submit(late);
+  REQUIRE(fixture.finishes(late));
+  CHECK(fixture.Engines.Priorities["b-0"] == 8);
+}
+
 } // namespace wasabi::batchtest
--- a/UnitTests/Dispatch/FakeEngines.cpp
+++ b/UnitTests/Dispatch/FakeEngines.cpp
@@ -107,6 +107,8 @@
                       "refused", Millis(0)};
   std::uint64_t after = Options.ResumeAfter.value_or(0);
   Customers.insert(Options.Customer.Text);
+  constexpr std::uint8_t NoPriority = 255;
+  Priorities[Options.RequestId] = Options.Priority.value_or(NoPriority);
   if (after > 0)
     ResumedAfter.push_back(after);
   StreamHead head;
@@ -124,6 +126,8 @@
 FakeEngines::call(UpstreamRegistration Server, SendOptions Options) {
   co_await pauseFor(Context.get_executor(), Millis(1));
   ScoreDeadlines.push_back(Options.Deadline.value_or(Millis(0)));
+  if (Options.Priority)
+    ScorePriorities.push_back(*Options.Priority);
   if (Servers[Server.Id].Unresponsive)
     co_return makeFailure(FailureCode::TimedOut);
   UpstreamResponse answer;
--- a/UnitTests/Dispatch/FakeEngines.h
+++ b/UnitTests/Dispatch/FakeEngines.h
@@ -55,6 +55,10 @@
   std::vector<Millis> ScoreDeadlines;
   /// Last event before each resumption.
   std::vector<std::uint64_t> ResumedAfter;
+  /// Priority of the last run of each item; 255 if it had none.
+  std::map<std::string, std::uint8_t> Priorities;
+  /// Priorities of the scoring calls that had one.
+  std::vector<std::uint8_t> ScorePriorities;
   /// Customers of all runs.
   std::set<std::string> Customers;
 
--- a/UnitTests/Platform/TranslationTest.cpp
+++ b/UnitTests/Platform/TranslationTest.cpp
@@ -1,3 +1,4 @@
+#include "Wasabi/Adapters/Http/HttpWire.h"
 #include "platform/BatchWire.h"
 #include "platform/BootSettings.h"
 #include "platform/Decoding.h"
@@ -484,4 +485,28 @@
         AnswerProof::Ran);
 }
 
+// Guards against an item whose own header outranks the dispatcher's, and
+// against a changed header of callers' requests.
+TEST_CASE("The priority of a request is sent in one header", "[platform]") {
+  auto prioritiesOf = [](const SendOptions &Options) {
+    http::Request request;
+    request.Headers = {{"wasabisail-request-PRIORITY", "0"}, {"X", "y"}};
+    prepareRequest(request, UpstreamRegistration(), Options);
+    std::vector<std::string> found;
+    for (const http::Header &it : request.Headers) {
+      if (http::isSameHeaderName(it.Name, "Wasabisail-Request-Priority"))
+        found.push_back(it.Value);
+    }
+    return found;
+  };
+  SendOptions options;
+  CHECK(prioritiesOf(options) == std::vector<std::string>{"0"});
+  options.Priority = 3;
+  CHECK(prioritiesOf(options) == std::vector<std::string>{"3"});
+  options.Priority = 0;
+  CHECK(prioritiesOf(options) == std::vector<std::string>{"0"});
+  options.Priority = 200;
+  CHECK(prioritiesOf(options) == std::vector<std::string>{"9"});
+}
+
 } // namespace wasabi::platform
--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -71,6 +71,7 @@
   SendOptions options;
   options.RequestId = Task->Item.Id.Text;
   options.Customer = Task->Job->Job.Id.Customer;
+  options.Priority = enginePriority(Task->Urgency);
   if (Task->Text.Events > 0)
     options.ResumeAfter = Task->Text.Events;
   std::optional<Outcome<std::unique_ptr<EngineStream>>> opened =
--- a/Wasabi/Dispatch/StepPlanner.cpp
+++ b/Wasabi/Dispatch/StepPlanner.cpp
@@ -373,6 +373,21 @@
   return PromptTokens + output;
 }
 
+std::uint8_t enginePriority(ItemUrgency Urgency) {
+  constexpr std::uint8_t NeededPriority = 3;
+  constexpr std::uint8_t OptionalPriority = 6;
+  constexpr std::uint8_t OverduePriority = 8;
+  switch (Urgency) {
+  case ItemUrgency::Needed:
+    return NeededPriority;
+  case ItemUrgency::Optional:
+    return OptionalPriority;
+  case ItemUrgency::Overdue:
+    return OverduePriority;
+  }
+  return OverduePriority;
+}
+
 const char *toText(ItemUrgency Urgency) {
   switch (Urgency) {
   case ItemUrgency::Needed:
--- a/Wasabi/Dispatch/StepPlanner.h
+++ b/Wasabi/Dispatch/StepPlanner.h
@@ -156,6 +156,10 @@
   Overdue,
 };
 
+/// Returns the priority that an engine is told, from 0 (most urgent) to 9. An
+/// engine assumes 5 for requests without one. Thread-safe.
+std::uint8_t enginePriority(ItemUrgency Urgency);
+
 /// Returns the name of an urgency in lower case. Thread-safe.
 const char *toText(ItemUrgency Urgency);
 
--- a/Wasabi/Ports/EnginePort.h
+++ b/Wasabi/Ports/EnginePort.h
@@ -12,6 +12,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -85,8 +86,14 @@
   /// Customer that is sent to the server; empty for none. Replaces the caller's
   /// own headers for it.
   CustomerName Customer;
+  /// Priority at the server, from 0 (most urgent) to `MaxRequestPriority`;
+  /// empty for the server's default. Replaces one in the request's own headers.
+  std::optional<std::uint8_t> Priority;
 };
 
+/// The least urgent priority of a request at a server.
+inline constexpr std::uint8_t MaxRequestPriority = 9;
+
 /// How running requests are treated when a server loads new weights.
 enum class SwapMode : std::uint8_t {
   /// Running requests finish before the swap.
