--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -692,4 +692,108 @@
   CHECK(listed());
 }
 
+// Guards against a dispatcher that starts the items of groups that the trainer
+// can do without while needed ones wait.
+TEST_CASE("Items of groups that can be left out start last", "[dispatch]") {
+  DispatcherFixture fixture;
+  fixture.Engines.EventsPerText = 20;
+  BatchJob job = makeJob("a", 12);
+  job.TargetGroups = 4;
+  // The groups with the latest end. The longest first order starts them first.
+  for (std::size_t i : {2U, 3U, 6U, 7U})
+    job.Items[i].ExpectedTokens = 400;
+  fixture.submit(job);
+  REQUIRE(fixture.finishes(job));
+  std::set<std::string> last{"a-2", "a-3", "a-6", "a-7"};
+  for (const char *id : {"e1", "e2"}) {
+    const std::vector<std::string> &runs = fixture.server(id).Runs;
+    REQUIRE(runs.size() >= 4);
+    for (std::size_t i = 0; i < 4; ++i)
+      CHECK_FALSE(last.contains(runs[i]));
+  }
+}
+
+// Guards against leaving out groups that the trainer always waits for.
+TEST_CASE("Items that an earlier step contained are not left out",
+          "[dispatch]") {
+  DispatcherFixture fixture;
+  fixture.Engines.EventsPerText = 20;
+  BatchJob earlier = makeJob("a", 4);
+  fixture.submit(earlier);
+  REQUIRE(fixture.runUntil([&] { return !fixture.server("e1").Runs.empty(); }));
+  fixture.Store.append("rollout", encodeRecord(JobEnd{earlier.Id}));
+  std::shared_ptr<JobState> known = findJob(fixture.Log->fold(), earlier.Id);
+  REQUIRE(fixture.runUntil([&] { return known->Ended; }));
+  fixture.Context.run_for(Millis(20));
+  for (const char *id : {"e1", "e2"})
+    fixture.server(id).Runs.clear();
+  BatchJob job = makeJob("b", 10);
+  job.Items[4].Id = earlier.Items[2].Id;
+  job.Items[5].Id = earlier.Items[3].Id;
+  for (std::size_t i : {4U, 5U})
+    job.Items[i].ExpectedTokens = 400;
+  job.TargetGroups = 4;
+  fixture.submit(job);
+  REQUIRE(fixture.finishes(job));
+  std::size_t early = 0;
+  for (const char *id : {"e1", "e2"}) {
+    const std::vector<std::string> &runs = fixture.server(id).Runs;
+    REQUIRE(runs.size() >= 4);
+    early += static_cast<std::size_t>(
+        std::count_if(runs.begin(), runs.begin() + 4,
+                      [](const std::string &It) { return It[0] == 'a'; }));
+  }
+  CHECK(early == 2);
+}
+
+// Guards against a dispatcher that fills all slots of an engine although its
+// memory holds fewer runs.
+TEST_CASE("Runs of an engine fit its memory", "[dispatch]") {
+  DispatcherFixture fixture;
+  RouteTable table = *fixture.View.Routes;
+  table.Services[0].Engine->KvCapacityTokens = 2500;
+  fixture.View.Routes = std::make_shared<const RouteTable>(table);
+  BatchJob job = makeJob("a", 12);
+  // Two runs need 2,000 tokens, three more than 0.9 of the memory. The first
+  // item needs more than all of it.
+  for (BatchItem &it : job.Items) {
+    it.PromptTokens = 900;
+    it.MaxOutputTokens = 100;
+  }
+  job.Items[0].PromptTokens = 5000;
+  fixture.submit(job);
+  std::uint32_t most = 0;
+  REQUIRE(fixture.runUntil([&] {
+    for (const char *id : {"e1", "e2"})
+      most = std::max(most,
+                      fixture.View.Servers.Servers[ServerName(id)]->InFlight);
+    std::shared_ptr<JobState> known = findJob(fixture.Log->fold(), job.Id);
+    return known && known->Results.size() == job.Items.size();
+  }));
+  CHECK(most == 2);
+}
+
+// Guards against engines that preempt or delay what the trainers wait for.
+TEST_CASE("Engines are told the priority of items, not of scoring calls",
+          "[dispatch]") {
+  DispatcherFixture fixture;
+  BatchJob job = scoredJob("a", 4);
+  job.TargetGroups = 1;
+  for (std::size_t i : {2U, 3U})
+    job.Items[i].ExpectedTokens = 400;
+  fixture.submit(job);
+  REQUIRE(fixture.finishes(job));
+  CHECK(fixture.Engines.Priorities ==
+        std::map<std::string, std::uint8_t>{
+            {"a-0", 3}, {"a-1", 3}, {"a-2", 6}, {"a-3", 6}});
+  CHECK(fixture.Engines.ScorePriorities.empty());
+  RouteTable table = *fixture.View.Routes;
+  table.Routes[0].ResultDeadline = Millis(0);
+  fixture.View.Routes = std::make_shared<const RouteTable>(table);
+  BatchJob late = makeJob("b", 1);
+  fixture.submit(late);
+  REQUIRE(fixture.finishes(late));
+  CHECK(fixture.Engines.Priorities["b-0"] == 8);
+}
+
 } // namespace wasabi::batchtest
--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -48,12 +48,14 @@
   Task->RunFailure.reset();
   Task->Moved = false;
   ++Engine->Running;
+  Engine->PredictedTokens += predictedTokens(*Task);
   ++Engine->Server->InFlight;
   PromptEngines[Task->Item.Group] = Engine->Server->Entry.incarnation();
   Decisions->line("item.run",
                   {{"item", Task->Item.Id.Text},
                    {"job", Task->Job->Job.Id.Text},
                    {"server", Engine->Server->Entry.Id.Text},
+                   {"urgency", toText(Task->Urgency)},
                    {"version", std::to_string(Engine->version(Engine->Model))},
                    {"resume_after", std::to_string(Task->Text.Events)}});
   asio::co_spawn(
@@ -69,6 +71,7 @@
   SendOptions options;
   options.RequestId = Task->Item.Id.Text;
   options.Customer = Task->Job->Job.Id.Customer;
+  options.Priority = enginePriority(Task->Urgency);
   if (Task->Text.Events > 0)
     options.ResumeAfter = Task->Text.Events;
   std::optional<Outcome<std::unique_ptr<EngineStream>>> opened =
@@ -119,6 +122,7 @@
   wasabi::noteSuccess(View.Servers, *engine->Server, 0);
   Crashes->answered(*Task->Guard);
   Task->Text.IsComplete = true;
+  recordTextLength(Lengths, Task->Item.ExpectedTokens, Task->Text.Events);
   startScoring(Task);
   schedule();
 }
--- a/Wasabi/Dispatch/EnginePool.cpp
+++ b/Wasabi/Dispatch/EnginePool.cpp
@@ -33,8 +33,9 @@
     if (longTermMs(it->Pace, Limits.Pace) > 0)
       longTerm.push_back(longTermMs(it->Pace, Limits.Pace));
   }
+  double longTermMedianMs = quantile(longTerm, Median);
   return PaceBaseline{quantile(std::move(recent), Median),
-                      quantile(std::move(longTerm), Quarter)};
+                      quantile(std::move(longTerm), Quarter), longTermMedianMs};
 }
 
 std::map<ModelName, std::uint32_t>
@@ -221,6 +222,25 @@
          Engine.Running < Engine.Server->Entry.Slots;
 }
 
+bool fitsMemory(const DispatchEngine &Engine, double Tokens,
+                const EnginePoolSettings &Limits) {
+  return Engine.KvCapacityTokens == 0 || Engine.Running == 0 ||
+         Engine.PredictedTokens + Tokens <=
+             Limits.MaxMemoryFraction *
+                 static_cast<double>(Engine.KvCapacityTokens);
+}
+
+std::uint32_t paceTier(const DispatchEngine &Engine,
+                       const PaceBaseline &Baseline,
+                       const EnginePoolSettings &Limits) {
+  EnginePace pace = Engine.Pace;
+  if (longTermMs(pace, Limits.Pace) <= 0) {
+    pace.LongTermMs = Baseline.LongTermMedianMs;
+    pace.Count = Limits.Pace.MinEventCount;
+  }
+  return paceTier(pace, Baseline.FastQuartileMs, Limits.Pace);
+}
+
 std::shared_ptr<DispatchEngine> chooseEngine(const EngineList &Engines,
                                              const EngineRequirements &Need,
                                              const PaceBaseline &Baseline,
@@ -234,16 +254,18 @@
     WeightVersion has = it->version(Need.Model);
     bool isSuitable = it->Model == Need.Model && has >= Need.MinVersion &&
                       (!Need.ExactVersion || has == *Need.ExactVersion);
-    if (!isSuitable || !hasRoom(*it, Now))
+    if (!isSuitable || !hasRoom(*it, Now) ||
+        !fitsMemory(*it, Need.Tokens, Limits))
       continue;
     double load = static_cast<double>(it->Running) / server.Entry.Slots;
-    std::uint32_t tier =
-        Need.IsLong ? paceTier(it->Pace, Baseline.FastQuartileMs, Limits.Pace)
-                    : 0;
+    std::uint32_t tier = paceTier(*it, Baseline, Limits);
+    if (Need.LeaveLastFastSlot && tier == 0 &&
+        it->Running + 1 >= server.Entry.Slots)
+      continue;
     Rank rank{server.SuspectUntil > Now,
               isSlow(it->Pace, Baseline.MedianMs, Limits.Pace),
               server.Entry.incarnation() == Need.Avoid,
-              tier,
+              Need.IsLong ? tier : 0,
               server.Entry.incarnation() != Need.Preferred,
               load};
     if (!best || rank < bestRank) {
