--- a/UnitTests/Upstream/HedgingTest.cpp
+++ b/UnitTests/Upstream/HedgingTest.cpp
@@ -176,10 +176,14 @@
     Servers[entry.Id] = Behavior;
     server(Id).SmoothedLatencyMs = ExpectedMs;
   }
-  /// Adds two servers of which `first` is chosen first.
+  /// Adds two servers of which `first` is chosen first: it is in the preferred
+  /// failure domain, and the other one is not slow enough to get a trial.
   void addTwoServers(FakeServer First, FakeServer Second) {
+    View.Domain = DomainName("near");
     addServer("first", First, 5);
-    addServer("second", Second, 20);
+    addServer("second", Second, 6);
+    server("first").Entry.Domain = View.Domain;
+    server("second").Entry.Domain = DomainName("far");
   }
 
   UpstreamServer &server(const std::string &Id) {
@@ -748,9 +752,10 @@
   // process or caller has found to crash servers.
   HedgingFixture fixture;
   fixture.addTwoServers({Reply::Answers, LatencyTarget}, {});
-  fixture.addServer("gone", {Reply::Crashes}, 1000);
   std::shared_ptr<PendingAnswer> pending = fixture.startRequest();
   REQUIRE(fixture.runUntil([&] { return fixture.Calls.size() == 1; }));
+  // A slow server that is known earlier could get the request as a trial.
+  fixture.addServer("gone", {Reply::Crashes}, 1000);
   fixture.run([&]() -> asio::awaitable<void> {
     std::shared_ptr<GuardedRequest> guarded = std::make_shared<GuardedRequest>(
         GuardedRequest{fixture.digest(), "other"});
@@ -786,9 +791,9 @@
   // Guards against work for a caller that has disconnected.
   HedgingFixture fixture;
   fixture.addTwoServers({Reply::Answers, Hangs}, {Reply::Answers, Hangs});
-  fixture.addServer("third", {}, 1000);
   std::shared_ptr<PendingAnswer> pending = fixture.startRequest();
   REQUIRE(fixture.runUntil([&] { return fixture.Calls.size() == 2; }));
+  fixture.addServer("third", {}, 1000);
   CHECK(fixture.server("first").InFlight == 1);
   CHECK(fixture.server("second").InFlight == 1);
   pending->Stop.emit(asio::cancellation_type::terminal);
@@ -825,11 +830,10 @@
 TEST_CASE("No hedge starts that its caller can't wait for",
           "[upstream][hedging]") {
   // Guards against attempts at or after the deadline.
-  HedgingFixture fixture;
-  fixture.addTwoServers({Reply::Answers, Hangs}, {Reply::Answers, Millis(1)});
   // The deadline is the end of the hedge delay, or shortly after it.
   for (Millis timeout : {LatencyTarget / 2, LatencyTarget / 2 + Millis(35)}) {
-    fixture.Calls.clear();
+    HedgingFixture fixture;
+    fixture.addTwoServers({Reply::Answers, Hangs}, {Reply::Answers, Millis(1)});
     Outcome<UpstreamResponse> got = fixture.sendRequest(timeout);
     REQUIRE_FALSE(got);
     CHECK(got.failure().Run == Verdict::MayHaveRun);
--- a/Wasabi/Upstream/Forwarder.h
+++ b/Wasabi/Upstream/Forwarder.h
@@ -218,6 +218,9 @@
   const std::shared_ptr<LoadExchange> Loads;
   std::mt19937_64 Random;
   Hedging Hedges;
+  /// Trial requests that may be sent to servers that look slow; empty at the
+  /// start.
+  RetryBudget Trials{TrialBudget, 0};
   std::map<ServiceName, ServiceAdmission> Admissions;
   /// Id of the most recent admission request.
   std::uint64_t LastAdmissionId = 0;
