Server selection: no herd on shared reports, gradual spill-over

Simulations of 40 processes that read the same reports showed queues of up to 89 requests at one server at half load: the reported requests in flight counted until the next report, so all processes left a server and returned to it together. They now lose their weight within a latency. A report counts for at most three samples, so newer local samples outweigh it.

Requests leave the preferred domain with a probability that rises with the cost there. An estimate is at most eight times the typical latency, and an answer that shows a recovery counts for as much as the estimate has lost by its age; before, a recovered server of such a fleet had only the share of the trial requests from 2 to 3 s after its recovery.

Not solved: while the demand of a domain exceeds its room, single queues there exceeded 30 requests in most of the simulations (up to 77, with and without reports).

--- a/Wasabi/Upstream/ServerSelection.cpp
+++ b/Wasabi/Upstream/ServerSelection.cpp
@@ -10,17 +10,22 @@
 
 /// Assumed until the first answer of a service.
 constexpr double DefaultLatencyMs = 30.0;
-/// Weight of a sample above the estimate, and of one below it. Slowness is to
-/// be noticed at once, whereas one fast answer doesn't prove a recovery.
+/// Weight of a sample above the estimate, and minimum weight of one below it.
+/// Slowness is to be noticed at once, whereas one fast answer doesn't prove a
+/// recovery.
 constexpr double RiseWeight = 0.5;
 constexpr double FallWeight = 0.2;
+/// Maximum estimate as a multiple of the typical latency. A server that is
+/// slower gets no less work, but would take longer to be used again.
+constexpr double MaxSlowness = 8.0;
 /// Time in which an estimate loses half of its distance to the typical latency.
 constexpr Millis LatencyHalfLife{1000};
 /// Servers within this factor of the best one are chosen at random.
 constexpr double CloseFactor = 1.5;
-/// The preferred domain is used while its best server is within this factor of
-/// the best one of all.
+/// All requests stay in the preferred domain while its best server is within
+/// the first factor of the best one elsewhere, and none do beyond the second.
 constexpr double LocalFactor = 1.2;
+constexpr double SpillFactor = 1.8;
 /// Cost of a request to another failure domain in milliseconds: the round trip,
 /// and a surcharge because bytes between domains are charged.
 constexpr double CrossDomainCostMs = 5.0;
@@ -37,11 +42,17 @@
 /// Reports beyond these limits are ignored as absurd.
 constexpr double MaxLatencyMs = 60'000;
 constexpr double MaxReportedSamples = 10'000;
+/// Maximum number of samples that a report counts for. Further ones hardly make
+/// it more exact, and would outweigh local samples that are newer.
+constexpr double MaxReportWeight = 3;
 /// In-flight requests per slot. Servers queue some four requests per slot.
 constexpr std::uint32_t MaxReportedLoad = 32;
 /// Age after which reported in-flight requests are ignored; the shortest
 /// validity of a report.
 constexpr Millis MaxInFlightAge{3000};
+/// Number of times that reported in-flight requests lose half of their weight
+/// within the latency of their server.
+constexpr double HalvingsPerLatency = 4;
 /// Minimum number of servers that this process and others have measured, to
 /// relate their latencies to each other.
 constexpr std::size_t MinCommonServers = 3;
@@ -76,8 +87,13 @@
          Load.Samples > 0 && Load.Samples <= MaxReportedSamples;
 }
 
-double addSample(double EstimateMs, double SampleMs) {
-  double weight = SampleMs > EstimateMs ? RiseWeight : FallWeight;
+/// Returns the estimate after a sample that follows `AgeMs` after the one
+/// before. A sample that shows a recovery counts as much as the estimate has
+/// lost by its age, so that the few samples of a rarely used server suffice.
+double addSample(double EstimateMs, double SampleMs, double AgeMs) {
+  double weight = SampleMs > EstimateMs
+                      ? RiseWeight
+                      : std::max(FallWeight, 1 - remainingPart(AgeMs));
   return EstimateMs + weight * (SampleMs - EstimateMs);
 }
 
@@ -108,9 +124,14 @@
   if (Report == nullptr || !isPlausible(*Report))
     return {Basis.TypicalMs, 0};
   double part = remainingPart(millisBetween(Report->MeasuredAt, Now));
-  double latencyMs = Report->LatencyMs * Basis.OthersScale;
+  double latencyMs = std::min(Report->LatencyMs * Basis.OthersScale,
+                              Basis.TypicalMs * MaxSlowness);
   return {Basis.TypicalMs + part * (latencyMs - Basis.TypicalMs),
-          part * Report->Samples};
+          part * std::min(Report->Samples, MaxReportWeight)};
+}
+
+std::uint32_t slotsOf(const UpstreamServer &Server) {
+  return std::max<std::uint32_t>(Server.Entry.Slots, 1);
 }
 
 /// Returns the upper median. Precondition: there is a value.
@@ -156,29 +177,30 @@
     double ageMs = millisBetween(it, Now);
     if (ageMs <= result || ++counted > MaxAgeSamples)
       break;
-    result = addSample(result, ageMs);
+    result = addSample(result, ageMs, 0);
   }
   return result;
 }
 
-std::uint32_t slotsOf(const UpstreamServer &Server) {
-  return std::max<std::uint32_t>(Server.Entry.Slots, 1);
-}
-
-/// Returns the number of all processes' requests in flight at a server.
-std::uint64_t inFlightAt(const UpstreamServer &Server,
-                         const ServiceLoad *Others, TimePoint Now) {
-  std::uint64_t result = Server.InFlight;
+/// Returns the number of all processes' requests that are expected to be in
+/// flight at a server. Those that others have reported end within about one
+/// latency. If they counted for longer, all processes that have read the same
+/// report would send to the server that was idle then.
+double inFlightAt(const UpstreamServer &Server, double LatencyMs,
+                  const ServiceLoad *Others, TimePoint Now) {
   const ServerLoad *report = findReport(Server, Others, Now);
-  if (report != nullptr && Now - report->MeasuredAt <= MaxInFlightAge &&
-      report->InFlight / MaxReportedLoad <= slotsOf(Server))
-    result += report->InFlight;
-  return result;
+  if (report == nullptr || Now - report->MeasuredAt > MaxInFlightAge ||
+      report->InFlight / MaxReportedLoad > slotsOf(Server))
+    return Server.InFlight;
+  double ageMs = millisBetween(report->MeasuredAt, Now);
+  double part =
+      std::exp2(-HalvingsPerLatency * ageMs / std::max(LatencyMs, 1.0));
+  return Server.InFlight + part * report->InFlight;
 }
 
-double completionMs(double LatencyMs, std::uint64_t InFlight,
+double completionMs(double LatencyMs, double InFlight,
                     const UpstreamServer &Server) {
-  double load = static_cast<double>(InFlight + 1) / slotsOf(Server);
+  double load = (InFlight + 1) / slotsOf(Server);
   return LatencyMs * std::max(load, 1.0);
 }
 
@@ -188,7 +210,7 @@
   double LatencyMs = 0;
   /// Expected completion time plus the cost of crossing domains.
   double CostMs = 0;
-  std::uint64_t InFlight = 0;
+  double InFlight = 0;
   bool Local = false;
 };
 
@@ -209,7 +231,7 @@
     Candidate found;
     found.Server = it;
     found.LatencyMs = estimateLatencyMs(basis, *it, Query.Others, Now);
-    found.InFlight = inFlightAt(*it, Query.Others, Now);
+    found.InFlight = inFlightAt(*it, found.LatencyMs, Query.Others, Now);
     found.Local = it->Entry.Domain == Query.PreferredDomain;
     found.CostMs = completionMs(found.LatencyMs, found.InFlight, *it) +
                    (found.Local ? 0 : CrossDomainCostMs);
@@ -244,25 +266,42 @@
 bool isAtRest(const std::vector<Candidate> &Candidates,
               const ServiceLoad *Others) {
   return Others == nullptr &&
-         std::all_of(
-             Candidates.begin(), Candidates.end(), [](const Candidate &It) {
-               return It.Server->SmoothedLatencyMs <= 0 && It.InFlight == 0;
-             });
+         std::all_of(Candidates.begin(), Candidates.end(),
+                     [](const Candidate &It) {
+                       return It.Server->SmoothedLatencyMs <= 0 &&
+                              It.Server->InFlight == 0;
+                     });
+}
+
+/// Returns the first of the candidates with the least cost. Precondition: there
+/// is a candidate.
+const Candidate &firstInOrder(const std::vector<Candidate> &Candidates) {
+  return *std::min_element(Candidates.begin(), Candidates.end(), costsLess);
+}
+
+/// Returns the probability with which a request leaves the preferred domain. It
+/// rises with the cost there, so that processes which see the same load do not
+/// all leave at once.
+double spillProbability(const std::vector<Candidate> &Local,
+                        const std::vector<Candidate> &Other) {
+  if (Local.empty() || Other.empty())
+    return Local.empty() ? 1 : 0;
+  double ratio = firstInOrder(Local).CostMs / firstInOrder(Other).CostMs;
+  return std::clamp((ratio - LocalFactor) / (SpillFactor - LocalFactor), 0.0,
+                    1.0);
 }
 
 /// Chooses at random among the candidates that are close to the best one, by
 /// their free slots and inverse cost. Precondition: there is a candidate.
 const Candidate &chooseAmongClose(const std::vector<Candidate> &Candidates,
                                   std::mt19937_64 &Random) {
-  const Candidate &best =
-      *std::min_element(Candidates.begin(), Candidates.end(), costsLess);
+  const Candidate &best = firstInOrder(Candidates);
   std::vector<double> weights;
   std::vector<double> weightsFull;
   for (const Candidate &it : Candidates) {
-    std::uint64_t slots = slotsOf(*it.Server);
-    std::uint64_t freeSlots = slots - std::min(it.InFlight, slots);
+    double freeSlots = std::max(slotsOf(*it.Server) - it.InFlight, 0.0);
     double weight = it.CostMs <= best.CostMs * CloseFactor ? 1 / it.CostMs : 0;
-    weights.push_back(weight * static_cast<double>(freeSlots));
+    weights.push_back(weight * freeSlots);
     weightsFull.push_back(weight);
   }
   bool anyFree = std::any_of(weights.begin(), weights.end(),
@@ -299,8 +338,10 @@
 double expectedCompletionMs(const UpstreamTable &Table,
                             const UpstreamServer &Server,
                             const ServiceLoad *Others, TimePoint Now) {
-  return completionMs(estimateLatencyMs(Table, Server, Others, Now),
-                      inFlightAt(Server, Others, Now), Server);
+  EstimateBasis basis = makeBasis(Table, Server.Entry.Service, Others, Now);
+  double latencyMs = estimateLatencyMs(basis, Server, Others, Now);
+  return completionMs(latencyMs, inFlightAt(Server, latencyMs, Others, Now),
+                      Server);
 }
 
 ServerChoice selectServer(const UpstreamTable &Table,
@@ -314,19 +355,17 @@
       Query.MayTrial ? findTrial(candidates, Now) : nullptr;
   if (trial != nullptr)
     return {trial->Server, true, false};
-  std::vector<Candidate> local;
-  std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(local),
-               [](const Candidate &It) { return It.Local; });
-  auto best = std::min_element(candidates.begin(), candidates.end(), costsLess);
-  auto bestLocal = std::min_element(local.begin(), local.end(), costsLess);
-  bool stay = bestLocal != local.end() &&
-              bestLocal->CostMs <= best->CostMs * LocalFactor;
-  const std::vector<Candidate> &considered = stay ? local : candidates;
-  // Without measurements or load, the first server in order of names is chosen.
-  const Candidate &chosen = isAtRest(candidates, Query.Others)
-                                ? (stay ? *bestLocal : *best)
-                                : chooseAmongClose(considered, Random);
-  return {chosen.Server, false, !local.empty() && !chosen.Local};
+  if (isAtRest(candidates, Query.Others))
+    return {firstInOrder(candidates).Server, false, false};
+  auto firstOther =
+      std::stable_partition(candidates.begin(), candidates.end(),
+                            [](const Candidate &It) { return It.Local; });
+  std::vector<Candidate> local(candidates.begin(), firstOther);
+  std::vector<Candidate> other(firstOther, candidates.end());
+  bool spill = std::uniform_real_distribution<>()(Random) <
+               spillProbability(local, other);
+  const Candidate &chosen = chooseAmongClose(spill ? other : local, Random);
+  return {chosen.Server, false, spill && !local.empty()};
 }
 
 std::shared_ptr<UpstreamServer>
@@ -381,7 +420,9 @@
 void updateLatency(UpstreamServer &Server, double TypicalMs, double SampleMs,
                    TimePoint Now) {
   WeightedLatency aged = agedLatency(Server, TypicalMs, Now);
-  Server.SmoothedLatencyMs = addSample(aged.Ms, SampleMs);
+  double ageMs = millisBetween(Server.LatencyMeasuredAt.value_or(Now), Now);
+  Server.SmoothedLatencyMs =
+      addSample(aged.Ms, std::min(SampleMs, TypicalMs * MaxSlowness), ageMs);
   Server.LatencySamples = aged.Samples + 1;
   Server.LatencyMeasuredAt = Now;
 }
