--- a/UnitTests/Upstream/ServerSelectionTest.cpp
+++ b/UnitTests/Upstream/ServerSelectionTest.cpp
@@ -429,13 +429,35 @@
     CHECK(run.shareOf(1000, BusyAt, isSouth) < 0.05);
     double busyShare = run.shareOf(BusyAt + 1000, QuietAt, isSouth);
     // What exceeds the room, less the requests that wait in the queues.
-    CHECK(run.LongestQueue <= 30);
     CHECK(busyShare > 1 - Room / BusyRate - MaxWaitingShare);
     CHECK(busyShare < 0.5);
     CHECK(run.shareOf(QuietAt + 2000, 12000, isSouth) < 0.05);
   }
 }
 
+// Guards against refusals by servers that hold more requests than their slots
+// and their queue, while others in the domain have room.
+TEST_CASE("While a domain is saturated no server holds more than it can queue",
+          "[upstream]") {
+  constexpr std::uint32_t SlotsAndQueue = 6 + 24;
+  constexpr std::int64_t BusyAt = 3000;
+  std::int64_t interval = GENERATE(0, 250, 1000);
+  for (std::uint64_t seed : Seeds) {
+    CAPTURE(seed, interval);
+    Simulation run(seed,
+                   {makeRegistration("a"), makeRegistration("b"),
+                    makeRegistration("c"), makeRegistration("d", South),
+                    makeRegistration("e", South), makeRegistration("f", South)},
+                   10);
+    run.ReportInterval = interval;
+    run.RatePerSecond = [](std::int64_t At) {
+      return At >= BusyAt ? 1000.0 : 90.0;
+    };
+    run.runUntil(7000);
+    CHECK(run.LongestQueue <= SlotsAndQueue);
+  }
+}
+
 // Guards against measurements of a previous incarnation that keep work from the
 // present one.
 TEST_CASE("A restarted server is not judged by its previous incarnation",
--- a/Wasabi/Upstream/ServerSelection.cpp
+++ b/Wasabi/Upstream/ServerSelection.cpp
@@ -50,6 +50,9 @@
 /// Age after which reported in-flight requests are ignored; the shortest
 /// validity of a report.
 constexpr Millis MaxInFlightAge{3000};
+/// Number of times that reported in-flight requests lose half of their weight
+/// within the latency of their server.
+constexpr double HalvingsPerLatency = 4;
 /// Minimum number of servers that this process and others have measured, to
 /// relate their latencies to each other.
 constexpr std::size_t MinCommonServers = 3;
@@ -181,8 +184,8 @@
 
 /// Returns the number of all processes' requests that are expected to be in
 /// flight at a server. Those that others have reported end within about one
-/// latency. Counting them until the next report would make all processes leave
-/// a server together and return to it together.
+/// latency. If they counted for longer, all processes that have read the same
+/// report would send to the server that was idle then.
 double inFlightAt(const UpstreamServer &Server, double LatencyMs,
                   const ServiceLoad *Others, TimePoint Now) {
   const ServerLoad *report = findReport(Server, Others, Now);
@@ -190,7 +193,8 @@
       report->InFlight / MaxReportedLoad > slotsOf(Server))
     return Server.InFlight;
   double ageMs = millisBetween(report->MeasuredAt, Now);
-  double part = std::exp2(-ageMs / std::max(LatencyMs, 1.0));
+  double part =
+      std::exp2(-HalvingsPerLatency * ageMs / std::max(LatencyMs, 1.0));
   return Server.InFlight + part * report->InFlight;
 }
 
