--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -403,6 +403,8 @@
 Dispatcher::makePlannerView(const std::map<ModelName, EngineList> &Candidates,
                             TimePoint Now) {
   PlannerView view;
+  view.Input.Items.reserve(Tasks.size());
+  view.Tasks.reserve(Tasks.size());
   double waitingTokens = 0;
   double waitingItems = 0;
   std::map<ModelName, std::uint32_t> models;
