Clients that do not read are reset, and what is held for them is bounded

Cause: the write of a response had one time limit of 60 s, whether its client made progress or not, and the responses and request bodies that a process held were not bounded, so that stalled clients could make it exceed its memory.

Change: the HTTP server counts the bytes of responses that its clients have not taken. A connection whose client takes no byte for 5 s is reset; progress is read from the send queue of the kernel, as a write completes only once much of the kernel's buffer is free. Above MaxHeldBytes the connection that has gone longest without progress is reset first and new requests get 503 with Retry-After.

--- a/Wasabi/Adapters/Http/HttpConnection.cpp
+++ b/Wasabi/Adapters/Http/HttpConnection.cpp
@@ -5,7 +5,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
@@ -38,6 +37,9 @@
 /// closed.
 constexpr Millis LingerTimeout{1000};
 constexpr TimePoint NoDeadline = TimePoint::max();
+/// `Retry-After` of requests that are shed, in seconds. A client that is told
+/// later than this would often have no time left for a second attempt.
+constexpr std::string_view ShedRetryAfter = "0.250";
 
 /// Parses the buffered bytes; returns `need_more` if there are none.
 template <typename Parser>
@@ -50,11 +52,54 @@
   return failed;
 }
 
+/// Returns the buffers without their first `Count` bytes.
+std::vector<asio::const_buffer>
+skipBytes(const std::vector<asio::const_buffer> &Data, std::size_t Count) {
+  std::vector<asio::const_buffer> rest;
+  for (asio::const_buffer it : Data) {
+    std::size_t skipped = std::min(Count, it.size());
+    Count -= skipped;
+    it += skipped;
+    if (it.size() > 0)
+      rest.push_back(it);
+  }
+  return rest;
+}
+
+Response makeMalformedResponse(ErrorCode Error) {
+  constexpr unsigned BadRequest = 400;
+  constexpr unsigned PayloadTooLarge = 413;
+  bool tooLarge = Error == beast::http::error::body_limit ||
+                  Error == beast::http::error::header_limit ||
+                  Error == beast::http::error::buffer_overflow;
+  boost::json::value body = {{"error", "malformed HTTP: " + Error.message()}};
+  return jsonResponse(tooLarge ? PayloadTooLarge : BadRequest,
+                      boost::json::serialize(body));
+}
+
+/// The response to a request that has not run for lack of memory.
+Response makeShedResponse() {
+  constexpr unsigned ServiceUnavailable = 503;
+  Response response = jsonResponse(
+      ServiceUnavailable, R"({"error":"too many bytes are held for others"})");
+  response.Headers.push_back({"Retry-After", std::string(ShedRetryAfter)});
+  return response;
+}
+
+asio::awaitable<void> shed(Request /*Req*/, std::shared_ptr<Responder> Reply) {
+  Response response = makeShedResponse();
+  co_await Reply->send(std::move(response));
+}
+
 } // namespace
 
 // Removes the connection from the server also if `serve` did not run to its
 // end.
-Connection::~Connection() { Owner->Open.erase(this); }
+Connection::~Connection() {
+  holdResponse(0);
+  holdRequest(0);
+  Owner->Open.erase(this);
+}
 
 bool Connection::closesAfterResponse() const {
   return Owner->Draining || Owner->CloseAfterResponse;
@@ -63,16 +108,132 @@
 asio::awaitable<Outcome<Done>>
 Connection::sendBytes(std::vector<asio::const_buffer> Data) {
   std::shared_ptr<Connection> self = shared_from_this();
-  // Bounds the wait for a peer that does not read.
-  Deadline = monotonicNow() + Owner->Limits.IdleTimeout;
-  auto [ec, n] = co_await asio::async_write(Socket, Data, Awaited);
+  // `enforceProgress` bounds the wait for a peer that does not read.
   Deadline = NoDeadline;
+  std::size_t size = asio::buffer_size(Data);
+  ErrorCode ec;
+  std::size_t done = Socket.write_some(Data, ec);
+  if (ec == asio::error::would_block || ec == asio::error::try_again)
+    ec = {};
+  TimePoint now = monotonicNow();
+  Progress = recordSent(Progress, done, now);
+  // Bytes are held only if the kernel does not accept them all immediately.
+  if (!ec && done < size) {
+    holdResponse(size);
+    Owner->relieve(this, now);
+  }
+  while (!ec && done < size) {
+    std::vector<asio::const_buffer> rest = skipBytes(Data, done);
+    auto [failed, n] = co_await Socket.async_write_some(rest, Awaited);
+    ec = failed;
+    done += n;
+    Progress = recordSent(Progress, n, monotonicNow());
+  }
+  holdResponse(0);
   if (!ec)
     co_return Done{};
   close();
   co_return makePeerGoneFailure();
 }
 
+//===--- Slow readers -----------------------------------------------------===//
+
+void Connection::holdResponse(std::uint64_t Bytes) {
+  HeldCounts &held = Owner->Held;
+  held.ResponseBytes += Bytes - ResponseBytes;
+  ResponseBytes = Bytes;
+}
+
+void Connection::holdRequest(std::uint64_t Bytes) {
+  // Many small bodies must not prevent a large one.
+  if (Bytes <= SmallBodyBytes)
+    Bytes = 0;
+  Owner->Held.RequestBytes += Bytes - RequestBytes;
+  RequestBytes = Bytes;
+}
+
+bool Connection::fitsBody(std::uint64_t Bytes) const {
+  HeldTotals others = Owner->totals();
+  others.RequestBytes -= RequestBytes;
+  return fitsRequestBody(others, Bytes);
+}
+
+HeldResponse Connection::observeHeld(TimePoint Now) {
+  if (ResponseBytes > 0)
+    Progress = observeQueue(Progress, countUnacknowledged(Socket), true, Now);
+  return {ResponseBytes, Progress.LastProgress};
+}
+
+/// Resets the connection if its peer has stalled. Returns true if it did.
+bool Connection::enforceProgress(TimePoint Now) {
+  // A lingering connection is closed at its deadline.
+  if (!Progress.Pending || !Socket.is_open() ||
+      CurrentPhase == Phase::Lingering)
+    return false;
+  Progress = observeQueue(Progress, countUnacknowledged(Socket),
+                          ResponseBytes > 0, Now);
+  Millis timeout =
+      std::min(Owner->Limits.ReadStallTimeout, Owner->Limits.IdleTimeout);
+  if (!isStalled(Progress, timeout, Now))
+    return false;
+  ++Owner->Held.StalledResets;
+  ++Owner->Report.StalledResets;
+  resetSlowReader(Now);
+  return true;
+}
+
+void Connection::resetForMemory(TimePoint Now) {
+  ++Owner->Held.MemoryResets;
+  ++Owner->Report.MemoryResets;
+  resetSlowReader(Now);
+}
+
+void Connection::resetSlowReader(TimePoint Now) {
+  SlowReaderReport &report = Owner->Report;
+  report.ResetBytes += ResponseBytes;
+  report.LongestStall =
+      std::max(report.LongestStall,
+               std::chrono::duration_cast<Millis>(Now - Progress.LastProgress));
+  ErrorCode ec;
+  Tcp::endpoint peer = Socket.remote_endpoint(ec);
+  if (!ec)
+    report.LastPeer = toText(Address{peer.address().to_string(), peer.port()});
+  // The cancelled write releases its memory in the next turn of the event loop.
+  holdResponse(0);
+  abort();
+}
+
+void ServerState::relieve(const Connection *Growing, TimePoint Now) {
+  if (Limits.MaxHeldBytes > 0 && Held.ResponseBytes > Limits.MaxHeldBytes) {
+    std::vector<std::shared_ptr<Connection>> connections;
+    std::vector<HeldResponse> held;
+    std::optional<std::size_t> kept;
+    for (Connection *it : Open) {
+      HeldResponse response = it->observeHeld(Now);
+      if (response.Bytes == 0)
+        continue;
+      if (it == Growing)
+        kept = held.size();
+      held.push_back(response);
+      connections.push_back(it->shared_from_this());
+    }
+    for (std::size_t it : chooseResets(held, Limits.MaxHeldBytes, kept))
+      connections[it]->resetForMemory(Now);
+  }
+  Held.MaxResponseBytes = std::max(Held.MaxResponseBytes, Held.ResponseBytes);
+}
+
+void ServerState::endLongOverload(TimePoint Now) {
+  if (Limits.MaxHeldBytes == 0 || Held.ResponseBytes <= Limits.MaxHeldBytes) {
+    OverloadedSince.reset();
+    return;
+  }
+  if (!OverloadedSince)
+    OverloadedSince = Now;
+  if (Now - *OverloadedSince >= Limits.ReadStallTimeout)
+    relieve(nullptr, Now);
+}
+
 void Connection::close() {
   ErrorCode ec;
   Socket.close(ec);
@@ -101,7 +262,7 @@
 /// whether the connection ends. If another read follows, it is cancelled by the
 /// next call.
 void Connection::enforceDeadline(TimePoint Now) {
-  if (Now < Deadline)
+  if (enforceProgress(Now) || Now < Deadline)
     return;
   ErrorCode ec;
   if (CurrentPhase == Phase::Idle || CurrentPhase == Phase::Reading)
@@ -112,6 +273,7 @@
 
 asio::awaitable<void> Connection::serve() {
   std::shared_ptr<Connection> self = shared_from_this();
+  const Handler shedHandler = shed;
   bool more = true;
   while (more && Socket.is_open()) {
     more = false;
@@ -132,7 +294,9 @@
           Header{std::string(it.name_string()), std::string(it.value())});
     }
     req.Body = std::move(parse.get().body());
-    more = co_await handle(std::move(req), version, keepAlive);
+    const Handler &handler = ShedsRequest ? shedHandler : Owner->Handle;
+    more = co_await handle(std::move(req), version, keepAlive, handler);
+    holdRequest(0);
     if (!more && Socket.is_open())
       co_await linger();
   }
@@ -163,19 +327,42 @@
   Parse.header_limit(MaxHeadBytes);
   Parse.body_limit(Owner->Limits.MaxBody);
   ErrorCode ec = co_await readHead(Parse);
-  if (!ec)
-    ec = co_await readBody(Parse);
+  if (!ec) {
+    std::uint64_t announced = Parse.content_length().value_or(0);
+    ShedsRequest = shouldShed(Owner->totals(), announced);
+    if (ShedsRequest) {
+      ++Owner->Held.ShedRequests;
+      ++Owner->Report.ShedRequests;
+    }
+    // The body of a request that is shed is read only if it is small; otherwise
+    // the connection ends.
+    bool small = announced <= SmallBodyBytes && !Parse.chunked();
+    if (ShedsRequest && !small)
+      ec = asio::error::no_buffer_space;
+    else
+      ec = co_await readBody(Parse);
+  }
   Deadline = NoDeadline;
   if (!ec)
     co_return true;
+  // Releases the memory before the connection lingers.
+  std::string().swap(Parse.get().body());
+  holdRequest(0);
+  if (ec == asio::error::no_buffer_space) {
+    Response reply = makeShedResponse();
+    co_await refuse(std::move(reply));
+    co_return false;
+  }
   // Responds to malformed requests, but not to truncated ones, whose sender has
   // disconnected.
   bool malformed =
       ec.category() ==
       beast::http::make_error_code(beast::http::error::bad_method).category();
   if (malformed && ec != beast::http::error::partial_message &&
-      ec != beast::http::error::end_of_stream)
-    co_await refuse(ec);
+      ec != beast::http::error::end_of_stream) {
+    Response reply = makeMalformedResponse(ec);
+    co_await refuse(std::move(reply));
+  }
   co_return false;
 }
 
@@ -200,6 +387,13 @@
   Parse.eager(true);
   while (!Parse.is_done()) {
     ErrorCode failed = feed(Buffer, Parse);
+    std::uint64_t received = Parse.get().body().size();
+    if (received > RequestBytes && !fitsBody(received)) {
+      ++Owner->Held.ShedRequests;
+      ++Owner->Report.ShedRequests;
+      co_return asio::error::no_buffer_space;
+    }
+    holdRequest(received);
     if (!failed)
       continue;
     if (failed != beast::http::error::need_more)
@@ -215,17 +409,8 @@
   co_return ErrorCode();
 }
 
-asio::awaitable<void> Connection::refuse(ErrorCode Error) {
-  constexpr unsigned BadRequest = 400;
-  constexpr unsigned PayloadTooLarge = 413;
-  bool tooLarge = Error == beast::http::error::body_limit ||
-                  Error == beast::http::error::header_limit ||
-                  Error == beast::http::error::buffer_overflow;
-  boost::json::value body = {{"error", "malformed HTTP: " + Error.message()}};
-  Response response = jsonResponse(tooLarge ? PayloadTooLarge : BadRequest,
-                                   boost::json::serialize(body));
-  std::string data =
-      writeHead(response, Framing::Length, false) + response.Body;
+asio::awaitable<void> Connection::refuse(Response Reply) {
+  std::string data = writeHead(Reply, Framing::Length, false) + Reply.Body;
   std::vector<asio::const_buffer> bytes{asio::buffer(data)};
   Outcome<Done> sent = co_await sendBytes(std::move(bytes));
   if (!sent)
@@ -251,7 +436,8 @@
 }
 
 asio::awaitable<bool> Connection::handle(Request Req, unsigned Version,
-                                         bool KeepAlive) {
+                                         bool KeepAlive,
+                                         const Handler &Handle) {
   constexpr unsigned InternalError = 500;
   std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>(
       shared_from_this(), Version, KeepAlive, Req.Method == "HEAD");
@@ -261,7 +447,7 @@
   watchForDisconnect();
   bool failed = false;
   try {
-    co_await Owner->Handle(std::move(Req), exchange);
+    co_await Handle(std::move(Req), exchange);
   } catch (const std::exception &) {
     failed = true;
   }
--- a/Wasabi/Adapters/Http/HttpConnection.h
+++ b/Wasabi/Adapters/Http/HttpConnection.h
@@ -5,6 +5,7 @@
 #define WASABI_ADAPTERS_HTTP_HTTPCONNECTION_H
 
 #include "Wasabi/Adapters/Http/HttpServer.h"
+#include "Wasabi/Adapters/Http/SlowReaders.h"
 #include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/buffer.hpp>
@@ -14,6 +15,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <memory>
+#include <optional>
 #include <unordered_set>
 #include <vector>
 
@@ -30,6 +32,17 @@
       : Limits(std::move(Limits)), Handle(std::move(Handle)),
         CapacityTimer(Context) {}
 
+  /// Returns what is held, for the decisions in SlowReaders.h.
+  HeldTotals totals() const {
+    return {Held.ResponseBytes, Held.RequestBytes, Limits.MaxHeldBytes};
+  }
+  /// Resets connections while responses hold more than the maximum; not
+  /// `Growing`, whose response has just begun to be held.
+  void relieve(const Connection *Growing, TimePoint Now);
+  /// Resets connections also if a single response exceeds the maximum, once
+  /// that has lasted for `ReadStallTimeout`. Called at regular intervals.
+  void endLongOverload(TimePoint Now);
+
   const Server::Settings Limits;
   const Handler Handle;
   bool Draining = false;
@@ -38,6 +51,11 @@
   bool CloseAfterResponse = false;
   std::size_t InFlight = 0;
   std::unordered_set<Connection *> Open;
+  HeldCounts Held;
+  /// Resets and shed requests that have not been reported.
+  SlowReaderReport Report;
+  /// Since when responses hold more than the maximum; empty if they do not.
+  std::optional<TimePoint> OverloadedSince;
   /// Cancelled when a connection closes, to wake an accept loop that has
   /// reached the limit.
   BootTimer CapacityTimer;
@@ -71,6 +89,11 @@
   /// True if the connection closes after its next response.
   bool closesAfterResponse() const;
 
+  /// The response that is held for the peer, with its present progress.
+  HeldResponse observeHeld(TimePoint Now);
+  /// Resets the connection because its response holds too many bytes.
+  void resetForMemory(TimePoint Now);
+
 private:
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -79,10 +102,15 @@
   boost::asio::awaitable<bool> readRequest(Parser &Parse);
   boost::asio::awaitable<boost::system::error_code> readHead(Parser &Parse);
   boost::asio::awaitable<boost::system::error_code> readBody(Parser &Parse);
-  boost::asio::awaitable<void> refuse(boost::system::error_code Error);
+  boost::asio::awaitable<void> refuse(Response Reply);
   boost::asio::awaitable<void> linger();
   boost::asio::awaitable<bool> handle(Request Req, unsigned Version,
-                                      bool KeepAlive);
+                                      bool KeepAlive, const Handler &Handle);
+  bool enforceProgress(TimePoint Now);
+  void resetSlowReader(TimePoint Now);
+  void holdResponse(std::uint64_t Bytes);
+  void holdRequest(std::uint64_t Bytes);
+  bool fitsBody(std::uint64_t Bytes) const;
   void watchForDisconnect();
   void onReadable();
   void notifyPeerGone();
@@ -105,7 +133,14 @@
   std::weak_ptr<Exchange> Current;
   /// The time at which `enforceDeadline` takes effect.
   TimePoint Deadline = TimePoint::max();
+  SendProgress Progress;
+  /// Bytes of the response that is being written, and of the body of the
+  /// current request; both are included in the totals of the server.
+  std::uint64_t ResponseBytes = 0;
+  std::uint64_t RequestBytes = 0;
   Phase CurrentPhase = Phase::Idle;
+  /// True if the current request is refused without running it.
+  bool ShedsRequest = false;
   /// True while a wait for readability is pending.
   bool WaitingForReadable = false;
 };
--- a/Wasabi/Adapters/Http/HttpServer.cpp
+++ b/Wasabi/Adapters/Http/HttpServer.cpp
@@ -30,6 +30,9 @@
 /// Bounds of the interval at which deadlines of connections are checked.
 constexpr Millis MinSweepInterval{5};
 constexpr Millis MaxSweepInterval{500};
+/// Minimum time between two reports on slow readers, which bounds the log lines
+/// that they cause.
+constexpr Millis ReportInterval{1000};
 
 class ServerImpl final : public Server {
 public:
@@ -44,6 +47,7 @@
   Address address() const override { return BoundAddress; }
   std::size_t inFlight() const override { return Shared->InFlight; }
   std::size_t connections() const override { return Shared->Open.size(); }
+  HeldCounts held() const override { return Shared->Held; }
   void closeAfterResponses() override { Shared->CloseAfterResponse = true; }
   void drain() override;
   void stop() override;
@@ -54,6 +58,7 @@
   }
   asio::awaitable<void> acceptLoop();
   asio::awaitable<void> sweepLoop();
+  void reportSlowReaders(TimePoint Now);
   void adopt(Tcp::socket Socket);
   void acceptQueued();
 
@@ -62,6 +67,8 @@
   Tcp::acceptor Acceptor;
   BootTimer SweepTimer;
   Address BoundAddress;
+  /// The earliest time of the next report on slow readers.
+  TimePoint NextReport;
   bool Stopped = false;
 };
 
@@ -125,9 +132,9 @@
 }
 
 asio::awaitable<void> ServerImpl::sweepLoop() {
-  Millis shortest =
-      std::min({Shared->Limits.IdleTimeout, Shared->Limits.HeadTimeout,
-                Shared->Limits.DrainGracePeriod});
+  Millis shortest = std::min(
+      {Shared->Limits.IdleTimeout, Shared->Limits.HeadTimeout,
+       Shared->Limits.DrainGracePeriod, Shared->Limits.ReadStallTimeout});
   Millis interval =
       std::clamp(shortest / 4, MinSweepInterval, MaxSweepInterval);
   while (!Stopped && !(Shared->Draining && Shared->Open.empty())) {
@@ -141,12 +148,26 @@
       open.push_back(it->shared_from_this());
     for (const std::shared_ptr<Connection> &it : open)
       it->enforceDeadline(now);
+    Shared->endLongOverload(now);
+    reportSlowReaders(now);
   }
 }
 
+void ServerImpl::reportSlowReaders(TimePoint Now) {
+  if (Shared->Report == SlowReaderReport() || Now < NextReport)
+    return;
+  NextReport = Now + ReportInterval;
+  SlowReaderReport report = std::move(Shared->Report);
+  Shared->Report = SlowReaderReport();
+  if (Shared->Limits.OnSlowReaders)
+    Shared->Limits.OnSlowReaders(report);
+}
+
 void ServerImpl::adopt(Tcp::socket Socket) {
   ErrorCode ec;
   Socket.set_option(Tcp::no_delay(true), ec);
+  // Concerns calls that are not asynchronous only.
+  Socket.non_blocking(true, ec);
   std::shared_ptr<Connection> connection =
       std::make_shared<Connection>(std::move(Socket), Shared);
   Shared->Open.insert(connection.get());
--- a/Wasabi/Adapters/Http/HttpServer.h
+++ b/Wasabi/Adapters/Http/HttpServer.h
@@ -45,13 +45,46 @@
   virtual void onGone(std::function<void()> Callback) = 0;
 };
 
+/// What a server holds for its peers, and what it has done to bound that since
+/// its start. An immutable value.
+struct HeldCounts {
+  /// Bytes of responses that clients have not taken, and the most so far. A
+  /// response counts whole until its last byte is accepted by the kernel.
+  std::uint64_t ResponseBytes = 0;
+  std::uint64_t MaxResponseBytes = 0;
+  /// Bytes of bodies above `SmallBodyBytes` of requests that are being received
+  /// or handled.
+  std::uint64_t RequestBytes = 0;
+  /// Connections reset because their client took no byte of a response.
+  std::uint64_t StalledResets = 0;
+  /// Connections reset because responses held too many bytes.
+  std::uint64_t MemoryResets = 0;
+  /// Requests answered with 503 without running them.
+  std::uint64_t ShedRequests = 0;
+  bool operator==(const HeldCounts &) const = default;
+};
+
+/// Resets and shed requests since the previous report. An immutable value.
+struct SlowReaderReport {
+  std::uint64_t StalledResets = 0;
+  std::uint64_t MemoryResets = 0;
+  std::uint64_t ShedRequests = 0;
+  /// Response bytes that the reset connections held.
+  std::uint64_t ResetBytes = 0;
+  /// The longest time that one of them had taken no byte.
+  Millis LongestStall{0};
+  /// Peer of the last reset; empty if there was none.
+  std::string LastPeer;
+  bool operator==(const SlowReaderReport &) const = default;
+};
+
 using Handler = std::function<boost::asio::awaitable<void>(
     Request, std::shared_ptr<Responder>)>;
 
 /// Accepts connections and runs a handler per request. Responds to malformed
 /// requests with 400 and to oversized ones with 413, both with a JSON body
-/// `{"error":…}`. Not thread-safe: construct, use and stop on the thread of the
-/// context.
+/// `{"error":…}`. Resets clients that do not read. Not thread-safe: construct,
+/// use and stop on the thread of the context.
 class Server : public std::enable_shared_from_this<Server> {
 public:
   struct Settings {
@@ -65,6 +98,21 @@
     /// Connections that are idle, or that make no progress with a read or
     /// write, are closed after this time.
     Millis IdleTimeout{60000};
+    /// A connection whose client takes no byte of a pending response for this
+    /// time is reset; `IdleTimeout` applies if it is shorter. Bytes count as
+    /// taken once acknowledged, so the granularity is a TCP segment.
+    Millis ReadStallTimeout{5000};
+    /// Maximum number of response bytes that are held for all clients; 0 for
+    /// unlimited. Above it, the connection that has gone longest without
+    /// progress is reset first, and new requests are answered with 503 and
+    /// `Retry-After`. A response that alone exceeds it may be sent for
+    /// `ReadStallTimeout`. Bodies of requests that are received or handled are
+    /// bounded by the same number: a body that does not fit is refused with
+    /// 503, unless it is small or the only one.
+    std::uint64_t MaxHeldBytes = 0;
+    /// Receives resets and shed requests, at most once per second and only if
+    /// there are any. Must not stop the server.
+    std::function<void(const SlowReaderReport &)> OnSlowReaders;
     /// Time limit for receiving a request head after its first bytes.
     Millis HeadTimeout{10000};
     /// How long a draining server keeps an idle connection open for a request
@@ -84,6 +132,8 @@
   virtual std::size_t inFlight() const = 0;
   /// Number of open connections.
   virtual std::size_t connections() const = 0;
+  /// Bytes that are held for peers, and the actions that bound them.
+  virtual HeldCounts held() const = 0;
   /// Closes each connection after its next response, but still accepts
   /// connections, for callers that have not yet noticed the shutdown.
   virtual void closeAfterResponses() = 0;
--- a/Wasabi/Adapters/Http/HttpWire.cpp
+++ b/Wasabi/Adapters/Http/HttpWire.cpp
@@ -3,8 +3,11 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/status.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 
@@ -98,6 +101,14 @@
   return PeerState::Closed;
 }
 
+std::uint64_t countUnacknowledged(boost::asio::ip::tcp::socket &Socket) {
+  int bytes = 0;
+  if (!Socket.is_open() ||
+      ::ioctl(Socket.native_handle(), SIOCOUTQ, &bytes) != 0)
+    return 0;
+  return static_cast<std::uint64_t>(std::max(bytes, 0));
+}
+
 void reset(boost::asio::ip::tcp::socket &Socket) {
   boost::system::error_code ec;
   // With a linger time of 0, close sends a reset.
--- a/Wasabi/Adapters/Http/HttpWire.h
+++ b/Wasabi/Adapters/Http/HttpWire.h
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -43,6 +44,10 @@
 /// Precondition: the socket is open.
 PeerState peek(boost::asio::ip::tcp::socket &Socket);
 
+/// Returns the number of sent bytes that the peer has not acknowledged; 0 if
+/// the socket is closed.
+std::uint64_t countUnacknowledged(boost::asio::ip::tcp::socket &Socket);
+
 /// Closes the socket with a reset, which the peer sees as a lost connection.
 void reset(boost::asio::ip::tcp::socket &Socket);
 
