--- a/UnitTests/Adapters/Http/SlowReaderServerTests.cpp
+++ b/UnitTests/Adapters/Http/SlowReaderServerTests.cpp
@@ -296,7 +296,7 @@
           "[http]") {
   constexpr std::size_t BodyBytes = 80000;
   HttpFixture fixture;
-  OneShotEvent finish(fixture.Context);
+  bool finish = false;
   Server::Settings limits;
   limits.MaxHeldBytes = BodyBytes;
   unsigned large = 0;
@@ -305,7 +305,7 @@
           std::shared_ptr<Responder> Reply) -> asio::awaitable<void> {
         if (Req.Body.size() > SmallBodyBytes) {
           ++large;
-          co_await finish.wait();
+          co_await waitFor(fixture, [&] { return finish; });
         }
         Response response = jsonResponse(200, "{}");
         co_await Reply->send(std::move(response));
@@ -335,7 +335,7 @@
     Response small = co_await callSmall(fixture);
     CHECK(small.Status == 200);
     CHECK(large == 1);
-    finish.set();
+    finish = true;
     text = co_await HttpFixture::readAll(first, ended);
     CHECK_THAT(text, Catch::Matchers::StartsWith("HTTP/1.1 200 "));
     CHECK(fixture.Serving->held().RequestBytes == 0);
