Server selection: estimates live longer where requests are rare

Cause: with a half-life of 1 s a process that sends one request in some seconds forgets which servers are slow from one request to the next, and then chooses among all of them at random. Change: the half-life is the time of four answers of the service to this process, 1 to 10 s. Test: a process with a request each 3 s keeps off a slow server.

--- a/UnitTests/Upstream/ServerSelectionTest.cpp
+++ b/UnitTests/Upstream/ServerSelectionTest.cpp
@@ -401,6 +401,21 @@
   }
 }
 
+// Guards against processes with few requests that forget a slow server from one
+// request to the next, as many processes before few servers do.
+TEST_CASE("A process with few requests remembers which servers are slow",
+          "[upstream]") {
+  UpstreamTable table = makeTable({"a", "b", "c"});
+  constexpr Millis Interval{3000};
+  TimePoint now = Start;
+  for (int i = 0; i < 60; ++i) {
+    const char *id = i % 3 == 0 ? "a" : i % 3 == 1 ? "b" : "c";
+    recordAnswer(table, serverOf(table, id), i % 3 == 0 ? 150 : 25, now);
+    now += Interval;
+  }
+  CHECK(countChoices(table, makeQuery(), now).count("a") == 0);
+}
+
 // Guards against a domain that queues while others are idle, and against
 // charged bytes between domains without need.
 TEST_CASE("Demand beyond the room of a domain spills over and returns",
--- a/Wasabi/Upstream/ServerSelection.cpp
+++ b/Wasabi/Upstream/ServerSelection.cpp
@@ -18,8 +18,13 @@
 /// Maximum estimate as a multiple of the typical latency. A server that is
 /// slower gets no less work, but would take longer to be used again.
 constexpr double MaxSlowness = 8.0;
-/// Time in which an estimate loses half of its distance to the typical latency.
-constexpr Millis LatencyHalfLife{1000};
+/// Time in which an estimate loses half of its distance to the typical latency:
+/// that of this many answers of the service to this process, within the limits.
+/// A process that sends one request in some seconds would otherwise forget
+/// which servers are slow from one request to the next.
+constexpr double AnswersPerHalfLife = 4;
+constexpr double MinHalfLifeMs = 1000;
+constexpr double MaxHalfLifeMs = 10'000;
 /// Servers within this factor of the best one are chosen at random.
 constexpr double CloseFactor = 1.5;
 /// All requests stay in the preferred domain while its best server is within
@@ -60,6 +65,7 @@
 /// What the estimates of all servers of one service have in common.
 struct EstimateBasis {
   double TypicalMs = DefaultLatencyMs;
+  double HalfLifeMs = MinHalfLifeMs;
   /// Factor by which others' latencies are multiplied. Processes send requests
   /// of unlike work, so their latencies differ at the same server.
   double OthersScale = 1;
@@ -76,9 +82,20 @@
 }
 
 /// Returns the part of a measurement that remains after `AgeMs`, from 0 to 1.
-double remainingPart(double AgeMs) {
-  return std::exp2(-std::max(AgeMs, 0.0) /
-                   static_cast<double>(LatencyHalfLife.count()));
+double remainingPart(double AgeMs, double HalfLifeMs) {
+  return std::exp2(-std::max(AgeMs, 0.0) / HalfLifeMs);
+}
+
+double halfLifeMs(const TypicalLatency &Typical) {
+  return std::clamp(Typical.IntervalMs * AnswersPerHalfLife, MinHalfLifeMs,
+                    MaxHalfLifeMs);
+}
+
+/// Returns the half-life of the estimates of a service.
+double halfLifeMs(const UpstreamTable &Table, const ServiceName &Service) {
+  auto it = Table.TypicalLatencies.find(Service);
+  return it == Table.TypicalLatencies.end() ? MinHalfLifeMs
+                                            : halfLifeMs(it->second);
 }
 
 bool isPlausible(const ServerLoad &Load) {
@@ -87,24 +104,25 @@
          Load.Samples > 0 && Load.Samples <= MaxReportedSamples;
 }
 
-/// Returns the estimate after a sample that follows `AgeMs` after the one
-/// before. A sample that shows a recovery counts as much as the estimate has
-/// lost by its age, so that the few samples of a rarely used server suffice.
-double addSample(double EstimateMs, double SampleMs, double AgeMs) {
-  double weight = SampleMs > EstimateMs
-                      ? RiseWeight
-                      : std::max(FallWeight, 1 - remainingPart(AgeMs));
+/// Returns the estimate after a sample. `Remaining` is the part of the former
+/// estimate that its age has left, from 0 to 1. A sample that shows a recovery
+/// counts as much as the estimate has lost, so that the few samples of a rarely
+/// used server suffice.
+double addSample(double EstimateMs, double SampleMs, double Remaining) {
+  double weight =
+      SampleMs > EstimateMs ? RiseWeight : std::max(FallWeight, 1 - Remaining);
   return EstimateMs + weight * (SampleMs - EstimateMs);
 }
 
 /// Returns the local estimate of a server, aged toward the typical latency.
 WeightedLatency agedLatency(const UpstreamServer &Server, double TypicalMs,
-                            TimePoint Now) {
+                            double HalfLifeMs, TimePoint Now) {
   if (Server.SmoothedLatencyMs <= 0)
     return {TypicalMs, 0};
   if (!Server.LatencyMeasuredAt)
     return {Server.SmoothedLatencyMs, 1};
-  double part = remainingPart(millisBetween(*Server.LatencyMeasuredAt, Now));
+  double part =
+      remainingPart(millisBetween(*Server.LatencyMeasuredAt, Now), HalfLifeMs);
   return {TypicalMs + part * (Server.SmoothedLatencyMs - TypicalMs),
           part * Server.LatencySamples};
 }
@@ -123,7 +141,8 @@
                            TimePoint Now) {
   if (Report == nullptr || !isPlausible(*Report))
     return {Basis.TypicalMs, 0};
-  double part = remainingPart(millisBetween(Report->MeasuredAt, Now));
+  double part =
+      remainingPart(millisBetween(Report->MeasuredAt, Now), MinHalfLifeMs);
   double latencyMs = std::min(Report->LatencyMs * Basis.OthersScale,
                               Basis.TypicalMs * MaxSlowness);
   return {Basis.TypicalMs + part * (latencyMs - Basis.TypicalMs),
@@ -145,6 +164,7 @@
                         const ServiceLoad *Others, TimePoint Now) {
   EstimateBasis basis;
   basis.TypicalMs = typicalLatencyMs(Table, Service, Others);
+  basis.HalfLifeMs = halfLifeMs(Table, Service);
   if (Others == nullptr)
     return basis;
   std::vector<double> ratios;
@@ -163,7 +183,8 @@
 double estimateLatencyMs(const EstimateBasis &Basis,
                          const UpstreamServer &Server,
                          const ServiceLoad *Others, TimePoint Now) {
-  WeightedLatency local = agedLatency(Server, Basis.TypicalMs, Now);
+  WeightedLatency local =
+      agedLatency(Server, Basis.TypicalMs, Basis.HalfLifeMs, Now);
   WeightedLatency other =
       agedReport(findReport(Server, Others, Now), Basis, Now);
   double samples = local.Samples + other.Samples;
@@ -177,7 +198,7 @@
     double ageMs = millisBetween(it, Now);
     if (ageMs <= result || ++counted > MaxAgeSamples)
       break;
-    result = addSample(result, ageMs, 0);
+    result = addSample(result, ageMs, 1);
   }
   return result;
 }
@@ -377,13 +398,14 @@
 double averageLatencyMs(const UpstreamTable &Table, const ServiceName &Service,
                         const StoreContact &Contact, TimePoint Now) {
   double typicalMs = typicalLatencyMs(Table, Service, nullptr);
+  double halfLife = halfLifeMs(Table, Service);
   double sum = 0;
   std::uint32_t known = 0;
   for (const std::shared_ptr<UpstreamServer> &it :
        findUsableServers(Table, Service, Contact, Now)) {
     if (it->SmoothedLatencyMs <= 0)
       continue;
-    sum += agedLatency(*it, typicalMs, Now).Ms;
+    sum += agedLatency(*it, typicalMs, halfLife, Now).Ms;
     ++known;
   }
   return known == 0 ? 0 : sum / known;
@@ -405,8 +427,14 @@
 
 /// Moves the typical latency toward a sample by a bounded factor, so that it
 /// follows the median and a few very long answers hardly change it.
-void updateTypical(TypicalLatency &Typical, double LatencyMs) {
+void updateTypical(TypicalLatency &Typical, double LatencyMs, TimePoint Now) {
   constexpr double MinStep = 0.05;
+  constexpr double IntervalWeight = 0.1;
+  if (Typical.LastAnswer)
+    Typical.IntervalMs +=
+        IntervalWeight *
+        (millisBetween(*Typical.LastAnswer, Now) - Typical.IntervalMs);
+  Typical.LastAnswer = Now;
   ++Typical.Samples;
   if (Typical.Ms <= 0) {
     Typical.Ms = LatencyMs;
@@ -417,12 +445,13 @@
       std::clamp(LatencyMs, Typical.Ms / (1 + step), Typical.Ms * (1 + step));
 }
 
-void updateLatency(UpstreamServer &Server, double TypicalMs, double SampleMs,
-                   TimePoint Now) {
-  WeightedLatency aged = agedLatency(Server, TypicalMs, Now);
+void updateLatency(UpstreamServer &Server, double TypicalMs, double HalfLifeMs,
+                   double SampleMs, TimePoint Now) {
+  WeightedLatency aged = agedLatency(Server, TypicalMs, HalfLifeMs, Now);
   double ageMs = millisBetween(Server.LatencyMeasuredAt.value_or(Now), Now);
   Server.SmoothedLatencyMs =
-      addSample(aged.Ms, std::min(SampleMs, TypicalMs * MaxSlowness), ageMs);
+      addSample(aged.Ms, std::min(SampleMs, TypicalMs * MaxSlowness),
+                remainingPart(ageMs, HalfLifeMs));
   Server.LatencySamples = aged.Samples + 1;
   Server.LatencyMeasuredAt = Now;
 }
@@ -436,15 +465,17 @@
   if (!std::isfinite(LatencyMs) || LatencyMs <= 0)
     return;
   TypicalLatency &typical = Table.TypicalLatencies[Server.Entry.Service];
-  updateTypical(typical, LatencyMs);
-  updateLatency(Server, typical.Ms, LatencyMs, Now);
+  updateTypical(typical, LatencyMs, Now);
+  updateLatency(Server, typical.Ms, halfLifeMs(typical), LatencyMs, Now);
 }
 
 void recordUnanswered(const UpstreamTable &Table, UpstreamServer &Server,
                       double AgeMs, TimePoint Now) {
   double typicalMs = typicalLatencyMs(Table, Server.Entry.Service, nullptr);
-  if (std::isfinite(AgeMs) && AgeMs > agedLatency(Server, typicalMs, Now).Ms)
-    updateLatency(Server, typicalMs, AgeMs, Now);
+  double halfLife = halfLifeMs(Table, Server.Entry.Service);
+  if (std::isfinite(AgeMs) &&
+      AgeMs > agedLatency(Server, typicalMs, halfLife, Now).Ms)
+    updateLatency(Server, typicalMs, halfLife, AgeMs, Now);
 }
 
 std::vector<std::shared_ptr<UpstreamServer>>
--- a/Wasabi/Upstream/UpstreamTable.h
+++ b/Wasabi/Upstream/UpstreamTable.h
@@ -90,6 +90,10 @@
   double Ms = 0;
   /// Number of answers so far.
   std::uint64_t Samples = 0;
+  /// Exponentially smoothed time between two answers in milliseconds, and the
+  /// time of the last one; 0 and empty before the second and the first answer.
+  double IntervalMs = 0;
+  std::optional<TimePoint> LastAnswer;
 };
 
 /// A registration that could not be decoded or is invalid.
