Trials are hedged at twice the typical latency

Change: a trial is hedged early, out of the budget of the trials. Test: no caller of a trial waits for the slow server.

--- a/UnitTests/Upstream/HedgingTest.cpp
+++ b/UnitTests/Upstream/HedgingTest.cpp
@@ -438,6 +438,24 @@
   }
 }
 
+TEST_CASE("A trial at a server that is still slow does not delay its caller",
+          "[upstream][hedging]") {
+  // Guards against callers that pay for finding out whether a server has
+  // recovered.
+  HedgingFixture fixture(0);
+  fixture.addServer("fast", {Reply::Answers, Millis(5)}, 5);
+  fixture.addServer("slow", {Reply::Answers, LatencyTarget * 2}, 300);
+  for (int i = 0; i < 40; ++i) {
+    std::shared_ptr<PendingAnswer> sent =
+        fixture.finish(fixture.startRequest());
+    REQUIRE(*sent->Got);
+    CHECK(sent->Took < LatencyTarget);
+  }
+  CHECK(fixture.count("trial_requests_total") >= 1);
+  CHECK(fixture.count("hedges_won_total") ==
+        fixture.count("trial_requests_total"));
+}
+
 TEST_CASE("A request that is answered in the usual time is not hedged",
           "[upstream][hedging]") {
   // Guards against load that healthy servers don't need.
--- a/Wasabi/Upstream/ForwardProgress.h
+++ b/Wasabi/Upstream/ForwardProgress.h
@@ -27,6 +27,8 @@
   bool Refused = false;
   /// True once the request has been added to the budget of trial requests.
   bool CountedForTrials = false;
+  /// True if `Server` was chosen as a trial: it looks slow.
+  bool IsTrial = false;
   std::shared_ptr<UpstreamServer> Server;
   std::shared_ptr<GuardedRequest> Guard;
   /// Usage recorded for this request; empty while none is recorded.
--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -135,6 +135,7 @@
   if (!State.CountedForTrials)
     Trials = addSuccess(Trials);
   State.CountedForTrials = true;
+  State.IsTrial = Choice.Trial;
   if (Choice.Trial) {
     Trials = spend(Trials);
     Counts
--- a/Wasabi/Upstream/ForwarderHedging.cpp
+++ b/Wasabi/Upstream/ForwarderHedging.cpp
@@ -147,7 +147,7 @@
       selectHedgeServer(State, first, monotonicNow());
   if (!server)
     return;
-  if (!canSpend(Hedges.Budget)) {
+  if (!State.IsTrial && !canSpend(Hedges.Budget)) {
     if (!Race->IsSuppressed)
       Counts
           .counter("hedges_suppressed_total",
@@ -156,7 +156,9 @@
     Race->IsSuppressed = true;
     return;
   }
-  Hedges.Budget = spend(Hedges.Budget);
+  // The budget of the trials bounds the hedges of trials.
+  if (!State.IsTrial)
+    Hedges.Budget = spend(Hedges.Budget);
   ++Race->Hedges;
   Counts.counter("hedges_started_total", "Second attempts of slow requests")
       .add();
@@ -258,6 +260,9 @@
     race->Changed.notify();
   });
   Micros delay = hedgeDelay(Hedges, State.Route, State.Service);
+  if (State.IsTrial)
+    delay = std::min(delay, trialHedgeDelay(typicalLatencyMs(
+                                View.Servers, State.Service, nullptr)));
   startCall(State, race, beginAttempt(State, State.Server),
             attemptTimeout(State));
   TimePoint nextCheck = race->Attempts.front()->Start + delay;
--- a/Wasabi/Upstream/Hedging.cpp
+++ b/Wasabi/Upstream/Hedging.cpp
@@ -55,6 +55,12 @@
   return std::min(std::max<Micros>(delay, State.Limits.MinDelay), limit);
 }
 
+Micros trialHedgeDelay(double TypicalMs) {
+  constexpr double TypicalFactor = 2;
+  return std::chrono::duration_cast<Micros>(
+      std::chrono::duration<double, std::milli>(TypicalMs * TypicalFactor));
+}
+
 bool isHedgeUseful(const HedgeCandidate &Candidate) {
   double firstRemainingMs =
       std::max(Candidate.FirstExpectedMs - Candidate.AgeMs, Candidate.AgeMs);
--- a/Wasabi/Upstream/Hedging.h
+++ b/Wasabi/Upstream/Hedging.h
@@ -83,6 +83,12 @@
 Micros hedgeDelay(const Hedging &State, const UpstreamRoute &Route,
                   const ServiceName &Service);
 
+/// Returns the age at which a trial request to a server that looks slow is
+/// hedged: twice the typical latency of the service, in milliseconds. The
+/// caller should not pay for finding out whether the server has recovered.
+/// Pure.
+Micros trialHedgeDelay(double TypicalMs);
+
 /// An attempt in flight and the best server for a second one. All times are in
 /// milliseconds. An immutable value.
 struct HedgeCandidate {
