Comments: reasons and figures behind constants of the dispatcher

The wording of the code had deleted the figures and reasons behind some time limits, sizes and thresholds. They stand again, in one or two sentences each, as far as they are still true. No code changes.

--- a/Wasabi/Batch/PayloadStore.h
+++ b/Wasabi/Batch/PayloadStore.h
@@ -35,14 +35,15 @@
     Millis AppendTimeout{800};
     /// Maximum size of a record in bytes; below the store's own limit.
     std::size_t MaxRecordBytes = 64000;
-    /// Maximum size of one append in bytes; below the store's own limit.
+    /// Maximum size of one append in bytes; the store's own limit is twice
+    /// that.
     std::size_t MaxAppendBytes = 1000000;
     /// Maximum size of one read in bytes, unless a single record is longer.
     /// Payloads that are read together are stored next to each other, so
     /// records that follow the requested one are cached, too.
     std::size_t MaxReadBytes = 128u << 10;
     /// Maximum size of the cache in bytes; holds what a reader fetches within
-    /// about a second.
+    /// about a second, at 1 MB/s.
     std::size_t MaxCacheBytes = 2u << 20;
   };
 
--- a/Wasabi/Batch/RolloutLog.h
+++ b/Wasabi/Batch/RolloutLog.h
@@ -36,7 +36,8 @@
     /// Mean delay after a failed read; grows while reads fail.
     Millis RetryDelay{100};
     /// Maximum size of one read in bytes. Small enough that reads succeed
-    /// within their time limit when all processes read the topic at once.
+    /// within their time limit when all processes read the topic at once: 50 of
+    /// them get this much within 0.2 s at 80 MB/s.
     std::size_t MaxReadBytes = 256u << 10;
     /// Time for which the topic is followed after the state was last needed;
     /// empty to follow it always. The bytes read in a deployment grow with its
--- a/Wasabi/Customers/ServedShares.h
+++ b/Wasabi/Customers/ServedShares.h
@@ -1,7 +1,8 @@
 /// \file
 /// Tracks which fraction of each customer's recent requests was served. Under
 /// overload, customers get equal shares; one whose fraction falls far below the
-/// fraction of all requests is preferred.
+/// fraction of all requests is preferred: with equal shares alone the small
+/// customers are served almost always and a large one almost never.
 #ifndef WASABI_CUSTOMERS_SERVEDSHARES_H
 #define WASABI_CUSTOMERS_SERVEDSHARES_H
 
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -111,20 +111,25 @@
   struct Settings {
     EnginePoolSettings Pool;
     StepPlannerSettings Planner;
-    /// Interval between checks of the runs and engines while there are items.
+    /// Interval between checks of the runs and engines while there are items: a
+    /// tenth of the shortest latency target.
     Millis MonitorInterval{50};
     /// Maximum time between two events of a run before it is cancelled and its
-    /// server counts as failed.
+    /// server counts as failed. An event takes some 40 ms, and a prompt that is
+    /// read beside it some 10 ms more.
     Millis RunStallTimeout{450};
     /// The same before the first event, which also waits for the prompt and for
-    /// a slot.
+    /// a slot: some 100 ms at an engine that has a free slot.
     Millis FirstEventTimeout{800};
-    /// The same while the engine loads weights.
+    /// The same while the engine loads weights, which takes 0.9 s, and longer
+    /// when several engines load.
     Millis LoadStallTimeout{2500};
     /// Interval between saves of texts in progress, from which a successor
-    /// resumes.
+    /// resumes. The longest texts take 7 s of a step's 7.5 s, and what is
+    /// generated again delays their trainer by as much.
     Millis SaveInterval{350};
-    /// Minimum number of new events of a text that is saved.
+    /// Minimum number of new events of a text that is saved; about as many
+    /// arrive between two saves.
     std::uint64_t MinSaveEvents = 8;
     /// Time that a result may wait for its append before texts in progress are
     /// no longer saved. After an outage of the store the results come first:
@@ -143,18 +148,20 @@
     Millis RetryDelay{60};
     /// Delay before a quarantined scoring call is tried again.
     Millis QuarantineRetryDelay{1000};
-    /// Maximum number of saved texts of a job that are fetched concurrently.
+    /// Maximum number of saved texts of a job that are fetched concurrently. An
+    /// answer of the store takes 4 ms, and a text consists of up to ten pieces.
     std::size_t MaxTextFetches = 8;
     /// Delay before an item that could not be read from the store is read
     /// again.
     Millis LoadRetryDelay{200};
     /// Time limit of the first scoring call of an item. It is shorter than the
-    /// later ones to replace a slow call early.
+    /// later ones to replace a slow call early: a call takes 80 ms, and one in
+    /// a hundred 400 ms.
     Millis FirstScoreCallTimeout{450};
     /// Time limit of each later scoring call.
     Millis ScoreCallTimeout{1500};
     /// Time after the naming of a version within which the trainer is expected
-    /// to submit its step.
+    /// to submit its step. A trainer that is on time takes 0.06 to 0.2 s.
     Millis StepArrivalTimeout{500};
     /// Minimum time between two reassignments of engines to models.
     Millis MinMoveInterval{4000};
--- a/Wasabi/Dispatch/DispatcherRecords.cpp
+++ b/Wasabi/Dispatch/DispatcherRecords.cpp
@@ -51,7 +51,8 @@
 }
 
 /// Fetches saved texts concurrently, the longest first because they determine
-/// when their step is complete.
+/// when their step is complete. One after the other, the last of 400 items ran
+/// again only 2 s after a takeover.
 void Dispatcher::loadSavedTexts(std::vector<std::shared_ptr<ItemTask>> Items) {
   auto events = [this](const std::shared_ptr<ItemTask> &Task) {
     const SavedPartialText *saved = findSavedText(*Task);
@@ -299,7 +300,9 @@
 
 /// Saves the texts that have grown, periodically, unless results wait for their
 /// append. After a failed append or a
-/// full batch, saves again after `RetryDelay` to keep the unsaved part short.
+/// full batch, saves again after `RetryDelay` to keep the unsaved part short:
+/// texts grow unsaved for seconds during an outage, and processes are killed in
+/// the half second after it.
 asio::awaitable<void> Dispatcher::saveLoop() {
   Millis delay = Limits.SaveInterval;
   for (;;) {
--- a/Wasabi/Dispatch/EnginePace.h
+++ b/Wasabi/Dispatch/EnginePace.h
@@ -1,7 +1,9 @@
 /// \file
 /// Estimates how fast an engine generates from the intervals between the events
 /// of its runs. Engines differ in speed permanently, and long texts on slow
-/// engines delay their step.
+/// engines delay their step: a text of some hundred events takes 7 s on an
+/// ordinary engine, of the 8 s in which its trainer stays on time, and 9 s on
+/// one that is 1.3 times slower.
 #ifndef WASABI_DISPATCH_ENGINEPACE_H
 #define WASABI_DISPATCH_ENGINEPACE_H
 
@@ -44,9 +46,11 @@
   /// factor.
   double SlowFactor = 1.8;
   /// Ratio between the paces of two successive tiers. Greater than the slowdown
-  /// by a full batch.
+  /// by a full batch, which is 15% at the most.
   double TierFactor = 1.2;
-  /// Number of events from which on a text counts as long.
+  /// Number of events from which on a text counts as long. Of 16,200 texts on
+  /// five deployments 60 to 83% were shorter, and the others had 46 to 56
+  /// events on average.
   std::uint64_t MinLongTextEvents = 24;
 };
 
--- a/Wasabi/Dispatch/EnginePool.h
+++ b/Wasabi/Dispatch/EnginePool.h
@@ -116,7 +116,9 @@
   /// Engine on which the sample has just failed, if any.
   ServerIncarnation Avoid;
   /// True if the text is long, so that its step is likely to wait for it. A
-  /// fast engine is then preferred to the one that has the prompt cached.
+  /// fast engine is then preferred to the one that has the prompt cached: a
+  /// prompt of 1,000 tokens is read in 2 ms, whereas a hundred events take two
+  /// seconds more on an engine of the next tier.
   bool IsLong = false;
   /// Tokens that the sample is predicted to hold at its end: prompt and output.
   double Tokens = 0;
--- a/Wasabi/Dispatch/LeaseManager.cpp
+++ b/Wasabi/Dispatch/LeaseManager.cpp
@@ -27,8 +27,8 @@
 }
 
 Millis claimDelay(double CpuShare) {
-  // Half a core is enough for a dispatcher; the delay grows with what is
-  // missing.
+  // Half a core is enough for a dispatcher, which took 0.12 of a core with 40
+  // engines, and a tenth is too little; the delay grows with what is missing.
   constexpr double SufficientCores = 0.5;
   constexpr double MillisPerCore = 2500;
   double missing = std::max(0.0, SufficientCores - CpuShare);
--- a/Wasabi/Dispatch/LeaseManager.h
+++ b/Wasabi/Dispatch/LeaseManager.h
@@ -20,7 +20,8 @@
 struct LeaseSettings {
   LeaseHolder Self;
   /// Other processes may claim the lease this long after they read the holder's
-  /// last record. Leaves room for several renewals at a slow store.
+  /// last record. A store that takes sixty times its usual 4 ms still gets
+  /// three renewals through in this time.
   Millis LeaseTimeout{1500};
   /// Time between renewals.
   Millis RenewInterval{400};
