Runs that begin after their server was lost are not charged with its crash

Callers: after one server crashed, up to 27 requests became suspect that had never been at it while it lived. Suspects then ran beside suspects, nothing told them apart, and requests that crash servers took 30 servers in 13 s.

Cause: behind a proxy the address of a dead server accepts connections and resets them. Such a run may have run, so its server's registration was watched, and the run was charged once that lapsed.

Change: a server keeps the time of its first lost connection since its last response; a run that began later is not charged, at the forwarder, hedges, streams and items. A crash that another process reports marks the server, too. New: request.late_loss, server_late_losses_total.

The new test fails before (the later request is suspect).

--- a/UnitTests/Upstream/ForwarderTest.cpp
+++ b/UnitTests/Upstream/ForwarderTest.cpp
@@ -388,6 +388,28 @@
   }));
 }
 
+// Guards against suspects that can't have caused a crash: behind a proxy a dead
+// server accepts connections and resets them until its registration lapses.
+TEST_CASE("A request that begins after its server was lost is not suspect",
+          "[upstream][quarantine]") {
+  ForwarderFixture fixture;
+  fixture.addServer("a", ServerBehavior::LosesAnswer);
+  fixture.sendRequest();
+  RequestDigest first = digestOf(fixture.makeRequest());
+  fixture.Target = "/desk/later";
+  fixture.sendRequest();
+  RequestDigest later = digestOf(fixture.makeRequest());
+  unregisterServer(fixture.View.Servers, ServerName("a"), monotonicNow());
+  CHECK(fixture.runUntil([&] {
+    return fixture.CrashQuarantine->crashStatus(first) == CrashStatus::Suspect;
+  }));
+  // Longer than the interval in which registrations are checked.
+  fixture.run([&]() -> asio::awaitable<void> {
+    co_await pauseFor(fixture.Context.get_executor(), Millis(30));
+  });
+  CHECK(fixture.CrashQuarantine->crashStatus(later) == CrashStatus::Clean);
+}
+
 TEST_CASE("A request whose caller disconnects during a probe is not retried",
           "[upstream][quarantine]") {
   ForwarderFixture fixture;
--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -92,6 +92,7 @@
   }
   if (opened && *opened && !Task->Cancelled) {
     std::unique_ptr<EngineStream> stream = std::move(**opened);
+    noteResponse(*engine->Server);
     bool accepted = checkStreamHead(Task, stream->head());
     if (accepted) {
       Task->Stream = stream.get();
@@ -111,7 +112,7 @@
                         Task->RunFailure->Code == FailureCode::ConnectionLost;
   if (connectionLost &&
       Crashes->mayHaveCrashedServer(startedAt, Task->HasEvent))
-    co_await Crashes->onConnectionLost(Task->Guard, engine->Server);
+    co_await Crashes->onConnectionLost(Task->Guard, engine->Server, startedAt);
   if (Task->Cancelled || Task->Stage == ItemStage::Finished)
     co_return schedule();
   if (!complete) {
--- a/Wasabi/Quarantine/Quarantine.cpp
+++ b/Wasabi/Quarantine/Quarantine.cpp
@@ -102,8 +102,14 @@
 
 asio::awaitable<Done>
 Quarantine::onConnectionLost(std::shared_ptr<GuardedRequest> Request,
-                             std::shared_ptr<UpstreamServer> Server) {
+                             std::shared_ptr<UpstreamServer> Server,
+                             TimePoint Began) {
   std::shared_ptr<Quarantine> self = shared_from_this();
+  if (Server->LostSince && Began > *Server->LostSince) {
+    recordLateLoss(*Request, *Server, Began);
+    co_return Done{};
+  }
+  noteConnectionLost(*Server, monotonicNow());
   // A server that refuses connections has crashed. One that accepts them lost
   // only this connection, or has already restarted.
   Outcome<ServerProbeResult> found =
@@ -134,6 +140,24 @@
   }
 }
 
+/// Records a lost connection of a run that began after its server was lost.
+void Quarantine::recordLateLoss(const GuardedRequest &Request,
+                                const UpstreamServer &Server,
+                                TimePoint Began) const {
+  Millis late = std::chrono::duration_cast<Millis>(Began - *Server.LostSince);
+  Feed.Decisions->line("request.late_loss",
+                       {{"request", Request.Id},
+                        {"digest", Request.Digest.Text},
+                        {"server", Server.Entry.Id.Text},
+                        {"start", std::to_string(Server.Entry.Start)},
+                        {"late_ms", std::to_string(late.count())}});
+  Counts
+      .counter("server_late_losses_total",
+               "Lost connections of runs that began after their server was "
+               "lost; not counted as crashes under the request")
+      .add();
+}
+
 void Quarantine::recordCrash(const GuardedRequest &Request,
                              const ServerIncarnation &Crashed) {
   CrashStatus before = crashStatus(Request.Digest);
@@ -206,6 +230,18 @@
 
 //===--- The topic --------------------------------------------------------===//
 
+/// Marks the servers as lost, so that runs which begin from now on are not
+/// charged with their crashes.
+void Quarantine::noteReportedCrashes(
+    const std::set<ServerIncarnation> &Crashes) {
+  for (const ServerIncarnation &it : Crashes) {
+    auto found = Feed.View.Servers.Servers.find(it.Server);
+    if (found != Feed.View.Servers.Servers.end() &&
+        found->second->Entry.incarnation() == it)
+      noteConnectionLost(*found->second, monotonicNow());
+  }
+}
+
 Result<void> Quarantine::applyRecord(const KeyedRecord &Record) {
   RequestDigest digest(Record.Key);
   CrashStatus before = crashStatus(digest);
@@ -216,6 +252,7 @@
     return {};
   }
   BOOST_LEAF_AUTO(crashes, decodeCrashes(*Record.Value, Record.Key));
+  noteReportedCrashes(crashes);
   recordCrashes(History, digest, crashes, monotonicNow());
   logStatusChange(digest, before);
   // Concurrent writers overwrite each other: write the record again if it lacks
--- a/Wasabi/Quarantine/Quarantine.h
+++ b/Wasabi/Quarantine/Quarantine.h
@@ -81,12 +81,14 @@
   Failure refuse(const RequestDigest &Digest) const;
 
   /// Called when a request that may have run lost its connection to `Server`.
-  /// Probes the server and returns once the probe ends, within
-  /// `ServerProbeTimeout`. Unless the server refuses the connection, its
-  /// registration is then watched in the background.
+  /// `Began` is the start of the run; a run that began after the server had
+  /// already been lost is not counted. Probes the server and returns once the
+  /// probe ends, within `ServerProbeTimeout`. Unless the server refuses the
+  /// connection, its registration is then watched in the background.
   boost::asio::awaitable<Done>
   onConnectionLost(std::shared_ptr<GuardedRequest> Request,
-                   std::shared_ptr<UpstreamServer> Server);
+                   std::shared_ptr<UpstreamServer> Server,
+                   TimePoint Began = TimePoint());
   /// Returns true if a run that lost its connection may have crashed its
   /// server. `Began` is the start of the run; `Progress` is true if it got
   /// further than the runs before it. A request that crashes servers does so
@@ -123,6 +125,9 @@
   Quarantine(const FeedContext &Feed, EnginePort Engines, Metrics &Counts,
              Settings Limits);
   Result<void> applyRecord(const KeyedRecord &Record);
+  void recordLateLoss(const GuardedRequest &Request,
+                      const UpstreamServer &Server, TimePoint Began) const;
+  void noteReportedCrashes(const std::set<ServerIncarnation> &Crashes);
   void recordCrash(const GuardedRequest &Request,
                    const ServerIncarnation &Crashed);
   void logStatusChange(const RequestDigest &Digest, CrashStatus Before) const;
--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -245,6 +245,8 @@
   ++(notRun ? State.NotRunAttempts : State.PossibleRuns);
   if (IsLastInFlight)
     withdrawUsage(State);
+  if (got)
+    noteResponse(server);
   State.TriedServers.insert(server.Entry.incarnation());
   bool misdirected = got && got->Response.Status == MisdirectedStatus;
   bool ran = got && got->Proof == AnswerProof::Ran;
@@ -327,8 +329,8 @@
   recordAttempt(State, *attempt, /*IsLastInFlight=*/true);
   bool callerPresent = true;
   if (!*attempt->Got)
-    callerPresent =
-        co_await checkServerCrash(State, attempt->Got->failure(), Stop);
+    callerPresent = co_await checkServerCrash(State, attempt->Got->failure(),
+                                              attempt->Start, Stop);
   Result.CallerLeft = !callerPresent;
   if (Result.CallerLeft)
     co_return true;
@@ -355,11 +357,11 @@
 /// Returns false if the caller has disconnected meanwhile.
 asio::awaitable<bool>
 Forwarder::checkServerCrash(Progress &State, const Failure &Error,
-                            asio::cancellation_signal &Stop) {
+                            TimePoint Began, asio::cancellation_signal &Stop) {
   if (Error.Code != FailureCode::ConnectionLost || Error.Run == Verdict::NotRun)
     co_return true;
   asio::awaitable<Done> check =
-      CrashQuarantine->onConnectionLost(State.Guard, State.Server);
+      CrashQuarantine->onConnectionLost(State.Guard, State.Server, Began);
   std::optional<Done> done =
       co_await cancellable(Executor, std::move(check), Stop);
   co_return done.has_value();
--- a/Wasabi/Upstream/Forwarder.h
+++ b/Wasabi/Upstream/Forwarder.h
@@ -176,7 +176,7 @@
   void recordLoad(const Progress &State, const UpstreamServer &Server,
                   const Outcome<UpstreamResponse> &Got, double LatencyMs) const;
   boost::asio::awaitable<bool>
-  checkServerCrash(Progress &State, const Failure &Error,
+  checkServerCrash(Progress &State, const Failure &Error, TimePoint Began,
                    boost::asio::cancellation_signal &Stop);
   boost::asio::awaitable<std::unique_ptr<EngineStream>>
   openStream(Progress &State, std::optional<std::uint64_t> After,
--- a/Wasabi/Upstream/ForwarderHedging.cpp
+++ b/Wasabi/Upstream/ForwarderHedging.cpp
@@ -187,12 +187,12 @@
       if (!*it->Got && it->Got->failure().Run != Verdict::NotRun &&
           it->Got->failure().Code == FailureCode::ConnectionLost) {
         it->Current = Attempt::Stage::Examining;
-        asio::co_spawn(
-            Executor,
-            AttemptRace::awaitExamination(
-                Race, it,
-                CrashQuarantine->onConnectionLost(State.Guard, it->Server)),
-            asio::detached);
+        asio::co_spawn(Executor,
+                       AttemptRace::awaitExamination(
+                           Race, it,
+                           CrashQuarantine->onConnectionLost(
+                               State.Guard, it->Server, it->Start)),
+                       asio::detached);
       }
     }
     if (it->Current != Attempt::Stage::Ended)
--- a/Wasabi/Upstream/ForwarderStreams.cpp
+++ b/Wasabi/Upstream/ForwarderStreams.cpp
@@ -25,6 +25,7 @@
         CrashQuarantine->trackSuspectRun(State.Guard->Digest,
                                          server->Entry.incarnation());
     ++server->InFlight;
+    TimePoint began = monotonicNow();
     std::optional<Outcome<std::unique_ptr<EngineStream>>> got =
         co_await cancellable(Executor,
                              Engines.Open(server->Entry,
@@ -35,6 +36,8 @@
     if (!got)
       break;
     State.TriedServers.insert(server->Entry.incarnation());
+    if (*got)
+      noteResponse(*server);
     if (*got && (**got)->head().Proof == AnswerProof::Ran) {
       ++State.PossibleRuns;
       co_return std::move(**got);
@@ -54,7 +57,8 @@
       wasabi::noteFailure(View.Servers, *server, monotonicNow());
     bool callerPresent = true;
     if (!*got)
-      callerPresent = co_await checkServerCrash(State, got->failure(), Stop);
+      callerPresent =
+          co_await checkServerCrash(State, got->failure(), began, Stop);
     if (!callerPresent)
       break;
   }
@@ -79,7 +83,8 @@
       bool progress = State.Route.Resumable && LastEventId > resumedAfter;
       bool lost = event.failure().Code == FailureCode::ConnectionLost;
       if (lost && CrashQuarantine->mayHaveCrashedServer(streamStart, progress))
-        co_await CrashQuarantine->onConnectionLost(State.Guard, State.Server);
+        co_await CrashQuarantine->onConnectionLost(State.Guard, State.Server,
+                                                   streamStart);
       co_return false;
     }
     if (!*event) {
--- a/Wasabi/Upstream/UpstreamTable.cpp
+++ b/Wasabi/Upstream/UpstreamTable.cpp
@@ -152,6 +152,13 @@
   return found;
 }
 
+void noteResponse(UpstreamServer &Server) { Server.LostSince.reset(); }
+
+void noteConnectionLost(UpstreamServer &Server, TimePoint Now) {
+  if (!Server.LostSince)
+    Server.LostSince = Now;
+}
+
 void noteSuccess(const UpstreamTable &Table, UpstreamServer &Server,
                  double LatencyMs) {
   Server.Failures = 0;
--- a/Wasabi/Upstream/UpstreamTable.h
+++ b/Wasabi/Upstream/UpstreamTable.h
@@ -65,6 +65,9 @@
   TimePoint SuspectUntil;
   /// Until this time the server is cold.
   TimePoint ColdUntil;
+  /// Time of the first lost connection since the last response; empty if none
+  /// was lost. A run that begins later can't have crashed the server.
+  std::optional<TimePoint> LostSince;
   /// End of the last evacuation of its failure domain, from which the server
   /// may return cold; empty if there was none.
   std::optional<TimePoint> ReturnedAt;
@@ -202,6 +205,13 @@
 findUsableServers(const UpstreamTable &Table, const ServiceName &Service,
                   const StoreContact &Contact, TimePoint Now);
 
+/// Records that a response of any kind has arrived from a server.
+void noteResponse(UpstreamServer &Server);
+
+/// Records that a connection to a server was lost, or that another process has
+/// reported its crash. Only the first one since the last response counts.
+void noteConnectionLost(UpstreamServer &Server, TimePoint Now);
+
 /// Records a successful answer, with its latency in milliseconds, or 0 if that
 /// was not measured. `recordAnswer` is to be used where the latency is to age.
 void noteSuccess(const UpstreamTable &Table, UpstreamServer &Server,
