Which requests are quarantined follows from the recorded crashes alone

Callers: a request that crashes servers was cleared after its fourth crash and took a fifth server, and a steady request beside it stayed refused.

Cause: requests that a process had marked before were considered first, and explained the crashes of the others. Which ones it had marked depended on the order in which it read the crashes, so processes disagreed.

Change: a request that has all crashes of another one, and more, is considered before it, otherwise the one with fewer crashes; nothing depends on the order. request.standing is written for every request whose status changes: the line that would have shown 0b475 turning clean was missing.

The new test fails before: the steady request stays quarantined.

--- a/UnitTests/Quarantine/CrashHistoryTest.cpp
+++ b/UnitTests/Quarantine/CrashHistoryTest.cpp
@@ -130,6 +130,25 @@
   CHECK(crashStatus(history, RequestDigest("other")) == CrashStatus::Clean);
 }
 
+// Guards against processes that quarantine different requests, and against an
+// innocent one that stays quarantined because it was considered first.
+TEST_CASE(
+    "Which request is quarantined does not depend on the order of crashes",
+    "[quarantine]") {
+  CrashHistory first;
+  CrashHistory second;
+  crash(first, Poison, 1, 4);
+  crash(first, Neighbor, 1, 4);
+  crash(second, Neighbor, 1, 4);
+  crash(second, Poison, 1, 4);
+  // The fifth crash shows which of them caused the others.
+  for (CrashHistory *it : {&first, &second}) {
+    crash(*it, Poison, 5, 5);
+    CHECK(crashStatus(*it, Poison) == CrashStatus::Quarantined);
+    CHECK(crashStatus(*it, Neighbor) == CrashStatus::Clean);
+  }
+}
+
 TEST_CASE("After the quarantine, one crash quarantines a request again",
           "[quarantine]") {
   CrashHistory history;
--- a/Wasabi/Quarantine/CrashHistory.cpp
+++ b/Wasabi/Quarantine/CrashHistory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace wasabi {
 
@@ -46,40 +47,58 @@
   return unexplained >= History.Limits.CrashLimit && hasUnshared;
 }
 
-/// Returns the request to mark as poison next, or null if there is none. Among
-/// the requests that exceed a limit, those in `PoisonBefore` precede the
-/// others, then more crashes precede fewer.
-CrashRecord *findNextPoison(CrashHistory &History, const SuspectCounts &Counts,
-                            const std::set<RequestDigest> &PoisonBefore) {
-  CrashRecord *next = nullptr;
-  std::pair<bool, std::size_t> rank;
+/// Returns true if `Left` has all crashes of `Right` and more: it explains all
+/// that `Right` explains.
+bool hasMoreCrashes(const CrashRecord &Left, const CrashRecord &Right) {
+  return Left.Crashes.size() > Right.Crashes.size() &&
+         std::includes(Left.Crashes.begin(), Left.Crashes.end(),
+                       Right.Crashes.begin(), Right.Crashes.end());
+}
+
+/// Returns the request to mark as poison next, or null if there is none. Of the
+/// requests that exceed a limit, one whose crashes another one has, too, comes
+/// after that; otherwise, fewer crashes come first.
+CrashRecord *findNextPoison(CrashHistory &History,
+                            const SuspectCounts &Counts) {
+  std::vector<CrashRecord *> candidates;
   for (auto &[digest, record] : History.Requests) {
-    std::pair<bool, std::size_t> candidate(PoisonBefore.contains(digest),
-                                           record.Crashes.size());
-    if (record.IsPoison || candidate <= rank ||
-        !exceedsLimits(History, record, Counts))
-      continue;
-    next = &record;
-    rank = candidate;
+    if (!record.IsPoison && exceedsLimits(History, record, Counts))
+      candidates.push_back(&record);
+  }
+  CrashRecord *next = nullptr;
+  for (CrashRecord *it : candidates) {
+    bool second = std::any_of(
+        candidates.begin(), candidates.end(),
+        [&](const CrashRecord *Other) { return hasMoreCrashes(*Other, *it); });
+    if (!second &&
+        (next == nullptr || it->Crashes.size() <= next->Crashes.size()))
+      next = it;
   }
   return next;
 }
 
+/// Returns true if poison requests explain all crashes of a request.
+bool isExplained(const CrashRecord &Record,
+                 const std::set<ServerIncarnation> &PoisonCrashes) {
+  return std::includes(PoisonCrashes.begin(), PoisonCrashes.end(),
+                       Record.Crashes.begin(), Record.Crashes.end());
+}
+
 /// Decides again which requests are poison, one request at a time: the crashes
 /// of each one then no longer count against the others.
-void updatePoisonFlags(CrashHistory &History) {
+void updateFlags(CrashHistory &History) {
   SuspectCounts counts = countSuspects(History);
-  std::set<RequestDigest> before;
-  for (auto &[digest, record] : History.Requests) {
-    if (record.IsPoison)
-      before.insert(digest);
+  for (auto &[digest, record] : History.Requests)
     record.IsPoison = false;
-  }
-  while (CrashRecord *poison = findNextPoison(History, counts, before)) {
+  std::set<ServerIncarnation> explained;
+  while (CrashRecord *poison = findNextPoison(History, counts)) {
     poison->IsPoison = true;
+    explained.insert(poison->Crashes.begin(), poison->Crashes.end());
     for (const ServerIncarnation &it : poison->Crashes)
       counts.erase(it);
   }
+  for (auto &[digest, record] : History.Requests)
+    record.IsExplained = isExplained(record, explained);
 }
 
 /// Returns true if `Left` is evicted before `Right`: requests that are not
@@ -104,14 +123,14 @@
   if (isNew || before == History.Limits.MaxCrashesPerRequest)
     record.LastCrash = Now;
   if (isNew)
-    updatePoisonFlags(History);
+    updateFlags(History);
   return isNew;
 }
 
 bool clearCrashes(CrashHistory &History, const RequestDigest &Digest) {
   if (History.Requests.erase(Digest) == 0)
     return false;
-  updatePoisonFlags(History);
+  updateFlags(History);
   return true;
 }
 
@@ -124,16 +143,7 @@
     return remainingQuarantine(History, Digest, Now) > Millis(0)
                ? CrashStatus::Quarantined
                : CrashStatus::Suspect;
-  bool explained = true;
-  for (const ServerIncarnation &server : it->second.Crashes) {
-    explained = explained &&
-                std::any_of(History.Requests.begin(), History.Requests.end(),
-                            [&](const auto &Other) {
-                              return Other.second.IsPoison &&
-                                     Other.second.Crashes.contains(server);
-                            });
-  }
-  return explained ? CrashStatus::Clean : CrashStatus::Suspect;
+  return it->second.IsExplained ? CrashStatus::Clean : CrashStatus::Suspect;
 }
 
 Millis remainingQuarantine(const CrashHistory &History,
@@ -164,7 +174,7 @@
     History.Requests.erase(first);
   }
   if (!old.empty())
-    updatePoisonFlags(History);
+    updateFlags(History);
   return old;
 }
 
--- a/Wasabi/Quarantine/CrashHistory.h
+++ b/Wasabi/Quarantine/CrashHistory.h
@@ -29,6 +29,8 @@
   /// True if the request is poison: its crashes suffice to quarantine it. See
   /// `recordCrashes`.
   bool IsPoison = false;
+  /// True if poison requests explain all of its crashes.
+  bool IsExplained = false;
 };
 
 /// Status of a request, in increasing order of suspicion.
@@ -76,8 +78,11 @@
 /// poison. Returns true if any of the crashes is new.
 ///
 /// A crash that a poison request shares doesn't count against other requests,
-/// except towards `Settings::TotalCrashLimit`. Requests that were poison before
-/// are considered first, then those with the most crashes.
+/// except towards `Settings::TotalCrashLimit`. A request that shares all
+/// crashes of another one and has more of them is considered before it, and
+/// otherwise the one with fewer crashes. Which requests are poison depends on
+/// the recorded crashes alone, so all processes that know the same crashes
+/// agree.
 bool recordCrashes(CrashHistory &History, const RequestDigest &Digest,
                    const std::set<ServerIncarnation> &Crashes, TimePoint Now);
 
--- a/Wasabi/Quarantine/Quarantine.cpp
+++ b/Wasabi/Quarantine/Quarantine.cpp
@@ -160,7 +160,6 @@
 
 void Quarantine::recordCrash(const GuardedRequest &Request,
                              const ServerIncarnation &Crashed) {
-  CrashStatus before = crashStatus(Request.Digest);
   OwnCrashes[Request.Digest].insert(Crashed);
   recordCrashes(History, Request.Digest, {Crashed}, monotonicNow());
   Feed.Decisions->line(
@@ -173,7 +172,7 @@
         std::to_string(History.Requests[Request.Digest].Crashes.size())},
        {"standing", std::string(toText(crashStatus(Request.Digest)))}});
   Counts.counter("server_ends_total", "Ends of servers under a request").add();
-  logStatusChange(Request.Digest, before);
+  logStatusChanges();
   Unwritten.insert(Request.Digest);
   WriteWake.notify();
 }
@@ -181,22 +180,42 @@
 void Quarantine::answered(GuardedRequest &Request) {
   Request.Answered = true;
   OwnCrashes.erase(Request.Digest);
-  CrashStatus before = crashStatus(Request.Digest);
   if (!clearCrashes(History, Request.Digest))
     return;
-  logStatusChange(Request.Digest, before);
+  logStatusChanges();
   Unwritten.insert(Request.Digest);
   WriteWake.notify();
 }
 
-void Quarantine::logStatusChange(const RequestDigest &Digest,
-                                 CrashStatus Before) const {
-  CrashStatus now = crashStatus(Digest);
-  if (now != Before)
-    Feed.Decisions->line("request.standing",
-                         {{"digest", Digest.Text},
-                          {"before", std::string(toText(Before))},
-                          {"now", std::string(toText(now))}});
+/// Logs each request whose status differs from the last logged one. A crash of
+/// one request may change the status of others that share its crashes.
+void Quarantine::logStatusChanges() {
+  std::map<RequestDigest, CrashStatus> now;
+  for (const auto &[digest, record] : History.Requests) {
+    CrashStatus status = crashStatus(digest);
+    if (status != CrashStatus::Clean)
+      now.emplace(digest, status);
+  }
+  std::set<RequestDigest> digests;
+  for (const auto &[digest, status] : LoggedStatuses)
+    digests.insert(digest);
+  for (const auto &[digest, status] : now)
+    digests.insert(digest);
+  auto statusIn = [](const std::map<RequestDigest, CrashStatus> &Statuses,
+                     const RequestDigest &Digest) {
+    auto it = Statuses.find(Digest);
+    return it == Statuses.end() ? CrashStatus::Clean : it->second;
+  };
+  for (const RequestDigest &it : digests) {
+    CrashStatus before = statusIn(LoggedStatuses, it);
+    CrashStatus after = statusIn(now, it);
+    if (before != after)
+      Feed.Decisions->line("request.standing",
+                           {{"digest", it.Text},
+                            {"before", std::string(toText(before))},
+                            {"now", std::string(toText(after))}});
+  }
+  LoggedStatuses = std::move(now);
 }
 
 //===--- Running suspects -------------------------------------------------===//
@@ -244,17 +263,16 @@
 
 Result<void> Quarantine::applyRecord(const KeyedRecord &Record) {
   RequestDigest digest(Record.Key);
-  CrashStatus before = crashStatus(digest);
   if (!Record.Value) {
     OwnCrashes.erase(digest);
     clearCrashes(History, digest);
-    logStatusChange(digest, before);
+    logStatusChanges();
     return {};
   }
   BOOST_LEAF_AUTO(crashes, decodeCrashes(*Record.Value, Record.Key));
   noteReportedCrashes(crashes);
   recordCrashes(History, digest, crashes, monotonicNow());
-  logStatusChange(digest, before);
+  logStatusChanges();
   // Concurrent writers overwrite each other: write the record again if it lacks
   // crashes that this process detected.
   auto own = OwnCrashes.find(digest);
--- a/Wasabi/Quarantine/Quarantine.h
+++ b/Wasabi/Quarantine/Quarantine.h
@@ -130,7 +130,7 @@
   void noteReportedCrashes(const std::set<ServerIncarnation> &Crashes);
   void recordCrash(const GuardedRequest &Request,
                    const ServerIncarnation &Crashed);
-  void logStatusChange(const RequestDigest &Digest, CrashStatus Before) const;
+  void logStatusChanges();
   boost::asio::awaitable<void>
   watchRegistration(std::shared_ptr<GuardedRequest> Request,
                     std::shared_ptr<UpstreamServer> Server);
@@ -142,6 +142,9 @@
   const EnginePort Engines;
   Metrics &Counts;
   CrashHistory History;
+  /// Statuses as of the last call of `logStatusChanges`; clean ones are left
+  /// out.
+  std::map<RequestDigest, CrashStatus> LoggedStatuses;
   /// Crashes that this process detected itself. It writes a record again if the
   /// one in the store lacks any of them.
   std::map<RequestDigest, std::set<ServerIncarnation>> OwnCrashes;
