Suspects run isolated: a server is claimed for each of their runs

Callers: one request crashed five servers (four are allowed), and a steady one beside it was quarantined with it.

Cause: processes with the same servers choose the same one for a retry, 5 ms after a crash; the news of a suspect takes 10 to 20 ms. The crashes of two suspects that run together tell nothing apart.

Evidence: request.lost of both requests at the same four servers, 'beside=0' each time.

Change: from its second lost server on, a suspect runs only at a server that its process has claimed in the request's record; the claim holds if no earlier one is read back before it. The crash of an isolated run is proof, so the third crash quarantines. A request isn't run again before it is known whether its isolated run crashed a server. An item under which two servers were lost waits for an engine without another suspect. Streams are marked as a suspect's run until they end. Records are written several in an append.

--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -336,7 +336,8 @@
 }
 
 /// Returns the engine for an item; null if none has room. Avoids placing two
-/// items that may crash servers on one engine, if another engine has room.
+/// items that may crash servers on one engine, if another engine has room. An
+/// item under which several servers were lost waits for an engine of its own.
 std::shared_ptr<DispatchEngine>
 Dispatcher::findEngineFor(const ItemTask &Task, const EngineRequirements &Need,
                           const EngineList &Candidates,
@@ -349,7 +350,7 @@
     });
     std::shared_ptr<DispatchEngine> engine =
         chooseEngine(others, Need, Baseline, Limits.Pool, Now);
-    if (engine)
+    if (engine || Crashes->needsIsolation(Task.Guard->Digest))
       return engine;
   }
   return chooseEngine(Candidates, Need, Baseline, Limits.Pool, Now);
--- a/Wasabi/Quarantine/CrashHistory.cpp
+++ b/Wasabi/Quarantine/CrashHistory.cpp
@@ -30,11 +30,22 @@
       [&](const ServerIncarnation &It) { return Counts.contains(It); }));
 }
 
+/// Returns true if a server crashed that ran no other suspect, and no poison
+/// request explains it.
+bool hasIsolatedCrash(const CrashRecord &Record, const SuspectCounts &Counts) {
+  return std::any_of(
+      Record.IsolatedCrashes.begin(), Record.IsolatedCrashes.end(),
+      [&](const ServerIncarnation &It) { return Counts.contains(It); });
+}
+
 /// Returns true if the crashes of a request make it poison.
 bool exceedsLimits(const CrashHistory &History, const CrashRecord &Record,
                    const SuspectCounts &Counts) {
   if (Record.Crashes.size() >= History.Limits.TotalCrashLimit)
     return true;
+  if (Record.Crashes.size() >= History.Limits.CrashLimit &&
+      hasIsolatedCrash(Record, Counts))
+    return true;
   std::size_t unexplained = countUnexplained(Record, Counts);
   if (unexplained >= History.Limits.SharedCrashLimit)
     return true;
@@ -111,18 +122,24 @@
 } // namespace
 
 bool recordCrashes(CrashHistory &History, const RequestDigest &Digest,
-                   const std::set<ServerIncarnation> &Crashes, TimePoint Now) {
+                   const std::set<ServerIncarnation> &Crashes, TimePoint Now,
+                   const std::set<ServerIncarnation> &IsolatedCrashes) {
   CrashRecord &record = History.Requests[Digest];
   std::size_t before = record.Crashes.size();
+  std::size_t isolatedBefore = record.IsolatedCrashes.size();
   for (const ServerIncarnation &it : Crashes) {
     if (record.Crashes.size() < History.Limits.MaxCrashesPerRequest)
       record.Crashes.insert(it);
   }
+  for (const ServerIncarnation &it : IsolatedCrashes) {
+    if (record.Crashes.contains(it))
+      record.IsolatedCrashes.insert(it);
+  }
   bool isNew = record.Crashes.size() > before;
   // At the maximum, further crashes only extend the quarantine.
   if (isNew || before == History.Limits.MaxCrashesPerRequest)
     record.LastCrash = Now;
-  if (isNew)
+  if (isNew || record.IsolatedCrashes.size() > isolatedBefore)
     updateFlags(History);
   return isNew;
 }
--- a/Wasabi/Quarantine/CrashHistory.h
+++ b/Wasabi/Quarantine/CrashHistory.h
@@ -24,6 +24,8 @@
   /// Servers that crashed while they ran the request, since it was last
   /// answered.
   std::set<ServerIncarnation> Crashes;
+  /// Those of them that ran no other suspect, see `RunClaims`.
+  std::set<ServerIncarnation> IsolatedCrashes;
   /// When this process learned of the last of them.
   TimePoint LastCrash;
   /// True if the request is poison: its crashes suffice to quarantine it. See
@@ -48,7 +50,7 @@
 struct CrashHistory {
   struct Settings {
     /// Crashes that make a request poison if at least one of them is not shared
-    /// with another suspect.
+    /// with another suspect, or ended an isolated run.
     std::size_t CrashLimit = 3;
     /// Crashes that make a request poison even if other suspects share all of
     /// them.
@@ -75,7 +77,8 @@
 };
 
 /// Adds crashes to the record of a request and updates which requests are
-/// poison. Returns true if any of the crashes is new.
+/// poison. Returns true if any of the crashes is new. `IsolatedCrashes` are
+/// those of them that ended an isolated run.
 ///
 /// A crash that a poison request shares doesn't count against other requests,
 /// except towards `Settings::TotalCrashLimit`. A request that shares all
@@ -84,7 +87,8 @@
 /// the recorded crashes alone, so all processes that know the same crashes
 /// agree.
 bool recordCrashes(CrashHistory &History, const RequestDigest &Digest,
-                   const std::set<ServerIncarnation> &Crashes, TimePoint Now);
+                   const std::set<ServerIncarnation> &Crashes, TimePoint Now,
+                   const std::set<ServerIncarnation> &IsolatedCrashes = {});
 
 /// Removes the record of a request. Called when a server has answered the
 /// request, or when another process has removed the record. Returns true if
--- a/Wasabi/Quarantine/Quarantine.cpp
+++ b/Wasabi/Quarantine/Quarantine.cpp
@@ -1,19 +1,17 @@
 #include "Wasabi/Quarantine/Quarantine.h"
 
-#include "Wasabi/Config/JsonReader.h"
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/json/serialize.hpp>
-#include <boost/json/value.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
+#include <random>
 #include <utility>
+#include <vector>
 
 namespace wasabi {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
 namespace {
 
@@ -33,34 +31,21 @@
   return "";
 }
 
-} // namespace
-
-std::string encodeCrashes(const std::set<ServerIncarnation> &Crashes) {
-  json::array crashes;
-  for (const ServerIncarnation &it : Crashes)
-    crashes.push_back({{"server", it.Server.Text}, {"start", it.Start}});
-  return json::serialize(json::object{{"ends", std::move(crashes)}});
-}
-
-Result<std::set<ServerIncarnation>> decodeCrashes(std::string_view Text,
-                                                  const std::string &Place) {
-  BOOST_LEAF_AUTO(value, parseJson(Text, Place));
-  JsonReader root(value, Place);
-  root.allowUnknown();
-  std::set<ServerIncarnation> crashes;
-  for (JsonReader &it : root.objects("ends", true)) {
-    it.allowUnknown();
-    crashes.insert({ServerName(it.text("server")), it.number("start")});
-    root.mergeError(it);
-  }
-  BOOST_LEAF_CHECK(root.finish());
-  return crashes;
+/// Returns a name for this process that no other one draws.
+std::string drawHolder() {
+  std::random_device source;
+  std::uniform_int_distribution<std::uint64_t> draw;
+  return fmt::format("{:016x}", draw(source));
 }
 
+} // namespace
+
 Quarantine::Quarantine(const FeedContext &Feed, EnginePort Engines,
                        Metrics &Counts, Settings Limits)
     : Limits(Limits), Feed(Feed), Engines(std::move(Engines)), Counts(Counts),
-      History{Limits.History, {}}, WriteWake(Feed.Executor) {}
+      History{Limits.History, {}}, WriteWake(Feed.Executor),
+      Claims{Limits.Claims, drawHolder(), {}, {}},
+      ClaimsChanged(Feed.Executor) {}
 
 std::shared_ptr<Quarantine> Quarantine::create(const FeedContext &Feed,
                                                EnginePort Engines,
@@ -110,18 +95,21 @@
     co_return Done{};
   }
   noteConnectionLost(*Server, monotonicNow());
+  ServerIncarnation lost = Server->Entry.incarnation();
+  bool isolated = isIsolatedRun(Request->Digest, lost);
+  UnresolvedLosses[Request->Digest][lost] = isolated;
   // A server that refuses connections has crashed. One that accepts them lost
   // only this connection, or has already restarted.
   Outcome<ServerProbeResult> found =
       co_await Engines.Probe(Server->Entry, Limits.ServerProbeTimeout);
   bool refused = found && *found == ServerProbeResult::RefusesConnections;
   if (refused && !Request->Answered)
-    recordCrash(*Request, Server->Entry.incarnation());
+    recordCrash(*Request, lost, isolated);
   else if (!refused)
     asio::co_spawn(
         Feed.Executor,
-        [self, Request, Server] {
-          return self->watchRegistration(Request, Server);
+        [self, Request, Server, isolated] {
+          return self->watchRegistration(Request, Server, isolated);
         },
         asio::detached);
   co_return Done{};
@@ -129,15 +117,28 @@
 
 asio::awaitable<void>
 Quarantine::watchRegistration(std::shared_ptr<GuardedRequest> Request,
-                              std::shared_ptr<UpstreamServer> Server) {
+                              std::shared_ptr<UpstreamServer> Server,
+                              bool Isolated) {
   TimePoint until = monotonicNow() + Limits.CrashWatchTimeout;
-  while (monotonicNow() < until && !Request->Answered) {
+  // A server that responds again has not crashed.
+  while (monotonicNow() < until && !Request->Answered && Server->LostSince) {
     if (Server->Replaced || Server->UnregisteredAt) {
-      recordCrash(*Request, Server->Entry.incarnation());
+      recordCrash(*Request, Server->Entry.incarnation(), Isolated);
       co_return;
     }
     co_await pauseFor(Feed.Executor, Limits.CrashWatchInterval);
   }
+  forgetLoss(Request->Digest, Server->Entry.incarnation());
+}
+
+void Quarantine::forgetLoss(const RequestDigest &Digest,
+                            const ServerIncarnation &Server) {
+  auto it = UnresolvedLosses.find(Digest);
+  if (it == UnresolvedLosses.end())
+    return;
+  it->second.erase(Server);
+  if (it->second.empty())
+    UnresolvedLosses.erase(it);
 }
 
 /// Records a lost connection of a run that began after its server was lost.
@@ -159,32 +160,37 @@
 }
 
 void Quarantine::recordCrash(const GuardedRequest &Request,
-                             const ServerIncarnation &Crashed) {
+                             const ServerIncarnation &Crashed, bool Isolated) {
+  forgetLoss(Request.Digest, Crashed);
   OwnCrashes[Request.Digest].insert(Crashed);
-  recordCrashes(History, Request.Digest, {Crashed}, monotonicNow());
+  std::set<ServerIncarnation> isolatedCrashes;
+  if (Isolated)
+    isolatedCrashes.insert(Crashed);
+  recordCrashes(History, Request.Digest, {Crashed}, monotonicNow(),
+                isolatedCrashes);
   Feed.Decisions->line(
       "request.server_ended",
       {{"request", Request.Id},
        {"digest", Request.Digest.Text},
        {"server", Crashed.Server.Text},
        {"start", std::to_string(Crashed.Start)},
+       {"isolated", Isolated ? "yes" : "no"},
        {"ends",
         std::to_string(History.Requests[Request.Digest].Crashes.size())},
        {"standing", std::string(toText(crashStatus(Request.Digest)))}});
   Counts.counter("server_ends_total", "Ends of servers under a request").add();
   logStatusChanges();
-  Unwritten.insert(Request.Digest);
-  WriteWake.notify();
+  publish(Request.Digest);
 }
 
 void Quarantine::answered(GuardedRequest &Request) {
   Request.Answered = true;
+  UnresolvedLosses.erase(Request.Digest);
   OwnCrashes.erase(Request.Digest);
   if (!clearCrashes(History, Request.Digest))
     return;
   logStatusChanges();
-  Unwritten.insert(Request.Digest);
-  WriteWake.notify();
+  publish(Request.Digest);
 }
 
 /// Logs each request whose status differs from the last logged one. A crash of
@@ -224,6 +230,7 @@
   std::set<ServerIncarnation> found;
   for (const auto &[server, count] : SuspectRuns)
     found.insert(server);
+  found.merge(claimedServers(Claims, monotonicNow()));
   return found;
 }
 
@@ -247,6 +254,129 @@
   return std::make_unique<SuspectRun>(shared_from_this(), Server);
 }
 
+//===--- Isolated runs ----------------------------------------------------===//
+
+Quarantine::IsolatedRun::IsolatedRun(std::shared_ptr<Quarantine> Owner,
+                                     RequestDigest Digest,
+                                     std::shared_ptr<UpstreamServer> Server)
+    : Owner(std::move(Owner)), Digest(std::move(Digest)),
+      Server(std::move(Server)) {
+  this->Owner->Claims.Own[this->Digest] = {this->Server->Entry.incarnation(),
+                                           std::nullopt};
+  this->Owner->publish(this->Digest);
+}
+
+Quarantine::IsolatedRun::~IsolatedRun() {
+  Owner->Claims.Own.erase(Digest);
+  // The record of an answered request is deleted already.
+  if (Owner->History.Requests.contains(Digest))
+    Owner->publish(Digest);
+  Owner->ClaimsChanged.notify();
+}
+
+bool Quarantine::needsIsolation(const RequestDigest &Digest) const {
+  if (crashStatus(Digest) != CrashStatus::Suspect)
+    return false;
+  std::set<ServerIncarnation> lost = History.Requests.at(Digest).Crashes;
+  auto unresolved = UnresolvedLosses.find(Digest);
+  if (unresolved != UnresolvedLosses.end()) {
+    for (const auto &[server, isolated] : unresolved->second)
+      lost.insert(server);
+  }
+  return lost.size() >= Limits.IsolationThreshold;
+}
+
+bool Quarantine::isIsolatedRun(const RequestDigest &Digest,
+                               const ServerIncarnation &Server) const {
+  auto own = Claims.Own.find(Digest);
+  return own != Claims.Own.end() && own->second.Server == Server &&
+         claimStatus(Claims, Digest, monotonicNow()) == ClaimStatus::Held;
+}
+
+void Quarantine::recordIsolation(const GuardedRequest &Request,
+                                 const UpstreamServer *Server,
+                                 std::string_view Result,
+                                 TimePoint Began) const {
+  Millis waited = std::chrono::duration_cast<Millis>(monotonicNow() - Began);
+  Feed.Decisions->line(
+      "request.isolated",
+      {{"request", Request.Id},
+       {"digest", Request.Digest.Text},
+       {"server", Server != nullptr ? Server->Entry.Id.Text : ""},
+       {"result", std::string(Result)},
+       {"waited_ms", std::to_string(waited.count())}});
+  Counts
+      .counter("isolated_runs_total",
+               "Runs of suspects for which a server was claimed, by result",
+               {{"result", std::string(Result)}})
+      .add();
+}
+
+/// Returns the failure of a request that must not run now, even isolated.
+std::optional<Failure>
+Quarantine::findIsolationRefusal(const RequestDigest &Digest) const {
+  if (crashStatus(Digest) == CrashStatus::Quarantined)
+    return refuse(Digest);
+  auto unresolved = UnresolvedLosses.find(Digest);
+  if (unresolved == UnresolvedLosses.end() ||
+      std::none_of(unresolved->second.begin(), unresolved->second.end(),
+                   [](const auto &It) { return It.second; }))
+    return std::nullopt;
+  return Failure{Verdict::NotRun, FailureCode::Quarantined, Digest.Text,
+                 "the last server that ran this request may have crashed",
+                 Limits.UnresolvedRetryAfter};
+}
+
+/// Returns once the claim of a request is held or lost, or at `Until`.
+asio::awaitable<ClaimStatus> Quarantine::awaitClaim(const RequestDigest &Digest,
+                                                    TimePoint Until) {
+  for (;;) {
+    ClaimStatus status = claimStatus(Claims, Digest, monotonicNow());
+    if (status != ClaimStatus::Pending || monotonicNow() >= Until)
+      co_return status;
+    co_await ClaimsChanged.wait(Until);
+  }
+}
+
+asio::awaitable<Outcome<std::unique_ptr<Quarantine::IsolatedRun>>>
+Quarantine::isolate(std::shared_ptr<GuardedRequest> Request, TimePoint Until,
+                    SelectServer Select) {
+  std::shared_ptr<Quarantine> self = shared_from_this();
+  TimePoint began = monotonicNow();
+  TimePoint until = std::min(Until, began + Limits.MaxIsolationWait);
+  for (;;) {
+    if (std::optional<Failure> refused = findIsolationRefusal(Request->Digest))
+      co_return std::move(*refused);
+    TimePoint now = monotonicNow();
+    bool runsElsewhere = isRunClaimed(Claims, Request->Digest, now);
+    std::shared_ptr<UpstreamServer> server;
+    if (!runsElsewhere)
+      server = Select();
+    if (!server) {
+      bool mayBecomeFree = runsElsewhere || !suspectServers().empty();
+      if (!mayBecomeFree || now >= until)
+        break;
+      co_await ClaimsChanged.wait(
+          std::min(until, now + Limits.IsolationPollInterval));
+      continue;
+    }
+    std::unique_ptr<IsolatedRun> run =
+        std::make_unique<IsolatedRun>(self, Request->Digest, server);
+    ClaimStatus status = co_await awaitClaim(Request->Digest, until);
+    if (status == ClaimStatus::Lost)
+      continue;
+    recordIsolation(*Request, server.get(),
+                    status == ClaimStatus::Held ? "held" : "unwritten", began);
+    co_return std::move(run);
+  }
+  recordIsolation(*Request, nullptr, "no_server", began);
+  Failure failure{Verdict::NotRun, FailureCode::NoUpstream,
+                  Request->Digest.Text,
+                  "no server is free of other requests that may crash it",
+                  Limits.IsolationRetryAfter};
+  co_return failure;
+}
+
 //===--- The topic --------------------------------------------------------===//
 
 /// Marks the servers as lost, so that runs which begin from now on are not
@@ -265,28 +395,57 @@
   RequestDigest digest(Record.Key);
   if (!Record.Value) {
     OwnCrashes.erase(digest);
+    Claims.Others.erase(digest);
     clearCrashes(History, digest);
     logStatusChanges();
+    ClaimsChanged.notify();
     return {};
   }
-  BOOST_LEAF_AUTO(crashes, decodeCrashes(*Record.Value, Record.Key));
-  noteReportedCrashes(crashes);
-  recordCrashes(History, digest, crashes, monotonicNow());
+  BOOST_LEAF_AUTO(record, decodeCrashRecord(*Record.Value, Record.Key));
+  TimePoint now = monotonicNow();
+  noteReportedCrashes(record.Crashes);
+  recordCrashes(History, digest, record.Crashes, now, record.IsolatedCrashes);
   logStatusChanges();
-  // Concurrent writers overwrite each other: write the record again if it lacks
-  // crashes that this process detected.
-  auto own = OwnCrashes.find(digest);
-  if (own != OwnCrashes.end() &&
-      !std::includes(crashes.begin(), crashes.end(), own->second.begin(),
-                     own->second.end())) {
-    Unwritten.insert(digest);
-    WriteWake.notify();
-  }
+  // Concurrent writers overwrite each other.
+  bool lacksClaim = applyClaim(Claims, digest, record.Claim, Record.At, now);
+  ClaimsChanged.notify();
+  if (lacksClaim || lacksOwnCrashes(digest, record))
+    publish(digest);
   return {};
 }
 
-/// Writes the records that the store lacks, one at a time. Retries while the
-/// store is unreachable.
+/// Returns true if a record lacks crashes that this process detected.
+bool Quarantine::lacksOwnCrashes(const RequestDigest &Digest,
+                                 const CrashTopicRecord &Record) const {
+  auto own = OwnCrashes.find(Digest);
+  return own != OwnCrashes.end() &&
+         !std::includes(Record.Crashes.begin(), Record.Crashes.end(),
+                        own->second.begin(), own->second.end());
+}
+
+/// Has the record of a request written again.
+void Quarantine::publish(const RequestDigest &Digest) {
+  Unwritten.insert(Digest);
+  WriteWake.notify();
+}
+
+/// Returns the record of a request as this process knows it. An empty value
+/// deletes the key.
+KeyedValue Quarantine::makeRecord(const RequestDigest &Digest) const {
+  auto known = History.Requests.find(Digest);
+  if (known == History.Requests.end())
+    return {Digest.Text, std::string()};
+  CrashTopicRecord record;
+  record.Crashes = known->second.Crashes;
+  record.IsolatedCrashes = known->second.IsolatedCrashes;
+  auto claim = Claims.Own.find(Digest);
+  if (claim != Claims.Own.end())
+    record.Claim = RunClaim{claim->second.Server, Claims.Self};
+  return {Digest.Text, encodeCrashRecord(record)};
+}
+
+/// Writes the records that the store lacks, several in one append. Retries
+/// while the store is unreachable.
 asio::awaitable<void> Quarantine::publishLoop() {
   constexpr Millis Idle{10000};
   for (;;) {
@@ -294,24 +453,26 @@
       co_await WriteWake.wait(monotonicNow() + Idle);
       continue;
     }
-    RequestDigest digest = *Unwritten.begin();
-    Unwritten.erase(Unwritten.begin());
-    auto known = History.Requests.find(digest);
-    // An empty value deletes the key.
-    std::string text = known == History.Requests.end()
-                           ? std::string()
-                           : encodeCrashes(known->second.Crashes);
-    std::vector<KeyedValue> values{{digest.Text, std::move(text)}};
+    std::vector<RequestDigest> digests;
+    std::vector<KeyedValue> values;
+    while (!Unwritten.empty() && values.size() < Limits.MaxRecordsPerAppend) {
+      digests.push_back(*Unwritten.begin());
+      values.push_back(makeRecord(digests.back()));
+      Unwritten.erase(Unwritten.begin());
+    }
     Outcome<Offset> got = co_await Feed.Store.AppendKeyed(
         CrashTopic, std::move(values), Limits.AppendTimeout);
     if (got) {
-      Follower->recordWritten(digest.Text, *got);
+      Offset at = *got;
+      for (const RequestDigest &it : digests)
+        Follower->recordWritten(it.Text, at++);
       continue;
     }
-    Feed.Decisions->line(
-        "request.ends_unwritten",
-        {{"digest", digest.Text}, {"reason", describe(got.failure())}});
-    Unwritten.insert(digest);
+    Feed.Decisions->line("request.ends_unwritten",
+                         {{"digest", digests.front().Text},
+                          {"records", std::to_string(digests.size())},
+                          {"reason", describe(got.failure())}});
+    Unwritten.insert(digests.begin(), digests.end());
     co_await pauseFor(Feed.Executor, Limits.RetryDelay);
   }
 }
--- a/Wasabi/Quarantine/Quarantine.h
+++ b/Wasabi/Quarantine/Quarantine.h
@@ -8,27 +8,18 @@
 #include "Wasabi/Core/AsyncSignal.h"
 #include "Wasabi/Ports/EnginePort.h"
 #include "Wasabi/Quarantine/CrashHistory.h"
+#include "Wasabi/Quarantine/CrashTopic.h"
+#include "Wasabi/Quarantine/RunClaims.h"
 #include "Wasabi/Upstream/Feed.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
-#include <string_view>
 
 namespace wasabi {
 
-/// Topic of the crashed servers by request digest. A request that was answered
-/// has its key deleted. Crashes are kept in the store because a request may be
-/// retried at any process, also after all processes have restarted.
-inline constexpr const char *CrashTopic = "keyed.crashes";
-
-/// Encodes the value of a record. Thread-safe.
-std::string encodeCrashes(const std::set<ServerIncarnation> &Crashes);
-/// Decodes the value of a record. Errors: `BadInput` at `Place`. Thread-safe.
-Result<std::set<ServerIncarnation>> decodeCrashes(std::string_view Text,
-                                                  const std::string &Place);
-
 /// A request that may be sent to several servers; lives as long as its caller
 /// waits. Used on the thread of the quarantine.
 struct GuardedRequest {
@@ -45,6 +36,20 @@
 public:
   struct Settings {
     CrashHistory::Settings History;
+    RunClaims::Settings Claims;
+    /// Lost servers from which on a suspect runs isolated. The first retry
+    /// after a crash isn't delayed, since most crashes have other causes.
+    std::size_t IsolationThreshold = 2;
+    /// Time limit of an isolated run's wait for a server. Covers several runs
+    /// of other suspects.
+    Millis MaxIsolationWait{500};
+    /// Interval between attempts to find a server for an isolated run.
+    Millis IsolationPollInterval{20};
+    /// Retry delay of a suspect that got no server of its own.
+    Millis IsolationRetryAfter{250};
+    /// Retry delay of a suspect whose last isolated run may have crashed its
+    /// server. Covers the usual time until a registration lapses.
+    Millis UnresolvedRetryAfter{1000};
     /// A crash this soon after the start of a run counts against the request
     /// even if the run had made progress.
     Millis EarlyCrashThreshold{800};
@@ -61,6 +66,8 @@
     Millis AppendTimeout{800};
     /// Delay before a failed append is retried.
     Millis RetryDelay{100};
+    /// Maximum number of records in one append.
+    std::size_t MaxRecordsPerAppend = 64;
     /// Interval between removals of old records.
     Millis SweepInterval{60000};
   };
@@ -100,9 +107,10 @@
   /// record.
   void answered(GuardedRequest &Request);
 
-  /// Returns the servers that run suspects of this process. Other requests
-  /// should avoid them: after a crash, two suspects on one server can't be told
-  /// apart, and any other request there may lose its server.
+  /// Returns the servers that run suspects of this process, and those that any
+  /// process has claimed for one. Other requests should avoid them: after a
+  /// crash, two suspects on one server can't be told apart, and any other
+  /// request there may lose its server.
   std::set<ServerIncarnation> suspectServers() const;
 
   /// Marks a server as running a suspect for as long as the object lives.
@@ -121,19 +129,67 @@
   std::unique_ptr<SuspectRun> trackSuspectRun(const RequestDigest &Digest,
                                               const ServerIncarnation &Server);
 
+  /// A claim of a server for one run of a suspect, for as long as the object
+  /// lives.
+  class IsolatedRun {
+  public:
+    IsolatedRun(std::shared_ptr<Quarantine> Owner, RequestDigest Digest,
+                std::shared_ptr<UpstreamServer> Server);
+    IsolatedRun(const IsolatedRun &) = delete;
+    IsolatedRun &operator=(const IsolatedRun &) = delete;
+    ~IsolatedRun();
+    const std::shared_ptr<UpstreamServer> &server() const { return Server; }
+
+  private:
+    const std::shared_ptr<Quarantine> Owner;
+    const RequestDigest Digest;
+    const std::shared_ptr<UpstreamServer> Server;
+  };
+  /// Returns a server for a run, or null if there is none.
+  using SelectServer = std::function<std::shared_ptr<UpstreamServer>()>;
+
+  /// Returns true if the next run of a request has to be isolated: several
+  /// servers were lost under it, and it is suspect.
+  bool needsIsolation(const RequestDigest &Digest) const;
+  /// Claims a server for a run of a suspect. `Select` is called on the thread
+  /// of the quarantine and should not return any of `suspectServers`. Waits
+  /// while all servers run suspects, or while the request runs elsewhere, for
+  /// `MaxIsolationWait` and until `Until` at most. If the claim can't be
+  /// written in that time, the run is isolated from those of this process only.
+  /// Fails with `NotRun` if there is no server, if it is not yet known whether
+  /// the last isolated run has crashed its server, or if the request has been
+  /// quarantined meanwhile.
+  boost::asio::awaitable<Outcome<std::unique_ptr<IsolatedRun>>>
+  isolate(std::shared_ptr<GuardedRequest> Request, TimePoint Until,
+          SelectServer Select);
+
 private:
   Quarantine(const FeedContext &Feed, EnginePort Engines, Metrics &Counts,
              Settings Limits);
   Result<void> applyRecord(const KeyedRecord &Record);
   void recordLateLoss(const GuardedRequest &Request,
                       const UpstreamServer &Server, TimePoint Began) const;
+  void forgetLoss(const RequestDigest &Digest, const ServerIncarnation &Server);
   void noteReportedCrashes(const std::set<ServerIncarnation> &Crashes);
   void recordCrash(const GuardedRequest &Request,
-                   const ServerIncarnation &Crashed);
+                   const ServerIncarnation &Crashed, bool Isolated);
+  std::optional<Failure>
+  findIsolationRefusal(const RequestDigest &Digest) const;
+  bool isIsolatedRun(const RequestDigest &Digest,
+                     const ServerIncarnation &Server) const;
+  void recordIsolation(const GuardedRequest &Request,
+                       const UpstreamServer *Server, std::string_view Result,
+                       TimePoint Began) const;
+  boost::asio::awaitable<ClaimStatus> awaitClaim(const RequestDigest &Digest,
+                                                 TimePoint Until);
+  bool lacksOwnCrashes(const RequestDigest &Digest,
+                       const CrashTopicRecord &Record) const;
+  void publish(const RequestDigest &Digest);
+  KeyedValue makeRecord(const RequestDigest &Digest) const;
   void logStatusChanges();
   boost::asio::awaitable<void>
   watchRegistration(std::shared_ptr<GuardedRequest> Request,
-                    std::shared_ptr<UpstreamServer> Server);
+                    std::shared_ptr<UpstreamServer> Server, bool Isolated);
   boost::asio::awaitable<void> publishLoop();
   boost::asio::awaitable<void> sweepLoop();
 
@@ -152,6 +208,13 @@
   std::set<RequestDigest> Unwritten;
   AsyncSignal WriteWake;
   std::map<ServerIncarnation, std::size_t> SuspectRuns;
+  /// Servers that lost a connection under a request and may have crashed, and
+  /// whether the run was isolated.
+  std::map<RequestDigest, std::map<ServerIncarnation, bool>> UnresolvedLosses;
+  RunClaims Claims;
+  /// Notified when a claim, a crash or an answer is read, and when a claim is
+  /// released.
+  AsyncSignal ClaimsChanged;
   std::shared_ptr<KeyedFollower> Follower;
 };
 
--- a/Wasabi/Upstream/ForwardProgress.h
+++ b/Wasabi/Upstream/ForwardProgress.h
@@ -31,6 +31,10 @@
   bool IsTrial = false;
   std::shared_ptr<UpstreamServer> Server;
   std::shared_ptr<GuardedRequest> Guard;
+  /// Set while `Server` is claimed for an isolated run.
+  std::unique_ptr<Quarantine::IsolatedRun> Isolated;
+  /// Set while a stream's server is marked as running a suspect.
+  std::unique_ptr<Quarantine::SuspectRun> SuspectStream;
   /// Usage recorded for this request; empty while none is recorded.
   std::optional<UsageEntry> MeteredUsage;
   /// True once the request has added its part to the budget of hedges.
--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -96,32 +96,73 @@
   return CrashQuarantine->refuse(State.Guard->Digest);
 }
 
-std::shared_ptr<UpstreamServer> Forwarder::selectNextServer(Progress &State) {
+/// Returns the server for the next attempt; null if there is none. With
+/// `AvoidSuspects`, returns no server that runs a suspect, even if there is no
+/// other one.
+std::shared_ptr<UpstreamServer>
+Forwarder::selectNextServer(Progress &State, bool AvoidSuspects) {
   TimePoint now = monotonicNow();
+  std::set<ServerIncarnation> suspects = CrashQuarantine->suspectServers();
   ServerQuery query;
   query.Service = State.Service;
   query.PreferredDomain = View.Domain;
   query.Others = Loads ? Loads->findLoad(State.Service) : nullptr;
-  query.Excluded = CrashQuarantine->suspectServers();
+  query.Excluded = suspects;
   query.Excluded.insert(State.TriedServers.begin(), State.TriedServers.end());
   query.MayTrial = mayTrial(State);
   recordSlowServers(State.Service, query.Others, now);
   ServerChoice choice =
       selectServer(View.Servers, View.Contact, query, now, Random);
-  if (!choice.Server && query.Excluded.size() > State.TriedServers.size()) {
+  if (!choice.Server && !AvoidSuspects &&
+      query.Excluded.size() > State.TriedServers.size()) {
     query.Excluded = State.TriedServers;
     choice = selectServer(View.Servers, View.Contact, query, now, Random);
   }
   if (!choice.Server && !State.TriedServers.empty() && State.PossibleRuns > 0) {
     // Every server has been tried: allow each of them a second attempt.
     State.TriedServers.clear();
-    query.Excluded.clear();
+    query.Excluded = AvoidSuspects ? suspects : std::set<ServerIncarnation>();
     choice = selectServer(View.Servers, View.Contact, query, now, Random);
   }
   recordSelection(State, choice);
   return choice.Server;
 }
 
+/// Sets `State.Server` for the next attempt; null if there is none. Claims the
+/// server if the attempt has to be isolated. Returns the reason if the request
+/// must not be sent, and a cancellation if `Stop` was emitted.
+asio::awaitable<std::optional<Failure>>
+Forwarder::chooseServerFor(Progress &State, asio::cancellation_signal &Stop) {
+  State.Isolated.reset();
+  State.SuspectStream.reset();
+  State.Server.reset();
+  if (std::optional<Failure> refused = findQuarantineFailure(State))
+    co_return refused;
+  if (!CrashQuarantine->needsIsolation(State.Guard->Digest)) {
+    State.Server = selectNextServer(State, /*AvoidSuspects=*/false);
+    co_return std::nullopt;
+  }
+  Quarantine::SelectServer select = [this, &State] {
+    return selectNextServer(State, /*AvoidSuspects=*/true);
+  };
+  TimePoint until = monotonicNow() + State.remainingTime() / 2;
+  asio::awaitable<Outcome<std::unique_ptr<Quarantine::IsolatedRun>>> claim =
+      CrashQuarantine->isolate(State.Guard, until, std::move(select));
+  std::optional<Outcome<std::unique_ptr<Quarantine::IsolatedRun>>> got =
+      co_await cancellable(Executor, std::move(claim), Stop);
+  if (!got) {
+    Failure left = makeCallerLeftFailure();
+    co_return left;
+  }
+  if (!*got) {
+    Failure refused = got->failure();
+    co_return refused;
+  }
+  State.Isolated = std::move(**got);
+  State.Server = State.Isolated->server();
+  co_return std::nullopt;
+}
+
 /// Returns true if a request may be sent to a server that looks slow: it is its
 /// first attempt, and the route, the time left and the budget allow a hedge.
 bool Forwarder::mayTrial(const Progress &State) const {
@@ -430,16 +471,15 @@
     addRequest(Hedges);
   }
   while (State.canAttempt(Limits)) {
-    if (std::optional<Failure> refused = findQuarantineFailure(State)) {
+    std::optional<Failure> refused = co_await chooseServerFor(State, Stop);
+    if (refused) {
       result.Error = *refused;
-      break;
+      result.CallerLeft = refused->Code == FailureCode::Cancelled;
     }
-    State.Server = selectNextServer(State);
-    if (!State.Server)
-      break;
-    if (co_await tryOnce(State, result, Stop))
+    if (!State.Server || co_await tryOnce(State, result, Stop))
       break;
   }
+  State.Isolated.reset();
   if (!result.Answer && State.allServersFull())
     result.Error.Code = FailureCode::Overloaded;
   co_return result;
--- a/Wasabi/Upstream/Forwarder.h
+++ b/Wasabi/Upstream/Forwarder.h
@@ -144,7 +144,10 @@
 
   Forwarder(Parts Dependencies, Settings Limits);
 
-  std::shared_ptr<UpstreamServer> selectNextServer(Progress &State);
+  std::shared_ptr<UpstreamServer> selectNextServer(Progress &State,
+                                                   bool AvoidSuspects);
+  boost::asio::awaitable<std::optional<Failure>>
+  chooseServerFor(Progress &State, boost::asio::cancellation_signal &Stop);
   bool mayTrial(const Progress &State) const;
   void recordSelection(Progress &State, const ServerChoice &Choice);
   void recordSlowServers(const ServiceName &Service, const ServiceLoad *Others,
--- a/Wasabi/Upstream/ForwarderStreams.cpp
+++ b/Wasabi/Upstream/ForwarderStreams.cpp
@@ -11,8 +11,8 @@
 asio::awaitable<std::unique_ptr<EngineStream>>
 Forwarder::openStream(Progress &State, std::optional<std::uint64_t> After,
                       asio::cancellation_signal &Stop) {
-  while (State.canAttempt(Limits) && !findQuarantineFailure(State)) {
-    State.Server = selectNextServer(State);
+  while (State.canAttempt(Limits)) {
+    co_await chooseServerFor(State, Stop);
     if (!State.Server)
       break;
     std::shared_ptr<UpstreamServer> server = State.Server;
@@ -21,9 +21,8 @@
     options.RequestId = State.Request.Id;
     options.Customer = State.customer();
     options.ResumeAfter = After;
-    std::unique_ptr<Quarantine::SuspectRun> suspect =
-        CrashQuarantine->trackSuspectRun(State.Guard->Digest,
-                                         server->Entry.incarnation());
+    State.SuspectStream = CrashQuarantine->trackSuspectRun(
+        State.Guard->Digest, server->Entry.incarnation());
     ++server->InFlight;
     TimePoint began = monotonicNow();
     std::optional<Outcome<std::unique_ptr<EngineStream>>> got =
@@ -62,6 +61,8 @@
     if (!callerPresent)
       break;
   }
+  State.Isolated.reset();
+  State.SuspectStream.reset();
   co_return nullptr;
 }
 
