A process under overload keeps one request in flight at a service, not four

Callers: with 12 processes before 12 slots, 14 to 34% of the urgent requests were refused after half of their time while 25 to 43% of the less urgent were served.

Cause: the limit of requests in flight that refusals lower had a floor of four a process. Twelve processes kept 48 in flight for 12 slots, so most were refused by the servers whatever their priority, and paused outside of the queue that orders by it. Priority decides only where the limits of all processes fit the slots.

The floor is now that of ConcurrencyLimit, one.

--- a/Wasabi/Upstream/Forwarder.h
+++ b/Wasabi/Upstream/Forwarder.h
@@ -63,7 +63,7 @@
     /// below the number of running requests, answers raise it again, and
     /// waiting requests are admitted by priority and customer.
     ConcurrencyLimit::Settings Concurrency{.InitialLimit = 4096,
-                                           .MinLimit = 4,
+                                           .MinLimit = 1,
                                            .MaxLimit = 4096,
                                            .AdaptToLatency = false,
                                            .DecreaseFromRunning = true,
