A server without recent answers is not taken for saturated

Callers: while a domain was saturated its servers held up to 77 requests for 30 slots and places in the queue and refused the rest; idle servers of the other domain got hardly any.

Cause: a server without recent answers was taken for typical, and the typical latency is that of the saturated servers, which give most answers.

Change: such a server is taken for the baseline: the typical latency that rises with a half-life of 30 s only. What is slow is still told by the typical latency.

'Servers without recent answers are not taken for saturated' fails before (91 ms for 25).

--- a/UnitTests/Upstream/ServerSelectionTest.cpp
+++ b/UnitTests/Upstream/ServerSelectionTest.cpp
@@ -450,6 +450,29 @@
   }
 }
 
+// Guards against an idle domain that gets no work, since its servers look as
+// slow as the saturated ones that give most of the answers.
+TEST_CASE("Servers without recent answers are not taken for saturated",
+          "[upstream]") {
+  constexpr double UnloadedMs = 25;
+  constexpr double SaturatedMs = 100;
+  UpstreamTable table = makeTable({"a", "b", "c"});
+  TimePoint now = Start;
+  auto answerAll = [&](const std::vector<const char *> &Servers,
+                       double LatencyMs, int Count) {
+    for (int i = 0; i < Count; ++i, now += Millis(10)) {
+      for (const char *it : Servers)
+        recordAnswer(table, serverOf(table, it), LatencyMs, now);
+    }
+  };
+  answerAll({"a", "b", "c"}, UnloadedMs, 100);
+  answerAll({"a", "b"}, SaturatedMs, 300);
+  CHECK(estimateLatencyMs(table, serverOf(table, "a"), nullptr, now) >
+        0.9 * SaturatedMs);
+  CHECK(estimateLatencyMs(table, serverOf(table, "c"), nullptr, now) <
+        1.2 * UnloadedMs);
+}
+
 // Guards against refusals by servers that hold more requests than their slots
 // and their queue, while others in the domain have room.
 TEST_CASE("While a domain is saturated no server holds more than it can queue",
--- a/Wasabi/Upstream/ServerSelection.cpp
+++ b/Wasabi/Upstream/ServerSelection.cpp
@@ -18,13 +18,20 @@
 /// Maximum estimate as a multiple of the typical latency. A server that is
 /// slower gets no less work, but would take longer to be used again.
 constexpr double MaxSlowness = 8.0;
-/// Time in which an estimate loses half of its distance to the typical latency:
-/// that of this many answers of the service to this process, within the limits.
-/// A process that sends one request in some seconds would otherwise forget
-/// which servers are slow from one request to the next.
+/// Time in which an estimate loses half of its distance to the baseline
+/// latency: that of this many answers of the service to this process, within
+/// the limits. A process that sends one request in some seconds would otherwise
+/// forget which servers are slow from one request to the next.
 constexpr double AnswersPerHalfLife = 4;
 constexpr double MinHalfLifeMs = 1000;
 constexpr double MaxHalfLifeMs = 10'000;
+/// Half-life of the distance between the baseline and a greater typical
+/// latency. Longer than the load peaks that servers with room have to absorb.
+constexpr double BaselineRiseHalfLifeMs = 30'000;
+/// Weight of a lower typical latency in the baseline, and number of answers
+/// until the typical latency is precise enough for a baseline of its own.
+constexpr double BaselineFallWeight = 0.1;
+constexpr std::uint64_t MinBaselineAnswers = 20;
 /// Servers within this factor of the best one are chosen at random.
 constexpr double CloseFactor = 1.5;
 /// All requests stay in the preferred domain while its best server is within
@@ -65,6 +72,9 @@
 /// What the estimates of all servers of one service have in common.
 struct EstimateBasis {
   double TypicalMs = DefaultLatencyMs;
+  /// Latency that is assumed of a server without recent answers. The typical
+  /// latency would make an idle server look as slow as the saturated ones.
+  double BaselineMs = DefaultLatencyMs;
   double HalfLifeMs = MinHalfLifeMs;
   /// Factor by which others' latencies are multiplied. Processes send requests
   /// of unlike work, so their latencies differ at the same server.
@@ -91,6 +101,15 @@
                     MaxHalfLifeMs);
 }
 
+/// Returns the latency that is assumed of a server without recent answers.
+double baselineMs(const UpstreamTable &Table, const ServiceName &Service,
+                  double TypicalMs) {
+  auto it = Table.TypicalLatencies.find(Service);
+  return it == Table.TypicalLatencies.end() || it->second.BaselineMs <= 0
+             ? TypicalMs
+             : std::min(it->second.BaselineMs, TypicalMs);
+}
+
 /// Returns the half-life of the estimates of a service.
 double halfLifeMs(const UpstreamTable &Table, const ServiceName &Service) {
   auto it = Table.TypicalLatencies.find(Service);
@@ -114,16 +133,17 @@
   return EstimateMs + weight * (SampleMs - EstimateMs);
 }
 
-/// Returns the local estimate of a server, aged toward the typical latency.
-WeightedLatency agedLatency(const UpstreamServer &Server, double TypicalMs,
-                            double HalfLifeMs, TimePoint Now) {
+/// Returns the local estimate of a server, aged toward the baseline latency.
+WeightedLatency agedLatency(const UpstreamServer &Server,
+                            const EstimateBasis &Basis, TimePoint Now) {
   if (Server.SmoothedLatencyMs <= 0)
-    return {TypicalMs, 0};
+    return {Basis.BaselineMs, 0};
   if (!Server.LatencyMeasuredAt)
     return {Server.SmoothedLatencyMs, 1};
-  double part =
-      remainingPart(millisBetween(*Server.LatencyMeasuredAt, Now), HalfLifeMs);
-  return {TypicalMs + part * (Server.SmoothedLatencyMs - TypicalMs),
+  double part = remainingPart(millisBetween(*Server.LatencyMeasuredAt, Now),
+                              Basis.HalfLifeMs);
+  return {Basis.BaselineMs +
+              part * (Server.SmoothedLatencyMs - Basis.BaselineMs),
           part * Server.LatencySamples};
 }
 
@@ -140,12 +160,12 @@
 WeightedLatency agedReport(const ServerLoad *Report, const EstimateBasis &Basis,
                            TimePoint Now) {
   if (Report == nullptr || !isPlausible(*Report))
-    return {Basis.TypicalMs, 0};
+    return {Basis.BaselineMs, 0};
   double part =
       remainingPart(millisBetween(Report->MeasuredAt, Now), MinHalfLifeMs);
   double latencyMs = std::min(Report->LatencyMs * Basis.OthersScale,
                               Basis.TypicalMs * MaxSlowness);
-  return {Basis.TypicalMs + part * (latencyMs - Basis.TypicalMs),
+  return {Basis.BaselineMs + part * (latencyMs - Basis.BaselineMs),
           part * std::min(Report->Samples, MaxReportWeight)};
 }
 
@@ -164,6 +184,7 @@
                         const ServiceLoad *Others, TimePoint Now) {
   EstimateBasis basis;
   basis.TypicalMs = typicalLatencyMs(Table, Service, Others);
+  basis.BaselineMs = baselineMs(Table, Service, basis.TypicalMs);
   basis.HalfLifeMs = halfLifeMs(Table, Service);
   if (Others == nullptr)
     return basis;
@@ -183,15 +204,14 @@
 double estimateLatencyMs(const EstimateBasis &Basis,
                          const UpstreamServer &Server,
                          const ServiceLoad *Others, TimePoint Now) {
-  WeightedLatency local =
-      agedLatency(Server, Basis.TypicalMs, Basis.HalfLifeMs, Now);
+  WeightedLatency local = agedLatency(Server, Basis, Now);
   WeightedLatency other =
       agedReport(findReport(Server, Others, Now), Basis, Now);
   double samples = local.Samples + other.Samples;
   double result =
       samples > 0
           ? (local.Ms * local.Samples + other.Ms * other.Samples) / samples
-          : Basis.TypicalMs;
+          : Basis.BaselineMs;
   // In order of age, the oldest first.
   std::size_t counted = 0;
   for (TimePoint it : Server.AttemptStarts) {
@@ -397,15 +417,14 @@
 
 double averageLatencyMs(const UpstreamTable &Table, const ServiceName &Service,
                         const StoreContact &Contact, TimePoint Now) {
-  double typicalMs = typicalLatencyMs(Table, Service, nullptr);
-  double halfLife = halfLifeMs(Table, Service);
+  EstimateBasis basis = makeBasis(Table, Service, nullptr, Now);
   double sum = 0;
   std::uint32_t known = 0;
   for (const std::shared_ptr<UpstreamServer> &it :
        findUsableServers(Table, Service, Contact, Now)) {
     if (it->SmoothedLatencyMs <= 0)
       continue;
-    sum += agedLatency(*it, typicalMs, halfLife, Now).Ms;
+    sum += agedLatency(*it, basis, Now).Ms;
     ++known;
   }
   return known == 0 ? 0 : sum / known;
@@ -425,33 +444,47 @@
 
 namespace {
 
+/// Moves the baseline toward the typical latency, `ElapsedMs` after the answer
+/// before.
+void updateBaseline(TypicalLatency &Typical, double ElapsedMs) {
+  double weight = BaselineFallWeight;
+  if (Typical.Samples < MinBaselineAnswers)
+    weight = 1;
+  else if (Typical.Ms > Typical.BaselineMs)
+    weight = 1 - remainingPart(ElapsedMs, BaselineRiseHalfLifeMs);
+  Typical.BaselineMs += weight * (Typical.Ms - Typical.BaselineMs);
+}
+
 /// Moves the typical latency toward a sample by a bounded factor, so that it
 /// follows the median and a few very long answers hardly change it.
 void updateTypical(TypicalLatency &Typical, double LatencyMs, TimePoint Now) {
   constexpr double MinStep = 0.05;
   constexpr double IntervalWeight = 0.1;
-  if (Typical.LastAnswer)
-    Typical.IntervalMs +=
-        IntervalWeight *
-        (millisBetween(*Typical.LastAnswer, Now) - Typical.IntervalMs);
+  double elapsedMs = 0;
+  if (Typical.LastAnswer) {
+    elapsedMs = millisBetween(*Typical.LastAnswer, Now);
+    Typical.IntervalMs += IntervalWeight * (elapsedMs - Typical.IntervalMs);
+  }
   Typical.LastAnswer = Now;
   ++Typical.Samples;
   if (Typical.Ms <= 0) {
     Typical.Ms = LatencyMs;
+    Typical.BaselineMs = LatencyMs;
     return;
   }
   double step = std::max(MinStep, 1.0 / static_cast<double>(Typical.Samples));
   Typical.Ms =
       std::clamp(LatencyMs, Typical.Ms / (1 + step), Typical.Ms * (1 + step));
+  updateBaseline(Typical, elapsedMs);
 }
 
-void updateLatency(UpstreamServer &Server, double TypicalMs, double HalfLifeMs,
+void updateLatency(UpstreamServer &Server, const EstimateBasis &Basis,
                    double SampleMs, TimePoint Now) {
-  WeightedLatency aged = agedLatency(Server, TypicalMs, HalfLifeMs, Now);
+  WeightedLatency aged = agedLatency(Server, Basis, Now);
   double ageMs = millisBetween(Server.LatencyMeasuredAt.value_or(Now), Now);
   Server.SmoothedLatencyMs =
-      addSample(aged.Ms, std::min(SampleMs, TypicalMs * MaxSlowness),
-                remainingPart(ageMs, HalfLifeMs));
+      addSample(aged.Ms, std::min(SampleMs, Basis.TypicalMs * MaxSlowness),
+                remainingPart(ageMs, Basis.HalfLifeMs));
   Server.LatencySamples = aged.Samples + 1;
   Server.LatencyMeasuredAt = Now;
 }
@@ -466,16 +499,15 @@
     return;
   TypicalLatency &typical = Table.TypicalLatencies[Server.Entry.Service];
   updateTypical(typical, LatencyMs, Now);
-  updateLatency(Server, typical.Ms, halfLifeMs(typical), LatencyMs, Now);
+  updateLatency(Server, makeBasis(Table, Server.Entry.Service, nullptr, Now),
+                LatencyMs, Now);
 }
 
 void recordUnanswered(const UpstreamTable &Table, UpstreamServer &Server,
                       double AgeMs, TimePoint Now) {
-  double typicalMs = typicalLatencyMs(Table, Server.Entry.Service, nullptr);
-  double halfLife = halfLifeMs(Table, Server.Entry.Service);
-  if (std::isfinite(AgeMs) &&
-      AgeMs > agedLatency(Server, typicalMs, halfLife, Now).Ms)
-    updateLatency(Server, typicalMs, halfLife, AgeMs, Now);
+  EstimateBasis basis = makeBasis(Table, Server.Entry.Service, nullptr, Now);
+  if (std::isfinite(AgeMs) && AgeMs > agedLatency(Server, basis, Now).Ms)
+    updateLatency(Server, basis, AgeMs, Now);
 }
 
 std::vector<std::shared_ptr<UpstreamServer>>
--- a/Wasabi/Upstream/UpstreamTable.h
+++ b/Wasabi/Upstream/UpstreamTable.h
@@ -91,6 +91,10 @@
 struct TypicalLatency {
   /// In milliseconds; 0 before the first answer.
   double Ms = 0;
+  /// `Ms` as it is while the servers don't queue: follows decreases within some
+  /// answers and increases slowly, so that a period of saturation hardly changes
+  /// it. 0 before the first answer.
+  double BaselineMs = 0;
   /// Number of answers so far.
   std::uint64_t Samples = 0;
   /// Exponentially smoothed time between two answers in milliseconds, and the
