A misdirected answer is no sign of life of a lost server

Callers: a request that crashes servers could take one more of them.

Cause: a restarted server answers 421 at the address of the crashed one, before the registration lapses. The 421 counted as a response of the lost server, which was then no longer watched, and its crash was not counted.

The new test fails before.

--- a/UnitTests/Upstream/ForwarderTest.cpp
+++ b/UnitTests/Upstream/ForwarderTest.cpp
@@ -410,6 +410,23 @@
   CHECK(fixture.CrashQuarantine->crashStatus(later) == CrashStatus::Clean);
 }
 
+// Guards against crashes that are not counted, since a restarted server answers
+// at the address of the crashed one before the registration lapses.
+TEST_CASE("A server whose address another one has taken over has crashed",
+          "[upstream][quarantine]") {
+  ForwarderFixture fixture;
+  fixture.Route.MaxAttempts = 1;
+  fixture.addServer("a", ServerBehavior::LosesAnswer);
+  fixture.sendRequest();
+  RequestDigest digest = digestOf(fixture.makeRequest());
+  fixture.Servers[ServerName("a")] = ServerBehavior::Misdirected;
+  fixture.Target = "/desk/later";
+  fixture.sendRequest();
+  CHECK(fixture.runUntil([&] {
+    return fixture.CrashQuarantine->crashStatus(digest) == CrashStatus::Suspect;
+  }));
+}
+
 TEST_CASE("A request whose caller disconnects during a probe is not retried",
           "[upstream][quarantine]") {
   ForwarderFixture fixture;
--- a/Wasabi/Upstream/UpstreamTable.cpp
+++ b/Wasabi/Upstream/UpstreamTable.cpp
@@ -152,7 +152,10 @@
   return found;
 }
 
-void noteResponse(UpstreamServer &Server) { Server.LostSince.reset(); }
+void noteResponse(UpstreamServer &Server, unsigned Status) {
+  if (Status != MisdirectedStatus)
+    Server.LostSince.reset();
+}
 
 void noteConnectionLost(UpstreamServer &Server, TimePoint Now) {
   if (!Server.LostSince)
--- a/Wasabi/Upstream/UpstreamTable.h
+++ b/Wasabi/Upstream/UpstreamTable.h
@@ -92,8 +92,8 @@
   /// In milliseconds; 0 before the first answer.
   double Ms = 0;
   /// `Ms` as it is while the servers don't queue: follows decreases within some
-  /// answers and increases slowly, so that a period of saturation hardly changes
-  /// it. 0 before the first answer.
+  /// answers and increases slowly, so that a period of saturation hardly
+  /// changes it. 0 before the first answer.
   double BaselineMs = 0;
   /// Number of answers so far.
   std::uint64_t Samples = 0;
@@ -209,8 +209,9 @@
 findUsableServers(const UpstreamTable &Table, const ServiceName &Service,
                   const StoreContact &Contact, TimePoint Now);
 
-/// Records that a response of any kind has arrived from a server.
-void noteResponse(UpstreamServer &Server);
+/// Records that a server has responded with `Status`. A misdirected request was
+/// answered by another server at its address, which says nothing of this one.
+void noteResponse(UpstreamServer &Server, unsigned Status);
 
 /// Records that a connection to a server was lost, or that another process has
 /// reported its crash. Only the first one since the last response counts.
