Only a response to a later request shows that a lost server is alive

A response that was on its way when its server crashed is read after the loss of other connections; it ended the watch of the registration, and the crash was not counted. And a caller that left during the probe of the server left a loss behind that was never resolved, so that its suspect request stayed refused: a loss now counts as unresolved while the registration is watched.

--- a/UnitTests/Upstream/ForwarderTest.cpp
+++ b/UnitTests/Upstream/ForwarderTest.cpp
@@ -427,6 +427,22 @@
   }));
 }
 
+TEST_CASE("Only a response to a later request shows that a server is alive",
+          "[upstream]") {
+  UpstreamServer server;
+  TimePoint lost = TimePoint() + Millis(1000);
+  noteConnectionLost(server, lost);
+  noteConnectionLost(server, lost + Millis(5));
+  CHECK(server.LostSince == lost);
+  // The response was on its way when the server crashed.
+  noteResponse(server, lost - Millis(1), 200);
+  CHECK(server.LostSince == lost);
+  noteResponse(server, lost + Millis(1), MisdirectedStatus);
+  CHECK(server.LostSince == lost);
+  noteResponse(server, lost + Millis(1), 503);
+  CHECK_FALSE(server.LostSince);
+}
+
 TEST_CASE("A request whose caller disconnects during a probe is not retried",
           "[upstream][quarantine]") {
   ForwarderFixture fixture;
--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -92,7 +92,7 @@
   }
   if (opened && *opened && !Task->Cancelled) {
     std::unique_ptr<EngineStream> stream = std::move(**opened);
-    noteResponse(*engine->Server, stream->head().Response.Status);
+    noteResponse(*engine->Server, startedAt, stream->head().Response.Status);
     bool accepted = checkStreamHead(Task, stream->head());
     if (accepted) {
       Task->Stream = stream.get();
--- a/Wasabi/Quarantine/Quarantine.cpp
+++ b/Wasabi/Quarantine/Quarantine.cpp
@@ -97,7 +97,6 @@
   noteConnectionLost(*Server, monotonicNow());
   ServerIncarnation lost = Server->Entry.incarnation();
   bool isolated = isIsolatedRun(Request->Digest, lost);
-  UnresolvedLosses[Request->Digest][lost] = isolated;
   // A server that refuses connections has crashed. One that accepts them lost
   // only this connection, or has already restarted.
   Outcome<ServerProbeResult> found =
@@ -119,16 +118,18 @@
 Quarantine::watchRegistration(std::shared_ptr<GuardedRequest> Request,
                               std::shared_ptr<UpstreamServer> Server,
                               bool Isolated) {
+  ServerIncarnation server = Server->Entry.incarnation();
+  UnresolvedLosses[Request->Digest][server] = Isolated;
   TimePoint until = monotonicNow() + Limits.CrashWatchTimeout;
   // A server that responds again has not crashed.
   while (monotonicNow() < until && !Request->Answered && Server->LostSince) {
     if (Server->Replaced || Server->UnregisteredAt) {
-      recordCrash(*Request, Server->Entry.incarnation(), Isolated);
+      recordCrash(*Request, server, Isolated);
       co_return;
     }
     co_await pauseFor(Feed.Executor, Limits.CrashWatchInterval);
   }
-  forgetLoss(Request->Digest, Server->Entry.incarnation());
+  forgetLoss(Request->Digest, server);
 }
 
 void Quarantine::forgetLoss(const RequestDigest &Digest,
--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -287,7 +287,7 @@
   if (IsLastInFlight)
     withdrawUsage(State);
   if (got)
-    noteResponse(server, got->Response.Status);
+    noteResponse(server, Ended.Start, got->Response.Status);
   State.TriedServers.insert(server.Entry.incarnation());
   bool misdirected = got && got->Response.Status == MisdirectedStatus;
   bool ran = got && got->Proof == AnswerProof::Ran;
--- a/Wasabi/Upstream/ForwarderStreams.cpp
+++ b/Wasabi/Upstream/ForwarderStreams.cpp
@@ -36,7 +36,7 @@
       break;
     State.TriedServers.insert(server->Entry.incarnation());
     if (*got)
-      noteResponse(*server, (**got)->head().Response.Status);
+      noteResponse(*server, began, (**got)->head().Response.Status);
     if (*got && (**got)->head().Proof == AnswerProof::Ran) {
       ++State.PossibleRuns;
       co_return std::move(**got);
--- a/Wasabi/Upstream/UpstreamTable.cpp
+++ b/Wasabi/Upstream/UpstreamTable.cpp
@@ -152,8 +152,9 @@
   return found;
 }
 
-void noteResponse(UpstreamServer &Server, unsigned Status) {
-  if (Status != MisdirectedStatus)
+void noteResponse(UpstreamServer &Server, TimePoint Began, unsigned Status) {
+  if (Status != MisdirectedStatus && Server.LostSince &&
+      Began > *Server.LostSince)
     Server.LostSince.reset();
 }
 
--- a/Wasabi/Upstream/UpstreamTable.h
+++ b/Wasabi/Upstream/UpstreamTable.h
@@ -65,8 +65,9 @@
   TimePoint SuspectUntil;
   /// Until this time the server is cold.
   TimePoint ColdUntil;
-  /// Time of the first lost connection since the last response; empty if none
-  /// was lost. A run that begins later can't have crashed the server.
+  /// Time of the first lost connection since the server was last known to be
+  /// alive; empty if none was lost. A run that begins later can't have crashed
+  /// the server.
   std::optional<TimePoint> LostSince;
   /// End of the last evacuation of its failure domain, from which the server
   /// may return cold; empty if there was none.
@@ -209,9 +210,10 @@
 findUsableServers(const UpstreamTable &Table, const ServiceName &Service,
                   const StoreContact &Contact, TimePoint Now);
 
-/// Records that a server has responded with `Status`. A misdirected request was
-/// answered by another server at its address, which says nothing of this one.
-void noteResponse(UpstreamServer &Server, unsigned Status);
+/// Records that a server has responded with `Status` to a request that was sent
+/// at `Began`. If a connection was lost before that, the server is alive. A
+/// misdirected request was answered by another server at its address.
+void noteResponse(UpstreamServer &Server, TimePoint Began, unsigned Status);
 
 /// Records that a connection to a server was lost, or that another process has
 /// reported its crash. Only the first one since the last response counts.
