--- a/Wasabi/Quarantine/Quarantine.cpp
+++ b/Wasabi/Quarantine/Quarantine.cpp
@@ -31,6 +31,13 @@
   return "";
 }
 
+std::string_view toText(const Outcome<ServerProbeResult> &Probed) {
+  if (!Probed)
+    return "no answer";
+  return *Probed == ServerProbeResult::RefusesConnections ? "refuses"
+                                                          : "listens";
+}
+
 /// Returns a name for this process that no other one draws.
 std::string drawHolder() {
   std::random_device source;
@@ -101,6 +108,11 @@
   // only this connection, or has already restarted.
   Outcome<ServerProbeResult> found =
       co_await Engines.Probe(Server->Entry, Limits.ServerProbeTimeout);
+  Feed.Decisions->line("server.probed",
+                       {{"request", Request->Id},
+                        {"server", lost.Server.Text},
+                        {"start", std::to_string(lost.Start)},
+                        {"result", std::string(toText(found))}});
   bool refused = found && *found == ServerProbeResult::RefusesConnections;
   if (refused && !Request->Answered)
     recordCrash(*Request, lost, isolated);
