Quarantine: a lost connection counts before it is known to be a crash, at every process

Callers: a request that crashes servers took five (four are allowed) whenever a dying server still accepted a connection after it had closed its own.

Cause: an unresolved loss stood in no decision. A request without a confirmed crash counted as clean, so its second and third run weren't isolated, and no other process knew of them; the crash counted 0.3 s later, when the registration was removed.

Change: the loss is part of the crash record of the request from the start (ServerLosses), counts for isolation and for the number of crashes at every process, and ends as a crash or is withdrawn: at once when the server responds to a later request. While the last isolated run is unresolved, no process runs the request. A loss that another process reports counts as the first loss of the server. The examination of a server goes on if the caller disconnects.

--- a/IntegrationTests/Cases/CrashingRequestTest.cpp
+++ b/IntegrationTests/Cases/CrashingRequestTest.cpp
@@ -79,6 +79,59 @@
   }
 }
 
+// Guards against crashes that count only once they are confirmed: further
+// servers crash until then, at other processes, too.
+TEST_CASE("Platform: a request is quarantined whose servers still accept "
+          "connections while they crash") {
+  PlatformFixture fixture(Shape);
+  REQUIRE(fixture.waitUntilAllReady());
+  fixture.setCrashMarker("poison");
+  fixture.setListenerCloseDelay(Millis(50));
+  for (const char *path : {"/desk/poison", "/once/poison"}) {
+    int before = fixture.crashCount();
+    for (std::size_t i = 0; i < 4 * Processes; ++i) {
+      std::string id = path + std::to_string(i);
+      std::future<http::Response> beside = std::async(std::launch::async, [&] {
+        return fixture.sendWithBody(i % Processes, "/desk/steady", "s" + id,
+                                    "same");
+      });
+      http::Response got =
+          fixture.sendWithBody((i + 1) % Processes, path, id, "same");
+      CHECK(got.Status >= 502);
+      beside.get();
+      INFO(i << " " << got.Status << " " << got.Body << collectOutput(fixture));
+      CHECK(fixture.crashCount() - before <= MaxCrashes);
+    }
+    CHECK(fixture.crashCount() - before > 0);
+    REQUIRE(fixture.waitForRestarts());
+    for (std::size_t i = 0; i < Processes; ++i) {
+      INFO(collectOutput(fixture));
+      CHECK(harness::waitUntil(
+          [&] {
+            return fixture.sendWithBody(i, "/desk/steady", "after", "same")
+                       .Status == Ok;
+          },
+          WaitTimeout));
+    }
+  }
+}
+
+TEST_CASE("Platform: an item is quarantined whose engines still accept "
+          "connections while they crash") {
+  constexpr std::size_t Items = 6;
+  PlatformFixture fixture(Shape);
+  REQUIRE(fixture.waitUntilAllReady());
+  fixture.setCrashMarker("job-2");
+  fixture.setListenerCloseDelay(Millis(50));
+  REQUIRE(fixture.submit(0, "job", Items) == Accepted);
+  CHECK(harness::waitUntil(
+      [&] { return countResults(fixture, "job") == Items - 1; }, WaitTimeout));
+  waitForFurtherAttempts(fixture);
+  INFO(collectOutput(fixture));
+  CHECK(fixture.crashCount() <= MaxCrashes);
+  CHECK(fixture.crashCount() > 0);
+}
+
 TEST_CASE("Platform: an item that crashes engines is quarantined") {
   constexpr std::size_t Items = 6;
   PlatformFixture fixture(Shape);
--- a/IntegrationTests/Platform/PlatformFixture.cpp
+++ b/IntegrationTests/Platform/PlatformFixture.cpp
@@ -149,6 +149,13 @@
   });
 }
 
+void PlatformFixture::setListenerCloseDelay(Millis Delay) {
+  runOnPlatformThread([&] {
+    for (std::size_t i = 0; i < servers(); ++i)
+      server(i).ListenerCloseDelay = Delay;
+  });
+}
+
 int PlatformFixture::crashCount() {
   return runOnPlatformThread<int>([&] {
     int sum = 0;
--- a/IntegrationTests/Platform/PlatformFixture.h
+++ b/IntegrationTests/Platform/PlatformFixture.h
@@ -159,6 +159,8 @@
                               const std::string &Id, const std::string &Body);
   /// Makes each server crash that begins to run a request containing `Text`.
   void setCrashMarker(const std::string &Text);
+  /// Sets for how long a crashing server still accepts connections.
+  void setListenerCloseDelay(Millis Delay);
   /// Number of crashes caused by `setCrashMarker`.
   int crashCount();
   /// Waits until all servers are running.
--- a/IntegrationTests/Platform/PlatformServers.cpp
+++ b/IntegrationTests/Platform/PlatformServers.cpp
@@ -70,11 +70,18 @@
                    .value();
 }
 
-asio::awaitable<void> PlatformServer::crash() {
+asio::awaitable<void>
+PlatformServer::crash(std::shared_ptr<http::Responder> Responder) {
   std::string previousId = Id;
   Address listenAddress = address();
   ++Crashes;
   restart(previousId + "+");
+  if (ListenerCloseDelay > Millis(0)) {
+    Crashing = true;
+    Responder->abort();
+    co_await pauseFor(Context.get_executor(), ListenerCloseDelay);
+    Crashing = false;
+  }
   HttpServer->stop();
   co_await pauseFor(Context.get_executor(), CrashDownTime);
   listenAt(listenAddress);
@@ -162,6 +169,12 @@
                        std::shared_ptr<http::Responder> Responder) {
   std::string_view expected = Request.header("Wasabisail-Expect-Instance");
   http::Response answer;
+  if (Crashing) {
+    while (Crashing)
+      co_await pauseFor(Context.get_executor(), EventDelay);
+    Responder->abort();
+    co_return;
+  }
   if (Request.path() == "/api/report") {
     co_await Responder->send(report());
     co_return;
@@ -200,7 +213,8 @@
     // Another crashing request may have crashed the server meanwhile.
     if (incarnation == Incarnation)
       asio::co_spawn(
-          Context, [this] { return crash(); }, asio::detached);
+          Context, [this, Responder] { return crash(Responder); },
+          asio::detached);
     else
       Responder->abort();
     co_return;
--- a/IntegrationTests/Platform/PlatformServers.h
+++ b/IntegrationTests/Platform/PlatformServers.h
@@ -89,6 +89,9 @@
   /// and then restarts as a new incarnation.
   std::string CrashMarker;
   Millis CrashDownTime{300};
+  /// Time for which a crashing server still accepts connections, without a
+  /// response, after it has closed that of the crashing request.
+  Millis ListenerCloseDelay{0};
   /// Number of crashes caused by `CrashMarker`.
   int Crashes = 0;
   /// Called after a restart with the previous id.
@@ -101,7 +104,8 @@
   handle(http::Request Request, std::shared_ptr<http::Responder> Responder);
   boost::asio::awaitable<void>
   generate(http::Request Request, std::shared_ptr<http::Responder> Responder);
-  boost::asio::awaitable<void> crash();
+  boost::asio::awaitable<void>
+  crash(std::shared_ptr<http::Responder> Responder);
   void listenAt(const Address &Where);
   http::Response acceptOrder(const http::Request &Request);
   http::Response report() const;
@@ -115,6 +119,8 @@
   /// Number of the current incarnation; a run ends with its incarnation.
   std::uint64_t Incarnation = 0;
   bool Loading = false;
+  /// True while a crashing server still accepts connections.
+  bool Crashing = false;
   std::size_t Running = 0;
   std::shared_ptr<http::Server> HttpServer;
 };
--- a/UnitTests/Quarantine/IsolatedRunTest.cpp
+++ b/UnitTests/Quarantine/IsolatedRunTest.cpp
@@ -38,17 +38,23 @@
   std::shared_ptr<GuardedRequest> Steady = std::make_shared<GuardedRequest>(
       GuardedRequest{RequestDigest("steady"), "r2"});
 
+  /// Result of each probe of a server that lost a connection.
+  ServerProbeResult Probed = ServerProbeResult::RefusesConnections;
+  std::shared_ptr<bool> LeftDisconnected = std::make_shared<bool>(false);
+
   IsolatedRunFixture() {
     start(Left);
     start(Right);
   }
   void start(QuarantineProcess &Process) {
     EnginePort port;
-    port.Probe = [](const UpstreamRegistration &,
-                    Millis) -> asio::awaitable<Outcome<ServerProbeResult>> {
-      co_return ServerProbeResult::RefusesConnections;
+    port.Probe = [this](const UpstreamRegistration &,
+                        Millis) -> asio::awaitable<Outcome<ServerProbeResult>> {
+      co_return Probed;
     };
-    FeedContext feed{Context.get_executor(), Store.port(), Decisions,
+    RecordStore store =
+        &Process == &Left ? Store.port(LeftDisconnected) : Store.port();
+    FeedContext feed{Context.get_executor(), std::move(store), Decisions,
                      Process.View};
     Process.Crashes =
         Quarantine::create(feed, port, Process.Counts, Quarantine::Settings());
@@ -198,4 +204,148 @@
   CHECK(*got);
 }
 
+// Guards against crashes that don't count until they are confirmed: a dying
+// server may accept connections after it has closed its own.
+TEST_CASE("Servers that may have crashed count for isolation at each process",
+          "[quarantine]") {
+  IsolatedRunFixture fixture;
+  fixture.Probed = ServerProbeResult::Listens;
+  fixture.addServer("x");
+  fixture.addServer("y");
+  const RequestDigest &digest = fixture.Poison->Digest;
+  fixture.crash(fixture.Left, fixture.Poison, {"x"});
+  CHECK_FALSE(fixture.Left.Crashes->needsIsolation(digest));
+  CHECK(fixture.Left.Crashes->hasUnresolvedLosses(digest));
+  fixture.crash(fixture.Left, fixture.Poison, {"y"});
+  CHECK(fixture.Left.Crashes->needsIsolation(digest));
+  CHECK(fixture.runUntil(
+      [&] { return fixture.Right.Crashes->needsIsolation(digest); }));
+  SECTION("unless a server responds to a later request") {
+    for (QuarantineProcess *it : {&fixture.Left, &fixture.Right})
+      CHECK(it->Crashes->crashStatus(digest) == CrashStatus::Clean);
+    noteResponse(*fixture.Left.View.Servers.Servers[ServerName("x")],
+                 monotonicNow() + Millis(1), 200);
+    CHECK_FALSE(fixture.Left.Crashes->needsIsolation(digest));
+    CHECK(fixture.runUntil(
+        [&] { return !fixture.Right.Crashes->needsIsolation(digest); }));
+  }
+  SECTION("and become crashes when their registrations are removed") {
+    for (const char *id : {"x", "y"})
+      for (QuarantineProcess *it : {&fixture.Left, &fixture.Right})
+        unregisterServer(it->View.Servers, ServerName(id), monotonicNow());
+    for (QuarantineProcess *it : {&fixture.Left, &fixture.Right}) {
+      CHECK(fixture.runUntil([&] {
+        return it->Crashes->crashStatus(digest) == CrashStatus::Suspect;
+      }));
+      CHECK(it->Crashes->needsIsolation(digest));
+    }
+  }
+  SECTION("and become crashes if the process that lost them has ended") {
+    *fixture.LeftDisconnected = true;
+    unregisterServer(fixture.Right.View.Servers, ServerName("x"),
+                     monotonicNow());
+    CHECK(fixture.runUntil([&] {
+      return fixture.Right.Crashes->crashStatus(digest) == CrashStatus::Suspect;
+    }));
+  }
+}
+
+// Guards against runs at another process while the last isolated run may have
+// crashed its server.
+TEST_CASE("No process runs a suspect whose last server may have crashed",
+          "[quarantine]") {
+  IsolatedRunFixture fixture;
+  fixture.Probed = ServerProbeResult::Listens;
+  for (const char *id : {"a", "b", "x", "y"})
+    fixture.addServer(id);
+  fixture.crash(fixture.Left, fixture.Poison, {"x", "y"});
+  std::optional<Outcome<IsolatedRunPtr>> left;
+  fixture.isolate(fixture.Left, fixture.Poison, left);
+  REQUIRE(fixture.runUntil([&] { return left.has_value(); }));
+  REQUIRE(*left);
+  fixture.crash(fixture.Left, fixture.Poison,
+                {(**left)->server()->Entry.Id.Text});
+  left.reset();
+  std::optional<Outcome<IsolatedRunPtr>> right;
+  fixture.isolate(fixture.Right, fixture.Poison, right);
+  REQUIRE(fixture.runUntil([&] { return right.has_value(); }));
+  REQUIRE_FALSE(*right);
+  CHECK(right->failure().Run == Verdict::NotRun);
+  CHECK(right->failure().RetryAfter > Millis(0));
+  CHECK(fixture.Right.Selections == 0);
+  CHECK(fixture.Right.Crashes->awaitsResolution(fixture.Poison->Digest));
+}
+
+// Guards against requests that are refused, or wait for each other, because a
+// process lost all of its connections at once.
+TEST_CASE("Requests whose connections were all cut are served",
+          "[quarantine]") {
+  IsolatedRunFixture fixture;
+  fixture.Probed = ServerProbeResult::Listens;
+  fixture.addServer("x");
+  fixture.addServer("y");
+  std::vector<std::shared_ptr<GuardedRequest>> requests;
+  for (int i = 0; i < 20; ++i) {
+    requests.push_back(std::make_shared<GuardedRequest>(
+        GuardedRequest{RequestDigest(std::to_string(i)), "r"}));
+    fixture.crash(fixture.Left, requests.back(), {"x", "y"});
+  }
+  std::vector<std::optional<Outcome<IsolatedRunPtr>>> got(requests.size());
+  TimePoint began = monotonicNow();
+  for (std::size_t i = 0; i < requests.size(); ++i)
+    fixture.isolate(fixture.Left, requests[i], got[i]);
+  auto claimed = [&] {
+    return std::any_of(got.begin(), got.end(),
+                       [](const auto &It) { return It.has_value(); });
+  };
+  REQUIRE(fixture.runUntil(claimed));
+  // The first response shows that the server has not crashed.
+  for (std::size_t i = 0; i < requests.size(); ++i) {
+    if (!got[i])
+      continue;
+    REQUIRE(*got[i]);
+    noteResponse(*(**got[i])->server(), monotonicNow(), 200);
+    fixture.Left.Crashes->answered(*requests[i]);
+  }
+  REQUIRE(fixture.runUntil([&] {
+    return std::all_of(got.begin(), got.end(),
+                       [](const auto &It) { return It.has_value(); });
+  }));
+  CHECK(monotonicNow() - began < Quarantine::Settings().MaxIsolationWait);
+  for (const auto &it : got)
+    CHECK(*it);
+  for (const auto &it : requests)
+    CHECK(fixture.Left.Crashes->crashStatus(it->Digest) == CrashStatus::Clean);
+}
+
+// Guards against innocent requests that are charged with a crash because they
+// reached the dying server before its registration was removed.
+TEST_CASE(
+    "Runs that begin after another process lost the server aren't charged",
+    "[quarantine]") {
+  IsolatedRunFixture fixture;
+  fixture.Probed = ServerProbeResult::Listens;
+  fixture.addServer("x");
+  std::shared_ptr<UpstreamServer> server =
+      fixture.Right.View.Servers.Servers[ServerName("x")];
+  fixture.crash(fixture.Left, fixture.Poison, {"x"});
+  REQUIRE(fixture.runUntil([&] {
+    return fixture.Right.Crashes->hasUnresolvedLosses(fixture.Poison->Digest);
+  }));
+  auto lose = [&] {
+    fixture.run([&]() -> asio::awaitable<void> {
+      co_await fixture.Right.Crashes->onConnectionLost(
+          fixture.Steady, server, monotonicNow() + Millis(1));
+    });
+  };
+  lose();
+  CHECK_FALSE(
+      fixture.Right.Crashes->hasUnresolvedLosses(fixture.Steady->Digest));
+  // A response shows that the server was alive, so that a later loss counts.
+  noteResponse(*server, monotonicNow() + Millis(1), 200);
+  fixture.Context.run_for(Millis(5));
+  lose();
+  CHECK(fixture.Right.Crashes->hasUnresolvedLosses(fixture.Steady->Digest));
+}
+
 } // namespace wasabi::batchtest
--- a/UnitTests/Quarantine/RunClaimsTest.cpp
+++ b/UnitTests/Quarantine/RunClaimsTest.cpp
@@ -91,6 +91,8 @@
   record.IsolatedCrashes = {ServerB};
   record.Claim = RunClaim{ServerA, "holder"};
   CHECK(decodeCrashRecord(encodeCrashRecord(record), "test").value() == record);
+  record.Losses = {{ServerA, "holder", true}, {ServerB, "other", false}};
+  CHECK(decodeCrashRecord(encodeCrashRecord(record), "test").value() == record);
   // A record of a process that knows no claims.
   CrashTopicRecord plain;
   plain.Crashes = {ServerA};
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -342,7 +342,11 @@
 Dispatcher::findEngineFor(const ItemTask &Task, const EngineRequirements &Need,
                           const EngineList &Candidates,
                           const PaceBaseline &Baseline, TimePoint Now) const {
-  if (Crashes->crashStatus(Task.Guard->Digest) != CrashStatus::Clean) {
+  if (Crashes->awaitsResolution(Task.Guard->Digest))
+    return nullptr;
+  bool isolate = Crashes->needsIsolation(Task.Guard->Digest);
+  if (isolate ||
+      Crashes->crashStatus(Task.Guard->Digest) != CrashStatus::Clean) {
     std::set<ServerIncarnation> suspects = Crashes->suspectServers();
     EngineList others = Candidates;
     std::erase_if(others, [&](const std::shared_ptr<DispatchEngine> &It) {
@@ -350,7 +354,7 @@
     });
     std::shared_ptr<DispatchEngine> engine =
         chooseEngine(others, Need, Baseline, Limits.Pool, Now);
-    if (engine || Crashes->needsIsolation(Task.Guard->Digest))
+    if (engine || isolate)
       return engine;
   }
   return chooseEngine(Candidates, Need, Baseline, Limits.Pool, Now);
--- a/Wasabi/Quarantine/CrashHistory.cpp
+++ b/Wasabi/Quarantine/CrashHistory.cpp
@@ -1,7 +1,7 @@
 #include "Wasabi/Quarantine/CrashHistory.h"
 
 #include <algorithm>
-#include <utility>
+#include <tuple>
 #include <vector>
 
 namespace wasabi {
@@ -113,10 +113,12 @@
 }
 
 /// Returns true if `Left` is evicted before `Right`: requests that are not
-/// poison come first, then those whose last crash is older.
+/// poison come first, of these the ones without crashes, then those whose last
+/// crash is older.
 bool isEvictedBefore(const CrashRecord &Left, const CrashRecord &Right) {
-  return std::make_pair(Left.IsPoison, Left.LastCrash) <
-         std::make_pair(Right.IsPoison, Right.LastCrash);
+  return std::make_tuple(Left.IsPoison, !Left.Crashes.empty(), Left.LastCrash) <
+         std::make_tuple(Right.IsPoison, !Right.Crashes.empty(),
+                         Right.LastCrash);
 }
 
 } // namespace
@@ -124,7 +126,8 @@
 bool recordCrashes(CrashHistory &History, const RequestDigest &Digest,
                    const std::set<ServerIncarnation> &Crashes, TimePoint Now,
                    const std::set<ServerIncarnation> &IsolatedCrashes) {
-  CrashRecord &record = History.Requests[Digest];
+  auto [entry, isFirst] = History.Requests.try_emplace(Digest);
+  CrashRecord &record = entry->second;
   std::size_t before = record.Crashes.size();
   std::size_t isolatedBefore = record.IsolatedCrashes.size();
   for (const ServerIncarnation &it : Crashes) {
@@ -137,7 +140,7 @@
   }
   bool isNew = record.Crashes.size() > before;
   // At the maximum, further crashes only extend the quarantine.
-  if (isNew || before == History.Limits.MaxCrashesPerRequest)
+  if (isFirst || isNew || before == History.Limits.MaxCrashesPerRequest)
     record.LastCrash = Now;
   if (isNew || record.IsolatedCrashes.size() > isolatedBefore)
     updateFlags(History);
@@ -145,16 +148,20 @@
 }
 
 bool clearCrashes(CrashHistory &History, const RequestDigest &Digest) {
-  if (History.Requests.erase(Digest) == 0)
+  auto it = History.Requests.find(Digest);
+  if (it == History.Requests.end())
     return false;
-  updateFlags(History);
+  bool hadCrashes = !it->second.Crashes.empty();
+  History.Requests.erase(it);
+  if (hadCrashes)
+    updateFlags(History);
   return true;
 }
 
 CrashStatus findCrashStatus(const CrashHistory &History,
                             const RequestDigest &Digest, TimePoint Now) {
   auto it = History.Requests.find(Digest);
-  if (it == History.Requests.end())
+  if (it == History.Requests.end() || it->second.Crashes.empty())
     return CrashStatus::Clean;
   if (it->second.IsPoison)
     return remainingQuarantine(History, Digest, Now) > Millis(0)
--- a/Wasabi/Quarantine/CrashHistory.h
+++ b/Wasabi/Quarantine/CrashHistory.h
@@ -26,7 +26,8 @@
   std::set<ServerIncarnation> Crashes;
   /// Those of them that ran no other suspect, see `RunClaims`.
   std::set<ServerIncarnation> IsolatedCrashes;
-  /// When this process learned of the last of them.
+  /// When this process learned of the last of them; of the record, if there is
+  /// none.
   TimePoint LastCrash;
   /// True if the request is poison: its crashes suffice to quarantine it. See
   /// `recordCrashes`.
--- a/Wasabi/Quarantine/CrashTopic.cpp
+++ b/Wasabi/Quarantine/CrashTopic.cpp
@@ -32,6 +32,17 @@
     crashes.push_back(std::move(crash));
   }
   json::object record{{"ends", std::move(crashes)}};
+  if (!Record.Losses.empty()) {
+    json::array losses;
+    for (const ServerLoss &it : Record.Losses) {
+      json::object loss = encodeServer(it.Server);
+      loss["holder"] = it.Holder;
+      if (it.Isolated)
+        loss["isolated"] = true;
+      losses.push_back(std::move(loss));
+    }
+    record["losses"] = std::move(losses);
+  }
   if (Record.Claim) {
     json::object claim = encodeServer(Record.Claim->Server);
     claim["holder"] = Record.Claim->Holder;
@@ -54,6 +65,13 @@
     record.Crashes.insert(std::move(server));
     root.mergeError(it);
   }
+  for (JsonReader &it : root.objects("losses", false)) {
+    it.allowUnknown();
+    ServerIncarnation server = decodeServer(it);
+    record.Losses.insert(ServerLoss{std::move(server), it.text("holder"),
+                                    it.boolean("isolated", false)});
+    root.mergeError(it);
+  }
   if (root.has("run")) {
     JsonReader run = root.object("run");
     run.allowUnknown();
--- a/Wasabi/Quarantine/CrashTopic.h
+++ b/Wasabi/Quarantine/CrashTopic.h
@@ -5,6 +5,7 @@
 
 #include "Wasabi/Core/Verdict.h"
 #include "Wasabi/Quarantine/RunClaims.h"
+#include "Wasabi/Quarantine/ServerLosses.h"
 
 #include <optional>
 #include <set>
@@ -15,7 +16,9 @@
 
 /// Topic of the crash records by request digest. A request that was answered
 /// has its key deleted. Crashes are kept in the store because a request may be
-/// retried at any process, also after all processes have restarted.
+/// retried at any process, also after all processes have restarted. A record
+/// whose only loss was withdrawn stays, without crashes: its deletion could
+/// erase a crash that another process has written meanwhile.
 inline constexpr const char *CrashTopic = "keyed.crashes";
 
 /// The value of a record. An immutable value.
@@ -24,6 +27,8 @@
   std::set<ServerIncarnation> Crashes;
   /// Those of them that ran no other suspect.
   std::set<ServerIncarnation> IsolatedCrashes;
+  /// Servers of which it isn't known yet whether they crashed.
+  std::set<ServerLoss> Losses;
   /// The server that is claimed for a run of the request; empty if none is.
   std::optional<RunClaim> Claim;
   bool operator==(const CrashTopicRecord &) const = default;
--- a/Wasabi/Quarantine/Quarantine.cpp
+++ b/Wasabi/Quarantine/Quarantine.cpp
@@ -6,6 +6,7 @@
 
 #include <random>
 #include <utility>
+#include <vector>
 
 namespace wasabi {
 
@@ -49,8 +50,9 @@
                        Metrics &Counts, Settings Limits)
     : Limits(Limits), Feed(Feed), Engines(std::move(Engines)), Counts(Counts),
       History{Limits.History, {}}, WriteWake(Feed.Executor),
-      Claims{Limits.Claims, drawHolder(), {}, {}},
-      ClaimsChanged(Feed.Executor) {}
+      Losses{Limits.Losses, drawHolder(), {}}, LossesRead(Feed.Executor),
+      Claims{Limits.Claims, Losses.Self, {}, {}}, ClaimsChanged(Feed.Executor) {
+}
 
 std::shared_ptr<Quarantine> Quarantine::create(const FeedContext &Feed,
                                                EnginePort Engines,
@@ -76,6 +78,10 @@
   asio::co_spawn(
       Feed.Executor, [self = shared_from_this()] { return self->sweepLoop(); },
       asio::detached);
+  asio::co_spawn(
+      Feed.Executor,
+      [self = shared_from_this()] { return self->takeoverLoop(); },
+      asio::detached);
 }
 
 CrashStatus Quarantine::crashStatus(const RequestDigest &Digest) const {
@@ -88,70 +94,223 @@
                  remainingQuarantine(History, Digest, monotonicNow())};
 }
 
-//===--- Crashes and answers ----------------------------------------------===//
+//===--- Lost connections -------------------------------------------------===//
+
+/// The examination of a server that lost the connection of a run.
+struct Quarantine::Examination {
+  explicit Examination(const asio::any_io_executor &Executor)
+      : ProbeEnded(Executor) {}
+  std::shared_ptr<GuardedRequest> Request;
+  std::shared_ptr<UpstreamServer> Server;
+  ServerIncarnation Lost;
+  bool Isolated = false;
+  TimePoint Since;
+  bool IsProbed = false;
+  AsyncSignal ProbeEnded;
+};
 
 asio::awaitable<Done>
 Quarantine::onConnectionLost(std::shared_ptr<GuardedRequest> Request,
                              std::shared_ptr<UpstreamServer> Server,
                              TimePoint Began) {
-  std::shared_ptr<Quarantine> self = shared_from_this();
   if (Server->LostSince && Began > *Server->LostSince) {
     recordLateLoss(*Request, *Server, Began);
     co_return Done{};
   }
-  noteConnectionLost(*Server, monotonicNow());
-  ServerIncarnation lost = Server->Entry.incarnation();
-  bool isolated = isIsolatedRun(Request->Digest, lost);
-  // A server that refuses connections has crashed. One that accepts them lost
-  // only this connection, or has already restarted.
-  Outcome<ServerProbeResult> found =
-      co_await Engines.Probe(Server->Entry, Limits.ServerProbeTimeout);
+  std::shared_ptr<Examination> examined =
+      std::make_shared<Examination>(Feed.Executor);
+  examined->Since = monotonicNow();
+  noteConnectionLost(*Server, examined->Since);
+  examined->Lost = Server->Entry.incarnation();
+  examined->Isolated = isIsolatedRun(Request->Digest, examined->Lost);
+  examined->Request = std::move(Request);
+  examined->Server = std::move(Server);
+  recordLoss(*examined);
+  // Goes on if the caller disconnects during the probe.
+  asio::co_spawn(
+      Feed.Executor,
+      [self = shared_from_this(), examined] {
+        return self->examineServer(examined);
+      },
+      asio::detached);
+  while (!examined->IsProbed)
+    co_await examined->ProbeEnded.wait();
+  co_return Done{};
+}
+
+/// Finds out whether a server has crashed. A server that refuses connections
+/// has. One that accepts them lost only this connection, has already restarted,
+/// or closes its listening socket last.
+asio::awaitable<void>
+Quarantine::examineServer(std::shared_ptr<Examination> Examined) {
+  Outcome<ServerProbeResult> found = co_await Engines.Probe(
+      Examined->Server->Entry, Limits.ServerProbeTimeout);
   Feed.Decisions->line("server.probed",
-                       {{"request", Request->Id},
-                        {"server", lost.Server.Text},
-                        {"start", std::to_string(lost.Start)},
+                       {{"request", Examined->Request->Id},
+                        {"server", Examined->Lost.Server.Text},
+                        {"start", std::to_string(Examined->Lost.Start)},
                         {"result", std::string(toText(found))}});
   bool refused = found && *found == ServerProbeResult::RefusesConnections;
-  if (refused && !Request->Answered)
-    recordCrash(*Request, lost, isolated);
-  else if (!refused)
-    asio::co_spawn(
-        Feed.Executor,
-        [self, Request, Server, isolated] {
-          return self->watchRegistration(Request, Server, isolated);
-        },
-        asio::detached);
-  co_return Done{};
+  if (Examined->Request->Answered)
+    withdrawLoss(*Examined, "answered");
+  else if (refused)
+    recordCrash(*Examined->Request, Examined->Lost, Examined->Isolated);
+  Examined->IsProbed = true;
+  Examined->ProbeEnded.notify();
+  if (!refused)
+    co_await watchRegistration(Examined);
 }
 
 asio::awaitable<void>
-Quarantine::watchRegistration(std::shared_ptr<GuardedRequest> Request,
-                              std::shared_ptr<UpstreamServer> Server,
-                              bool Isolated) {
-  ServerIncarnation server = Server->Entry.incarnation();
-  UnresolvedLosses[Request->Digest][server] = Isolated;
-  TimePoint until = monotonicNow() + Limits.CrashWatchTimeout;
-  // A server that responds again has not crashed.
-  while (monotonicNow() < until && !Request->Answered && Server->LostSince) {
-    if (Server->Replaced || Server->UnregisteredAt) {
-      recordCrash(*Request, server, Isolated);
+Quarantine::watchRegistration(std::shared_ptr<Examination> Examined) {
+  const UpstreamServer &server = *Examined->Server;
+  TimePoint until = Examined->Since + Limits.CrashWatchTimeout;
+  while (monotonicNow() < until && !Examined->Request->Answered &&
+         !hasResponded(server, Examined->Since)) {
+    if (server.Replaced || server.UnregisteredAt) {
+      recordCrash(*Examined->Request, Examined->Lost, Examined->Isolated);
       co_return;
     }
     co_await pauseFor(Feed.Executor, Limits.CrashWatchInterval);
   }
-  forgetLoss(Request->Digest, server);
+  std::string_view reason = "registered";
+  if (Examined->Request->Answered)
+    reason = "answered";
+  else if (hasResponded(server, Examined->Since))
+    reason = "server_responded";
+  withdrawLoss(*Examined, reason);
 }
 
-void Quarantine::forgetLoss(const RequestDigest &Digest,
-                            const ServerIncarnation &Server) {
-  auto it = UnresolvedLosses.find(Digest);
-  if (it == UnresolvedLosses.end())
+void Quarantine::recordLoss(const Examination &Examined) {
+  const RequestDigest &digest = Examined.Request->Digest;
+  addLoss(Losses, digest, Examined.Lost, Examined.Isolated, Examined.Since);
+  // Creates the record.
+  recordCrashes(History, digest, {}, Examined.Since);
+  Feed.Decisions->line(
+      "request.loss",
+      {{"request", Examined.Request->Id},
+       {"digest", digest.Text},
+       {"server", Examined.Lost.Server.Text},
+       {"start", std::to_string(Examined.Lost.Start)},
+       {"isolated", Examined.Isolated ? "yes" : "no"},
+       {"suspected", std::to_string(findSuspectedCrashes(digest).size())}});
+  Counts
+      .counter("server_losses_total",
+               "Lost connections that may be crashes of their server")
+      .add();
+  publish(digest);
+}
+
+/// Removes a loss of a server that has not crashed, or that the request can't
+/// have crashed.
+void Quarantine::withdrawLoss(const Examination &Examined,
+                              std::string_view Reason) {
+  const RequestDigest &digest = Examined.Request->Digest;
+  if (!removeLoss(Losses, digest, Examined.Lost))
     return;
-  it->second.erase(Server);
-  if (it->second.empty())
-    UnresolvedLosses.erase(it);
+  Millis after =
+      std::chrono::duration_cast<Millis>(monotonicNow() - Examined.Since);
+  Feed.Decisions->line("request.loss_withdrawn",
+                       {{"request", Examined.Request->Id},
+                        {"digest", digest.Text},
+                        {"server", Examined.Lost.Server.Text},
+                        {"start", std::to_string(Examined.Lost.Start)},
+                        {"reason", std::string(Reason)},
+                        {"after_ms", std::to_string(after.count())}});
+  Counts
+      .counter("server_losses_withdrawn_total",
+               "Lost connections whose server has not crashed, by reason",
+               {{"reason", std::string(Reason)}})
+      .add();
+  publish(digest);
+  ClaimsChanged.notify();
+}
+
+//===--- Unresolved losses ------------------------------------------------===//
+
+/// Returns true if a loss is known to be a crash, or to be none.
+bool Quarantine::isResolved(const RequestDigest &Digest, const ServerLoss &Loss,
+                            TimePoint Since) const {
+  auto record = History.Requests.find(Digest);
+  if (record != History.Requests.end() &&
+      record->second.Crashes.contains(Loss.Server))
+    return true;
+  auto it = Feed.View.Servers.Servers.find(Loss.Server.Server);
+  return it != Feed.View.Servers.Servers.end() &&
+         it->second->Entry.incarnation() == Loss.Server &&
+         hasResponded(*it->second, Since);
+}
+
+/// Returns the servers that may have crashed under a request, and whether one
+/// of their runs was isolated.
+std::map<ServerIncarnation, bool>
+Quarantine::findUnresolved(const RequestDigest &Digest) const {
+  std::map<ServerIncarnation, bool> found;
+  for (const auto &[loss, since] : findLosses(Losses, Digest, monotonicNow())) {
+    if (!isResolved(Digest, loss, since))
+      found[loss.Server] |= loss.Isolated;
+  }
+  return found;
+}
+
+bool Quarantine::hasUnresolvedLosses(const RequestDigest &Digest) const {
+  return !findUnresolved(Digest).empty();
+}
+
+/// Returns the servers that crashed under a request or may have. Crashes that
+/// another request explains are left out.
+std::set<ServerIncarnation>
+Quarantine::findSuspectedCrashes(const RequestDigest &Digest) const {
+  std::set<ServerIncarnation> found;
+  if (crashStatus(Digest) != CrashStatus::Clean)
+    found = History.Requests.at(Digest).Crashes;
+  for (const auto &[server, isolated] : findUnresolved(Digest))
+    found.insert(server);
+  return found;
+}
+
+bool Quarantine::awaitsResolution(const RequestDigest &Digest) const {
+  return hasUnresolvedLosses(Digest) &&
+         findSuspectedCrashes(Digest).size() >= Limits.History.CrashLimit;
+}
+
+/// Returns true if an incarnation of a server is no longer registered.
+bool Quarantine::isGone(const ServerIncarnation &Server) const {
+  auto it = Feed.View.Servers.Servers.find(Server.Server);
+  return it == Feed.View.Servers.Servers.end() ||
+         it->second->Entry.incarnation() != Server || it->second->Replaced ||
+         it->second->UnregisteredAt;
+}
+
+/// Records the crashes of servers that are gone and whose losses another
+/// process has not resolved.
+void Quarantine::takeOverLosses() {
+  TimePoint now = monotonicNow();
+  evictExpiredLosses(Losses, now);
+  std::vector<std::pair<RequestDigest, ServerLoss>> crashes;
+  for (const auto &[digest, losses] : Losses.Requests) {
+    for (const auto &[loss, since] : losses) {
+      if (loss.Holder != Losses.Self &&
+          now - since >= Limits.LossTakeoverDelay && isGone(loss.Server) &&
+          !isResolved(digest, loss, since))
+        crashes.emplace_back(digest, loss);
+    }
+  }
+  for (const auto &[digest, loss] : crashes)
+    recordCrash(GuardedRequest{digest, "", false}, loss.Server, loss.Isolated);
 }
 
+asio::awaitable<void> Quarantine::takeoverLoop() {
+  for (;;) {
+    if (Losses.Requests.empty())
+      co_await LossesRead.wait();
+    co_await pauseFor(Feed.Executor, Limits.CrashWatchInterval);
+    takeOverLosses();
+  }
+}
+
+//===--- Late losses, crashes and answers ---------------------------------===//
+
 /// Records a lost connection of a run that began after its server was lost.
 void Quarantine::recordLateLoss(const GuardedRequest &Request,
                                 const UpstreamServer &Server,
@@ -172,7 +331,7 @@
 
 void Quarantine::recordCrash(const GuardedRequest &Request,
                              const ServerIncarnation &Crashed, bool Isolated) {
-  forgetLoss(Request.Digest, Crashed);
+  removeLoss(Losses, Request.Digest, Crashed);
   OwnCrashes[Request.Digest].insert(Crashed);
   std::set<ServerIncarnation> isolatedCrashes;
   if (Isolated)
@@ -196,11 +355,15 @@
 
 void Quarantine::answered(GuardedRequest &Request) {
   Request.Answered = true;
-  UnresolvedLosses.erase(Request.Digest);
+  Losses.Requests.erase(Request.Digest);
   OwnCrashes.erase(Request.Digest);
-  if (!clearCrashes(History, Request.Digest))
+  auto record = History.Requests.find(Request.Digest);
+  if (record == History.Requests.end())
     return;
-  logStatusChanges();
+  bool hadCrashes = !record->second.Crashes.empty();
+  clearCrashes(History, Request.Digest);
+  if (hadCrashes)
+    logStatusChanges();
   publish(Request.Digest);
 }
 
--- a/Wasabi/Quarantine/Quarantine.h
+++ b/Wasabi/Quarantine/Quarantine.h
@@ -10,6 +10,7 @@
 #include "Wasabi/Quarantine/CrashHistory.h"
 #include "Wasabi/Quarantine/CrashTopic.h"
 #include "Wasabi/Quarantine/RunClaims.h"
+#include "Wasabi/Quarantine/ServerLosses.h"
 #include "Wasabi/Upstream/Feed.h"
 
 #include <functional>
@@ -37,6 +38,7 @@
   struct Settings {
     CrashHistory::Settings History;
     RunClaims::Settings Claims;
+    ServerLosses::Settings Losses;
     /// Lost servers from which on a suspect runs isolated. The first retry
     /// after a crash isn't delayed, since most crashes have other causes.
     std::size_t IsolationThreshold = 2;
@@ -60,6 +62,9 @@
     /// registration is removed or replaced within this time, which covers
     /// several heartbeats.
     Millis CrashWatchTimeout{5000};
+    /// Time after which this process resolves a loss of another one, which may
+    /// have ended. Must be below the validity of a loss.
+    Millis LossTakeoverDelay{1000};
     /// Interval between checks of the registration of a server.
     Millis CrashWatchInterval{200};
     /// Time limit of an append to the store.
@@ -89,9 +94,13 @@
 
   /// Called when a request that may have run lost its connection to `Server`.
   /// `Began` is the start of the run; a run that began after the server had
-  /// already been lost is not counted. Probes the server and returns once the
-  /// probe ends, within `ServerProbeTimeout`. Unless the server refuses the
-  /// connection, its registration is then watched in the background.
+  /// already been lost is not counted. The loss counts at once, and at every
+  /// process that reads it. Probes the server and returns once the probe ends,
+  /// within `ServerProbeTimeout`; the probe goes on if the caller stops
+  /// waiting. A server that refuses the connection has crashed. Otherwise, the
+  /// loss stays unresolved until the server responds to a later request, or
+  /// until its registration is removed or replaced, for `CrashWatchTimeout` at
+  /// most.
   boost::asio::awaitable<Done>
   onConnectionLost(std::shared_ptr<GuardedRequest> Request,
                    std::shared_ptr<UpstreamServer> Server,
@@ -148,9 +157,15 @@
   /// Returns a server for a run, or null if there is none.
   using SelectServer = std::function<std::shared_ptr<UpstreamServer>()>;
 
+  /// Returns true if it isn't known yet whether a server that ran the request
+  /// has crashed.
+  bool hasUnresolvedLosses(const RequestDigest &Digest) const;
   /// Returns true if the next run of a request has to be isolated: several
-  /// servers were lost under it, and it is suspect.
+  /// servers crashed under it, or may have.
   bool needsIsolation(const RequestDigest &Digest) const;
+  /// Returns true if one more crash could exceed the number of servers that a
+  /// request may crash, and a loss is unresolved.
+  bool awaitsResolution(const RequestDigest &Digest) const;
   /// Claims a server for a run of a suspect. `Select` is called on the thread
   /// of the quarantine and should not return any of `suspectServers`. Waits
   /// while all servers run suspects, or while the request runs elsewhere, for
@@ -158,7 +173,8 @@
   /// written in that time, the run is isolated from those of this process only.
   /// Fails with `NotRun` if there is no server, if it is not yet known whether
   /// the last isolated run has crashed its server, or if the request has been
-  /// quarantined meanwhile.
+  /// quarantined meanwhile. Returns null if the request need no longer be
+  /// isolated, because its losses were withdrawn meanwhile.
   boost::asio::awaitable<Outcome<std::unique_ptr<IsolatedRun>>>
   isolate(std::shared_ptr<GuardedRequest> Request, TimePoint Until,
           SelectServer Select);
@@ -169,8 +185,18 @@
   Result<void> applyRecord(const KeyedRecord &Record);
   void recordLateLoss(const GuardedRequest &Request,
                       const UpstreamServer &Server, TimePoint Began) const;
-  void forgetLoss(const RequestDigest &Digest, const ServerIncarnation &Server);
-  void noteReportedCrashes(const std::set<ServerIncarnation> &Crashes);
+  struct Examination;
+  boost::asio::awaitable<void>
+  examineServer(std::shared_ptr<Examination> Examined);
+  void recordLoss(const Examination &Examined);
+  void withdrawLoss(const Examination &Examined, std::string_view Reason);
+  bool isResolved(const RequestDigest &Digest, const ServerLoss &Loss,
+                  TimePoint Since) const;
+  std::map<ServerIncarnation, bool>
+  findUnresolved(const RequestDigest &Digest) const;
+  std::set<ServerIncarnation>
+  findSuspectedCrashes(const RequestDigest &Digest) const;
+  void noteReportedLosses(const std::set<ServerIncarnation> &Lost);
   void recordCrash(const GuardedRequest &Request,
                    const ServerIncarnation &Crashed, bool Isolated);
   std::optional<Failure>
@@ -188,8 +214,10 @@
   KeyedValue makeRecord(const RequestDigest &Digest) const;
   void logStatusChanges();
   boost::asio::awaitable<void>
-  watchRegistration(std::shared_ptr<GuardedRequest> Request,
-                    std::shared_ptr<UpstreamServer> Server, bool Isolated);
+  watchRegistration(std::shared_ptr<Examination> Examined);
+  bool isGone(const ServerIncarnation &Server) const;
+  void takeOverLosses();
+  boost::asio::awaitable<void> takeoverLoop();
   boost::asio::awaitable<void> publishLoop();
   boost::asio::awaitable<void> sweepLoop();
 
@@ -208,12 +236,12 @@
   std::set<RequestDigest> Unwritten;
   AsyncSignal WriteWake;
   std::map<ServerIncarnation, std::size_t> SuspectRuns;
-  /// Servers that lost a connection under a request and may have crashed, and
-  /// whether the run was isolated.
-  std::map<RequestDigest, std::map<ServerIncarnation, bool>> UnresolvedLosses;
+  ServerLosses Losses;
+  /// Notified when a loss of another process is read.
+  AsyncSignal LossesRead;
   RunClaims Claims;
-  /// Notified when a claim, a crash or an answer is read, and when a claim is
-  /// released.
+  /// Notified when a claim, a crash or an answer is read, when a claim is
+  /// released, and when a loss is withdrawn.
   AsyncSignal ClaimsChanged;
   std::shared_ptr<KeyedFollower> Follower;
 };
--- a/Wasabi/Quarantine/QuarantineIsolation.cpp
+++ b/Wasabi/Quarantine/QuarantineIsolation.cpp
@@ -58,15 +58,8 @@
 }
 
 bool Quarantine::needsIsolation(const RequestDigest &Digest) const {
-  if (crashStatus(Digest) != CrashStatus::Suspect)
-    return false;
-  std::set<ServerIncarnation> lost = History.Requests.at(Digest).Crashes;
-  auto unresolved = UnresolvedLosses.find(Digest);
-  if (unresolved != UnresolvedLosses.end()) {
-    for (const auto &[server, isolated] : unresolved->second)
-      lost.insert(server);
-  }
-  return lost.size() >= Limits.IsolationThreshold;
+  return crashStatus(Digest) != CrashStatus::Quarantined &&
+         findSuspectedCrashes(Digest).size() >= Limits.IsolationThreshold;
 }
 
 bool Quarantine::isIsolatedRun(const RequestDigest &Digest,
@@ -100,10 +93,12 @@
 Quarantine::findIsolationRefusal(const RequestDigest &Digest) const {
   if (crashStatus(Digest) == CrashStatus::Quarantined)
     return refuse(Digest);
-  auto unresolved = UnresolvedLosses.find(Digest);
-  if (unresolved == UnresolvedLosses.end() ||
-      std::none_of(unresolved->second.begin(), unresolved->second.end(),
-                   [](const auto &It) { return It.second; }))
+  std::map<ServerIncarnation, bool> unresolved = findUnresolved(Digest);
+  bool anyIsolated = std::any_of(unresolved.begin(), unresolved.end(),
+                                 [](const auto &It) { return It.second; });
+  bool atLimit = !unresolved.empty() && findSuspectedCrashes(Digest).size() >=
+                                            Limits.History.SharedCrashLimit;
+  if (!anyIsolated && !atLimit)
     return std::nullopt;
   return Failure{Verdict::NotRun, FailureCode::Quarantined, Digest.Text,
                  "the last server that ran this request may have crashed",
@@ -130,6 +125,8 @@
   for (;;) {
     if (std::optional<Failure> refused = findIsolationRefusal(Request->Digest))
       co_return std::move(*refused);
+    if (!needsIsolation(Request->Digest))
+      co_return nullptr;
     TimePoint now = monotonicNow();
     bool runsElsewhere = isRunClaimed(Claims, Request->Digest, now);
     std::shared_ptr<UpstreamServer> server;
--- a/Wasabi/Quarantine/QuarantineTopic.cpp
+++ b/Wasabi/Quarantine/QuarantineTopic.cpp
@@ -10,9 +10,8 @@
 
 /// Marks the servers as lost, so that runs which begin from now on are not
 /// charged with their crashes.
-void Quarantine::noteReportedCrashes(
-    const std::set<ServerIncarnation> &Crashes) {
-  for (const ServerIncarnation &it : Crashes) {
+void Quarantine::noteReportedLosses(const std::set<ServerIncarnation> &Lost) {
+  for (const ServerIncarnation &it : Lost) {
     auto found = Feed.View.Servers.Servers.find(it.Server);
     if (found != Feed.View.Servers.Servers.end() &&
         found->second->Entry.incarnation() == it)
@@ -25,20 +24,29 @@
   if (!Record.Value) {
     OwnCrashes.erase(digest);
     Claims.Others.erase(digest);
+    removeOtherLosses(Losses, digest);
     clearCrashes(History, digest);
     logStatusChanges();
     ClaimsChanged.notify();
+    // A server may have been lost after the request was answered elsewhere.
+    if (Losses.Requests.contains(digest)) {
+      recordCrashes(History, digest, {}, monotonicNow());
+      publish(digest);
+    }
     return {};
   }
   BOOST_LEAF_AUTO(record, decodeCrashRecord(*Record.Value, Record.Key));
   TimePoint now = monotonicNow();
-  noteReportedCrashes(record.Crashes);
+  noteReportedLosses(record.Crashes);
+  noteReportedLosses(findNewLosses(Losses, digest, record.Losses));
   recordCrashes(History, digest, record.Crashes, now, record.IsolatedCrashes);
   logStatusChanges();
   // Concurrent writers overwrite each other.
   bool lacksClaim = applyClaim(Claims, digest, record.Claim, Record.At, now);
+  bool lossesDiffer = applyLosses(Losses, digest, record.Losses, now);
   ClaimsChanged.notify();
-  if (lacksClaim || lacksOwnCrashes(digest, record))
+  LossesRead.notify();
+  if (lacksClaim || lossesDiffer || lacksOwnCrashes(digest, record))
     publish(digest);
   return {};
 }
@@ -67,6 +75,8 @@
   CrashTopicRecord record;
   record.Crashes = known->second.Crashes;
   record.IsolatedCrashes = known->second.IsolatedCrashes;
+  for (const auto &[loss, since] : findLosses(Losses, Digest, monotonicNow()))
+    record.Losses.insert(loss);
   auto claim = Claims.Own.find(Digest);
   if (claim != Claims.Own.end())
     record.Claim = RunClaim{claim->second.Server, Claims.Self};
@@ -111,6 +121,7 @@
     co_await pauseFor(Feed.Executor, Limits.SweepInterval);
     for (const RequestDigest &it : evictOld(History, monotonicNow())) {
       OwnCrashes.erase(it);
+      Losses.Requests.erase(it);
       Unwritten.insert(it);
     }
     WriteWake.notify();
--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -159,7 +159,9 @@
     co_return refused;
   }
   State.Isolated = std::move(**got);
-  State.Server = State.Isolated->server();
+  State.Server = State.Isolated
+                     ? State.Isolated->server()
+                     : selectNextServer(State, /*AvoidSuspects=*/false);
   co_return std::nullopt;
 }
 
@@ -353,7 +355,8 @@
 /// request is over: it was answered, or the caller has disconnected.
 asio::awaitable<bool> Forwarder::tryOnce(Progress &State, AttemptResult &Result,
                                          asio::cancellation_signal &Stop) {
-  if (mayHedge(State.Route, State.PossibleRuns + 1,
+  if (!CrashQuarantine->hasUnresolvedLosses(State.Guard->Digest) &&
+      mayHedge(State.Route, State.PossibleRuns + 1,
                CrashQuarantine->crashStatus(State.Guard->Digest)))
     co_return co_await tryHedged(State, Result, Stop);
   std::shared_ptr<Attempt> attempt = beginAttempt(State, State.Server);
--- a/Wasabi/Upstream/ForwarderHedging.cpp
+++ b/Wasabi/Upstream/ForwarderHedging.cpp
@@ -141,6 +141,7 @@
   std::uint32_t runs = State.PossibleRuns + 1;
   if (!mayHedge(State.Route, runs,
                 CrashQuarantine->crashStatus(State.Guard->Digest)) ||
+      CrashQuarantine->hasUnresolvedLosses(State.Guard->Digest) ||
       !State.canAttempt(Limits))
     return;
   std::shared_ptr<UpstreamServer> server =
--- a/Wasabi/Upstream/UpstreamTable.cpp
+++ b/Wasabi/Upstream/UpstreamTable.cpp
@@ -153,9 +153,16 @@
 }
 
 void noteResponse(UpstreamServer &Server, TimePoint Began, unsigned Status) {
-  if (Status != MisdirectedStatus && Server.LostSince &&
-      Began > *Server.LostSince)
+  if (Status == MisdirectedStatus)
+    return;
+  if (Server.LostSince && Began > *Server.LostSince)
     Server.LostSince.reset();
+  Server.LastAnsweredRun =
+      std::max(Server.LastAnsweredRun.value_or(Began), Began);
+}
+
+bool hasResponded(const UpstreamServer &Server, TimePoint Since) {
+  return Server.LastAnsweredRun && *Server.LastAnsweredRun > Since;
 }
 
 void noteConnectionLost(UpstreamServer &Server, TimePoint Now) {
--- a/Wasabi/Upstream/UpstreamTable.h
+++ b/Wasabi/Upstream/UpstreamTable.h
@@ -69,6 +69,9 @@
   /// alive; empty if none was lost. A run that begins later can't have crashed
   /// the server.
   std::optional<TimePoint> LostSince;
+  /// Start of the latest request that the server has responded to; empty if
+  /// there was none. It was alive then.
+  std::optional<TimePoint> LastAnsweredRun;
   /// End of the last evacuation of its failure domain, from which the server
   /// may return cold; empty if there was none.
   std::optional<TimePoint> ReturnedAt;
@@ -215,6 +218,10 @@
 /// misdirected request was answered by another server at its address.
 void noteResponse(UpstreamServer &Server, TimePoint Began, unsigned Status);
 
+/// Returns true if a server has responded to a request that was sent after
+/// `Since`. Pure.
+bool hasResponded(const UpstreamServer &Server, TimePoint Since);
+
 /// Records that a connection to a server was lost, or that another process has
 /// reported its crash. Only the first one since the last response counts.
 void noteConnectionLost(UpstreamServer &Server, TimePoint Now);
