Tests of overload and of the rate of appends run in simulated time

SimulatedClock replaces BootClock, its timers and wallMicros on a thread; checks, load and bounds are unchanged.

--- a/UnitTests/Batch/BatchFixture.h
+++ b/UnitTests/Batch/BatchFixture.h
@@ -6,6 +6,7 @@
 
 #include "UnitTests/Batch/FakeStore.h"
 #include "Wasabi/Batch/RolloutLog.h"
+#include "Wasabi/Core/SimulatedClock.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -73,9 +74,11 @@
     return log;
   }
 
+  virtual ~BatchTestFixture() = default;
+
   /// Runs the context until `Condition` is true; returns false after ten
   /// seconds.
-  bool runUntil(const std::function<bool()> &Condition) {
+  virtual bool runUntil(const std::function<bool()> &Condition) {
     constexpr std::chrono::seconds RunTimeout{10};
     TimePoint end = monotonicNow() + RunTimeout;
     while (!Condition() && monotonicNow() < end)
@@ -96,6 +99,28 @@
   }
 };
 
+/// Constructs the clock before the other members of a fixture.
+struct SimulatedClockHolder {
+  SimulatedClock Clock;
+};
+
+/// A fixture whose time is simulated: its tests don't depend on the pace of the
+/// machine.
+struct SimulatedTestFixture : SimulatedClockHolder, BatchTestFixture {
+  explicit SimulatedTestFixture(
+      TimePoint Start = TimePoint(std::chrono::seconds(1)))
+      : SimulatedClockHolder{SimulatedClock(Start)} {}
+
+  /// Runs the context for `Span` of simulated time.
+  void runFor(Micros Span) { Clock.runFor(Context, Span); }
+
+  /// Runs the context until `Condition` is true; returns false after ten
+  /// seconds of simulated time.
+  bool runUntil(const std::function<bool()> &Condition) override {
+    return Clock.runUntil(Context, Condition, std::chrono::seconds(10));
+  }
+};
+
 } // namespace wasabi::batchtest
 
 #endif // WASABI_UNITTESTS_BATCH_BATCHFIXTURE_H
--- a/UnitTests/Usage/UsageMeterTest.cpp
+++ b/UnitTests/Usage/UsageMeterTest.cpp
@@ -8,7 +8,7 @@
 const CustomerName Anna("anna");
 const CustomerName Bert("bert");
 
-struct MeterFixture : BatchTestFixture {
+struct MeterFixture : SimulatedTestFixture {
   Metrics Counts;
   StoreContact Contact;
   std::shared_ptr<bool> Disconnected = std::make_shared<bool>(false);
@@ -68,7 +68,7 @@
           "[usage]") {
   MeterFixture fixture;
   REQUIRE(fixture.runUntil([&] { return fixture.Meter->known(); }));
-  fixture.Context.run_for(Millis(10));
+  fixture.runFor(Millis(10));
   fixture.Meter->began(Anna);
   REQUIRE(fixture.runUntil([&] { return fixture.batches().size() == 2; }));
   CHECK(fixture.counted() == UsageCounts{{Anna, 1}});
@@ -82,7 +82,7 @@
   constexpr std::uint64_t Requests = 200;
   for (std::uint64_t i = 0; i < Requests; ++i) {
     fixture.Meter->began(Anna);
-    fixture.Context.run_for(Millis(1));
+    fixture.runFor(Millis(1));
   }
   REQUIRE(fixture.runUntil([&] {
     return fixture.counted() == UsageCounts{{Anna, Requests}};
@@ -122,17 +122,17 @@
       const CustomerName &customer = i % 3 == 0 ? Anna : Bert;
       fixture.Meter->began(customer);
       ++expected[customer];
-      fixture.Context.run_for(Millis(2));
+      fixture.runFor(Millis(2));
     }
     REQUIRE(fixture.runUntil([&] { return fixture.counted() == expected; }));
-    fixture.Context.run_for(Millis(30));
+    fixture.runFor(Millis(30));
     CHECK(fixture.counted() == expected);
   }
   MeterFixture disconnected;
   REQUIRE(disconnected.runUntil([&] { return disconnected.Meter->known(); }));
   *disconnected.Disconnected = true;
   disconnected.Meter->began(Anna);
-  disconnected.Context.run_for(Millis(50));
+  disconnected.runFor(Millis(50));
   disconnected.Meter->began(Bert);
   CHECK(disconnected.counted().empty());
   *disconnected.Disconnected = false;
@@ -145,7 +145,7 @@
           "[usage]") {
   MeterFixture fixture;
   REQUIRE(fixture.runUntil([&] { return fixture.Meter->known(); }));
-  fixture.Context.run_for(Millis(10));
+  fixture.runFor(Millis(10));
   fixture.Store.AppendFaults = {AppendFault::AnswerLost};
   fixture.Meter->began(Anna);
   REQUIRE(fixture.runUntil([&] { return fixture.batches().size() == 2; }));
@@ -158,7 +158,7 @@
 TEST_CASE("New counts are written while append responses are lost", "[usage]") {
   MeterFixture fixture;
   REQUIRE(fixture.runUntil([&] { return fixture.Meter->known(); }));
-  fixture.Context.run_for(Millis(10));
+  fixture.runFor(Millis(10));
   // The process may be killed while none of these appends is answered.
   fixture.Store.AppendFaults.assign(1000, AppendFault::AnswerLost);
   fixture.Meter->began(Anna);
@@ -183,14 +183,14 @@
   fixture.Store.AppendFaults.assign(1000, AppendFault::Refused);
   for (int i = 0; i < 100; ++i) {
     fixture.Meter->began(Anna);
-    fixture.Context.run_for(Millis(2));
+    fixture.runFor(Millis(2));
   }
   // 200 ms at intervals of 20 ms, and some shorter intervals first.
   CHECK(1000 - fixture.Store.AppendFaults.size() <= 16);
   // An unreachable store is retried, so that its recovery is noticed.
   fixture.Contact.Lost = true;
   fixture.Store.AppendFaults.assign(1000, AppendFault::Refused);
-  fixture.Context.run_for(Millis(100));
+  fixture.runFor(Millis(100));
   CHECK(1000 - fixture.Store.AppendFaults.size() >= 10);
   fixture.Store.AppendFaults.clear();
   REQUIRE(fixture.runUntil([&] {
--- a/Wasabi/Core/BootTimer.h
+++ b/Wasabi/Core/BootTimer.h
@@ -24,6 +24,9 @@
   // NOLINTBEGIN(readability-identifier-naming)
   static typename Clock::duration
   to_wait_duration(const typename Clock::duration &Wait) {
+    // Simulated time passes without waiting.
+    if (BootClock::SimulatedNow != nullptr)
+      return Clock::duration::zero();
     return std::min<typename Clock::duration>(Wait, MaxWait);
   }
   static typename Clock::duration
--- a/Wasabi/Core/Clock.h
+++ b/Wasabi/Core/Clock.h
@@ -27,7 +27,13 @@
   static constexpr bool is_steady = true;
   // NOLINTEND(readability-identifier-naming)
 
+  /// Replaces the machine's clock on the current thread unless it is null; set
+  /// by `SimulatedClock`.
+  static inline thread_local const time_point *SimulatedNow = nullptr;
+
   static time_point now() noexcept {
+    if (SimulatedNow != nullptr)
+      return *SimulatedNow;
     timespec time{};
     clock_gettime(CLOCK_BOOTTIME, &time);
     return time_point(std::chrono::seconds(time.tv_sec) +
@@ -45,9 +51,12 @@
   return std::chrono::time_point_cast<Micros>(BootClock::now());
 }
 
-/// Returns the wall time in microseconds since the epoch, for time lines and
-/// logs only.
+/// Returns the wall time in microseconds since the epoch, for time lines, logs
+/// and random seeds only. Equals the simulated time, if there is one.
 inline std::uint64_t wallMicros() {
+  if (BootClock::SimulatedNow != nullptr)
+    return static_cast<std::uint64_t>(
+        monotonicNow().time_since_epoch().count());
   return static_cast<std::uint64_t>(
       std::chrono::duration_cast<Micros>(
           std::chrono::system_clock::now().time_since_epoch())
