Forwarder: at one request in flight, attempts of a priority are paced together

Cause: a process can't send less than one request at a time, and each request that all servers refused paused for itself; the place was free for the next one at once. So servers were asked most often for the priority with the most waiting requests.

After such a refusal the next attempt of the priority waits for the delay of that request; the most urgent one's is the shortest.

--- a/UnitTests/Upstream/OverloadTest.cpp
+++ b/UnitTests/Upstream/OverloadTest.cpp
@@ -286,7 +286,7 @@
           "at slower servers",
           "[upstream][overload]") {
   for (std::size_t processes :
-       {std::size_t(12), std::size_t(24)}) {
+       {std::size_t(12), std::size_t(24), std::size_t(48)}) {
     checkUrgentFirst(processes, WorkTime, StallPlan{});
     checkUrgentFirst(processes, WorkTime * 3 / 2, StallPlan{});
   }
--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -497,10 +497,9 @@
   Progress state(std::move(Request), std::move(Route), std::move(service));
   RecordedArrival arrival(Loads, state.Service, state.customer());
   for (;;) {
-    AdmissionPermit permit(findOrCreateAdmission(state.Service).Gate,
-                           ++LastAdmissionId);
+    std::optional<AdmissionPermit> permit;
     std::optional<Outcome<Done>> entered =
-        co_await awaitAdmission(state, permit, Stop);
+        co_await awaitTurn(state, permit, Stop);
     if (entered && !*entered) {
       recordServedShare(state, false);
       recordRequestOutcome(state, "refused", 0);
@@ -515,7 +514,7 @@
       co_return makeCallerLeftFailure();
     }
     if (result.Answer) {
-      permit.finish();
+      permit->finish();
       recordServedShare(state, true);
       unsigned status = result.Answer->Response.Status;
       recordRequestOutcome(
@@ -524,7 +523,9 @@
       co_return std::move(*result.Answer);
     }
     bool full = state.allServersFull();
-    permit.leave(full);
+    permit->leave(full);
+    if (full)
+      paceAttempts(state);
     if (!full || !canRetryOverloaded(state)) {
       recordServedShare(state, false);
       co_return finishFailed(state, std::move(result.Error));
@@ -568,6 +569,57 @@
       Stop);
 }
 
+/// Delays the next attempt of the request's priority after all servers were
+/// full, if this process is down to one request at a time. Where there are more
+/// processes than slots, the servers would otherwise be asked most often for
+/// the priority with the most waiting requests.
+void Forwarder::paceAttempts(const Progress &State) {
+  ServiceAdmission &admission = findOrCreateAdmission(State.Service);
+  if (admission.Gate->admission().limitIgnoringProbe() <=
+      Limits.Concurrency.MinLimit)
+    admission
+        .NextAttempts[priorityOf(State.Request.Caller, State.Route.Priority)] =
+        monotonicNow() + overloadRetryDelay(State);
+}
+
+/// Returns the earliest time of the next attempt of the request's priority.
+TimePoint Forwarder::nextAttempt(const Progress &State) {
+  const ServiceAdmission &admission = findOrCreateAdmission(State.Service);
+  auto it = admission.NextAttempts.find(
+      priorityOf(State.Request.Caller, State.Route.Priority));
+  bool paced = it != admission.NextAttempts.end() &&
+               admission.Gate->admission().limitIgnoringProbe() <=
+                   Limits.Concurrency.MinLimit;
+  return paced ? it->second : TimePoint();
+}
+
+/// Waits until the request is admitted and an attempt of its priority is due. A
+/// request that would have to wait beyond its admission deadline doesn't wait.
+/// Returns as `awaitAdmission`.
+asio::awaitable<std::optional<Outcome<Done>>>
+Forwarder::awaitTurn(const Progress &State,
+                     std::optional<AdmissionPermit> &Permit,
+                     asio::cancellation_signal &Stop) {
+  for (;;) {
+    Permit.emplace(findOrCreateAdmission(State.Service).Gate,
+                   ++LastAdmissionId);
+    std::optional<Outcome<Done>> entered =
+        co_await awaitAdmission(State, *Permit, Stop);
+    if (!entered || !*entered)
+      co_return entered;
+    TimePoint next = nextAttempt(State);
+    if (next <= monotonicNow() ||
+        next >= makeAdmissionRequest(State, 0).Deadline)
+      co_return entered;
+    Permit->leave(false);
+    Millis delay = std::chrono::ceil<Millis>(next - monotonicNow());
+    std::optional<Done> paused =
+        co_await cancellable(Executor, pause(delay), Stop);
+    if (!paused)
+      co_return std::nullopt;
+  }
+}
+
 /// Records the outcome of a request without a response and returns its failure,
 /// adjusted for possible runs and an expired deadline.
 Failure Forwarder::finishFailed(const Progress &State, Failure Error) {
--- a/Wasabi/Upstream/Forwarder.h
+++ b/Wasabi/Upstream/Forwarder.h
@@ -132,6 +132,9 @@
   struct ServiceAdmission {
     std::shared_ptr<AdmissionGate> Gate;
     ServedShares Shares;
+    /// Earliest times of the next attempt, by priority, after all servers were
+    /// full; see `awaitTurn`.
+    std::map<std::uint32_t, TimePoint> NextAttempts;
   };
   /// Result of the attempts to send one request.
   struct AttemptResult {
@@ -202,6 +205,11 @@
   boost::asio::awaitable<std::optional<Outcome<Done>>>
   awaitAdmission(const Progress &State, AdmissionPermit &Permit,
                  boost::asio::cancellation_signal &Stop);
+  void paceAttempts(const Progress &State);
+  TimePoint nextAttempt(const Progress &State);
+  boost::asio::awaitable<std::optional<Outcome<Done>>>
+  awaitTurn(const Progress &State, std::optional<AdmissionPermit> &Permit,
+            boost::asio::cancellation_signal &Stop);
   boost::asio::awaitable<AttemptResult>
   tryServers(Progress &State, boost::asio::cancellation_signal &Stop);
   Failure finishFailed(const Progress &State, Failure Error);
--- a/Wasabi/Upstream/ForwarderStreams.cpp
+++ b/Wasabi/Upstream/ForwarderStreams.cpp
@@ -121,10 +121,8 @@
                               std::optional<AdmissionPermit> &Permit,
                               asio::cancellation_signal &Stop) {
   for (;;) {
-    Permit.emplace(findOrCreateAdmission(State.Service).Gate,
-                   ++LastAdmissionId);
     std::optional<Outcome<Done>> entered =
-        co_await awaitAdmission(State, *Permit, Stop);
+        co_await awaitTurn(State, Permit, Stop);
     if (entered && !*entered)
       co_return entered->failure();
     std::unique_ptr<EngineStream> stream;
@@ -132,7 +130,10 @@
       stream = co_await openStream(State, std::nullopt, Stop);
     if (stream)
       co_return std::move(stream);
-    if (!entered || !State.allServersFull() || !canRetryOverloaded(State))
+    bool full = entered && State.allServersFull();
+    if (full)
+      paceAttempts(State);
+    if (!full || !canRetryOverloaded(State))
       co_return makeNoStreamFailure(State);
     Permit->leave(true);
     std::optional<Done> paused =
