Soak judge: crashes are counted by request and caller, at most four each

The judge counts by path, customer and key. As strict: formerly three crashes, and three more long after they were known, for one request; now four in all, and each further one outside of the time after a fault is a violation. Its unit test is stricter accordingly (a fifth run is found, formerly the tenth), and has a case of several callers.

--- a/IntegrationTests/Cases/SoakTest.cpp
+++ b/IntegrationTests/Cases/SoakTest.cpp
@@ -243,16 +243,44 @@
     run.Path = std::string(CrashPathPrefix) + "0";
     truth.PlainRuns.push_back(run);
   };
-  for (int ms : {0, 10, 20, 30, 40, 50, 5000, 5010, 5020})
+  for (int ms : {0, 10, 20, 30})
     endAt(ms);
   CHECK(findViolations(seen, truth).empty());
   endAt(5030);
-  CHECK(finds(seen, truth, "4 of them long after it was known"));
+  CHECK(finds(seen, truth, "crashed servers 5 times, 1 of them without"));
   // A process that was faulty just before may not know of it.
   truth.Faults = {{SoakFault::KillEdge, at(4000), at(4500)}};
   CHECK(findViolations(seen, truth).empty());
 }
 
+// Guards against a count that mixes the requests of several callers, of which
+// each is quarantined by itself.
+TEST_CASE("Soak judge: crashes are counted by request and caller", "[soak]") {
+  SoakObservations seen;
+  SoakGroundTruth truth;
+  auto crash = [&](const std::string &Customer, bool UsesRevocableKey) {
+    int ms = static_cast<int>(seen.Requests.size()) * 10;
+    ClientRequestRecord request =
+        asked(ClientRequestKind::Crashing, ms - 1, ms + 1, 502);
+    request.Id += std::to_string(ms);
+    request.Customer = Customer;
+    request.UsesRevocableKey = UsesRevocableKey;
+    seen.Requests.push_back(request);
+    ServerCall run = runAt(ms, request.Id);
+    run.Customer = Customer;
+    run.Path = std::string(CrashPathPrefix) + "0";
+    truth.PlainRuns.push_back(run);
+  };
+  for (int i = 0; i < 4; ++i) {
+    crash("customer-0", false);
+    crash("customer-0", true);
+    crash("customer-1", false);
+  }
+  CHECK(findViolations(seen, truth).empty());
+  crash("customer-0", true);
+  CHECK(finds(seen, truth, "customer-0 crashed servers 5 times"));
+}
+
 namespace {
 
 /// A request of one customer that ran and was reported.
--- a/IntegrationTests/Soak/Main.cpp
+++ b/IntegrationTests/Soak/Main.cpp
@@ -59,11 +59,12 @@
     std::cout << wasabi::soak::describe(plan);
   for (std::size_t i = 0; i < got.Violations.size() && i < MaxPrinted; ++i)
     std::cout << "broken: " << got.Violations[i] << '\n';
-  std::cout << fmt::format("soak: seed={} broken={} asks={} served={} jobs={} "
+  std::cout << fmt::format("soak: seed={} broken={} asks={} served={} "
+                           "innocent={} innocent_served={} jobs={} "
                            "whole_jobs={} recovered_ms={}\n",
                            Seed, got.Violations.size(), got.Requests,
-                           got.Served, got.Jobs, got.CompleteJobs,
-                           got.RecoveryTime.count())
+                           got.Served, got.InnocentRequests, got.InnocentServed,
+                           got.Jobs, got.CompleteJobs, got.RecoveryTime.count())
             << std::flush;
   return got.Violations.empty();
 }
--- a/IntegrationTests/Soak/SoakJudge.cpp
+++ b/IntegrationTests/Soak/SoakJudge.cpp
@@ -167,29 +167,41 @@
   }
 }
 
+/// A request as the product identifies it: the customer and the key belong to
+/// the caller, and all crashing requests have the same body.
+struct CrashingRequest {
+  std::string Path;
+  std::string Customer;
+  bool UsesRevocableKey = false;
+  auto operator<=>(const CrashingRequest &) const = default;
+};
+
 /// Checks that a request that crashes servers is quarantined after a limited
-/// number of crashes.
+/// number of crashes. Faults may keep a process from knowing of them.
 void checkCrashingRequests(JudgeContext &Context) {
-  std::map<std::string, std::vector<TimePoint>> tries;
-  for (const ServerCall &it : Context.Truth.PlainRuns) {
-    if (it.Path.starts_with(CrashPathPrefix))
-      tries[it.Path].push_back(it.At);
+  std::map<CrashingRequest, std::vector<TimePoint>> runs;
+  for (const ClientRequestRecord &it : Context.Seen.Requests) {
+    auto found = Context.Runs.find(it.Id);
+    if (it.Kind != ClientRequestKind::Crashing || found == Context.Runs.end())
+      continue;
+    for (const ServerCall *run : found->second)
+      runs[{run->Path, it.Customer, it.UsesRevocableKey}].push_back(run->At);
   }
-  for (auto &[path, times] : tries) {
+  for (auto &[request, times] : runs) {
     if (times.size() <= Context.Bounds.MaxCrashesPerRequest)
       continue;
     std::sort(times.begin(), times.end());
-    TimePoint latest = times[Context.Bounds.MaxCrashesPerRequest - 1] +
-                       Context.Bounds.FaultFreeTime +
-                       Context.Bounds.TimingTolerance;
-    std::ptrdiff_t late =
-        std::count_if(times.begin(), times.end(), [&](TimePoint At) {
-          return At > latest && Context.faultFree(At, At);
-        });
-    if (late > static_cast<std::ptrdiff_t>(Context.Bounds.MaxLateCrashRequests))
+    std::ptrdiff_t excess = std::count_if(
+        times.begin() +
+            static_cast<std::ptrdiff_t>(Context.Bounds.MaxCrashesPerRequest),
+        times.end(), [&](TimePoint At) { return Context.faultFree(At, At); });
+    if (excess > 0)
       Context.Violations.push_back(fmt::format(
-          "{} ended servers {} times, {} of them long after it was known", path,
-          times.size(), late));
+          "{} of {} crashed servers {} times, {} of them without a fault "
+          "that hides the earlier ones",
+          request.Path,
+          request.Customer.empty() ? "the caller" : request.Customer,
+          times.size(), excess));
   }
 }
 
--- a/IntegrationTests/Soak/SoakJudge.h
+++ b/IntegrationTests/Soak/SoakJudge.h
@@ -93,10 +93,9 @@
   /// Tolerance for delays of the machine that runs the test.
   Millis TimingTolerance{400};
   std::size_t MaxAttempts = 3;
-  /// Maximum number of servers that a request may crash, and of attempts later
-  /// than `FaultFreeTime` after the last of these crashes.
-  std::size_t MaxCrashesPerRequest = 3;
-  std::size_t MaxLateCrashRequests = 3;
+  /// Maximum number of servers that a request may crash: three, and one more if
+  /// another suspect was in flight on the server each time.
+  std::size_t MaxCrashesPerRequest = 4;
 };
 
 /// True if no unplanned fault was active from `FaultFreeTime` before `From`
--- a/IntegrationTests/Soak/SoakRun.cpp
+++ b/IntegrationTests/Soak/SoakRun.cpp
@@ -190,8 +190,12 @@
   result.Violations.insert(result.Violations.end(), violations.begin(),
                            violations.end());
   checkAcceptedJobs(world, seen, result.Violations);
-  for (const ClientRequestRecord &it : seen.Requests)
+  for (const ClientRequestRecord &it : seen.Requests) {
+    bool innocent = it.Kind != ClientRequestKind::Crashing;
     result.Served += it.Status == Ok ? 1 : 0;
+    result.InnocentRequests += innocent ? 1 : 0;
+    result.InnocentServed += innocent && it.Status == Ok ? 1 : 0;
+  }
   result.Requests = seen.Requests.size();
   for (const JobRecord &it : seen.Jobs)
     result.CompleteJobs += it.ReadResults.size() == it.Items.size() ? 1 : 0;
--- a/IntegrationTests/Soak/SoakRun.h
+++ b/IntegrationTests/Soak/SoakRun.h
@@ -34,6 +34,9 @@
   std::vector<std::string> Violations;
   std::size_t Requests = 0;
   std::size_t Served = 0;
+  /// Requests that crash no server, and how many of them were served.
+  std::size_t InnocentRequests = 0;
+  std::size_t InnocentServed = 0;
   std::size_t Jobs = 0;
   std::size_t CompleteJobs = 0;
   /// Time from the end of the last fault until all is served again.
