--- a/UnitTests/Batch/BatchFixture.h
+++ b/UnitTests/Batch/BatchFixture.h
@@ -5,8 +5,8 @@
 #define WASABI_UNITTESTS_BATCH_BATCHFIXTURE_H
 
 #include "UnitTests/Batch/FakeStore.h"
+#include "UnitTests/Core/SimulatedClock.h"
 #include "Wasabi/Batch/RolloutLog.h"
-#include "Wasabi/Core/SimulatedClock.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/Wasabi/Core/SimulatedClock.h
+++ b/UnitTests/Core/SimulatedClock.h
@@ -1,12 +1,13 @@
 /// \file
 /// A clock that a simulation advances.
-#ifndef WASABI_CORE_SIMULATEDCLOCK_H
-#define WASABI_CORE_SIMULATEDCLOCK_H
+#ifndef WASABI_UNITTESTS_CORE_SIMULATEDCLOCK_H
+#define WASABI_UNITTESTS_CORE_SIMULATEDCLOCK_H
 
 #include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
 #include <functional>
 
 namespace wasabi {
@@ -71,4 +72,4 @@
 
 } // namespace wasabi
 
-#endif // WASABI_CORE_SIMULATEDCLOCK_H
+#endif // WASABI_UNITTESTS_CORE_SIMULATEDCLOCK_H
--- a/UnitTests/Core/SimulatedClockTest.cpp
+++ b/UnitTests/Core/SimulatedClockTest.cpp
@@ -1,4 +1,4 @@
-#include "Wasabi/Core/SimulatedClock.h"
+#include "UnitTests/Core/SimulatedClock.h"
 #include "Wasabi/Core/AsyncSignal.h"
 
 #include <boost/asio/detached.hpp>
