Quarantine: an isolated run is refused if its claim shows that another one was lost

A process that had not read another process' isolated run yet wrote its claim after that run had been lost and released, found it held, and ran the request a further time. When a claim is read back, all records before it are known; the refusal is decided again then. Found by reading. The test's second case (the claim is written before the other process' records are read) failed 3 of 3 times before, and passed 5 of 5 after.

--- a/Wasabi/Quarantine/QuarantineIsolation.cpp
+++ b/Wasabi/Quarantine/QuarantineIsolation.cpp
@@ -145,6 +145,10 @@
     ClaimStatus status = co_await awaitClaim(Request->Digest, until);
     if (status == ClaimStatus::Lost)
       continue;
+    // Records that were read before the claim may show another isolated run,
+    // which ended meanwhile.
+    if (std::optional<Failure> refused = findIsolationRefusal(Request->Digest))
+      co_return std::move(*refused);
     recordIsolation(*Request, server.get(),
                     status == ClaimStatus::Held ? "held" : "unwritten", began);
     co_return std::move(run);
