--- a/UnitTests/Upstream/OverloadTest.cpp
+++ b/UnitTests/Upstream/OverloadTest.cpp
@@ -235,21 +235,21 @@
 /// `ServerWorkTime` differs from `WorkTime` if the servers are slower than the
 /// offered load assumes.
 void checkUrgentFirst(std::size_t ProcessCount, Millis ServerWorkTime,
-                      StallPlan Stalls) {
+                      StallPlan Stalls, double LoadFactor = 2) {
   OverloadFixture fixture(ProcessCount, Stalls);
   fixture.ServerWorkTime = ServerWorkTime;
   // Every fourth customer is urgent, except the large ones.
   auto urgent = [](std::size_t Index) {
     return Index >= LargeCustomers && Index % 4 == 0;
   };
-  fixture.offerLoad(2,
+  fixture.offerLoad(LoadFactor,
                     [&](std::size_t Index) { return urgent(Index) ? 0u : 3u; });
   double urgentShare = servedShare(fixture.sumTallies(urgent));
   double otherShare = servedShare(
       fixture.sumTallies([&](std::size_t Index) { return !urgent(Index); }));
   INFO("processes " << ProcessCount << ", stalls " << Stalls.Seed << ", work "
-                    << ServerWorkTime.count() << " ms: " << urgentShare
-                    << " and " << otherShare);
+                    << ServerWorkTime.count() << " ms, load " << LoadFactor
+                    << ": " << urgentShare << " and " << otherShare);
   CHECK(urgentShare > otherShare);
   CHECK(urgentShare > 0.9);
   // The others are not starved.
@@ -289,6 +289,7 @@
        {std::size_t(12), std::size_t(24), std::size_t(48)}) {
     checkUrgentFirst(processes, WorkTime, StallPlan{});
     checkUrgentFirst(processes, WorkTime * 3 / 2, StallPlan{});
+    checkUrgentFirst(processes, WorkTime, StallPlan{}, 3);
   }
 }
 
