Soak: failed requests that crash no server, by kind and status

A count of unserved requests doesn't tell a refusal (503, not run) from a lost run (502), nor a probe of an old configuration, for which 404 is right, from a failure. Also of use to the 404s: they were part of the 'unserved' so far.

--- a/IntegrationTests/Soak/Main.cpp
+++ b/IntegrationTests/Soak/Main.cpp
@@ -10,6 +10,8 @@
 #include <gflags/gflags.h>
 
 #include <iostream>
+#include <iterator>
+#include <string>
 
 DEFINE_uint64(seed, 1, "seed of all random choices");
 DEFINE_uint32(seeds, 1, "number of consecutive seeds, starting with --seed");
@@ -35,6 +37,17 @@
     "what was seen. A line a seed begins with \"soak:\"; exit code 0 only if\n"
     "every promise held. The logs of a failed run are kept in soak-SEED.log."};
 
+/// Returns the counts of failed requests as "KIND/STATUS:COUNT", separated by
+/// commas.
+std::string describeFailures(const wasabi::soak::SoakResult &Got) {
+  std::string text;
+  for (const auto &[what, count] : Got.InnocentFailures)
+    fmt::format_to(std::back_inserter(text), "{}{}/{}:{}",
+                   text.empty() ? "" : ",", wasabi::soak::toText(what.first),
+                   what.second, count);
+  return text.empty() ? "none" : text;
+}
+
 bool runSeed(std::uint64_t Seed) {
   constexpr std::size_t MaxPrinted = 20;
   std::vector<wasabi::soak::ScheduledFault> plan =
@@ -60,11 +73,13 @@
   for (std::size_t i = 0; i < got.Violations.size() && i < MaxPrinted; ++i)
     std::cout << "broken: " << got.Violations[i] << '\n';
   std::cout << fmt::format("soak: seed={} broken={} asks={} served={} "
-                           "innocent={} innocent_served={} jobs={} "
+                           "innocent={} innocent_served={} "
+                           "innocent_failed={} jobs={} "
                            "whole_jobs={} recovered_ms={}\n",
                            Seed, got.Violations.size(), got.Requests,
                            got.Served, got.InnocentRequests, got.InnocentServed,
-                           got.Jobs, got.CompleteJobs, got.RecoveryTime.count())
+                           describeFailures(got), got.Jobs, got.CompleteJobs,
+                           got.RecoveryTime.count())
             << std::flush;
   return got.Violations.empty();
 }
--- a/IntegrationTests/Soak/SoakClients.cpp
+++ b/IntegrationTests/Soak/SoakClients.cpp
@@ -68,6 +68,22 @@
 
 } // namespace
 
+std::string_view toText(ClientRequestKind Kind) {
+  switch (Kind) {
+  case ClientRequestKind::Repeatable:
+    return "repeatable";
+  case ClientRequestKind::Once:
+    return "once";
+  case ClientRequestKind::Stream:
+    return "stream";
+  case ClientRequestKind::Probe:
+    return "probe";
+  case ClientRequestKind::Crashing:
+    return "crashing";
+  }
+  return "";
+}
+
 std::string findTextError(const std::string &Text, const std::string &Item,
                           std::uint64_t Length,
                           const std::vector<std::uint64_t> &Versions) {
--- a/IntegrationTests/Soak/SoakObservations.h
+++ b/IntegrationTests/Soak/SoakObservations.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace wasabi::soak {
@@ -25,6 +26,9 @@
   Crashing,
 };
 
+/// Returns the name of a kind, lower-case.
+std::string_view toText(ClientRequestKind Kind);
+
 /// Path prefix of requests that crash servers.
 inline constexpr const char *CrashPathPrefix = "/desk/crash-";
 
--- a/IntegrationTests/Soak/SoakRun.cpp
+++ b/IntegrationTests/Soak/SoakRun.cpp
@@ -195,6 +195,8 @@
     result.Served += it.Status == Ok ? 1 : 0;
     result.InnocentRequests += innocent ? 1 : 0;
     result.InnocentServed += innocent && it.Status == Ok ? 1 : 0;
+    if (innocent && it.Status != Ok)
+      ++result.InnocentFailures[{it.Kind, it.Status}];
   }
   result.Requests = seen.Requests.size();
   for (const JobRecord &it : seen.Jobs)
--- a/IntegrationTests/Soak/SoakRun.h
+++ b/IntegrationTests/Soak/SoakRun.h
@@ -10,9 +10,11 @@
 #include "IntegrationTests/Soak/SoakJudge.h"
 
 #include <functional>
+#include <map>
 #include <queue>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace wasabi::soak {
 
@@ -37,6 +39,10 @@
   /// Requests that crash no server, and how many of them were served.
   std::size_t InnocentRequests = 0;
   std::size_t InnocentServed = 0;
+  /// Requests among them that were not served, by kind and status; a status of
+  /// 0 means that there was no complete response.
+  std::map<std::pair<ClientRequestKind, unsigned>, std::size_t>
+      InnocentFailures;
   std::size_t Jobs = 0;
   std::size_t CompleteJobs = 0;
   /// Time from the end of the last fault until all is served again.
