A request is isolated although another one explains its crashes

Cause: crashes counted for isolation only while the request was suspect. When another request was quarantined that shared them, the request was clean again, and its next two runs went to servers beside other requests, whose crashes prove nothing. Evidence: request.loss counts suspected=1 where request.server_ended counts ends=3.

Change: all recorded crashes count for isolation. The new test failed before (needsIsolation false), 5 of 5 passed after; 42 tests of the quarantine pass.

--- a/UnitTests/Quarantine/IsolatedRunTest.cpp
+++ b/UnitTests/Quarantine/IsolatedRunTest.cpp
@@ -157,6 +157,44 @@
         CrashStatus::Clean);
 }
 
+// Guards against two requests that crash the same servers: once one of them is
+// quarantined, its crashes explain those of the other one, which then crashed
+// five.
+TEST_CASE("A request is isolated although another one explains its crashes",
+          "[quarantine]") {
+  IsolatedRunFixture fixture;
+  fixture.crashBoth();
+  fixture.addServer("a");
+  std::optional<Outcome<IsolatedRunPtr>> first;
+  fixture.isolate(fixture.Left, fixture.Poison, first);
+  REQUIRE(fixture.runUntil([&] { return first.has_value(); }));
+  REQUIRE(*first);
+  fixture.crash(fixture.Left, fixture.Poison, {"a"});
+  first.reset();
+  fixture.removeServer("a");
+  REQUIRE(fixture.runUntil([&] {
+    return fixture.Right.Crashes->crashStatus(fixture.Poison->Digest) ==
+           CrashStatus::Quarantined;
+  }));
+  CHECK(fixture.Right.Crashes->crashStatus(fixture.Steady->Digest) ==
+        CrashStatus::Clean);
+  REQUIRE(fixture.Right.Crashes->needsIsolation(fixture.Steady->Digest));
+  SECTION("and runs if it crashes no server") {
+    fixture.Right.Crashes->answered(*fixture.Steady);
+    CHECK_FALSE(fixture.Right.Crashes->needsIsolation(fixture.Steady->Digest));
+  }
+  SECTION("and is quarantined after its third crash") {
+    fixture.addServer("b");
+    std::optional<Outcome<IsolatedRunPtr>> second;
+    fixture.isolate(fixture.Right, fixture.Steady, second);
+    REQUIRE(fixture.runUntil([&] { return second.has_value(); }));
+    REQUIRE(*second);
+    fixture.crash(fixture.Right, fixture.Steady, {"b"});
+    CHECK(fixture.Right.Crashes->crashStatus(fixture.Steady->Digest) ==
+          CrashStatus::Quarantined);
+  }
+}
+
 TEST_CASE("A suspect waits for the only server until another one has run there",
           "[quarantine]") {
   IsolatedRunFixture fixture;
--- a/Wasabi/Quarantine/Quarantine.cpp
+++ b/Wasabi/Quarantine/Quarantine.cpp
@@ -257,13 +257,14 @@
   return !findUnresolved(Digest).empty();
 }
 
-/// Returns the servers that crashed under a request or may have. Crashes that
-/// another request explains are left out.
+/// Returns the servers that crashed under a request or may have. Those that
+/// another request explains count as well: both may crash servers.
 std::set<ServerIncarnation>
 Quarantine::findSuspectedCrashes(const RequestDigest &Digest) const {
   std::set<ServerIncarnation> found;
-  if (crashStatus(Digest) != CrashStatus::Clean)
-    found = History.Requests.at(Digest).Crashes;
+  auto record = History.Requests.find(Digest);
+  if (record != History.Requests.end())
+    found = record->second.Crashes;
   for (const auto &[server, isolated] : findUnresolved(Digest))
     found.insert(server);
   return found;
