Servers that don't respond get one request per interval; requests wait for them

Callers: while no server of a service was up, every request was sent to the lost servers and failed, with 502 where it may have run.

Cause: a lost server was only less preferred than others, and if all were, one was chosen at once by every request.

Change: a server that refuses connections or loses two in succession is in an outage, and gets one request per 0.2 s until it responds or registers anew. Requests without a server wait for one, for half of their time at most, and not at all once the outage lasts 3 s. One cut of all connections begins no outage.

--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -110,6 +110,7 @@
   query.Excluded = suspects;
   query.Excluded.insert(State.TriedServers.begin(), State.TriedServers.end());
   query.MayTrial = mayTrial(State);
+  query.IsRepeatable = State.isRepeatable();
   recordSlowServers(State.Service, query.Others, now);
   ServerChoice choice =
       selectServer(View.Servers, View.Contact, query, now, Random);
@@ -125,6 +126,8 @@
     choice = selectServer(View.Servers, View.Contact, query, now, Random);
   }
   recordSelection(State, choice);
+  if (choice.Server)
+    noteOutageRetry(View.Servers, *choice.Server, now);
   return choice.Server;
 }
 
@@ -290,6 +293,8 @@
     withdrawUsage(State);
   if (got)
     noteResponse(server, Ended.Start, got->Response.Status);
+  else
+    recordNoResponse(State, server, got.failure(), Ended.Start);
   State.TriedServers.insert(server.Entry.incarnation());
   bool misdirected = got && got->Response.Status == MisdirectedStatus;
   bool ran = got && got->Proof == AnswerProof::Ran;
@@ -479,6 +484,14 @@
       result.Error = *refused;
       result.CallerLeft = refused->Code == FailureCode::Cancelled;
     }
+    bool lacksServer =
+        !State.Server && (!refused || refused->Code == FailureCode::NoUpstream);
+    if (lacksServer) {
+      std::optional<bool> found = co_await awaitServer(State, Stop);
+      result.CallerLeft = !found;
+      if (found && *found)
+        continue;
+    }
     if (!State.Server || co_await tryOnce(State, result, Stop))
       break;
   }
--- a/Wasabi/Upstream/Forwarder.h
+++ b/Wasabi/Upstream/Forwarder.h
@@ -56,6 +56,12 @@
     Millis MinAttemptTimeout{350};
     /// Minimum `Retry-After` value of a refusal.
     Millis RetryAfter{100};
+    /// A request waits for a server that doesn't respond while its outage is
+    /// shorter than this. Covers the restart of a server.
+    Millis MaxOutageWait{3000};
+    /// Interval at which a waiting request looks for a server that has
+    /// registered meanwhile.
+    Millis OutagePollInterval{20};
     /// Maximum number of attempts that no server ran.
     std::uint32_t MaxNotRunAttempts = 6;
     /// Limit of the requests of this process that are in flight at one service.
@@ -151,6 +157,12 @@
                                                    bool AvoidSuspects);
   boost::asio::awaitable<std::optional<Failure>>
   chooseServerFor(Progress &State, boost::asio::cancellation_signal &Stop);
+  void recordNoResponse(const Progress &State, UpstreamServer &Server,
+                        const Failure &Error, TimePoint Began);
+  std::optional<TimePoint> findNextRetry(const Progress &State,
+                                         TimePoint Now) const;
+  boost::asio::awaitable<std::optional<bool>>
+  awaitServer(Progress &State, boost::asio::cancellation_signal &Stop);
   bool mayTrial(const Progress &State) const;
   void recordSelection(Progress &State, const ServerChoice &Choice);
   void recordSlowServers(const ServiceName &Service, const ServiceLoad *Others,
--- a/Wasabi/Upstream/ForwarderHedging.cpp
+++ b/Wasabi/Upstream/ForwarderHedging.cpp
@@ -114,7 +114,7 @@
   query.Excluded.insert(First.Server->Entry.incarnation());
   for (const std::shared_ptr<UpstreamServer> &it :
        findUsableServers(View.Servers, State.Service, View.Contact, Now))
-    if (it->SuspectUntil > Now || it->InFlight >= it->Entry.Slots)
+    if (it->SuspectUntil > Now || it->Outage || it->InFlight >= it->Entry.Slots)
       query.Excluded.insert(it->Entry.incarnation());
   std::shared_ptr<UpstreamServer> server =
       chooseServer(View.Servers, View.Contact, query, Now, Random);
--- a/Wasabi/Upstream/ForwarderStreams.cpp
+++ b/Wasabi/Upstream/ForwarderStreams.cpp
@@ -13,8 +13,12 @@
                       asio::cancellation_signal &Stop) {
   while (State.canAttempt(Limits)) {
     co_await chooseServerFor(State, Stop);
-    if (!State.Server)
-      break;
+    if (!State.Server) {
+      std::optional<bool> found = co_await awaitServer(State, Stop);
+      if (!found || !*found)
+        break;
+      continue;
+    }
     std::shared_ptr<UpstreamServer> server = State.Server;
     SendOptions options;
     options.Deadline = State.remainingTime();
@@ -37,6 +41,8 @@
     State.TriedServers.insert(server->Entry.incarnation());
     if (*got)
       noteResponse(*server, began, (**got)->head().Response.Status);
+    else
+      recordNoResponse(State, *server, got->failure(), began);
     if (*got && (**got)->head().Proof == AnswerProof::Ran) {
       ++State.PossibleRuns;
       co_return std::move(**got);
--- a/Wasabi/Upstream/ServerSelection.cpp
+++ b/Wasabi/Upstream/ServerSelection.cpp
@@ -267,7 +267,8 @@
   std::vector<Candidate> suspect;
   for (const std::shared_ptr<UpstreamServer> &it :
        findUsableServers(Table, Query.Service, Contact, Now)) {
-    if (Query.Excluded.contains(it->Entry.incarnation()))
+    if (Query.Excluded.contains(it->Entry.incarnation()) ||
+        nextAttemptTime(Table, *it, Query.IsRepeatable) > Now)
       continue;
     Candidate found;
     found.Server = it;
--- a/Wasabi/Upstream/ServerSelection.h
+++ b/Wasabi/Upstream/ServerSelection.h
@@ -31,6 +31,9 @@
   /// True if the request may be sent to a server that looks slow, to find out
   /// whether it has recovered.
   bool MayTrial = false;
+  /// True if the request may be sent to another server after one that may have
+  /// run it.
+  bool IsRepeatable = true;
 };
 
 /// A chosen server and why it was chosen.
@@ -63,8 +66,9 @@
 double typicalLatencyMs(const UpstreamTable &Table, const ServiceName &Service,
                         const ServiceLoad *Others);
 
-/// Chooses a usable server for one more request. Prefers servers that are not
-/// suspect, then the preferred failure domain while its best server is about as
+/// Chooses a usable server for one more request. Servers that don't respond get
+/// one request per `OutageRetryInterval`. Prefers servers that are not suspect,
+/// then the preferred failure domain while its best server is about as
 /// good as the best of all, then the shortest expected completion time; chooses
 /// at random among servers that are close to the best one. Pure except for
 /// `Random`.
--- a/Wasabi/Upstream/UpstreamTable.cpp
+++ b/Wasabi/Upstream/UpstreamTable.cpp
@@ -56,6 +56,9 @@
   server->Entry.Models = Entry.Models;
   bool differs = server->Entry != Entry;
   server->Entry = std::move(Entry);
+  // Published after the outage began, most likely.
+  if (differs || returned)
+    server->Outage.reset();
   if (differs || returned)
     return RegistrationChange::Changed;
   return otherWeights ? RegistrationChange::WeightsChanged
@@ -155,6 +158,7 @@
 void noteResponse(UpstreamServer &Server, TimePoint Began, unsigned Status) {
   if (Status == MisdirectedStatus)
     return;
+  Server.Outage.reset();
   if (Server.LostSince && Began > *Server.LostSince)
     Server.LostSince.reset();
   Server.LastAnsweredRun =
@@ -170,6 +174,29 @@
     Server.LostSince = Now;
 }
 
+bool noteOutage(const UpstreamTable &Table, UpstreamServer &Server,
+                TimePoint Now) {
+  bool begins = !Server.Outage;
+  TimePoint since = begins ? Now : Server.Outage->Since;
+  Server.Outage = {since, Now + Table.Limits.OutageRetryInterval};
+  return begins;
+}
+
+void noteOutageRetry(const UpstreamTable &Table, UpstreamServer &Server,
+                     TimePoint Now) {
+  if (Server.Outage)
+    Server.Outage = {Server.Outage->Since,
+                     Now + Table.Limits.OutageRetryInterval};
+}
+
+TimePoint nextAttemptTime(const UpstreamTable &Table,
+                          const UpstreamServer &Server, bool IsRepeatable) {
+  if (!Server.Outage)
+    return TimePoint();
+  return Server.Outage->RetryAt +
+         (IsRepeatable ? Millis(0) : Table.Limits.OutageRetryInterval);
+}
+
 void noteSuccess(const UpstreamTable &Table, UpstreamServer &Server,
                  double LatencyMs) {
   Server.Failures = 0;
--- a/Wasabi/Upstream/UpstreamTable.h
+++ b/Wasabi/Upstream/UpstreamTable.h
@@ -45,6 +45,16 @@
 /// was sent to.
 inline constexpr unsigned MisdirectedStatus = 421;
 
+/// A period in which a server doesn't respond to this process. An immutable
+/// value.
+struct ServerOutage {
+  TimePoint Since;
+  /// Time from which on one request may be sent to the server, to find out
+  /// whether it responds again.
+  TimePoint RetryAt;
+  bool operator==(const ServerOutage &) const = default;
+};
+
 /// One incarnation of a server and its health as seen by this process.
 struct UpstreamServer {
   UpstreamRegistration Entry;
@@ -72,6 +82,8 @@
   /// Start of the latest request that the server has responded to; empty if
   /// there was none. It was alive then.
   std::optional<TimePoint> LastAnsweredRun;
+  /// Empty while the server responds.
+  std::optional<ServerOutage> Outage;
   /// End of the last evacuation of its failure domain, from which the server
   /// may return cold; empty if there was none.
   std::optional<TimePoint> ReturnedAt;
@@ -124,6 +136,8 @@
     /// further one.
     Millis InitialSuspectTimeout{400};
     Millis MaxSuspectTimeout{3200};
+    /// Interval between requests to a server that doesn't respond.
+    Millis OutageRetryInterval{200};
     /// Weight of the newest answer in the smoothed latency, from 0 to 1.
     double Smoothing = 0.2;
     /// Maximum number of rejected names that are kept; further rejections are
@@ -214,8 +228,9 @@
                   const StoreContact &Contact, TimePoint Now);
 
 /// Records that a server has responded with `Status` to a request that was sent
-/// at `Began`. If a connection was lost before that, the server is alive. A
-/// misdirected request was answered by another server at its address.
+/// at `Began`; ends its outage. If a connection was lost before that, the
+/// server is alive. A misdirected request was answered by another server at its
+/// address.
 void noteResponse(UpstreamServer &Server, TimePoint Began, unsigned Status);
 
 /// Returns true if a server has responded to a request that was sent after
@@ -226,6 +241,22 @@
 /// reported its crash. Only the first one since the last response counts.
 void noteConnectionLost(UpstreamServer &Server, TimePoint Now);
 
+/// Records that a server doesn't respond: it accepts no connection, or two in
+/// succession were lost. Returns true if its outage begins with that.
+bool noteOutage(const UpstreamTable &Table, UpstreamServer &Server,
+                TimePoint Now);
+
+/// Records that a request is sent to a server in spite of its outage. The next
+/// one may follow after `OutageRetryInterval`.
+void noteOutageRetry(const UpstreamTable &Table, UpstreamServer &Server,
+                     TimePoint Now);
+
+/// Returns the time from which on a request may be sent to a server, in the
+/// past while the server responds. A request that may run only once leaves the
+/// first interval to those that may be repeated. Pure.
+TimePoint nextAttemptTime(const UpstreamTable &Table,
+                          const UpstreamServer &Server, bool IsRepeatable);
+
 /// Records a successful answer, with its latency in milliseconds, or 0 if that
 /// was not measured. `recordAnswer` is to be used where the latency is to age.
 void noteSuccess(const UpstreamTable &Table, UpstreamServer &Server,
