--- a/IntegrationTests/Cases/ProcessTests.cpp
+++ b/IntegrationTests/Cases/ProcessTests.cpp
@@ -1,3 +1,4 @@
+#include "IntegrationTests/Harness/FreePort.h"
 #include "IntegrationTests/Harness/Process.h"
 #include "IntegrationTests/Harness/TestFolder.h"
 #include "IntegrationTests/Harness/Waiting.h"
@@ -5,9 +6,11 @@
 #include <catch2/catch.hpp>
 
 #include <filesystem>
+#include <set>
 
 using wasabi::Millis;
 using wasabi::Outcome;
+using wasabi::harness::PortAllocator;
 using wasabi::harness::Process;
 using wasabi::harness::ProcessExit;
 using wasabi::harness::TestFolder;
@@ -70,3 +73,18 @@
   CHECK(asked == 3);
   CHECK_FALSE(wasabi::harness::waitUntil([] { return false; }, Millis(1)));
 }
+
+// Guards against two runs of many seeds at the same time, of which one draws
+// the port of a process that the other one has stopped and starts again.
+TEST_CASE("Two port allocators draw no port twice") {
+  constexpr unsigned FirstBlock = 700;
+  constexpr int Ports = 60;
+  PortAllocator first(FirstBlock);
+  PortAllocator second(FirstBlock + 1);
+  std::set<std::uint16_t> drawn;
+  for (int i = 0; i < Ports; ++i) {
+    drawn.insert(first.draw().value().Port);
+    drawn.insert(second.draw().value().Port);
+  }
+  CHECK(drawn.size() == 2 * Ports);
+}
