--- a/UnitTests/Upstream/OutageTest.cpp
+++ b/UnitTests/Upstream/OutageTest.cpp
@@ -22,6 +22,48 @@
   RefusesConnections,
 };
 
+/// A stream that ends after its head.
+class EmptyStream final : public EngineStream {
+public:
+  EmptyStream() {
+    Head.Proof = AnswerProof::Ran;
+    Head.Response.Status = 200;
+  }
+  const StreamHead &head() const override { return Head; }
+  asio::awaitable<Outcome<std::optional<EngineEvent>>> next(Millis) override {
+    co_return std::optional<EngineEvent>();
+  }
+  void cancel() override {}
+
+private:
+  StreamHead Head;
+};
+
+/// A caller of streams that counts those that end.
+class StreamCaller final : public http::Responder {
+public:
+  explicit StreamCaller(int &Ended) : Ended(Ended) {}
+  asio::awaitable<Outcome<Done>> send(http::Response) override {
+    co_return Done{};
+  }
+  asio::awaitable<Outcome<Done>> begin(http::Response) override {
+    co_return Done{};
+  }
+  asio::awaitable<Outcome<Done>> write(std::string) override {
+    co_return Done{};
+  }
+  asio::awaitable<Outcome<Done>> end() override {
+    ++Ended;
+    co_return Done{};
+  }
+  void abort() override {}
+  bool gone() const override { return false; }
+  void onGone(std::function<void()>) override {}
+
+private:
+  int &Ended;
+};
+
 struct OutageFixture : SimulatedTestFixture {
   FleetView View;
   Metrics Counts;
@@ -33,6 +75,7 @@
   int Sent = 0;
   std::vector<Outcome<UpstreamResponse>> Results;
   std::vector<Millis> Durations;
+  int StreamsEnded = 0;
 
   OutageFixture() {
     noteAnswer(View.Contact, monotonicNow());
@@ -41,6 +84,8 @@
                        SendOptions, Millis) {
       return call(std::move(Server), Call.Target == "/once");
     };
+    port.Open = [this](UpstreamRegistration Server, const http::Request &,
+                       SendOptions, Millis) { return open(std::move(Server)); };
     port.Probe = [](const UpstreamRegistration &,
                     Millis) -> asio::awaitable<Outcome<ServerProbeResult>> {
       co_return ServerProbeResult::Listens;
@@ -86,6 +131,28 @@
     answer.Response.Status = 200;
     co_return answer;
   }
+  asio::awaitable<Outcome<std::unique_ptr<EngineStream>>>
+  open(UpstreamRegistration Server) {
+    Outcome<UpstreamResponse> got = co_await call(std::move(Server), false);
+    if (!got)
+      co_return got.failure();
+    std::unique_ptr<EngineStream> stream = std::make_unique<EmptyStream>();
+    co_return stream;
+  }
+  void sendStream() {
+    ForwardRequest request;
+    request.Id = "stream";
+    request.ArrivedAt = monotonicNow();
+    request.CallerTimeout = CallerTimeout;
+    UpstreamRoute route;
+    route.Kind = RouteKind::Streaming;
+    route.Services = {{Desk, 1}};
+    asio::co_spawn(Context,
+                   TestedForwarder->forwardStream(
+                       std::move(request), std::move(route),
+                       std::make_shared<StreamCaller>(StreamsEnded)),
+                   asio::detached);
+  }
   /// Starts a request; its outcome is appended to `Results`.
   void send(RouteKind Kind = RouteKind::Idempotent) {
     ++Sent;
@@ -170,6 +237,20 @@
   CHECK(fixture.countServed() * 100 >= fixture.Sent * 95);
 }
 
+TEST_CASE("Streams wait for the restart of the servers of their service",
+          "[upstream]") {
+  constexpr int Streams = 10;
+  OutageFixture fixture;
+  fixture.addServer("a", ServerState::RefusesConnections);
+  for (int i = 0; i < Streams; ++i)
+    fixture.sendStream();
+  fixture.Clock.runFor(fixture.Context, Millis(400));
+  CHECK(fixture.StreamsEnded == 0);
+  fixture.addServer("a", ServerState::Answers, 2);
+  fixture.Clock.runFor(fixture.Context, Millis(100));
+  CHECK(fixture.StreamsEnded == Streams);
+}
+
 TEST_CASE("A service whose connections were cut is served at once",
           "[upstream]") {
   OutageFixture fixture;
