--- a/UnitTests/LoadExchange/LoadExchangeTest.cpp
+++ b/UnitTests/LoadExchange/LoadExchangeTest.cpp
@@ -59,7 +59,7 @@
     for (std::size_t i = 0; i < Count; ++i)
       addEdge();
   }
-  ~ExchangeFixture() { std::fclose(LogFile); }
+  ~ExchangeFixture() override { std::fclose(LogFile); }
   ExchangeFixture(const ExchangeFixture &) = delete;
   ExchangeFixture &operator=(const ExchangeFixture &) = delete;
 
--- a/UnitTests/Platform/FeedsTest.cpp
+++ b/UnitTests/Platform/FeedsTest.cpp
@@ -29,7 +29,7 @@
     Operator = followOperatorTopic(feeds, KeyDigester::create().value(), {});
     Registrations = followRegistrations(feeds, {Millis(1), std::nullopt}, {});
   }
-  ~FeedsFixture() {
+  ~FeedsFixture() override {
     for (int it : LogPipe)
       ::close(it);
   }
