--- a/IntegrationTests/Cases/ProcessTests.cpp
+++ b/IntegrationTests/Cases/ProcessTests.cpp
@@ -78,11 +78,11 @@
 // the port of a process that the other one has stopped and starts again.
 TEST_CASE("Two port allocators draw no port twice") {
   constexpr unsigned FirstBlock = 700;
-  constexpr int Ports = 60;
+  constexpr std::size_t Ports = 60;
   PortAllocator first(FirstBlock);
   PortAllocator second(FirstBlock + 1);
   std::set<std::uint16_t> drawn;
-  for (int i = 0; i < Ports; ++i) {
+  for (std::size_t i = 0; i < Ports; ++i) {
     drawn.insert(first.draw().value().Port);
     drawn.insert(second.draw().value().Port);
   }
