--- a/UnitTests/Upstream/OutageTest.cpp
+++ b/UnitTests/Upstream/OutageTest.cpp
@@ -81,11 +81,13 @@
     noteAnswer(View.Contact, monotonicNow());
     EnginePort port;
     port.Call = [this](UpstreamRegistration Server, const http::Request &Call,
-                       SendOptions, Millis) {
+                       const SendOptions &, Millis) {
       return call(std::move(Server), Call.Target == "/once");
     };
     port.Open = [this](UpstreamRegistration Server, const http::Request &,
-                       SendOptions, Millis) { return open(std::move(Server)); };
+                       const SendOptions &, Millis) {
+      return open(std::move(Server));
+    };
     port.Probe = [](const UpstreamRegistration &,
                     Millis) -> asio::awaitable<Outcome<ServerProbeResult>> {
       co_return ServerProbeResult::Listens;
