--- a/UnitTests/Upstream/OutageTest.cpp
+++ b/UnitTests/Upstream/OutageTest.cpp
@@ -85,9 +85,8 @@
       return call(std::move(Server), Call.Target == "/once");
     };
     port.Open = [this](UpstreamRegistration Server, const http::Request &,
-                       const SendOptions &, Millis) {
-      return open(std::move(Server));
-    };
+                       const SendOptions &,
+                       Millis) { return open(std::move(Server)); };
     port.Probe = [](const UpstreamRegistration &,
                     Millis) -> asio::awaitable<Outcome<ServerProbeResult>> {
       co_return ServerProbeResult::Listens;
