--- a/IntegrationTests/Soak/SoakRun.cpp
+++ b/IntegrationTests/Soak/SoakRun.cpp
@@ -79,6 +79,19 @@
   return World.waitForResults(World.edges() - 1, Job, Items);
 }
 
+/// Checks that no edge process has ended by itself. Call it after the last
+/// fault, when all of them should run.
+void checkEdgesRun(test::PlatformFixture &World,
+                   std::vector<std::string> &Violations) {
+  for (std::size_t i = 0; i < World.edges(); ++i) {
+    std::optional<harness::ProcessExit> end =
+        World.edge(i).Running->wait(Millis(0));
+    if (end)
+      Violations.push_back("edge " + std::to_string(i) + " ended with code " +
+                           std::to_string(end->Code));
+  }
+}
+
 /// Checks that every process returns the results of accepted jobs as they were
 /// read before.
 void checkAcceptedJobs(test::PlatformFixture &World,
@@ -175,6 +188,7 @@
   TimePoint faultsEnded = monotonicNow();
   if (!waitForRecovery(world, HarnessRequestName, clients.LatestConfigVersion))
     result.Violations.push_back("service did not recover after the last fault");
+  checkEdgesRun(world, result.Violations);
   result.RecoveryTime =
       std::chrono::duration_cast<Millis>(monotonicNow() - faultsEnded);
   clients.stop();
