--- a/Wasabi/Upstream/UpstreamTable.cpp
+++ b/Wasabi/Upstream/UpstreamTable.cpp
@@ -56,7 +56,7 @@
   server->Entry.Models = Entry.Models;
   bool differs = server->Entry != Entry;
   server->Entry = std::move(Entry);
-  // Published after the outage began, most likely.
+  // The server has most likely published this after its outage began.
   if (differs || returned)
     server->Outage.reset();
   if (differs || returned)
