--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -10,7 +10,7 @@
     exit 2
   fi
 done
-"$program" "$root" "$here/record.txt" "${TROUBLE:-1}"
+timeout -k 2 117 "$program" "$root" "$here/record.txt" "${TROUBLE:-1}"
 result=$?
 tail -n 1 "$here/record.txt"
 case $result in 0 | 1) exit $result ;; *) exit 2 ;; esac
