--- a/review/1/Case.cc
+++ b/review/1/Case.cc
@@ -16,6 +16,8 @@
 constexpr std::int64_t DisruptionMs = 5000;
 constexpr int Disruptions = 12;
 constexpr std::int64_t PauseMs = 2000;
+/// Time that a client waits.
+constexpr std::int64_t DeadlineMs = 2000;
 
 /// Clients of the route whose requests may run once, one at each edge process.
 constexpr int Edges = 8;
@@ -75,37 +77,66 @@
         here.startEdge("edge-" + std::to_string(i), store.endpoint()));
   for (const std::unique_ptr<Edge> &it : edges)
     if (!waitFor([&] { return it->isReady(); }, 15000))
-      return 2;
+      here.giveUp("an edge process isn't ready");
   record("all edge processes are ready");
 
   std::atomic<bool> stop{false};
   std::mutex sentMutex;
   std::vector<Sent> sent;
+  // Sends one client attempt on a new connection.
+  auto attempt = [&](std::size_t At, const std::string &Prefix,
+                     const std::string &Id, std::int64_t Deadline) {
+    std::int64_t left = Deadline - nowMs();
+    return call(edges[At]->Front, "POST", Prefix + Id,
+                {{"Host", "ficu95.example"},
+                 {"Wasabisail-Request-Id", Id},
+                 {"Wasabisail-Deadline-Ms", std::to_string(left)}},
+                "body of " + Id, static_cast<int>(left));
+  };
+  // Waits as a refusal asks for; false if that takes too much of the time.
+  auto mayRetry = [&](const Message &Refusal, std::int64_t Deadline) {
+    std::string after = Refusal.header("Retry-After");
+    auto wait = static_cast<std::int64_t>(
+        1000 * (after.empty() ? 0 : std::strtod(after.c_str(), nullptr)));
+    if (wait > (Deadline - nowMs()) / 3)
+      return false;
+    sleepMs(wait);
+    return Deadline > nowMs();
+  };
   std::vector<std::thread> clients;
   for (int i = 0; i < BusyClients; ++i)
     clients.emplace_back([&, i] {
       for (int n = 0; !stop; ++n) {
         std::string id = "look-" + std::to_string(i) + "-" + std::to_string(n);
-        call(edges[Edges]->Front, "POST", "/lookup/" + id,
-             {{"Host", "ficu95.example"},
-              {"Wasabisail-Request-Id", id},
-              {"Wasabisail-Deadline-Ms", "2000"}},
-             "lookup " + id, 2500);
+        std::int64_t deadline = nowMs() + DeadlineMs;
+        Message answer = attempt(Edges, "/lookup/", id, deadline);
+        // Retries reach other daemons.
+        if (answer.Status != 200 && mayRetry(answer, deadline))
+          attempt(static_cast<std::size_t>(n % Edges), "/lookup/",
+                  id + "-again", deadline);
       }
     });
   for (int i = 0; i < Edges; ++i)
     clients.emplace_back([&, i] {
       for (int n = 0; !stop; ++n) {
         std::string id = "bid-" + std::to_string(i) + "-" + std::to_string(n);
-        Message answer = call(edges[static_cast<std::size_t>(i)]->Front, "POST",
-                              "/bid/" + id,
-                              {{"Host", "ficu95.example"},
-                               {"Wasabisail-Request-Id", id},
-                               {"Wasabisail-Deadline-Ms", "2000"}},
-                              "bid " + id, 2500);
-        record("client sent " + id + " once: " + std::to_string(answer.Status));
-        std::lock_guard<std::mutex> guard(sentMutex);
-        sent.push_back({id, answer.Status});
+        std::int64_t deadline = nowMs() + DeadlineMs;
+        for (int k = 0; k < 2; ++k) {
+          std::string attemptId = k == 0 ? id : id + "-again";
+          Message answer = attempt(static_cast<std::size_t>((i + k) % Edges),
+                                   "/bid/", attemptId, deadline);
+          record("client sent " + attemptId +
+                 " once: " + std::to_string(answer.Status));
+          {
+            std::lock_guard<std::mutex> guard(sentMutex);
+            sent.push_back({attemptId, answer.Status});
+          }
+          // A request that may run once is sent again, with a new id, only
+          // after the promise that it has not run.
+          bool promised = answer.Status == 503 || answer.Status == 429;
+          if (!promised || !mayRetry(answer, deadline))
+            break;
+        }
       }
     });
   for (int i = 0; i < Disruptions; ++i) {
--- a/review/2/Case.cc
+++ b/review/2/Case.cc
@@ -8,10 +8,9 @@
 namespace {
 
 constexpr const char *Model = "daka510000";
-constexpr int Jobs = 6;
 /// Trainers read about twice per second.
 constexpr int ReadIntervalMs = 400;
-constexpr int Groups = 8;
+constexpr int Groups = 12;
 
 } // namespace
 
@@ -30,57 +29,61 @@
     settings.Id = Id;
     settings.Service = Service;
     settings.Ip = here.nextIp();
-    settings.Model = Model;
+    if (Service != ScoreService)
+      settings.Model = Model;
     servers.push_back(std::make_unique<Server>(settings, runs));
     servers.back()->registerAt(store, servers.back()->endpoint());
-    sides.push_back(here.startSide("side-" + Id, servers.back()->endpoint(),
-                                   store.endpoint()));
+    if (Service != ScoreService)
+      sides.push_back(here.startSide("side-" + Id, servers.back()->endpoint(),
+                                     store.endpoint()));
   };
+  addServer("i-app0", ScoreService);
   addServer("i-draft0", "draft-llm");
   addServer("i-draft1", "draft-llm");
   const std::string draftRoute =
       routeText("/draft/", "rollout", "draft-llm", 3,
                 ",\"result_deadline_ms\":7500,\"retention_s\":40");
   store.write("keyed.op", "config",
-              configText(1, draftRoute, engineService("draft-llm", Model)));
+              configText(1, draftRoute + "," + scoreRoute(),
+                         engineService("draft-llm", Model) + "," +
+                             plainService(ScoreService)));
   std::vector<std::unique_ptr<Edge>> edges;
   edges.push_back(here.startEdge("edge-0", store.endpoint()));
   edges.push_back(here.startEdge("edge-1", store.endpoint()));
   for (const std::unique_ptr<Edge> &it : edges)
     if (!waitFor([&] { return it->isReady(); }, 15000))
-      return 2;
+      here.giveUp("an edge process isn't ready");
   record("all edge processes are ready");
 
   int completed = 0;
-  auto playJob = [&](int Number) {
-    std::string lot = "lot-" + std::to_string(Number);
-    const Edge &edge = *edges[static_cast<std::size_t>(Number) % 2];
-    if (submitLot(edge, lot, "/draft/", Model, Groups).Status != 202)
-      return;
-    waitFor([&] { return readLot(edge, lot) == 4 * Groups; }, 7500,
+  auto playStep = [&](int Step) {
+    std::string lot = "step-" + std::to_string(Step);
+    if (!submitLot(edges, lot, Step, "/draft/", Model, Groups))
+      here.giveUp("a batch job was not accepted");
+    waitFor([&] { return readLot(*edges[1], lot) == 4 * Groups; }, 7500,
             ReadIntervalMs);
-    completed += std::max(readLot(edge, lot), 0);
-    endLot(edge, lot);
+    completed += std::max(readLot(*edges[1], lot), 0);
+    endLot(*edges[0], lot);
   };
-  playJob(0);
+  playStep(0);
   if (trouble) {
     addServer("i-trial0", "trial-llm");
     addServer("i-trial1", "trial-llm");
     store.write("keyed.op", "config",
                 configText(2,
-                           draftRoute + "," +
+                           draftRoute + "," + scoreRoute() + "," +
                                routeText("/trial/", "rollout", "trial-llm", 3,
                                          ",\"result_deadline_ms\":7500,"
                                          "\"retention_s\":40"),
                            engineService("draft-llm", Model) + "," +
-                               engineService("trial-llm", Model)));
+                               engineService("trial-llm", Model) + "," +
+                               plainService(ScoreService)));
     record("the operator adds the service trial-llm and the route /trial/");
   } else
     record("no disruption");
   constexpr std::int64_t ConfigApplyMs = 2000;
   sleepMs(ConfigApplyMs + 1000);
-  for (int i = 1; i < Jobs; ++i)
-    playJob(i);
+  playStep(1);
 
   int strayed = 0;
   for (const ServerRun &it : runs.all()) {
@@ -93,7 +96,7 @@
   }
   bool alive = edges[0]->Process->isRunning() && edges[1]->Process->isRunning();
   record("completed items " + std::to_string(completed) + " of " +
-         std::to_string(4 * Groups * Jobs) + ", runs " +
+         std::to_string(8 * Groups) + ", runs " +
          std::to_string(runs.all().size()) + ", runs at a foreign service " +
          std::to_string(strayed) + (alive ? "" : ", a process has ended"));
   edges.clear();
--- a/review/standin/Standin.hh
+++ b/review/standin/Standin.hh
@@ -192,13 +192,6 @@
     return true;
   }
 
-  /// Returns true if the peer has closed or reset the connection.
-  bool peerGone() const {
-    char byte = 0;
-    ssize_t n = ::recv(Fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-  }
-
   /// Reads a message; false if the connection ended or `Deadline` passed.
   bool read(Message &Into, bool IsResponse, std::int64_t Deadline) {
     std::size_t end = 0;
@@ -477,10 +470,10 @@
 
 /// Forwards connections to a server. While the link is cut, nothing passes: the
 /// bytes of connections that were open before wait in the send queue of their
-/// sender, which sends them again after 200 ms, 400 ms and so on, with doubled
-/// waits, as TCP does. They pass at the first of these times after the cut,
-/// unless their sender has reset the connection. A connection that is opened
-/// during the cut never passes a byte.
+/// sender, which sends them again after 1 s, 2 s and so on, with doubled waits
+/// (RFC 6298). They pass at the first of these times after the cut, unless
+/// their sender has reset the connection. A connection that is opened during
+/// the cut never passes a byte.
 class Link {
 public:
   Link(const std::string &Ip, Endpoint To) : Where{Ip, 0}, To(std::move(To)) {
@@ -534,7 +527,7 @@
   /// Returns once bytes, or the end of a connection, that were sent at `Sent`
   /// pass the link.
   void awaitPassage(std::int64_t Sent) const {
-    constexpr std::int64_t FirstWaitMs = 200;
+    constexpr std::int64_t FirstWaitMs = 1000;
     std::int64_t wait = FirstWaitMs;
     std::int64_t next = Sent;
     while (IsCut) {
@@ -693,6 +686,13 @@
       record("the folder was not removed");
   }
 
+  /// Ends a case that couldn't run; its processes end with it.
+  [[noreturn]] void giveUp(const std::string &Reason) const {
+    record("the case couldn't run: " + Reason);
+    cleanUp();
+    ::_exit(2);
+  }
+
   std::string nextIp() { return Prefix + std::to_string(++LastIp); }
 
   std::string writeFile(const std::string &Name,
@@ -753,8 +753,10 @@
 
 //===--- Servers ----------------------------------------------------------===//
 
-/// What a server saw of one request.
+/// A request that a server ran: a plain service began to work on it, a model
+/// server made its first event.
 struct ServerRun {
+  /// Time of arrival.
   std::int64_t AtMs = 0;
   std::string Server;
   std::string Service;
@@ -846,6 +848,7 @@
     std::string extra = std::exchange(Peer.LateCopy, "");
     if (!extra.empty() && !Peer.write(extra))
       return false;
+    std::int64_t arrived = nowMs();
     std::string id = Request.header("Wasabisail-Request-Id");
     std::string expected = Request.header("Wasabisail-Expect-Instance");
     if (!expected.empty() && expected != Limits.Id)
@@ -858,6 +861,9 @@
           makeResponse(200, "{}", {{"Wasabisail-Instance-Id", Limits.Id}}));
     if (path == "/api/report")
       return Peer.write(report());
+    // No trainer names a version in a case, so there is none to load.
+    if (path == "/api/order")
+      return Peer.write(makeResponse(400, "{}"));
     if (!enter()) {
       record("server " + Limits.Id + " refuses request " + id +
              " as not executed");
@@ -865,11 +871,8 @@
                                        {{"Wasabisail-Not-Executed", "1"},
                                         {"Wasabisail-Request-Id", id}}));
     }
-    record("server " + Limits.Id + " of service " + Limits.Service +
-           " runs request " + id + " " + path);
-    Runs.add({nowMs(), Limits.Id, Limits.Service, id, path});
-    bool more =
-        Limits.Model.empty() ? work(Peer, id) : generate(Peer, Request, id);
+    bool more = Limits.Model.empty() ? work(Peer, id, path, arrived)
+                                     : generate(Peer, Request, id, arrived);
     leave();
     return more;
   }
@@ -878,15 +881,25 @@
     return "stamp." + Limits.Id + "." + Id;
   }
 
-  bool work(Connection &Peer, const std::string &Id) {
+  void addRun(const std::string &Id, const std::string &Path,
+              std::int64_t Arrived) const {
+    record("server " + Limits.Id + " of service " + Limits.Service +
+           " runs request " + Id + " " + Path);
+    Runs.add({Arrived, Limits.Id, Limits.Service, Id, Path});
+  }
+
+  bool work(Connection &Peer, const std::string &Id, const std::string &Path,
+            std::int64_t Arrived) {
+    addRun(Id, Path, Arrived);
     sleepMs(Limits.WorkMs);
     return answer(Peer, makeResponse(200, "done " + Id,
                                      {{"Wasabisail-Request-Id", Id},
                                       {"Wasabisail-Server-Stamp", stamp(Id)}}));
   }
 
-  bool generate(Connection &Peer, const Message &Request,
-                const std::string &Id) const {
+  /// Drops the request when a write shows that its connection is closed.
+  bool generate(Connection &Peer, const Message &Request, const std::string &Id,
+                std::int64_t Arrived) const {
     std::string resume = Request.header("Last-Event-Id");
     int first = resume.empty() ? 1 : std::stoi(resume) + 1;
     std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -898,15 +911,14 @@
       return false;
     for (int i = first; i <= Limits.Events; ++i) {
       sleepMs(Limits.EventMs);
-      // Drops the request when its connection closes.
-      if (Peer.peerGone())
-        return false;
       std::string event = "id: " + std::to_string(i) + "\ndata: " + Id + "-" +
                           std::to_string(i) + "\n\n";
       std::ostringstream size;
       size << std::hex << event.size();
       if (!Peer.write(size.str() + "\r\n" + event + "\r\n"))
         return false;
+      if (i == first)
+        addRun(Id, Request.path(), Arrived);
     }
     return Peer.write("0\r\n\r\n");
   }
@@ -995,38 +1007,60 @@
   return Lot + "-i" + std::to_string(Index);
 }
 
-/// Returns the body of a batch job of `Groups` groups of four items. The items'
-/// paths begin with `Prefix`; they need no reward call.
-inline std::string lotText(const std::string &Lot, const std::string &Prefix,
-                           const std::string &Model, int Groups) {
+/// A plain service that scores texts, and the route of its reward calls.
+constexpr const char *ScoreService = "bidding-app";
+inline std::string scoreRoute() {
+  return routeText("/score/", "idempotent", ScoreService, 4);
+}
+
+/// Returns the batch job of a trainer's step with `Groups` groups of four
+/// items. The items' paths begin with `Prefix`.
+inline std::string lotText(const std::string &Lot, int Step,
+                           const std::string &Prefix, const std::string &Model,
+                           int Groups) {
   std::string items;
   for (int i = 0; i < 4 * Groups; ++i) {
     std::string group = "g" + std::to_string(i / 4);
-    items += (i > 0 ? "," : "") + std::string("{\"id\":\"") + itemId(Lot, i) +
+    std::string id = itemId(Lot, i);
+    items += (i > 0 ? "," : "") + std::string("{\"id\":\"") + id +
              "\",\"path\":\"" + Prefix + Lot + "/" + std::to_string(i) +
              "\",\"headers\":{\"Wasabisail-Model\":\"" + Model +
              "\",\"Wasabisail-Token-Usage\":\"40,60\","
              "\"Wasabisail-Prompt-Prefix\":\"9c2e41:30,5d07b8:10\"},"
              "\"body\":\"" +
-             toBase64("prompt of " + itemId(Lot, i)) +
-             "\",\"tokens\":100,\"group\":\"" + Lot + group + "\"}";
+             toBase64("prompt of " + id) + "\",\"tokens\":100,\"group\":\"" +
+             Lot + group + "\",\"scorer_url\":{\"id\":\"" + id +
+             "-score\",\"host\":\"ficu95.example\",\"path\":\"/score/" + id +
+             "\",\"body\":\"" + toBase64("score " + id) + "\"}}";
   }
-  return "{\"step\":0,\"model\":\"" + Model +
-         "\",\"min_version\":1,\"target_groups\":" + std::to_string(Groups) +
-         ",\"items\":[" + items + "]}";
+  // Step k allows version k - 1 and newer; all servers hold version 1.
+  return "{\"step\":" + std::to_string(Step) + ",\"model\":\"" + Model +
+         "\",\"min_version\":" + std::to_string(std::max(Step - 1, 0)) +
+         ",\"target_groups\":" + std::to_string(Groups) + ",\"items\":[" +
+         items + "]}";
 }
 
-inline Message submitLot(const Edge &To, const std::string &Lot,
-                         const std::string &Prefix, const std::string &Model,
-                         int Groups) {
-  Message answer = call(To.Front, "POST", Prefix + Lot,
-                        {{"Host", "ficu95.example"},
-                         {"Wasabisail-Request-Id", Lot},
-                         {"Content-Type", "application/json"}},
-                        lotText(Lot, Prefix, Model, Groups), 4000);
-  record("client submits batch job " + Lot + " to " + Prefix + ": " +
-         std::to_string(answer.Status));
-  return answer;
+/// Submits a step, again at the next daemon as long as it is not accepted.
+/// Returns true if it was accepted.
+inline bool submitLot(const std::vector<std::unique_ptr<Edge>> &Edges,
+                      const std::string &Lot, int Step,
+                      const std::string &Prefix, const std::string &Model,
+                      int Groups) {
+  constexpr std::size_t MaxTries = 6;
+  for (std::size_t i = 0; i < MaxTries; ++i) {
+    int status = call(Edges[i % Edges.size()]->Front, "POST", Prefix + Lot,
+                      {{"Host", "ficu95.example"},
+                       {"Wasabisail-Request-Id", Lot},
+                       {"Content-Type", "application/json"}},
+                      lotText(Lot, Step, Prefix, Model, Groups), 4000)
+                     .Status;
+    record("client submits batch job " + Lot + " to " + Prefix + ": " +
+           std::to_string(status));
+    if (status == 202)
+      return true;
+    sleepMs(200);
+  }
+  return false;
 }
 
 inline int countText(const std::string &Text, const std::string &Part) {
