Items wait for the configuration that admitted their job

Cause: the dispatcher ended an item as soon as its own configuration had no route for it, also when that configuration was older than the one that admitted the job. Ruled out: a route that had ended (it is in force to the end of the run).

Change: the record of a job names the configuration that admitted it. A dispatcher with an older one neither places, ends nor scores the items and reads the topic at once, beside the read that hangs. A record of an earlier release waits for a read that began after the job was read. The same belief decided 404 and 401, which callers take as final: they now need a read of the topic that began after the request, four a second at most.

It works because only a configuration at or beyond the admitting one can show that a route has ended; no time is waited for.

--- a/UnitTests/Batch/BatchRecordTest.cpp
+++ b/UnitTests/Batch/BatchRecordTest.cpp
@@ -179,4 +179,23 @@
   }
 }
 
+// Guards against jobs whose admission is lost in the record, or misread when
+// two releases run together.
+TEST_CASE("A record tells under which configuration its job was admitted",
+          "[batch]") {
+  BatchJob job = makeJob("a", 1);
+  job.AdmittedUnder = 41;
+  std::string text = encodeRecord(JobPart{job, 0, 1});
+  Outcome<BatchRecord> redecoded = decodeText(text);
+  REQUIRE(redecoded);
+  CHECK(std::get<JobPart>(*redecoded).Job.AdmittedUnder == 41);
+  // As an earlier release writes it.
+  const std::string member = R"("config":41,)";
+  REQUIRE(text.find(member) != std::string::npos);
+  text.erase(text.find(member), member.size());
+  Outcome<BatchRecord> before = decodeText(text);
+  REQUIRE(before);
+  CHECK(std::get<JobPart>(*before).Job.AdmittedUnder == 0);
+}
+
 } // namespace wasabi::batchtest
--- a/UnitTests/Dispatch/DispatcherFixture.h
+++ b/UnitTests/Dispatch/DispatcherFixture.h
@@ -47,6 +47,11 @@
   std::shared_ptr<RolloutLog> Log;
   std::shared_ptr<PayloadStore> Payloads;
   std::shared_ptr<Dispatcher> Dispatch;
+  /// Time up to which the configuration is known; empty for now.
+  std::optional<TimePoint> ConfigurationAsOf;
+  /// Effect of a read of the configuration; returns whether it succeeds.
+  std::function<bool()> OnConfigurationRead = [] { return true; };
+  std::size_t ConfigurationReads = 0;
 
   /// \param StallTimeout time without an event after which a run is cancelled.
   /// \param StepArrivalTimeout time for which the step of a named version is
@@ -87,16 +92,31 @@
     limits.SaveInterval = SaveInterval;
     limits.MinSaveEvents = 4;
     limits.StepArrivalTimeout = StepArrivalTimeout;
-    Dispatch =
-        Dispatcher::create({Context.get_executor(), View, Log, Payloads, Port,
-                            Engines.port(), scores, crashes, Decisions, Counts},
-                           limits);
+    Dispatch = Dispatcher::create({Context.get_executor(), View, Log, Payloads,
+                                   Port, Engines.port(), scores, crashes,
+                                   Decisions, Counts, configurationReader()},
+                                  limits);
     Log->onChange(
         [this](const BatchStateChange &Change) { Dispatch->onChange(Change); });
     Dispatch->start();
     Dispatch->activate();
   }
 
+  ConfigurationReader configurationReader() {
+    return {[this]() -> std::optional<TimePoint> {
+              return ConfigurationAsOf.value_or(monotonicNow());
+            },
+            [this] { return readConfiguration(); }};
+  }
+  boost::asio::awaitable<Outcome<Done>> readConfiguration() {
+    ++ConfigurationReads;
+    co_await pauseFor(Context.get_executor(), Millis(1));
+    if (OnConfigurationRead())
+      co_return Done{};
+    co_return Failure{
+        Verdict::NotRun, FailureCode::TimedOut, "store", "no answer", {}};
+  }
+
   void addServer(const std::string &Id, const ServiceName &Service) {
     UpstreamRegistration entry;
     entry.Id = ServerName(Id);
--- a/UnitTests/Platform/FrontendTest.cpp
+++ b/UnitTests/Platform/FrontendTest.cpp
@@ -4,6 +4,74 @@
 
 namespace wasabi::platform {
 
+namespace {
+
+constexpr unsigned Unauthorized = 401;
+constexpr unsigned NotFound = 404;
+constexpr unsigned ServiceUnavailable = 503;
+
+/// A frontend whose configuration is as new as `CurrentAsOf`, until it is read.
+struct FrontendFixture : http::HttpFixture {
+  FleetView View;
+  AccessSettings Access;
+  Metrics Counts;
+  std::shared_ptr<DecisionLog> Decisions;
+  std::optional<TimePoint> CurrentAsOf;
+  /// Effect of a read of the configuration; returns whether it succeeds.
+  std::function<bool()> OnRead = [] { return true; };
+  std::size_t Reads = 0;
+
+  FrontendFixture() {
+    DecisionLog::Settings limits;
+    limits.Descriptor = -1;
+    Decisions = DecisionLog::create(Context, limits);
+    noteAnswer(View.Contact, monotonicNow());
+    ConfigurationReader reader{[this] { return CurrentAsOf; },
+                               [this] { return read(); }};
+    serve(makeFrontendHandler({View, nullptr, nullptr, [] { return false; },
+                               KeyDigester::create().value(), Access, Decisions,
+                               Counts, reader}));
+  }
+
+  boost::asio::awaitable<Outcome<Done>> read() {
+    ++Reads;
+    if (OnRead())
+      co_return Done{};
+    co_return Failure{
+        Verdict::NotRun, FailureCode::TimedOut, "store", "no answer", {}};
+  }
+
+  /// Replaces the configuration by one with an idempotent route for `Prefix` to
+  /// a service without servers.
+  void configure(const std::string &Prefix) {
+    RouteTable table;
+    table.Version = View.Routes ? View.Routes->Version + 1 : 1;
+    UpstreamRoute route;
+    route.Host = "host.example";
+    route.Prefix = Prefix;
+    table.Routes = {route};
+    View.Routes = std::make_shared<const RouteTable>(std::move(table));
+  }
+
+  http::Response get(const std::string &Path) {
+    http::Response response;
+    run([&]() -> boost::asio::awaitable<void> {
+      http::Request request;
+      request.Method = "GET";
+      request.Target = Path;
+      request.Headers.push_back({"Host", "host.example"});
+      Outcome<http::Response> got = co_await TestClient->call(
+          Serving->address(), std::move(request), Millis(5000));
+      REQUIRE(got);
+      response = *got;
+    });
+    Context.restart();
+    return response;
+  }
+};
+
+} // namespace
+
 TEST_CASE("A process without a configuration refuses with a retry delay",
           "[platform]") {
   // Guards against a caller that retries before the processes of a new
@@ -12,9 +80,15 @@
   FleetView view;
   AccessSettings access;
   Metrics counts;
-  fixture.serve(makeFrontendHandler(
-      {view, nullptr, nullptr, [] { return false; },
-       KeyDigester::create().value(), access, nullptr, counts}));
+  fixture.serve(makeFrontendHandler({view,
+                                     nullptr,
+                                     nullptr,
+                                     [] { return false; },
+                                     KeyDigester::create().value(),
+                                     access,
+                                     nullptr,
+                                     counts,
+                                     {}}));
   fixture.run([&]() -> boost::asio::awaitable<void> {
     http::Request request;
     request.Method = "GET";
@@ -28,4 +102,51 @@
   });
 }
 
+// Guards against a final 404 for a route that other processes serve already.
+TEST_CASE("A path without a route is denied only by a current configuration",
+          "[platform]") {
+  FrontendFixture fixture;
+  fixture.configure("/old/");
+  fixture.CurrentAsOf = monotonicNow();
+  SECTION("The store has no newer configuration") {
+    CHECK(fixture.get("/new/").Status == NotFound);
+    CHECK(fixture.Reads == 1);
+  }
+  SECTION("The configuration is current") {
+    fixture.CurrentAsOf = monotonicNow() + Millis(60000);
+    CHECK(fixture.get("/new/").Status == NotFound);
+    CHECK(fixture.Reads == 0);
+  }
+  SECTION("The configuration cannot be read") {
+    fixture.OnRead = [] { return false; };
+    CHECK(fixture.get("/new/").Status == ServiceUnavailable);
+  }
+  SECTION("The store has the route, which needs a key") {
+    fixture.OnRead = [&fixture] {
+      fixture.configure("/new/");
+      RouteTable table = *fixture.View.Routes;
+      table.Customers = CustomerTable::create({});
+      fixture.View.Routes = std::make_shared<const RouteTable>(table);
+      return true;
+    };
+    CHECK(fixture.get("/new/").Status == Unauthorized);
+  }
+}
+
+// Guards against a final 401 for a customer or a public route that a newer
+// configuration has.
+TEST_CASE("A key is denied only by a current configuration", "[platform]") {
+  FrontendFixture fixture;
+  fixture.configure("/old/");
+  RouteTable table = *fixture.View.Routes;
+  table.Customers = CustomerTable::create({});
+  fixture.View.Routes = std::make_shared<const RouteTable>(table);
+  fixture.CurrentAsOf = monotonicNow();
+  CHECK(fixture.get("/old/").Status == Unauthorized);
+  CHECK(fixture.Reads == 1);
+  fixture.OnRead = [] { return false; };
+  CHECK(fixture.get("/old/").Status == ServiceUnavailable);
+  CHECK(fixture.get("/api/lots/a").Status == ServiceUnavailable);
+}
+
 } // namespace wasabi::platform
--- a/UnitTests/Upstream/KeyedFollowerTest.cpp
+++ b/UnitTests/Upstream/KeyedFollowerTest.cpp
@@ -136,4 +136,59 @@
       [&] { return values["b"] == "2" && values["a"].empty(); }));
 }
 
+// Guards against a reader that learns of a record only once its silent
+// connection has timed out.
+TEST_CASE("A refresh reads beside a read that gets no answer", "[upstream]") {
+  BatchTestFixture fixture;
+  std::map<std::string, std::string> values;
+  KeyedFollower::Callbacks callbacks;
+  callbacks.OnChange = [&](const KeyedRecord &Record) {
+    values[Record.Key] = Record.Value.value_or("");
+  };
+  callbacks.OnBatch = [] {};
+  callbacks.OnAnswer = [] {};
+  callbacks.OnFailure = [](const Failure &) {};
+  KeyedFollower::Settings settings;
+  settings.Topic = "keyed.any";
+  settings.PollTimeout = Millis(20);
+  settings.PollDelay = Millis(1);
+  settings.MinRefreshInterval = Millis(30);
+  RecordStore store = fixture.Store.port();
+  auto answering = store.ReadKeyed;
+  std::size_t refreshes = 0;
+  // Reads that wait for records are never answered.
+  store.ReadKeyed =
+      [&](std::string Topic, Offset From,
+          Millis PollTimeout) -> boost::asio::awaitable<Outcome<KeyedRange>> {
+    if (PollTimeout > Millis(0))
+      co_await pauseFor(fixture.Context.get_executor(), Millis(60000));
+    ++refreshes;
+    co_return co_await answering(std::move(Topic), From, PollTimeout);
+  };
+  std::shared_ptr<KeyedFollower> follower = KeyedFollower::create(
+      fixture.Context.get_executor(), store, settings, callbacks);
+  fixture.Store.append("keyed.any", "a|1");
+  CHECK_FALSE(follower->currentAsOf());
+  follower->start();
+  REQUIRE(fixture.runUntil([&] { return values["a"] == "1"; }));
+  fixture.Store.append("keyed.any", "a|2");
+  TimePoint before = monotonicNow();
+  CHECK(follower->currentAsOf() < before);
+  // Calls at the same time share two reads at most.
+  int done = 0;
+  for (int i = 0; i < 10; ++i)
+    boost::asio::co_spawn(
+        fixture.Context,
+        [&]() -> boost::asio::awaitable<void> {
+          Outcome<Done> read = co_await follower->refresh();
+          CHECK(read);
+          ++done;
+        },
+        boost::asio::detached);
+  REQUIRE(fixture.runUntil([&] { return done == 10; }));
+  CHECK(values["a"] == "2");
+  CHECK(follower->currentAsOf() >= before);
+  CHECK(refreshes <= 2);
+}
+
 } // namespace wasabi::batchtest
--- a/Wasabi/Batch/BatchJob.h
+++ b/Wasabi/Batch/BatchJob.h
@@ -93,6 +93,10 @@
   WeightVersion MinVersion = 0;
   /// Number of complete groups that the trainer waits for; 0 for all.
   std::uint64_t TargetGroups = 0;
+  /// Version of the configuration that admitted the job. A process with an
+  /// older one can't tell where its items may run, nor that they may not. 0 if
+  /// unknown: the job was submitted to a process of an earlier release.
+  std::uint64_t AdmittedUnder = 0;
   std::vector<BatchItem> Items;
   bool operator==(const BatchJob &) const = default;
 };
--- a/Wasabi/Batch/BatchRecord.cpp
+++ b/Wasabi/Batch/BatchRecord.cpp
@@ -87,6 +87,7 @@
           {"step", Record.Job.Step},
           {"min", Record.Job.MinVersion},
           {"groups", Record.Job.TargetGroups},
+          {"config", Record.Job.AdmittedUnder},
           {"at", locationValue(Record.ItemsLocation)},
           {"items", std::move(items)}};
 }
@@ -249,6 +250,9 @@
   part.Job.Step = readNumber(Object, "step");
   part.Job.MinVersion = readNumber(Object, "min");
   part.Job.TargetGroups = readNumber(Object, "groups");
+  // Records of an earlier release lack it.
+  if (Object.contains("config"))
+    part.Job.AdmittedUnder = readNumber(Object, "config");
   part.ItemsLocation = readLocation(Object.at("at"));
   for (const json::value &it : Object.at("items").as_array())
     part.Job.Items.push_back(part.ItemsLocation.empty()
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -39,6 +39,7 @@
       Scores(std::move(Dependencies.Scores)),
       Crashes(std::move(Dependencies.Crashes)),
       Decisions(std::move(Dependencies.Decisions)), Counts(Dependencies.Counts),
+      Configuration(std::move(Dependencies.Configuration)),
       Wake(this->Executor), CommitWake(this->Executor) {}
 
 std::shared_ptr<Dispatcher> Dispatcher::create(Parts Dependencies,
@@ -221,10 +222,57 @@
   Wake.notify();
 }
 
+/// Returns true if the configuration in use is not older than the one that
+/// admitted a job: only then does it tell where the items may run, and that a
+/// route has ended. A job whose admission is unknown needs a configuration that
+/// was read after the job.
+bool Dispatcher::hasConfigurationOf(const JobState &Job) const {
+  if (!View.Routes)
+    return false;
+  if (Job.Job.AdmittedUnder > 0)
+    return View.Routes->Version >= Job.Job.AdmittedUnder;
+  std::optional<TimePoint> current = Configuration.CurrentAsOf();
+  return current && *current >= Job.Seen;
+}
+
+/// Reads the configuration at once for a job that was admitted under a newer
+/// one than that in use.
+void Dispatcher::requestConfiguration(const std::shared_ptr<JobState> &Job) {
+  if (ReadsConfiguration)
+    return;
+  ReadsConfiguration = true;
+  asio::co_spawn(
+      Executor,
+      [self = shared_from_this(), Job] { return self->readConfiguration(Job); },
+      asio::detached);
+}
+
+asio::awaitable<void>
+Dispatcher::readConfiguration(std::shared_ptr<JobState> Job) {
+  std::uint64_t before = View.Routes ? View.Routes->Version : 0;
+  Outcome<Done> read = co_await Configuration.Refresh();
+  std::uint64_t after = View.Routes ? View.Routes->Version : 0;
+  Decisions->line("job.awaited_configuration",
+                  {{"job", Job->Job.Id.Text},
+                   {"admitted_under", std::to_string(Job->Job.AdmittedUnder)},
+                   {"before", std::to_string(before)},
+                   {"now", std::to_string(after)},
+                   {"result", read ? "read" : describe(read.failure())}});
+  Counts
+      .counter("configuration_reads_total",
+               "Reads of the configuration for jobs that a newer one admitted")
+      .add();
+  if (!hasConfigurationOf(*Job))
+    co_await pauseFor(Executor, Limits.RetryDelay);
+  ReadsConfiguration = false;
+  schedule();
+}
+
 /// Returns the route of an item in the current configuration; null if there is
-/// none. Caches the lookup until the configuration changes.
+/// none, or if the configuration is older than the one that admitted the job.
+/// Caches the lookup until the configuration changes.
 const UpstreamRoute *Dispatcher::routeOf(const ItemTask &Task) const {
-  if (!View.Routes)
+  if (!hasConfigurationOf(*Task.Job))
     return nullptr;
   if (Task.RouteCache.Table != View.Routes) {
     Task.RouteCache.Route =
@@ -437,10 +485,19 @@
     const UpstreamRoute *route =
         it->Stage == ItemStage::Loading ? nullptr : routeOf(*it);
     bool isDue = it->Stage == ItemStage::Waiting && it->NotBefore <= Now;
+    bool awaitsConfiguration = isDue && !hasConfigurationOf(job);
+    if (awaitsConfiguration) {
+      requestConfiguration(it->Job);
+      isDue = false;
+    }
     if (isDue && route == nullptr) {
       terminate(it, "no route matches the item");
       continue;
     }
+    if (isDue && it->Text.IsComplete) {
+      resumeComplete(it);
+      isDue = it->Stage == ItemStage::Waiting;
+    }
     auto [step, isNew] = steps.emplace(
         &job, static_cast<std::uint32_t>(view.Input.Steps.size()));
     if (isNew)
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -17,6 +17,7 @@
 #include "Wasabi/Dispatch/StepPlanner.h"
 #include "Wasabi/Ports/EnginePort.h"
 #include "Wasabi/Quarantine/Quarantine.h"
+#include "Wasabi/Upstream/ConfigurationReader.h"
 #include "Wasabi/Upstream/FleetView.h"
 #include "Wasabi/Upstream/Forwarder.h"
 
@@ -186,6 +187,7 @@
     std::shared_ptr<DecisionLog> Decisions;
     /// Outlives the dispatcher.
     Metrics &Counts;
+    ConfigurationReader Configuration;
   };
 
   static std::shared_ptr<Dispatcher> create(Parts Dependencies,
@@ -267,6 +269,7 @@
   boost::asio::awaitable<Outcome<PartialText>>
   loadText(SavedPartialText Saved) const;
   void onItemLoaded(const std::shared_ptr<ItemTask> &Task);
+  void resumeComplete(const std::shared_ptr<ItemTask> &Task);
   bool canResumeFrom(const PartialText &Text, const ItemTask &Task) const;
   void cancel(const std::shared_ptr<ItemTask> &Task);
   void clearFinished();
@@ -308,6 +311,9 @@
   boost::asio::awaitable<void> commitLoop();
   boost::asio::awaitable<Outcome<Done>> commitNextResults();
   std::vector<CommitEntry> pendingCommits() const;
+  bool hasConfigurationOf(const JobState &Job) const;
+  void requestConfiguration(const std::shared_ptr<JobState> &Job);
+  boost::asio::awaitable<void> readConfiguration(std::shared_ptr<JobState> Job);
   const UpstreamRoute *routeOf(const ItemTask &Task) const;
   std::uint32_t priorityOf(const ItemTask &Task,
                            const UpstreamRoute &Route) const;
@@ -339,6 +345,7 @@
   const std::shared_ptr<Quarantine> Crashes;
   const std::shared_ptr<DecisionLog> Decisions;
   Metrics &Counts;
+  const ConfigurationReader Configuration;
 
   bool Active = false;
   /// Number of calls of `activate` and `deactivate`.
@@ -374,6 +381,8 @@
   std::vector<PendingResult> Uncommitted;
   /// True if a call of `scheduleNow` is pending.
   bool Scheduled = false;
+  /// True while the topic of the configuration is read for a job.
+  bool ReadsConfiguration = false;
   AsyncSignal Wake;
   AsyncSignal CommitWake;
 };
--- a/Wasabi/Dispatch/DispatcherRecords.cpp
+++ b/Wasabi/Dispatch/DispatcherRecords.cpp
@@ -156,11 +156,19 @@
       digestOf(makeItemRequest(*Task), Task->Job->Job.Id.Customer),
       Task->Item.Id.Text});
   Task->Stage = ItemStage::Waiting;
-  if (Task->Text.IsComplete)
-    startScoring(Task);
   schedule();
 }
 
+/// Has the complete text of an item scored, unless its route requires a single
+/// version and the text has several: then the item starts from the beginning.
+/// Precondition: the route of the item is known.
+void Dispatcher::resumeComplete(const std::shared_ptr<ItemTask> &Task) {
+  if (Task->Text.Versions.size() > 1 && requiresSingleVersion(*Task))
+    clearText(*Task);
+  else
+    startScoring(Task);
+}
+
 //===--- Results ----------------------------------------------------------===//
 
 namespace {
--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -275,7 +275,7 @@
   std::uint32_t calls = 0;
   while (item.Score && !Task->Cancelled && result.Score.empty()) {
     const UpstreamRoute *route =
-        View.Routes
+        hasConfigurationOf(*Task->Job)
             ? findRoute(*View.Routes, item.Score->Host, item.Score->Path)
             : nullptr;
     if (route == nullptr) {
--- a/Wasabi/Upstream/KeyedFollower.cpp
+++ b/Wasabi/Upstream/KeyedFollower.cpp
@@ -58,7 +58,8 @@
       Store(std::move(Store)), Handlers(std::move(Handlers)),
       PollDelay(this->Limits.PollDelay),
       SnapshotTimeout(this->Limits.SnapshotTimeout),
-      Random(std::random_device()()), Resumed(this->Executor) {
+      Random(std::random_device()()), Resumed(this->Executor),
+      Refreshed(this->Executor) {
   Backoff.Initial = this->Limits.RetryDelay;
 }
 
@@ -90,60 +91,100 @@
       co_await Resumed.wait();
       continue;
     }
-    bool ok = false;
-    if (NeedsSnapshot)
-      ok = co_await readSnapshot();
-    else
-      ok = co_await readNewRecords();
-    if (ok)
-      noteSuccess(Backoff);
-    else
+    Outcome<std::size_t> records = co_await readOnce(Limits.PollTimeout);
+    // A read is cancelled because the store is reachable again: retry without a
+    // delay.
+    bool ok = records || records.failure().Code == FailureCode::Cancelled;
+    if (!ok) {
       co_await pauseFor(Executor, nextDelay(Backoff, Random));
+      continue;
+    }
+    noteSuccess(Backoff);
+    if (records && *records > 0)
+      co_await pauseFor(Executor, PollDelay);
   }
 }
 
-asio::awaitable<bool> KeyedFollower::readSnapshot() {
+/// Reads a snapshot or new records, and returns the number of new records.
+asio::awaitable<Outcome<std::size_t>>
+KeyedFollower::readOnce(Millis PollTimeout) {
+  if (NeedsSnapshot)
+    co_return co_await readSnapshot();
+  co_return co_await readNewRecords(PollTimeout);
+}
+
+asio::awaitable<Outcome<std::size_t>> KeyedFollower::readSnapshot() {
+  TimePoint began = monotonicNow();
   Outcome<KeyedRange> got =
       co_await Store.Newest(Limits.Topic, SnapshotTimeout);
-  // The read was cancelled because the store is reachable again: retry without
-  // a delay.
   if (!got && got.failure().Code == FailureCode::Cancelled)
-    co_return true;
+    co_return got.failure();
   if (!got) {
     if (got.failure().Code == FailureCode::TimedOut)
       SnapshotTimeout =
           std::min(2 * SnapshotTimeout, Limits.MaxSnapshotTimeout);
     Handlers.OnFailure(got.failure());
-    co_return false;
+    co_return got.failure();
   }
   SnapshotTimeout = Limits.SnapshotTimeout;
   Handlers.OnAnswer();
   notifyChanges(applySnapshot(Table, *got));
   HasSnapshot = true;
   NeedsSnapshot = false;
-  co_return true;
+  CurrentAsOf = std::max(CurrentAsOf.value_or(began), began);
+  co_return std::size_t(0);
 }
 
-asio::awaitable<bool> KeyedFollower::readNewRecords() {
+asio::awaitable<Outcome<std::size_t>>
+KeyedFollower::readNewRecords(Millis PollTimeout) {
+  TimePoint began = monotonicNow();
   Outcome<KeyedRange> got =
-      co_await Store.ReadKeyed(Limits.Topic, Table.Next, Limits.PollTimeout);
-  // The read was cancelled because the store is reachable again: retry without
-  // a delay.
+      co_await Store.ReadKeyed(Limits.Topic, Table.Next, PollTimeout);
   if (!got && got.failure().Code == FailureCode::Cancelled)
-    co_return true;
+    co_return got.failure();
   if (!got) {
     Handlers.OnFailure(got.failure());
-    co_return false;
+    co_return got.failure();
   }
   Handlers.OnAnswer();
   if (got->First > Table.Next) {
     NeedsSnapshot = true;
-    co_return true;
+    co_return std::size_t(0);
   }
   notifyChanges(applyNewRecords(Table, got->Records));
-  if (!got->Records.empty())
-    co_await pauseFor(Executor, PollDelay);
-  co_return true;
+  if (Table.Next >= got->End)
+    CurrentAsOf = std::max(CurrentAsOf.value_or(began), began);
+  co_return got->Records.size();
+}
+
+asio::awaitable<Outcome<Done>> KeyedFollower::refresh() {
+  std::shared_ptr<KeyedFollower> self = shared_from_this();
+  TimePoint called = monotonicNow();
+  while (Refreshing && !isCurrentSince(called))
+    co_await Refreshed.wait();
+  if (isCurrentSince(called))
+    co_return Done{};
+  Refreshing = true;
+  TimePoint earliest =
+      LastRefresh ? *LastRefresh + Limits.MinRefreshInterval : called;
+  if (monotonicNow() < earliest)
+    co_await pauseFor(Executor,
+                      std::chrono::ceil<Millis>(earliest - monotonicNow()));
+  LastRefresh = monotonicNow();
+  Outcome<Done> done = co_await readToEnd(called);
+  Refreshing = false;
+  Refreshed.notify();
+  co_return done;
+}
+
+/// Reads until `currentAsOf` is not before `Since`.
+asio::awaitable<Outcome<Done>> KeyedFollower::readToEnd(TimePoint Since) {
+  while (!isCurrentSince(Since)) {
+    Outcome<std::size_t> records = co_await readOnce(Millis(0));
+    if (!records)
+      co_return records.failure();
+  }
+  co_return Done{};
 }
 
 void KeyedFollower::notifyChanges(const std::vector<KeyedRecord> &Records) {
--- a/Wasabi/Upstream/KeyedFollower.h
+++ b/Wasabi/Upstream/KeyedFollower.h
@@ -60,6 +60,9 @@
     /// read that is given up and sent again adds to its work.
     Millis SnapshotTimeout{5000};
     Millis MaxSnapshotTimeout{20000};
+    /// Minimum time between the starts of two calls of `refresh` that read.
+    /// Bounds the load on the store if callers cause the calls.
+    Millis MinRefreshInterval{250};
   };
   /// Called on the executor's thread: `OnChange` for each changed record,
   /// `OnBatch` after the changed records of one read, `OnAnswer` after each
@@ -90,13 +93,27 @@
   }
   /// True once a snapshot has been read.
   bool hasSnapshot() const { return HasSnapshot; }
+  /// Start of the newest read that reached the end of the topic; empty before
+  /// the first one. All records that the store had acknowledged by then are
+  /// applied.
+  std::optional<TimePoint> currentAsOf() const { return CurrentAsOf; }
+  /// Reads to the end of the topic at once, beside a read that waits for
+  /// records. When it succeeds, `currentAsOf` is not before the call.
+  /// Concurrent calls share reads. Precondition: the follower is not paused.
+  boost::asio::awaitable<Outcome<Done>> refresh();
 
 private:
   KeyedFollower(boost::asio::any_io_executor Executor, RecordStore Store,
                 Settings Limits, Callbacks Handlers);
   boost::asio::awaitable<void> followLoop();
-  boost::asio::awaitable<bool> readSnapshot();
-  boost::asio::awaitable<bool> readNewRecords();
+  boost::asio::awaitable<Outcome<std::size_t>> readOnce(Millis PollTimeout);
+  boost::asio::awaitable<Outcome<std::size_t>> readSnapshot();
+  boost::asio::awaitable<Outcome<std::size_t>>
+  readNewRecords(Millis PollTimeout);
+  boost::asio::awaitable<Outcome<Done>> readToEnd(TimePoint Since);
+  bool isCurrentSince(TimePoint Since) const {
+    return CurrentAsOf && *CurrentAsOf >= Since;
+  }
   void notifyChanges(const std::vector<KeyedRecord> &Records);
 
   const Settings Limits;
@@ -113,6 +130,12 @@
   std::mt19937_64 Random;
   bool IsPaused = false;
   AsyncSignal Resumed;
+  std::optional<TimePoint> CurrentAsOf;
+  /// True while a call of `refresh` reads; others wait for it.
+  bool Refreshing = false;
+  /// Start of the last call of `refresh` that read; empty before the first one.
+  std::optional<TimePoint> LastRefresh;
+  AsyncSignal Refreshed;
 };
 
 } // namespace wasabi
