Engines serve further models when those have waiting items and no engine

Cause: an engine served exactly one model, and an assignment could not move away from a model that has a single engine. Evidence: engine.assigned is written twice at the start and never after the loss, while the engine that is left holds the weights of both models. Ruled out: missing weights (no engine.wanted) and a suspect engine (item.run of the other model goes on).

Change: lendEngines lets an engine serve further models, by which model has waiting work: an idle engine with the weights at once, one idle for 4 s by loading them, the least busy one if a model has no engine that works. Engines are assigned per service; a model without a step for 12 s has no demand. A version told during a run is noted for the model of the run.

It works because the decision follows the items that wait and the engines that can start them, not the number of engines.

--- a/UnitTests/Dispatch/EnginePoolTest.cpp
+++ b/UnitTests/Dispatch/EnginePoolTest.cpp
@@ -258,4 +258,163 @@
   CHECK(choose(engines, need) == engines[0]);
 }
 
+namespace {
+
+/// Simulated time of the tests of loans.
+constexpr TimePoint LoanTime = TimePoint() + Millis(100000);
+
+/// Returns true if a loan changed.
+bool lend(const EngineList &Engines,
+          const std::map<ModelName, ModelWork> &Work) {
+  EnginePoolSettings limits;
+  return !lendEngines(Engines, Work, computePaceBaseline(Engines, limits),
+                      limits, LoanTime)
+              .empty();
+}
+
+/// Engines that have just been busy, assigned to the models in turn.
+EngineList makeAssigned(const std::vector<ModelName> &Models) {
+  EngineList engines;
+  for (const ModelName &it : Models) {
+    engines.push_back(makeEngine("e" + std::to_string(engines.size()), 1, 1));
+    engines.back()->Model = it;
+    engines.back()->LastBusy = LoanTime;
+  }
+  return engines;
+}
+
+} // namespace
+
+// Guards against an engine that is kept for a model that nobody trains.
+TEST_CASE("A model without demand keeps a single engine", "[dispatch]") {
+  CHECK(poolSizes({{Red, 0}, {Blue, 5}}, 8) ==
+        std::map<ModelName, std::uint32_t>{{Red, 1}, {Blue, 7}});
+}
+
+// Guards against a model whose last engine is lost, or that never had one:
+// its samples reach no engine although others are free or serve other models.
+TEST_CASE("A model without an engine shares that of another model",
+          "[dispatch]") {
+  const ModelName green("green");
+  EngineList engines = makeAssigned({Red, Blue});
+  engines[0]->Running = 4;
+  engines[1]->Running = 3;
+  std::map<ModelName, ModelWork> work{
+      {Red, {9, 1}}, {Blue, {9, 1}}, {green, {5, 1}}};
+  CHECK(lend(engines, work));
+  // The least busy one, which has to load the weights.
+  CHECK(engines[1]->serves(green));
+  CHECK(engines[1]->Loans.at(green));
+  CHECK_FALSE(engines[0]->serves(green));
+  SECTION("One loan is enough while all engines have work") {
+    CHECK_FALSE(lend(engines, work));
+  }
+  SECTION("An idle engine with the weights helps as well") {
+    engines[1]->Versions[green] = 1;
+    engines[1]->Running = 4;
+    engines[0]->Versions[green] = 1;
+    engines[0]->Running = 0;
+    work[Red].Waiting = 0;
+    work[Blue].Waiting = 0;
+    CHECK(lend(engines, work));
+    CHECK(engines[0]->serves(green));
+  }
+  SECTION("The loan outlasts a pause between two steps") {
+    work[green] = {};
+    CHECK_FALSE(lend(engines, work));
+    work.erase(green);
+    CHECK(lend(engines, work));
+    CHECK(engines[1]->Loans.empty());
+  }
+  SECTION("A failing lender is replaced") {
+    engines[1]->Server->Failures = 2;
+    engines[1]->Server->SuspectUntil = LoanTime + Millis(100);
+    CHECK(lend(engines, work));
+    CHECK(engines[0]->serves(green));
+  }
+}
+
+// Guards against engines that idle for their model while another one's wait.
+TEST_CASE("An idle engine helps a model whose engines are full", "[dispatch]") {
+  EngineList engines = makeAssigned({Red, Blue});
+  engines[0]->Running = 4;
+  std::map<ModelName, ModelWork> work{{Red, {5, 1}}, {Blue, {0, 0}}};
+  SECTION("At once if it has the weights, but without loading any") {
+    CHECK(lend(engines, work));
+    CHECK_FALSE(engines[1]->Loans.at(Red));
+    work[Red].MinVersion = 2;
+    CHECK(lend(engines, work));
+    CHECK(engines[1]->Loans.empty());
+  }
+  SECTION("After a while otherwise, since it has to load them") {
+    work[Red].MinVersion = 2;
+    CHECK_FALSE(lend(engines, work));
+    engines[1]->LastBusy = LoanTime - Millis(5000);
+    CHECK(lend(engines, work));
+    CHECK(engines[1]->Loans.at(Red));
+  }
+  SECTION("Not while its own model has waiting samples") {
+    work[Blue].Waiting = 1;
+    CHECK_FALSE(lend(engines, work));
+  }
+  SECTION("Until its own model has waiting samples") {
+    CHECK(lend(engines, work));
+    work[Blue] = {1, 1};
+    CHECK(lend(engines, work));
+    CHECK(engines[1]->Loans.empty());
+  }
+  SECTION("Not while the engines of the model have room") {
+    engines[0]->Running = 3;
+    CHECK_FALSE(lend(engines, work));
+  }
+  SECTION("Also if the engine of the model is slow") {
+    engines[0]->Running = 1;
+    for (const std::shared_ptr<DispatchEngine> &it : engines)
+      it->Pace.RecentMs = 40;
+    engines[0]->Pace.RecentMs = 400;
+    CHECK(lend(engines, work));
+    CHECK(engines[1]->serves(Red));
+  }
+}
+
+// Guards against samples that depend on one engine that fails.
+TEST_CASE("A model whose only engine fails repeatedly gets another",
+          "[dispatch]") {
+  EngineList engines = makeAssigned({Red, Blue});
+  engines[1]->Running = 1;
+  std::map<ModelName, ModelWork> work{{Red, {5, 2}}, {Blue, {0, 0}}};
+  engines[0]->Versions[Red] = 2;
+  engines[0]->Server->SuspectUntil = LoanTime + Millis(100);
+  engines[0]->Server->Failures = 1;
+  // It is tried again before another one has loaded the weights.
+  CHECK_FALSE(lend(engines, work));
+  engines[0]->Server->Failures = 2;
+  CHECK(lend(engines, work));
+  CHECK(engines[1]->Loans.at(Red));
+}
+
+TEST_CASE("Samples are placed on engines that are lent to their model",
+          "[dispatch]") {
+  EngineList engines = makeAssigned({Red, Blue});
+  EngineRequirements need;
+  need.Model = Red;
+  engines[0]->Running = 4;
+  CHECK(choose(engines, need) == nullptr);
+  engines[1]->Loans[Red] = false;
+  CHECK(choose(engines, need) == engines[1]);
+  need.Model = Blue;
+  CHECK(choose(engines, need) == engines[1]);
+}
+
+TEST_CASE("An engine that loads the weights of a loan is swapping",
+          "[dispatch]") {
+  EngineList engines = makeAssigned({Red});
+  engines[0]->Versions[Red] = 7;
+  engines[0]->WantedModel = Blue;
+  engines[0]->Wanted = 2;
+  CHECK(engines[0]->isSwapping());
+  engines[0]->Versions[Blue] = 2;
+  CHECK_FALSE(engines[0]->isSwapping());
+}
+
 } // namespace wasabi
--- /dev/null
+++ b/UnitTests/Dispatch/SharedEnginesTest.cpp
@@ -0,0 +1,111 @@
+/// Tests of a dispatcher with more models than engines, and with several
+/// services of engines.
+#include "UnitTests/Dispatch/DispatcherFixture.h"
+
+namespace wasabi::batchtest {
+
+namespace {
+
+const std::vector<ModelName> Models{ModelName("model"), ModelName("second"),
+                                    ModelName("third")};
+
+/// Registers an engine that holds version 1 of `Held`.
+void registerEngine(DispatcherFixture &Fixture, const std::string &Id,
+                    const ServiceName &Service,
+                    const std::vector<ModelName> &Held) {
+  UpstreamRegistration entry;
+  entry.Id = ServerName(Id);
+  entry.Service = Service;
+  entry.Slots = 4;
+  for (const ModelName &it : Held)
+    entry.Models[it] = 1;
+  registerServer(Fixture.View.Servers, entry);
+  Fixture.Engines.Servers[entry.Id];
+}
+
+/// Lets the service of the fixture serve three models.
+void serveThreeModels(DispatcherFixture &Fixture) {
+  RouteTable table = *Fixture.View.Routes;
+  table.Version = 2;
+  table.Services.front().Engine->Models = Models;
+  Fixture.View.Routes = std::make_shared<const RouteTable>(std::move(table));
+  for (const char *id : {"e1", "e2"})
+    registerEngine(Fixture, id, Llm, Models);
+  Fixture.Dispatch->onFleetChange();
+}
+
+BatchJob makeJobOf(const ModelName &Model, std::size_t Items) {
+  BatchJob job = makeJob(Model.Text, Items);
+  job.Model = Model;
+  return job;
+}
+
+} // namespace
+
+// Guards against models whose items reach no engine because others hold all.
+TEST_CASE("Each of three models is served by two engines", "[dispatch]") {
+  DispatcherFixture fixture;
+  serveThreeModels(fixture);
+  std::vector<BatchJob> jobs;
+  for (const ModelName &it : Models) {
+    jobs.push_back(makeJobOf(it, 10));
+    fixture.submit(jobs.back());
+  }
+  for (const BatchJob &it : jobs) {
+    REQUIRE(fixture.finishes(it));
+    for (const ItemResult &result : fixture.results(it))
+      CHECK(result.Output == wholeText(result.Item.Text, 5));
+  }
+}
+
+// Guards against a model whose last engine is lost while it has work.
+TEST_CASE("The models of a lost engine are served by the one that is left",
+          "[dispatch]") {
+  DispatcherFixture fixture;
+  serveThreeModels(fixture);
+  fixture.Engines.EventsPerText = 20;
+  std::vector<BatchJob> jobs;
+  for (const ModelName &it : Models) {
+    jobs.push_back(makeJobOf(it, 6));
+    fixture.submit(jobs.back());
+  }
+  REQUIRE(fixture.runUntil([&] { return !fixture.server("e2").Runs.empty(); }));
+  fixture.server("e2").Crashed = true;
+  fixture.server("e2").BreakAfterEvents = 1;
+  unregisterServer(fixture.View.Servers, ServerName("e2"), monotonicNow());
+  fixture.Dispatch->onFleetChange();
+  for (const BatchJob &it : jobs)
+    REQUIRE(fixture.finishes(it));
+}
+
+// Guards against engines that are assigned a model which their service does not
+// have, while the model's items wait.
+TEST_CASE("An engine is assigned only models of its service", "[dispatch]") {
+  DispatcherFixture fixture;
+  const ServiceName other("other");
+  RouteTable table = *fixture.View.Routes;
+  table.Version = 2;
+  UpstreamService service;
+  service.Name = other;
+  service.Engine = EngineTraits{4, {Models[1]}};
+  table.Services.push_back(service);
+  UpstreamRoute route = table.Routes.front();
+  route.Prefix = "/other/";
+  route.Services = {{other, 1}};
+  table.Routes.push_back(route);
+  fixture.View.Routes = std::make_shared<const RouteTable>(std::move(table));
+  registerEngine(fixture, "o1", other, {Models[1]});
+  fixture.Dispatch->onFleetChange();
+  BatchJob first = makeJobOf(Models[0], 12);
+  BatchJob second = makeJobOf(Models[1], 6);
+  second.Path = "/other/second";
+  for (BatchItem &it : second.Items)
+    it.Path = "/other/" + it.Id.Text;
+  fixture.submit(first);
+  fixture.submit(second);
+  REQUIRE(fixture.finishes(first));
+  REQUIRE(fixture.finishes(second));
+  CHECK(fixture.server("o1").Runs.size() == 6);
+}
+
+} // namespace wasabi::batchtest
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -87,6 +87,7 @@
 
 void Dispatcher::startDispatching() {
   Active = true;
+  ActiveSince = monotonicNow();
   std::random_device random;
   Source = random();
   syncEngines();
@@ -309,7 +310,7 @@
   WeightVersion version = Task.Text.Versions.front();
   bool available = std::any_of(
       Pool.begin(), Pool.end(), [&](const std::shared_ptr<DispatchEngine> &It) {
-        return It->Model == model && It->version(model) == version;
+        return It->serves(model) && It->version(model) == version;
       });
   if (!available || Task.Text.Versions.size() > 1)
     clearText(Task);
@@ -356,15 +357,19 @@
 Dispatcher::enginesWithRoom(TimePoint Now) const {
   std::set<ModelName> healthy;
   for (const std::shared_ptr<DispatchEngine> &it : Pool) {
-    if (it->Server->SuspectUntil <= Now)
-      healthy.insert(it->Model);
+    if (it->Server->SuspectUntil > Now)
+      continue;
+    for (const ModelName &model : it->servedModels())
+      healthy.insert(model);
   }
   std::map<ModelName, EngineList> found;
   for (const std::shared_ptr<DispatchEngine> &it : Pool) {
-    bool suspect =
-        it->Server->SuspectUntil > Now && healthy.contains(it->Model);
-    if (!suspect && hasRoom(*it, Now))
-      found[it->Model].push_back(it);
+    if (!hasRoom(*it, Now))
+      continue;
+    for (const ModelName &model : it->servedModels()) {
+      if (it->Server->SuspectUntil <= Now || !healthy.contains(model))
+        found[model].push_back(it);
+    }
   }
   return found;
 }
@@ -472,9 +477,16 @@
     double paceMs = it->Pace.RecentMs > 0
                         ? it->Pace.RecentMs
                         : longTermMs(it->Pace, Limits.Pool.Pace);
-    view.Input.Engines.push_back({indexOf(it->Model), it->version(it->Model),
-                                  paceMs, it->Server->Entry.Slots,
-                                  it->Running});
+    std::vector<ModelName> served = it->servedModels();
+    // An engine that is not assigned may have runs.
+    if (served.empty())
+      served.emplace_back();
+    for (const ModelName &model : served) {
+      PlanEngine engine{indexOf(model), it->version(model), paceMs,
+                        it->Server->Entry.Slots, it->Running};
+      engine.Share = 1.0 / static_cast<double>(served.size());
+      view.Input.Engines.push_back(engine);
+    }
   }
   std::unordered_map<const JobState *, std::uint32_t> steps;
   for (const std::shared_ptr<ItemTask> &it : Tasks) {
@@ -537,9 +549,9 @@
     view.Tasks.push_back(it);
   }
   // How many more runs fit follows from the mean need of the waiting items.
-  for (std::size_t i = 0; i < Pool.size() && waitingTokens > 0; ++i) {
-    const DispatchEngine &engine = *Pool[i];
-    if (engine.KvCapacityTokens == 0)
+  for (const std::shared_ptr<DispatchEngine> &it : Pool) {
+    const DispatchEngine &engine = *it;
+    if (engine.KvCapacityTokens == 0 || waitingTokens <= 0)
       continue;
     double free = Limits.Pool.MaxMemoryFraction *
                       static_cast<double>(engine.KvCapacityTokens) -
@@ -547,8 +559,12 @@
     double more = std::clamp(free * waitingItems / waitingTokens, 0.0,
                              static_cast<double>(engine.Server->Entry.Slots));
     std::uint32_t min = engine.Running == 0 ? 1 : 0;
-    view.Input.Engines[i].MaxRuns =
-        engine.Running + std::max(min, static_cast<std::uint32_t>(more));
+    std::size_t first = engines.at(it.get());
+    std::size_t entries =
+        std::max<std::size_t>(engine.servedModels().size(), 1);
+    for (std::size_t i = 0; i < entries; ++i)
+      view.Input.Engines[first + i].MaxRuns =
+          engine.Running + std::max(min, static_cast<std::uint32_t>(more));
   }
   return view;
 }
@@ -576,8 +592,10 @@
   // to other items.
   std::set<ModelName> unequal;
   for (const std::shared_ptr<DispatchEngine> &it : Pool) {
-    if (paceTier(*it, baseline, Limits.Pool) > 0)
-      unequal.insert(it->Model);
+    if (paceTier(*it, baseline, Limits.Pool) == 0)
+      continue;
+    for (const ModelName &model : it->servedModels())
+      unequal.insert(model);
   }
   StepPlan plan = planSteps(view.Input, now, Limits.Planner);
   placeItems(
@@ -596,8 +614,10 @@
           return false;
         task->Urgency = plan.Items[Index].Urgency;
         startRun(task, engine);
-        if (!hasRoom(*engine, now))
-          std::erase(engines, engine);
+        if (!hasRoom(*engine, now)) {
+          for (auto &[other, candidatesOfOther] : candidates)
+            std::erase(candidatesOfOther, engine);
+        }
         return true;
       });
   clearFinished();
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -164,7 +164,7 @@
     /// Time after the naming of a version within which the trainer is expected
     /// to submit its step. A trainer that is on time takes 0.06 to 0.2 s.
     Millis StepArrivalTimeout{500};
-    /// Minimum time between two reassignments of engines to models.
+    /// Minimum time between two reassignments of engines of a service.
     Millis MinMoveInterval{4000};
     /// Maximum age of a job that counts toward the demand of its model.
     Millis DemandWindow{12000};
@@ -226,6 +226,8 @@
     std::shared_ptr<ItemTask> Task;
     PartialTextRecord Record;
   };
+  /// Work by service and model.
+  using ServiceWork = std::map<ServiceName, std::map<ModelName, ModelWork>>;
   /// A weight load that is requested of an engine.
   struct WeightLoad {
     std::shared_ptr<DispatchEngine> Engine;
@@ -321,7 +323,15 @@
 
   // Engines.
   void syncEngines();
-  std::map<ModelName, double> meanStepDemand() const;
+  bool mayRunAt(const JobState &Job, const ServiceName &Service) const;
+  std::map<ModelName, double> findDemand(const UpstreamService &Service,
+                                         TimePoint Now) const;
+  ServiceWork findWork(TimePoint Now) const;
+  EngineList syncServiceEngines(const UpstreamService &Service,
+                                const EngineList &Known, TimePoint Now) const;
+  void assignEngines(const UpstreamService &Service, EngineList &Engines,
+                     TimePoint Now);
+  void logLoans(const EngineList &Engines) const;
   std::map<ModelName, ModelDemand> modelDemands();
   boost::asio::awaitable<void> monitorLoop();
   void cancelStalledRuns();
@@ -366,7 +376,10 @@
     TimePoint ReceivedAt;
   };
   std::map<ServerName, HeldReport> Held;
-  TimePoint LastMove;
+  /// By service: time of the last reassignment of one of its engines.
+  std::map<ServiceName, TimePoint> LastMoves;
+  /// Time at which this process has begun to dispatch.
+  TimePoint ActiveSince;
   /// Highest minimum version of the jobs of each model.
   std::map<ModelName, WeightVersion> NewestMinVersions;
   /// The version that a trainer named last.
--- a/Wasabi/Dispatch/DispatcherEngines.cpp
+++ b/Wasabi/Dispatch/DispatcherEngines.cpp
@@ -4,9 +4,11 @@
 #include <boost/asio/detached.hpp>
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <tuple>
 #include <unordered_map>
 
@@ -32,25 +34,92 @@
 
 //===--- Engine pool and pace ---------------------------------------------===//
 
-/// Returns the mean demand of a recent step of each model, in expected tokens.
-std::map<ModelName, double> Dispatcher::meanStepDemand() const {
+/// Returns true if the items of a job may run at a service, or if that isn't
+/// known.
+bool Dispatcher::mayRunAt(const JobState &Job,
+                          const ServiceName &Service) const {
+  const UpstreamRoute *route =
+      hasConfigurationOf(Job)
+          ? findRoute(*View.Routes, Job.Job.Host, Job.Job.Path)
+          : nullptr;
+  return route == nullptr ||
+         std::any_of(
+             route->Services.begin(), route->Services.end(),
+             [&](const ServiceShare &It) { return It.Service == Service; });
+}
+
+/// Returns the demand of each model of a service: the mean of its recent steps,
+/// in expected tokens. A model without a recent step has none, unless steps may
+/// have been missed; then all models have the same demand.
+std::map<ModelName, double>
+Dispatcher::findDemand(const UpstreamService &Service, TimePoint Now) const {
   std::map<ModelName, double> demand;
   std::map<ModelName, double> steps;
-  TimePoint now = monotonicNow();
+  for (const ModelName &it : Service.Engine->Models)
+    demand[it] = 0;
   for (const auto &[id, job] : Log->fold().Jobs) {
-    if (now - job->Seen > Limits.DemandWindow)
+    auto sum = demand.find(job->Job.Model);
+    if (sum == demand.end() || Now - job->Seen > Limits.DemandWindow ||
+        !mayRunAt(*job, Service.Name))
       continue;
-    double &sum = demand[job->Job.Model];
     for (const BatchItem &it : job->Job.Items)
-      sum += it.ExpectedTokens > 0 ? it.ExpectedTokens
-                                   : Limits.DefaultExpectedTokens;
+      sum->second += it.ExpectedTokens > 0 ? it.ExpectedTokens
+                                           : Limits.DefaultExpectedTokens;
     steps[job->Job.Model] += 1;
   }
-  for (auto &[model, sum] : demand)
-    sum /= steps[model];
+  bool sawWindow = Now - ActiveSince > Limits.DemandWindow &&
+                   reachableFor(View.Contact, Limits.DemandWindow, Now);
+  bool isKnown = steps.size() == demand.size() || (sawWindow && !steps.empty());
+  for (auto &[model, sum] : demand) {
+    if (!isKnown)
+      sum = 1;
+    else if (sum > 0)
+      sum /= steps[model];
+  }
   return demand;
 }
 
+/// Returns the work of each service's models that have unfinished items or had
+/// a recent step.
+Dispatcher::ServiceWork Dispatcher::findWork(TimePoint Now) const {
+  ServiceWork work;
+  for (const auto &[id, job] : Log->fold().Jobs) {
+    if (Now - job->Seen > Limits.DemandWindow)
+      continue;
+    for (const UpstreamService &it : View.Routes->Services) {
+      if (it.Engine && mayRunAt(*job, it.Name))
+        work[it.Name][job->Job.Model];
+    }
+  }
+  // Consecutive items usually have the same job and route.
+  const JobState *lastJob = nullptr;
+  const UpstreamRoute *lastRoute = nullptr;
+  std::vector<ModelWork *> models;
+  for (const std::shared_ptr<ItemTask> &it : Tasks) {
+    const UpstreamRoute *route = routeOf(*it);
+    if (route == nullptr || it->Cancelled || it->Stage == ItemStage::Finished)
+      continue;
+    const BatchJob &job = it->Job->Job;
+    if (it->Job.get() != lastJob || route != lastRoute) {
+      models.clear();
+      for (const ServiceShare &share : route->Services)
+        models.push_back(&work[share.Service][job.Model]);
+      lastJob = it->Job.get();
+      lastRoute = route;
+    }
+    if (it->Stage != ItemStage::Waiting || it->NotBefore > Now ||
+        it->Quarantined)
+      continue;
+    for (ModelWork *model : models) {
+      model->MinVersion = model->Waiting == 0
+                              ? job.MinVersion
+                              : std::min(model->MinVersion, job.MinVersion);
+      ++model->Waiting;
+    }
+  }
+  return work;
+}
+
 /// Applies the last report of an engine that is new in the pool, where its
 /// versions are newer than those of the registration.
 void Dispatcher::applyReportedWeights(DispatchEngine &Engine) const {
@@ -65,57 +134,97 @@
   Engine.LastReported = report->second.ReceivedAt;
 }
 
+/// Returns the usable engines of a service. Those in `Known` keep their state.
+EngineList Dispatcher::syncServiceEngines(const UpstreamService &Service,
+                                          const EngineList &Known,
+                                          TimePoint Now) const {
+  std::unordered_map<const UpstreamServer *, std::shared_ptr<DispatchEngine>>
+      known;
+  for (const std::shared_ptr<DispatchEngine> &it : Known)
+    known.emplace(it->Server.get(), it);
+  EngineList engines;
+  for (const std::shared_ptr<UpstreamServer> &it :
+       findUsableServers(View.Servers, Service.Name, View.Contact, Now)) {
+    auto previous = known.find(it.get());
+    bool isNew = previous == known.end();
+    std::shared_ptr<DispatchEngine> engine =
+        isNew ? std::make_shared<DispatchEngine>() : previous->second;
+    engine->Server = it;
+    engine->KvCapacityTokens = Service.Engine->KvCapacityTokens;
+    engine->SendInterval = coldSendInterval(*it, Service, Now);
+    if (isNew || engine->Running > 0)
+      engine->LastBusy = Now;
+    // Recent reports of the engine take precedence over its registration.
+    constexpr Millis RegistrationLag{2500};
+    for (const auto &[model, version] : it->Entry.Models) {
+      bool newer = version > engine->version(model);
+      if (newer || Now - engine->LastReported > RegistrationLag)
+        engine->Versions[model] = version;
+    }
+    if (isNew)
+      applyReportedWeights(*engine);
+    engines.push_back(std::move(engine));
+  }
+  return engines;
+}
+
+/// Assigns the engines of a service to its models. An engine of a model that
+/// the service has no longer is assigned anew.
+void Dispatcher::assignEngines(const UpstreamService &Service,
+                               EngineList &Engines, TimePoint Now) {
+  std::map<ModelName, double> demand = findDemand(Service, Now);
+  for (const std::shared_ptr<DispatchEngine> &it : Engines) {
+    if (!demand.contains(it->Model))
+      it->Model = ModelName();
+  }
+  std::map<ModelName, std::uint32_t> sizes =
+      poolSizes(demand, static_cast<std::uint32_t>(Engines.size()));
+  TimePoint &lastMove = LastMoves[Service.Name];
+  bool mayMove = Now - lastMove > Limits.MinMoveInterval;
+  if (!assignModels(Engines, sizes, View.NewestVersions, mayMove))
+    return;
+  lastMove = Now;
+  for (const std::shared_ptr<DispatchEngine> &it : Engines)
+    Decisions->line("engine.assigned",
+                    {{"server", it->Server->Entry.Id.Text},
+                     {"model", it->Model.Text},
+                     {"version", std::to_string(it->version(it->Model))}});
+}
+
 void Dispatcher::syncEngines() {
   if (!View.Routes)
     return;
   TimePoint now = monotonicNow();
-  std::unordered_map<const UpstreamServer *, std::shared_ptr<DispatchEngine>>
-      known;
-  for (const std::shared_ptr<DispatchEngine> &it : Pool)
-    known.emplace(it->Server.get(), it);
+  ServiceWork work = findWork(now);
+  PaceBaseline baseline = computePaceBaseline(Pool, Limits.Pool);
   EngineList next;
-  std::map<ModelName, double> demand;
   for (const UpstreamService &service : View.Routes->Services) {
     if (!service.Engine)
       continue;
-    for (const ModelName &it : service.Engine->Models)
-      demand[it] = 1;
-    for (const std::shared_ptr<UpstreamServer> &it :
-         findUsableServers(View.Servers, service.Name, View.Contact, now)) {
-      auto previous = known.find(it.get());
-      bool isNew = previous == known.end();
-      std::shared_ptr<DispatchEngine> engine =
-          isNew ? std::make_shared<DispatchEngine>() : previous->second;
-      engine->Server = it;
-      engine->KvCapacityTokens = service.Engine->KvCapacityTokens;
-      engine->SendInterval = coldSendInterval(*it, service, now);
-      // Recent reports of the engine take precedence over its registration.
-      constexpr Millis RegistrationLag{2500};
-      for (const auto &[model, version] : it->Entry.Models) {
-        bool newer = version > engine->version(model);
-        if (newer || now - engine->LastReported > RegistrationLag)
-          engine->Versions[model] = version;
-      }
-      if (isNew)
-        applyReportedWeights(*engine);
-      next.push_back(std::move(engine));
-    }
+    EngineList engines = syncServiceEngines(service, Pool, now);
+    assignEngines(service, engines, now);
+    logLoans(
+        lendEngines(engines, work[service.Name], baseline, Limits.Pool, now));
+    next.insert(next.end(), engines.begin(), engines.end());
   }
   Pool = std::move(next);
-  std::map<ModelName, double> recentDemand = meanStepDemand();
-  // All models have the same demand until each has had a job.
-  if (recentDemand.size() == demand.size())
-    demand = recentDemand;
-  bool mayMove = now - LastMove > Limits.MinMoveInterval;
-  if (assignModels(Pool,
-                   poolSizes(demand, static_cast<std::uint32_t>(Pool.size())),
-                   View.NewestVersions, mayMove)) {
-    LastMove = now;
-    for (const std::shared_ptr<DispatchEngine> &it : Pool)
-      Decisions->line("engine.assigned",
-                      {{"server", it->Server->Entry.Id.Text},
-                       {"model", it->Model.Text},
-                       {"version", std::to_string(it->version(it->Model))}});
+}
+
+/// Logs and counts the changed loans of engines.
+void Dispatcher::logLoans(const EngineList &Engines) const {
+  for (const std::shared_ptr<DispatchEngine> &it : Engines) {
+    std::vector<std::string> models;
+    for (const auto &[model, mayLoad] : it->Loans)
+      models.push_back(model.Text);
+    Decisions->line("engine.lent",
+                    {{"server", it->Server->Entry.Id.Text},
+                     {"model", it->Model.Text},
+                     {"also", fmt::format("{}", fmt::join(models, ","))},
+                     {"running", std::to_string(it->Running)}});
+    Counts
+        .counter("engine_loan_changes_total",
+                 "Times that the further models of an engine changed")
+        .add();
   }
 }
 
@@ -266,32 +375,43 @@
   TimePoint now = monotonicNow();
   std::uint32_t loading = 0;
   std::map<ModelName, ModelDemand> demands = modelDemands();
-  EngineList due;
+  std::vector<DueLoad> due;
   for (const std::shared_ptr<DispatchEngine> &it : Pool) {
     bool timedOut = now - it->WantedAt > Limits.SwapTimeout;
     if (it->isSwapping() && !timedOut) {
       ++loading;
       continue;
     }
-    auto demand = demands.find(it->Model);
-    if (demand != demands.end() && shouldLoadWeights(*it, demand->second) &&
-        it->Server->SuspectUntil <= now)
-      due.push_back(it);
+    if (it->Server->SuspectUntil > now)
+      continue;
+    for (const ModelName &model : it->servedModels()) {
+      auto demand = demands.find(model);
+      auto loan = it->Loans.find(model);
+      bool mayLoad = loan == it->Loans.end() || loan->second;
+      if (mayLoad && demand != demands.end() &&
+          shouldLoadWeights(*it, model, demand->second))
+        due.push_back({it, model});
+    }
   }
   auto share = static_cast<std::uint32_t>(static_cast<double>(Pool.size()) *
                                           Limits.Pool.MaxLoadingFraction);
   std::uint32_t maxLoading = std::max(Limits.Pool.MinLoadingLimit, share);
   std::vector<WeightLoad> loads;
-  for (const std::shared_ptr<DispatchEngine> &it :
-       sortForLoading(std::move(due), demands)) {
+  std::set<const DispatchEngine *> asked;
+  for (const DueLoad &it : sortForLoading(std::move(due), demands)) {
     if (loading >= maxLoading)
       break;
+    // An engine loads one model at a time.
+    if (!asked.insert(it.Engine.get()).second)
+      continue;
     ++loading;
-    it->Wanted = View.NewestVersions[it->Model];
-    it->WantedAt = now;
-    loads.push_back({it,
-                     {it->Model, it->Wanted, swapMode(it->Model),
-                      it->Server->Entry.Start}});
+    DispatchEngine &engine = *it.Engine;
+    engine.Wanted = View.NewestVersions[it.Model];
+    engine.WantedModel = it.Model;
+    engine.WantedAt = now;
+    loads.push_back({it.Engine,
+                     {it.Model, engine.Wanted, swapMode(it.Model),
+                      engine.Server->Entry.Start}});
   }
   if (loads.empty())
     return;
@@ -327,7 +447,8 @@
          {"wanted", std::to_string(it.Weights.Version)},
          {"result", appended ? "written" : describe(appended.failure())}});
     // The monitor loop repeats a request that could not be appended.
-    if (!appended && engine.Wanted == it.Weights.Version)
+    if (!appended && engine.WantedModel == it.Weights.Model &&
+        engine.Wanted == it.Weights.Version)
       engine.Wanted = 0;
   }
 }
--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -51,13 +51,14 @@
   Engine->PredictedTokens += predictedTokens(*Task);
   ++Engine->Server->InFlight;
   PromptEngines[Task->Item.Group] = Engine->Server->Entry.incarnation();
-  Decisions->line("item.run",
-                  {{"item", Task->Item.Id.Text},
-                   {"job", Task->Job->Job.Id.Text},
-                   {"server", Engine->Server->Entry.Id.Text},
-                   {"urgency", toText(Task->Urgency)},
-                   {"version", std::to_string(Engine->version(Engine->Model))},
-                   {"resume_after", std::to_string(Task->Text.Events)}});
+  Decisions->line(
+      "item.run",
+      {{"item", Task->Item.Id.Text},
+       {"job", Task->Job->Job.Id.Text},
+       {"server", Engine->Server->Entry.Id.Text},
+       {"urgency", toText(Task->Urgency)},
+       {"version", std::to_string(Engine->version(Task->Job->Job.Model))},
+       {"resume_after", std::to_string(Task->Text.Events)}});
   asio::co_spawn(
       Executor, [self = shared_from_this(), Task] { return self->run(Task); },
       asio::detached);
@@ -141,7 +142,7 @@
                                  const StreamHead &Head) {
   DispatchEngine &engine = *Task->Engine;
   if (Head.Version) {
-    engine.Versions[engine.Model] = *Head.Version;
+    engine.Versions[Task->Job->Job.Model] = *Head.Version;
     engine.LastReported = monotonicNow();
   }
   unsigned status = Head.Response.Status;
@@ -210,7 +211,7 @@
     }
     if ((*event)->Version) {
       version = (*event)->Version;
-      engine.Versions[engine.Model] = *version;
+      engine.Versions[Task.Job->Job.Model] = *version;
       engine.LastReported = monotonicNow();
     }
     // An event of unknown version is rejected.
--- a/Wasabi/Dispatch/EnginePool.cpp
+++ b/Wasabi/Dispatch/EnginePool.cpp
@@ -21,6 +21,15 @@
 
 } // namespace
 
+std::vector<ModelName> DispatchEngine::servedModels() const {
+  std::vector<ModelName> models;
+  if (!Model.empty())
+    models.push_back(Model);
+  for (const auto &[model, mayLoad] : Loans)
+    models.push_back(model);
+  return models;
+}
+
 PaceBaseline computePaceBaseline(const EngineList &Engines,
                                  const EnginePoolSettings &Limits) {
   constexpr double Median = 0.5;
@@ -50,7 +59,7 @@
   std::uint32_t minSize = Count >= 2 * Demand.size() ? 2 : 1;
   for (const auto &[model, demand] : Demand) {
     auto share = static_cast<std::uint32_t>(demand / total * Count);
-    sizes[model] = std::max(share, minSize);
+    sizes[model] = std::max(share, demand > 0 ? minSize : 1);
     assigned += sizes[model];
   }
   // Minimum sizes may exceed the total: shrink the largest pools.
@@ -154,6 +163,7 @@
   if (!best)
     return false;
   best->Model = *neediest;
+  best->Loans.erase(*neediest);
   best->Wanted = 0;
   return true;
 }
@@ -214,6 +224,153 @@
   return changed;
 }
 
+namespace {
+
+/// Returns true if the engine fails repeatedly, so that its samples should not
+/// depend on it. After a single failure it is tried again soon.
+bool isFailing(const DispatchEngine &Engine, TimePoint Now) {
+  return Engine.Server->SuspectUntil > Now && Engine.Server->Failures > 1;
+}
+
+bool isAble(const DispatchEngine &Engine, TimePoint Now) {
+  return !Engine.Server->Replaced && !isFailing(Engine, Now);
+}
+
+bool hasWeights(const DispatchEngine &Engine, const ModelName &Model,
+                const ModelWork &Work) {
+  return Engine.version(Model) >= Work.MinVersion;
+}
+
+/// Returns true if the engine could start a waiting sample of the model now if
+/// it served the model.
+bool canStart(const DispatchEngine &Engine, const ModelName &Model,
+              const ModelWork &Work, const PaceBaseline &Baseline,
+              const EnginePoolSettings &Limits, TimePoint Now) {
+  return Engine.Server->SuspectUntil <= Now &&
+         !isSlow(Engine.Pace, Baseline.MedianMs, Limits.Pace) &&
+         hasWeights(Engine, Model, Work) && hasRoom(Engine, Now);
+}
+
+std::uint32_t countWaiting(const std::map<ModelName, ModelWork> &Work,
+                           const ModelName &Model) {
+  auto it = Work.find(Model);
+  return it == Work.end() ? 0 : it->second.Waiting;
+}
+
+/// Returns true if the engine has no run, and no sample of a model that it
+/// serves is waiting.
+bool isIdle(const DispatchEngine &Engine,
+            const std::map<ModelName, ModelWork> &Work) {
+  if (Engine.Running > 0 || countWaiting(Work, Engine.Model) > 0)
+    return false;
+  return std::none_of(
+      Engine.Loans.begin(), Engine.Loans.end(),
+      [&Work](const auto &It) { return countWaiting(Work, It.first) > 0; });
+}
+
+/// Returns true if an engine that is assigned to the model is able to serve it.
+bool hasAbleEngine(const EngineList &Engines, const ModelName &Model,
+                   TimePoint Now) {
+  return std::any_of(Engines.begin(), Engines.end(),
+                     [&](const std::shared_ptr<DispatchEngine> &It) {
+                       return It->Model == Model && isAble(*It, Now);
+                     });
+}
+
+/// Returns true if a loan goes on. Updates whether the engine may load the
+/// model's weights.
+bool renewLoan(const DispatchEngine &Engine, const ModelName &Model,
+               bool &MayLoad, const EngineList &Engines,
+               const std::map<ModelName, ModelWork> &Work, TimePoint Now) {
+  auto work = Work.find(Model);
+  if (work == Work.end())
+    return false;
+  if (!hasAbleEngine(Engines, Model, Now)) {
+    MayLoad = true;
+    return true;
+  }
+  bool isOutdated = !MayLoad && work->second.Waiting > 0 &&
+                    !hasWeights(Engine, Model, work->second);
+  return !isOutdated && countWaiting(Work, Engine.Model) == 0;
+}
+
+/// Ends loans and returns the engines whose loans have ended.
+EngineList endLoans(const EngineList &Engines,
+                    const std::map<ModelName, ModelWork> &Work, TimePoint Now) {
+  EngineList changed;
+  for (const std::shared_ptr<DispatchEngine> &engine : Engines) {
+    std::size_t before = engine->Loans.size();
+    for (auto it = engine->Loans.begin(); it != engine->Loans.end();) {
+      bool goesOn =
+          renewLoan(*engine, it->first, it->second, Engines, Work, Now);
+      it = goesOn ? std::next(it) : engine->Loans.erase(it);
+    }
+    if (engine->Loans.size() < before)
+      changed.push_back(engine);
+  }
+  return changed;
+}
+
+/// Returns the engine to lend to a model; null if there is none. If `IsOwed` is
+/// false, only idle engines are considered.
+std::shared_ptr<DispatchEngine>
+findLender(const EngineList &Engines, const ModelName &Model,
+           const std::map<ModelName, ModelWork> &Work, bool IsOwed,
+           const PaceBaseline &Baseline, const EnginePoolSettings &Limits,
+           TimePoint Now) {
+  const ModelWork &work = Work.at(Model);
+  using Rank = std::tuple<bool, bool, bool, double>;
+  std::shared_ptr<DispatchEngine> best;
+  Rank bestRank;
+  for (const std::shared_ptr<DispatchEngine> &it : Engines) {
+    if (it->serves(Model) || !isAble(*it, Now))
+      continue;
+    bool startsNow = canStart(*it, Model, work, Baseline, Limits, Now);
+    bool idle = isIdle(*it, Work);
+    bool mayLoad = Now - it->LastBusy >= Limits.IdleLoanDelay;
+    if (!IsOwed && !(idle && (startsNow || mayLoad)))
+      continue;
+    Rank rank{!startsNow, !idle, !hasWeights(*it, Model, work),
+              static_cast<double>(it->Running) / it->Server->Entry.Slots};
+    if (!best || rank < bestRank) {
+      best = it;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+} // namespace
+
+EngineList lendEngines(const EngineList &Engines,
+                       const std::map<ModelName, ModelWork> &Work,
+                       const PaceBaseline &Baseline,
+                       const EnginePoolSettings &Limits, TimePoint Now) {
+  EngineList changed = endLoans(Engines, Work, Now);
+  for (const auto &[model, work] : Work) {
+    if (work.Waiting == 0)
+      continue;
+    bool canStartNow = false;
+    bool isLent = false;
+    for (const std::shared_ptr<DispatchEngine> &it : Engines) {
+      canStartNow |= it->serves(model) &&
+                     canStart(*it, model, work, Baseline, Limits, Now);
+      isLent |= it->Loans.contains(model) && isAble(*it, Now);
+    }
+    if (canStartNow)
+      continue;
+    bool isOwed = !isLent && !hasAbleEngine(Engines, model, Now);
+    std::shared_ptr<DispatchEngine> lender =
+        findLender(Engines, model, Work, isOwed, Baseline, Limits, Now);
+    if (!lender)
+      continue;
+    lender->Loans[model] = !hasWeights(*lender, model, work) ||
+                           !hasAbleEngine(Engines, model, Now);
+    changed.push_back(std::move(lender));
+  }
+  return changed;
+}
+
 bool hasRoom(const DispatchEngine &Engine, TimePoint Now) {
   bool isPaused = Engine.SendInterval > Millis(0) &&
                   Now - Engine.LastSent < Engine.SendInterval;
@@ -252,7 +409,7 @@
   for (const std::shared_ptr<DispatchEngine> &it : Engines) {
     const UpstreamServer &server = *it->Server;
     WeightVersion has = it->version(Need.Model);
-    bool isSuitable = it->Model == Need.Model && has >= Need.MinVersion &&
+    bool isSuitable = it->serves(Need.Model) && has >= Need.MinVersion &&
                       (!Need.ExactVersion || has == *Need.ExactVersion);
     if (!isSuitable || !hasRoom(*it, Now) ||
         !fitsMemory(*it, Need.Tokens, Limits))
--- a/Wasabi/Dispatch/EnginePool.h
+++ b/Wasabi/Dispatch/EnginePool.h
@@ -20,9 +20,14 @@
 /// The dispatcher's view of one engine.
 struct DispatchEngine {
   std::shared_ptr<UpstreamServer> Server;
-  /// Model that the engine serves, empty if none is assigned. Its weights of
-  /// other models are not updated.
+  /// Model that the engine is assigned to; empty if there is none. Only its
+  /// weights and those of loans are updated.
   ModelName Model;
+  /// Further models that the engine serves for now, see `lendEngines`. True if
+  /// the engine may load their weights.
+  std::map<ModelName, bool> Loans;
+  /// Time at which the engine last had a run, or was first seen.
+  TimePoint LastBusy;
   /// Newest known version of the weights of each model.
   std::map<ModelName, WeightVersion> Versions;
   /// Time of the engine's last report of its weights.
@@ -35,9 +40,10 @@
   /// engine is chosen.
   double PredictedTokens = 0;
   EnginePace Pace;
-  /// Version that this process has asked the engine to load, and the time of
-  /// that request.
+  /// Weights that this process has asked the engine to load, and the time of
+  /// that request. 0 if there is none.
   WeightVersion Wanted = 0;
+  ModelName WantedModel;
   TimePoint WantedAt;
   /// The engine has refused a sample and gets no other before this time.
   TimePoint FullUntil;
@@ -54,8 +60,14 @@
     auto it = Versions.find(Name);
     return it == Versions.end() ? 0 : it->second;
   }
+  /// True if the engine accepts samples of a model.
+  bool serves(const ModelName &Name) const {
+    return Model == Name || Loans.contains(Name);
+  }
+  /// Returns all models whose samples the engine accepts, its own first.
+  std::vector<ModelName> servedModels() const;
   /// True if the engine is loading weights or has been asked to.
-  bool isSwapping() const { return Loading || Wanted > version(Model); }
+  bool isSwapping() const { return Loading || Wanted > version(WantedModel); }
 };
 
 using EngineList = std::vector<std::shared_ptr<DispatchEngine>>;
@@ -71,6 +83,10 @@
   /// Fraction of an engine's memory that its runs may fill at their predicted
   /// ends. The rest is for texts that grow longer than predicted.
   double MaxMemoryFraction = 0.9;
+  /// Time without a run after which an engine may load the weights of another
+  /// model that has waiting samples. A load takes about a second, discards the
+  /// cached prompts, and has to be repeated for the engine's own model.
+  Millis IdleLoanDelay{4000};
 };
 
 /// Paces of all engines that one engine is compared with, in milliseconds per
@@ -91,7 +107,9 @@
 
 /// Distributes `Count` engines to the models in proportion to their demand.
 /// Each model gets at least two engines if `Count` allows, so that one can
-/// serve while the other loads weights. Empty if the total demand is 0.
+/// serve while the other loads weights, or one if it has no demand. With fewer
+/// engines than models the sizes add up to more than `Count`; some models then
+/// depend on `lendEngines`. Empty if the total demand is 0.
 /// Precondition: `Demand` has an entry for each model. Pure.
 std::map<ModelName, std::uint32_t>
 poolSizes(const std::map<ModelName, double> &Demand, std::uint32_t Count);
@@ -105,6 +123,35 @@
                   const std::map<ModelName, WeightVersion> &Named,
                   bool MayMove);
 
+/// The samples of one model that are waiting for an engine. A value.
+struct ModelWork {
+  std::uint32_t Waiting = 0;
+  /// Oldest version that any of them allows; 0 if none is waiting.
+  WeightVersion MinVersion = 0;
+  bool operator==(const ModelWork &) const = default;
+};
+
+/// Updates which engines of a service serve further models. `Work` has an entry
+/// for each model of the service with unfinished samples or recent demand.
+///
+/// Assignments follow the demand of some seconds and give each model an engine
+/// only if there are enough. So a model may have samples that none of its
+/// engines can start, since it has no engine, or they are full, loading, slow
+/// or failing. It then gets one more engine per call:
+/// - an idle one that has the weights, at no cost;
+/// - one that has been idle for `IdleLoanDelay`, which loads them;
+/// - if no engine of its own is able to serve it, the least busy one. The
+/// models
+///   of that engine share its slots from then on.
+/// A loan ends when the model has no work, when the engine's own model needs an
+/// engine that the other model can do without, or when the engine's weights are
+/// too old for it and may not be updated. Returns the engines whose loans
+/// changed.
+EngineList lendEngines(const EngineList &Engines,
+                       const std::map<ModelName, ModelWork> &Work,
+                       const PaceBaseline &Baseline,
+                       const EnginePoolSettings &Limits, TimePoint Now);
+
 /// Requirements and preferences of a sample.
 struct EngineRequirements {
   ModelName Model;
--- a/Wasabi/Dispatch/LoadOrder.h
+++ b/Wasabi/Dispatch/LoadOrder.h
@@ -23,16 +23,25 @@
   bool operator==(const ModelDemand &) const = default;
 };
 
-/// Returns true if newer weights exist and the engine can serve neither the
-/// waiting nor the expected samples with the weights that it has. Pure.
-bool shouldLoadWeights(const DispatchEngine &Engine, const ModelDemand &Demand);
-
-/// Sorts the engines `Due` by the order in which they should load. Engines that
-/// were asked before and have not loaded come last, so that they do not block
-/// the others. The others are sorted by: cannot serve the waiting samples,
-/// number of versions behind, fewest running samples. Pure.
-EngineList sortForLoading(EngineList Due,
-                          const std::map<ModelName, ModelDemand> &Models);
+/// An engine that should load the weights of a model. A value.
+struct DueLoad {
+  std::shared_ptr<DispatchEngine> Engine;
+  ModelName Model;
+  bool operator==(const DueLoad &) const = default;
+};
+
+/// Returns true if newer weights of a model exist and the engine can serve
+/// neither the waiting nor the expected samples with those that it has. Pure.
+bool shouldLoadWeights(const DispatchEngine &Engine, const ModelName &Model,
+                       const ModelDemand &Demand);
+
+/// Sorts the loads `Due` by the order in which they should begin. Loads that
+/// were asked for before and have not happened come last, so that they do not
+/// block the others. The others are sorted by: cannot serve the waiting
+/// samples, number of versions behind, fewest running samples. Pure.
+std::vector<DueLoad>
+sortForLoading(std::vector<DueLoad> Due,
+               const std::map<ModelName, ModelDemand> &Models);
 
 } // namespace wasabi
 
--- a/Wasabi/Dispatch/StepPlanner.cpp
+++ b/Wasabi/Dispatch/StepPlanner.cpp
@@ -173,8 +173,9 @@
     Backlogs.resize(models);
     for (const PlanEngine &it : Input.Engines) {
       std::uint32_t slots = std::min(it.Slots, it.MaxRuns);
-      Backlogs[it.Model].Slots += slots;
-      Backlogs[it.Model].FreeSlots += slots - std::min(slots, it.Running);
+      Backlogs[it.Model].Slots += it.Share * slots;
+      Backlogs[it.Model].FreeSlots +=
+          it.Share * (slots - std::min(slots, it.Running));
     }
     for (std::size_t i = 0; i < Input.Items.size(); ++i) {
       const PlanItem &item = Input.Items[i];
--- a/Wasabi/Dispatch/StepPlanner.h
+++ b/Wasabi/Dispatch/StepPlanner.h
@@ -122,9 +122,10 @@
   bool operator==(const PlanStep &) const = default;
 };
 
-/// An engine that runs items. An immutable value.
+/// An engine that runs items of a model. An engine that serves several models
+/// has an entry for each of them. An immutable value.
 struct PlanEngine {
-  /// Index of the model that it serves.
+  /// Index of the model.
   std::uint32_t Model = 0;
   /// Version of the weights that it holds.
   WeightVersion Version = 0;
@@ -136,6 +137,9 @@
   std::uint32_t Running = 0;
   /// Number of runs that its memory holds, as far as known.
   std::uint32_t MaxRuns = std::numeric_limits<std::uint32_t>::max();
+  /// Part of its slots that the model can expect; less than 1 if the engine
+  /// serves several models.
+  double Share = 1;
   bool operator==(const PlanEngine &) const = default;
 };
 
