--- a/UnitTests/Adapters/Http/SlowReaderServerTests.cpp
+++ b/UnitTests/Adapters/Http/SlowReaderServerTests.cpp
@@ -48,7 +48,7 @@
 }
 
 asio::awaitable<void> pause(HttpFixture &Fixture, Millis Time) {
-  return pauseFor(Fixture.Context.get_executor(), Time);
+  co_await pauseFor(Fixture.Context.get_executor(), Time);
 }
 
 /// Waits until `Condition` holds; the time limit of the fixture applies.
