A read of expired records is not the end of a topic

Cause: a 410 was decoded as an empty range that ends where it begins, which is what the end of a topic looks like. Evidence: rollout_log.caught_up follows rollout_log.expired within microseconds at the same offset, with no job, then dispatch.started and job.taken_up for jobs that have ended. Ruled out: lost ends of jobs (their records are in the topic).

Change: a read returns a range or an ExpiredOffset, at all readers: the rollout and lease logs, the usage reporter, payloads, keyed topics, wasabictl. After a gap the state starts anew, jobs end for the dispatcher, and a new holder of the lease counts an unknown predecessor as one. The store of the integration tests and the soak begins its topics at 1,000.

It works because nothing that is final is decided before the topic has been read to its real end, and a reader can't compile that mistakes one for the other.

--- a/Ctl/UsageCommand.cpp
+++ b/Ctl/UsageCommand.cpp
@@ -28,11 +28,15 @@
   constexpr std::size_t MaxReadBytes = 1u << 20;
   TopicReadResult read;
   for (;;) {
-    Outcome<LogRange> range =
+    Outcome<LogRead> got =
         co_await Store.Read(Topic, read.Next, Millis(0), MaxReadBytes);
-    if (!range)
-      co_return range.failure();
-    read.Next = std::max(read.Next, range->First);
+    if (!got)
+      co_return got.failure();
+    if (const ExpiredOffset *expired = std::get_if<ExpiredOffset>(&*got)) {
+      read.Next = expired->First;
+      continue;
+    }
+    const LogRange *range = std::get_if<LogRange>(&*got);
     for (const LogEntry &it : range->Entries) {
       read.Unreadable += Apply(it) ? 0 : 1;
       read.Next = it.At + 1;
@@ -44,7 +48,7 @@
 
 void printLease(const LeaseState &Lease) {
   if (!Lease.Holder)
-    std::cout << "reporter: none has ever held the duty\n";
+    std::cout << "reporter: no holder of the duty in the retained records\n";
   else
     std::cout << "reporter: " << Lease.Holder->Instance.Text << ", token "
               << Lease.Term + 1 << ", last heard of at offset "
--- a/IntegrationTests/Platform/PlatformStore.cpp
+++ b/IntegrationTests/Platform/PlatformStore.cpp
@@ -86,8 +86,8 @@
     // The operator's records contain the keys.
     if (name == "keyed.op")
       continue;
-    for (const std::string &it : topic.Records)
-      all += it + "\n";
+    for (std::size_t i = FirstOffset; i < topic.Records.size(); ++i)
+      all += topic.Records[i] + "\n";
   }
   return all;
 }
@@ -186,7 +186,7 @@
 
 http::Response PlatformStore::newestRecords(const Topic &Source) const {
   std::map<std::string, json::object> items;
-  for (std::size_t i = 0; i < Source.Records.size(); ++i) {
+  for (std::size_t i = FirstOffset; i < Source.Records.size(); ++i) {
     std::string_view record = Source.Records[i];
     std::size_t size = static_cast<unsigned char>(record.front());
     std::string key(record.substr(1, size));
--- a/IntegrationTests/Platform/PlatformStore.h
+++ b/IntegrationTests/Platform/PlatformStore.h
@@ -58,9 +58,14 @@
   Millis SlowResponseDelay{240};
 
 private:
+  /// Offset at which the records of each topic begin, as in a deployment that
+  /// is older than the retention of its store.
+  static constexpr std::size_t FirstOffset = 1000;
+
+  /// Expired records are empty.
   struct Topic {
-    std::vector<std::string> Records;
-    std::size_t First = 0;
+    std::vector<std::string> Records = std::vector<std::string>(FirstOffset);
+    std::size_t First = FirstOffset;
   };
 
   boost::asio::awaitable<void>
--- a/UnitTests/Batch/BatchServiceTest.cpp
+++ b/UnitTests/Batch/BatchServiceTest.cpp
@@ -493,4 +493,26 @@
       [&] { return findJob(log->fold(), job.Id) != nullptr; }));
 }
 
+// Guards against a 404, which is final, for an accepted job at a process that
+// has not read the retained records.
+TEST_CASE("A process that has just started finds jobs after expired records",
+          "[batch]") {
+  BatchServiceFixture fixture;
+  fixture.Store.expire("rollout", 400);
+  BatchJob job = makeJob("a", 2);
+  REQUIRE(fixture.submit(*fixture.Service, job) == JobRequestStatus::Accepted);
+  RolloutLog::Settings limits;
+  limits.IdleTimeout = Millis(1000);
+  std::shared_ptr<RolloutLog> fresh =
+      RolloutLog::create(fixture.Context.get_executor(), fixture.Store.port(),
+                         fixture.Decisions, limits);
+  std::shared_ptr<BatchService> service = fixture.makeService(fresh);
+  SECTION("For a reader of results") { CHECK(fixture.read(*service, job, 0)); }
+  SECTION("For its end") {
+    CHECK(fixture.end(*service, job) == JobRequestStatus::Accepted);
+    BatchJob none = makeJob("none", 1);
+    CHECK(fixture.end(*service, none) == JobRequestStatus::JobNotFound);
+  }
+}
+
 } // namespace wasabi::batchtest
--- a/UnitTests/Batch/FakeStore.cpp
+++ b/UnitTests/Batch/FakeStore.cpp
@@ -64,6 +64,14 @@
   Appended.notify();
 }
 
+void FakeStore::expire(const std::string &Topic, Offset NewFirst) {
+  std::vector<std::string> &all = Topics[Topic];
+  if (all.size() < NewFirst)
+    all.resize(NewFirst);
+  First[Topic] = NewFirst;
+  Appended.notify();
+}
+
 asio::awaitable<Outcome<Offset>>
 FakeStore::appendRecords(std::shared_ptr<bool> Disconnected, std::string Topic,
                          std::vector<std::string> Records,
@@ -102,7 +110,7 @@
   co_await never.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-asio::awaitable<Outcome<LogRange>>
+asio::awaitable<Outcome<LogRead>>
 FakeStore::read(std::shared_ptr<bool> Disconnected, std::string Topic,
                 Offset From, Millis PollTimeout) {
   if (Unresponsive) {
@@ -111,39 +119,42 @@
   }
   TimePoint deadline = monotonicNow() + PollTimeout;
   while (!Down && !*Disconnected && Topics[Topic].size() <= From &&
-         monotonicNow() < deadline)
+         From >= First[Topic] && monotonicNow() < deadline)
     co_await Appended.wait(deadline);
   co_await pauseFor(Context.get_executor(), Millis(1));
   if (Down || *Disconnected)
     co_return unreachable();
   const std::vector<std::string> &all = Topics[Topic];
+  ReadTotals &totals = Reads[Topic];
+  ++totals.Calls;
+  if (From < First[Topic])
+    co_return LogRead(ExpiredOffset{First[Topic]});
   LogRange range;
   range.First = First[Topic];
   range.End = all.size();
-  for (Offset at = From;
-       at >= range.First && at < range.End && range.Entries.size() < MaxEntries;
+  for (Offset at = From; at < range.End && range.Entries.size() < MaxEntries;
        ++at)
     range.Entries.push_back({at, all[at]});
-  ReadTotals &totals = Reads[Topic];
-  ++totals.Calls;
   for (const LogEntry &it : range.Entries)
     totals.Bytes += it.Text.size();
-  co_return range;
+  co_return LogRead(std::move(range));
 }
 
-asio::awaitable<Outcome<KeyedRange>>
+asio::awaitable<Outcome<KeyedRead>>
 FakeStore::readKeyed(std::shared_ptr<bool> Disconnected, std::string Topic,
                      Offset From, Millis PollTimeout) {
-  Outcome<LogRange> entries =
-      co_await read(Disconnected, Topic, From, PollTimeout);
-  if (!entries)
-    co_return entries.failure();
+  Outcome<LogRead> got = co_await read(Disconnected, Topic, From, PollTimeout);
+  if (!got)
+    co_return got.failure();
+  if (const ExpiredOffset *expired = std::get_if<ExpiredOffset>(&*got))
+    co_return KeyedRead(*expired);
+  const LogRange &entries = std::get<LogRange>(*got);
   KeyedRange range;
-  range.First = entries->First;
-  range.End = entries->End;
-  for (const LogEntry &it : entries->Entries)
+  range.First = entries.First;
+  range.End = entries.End;
+  for (const LogEntry &it : entries.Entries)
     range.Records.push_back(makeKeyedRecord(it));
-  co_return range;
+  co_return KeyedRead(std::move(range));
 }
 
 asio::awaitable<Outcome<KeyedRange>>
--- a/UnitTests/Batch/FakeStore.h
+++ b/UnitTests/Batch/FakeStore.h
@@ -45,6 +45,9 @@
   /// `*Disconnected`.
   RecordStore port(const std::shared_ptr<bool> &Disconnected);
   void append(const std::string &Topic, std::string Record);
+  /// Drops all records of a topic before `First`, which may be beyond its end:
+  /// then the topic ends there.
+  void expire(const std::string &Topic, Offset NewFirst);
 
   boost::asio::io_context &Context;
   AsyncSignal Appended;
@@ -71,10 +74,10 @@
   boost::asio::awaitable<Outcome<Offset>>
   appendRecords(std::shared_ptr<bool> Disconnected, std::string Topic,
                 std::vector<std::string> Records, std::optional<Offset> At);
-  boost::asio::awaitable<Outcome<LogRange>>
+  boost::asio::awaitable<Outcome<LogRead>>
   read(std::shared_ptr<bool> Disconnected, std::string Topic, Offset From,
        Millis PollTimeout);
-  boost::asio::awaitable<Outcome<KeyedRange>>
+  boost::asio::awaitable<Outcome<KeyedRead>>
   readKeyed(std::shared_ptr<bool> Disconnected, std::string Topic, Offset From,
             Millis PollTimeout);
   boost::asio::awaitable<void> hang();
--- a/UnitTests/Batch/RolloutLogTest.cpp
+++ b/UnitTests/Batch/RolloutLogTest.cpp
@@ -112,4 +112,68 @@
   REQUIRE(fixture.runUntil([&] { return log->fold().Next == 10; }));
 }
 
+// Guards against a read of expired records that is taken for the end of the
+// topic, before any retained record is read.
+TEST_CASE("A topic whose first records have expired is read to its end",
+          "[batch]") {
+  BatchTestFixture fixture;
+  fixture.Store.MaxEntries = 10;
+  fixture.Store.expire("rollout", 500);
+  BatchJob ended = makeJob("ended", 1);
+  BatchJob open = makeJob("open", 1);
+  fixture.Store.append("rollout", encodeRecord(JobPart{ended, 0, 1}));
+  appendRecords(fixture, 50);
+  fixture.Store.append("rollout", encodeRecord(JobEnd{ended.Id}));
+  fixture.Store.append("rollout", encodeRecord(JobPart{open, 0, 1}));
+  std::shared_ptr<RolloutLog> log = startLog(fixture, IdleTimeout);
+  TimePoint before = log->lastCaughtUpTime();
+  bool sawOpenJobAsEnded = false;
+  log->onChange([&](const BatchStateChange &) {
+    sawOpenJobAsEnded |= log->caughtUp() || log->lastCaughtUpTime() > before;
+  });
+  fixture.run([&]() -> boost::asio::awaitable<void> {
+    Outcome<Done> done = co_await log->refresh();
+    CHECK(done);
+    CHECK(log->fold().Next == 553);
+    CHECK(log->caughtUp());
+  });
+  CHECK_FALSE(sawOpenJobAsEnded);
+  CHECK(log->fold().KnownFrom == 500);
+  CHECK(findJob(log->fold(), ended.Id)->Ended);
+  CHECK_FALSE(findJob(log->fold(), open.Id)->Ended);
+}
+
+// Guards against jobs that were ended while a process was stopped, if the
+// records of their ends have expired.
+TEST_CASE("What was known before expired records is dropped", "[batch]") {
+  BatchTestFixture fixture;
+  std::shared_ptr<RolloutLog> log = startLog(fixture, IdleTimeout);
+  BatchJob job = makeJob("a", 2);
+  fixture.Store.append("rollout", encodeRecord(JobPart{job, 0, 1}));
+  fixture.Store.append("rollout",
+                       encodeRecord(LeaseClaim{{InstanceName("x"), 1}}));
+  log->demand();
+  REQUIRE(fixture.runUntil([&] { return log->fold().Next == 2; }));
+  REQUIRE(fixture.runUntil([&] { return !log->isFollowing(); }));
+  fixture.Context.run_for(Millis(80));
+  fixture.Store.append("rollout", encodeRecord(JobEnd{job.Id}));
+  fixture.Store.expire("rollout", 10);
+  appendRecords(fixture, 5);
+  std::vector<std::string> ended;
+  log->onChange([&](const BatchStateChange &Change) {
+    if (Change.What == BatchStateChange::Kind::Ended)
+      ended.push_back(Change.Job->Job.Id.Text);
+  });
+  std::shared_ptr<JobState> held = findJob(log->fold(), job.Id);
+  fixture.run([&]() -> boost::asio::awaitable<void> {
+    Outcome<Done> done = co_await log->refresh();
+    CHECK(done);
+  });
+  CHECK(log->fold().Next == 15);
+  CHECK(log->fold().Jobs.empty());
+  CHECK_FALSE(log->fold().Lease.Holder);
+  CHECK(held->Ended);
+  CHECK(ended == std::vector<std::string>{"a"});
+}
+
 } // namespace wasabi::batchtest
--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -796,4 +796,42 @@
   CHECK(fixture.Engines.Priorities["b-0"] == 8);
 }
 
+// Guards against items of ended jobs that run again after a takeover, in a
+// deployment that is older than the retention of its store.
+TEST_CASE("A successor runs no items of jobs that ended after expired records",
+          "[dispatch]") {
+  DispatcherFixture fixture;
+  fixture.Dispatch->deactivate();
+  fixture.Store.expire("rollout", 300);
+  fixture.Store.MaxEntries = 2;
+  std::vector<BatchJob> ended;
+  for (const char *id : {"a", "b", "c"}) {
+    ended.push_back(makeJob(id, 3));
+    fixture.submit(ended.back());
+    fixture.Store.append("rollout", encodeRecord(JobEnd{ended.back().Id}));
+  }
+  BatchJob open = makeJob("d", 3);
+  fixture.submit(open);
+  fixture.Dispatch->activate();
+  REQUIRE(fixture.finishes(open));
+  for (const char *id : {"e1", "e2"})
+    for (const std::string &it : fixture.server(id).Runs)
+      CHECK(it.starts_with("d-"));
+}
+
+// Guards against an item that is given up for a record that the store did not
+// return, though it has not expired.
+TEST_CASE("An item is given up only if its record has expired", "[dispatch]") {
+  DispatcherFixture fixture;
+  BatchJob job = makeJob("a", 1);
+  JobPart part{job, 0, 1};
+  part.ItemsLocation = {{0, 10}};
+  fixture.Store.append("rollout", encodeRecord(part));
+  fixture.Context.run_for(Millis(100));
+  CHECK(fixture.results(job).empty());
+  fixture.Store.append("payload", encodeItems(job.Items));
+  REQUIRE(fixture.finishes(job));
+  CHECK(fixture.results(job)[0].Status == ItemStatus::Completed);
+}
+
 } // namespace wasabi::batchtest
--- a/UnitTests/Dispatch/LeaseManagerTest.cpp
+++ b/UnitTests/Dispatch/LeaseManagerTest.cpp
@@ -146,4 +146,25 @@
                     now + limits.LeaseTimeout));
 }
 
+// Guards against a claim by a process that has not read the holder yet, and
+// against calls that overlap with those of a holder whose records have expired.
+TEST_CASE("A process that starts after expired records respects their holder",
+          "[dispatch]") {
+  BatchTestFixture world;
+  world.Store.expire("rollout", 200);
+  LeaseProcess one(world, "one", 1);
+  REQUIRE(world.runUntil([&] { return one.Manager->held(); }));
+  world.Context.run_for(Millis(60));
+  REQUIRE(one.Manager->permit());
+  // It can't tell whether there was a holder before.
+  CHECK(one.Manager->permit()->From - monotonicNow() > Millis(2000));
+  // The claim has expired, the renewals have not.
+  world.Store.expire("rollout", world.Store.Topics["rollout"].size() - 1);
+  LeaseProcess two(world, "two", 2);
+  REQUIRE(world.runUntil([&] { return two.Log->caughtUp(); }));
+  world.Context.run_for(Millis(300));
+  CHECK(one.Manager->held());
+  CHECK(two.Acquired == 0);
+}
+
 } // namespace wasabi::batchtest
--- a/UnitTests/Upstream/KeyedFollowerTest.cpp
+++ b/UnitTests/Upstream/KeyedFollowerTest.cpp
@@ -159,7 +159,7 @@
   // Reads that wait for records are never answered.
   store.ReadKeyed =
       [&](std::string Topic, Offset From,
-          Millis PollTimeout) -> boost::asio::awaitable<Outcome<KeyedRange>> {
+          Millis PollTimeout) -> boost::asio::awaitable<Outcome<KeyedRead>> {
     if (PollTimeout > Millis(0))
       co_await pauseFor(fixture.Context.get_executor(), Millis(60000));
     ++refreshes;
--- a/UnitTests/Upstream/StoreRecoveryTest.cpp
+++ b/UnitTests/Upstream/StoreRecoveryTest.cpp
@@ -43,7 +43,7 @@
   // No further calls follow: only probes can detect the end of the outage.
   fixture.run([&]() -> boost::asio::awaitable<void> {
     co_await pauseFor(fixture.Context.get_executor(), Millis(50));
-    Outcome<LogRange> got = co_await store.Read("topic", 0, Millis(0), 100);
+    Outcome<LogRead> got = co_await store.Read("topic", 0, Millis(0), 100);
     CHECK_FALSE(got);
   });
   CHECK_FALSE(stuck);
@@ -69,7 +69,7 @@
     Outcome<Offset> lost = co_await store.Append("topic", std::move(records),
                                                  std::nullopt, Millis(1000));
     CHECK_FALSE(lost);
-    Outcome<LogRange> got = co_await store.Read("topic", 0, Millis(0), 100);
+    Outcome<LogRead> got = co_await store.Read("topic", 0, Millis(0), 100);
     CHECK(got);
   });
   CHECK_FALSE(stuck);
@@ -103,7 +103,7 @@
   counted.Read =
       [&, read = counted.Read](
           std::string Topic, Offset From, Millis Timeout,
-          std::size_t MaxBytes) -> boost::asio::awaitable<Outcome<LogRange>> {
+          std::size_t MaxBytes) -> boost::asio::awaitable<Outcome<LogRead>> {
     ++calls;
     if (refusing)
       co_return Failure{
--- a/UnitTests/Usage/UsageReporterTest.cpp
+++ b/UnitTests/Usage/UsageReporterTest.cpp
@@ -236,4 +236,27 @@
   checkReports(reports);
 }
 
+// Guards against a report that is sent before the retained counts are read.
+TEST_CASE("No window is decided before the records after expired ones are read",
+          "[usage]") {
+  BatchTestFixture fixture;
+  FakeReports reports;
+  fixture.Store.expire("usage", 100);
+  fixture.Store.MaxEntries = 1;
+  ReportProcess one(fixture, reports, "one", 1);
+  ReportProcess two(fixture, reports, "two", 2);
+  REQUIRE(fixture.runUntil([&] { return one.Meter->known(); }));
+  REQUIRE(fixture.runUntil([&] { return two.Meter->known(); }));
+  for (int i = 0; i < 5; ++i) {
+    one.Meter->began(Anna);
+    two.Meter->began(Anna);
+  }
+  REQUIRE(fixture.runUntil([&] { return sumFor(reports, Anna) == 10; }));
+  checkReports(reports);
+  // A holder that has missed records starts anew.
+  std::size_t before = reports.Calls.size();
+  fixture.Store.expire("usage", fixture.Store.Topics["usage"].size() + 50);
+  REQUIRE(fixture.runUntil([&] { return reports.Calls.size() > before + 3; }));
+}
+
 } // namespace wasabi::batchtest
--- a/Wasabi/Batch/BatchState.cpp
+++ b/Wasabi/Batch/BatchState.cpp
@@ -170,6 +170,24 @@
     State.Next = At + 1;
 }
 
+std::vector<std::shared_ptr<JobState>> skipExpired(BatchState &State,
+                                                   Offset First) {
+  std::vector<std::shared_ptr<JobState>> open;
+  for (const auto &[id, job] : State.Jobs) {
+    if (job->Ended)
+      continue;
+    job->Ended = true;
+    open.push_back(job);
+  }
+  State.Jobs.clear();
+  State.Lease = LeaseState();
+  State.PendingSubmission.reset();
+  State.PendingItemLocations.clear();
+  State.KnownFrom = First;
+  State.Next = First;
+  return open;
+}
+
 void expireJobs(BatchState &State, TimePoint Now) {
   for (auto it = State.Jobs.begin(); it != State.Jobs.end();) {
     bool isExpired = Now - it->second->Seen > State.Limits.JobRetention;
--- a/Wasabi/Batch/BatchState.h
+++ b/Wasabi/Batch/BatchState.h
@@ -93,6 +93,10 @@
   Settings Limits;
   /// Next offset to read.
   Offset Next = 0;
+  /// The state is folded from all records from this offset on. If it is not 0,
+  /// earlier records had expired, and a missing holder of the lease is unknown
+  /// rather than absent.
+  Offset KnownFrom = 0;
   std::unordered_map<JobId, std::shared_ptr<JobState>> Jobs;
   LeaseState Lease;
   /// Submission whose last part has not been read yet.
@@ -123,6 +127,13 @@
 /// Skips the record at offset `At`, which could not be decoded.
 void skip(BatchState &State, Offset At);
 
+/// Continues at `First`, as the records before it have expired. Their effects
+/// on what is known are unknown: a job may have ended, a result may have been
+/// listed, another process may hold the lease. So the state starts anew.
+/// Returns the jobs that had not ended; they are marked as ended.
+std::vector<std::shared_ptr<JobState>> skipExpired(BatchState &State,
+                                                   Offset First);
+
 /// Removes jobs older than `Settings::JobRetention`.
 void expireJobs(BatchState &State, TimePoint Now);
 
--- a/Wasabi/Batch/PayloadStore.cpp
+++ b/Wasabi/Batch/PayloadStore.cpp
@@ -92,16 +92,19 @@
   std::size_t aheadBytes =
       Ahead == ReadAhead::Neighbours ? Limits.MaxReadBytes : 0;
   std::size_t maxBytes = std::max<std::size_t>(aheadBytes, Record.Bytes);
-  Outcome<LogRange> range =
+  Outcome<LogRead> read =
       co_await Store.Read(Limits.Topic, Record.At, Millis(0), maxBytes);
-  if (!range)
-    co_return range.failure();
-  bool found =
-      !range->Entries.empty() && range->Entries.front().At == Record.At;
-  if (!found)
+  if (!read)
+    co_return read.failure();
+  LogRange *range = std::get_if<LogRange>(&*read);
+  if (range == nullptr)
     co_return Failure{Verdict::NotRun, FailureCode::Expired,
                       Limits.Topic + "@" + std::to_string(Record.At),
                       "the record is no longer in the store", Millis(0)};
+  if (range->Entries.empty() || range->Entries.front().At != Record.At)
+    co_return Failure{Verdict::NotRun, FailureCode::Unavailable,
+                      Limits.Topic + "@" + std::to_string(Record.At),
+                      "the store has not returned the record", Millis(0)};
   // The requested record is added last, so that the others cannot evict it.
   std::string first = std::move(range->Entries.front().Text);
   for (std::size_t i = 1; i < range->Entries.size(); ++i)
--- a/Wasabi/Batch/RolloutLog.cpp
+++ b/Wasabi/Batch/RolloutLog.cpp
@@ -57,17 +57,22 @@
       co_await Refreshed.wait();
       continue;
     }
-    Outcome<LogRange> range = co_await Store.Read(
+    Outcome<LogRead> read = co_await Store.Read(
         Limits.Topic, State.Next, Limits.PollTimeout, Limits.MaxReadBytes);
     // A read is cancelled when the store becomes reachable again; read at once.
-    if (!range && range.failure().Code == FailureCode::Cancelled)
+    if (!read && read.failure().Code == FailureCode::Cancelled)
       continue;
-    if (!range) {
-      onReadFailed(range.failure());
+    if (!read) {
+      onReadFailed(read.failure());
       co_await pauseFor(Executor, nextDelay(Backoff, Random));
       continue;
     }
     noteSuccess(Backoff);
+    const LogRange *range = std::get_if<LogRange>(&*read);
+    if (range == nullptr) {
+      skipExpired(std::get<ExpiredOffset>(*read));
+      continue;
+    }
     bool hasRecords = range->End > range->First && !range->Entries.empty();
     applyRange(*range);
     expireJobs(State, monotonicNow());
@@ -98,11 +103,16 @@
 
 asio::awaitable<Outcome<Done>> RolloutLog::readToEnd() {
   for (;;) {
-    Outcome<LogRange> range = co_await Store.Read(
-        Limits.Topic, State.Next, Millis(0), Limits.MaxReadBytes);
-    if (!range) {
-      onReadFailed(range.failure());
-      co_return range.failure();
+    Outcome<LogRead> read = co_await Store.Read(Limits.Topic, State.Next,
+                                                Millis(0), Limits.MaxReadBytes);
+    if (!read) {
+      onReadFailed(read.failure());
+      co_return read.failure();
+    }
+    const LogRange *range = std::get_if<LogRange>(&*read);
+    if (range == nullptr) {
+      skipExpired(std::get<ExpiredOffset>(*read));
+      continue;
     }
     applyRange(*range);
     if (State.Next >= range->End)
@@ -117,14 +127,31 @@
                                   Limits.AppendTimeout);
 }
 
-void RolloutLog::applyRange(const LogRange &Range) {
+/// Continues at the first retained record. A concurrent read may have done so
+/// already.
+void RolloutLog::skipExpired(const ExpiredOffset &Expired) {
   onReadSucceeded();
-  if (Range.First > State.Next) {
-    Decisions->line("rollout_log.expired",
-                    {{"expected", std::to_string(State.Next)},
-                     {"first", std::to_string(Range.First)}});
-    State.Next = Range.First;
+  if (Expired.First <= State.Next)
+    return;
+  Offset expected = State.Next;
+  std::size_t known = State.Jobs.size();
+  CaughtUp = false;
+  std::vector<std::shared_ptr<JobState>> open =
+      wasabi::skipExpired(State, Expired.First);
+  Decisions->line("rollout_log.expired",
+                  {{"topic", Limits.Topic},
+                   {"expected", std::to_string(expected)},
+                   {"first", std::to_string(Expired.First)},
+                   {"dropped_jobs", std::to_string(known)}});
+  for (const std::shared_ptr<JobState> &it : open) {
+    if (Listener)
+      Listener({BatchStateChange::Kind::Ended, it});
   }
+  Changed.notify();
+}
+
+void RolloutLog::applyRange(const LogRange &Range) {
+  onReadSucceeded();
   for (const LogEntry &it : Range.Entries)
     applyEntry(it);
   if (State.Next >= Range.End)
@@ -132,7 +159,9 @@
   if (State.Next >= Range.End && !CaughtUp) {
     CaughtUp = true;
     Decisions->line("rollout_log.caught_up",
-                    {{"next", std::to_string(State.Next)},
+                    {{"topic", Limits.Topic},
+                     {"known_from", std::to_string(State.KnownFrom)},
+                     {"next", std::to_string(State.Next)},
                      {"jobs", std::to_string(State.Jobs.size())}});
     Changed.notify();
   }
--- a/Wasabi/Batch/RolloutLog.h
+++ b/Wasabi/Batch/RolloutLog.h
@@ -64,7 +64,8 @@
 
   const BatchState &fold() const { return State; }
   const StoreContact &contact() const { return Contact; }
-  /// True once the topic has been read to its end.
+  /// True once the topic has been read to its end, until a read shows that
+  /// records which were not read have expired.
   bool caughtUp() const { return CaughtUp; }
   /// Time at which a read last reached the end of the topic. While the process
   /// is catching up, the store is reachable but the state is stale.
@@ -92,6 +93,7 @@
   boost::asio::awaitable<void> followLoop();
   boost::asio::awaitable<Outcome<Done>> readToEnd();
   void applyRange(const LogRange &Range);
+  void skipExpired(const ExpiredOffset &Expired);
   void applyEntry(const LogEntry &Entry);
   void onReadSucceeded();
   void onReadFailed(const Failure &Reason);
--- a/Wasabi/Dispatch/LeaseManager.cpp
+++ b/Wasabi/Dispatch/LeaseManager.cpp
@@ -113,7 +113,8 @@
   LeaseClaim claim{Limits.Self};
   if (before.Holder)
     claim.After = before.LastRecordOffset;
-  HasPredecessor = before.Holder.has_value();
+  // An earlier holder may be unknown.
+  HasPredecessor = before.Holder.has_value() || Log->fold().KnownFrom > 0;
   std::vector<std::string> records{encodeRecord(claim)};
   LastRenewal = sent;
   Outcome<Offset> appended = co_await Log->append(std::move(records));
--- a/Wasabi/LoadExchange/LoadExchange.cpp
+++ b/Wasabi/LoadExchange/LoadExchange.cpp
@@ -344,30 +344,41 @@
 /// the read failed.
 asio::awaitable<bool> LoadExchange::readOnce() {
   bool isSnapshot = NeedsSnapshot;
-  asio::awaitable<Outcome<KeyedRange>> read =
-      isSnapshot
-          ? Deps.Store.Newest(LoadTopic, Limits.SnapshotTimeout)
-          : Deps.Store.ReadKeyed(LoadTopic, Table.Next, Limits.PollTimeout);
-  Outcome<KeyedRange> got = co_await std::move(read);
+  KeyedRange range;
+  std::optional<Failure> failure;
+  if (isSnapshot) {
+    Outcome<KeyedRange> got =
+        co_await Deps.Store.Newest(LoadTopic, Limits.SnapshotTimeout);
+    if (got)
+      range = std::move(*got);
+    else
+      failure = got.failure();
+  } else {
+    Outcome<KeyedRead> got = co_await Deps.Store.ReadKeyed(
+        LoadTopic, Table.Next, Limits.PollTimeout);
+    NeedsSnapshot = got && std::holds_alternative<ExpiredOffset>(*got);
+    if (NeedsSnapshot)
+      co_return true;
+    if (got)
+      range = std::get<KeyedRange>(std::move(*got));
+    else
+      failure = got.failure();
+  }
   // A read that was cancelled because the store is reachable again is repeated
   // without a delay.
-  if (!got)
-    co_return got.failure().Code == FailureCode::Cancelled;
+  if (failure)
+    co_return failure->Code == FailureCode::Cancelled;
   TimePoint now = monotonicNow();
-  if (!isSnapshot && got->First > Table.Next) {
-    NeedsSnapshot = true;
-    co_return true;
-  }
   bool knownAge =
       !isSnapshot && LastReadAt && now - *LastReadAt <= Limits.MaxReadGap;
   LastReadAt = now;
   NeedsSnapshot = false;
-  std::vector<KeyedRecord> changed = isSnapshot
-                                         ? applySnapshot(Table, *got)
-                                         : applyNewRecords(Table, got->Records);
+  std::vector<KeyedRecord> changed =
+      isSnapshot ? applySnapshot(Table, range)
+                 : applyNewRecords(Table, range.Records);
   for (const KeyedRecord &it : changed)
     applyRecord(it, knownAge, now);
-  if (!isSnapshot && !got->Records.empty())
+  if (!isSnapshot && !range.Records.empty())
     co_await pauseFor(Deps.Executor, Limits.ReadDelay);
   co_return true;
 }
--- a/Wasabi/Ports/RecordStore.h
+++ b/Wasabi/Ports/RecordStore.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace wasabi {
@@ -34,16 +35,27 @@
   bool operator==(const KeyedValue &) const = default;
 };
 
-/// A contiguous range of a keyed topic.
+/// A contiguous range of a keyed topic, from the requested offset on.
 struct KeyedRange {
-  /// Oldest retained offset; greater than the requested one if that has
-  /// expired.
+  /// Oldest retained offset.
   Offset First = 0;
   /// One past the newest offset.
   Offset End = 0;
   std::vector<KeyedRecord> Records;
 };
 
+/// The answer to a read from an offset whose records have expired. Tells
+/// nothing about the records that are retained: a reader has to go on at
+/// `First`, and has missed what was before it.
+struct ExpiredOffset {
+  /// Oldest retained offset; greater than the requested one.
+  Offset First = 0;
+  bool operator==(const ExpiredOffset &) const = default;
+};
+
+using LogRead = std::variant<LogRange, ExpiredOffset>;
+using KeyedRead = std::variant<KeyedRange, ExpiredOffset>;
+
 /// Calls to the store as function objects. Use a store on the thread that
 /// created it. The verdict of a failure says whether an append may have taken
 /// effect or may still do so.
@@ -61,14 +73,13 @@
       std::string Topic, std::vector<KeyedValue> Values, Millis Timeout)>
       AppendKeyed;
   /// Reads about `MaxBytes` at most from `FirstOffset` on; waits up to
-  /// `PollTimeout` for the first record. If `FirstOffset` has expired, `First`
-  /// is greater and there are no entries.
-  std::function<boost::asio::awaitable<Outcome<LogRange>>(
+  /// `PollTimeout` for the first record.
+  std::function<boost::asio::awaitable<Outcome<LogRead>>(
       std::string Topic, Offset FirstOffset, Millis PollTimeout,
       std::size_t MaxBytes)>
       Read;
   /// Reads a keyed topic; otherwise like `Read`.
-  std::function<boost::asio::awaitable<Outcome<KeyedRange>>(
+  std::function<boost::asio::awaitable<Outcome<KeyedRead>>(
       std::string Topic, Offset FirstOffset, Millis PollTimeout)>
       ReadKeyed;
   /// Reads the latest record of each key. `Timeout` bounds the time without
--- a/Wasabi/Upstream/KeyedFollower.cpp
+++ b/Wasabi/Upstream/KeyedFollower.cpp
@@ -138,7 +138,7 @@
 asio::awaitable<Outcome<std::size_t>>
 KeyedFollower::readNewRecords(Millis PollTimeout) {
   TimePoint began = monotonicNow();
-  Outcome<KeyedRange> got =
+  Outcome<KeyedRead> got =
       co_await Store.ReadKeyed(Limits.Topic, Table.Next, PollTimeout);
   if (!got && got.failure().Code == FailureCode::Cancelled)
     co_return got.failure();
@@ -147,14 +147,15 @@
     co_return got.failure();
   }
   Handlers.OnAnswer();
-  if (got->First > Table.Next) {
+  const KeyedRange *range = std::get_if<KeyedRange>(&*got);
+  if (range == nullptr) {
     NeedsSnapshot = true;
     co_return std::size_t(0);
   }
-  notifyChanges(applyNewRecords(Table, got->Records));
-  if (Table.Next >= got->End)
+  notifyChanges(applyNewRecords(Table, range->Records));
+  if (Table.Next >= range->End)
     CurrentAsOf = std::max(CurrentAsOf.value_or(began), began);
-  co_return got->Records.size();
+  co_return range->Records.size();
 }
 
 asio::awaitable<Outcome<Done>> KeyedFollower::refresh() {
--- a/Wasabi/Upstream/StoreRecovery.cpp
+++ b/Wasabi/Upstream/StoreRecovery.cpp
@@ -71,8 +71,8 @@
     co_return std::move(*got);
   }
 
-  asio::awaitable<Outcome<LogRange>>
-  read(std::string Topic, Offset From, Millis Timeout, std::size_t MaxBytes) {
+  asio::awaitable<Outcome<LogRead>> read(std::string Topic, Offset From,
+                                         Millis Timeout, std::size_t MaxBytes) {
     std::shared_ptr<StoreRecovery> self = shared_from_this();
     noteRead(Topic, From);
     bool available = co_await awaitStore(Timeout);
@@ -82,8 +82,8 @@
         Store.Read(std::move(Topic), From, Timeout, MaxBytes));
   }
 
-  asio::awaitable<Outcome<KeyedRange>> readKeyed(std::string Topic, Offset From,
-                                                 Millis Timeout) {
+  asio::awaitable<Outcome<KeyedRead>> readKeyed(std::string Topic, Offset From,
+                                                Millis Timeout) {
     std::shared_ptr<StoreRecovery> self = shared_from_this();
     noteRead(Topic, From);
     bool available = co_await awaitStore(Timeout);
--- a/Wasabi/Usage/UsageReporter.cpp
+++ b/Wasabi/Usage/UsageReporter.cpp
@@ -73,31 +73,43 @@
 asio::awaitable<bool> UsageReporter::readOnce() {
   bool wasCaughtUp = CaughtUp;
   TimePoint before = ReadAt;
-  Outcome<LogRange> got = co_await Deps.Store.Read(
+  Outcome<LogRead> got = co_await Deps.Store.Read(
       UsageTopic, State.Next, Limits.ReadTimeout, Limits.MaxReadBytes);
   if (!got) {
     // The next records may have been delayed for the whole outage.
     CaughtUp = false;
     co_return got.failure().Code == FailureCode::Cancelled;
   }
+  const LogRange *range = std::get_if<LogRange>(&*got);
+  if (range == nullptr) {
+    skipExpired(std::get<ExpiredOffset>(*got));
+    co_return true;
+  }
   ReadAt = monotonicNow();
   // If the last read reached the end, these records were written since then.
-  applyRange(*got, wasCaughtUp ? std::chrono::ceil<Millis>(ReadAt - before)
-                               : Millis::max());
-  if (wasCaughtUp && !got->Entries.empty())
+  applyRange(*range, wasCaughtUp ? std::chrono::ceil<Millis>(ReadAt - before)
+                                 : Millis::max());
+  if (wasCaughtUp && !range->Entries.empty())
     co_await pauseFor(Deps.Executor, Limits.ReadDelay);
   co_return true;
 }
 
+/// Starts anew at the first retained record. What was decided or reported
+/// before is unknown, and no window may be decided before the topic has been
+/// read to its end.
+void UsageReporter::skipExpired(const ExpiredOffset &Expired) {
+  Deps.Decisions->line("usage.records_expired",
+                       {{"expected", std::to_string(State.Next)},
+                        {"first", std::to_string(Expired.First)}});
+  State = UsageState();
+  State.Next = Expired.First;
+  LateLogged = 0;
+  CaughtUp = false;
+}
+
 void UsageReporter::applyRange(const LogRange &Range, Millis Age) {
   TimePoint now = monotonicNow();
   UsageReadContext context{now, Deps.Wall.at(now), Age};
-  if (Range.First > State.Next) {
-    Deps.Decisions->line("usage.records_expired",
-                         {{"expected", std::to_string(State.Next)},
-                          {"first", std::to_string(Range.First)}});
-    State.Next = Range.First;
-  }
   for (const LogEntry &it : Range.Entries) {
     Outcome<UsageRecord> record = toOutcome<UsageRecord>([&] {
       return decodeUsage(it.Text,
--- a/Wasabi/Usage/UsageReporter.h
+++ b/Wasabi/Usage/UsageReporter.h
@@ -76,6 +76,7 @@
   boost::asio::awaitable<void> followLoop();
   boost::asio::awaitable<bool> readOnce();
   void applyRange(const LogRange &Range, Millis Age);
+  void skipExpired(const ExpiredOffset &Expired);
   boost::asio::awaitable<void> decide();
   void logMissingSources(WallTime TrueNow, TimePoint Now);
   boost::asio::awaitable<void> reportLoop();
