Items and scoring calls are never held to crash servers

Cause: a crash was recorded under each item that ran on the server, and a request under which four servers crash is held to be the cause. In a crash loop of all servers that is true of every item. Ruled out: missing weights and full servers (all slots were free).

Change: work that was handed in for later stays owed, as the users decide. Items and their scoring calls record no crash and share none with callers' requests; they are tried again on another engine after a delay of 2 s at most, and after two lost runs without progress apart from suspects and from each other.

It works because nothing withholds an item any more but a route, an engine with its weights and a bounded delay. Plain requests are quarantined as before.

--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -374,40 +374,23 @@
   return found;
 }
 
-/// Updates and returns whether the item is quarantined because it crashed
-/// servers. A quarantined item stays open without a result.
-bool Dispatcher::updateQuarantined(ItemTask &Task) const {
-  bool quarantined =
-      Crashes->crashStatus(Task.Guard->Digest) == CrashStatus::Quarantined;
-  if (quarantined != Task.Quarantined)
-    Decisions->line(quarantined ? "item.quarantined" : "item.released",
-                    {{"item", Task.Item.Id.Text},
-                     {"job", Task.Job->Job.Id.Text},
-                     {"digest", Task.Guard->Digest.Text}});
-  Task.Quarantined = quarantined;
-  return quarantined;
-}
-
-/// Returns the engine for an item; null if none has room. Avoids placing two
-/// items that may crash servers on one engine, if another engine has room. An
-/// item under which several servers were lost waits for an engine of its own.
+/// Returns the engine for an item; null if none has room. An item that has lost
+/// several runs goes, if another engine has room, to none that runs a request
+/// of a caller that may crash it, or another such item.
 std::shared_ptr<DispatchEngine>
 Dispatcher::findEngineFor(const ItemTask &Task, const EngineRequirements &Need,
                           const EngineList &Candidates,
                           const PaceBaseline &Baseline, TimePoint Now) const {
-  if (Crashes->awaitsResolution(Task.Guard->Digest))
-    return nullptr;
-  bool isolate = Crashes->needsIsolation(Task.Guard->Digest);
-  if (isolate ||
-      Crashes->crashStatus(Task.Guard->Digest) != CrashStatus::Clean) {
+  if (Task.LostRuns >= Limits.CarefulAfterLostRuns) {
     std::set<ServerIncarnation> suspects = Crashes->suspectServers();
     EngineList others = Candidates;
     std::erase_if(others, [&](const std::shared_ptr<DispatchEngine> &It) {
-      return suspects.contains(It->Server->Entry.incarnation());
+      return It->CarefulRuns > 0 ||
+             suspects.contains(It->Server->Entry.incarnation());
     });
     std::shared_ptr<DispatchEngine> engine =
         chooseEngine(others, Need, Baseline, Limits.Pool, Now);
-    if (engine || isolate)
+    if (engine)
       return engine;
   }
   return chooseEngine(Candidates, Need, Baseline, Limits.Pool, Now);
@@ -536,10 +519,10 @@
       item.Stage =
           engine == engines.end() ? PlanStage::Delayed : PlanStage::Running;
       item.Engine = engine == engines.end() ? 0 : engine->second;
-    } else if (!isDue || !Candidates.contains(job.Job.Model))
-      item.Stage = it->Quarantined ? PlanStage::Blocked : PlanStage::Delayed;
-    else if (updateQuarantined(*it))
+    } else if (awaitsConfiguration)
       item.Stage = PlanStage::Blocked;
+    else if (!isDue || !Candidates.contains(job.Job.Model))
+      item.Stage = PlanStage::Delayed;
     else {
       view.HasWaiting = true;
       waitingTokens += predictedTokens(*it);
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -56,11 +56,12 @@
   /// job record contains.
   BatchItem Item;
   ItemStage Stage = ItemStage::Loading;
-  /// Identifies the request in the quarantine. Shared with the check that
-  /// follows a lost connection.
-  std::shared_ptr<GuardedRequest> Guard;
-  /// True if the item is not dispatched because it crashed servers.
-  bool Quarantined = false;
+  /// Number of runs in succession that lost their connection before the text
+  /// grew. Work that was handed in for later does not crash engines by itself,
+  /// so the item stays owed: it is placed with care, and after a delay.
+  std::uint32_t LostRuns = 0;
+  /// True while the run counts in `DispatchEngine::CarefulRuns`.
+  bool IsCareful = false;
   /// True if its expected length exceeds the mean of its job.
   bool ExpectedLong = false;
   /// True if the item was part of an earlier step.
@@ -147,8 +148,13 @@
     Millis EventTimeout{6000};
     /// Delay before an item is tried again after a failure.
     Millis RetryDelay{60};
-    /// Delay before a quarantined scoring call is tried again.
-    Millis QuarantineRetryDelay{1000};
+    /// Maximum delay before an item or a scoring call is tried again after
+    /// lost connections; it doubles with each of them. Well below the 5 s after
+    /// which an item that is at no engine counts as lost.
+    Millis MaxLostRunDelay{2000};
+    /// Lost runs from which on an item avoids engines on which a request that
+    /// may crash them runs, or another such item.
+    std::uint32_t CarefulAfterLostRuns = 2;
     /// Maximum number of saved texts of a job that are fetched concurrently. An
     /// answer of the store takes 4 ms, and a text consists of up to ten pieces.
     std::size_t MaxTextFetches = 8;
@@ -283,7 +289,8 @@
   double expectedEvents(const BatchItem &Item) const;
   double predictedTokens(const ItemTask &Task) const;
   void updatePredictedTokens();
-  bool updateQuarantined(ItemTask &Task) const;
+  Millis lostRunDelay(std::uint32_t LostRuns) const;
+  void recordLostRun(ItemTask &Task, const DispatchEngine &Engine);
   std::shared_ptr<DispatchEngine> findEngineFor(const ItemTask &Task,
                                                 const EngineRequirements &Need,
                                                 const EngineList &Candidates,
--- a/Wasabi/Dispatch/DispatcherEngines.cpp
+++ b/Wasabi/Dispatch/DispatcherEngines.cpp
@@ -107,8 +107,7 @@
       lastJob = it->Job.get();
       lastRoute = route;
     }
-    if (it->Stage != ItemStage::Waiting || it->NotBefore > Now ||
-        it->Quarantined)
+    if (it->Stage != ItemStage::Waiting || it->NotBefore > Now)
       continue;
     for (ModelWork *model : models) {
       model->MinVersion = model->Waiting == 0
@@ -346,7 +345,7 @@
   TimePoint now = monotonicNow();
   std::map<ModelName, ModelDemand> demands;
   for (const std::shared_ptr<ItemTask> &it : Tasks) {
-    if (it->Cancelled || it->Stage != ItemStage::Waiting || it->Quarantined)
+    if (it->Cancelled || it->Stage != ItemStage::Waiting)
       continue;
     const BatchJob &job = it->Job->Job;
     WeightVersion &waiting = demands[job.Model].WaitingMinVersion;
--- a/Wasabi/Dispatch/DispatcherRecords.cpp
+++ b/Wasabi/Dispatch/DispatcherRecords.cpp
@@ -152,9 +152,6 @@
       carried->second.Events > Task->Text.Events &&
       canResumeFrom(carried->second, *Task))
     Task->Text = carried->second;
-  Task->Guard = std::make_shared<GuardedRequest>(GuardedRequest{
-      digestOf(makeItemRequest(*Task), Task->Job->Job.Id.Customer),
-      Task->Item.Id.Text});
   Task->Stage = ItemStage::Waiting;
   schedule();
 }
--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -48,6 +48,9 @@
   Task->RunFailure.reset();
   Task->Moved = false;
   ++Engine->Running;
+  Task->IsCareful = Task->LostRuns >= Limits.CarefulAfterLostRuns;
+  if (Task->IsCareful)
+    ++Engine->CarefulRuns;
   Engine->PredictedTokens += predictedTokens(*Task);
   ++Engine->Server->InFlight;
   PromptEngines[Task->Item.Group] = Engine->Server->Entry.incarnation();
@@ -67,8 +70,6 @@
 asio::awaitable<void> Dispatcher::run(std::shared_ptr<ItemTask> Task) {
   std::shared_ptr<DispatchEngine> engine = Task->Engine;
   TimePoint startedAt = monotonicNow();
-  std::unique_ptr<Quarantine::SuspectRun> suspect = Crashes->trackSuspectRun(
-      Task->Guard->Digest, engine->Server->Entry.incarnation());
   SendOptions options;
   options.RequestId = Task->Item.Id.Text;
   options.Customer = Task->Job->Job.Id.Customer;
@@ -106,14 +107,14 @@
   }
   --engine->Running;
   --engine->Server->InFlight;
-  suspect.reset();
+  if (Task->IsCareful)
+    --engine->CarefulRuns;
   Task->Engine.reset();
   bool connectionLost = Task->RunFailure &&
                         Task->RunFailure->Run != Verdict::NotRun &&
                         Task->RunFailure->Code == FailureCode::ConnectionLost;
-  if (connectionLost &&
-      Crashes->mayHaveCrashedServer(startedAt, Task->HasEvent))
-    co_await Crashes->onConnectionLost(Task->Guard, engine->Server, startedAt);
+  if (connectionLost)
+    recordLostRun(*Task, *engine);
   if (Task->Cancelled || Task->Stage == ItemStage::Finished)
     co_return schedule();
   if (!complete) {
@@ -122,7 +123,6 @@
     co_return;
   }
   wasabi::noteSuccess(View.Servers, *engine->Server, 0);
-  Crashes->answered(*Task->Guard);
   Task->Text.IsComplete = true;
   recordTextLength(Lengths, Task->Item.ExpectedTokens, Task->Text.Events);
   startScoring(Task);
@@ -173,7 +173,7 @@
            {"version", known ? std::to_string(*Head.Version) : "unknown"}});
     return recentEnough && !mixed;
   }
-  Crashes->answered(*Task->Guard);
+  Task->LostRuns = 0;
   if (status == Unprocessable) {
     terminate(Task, "an engine answered with status 422");
     return false;
@@ -243,15 +243,36 @@
   Engine.Pace.LastEvent = now;
 }
 
+/// Returns the delay before the next try after `LostRuns` lost connections in
+/// succession.
+Millis Dispatcher::lostRunDelay(std::uint32_t LostRuns) const {
+  constexpr std::uint32_t MaxDoublings = 10;
+  std::uint32_t doublings = std::min(std::max(LostRuns, 1U) - 1, MaxDoublings);
+  return std::min(Limits.RetryDelay * (1U << doublings),
+                  Limits.MaxLostRunDelay);
+}
+
+/// Records that a run has lost its connection. Its engine may have crashed; the
+/// item is not held to be the cause.
+void Dispatcher::recordLostRun(ItemTask &Task, const DispatchEngine &Engine) {
+  noteConnectionLost(*Engine.Server, monotonicNow());
+  Task.LostRuns = Task.HasEvent ? 1 : Task.LostRuns + 1;
+  Counts
+      .counter("item_runs_lost_total",
+               "Runs of items that lost their connection")
+      .add();
+}
+
 void Dispatcher::requeueItem(const std::shared_ptr<ItemTask> &Task,
                              const Failure &Cause) {
   Task->Stage = ItemStage::Waiting;
-  Task->NotBefore =
-      Task->Moved ? TimePoint() : monotonicNow() + Limits.RetryDelay;
+  bool isLost = Cause.Code == FailureCode::ConnectionLost;
+  Millis delay = isLost ? lostRunDelay(Task->LostRuns) : Limits.RetryDelay;
+  Task->NotBefore = Task->Moved ? TimePoint() : monotonicNow() + delay;
   Decisions->line("item.run_ended",
                   {{"item", Task->Item.Id.Text},
-                   {"digest", Task->Guard->Digest.Text},
                    {"server", Task->Avoid.Server.Text},
+                   {"lost_runs", std::to_string(Task->LostRuns)},
                    {"events", std::to_string(Task->Text.Events)},
                    {"reason", describe(Cause)}});
   Counts.counter("item_runs_broken_total", "Runs of items that were not whole")
@@ -273,6 +294,7 @@
   ItemResult result{item.Id, ItemStatus::Completed, Task->Text.Output,
                     Task->Text.Versions, ""};
   std::uint32_t failures = 0;
+  std::uint32_t lostCalls = 0;
   std::uint32_t calls = 0;
   while (item.Score && !Task->Cancelled && result.Score.empty()) {
     const UpstreamRoute *route =
@@ -297,6 +319,7 @@
     call.HttpRequest.Target = item.Score->Path;
     call.HttpRequest.Headers = {{"Host", item.Score->Host}};
     call.HttpRequest.Body = item.Score->Body;
+    call.IsDeferredWork = true;
     Outcome<UpstreamResponse> answer = co_await Scores->answer(
         std::move(call), std::move(singleAttempt), Task->CancelSignal);
     if (answer && answer->Response.Status >= Ok &&
@@ -310,11 +333,11 @@
                 "scoring calls failed with status 500 until the attempt limit");
       co_return;
     }
-    bool quarantined =
-        !answer && answer.failure().Code == FailureCode::Quarantined;
+    bool isLost =
+        !answer && answer.failure().Code == FailureCode::ConnectionLost;
+    lostCalls = isLost ? lostCalls + 1 : 0;
     if (!Task->Cancelled)
-      co_await pauseFor(Executor, quarantined ? Limits.QuarantineRetryDelay
-                                              : Limits.RetryDelay);
+      co_await pauseFor(Executor, lostRunDelay(lostCalls));
   }
   if (Task->Cancelled)
     co_return;
--- a/Wasabi/Dispatch/EnginePool.h
+++ b/Wasabi/Dispatch/EnginePool.h
@@ -34,6 +34,8 @@
   TimePoint LastReported;
   /// Number of samples that this process has in flight on the engine.
   std::uint32_t Running = 0;
+  /// Number of those whose item has lost several runs.
+  std::uint32_t CarefulRuns = 0;
   /// Number of tokens that its memory holds; 0 if unknown.
   std::uint64_t KvCapacityTokens = 0;
   /// Tokens that its runs are predicted to hold at their ends. Set before an
--- a/Wasabi/Dispatch/StepPlanner.h
+++ b/Wasabi/Dispatch/StepPlanner.h
@@ -79,7 +79,7 @@
   Running,
   /// The text is complete; the score or the commit is missing.
   Generated,
-  /// Will not be started: it is quarantined.
+  /// Will not be started until its route is known.
   Blocked,
 };
 
--- a/Wasabi/Upstream/Forwarder.cpp
+++ b/Wasabi/Upstream/Forwarder.cpp
@@ -90,8 +90,9 @@
 /// sent.
 std::optional<Failure>
 Forwarder::findQuarantineFailure(const Progress &State) const {
-  if (CrashQuarantine->crashStatus(State.Guard->Digest) !=
-      CrashStatus::Quarantined)
+  if (State.Request.IsDeferredWork ||
+      CrashQuarantine->crashStatus(State.Guard->Digest) !=
+          CrashStatus::Quarantined)
     return std::nullopt;
   return CrashQuarantine->refuse(State.Guard->Digest);
 }
@@ -141,7 +142,8 @@
   State.Server.reset();
   if (std::optional<Failure> refused = findQuarantineFailure(State))
     co_return refused;
-  if (!CrashQuarantine->needsIsolation(State.Guard->Digest)) {
+  if (State.Request.IsDeferredWork ||
+      !CrashQuarantine->needsIsolation(State.Guard->Digest)) {
     State.Server = selectNextServer(State, /*AvoidSuspects=*/false);
     co_return std::nullopt;
   }
@@ -262,8 +264,9 @@
   std::shared_ptr<Attempt> started = std::make_shared<Attempt>();
   started->Server = std::move(Server);
   started->Start = monotonicNow();
-  started->Suspect = CrashQuarantine->trackSuspectRun(
-      State.Guard->Digest, started->Server->Entry.incarnation());
+  if (!State.Request.IsDeferredWork)
+    started->Suspect = CrashQuarantine->trackSuspectRun(
+        State.Guard->Digest, started->Server->Entry.incarnation());
   wasabi::beginAttempt(*started->Server, started->Start);
   meterUsage(State);
   return started;
@@ -326,7 +329,7 @@
                      {"server", server.Entry.Id.Text},
                      {"start", std::to_string(server.Entry.Start)},
                      {"beside", std::to_string(server.InFlight)}});
-  if (ran)
+  if (ran && !State.Request.IsDeferredWork)
     CrashQuarantine->answered(*State.Guard);
 }
 
@@ -409,6 +412,10 @@
                             TimePoint Began, asio::cancellation_signal &Stop) {
   if (Error.Code != FailureCode::ConnectionLost || Error.Run == Verdict::NotRun)
     co_return true;
+  if (State.Request.IsDeferredWork) {
+    noteConnectionLost(*State.Server, monotonicNow());
+    co_return true;
+  }
   asio::awaitable<Done> check =
       CrashQuarantine->onConnectionLost(State.Guard, State.Server, Began);
   std::optional<Done> done =
--- a/Wasabi/Upstream/Forwarder.h
+++ b/Wasabi/Upstream/Forwarder.h
@@ -40,6 +40,10 @@
   /// Maximum time that the caller waits; empty if it states none.
   std::optional<Millis> CallerTimeout;
   TimePoint ArrivedAt;
+  /// True if the request belongs to work that was handed in for later. Such
+  /// requests do not crash servers by themselves: they are not quarantined, and
+  /// they share no crash with other requests.
+  bool IsDeferredWork = false;
 };
 
 /// Sends requests to upstream servers and returns or streams their responses.
--- a/Wasabi/Upstream/ForwarderHedging.cpp
+++ b/Wasabi/Upstream/ForwarderHedging.cpp
@@ -185,8 +185,11 @@
       it->release();
       it->Current = Attempt::Stage::Ended;
       recordAttempt(State, *it, /*IsLastInFlight=*/!Race->hasOpenAttempts());
-      if (!*it->Got && it->Got->failure().Run != Verdict::NotRun &&
-          it->Got->failure().Code == FailureCode::ConnectionLost) {
+      bool isLost = !*it->Got && it->Got->failure().Run != Verdict::NotRun &&
+                    it->Got->failure().Code == FailureCode::ConnectionLost;
+      if (isLost && State.Request.IsDeferredWork)
+        noteConnectionLost(*it->Server, monotonicNow());
+      else if (isLost) {
         it->Current = Attempt::Stage::Examining;
         asio::co_spawn(Executor,
                        AttemptRace::awaitExamination(
@@ -204,7 +207,8 @@
   }
   // A crash may have made the request suspect while it runs elsewhere.
   for (const std::shared_ptr<Attempt> &it : Race->Attempts)
-    if (it->Current == Attempt::Stage::Calling && !it->Suspect)
+    if (it->Current == Attempt::Stage::Calling && !it->Suspect &&
+        !State.Request.IsDeferredWork)
       it->Suspect = CrashQuarantine->trackSuspectRun(
           State.Guard->Digest, it->Server->Entry.incarnation());
   return Race->Winner != nullptr;
