Bound what arriving responses hold, in sum and each

What callers saw: one server that answers with a body without end ends edge processes by their memory, and their connections are lost.

Such a response fails with bad-input, which is not examined as a crash, and makes its server suspect.

It works because the bound is on the sum, and the one that yields is the one without end: sound responses beside it arrive.

--- a/IntegrationTests/Platform/PlatformServers.cpp
+++ b/IntegrationTests/Platform/PlatformServers.cpp
@@ -219,6 +219,12 @@
       Responder->abort();
     co_return;
   }
+  if (AnswersWithoutEnd) {
+    answer.Headers.push_back(echoRequestId(Request));
+    answer.Headers.push_back({"Wasabisail-Server-Stamp", "stamp-" + call.Id});
+    co_await sendWithoutEnd(std::move(answer), std::move(Responder));
+    co_return;
+  }
   if (RequestsToFail > 0) {
     --RequestsToFail;
     answer.Status = InternalError;
@@ -251,6 +257,21 @@
   co_await Responder->send(std::move(answer));
 }
 
+/// Sends the head of a response, and a body until the caller closes.
+asio::awaitable<void>
+PlatformServer::sendWithoutEnd(http::Response Head,
+                               std::shared_ptr<http::Responder> Responder) {
+  constexpr std::size_t PieceBytes = 1u << 16;
+  co_await Responder->begin(std::move(Head));
+  while (!Responder->gone()) {
+    std::string piece(PieceBytes, 'x');
+    Outcome<Done> sent = co_await Responder->write(std::move(piece));
+    if (!sent)
+      co_return;
+    co_await pauseFor(Context.get_executor(), Millis(0));
+  }
+}
+
 asio::awaitable<void>
 PlatformServer::generate(http::Request Request,
                          std::shared_ptr<http::Responder> Responder) {
--- a/IntegrationTests/Platform/PlatformServers.h
+++ b/IntegrationTests/Platform/PlatformServers.h
@@ -84,6 +84,8 @@
   int StreamsToBreak = 0;
   /// True if the server answers that it is full.
   bool RefusesAsFull = false;
+  /// True if the bodies of its answers have no end.
+  bool AnswersWithoutEnd = false;
   /// A server crashes when it begins to run a request with this text in its
   /// target or body; empty for none. It refuses connections for `CrashDownTime`
   /// and then restarts as a new incarnation.
@@ -105,6 +107,9 @@
   boost::asio::awaitable<void>
   generate(http::Request Request, std::shared_ptr<http::Responder> Responder);
   boost::asio::awaitable<void>
+  sendWithoutEnd(http::Response Head,
+                 std::shared_ptr<http::Responder> Responder);
+  boost::asio::awaitable<void>
   crash(std::shared_ptr<http::Responder> Responder);
   void listenAt(const Address &Where);
   http::Response acceptOrder(const http::Request &Request);
--- /dev/null
+++ b/UnitTests/Adapters/Http/EndlessResponseTest.cpp
@@ -0,0 +1,237 @@
+/// Tests of a client whose server sends bytes without end.
+#include "UnitTests/Adapters/Http/HttpFixture.h"
+
+#include "Wasabi/Core/AsyncSignal.h"
+
+#include <boost/asio/detached.hpp>
+
+#include <array>
+
+namespace wasabi::http {
+
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+constexpr std::uint64_t MemoryLimit = 4u << 20;
+/// Bytes that a response may hold beyond what is counted: a read.
+constexpr std::uint64_t ReadSlack = 64u << 10;
+constexpr Millis LongTimeout{15000};
+
+/// A server that sends a head, and then the same bytes until the client closes.
+struct EndlessServer {
+  asio::io_context &Context;
+  std::string Head;
+  std::string Repeated;
+  /// Pause between two writes.
+  Millis Pause{0};
+  Tcp::acceptor Acceptor{Context, Tcp::endpoint(Tcp::v4(), 0)};
+  std::size_t Closed = 0;
+
+  Address address() const {
+    return Address{"127.0.0.1", Acceptor.local_endpoint().port()};
+  }
+
+  asio::awaitable<void> acceptAll() {
+    for (;;) {
+      auto [ec, socket] =
+          co_await Acceptor.async_accept(asio::as_tuple(asio::use_awaitable));
+      if (ec)
+        co_return;
+      asio::co_spawn(Context, serve(std::move(socket)), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> serve(Tcp::socket Socket) {
+    std::array<char, 4096> buf{};
+    co_await Socket.async_read_some(asio::buffer(buf),
+                                    asio::as_tuple(asio::use_awaitable));
+    std::string text = Head;
+    for (;;) {
+      auto [ec, n] =
+          co_await asio::async_write(Socket, asio::buffer(text),
+                                     asio::as_tuple(asio::use_awaitable));
+      if (ec)
+        break;
+      text = Repeated;
+      if (Pause > Millis(0))
+        co_await pauseFor(Context.get_executor(), Pause);
+    }
+    ++Closed;
+  }
+};
+
+/// Returns a chunk of the chunked transfer encoding.
+std::string makeChunk(std::size_t Bytes) {
+  std::array<char, 16> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", Bytes);
+  return size.data() + std::string(Bytes, 'x') + "\r\n";
+}
+
+struct EndlessFixture : HttpFixture {
+  std::vector<ResponseAbort> Aborts;
+  std::shared_ptr<ResponseMemory> Memory =
+      ResponseMemory::create({MemoryLimit, [this](const ResponseAbort &It) {
+                                Aborts.push_back(It);
+                              }});
+  EndlessServer Endless{Context, {}, {}};
+
+  EndlessFixture() {
+    Client::Settings settings;
+    settings.Memory = Memory;
+    settings.EchoHeader = "Request-Id";
+    TestClient = Client::create(Context.get_executor(), settings);
+    asio::co_spawn(Context, Endless.acceptAll(), asio::detached);
+  }
+
+  asio::awaitable<Outcome<Response>> callEndless(Millis Timeout) {
+    Request request;
+    request.Method = "GET";
+    request.Target = "/";
+    request.Headers.push_back({"Request-Id", "own"});
+    co_return co_await TestClient->call(Endless.address(), std::move(request),
+                                        Timeout);
+  }
+};
+
+const std::string ChunkedHead =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+} // namespace
+
+// Guards against a server that takes the memory of the process, or holds a
+// request until its time has passed, by bytes that have no end.
+TEST_CASE("A response without end fails before its time limit", "[http]") {
+  EndlessFixture fixture;
+  EndlessServer &server = fixture.Endless;
+  SECTION("A head") {
+    server.Head = "HTTP/1.1 200 OK\r\n";
+    server.Repeated = "Name: " + std::string(1000, 'x') + "\r\n";
+  }
+  SECTION("Interim responses") {
+    server.Head = "HTTP/1.1 100 Continue\r\n\r\n";
+    server.Repeated = server.Head;
+  }
+  SECTION("A chunked body") {
+    server.Head = ChunkedHead;
+    server.Repeated = makeChunk(10000);
+  }
+  SECTION("A body until the end of the connection") {
+    server.Head = "HTTP/1.1 200 OK\r\n\r\n";
+    server.Repeated = std::string(10000, 'x');
+  }
+  SECTION("A body whose length is beyond the limit") {
+    server.Head = "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n";
+    server.Repeated = std::string(10000, 'x');
+  }
+  SECTION("A chunked response to another request") {
+    server.Head = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n";
+    server.Repeated = makeChunk(10000);
+  }
+  SECTION("A response to another request until the connection ends") {
+    server.Head = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n";
+    server.Repeated = std::string(10000, 'x');
+  }
+  SECTION("Bytes that are no response") {
+    server.Head = "x";
+    server.Repeated = std::string(10000, 'x');
+  }
+  fixture.run([&]() -> asio::awaitable<void> {
+    Outcome<Response> got = co_await fixture.callEndless(LongTimeout);
+    REQUIRE_FALSE(got);
+    CHECK(got.failure().Run == Verdict::MayHaveRun);
+    CHECK(got.failure().Code != FailureCode::TimedOut);
+    // The connection is closed.
+    while (server.Closed == 0)
+      co_await pauseFor(fixture.Context.get_executor(), Millis(1));
+    CHECK(fixture.Memory->heldBytes() == 0);
+  });
+}
+
+// Guards against a server whose slow bytes keep a request beyond its time limit.
+TEST_CASE("A slow response without end fails at its time limit", "[http]") {
+  EndlessFixture fixture;
+  EndlessServer &server = fixture.Endless;
+  server.Pause = Millis(20);
+  SECTION("A head") {
+    server.Head = "HTTP/1.1 200 OK\r\n";
+    server.Repeated = "Name: x\r\n";
+  }
+  SECTION("A chunked body") {
+    server.Head = ChunkedHead;
+    server.Repeated = makeChunk(10);
+  }
+  fixture.run([&]() -> asio::awaitable<void> {
+    TimePoint start = monotonicNow();
+    Outcome<Response> got = co_await fixture.callEndless(Millis(300));
+    REQUIRE_FALSE(got);
+    CHECK(got.failure().Code == FailureCode::TimedOut);
+    CHECK(monotonicNow() - start < Millis(3000));
+    while (server.Closed == 0)
+      co_await pauseFor(fixture.Context.get_executor(), Millis(1));
+  });
+}
+
+// Guards against many responses without end that hold too much together, and
+// against a sound response that is given up for one of them.
+TEST_CASE("Responses without end hold a bounded number of bytes in sum",
+          "[http]") {
+  constexpr int Calls = 20;
+  EndlessFixture fixture;
+  fixture.Endless.Head = ChunkedHead;
+  fixture.Endless.Repeated = makeChunk(50000);
+  fixture.serve([](const Request &, std::shared_ptr<Responder> Reply)
+                    -> asio::awaitable<void> {
+    Response response = jsonResponse(200, std::string(100000, 'x'));
+    co_await Reply->send(std::move(response));
+  });
+  int failed = 0;
+  std::uint64_t most = 0;
+  fixture.run([&]() -> asio::awaitable<void> {
+    for (int i = 0; i < Calls; ++i)
+      asio::co_spawn(
+          fixture.Context,
+          [&]() -> asio::awaitable<void> {
+            Outcome<Response> got = co_await fixture.callEndless(LongTimeout);
+            CHECK_FALSE(got);
+            ++failed;
+          },
+          asio::detached);
+    while (failed < Calls) {
+      Request request;
+      request.Method = "GET";
+      request.Target = "/";
+      Outcome<Response> sound = co_await fixture.TestClient->call(
+          fixture.Serving->address(), std::move(request), LongTimeout);
+      REQUIRE(sound);
+      CHECK(sound->Body.size() == 100000);
+      most = std::max(most, fixture.Memory->heldBytes());
+    }
+  });
+  CHECK(most <= MemoryLimit + Calls * ReadSlack);
+  CHECK(fixture.Aborts.size() == Calls);
+  for (const ResponseAbort &it : fixture.Aborts)
+    CHECK(it.Peer == fixture.Endless.address());
+}
+
+TEST_CASE("The response that holds the most is given up", "[http]") {
+  std::vector<std::string> ended;
+  std::shared_ptr<ResponseMemory> memory = ResponseMemory::create({100});
+  ResponseMemory::Share small(memory, {"a", 1}, [&] { ended.push_back("a"); });
+  ResponseMemory::Share large(memory, {"b", 1}, [&] { ended.push_back("b"); });
+  CHECK(small.hold(30));
+  CHECK(large.hold(70));
+  CHECK(memory->heldBytes() == 100);
+  CHECK(small.hold(31));
+  CHECK(ended == std::vector<std::string>{"b"});
+  CHECK(large.isAborted());
+  CHECK_FALSE(large.hold(1));
+  CHECK(memory->heldBytes() == 31);
+  // The one that grows learns it from the result.
+  CHECK_FALSE(small.hold(101));
+  CHECK(ended.size() == 1);
+}
+
+} // namespace wasabi::http
--- a/Wasabi/Adapters/Http/HttpClient.cpp
+++ b/Wasabi/Adapters/Http/HttpClient.cpp
@@ -32,6 +32,12 @@
     Awaited(asio::use_awaitable);
 
 constexpr std::uint32_t MaxHeadBytes = 65536;
+/// Maximum number of interim responses (1xx) before a response. Servers send
+/// one or two.
+constexpr int MaxInterimResponses = 16;
+/// Maximum size of a response to an earlier request that is read and discarded
+/// before the expected one. Beyond it, a new connection is cheaper.
+constexpr std::uint64_t MaxDiscardedBytes = 1u << 20;
 constexpr std::size_t ReadBytes = 16384;
 /// Minimum time between two scans for expired idle connections.
 constexpr Millis PruneInterval{1000};
@@ -101,6 +107,10 @@
 
   /// Returns the failure of an operation after which the request may have run.
   Failure makeFailure(const ErrorCode &Failed) const {
+    bool tooLarge = Failed == beast::http::error::body_limit ||
+                    Failed == beast::http::error::header_limit;
+    if (tooLarge && !TimedOut && !Cancelled)
+      return makeOversizeFailure(Failed.message());
     FailureCode code = TimedOut    ? FailureCode::TimedOut
                        : Cancelled ? FailureCode::Cancelled
                                    : FailureCode::ConnectionLost;
@@ -110,6 +120,12 @@
     return Failure{Verdict::MayHaveRun, code, toText(Peer), reason, {}};
   }
 
+  /// Returns the failure of a response without a plausible end.
+  Failure makeOversizeFailure(std::string Reason) const {
+    return Failure{Verdict::MayHaveRun, FailureCode::BadInput, toText(Peer),
+                   std::move(Reason), Millis(0)};
+  }
+
   Tcp::socket Socket;
   const Address Peer;
   beast::flat_buffer Buffer;
@@ -395,7 +411,7 @@
 ClientImpl::readHead(std::shared_ptr<ClientConnection> Connection,
                      bool HeadOnly, std::uint64_t MaxBody) {
   constexpr unsigned FirstFinalStatus = 200;
-  for (;;) {
+  for (int interim = 0;;) {
     std::shared_ptr<Parser> parse = std::make_shared<Parser>();
     parse->header_limit(MaxHeadBytes);
     parse->body_limit(MaxBody);
@@ -408,7 +424,14 @@
       co_return Connection->makeFailure(ec);
     }
     // Interim responses (1xx) precede the final one.
-    if (parse->get().result_int() < FirstFinalStatus)
+    bool isFinal = parse->get().result_int() >= FirstFinalStatus;
+    if (!isFinal && ++interim > MaxInterimResponses) {
+      Connection->clearDeadline();
+      Connection->close();
+      co_return Connection->makeOversizeFailure(
+          "interim responses without a final one");
+    }
+    if (!isFinal)
       continue;
     parse->eager(true);
     Response head = makeHead(*parse);
@@ -443,24 +466,24 @@
 }
 
 /// Reads the rest of a response that does not match the request. Returns false
-/// if the connection cannot be used afterwards.
+/// if the connection cannot be used afterwards, or if the rest is too long to
+/// wait for.
 asio::awaitable<bool> ClientImpl::discardResponse(OpenResponse &Unmatched) {
-  while (!Unmatched.Parse->is_done()) {
-    ErrorCode ec =
-        co_await readBodyPart(*Unmatched.Connection, *Unmatched.Parse);
-    if (ec || Unmatched.Connection->TimedOut) {
-      Unmatched.Connection->clearDeadline();
-      Unmatched.Connection->close();
-      co_return false;
-    }
-    Unmatched.Parse->get().body().clear();
+  Parser &parse = *Unmatched.Parse;
+  bool usable = parse.keep_alive() && !parse.need_eof();
+  std::uint64_t discarded = 0;
+  while (usable && !parse.is_done()) {
+    ErrorCode ec = co_await readBodyPart(*Unmatched.Connection, parse);
+    discarded += parse.get().body().size();
+    parse.get().body().clear();
+    usable = !ec && !Unmatched.Connection->TimedOut &&
+             discarded <= MaxDiscardedBytes;
   }
-  bool more = Unmatched.Parse->get().keep_alive();
-  if (!more) {
+  if (!usable) {
     Unmatched.Connection->clearDeadline();
     Unmatched.Connection->close();
   }
-  co_return more;
+  co_return usable;
 }
 
 asio::awaitable<Outcome<Response>> ClientImpl::call(Address Peer, Request Req,
@@ -474,15 +497,20 @@
   std::shared_ptr<ClientConnection> connection = opened->Connection;
   std::shared_ptr<Parser> parse = opened->Parse;
   Response response = std::move(opened->Head);
+  ResponseMemory::Share share(Limits.Memory, connection->Peer,
+                              [&connection] { connection->close(); });
   while (!parse->is_done()) {
     ErrorCode ec = co_await readBodyPart(*connection, *parse);
-    if (ec || connection->TimedOut) {
+    response.Body += parse->get().body();
+    parse->get().body().clear();
+    bool held = share.hold(response.Body.capacity());
+    if (!held || ec || connection->TimedOut) {
       connection->clearDeadline();
       connection->close();
-      co_return connection->makeFailure(ec);
+      co_return held ? connection->makeFailure(ec)
+                     : connection->makeOversizeFailure(
+                           "the response exceeds the memory for responses");
     }
-    response.Body += parse->get().body();
-    parse->get().body().clear();
   }
   response.Body += parse->get().body();
   returnToPool(connection, *parse);
--- a/Wasabi/Adapters/Http/HttpClient.h
+++ b/Wasabi/Adapters/Http/HttpClient.h
@@ -5,6 +5,7 @@
 #define WASABI_ADAPTERS_HTTP_HTTPCLIENT_H
 
 #include "Wasabi/Adapters/Http/HttpServer.h"
+#include "Wasabi/Adapters/Http/ResponseMemory.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -36,7 +37,10 @@
 /// fails before any byte of the request is written, the request is sent again
 /// on another connection, as it cannot have run; otherwise requests are never
 /// repeated. Failures carry `NotRun` if no byte of the request was sent,
-/// otherwise `MayHaveRun`. Not thread-safe: use on the thread of the executor.
+/// otherwise `MayHaveRun`. A response that exceeds a limit of its size, or more
+/// interim responses than a server has reason to send, fail with `BadInput`:
+/// the server works, but does not answer. Not thread-safe: use on the thread of
+/// the executor.
 class Client {
 public:
   struct Settings {
@@ -47,6 +51,8 @@
     Millis MaxIdleTime{15000};
     /// Maximum size of the body of a whole response, in bytes.
     std::uint64_t MaxBody = 64u << 20;
+    /// Bounds what all whole responses hold together; null for no bound.
+    std::shared_ptr<ResponseMemory> Memory = nullptr;
     /// Name of a request header that responses repeat; empty for none. A
     /// response with another value belongs to an earlier request on the
     /// connection: it is read and discarded.
--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -197,6 +197,9 @@
         co_await Task.Stream->next(Limits.EventTimeout);
     if (!event) {
       Task.RunFailure = event.failure();
+      // The engine sends no events that can be read.
+      if (event.failure().Code == FailureCode::BadInput)
+        wasabi::noteFailure(View.Servers, *engine.Server, monotonicNow());
       co_return false;
     }
     if (!*event)
--- a/Wasabi/Upstream/ForwarderStreams.cpp
+++ b/Wasabi/Upstream/ForwarderStreams.cpp
@@ -89,6 +89,8 @@
       // events are no progress over an earlier run.
       bool progress = State.Route.Resumable && LastEventId > resumedAfter;
       bool lost = event.failure().Code == FailureCode::ConnectionLost;
+      if (event.failure().Code == FailureCode::BadInput)
+        wasabi::noteFailure(View.Servers, *State.Server, monotonicNow());
       if (lost && CrashQuarantine->mayHaveCrashedServer(streamStart, progress))
         co_await CrashQuarantine->onConnectionLost(State.Guard, State.Server,
                                                    streamStart);
