Items run only at the services of their route

Cause: an engine was chosen by model and version only. Evidence: item.run at servers of the other service; the choice had no input that tells services apart.

Change: the requirements of an item hold the services of its route.

--- a/IntegrationTests/Cases/EndlessResponseTest.cpp
+++ b/IntegrationTests/Cases/EndlessResponseTest.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Guards against servers whose responses have no end: they may neither end an
-/// edge process by its memory, nor keep callers and trainers from their answers.
+/// edge process by its memory, nor keep callers and trainers from their
+/// answers.
 #include "IntegrationTests/Harness/Waiting.h"
 #include "IntegrationTests/Platform/PlatformFixture.h"
 
@@ -46,10 +47,7 @@
         Fixture.postRequest(Caller % Fixture.edges(), "/desk/x", id);
     bool inTime = monotonicNow() - sent < MaxAnswerTime;
     bool isAnswer = got.Status == Ok && got.Body == "answer to " + id;
-    ++counts[!inTime                      ? 2
-             : isAnswer                   ? 0
-             : got.Status == Unavailable ? 1
-                                          : 2];
+    ++counts[!inTime ? 2 : isAnswer ? 0 : got.Status == Unavailable ? 1 : 2];
   }
   return counts;
 }
--- a/UnitTests/Adapters/Http/EndlessResponseTest.cpp
+++ b/UnitTests/Adapters/Http/EndlessResponseTest.cpp
@@ -49,9 +49,8 @@
                                     asio::as_tuple(asio::use_awaitable));
     std::string text = Head;
     for (;;) {
-      auto [ec, n] =
-          co_await asio::async_write(Socket, asio::buffer(text),
-                                     asio::as_tuple(asio::use_awaitable));
+      auto [ec, n] = co_await asio::async_write(
+          Socket, asio::buffer(text), asio::as_tuple(asio::use_awaitable));
       if (ec)
         break;
       text = Repeated;
@@ -71,10 +70,8 @@
 
 struct EndlessFixture : HttpFixture {
   std::vector<ResponseAbort> Aborts;
-  std::shared_ptr<ResponseMemory> Memory =
-      ResponseMemory::create({MemoryLimit, [this](const ResponseAbort &It) {
-                                Aborts.push_back(It);
-                              }});
+  std::shared_ptr<ResponseMemory> Memory = ResponseMemory::create(
+      {MemoryLimit, [this](const ResponseAbort &It) { Aborts.push_back(It); }});
   EndlessServer Endless{Context, {}, {}};
 
   EndlessFixture() {
@@ -150,7 +147,8 @@
   });
 }
 
-// Guards against a server whose slow bytes keep a request beyond its time limit.
+// Guards against a server whose slow bytes keep a request beyond its time
+// limit.
 TEST_CASE("A slow response without end fails at its time limit", "[http]") {
   EndlessFixture fixture;
   EndlessServer &server = fixture.Endless;
@@ -182,8 +180,8 @@
   EndlessFixture fixture;
   fixture.Endless.Head = ChunkedHead;
   fixture.Endless.Repeated = makeChunk(50000);
-  fixture.serve([](const Request &, std::shared_ptr<Responder> Reply)
-                    -> asio::awaitable<void> {
+  fixture.serve([](const Request &,
+                   std::shared_ptr<Responder> Reply) -> asio::awaitable<void> {
     Response response = jsonResponse(200, std::string(100000, 'x'));
     co_await Reply->send(std::move(response));
   });
--- a/UnitTests/Dispatch/SharedEnginesTest.cpp
+++ b/UnitTests/Dispatch/SharedEnginesTest.cpp
@@ -108,4 +108,47 @@
   CHECK(fixture.server("o1").Runs.size() == 6);
 }
 
+// Guards against items that run at a service to which their route does not
+// lead, since its engines have the model, too.
+TEST_CASE("Items run only at the services of their route", "[dispatch]") {
+  DispatcherFixture fixture;
+  const ServiceName other("other");
+  RouteTable table = *fixture.View.Routes;
+  table.Version = 2;
+  UpstreamService service = table.Services.front();
+  service.Name = other;
+  table.Services.push_back(service);
+  fixture.View.Routes = std::make_shared<const RouteTable>(table);
+  registerEngine(fixture, "o1", other, {Models[0]});
+  registerEngine(fixture, "o2", other, {Models[0]});
+  fixture.Dispatch->onFleetChange();
+  fixture.Engines.EventsPerText = 20;
+  BatchJob first = makeJobOf(Models[0], 30);
+  first.AdmittedUnder = 2;
+  fixture.submit(first);
+  REQUIRE(fixture.finishes(first));
+  CHECK(fixture.server("o1").Runs.empty());
+  CHECK(fixture.server("o2").Runs.empty());
+  // The route moves while items wait.
+  BatchJob second = first;
+  second.Id = JobId("next");
+  for (BatchItem &it : second.Items)
+    it.Id = ItemId("next-" + it.Id.Text);
+  fixture.submit(second);
+  auto runs = [&] {
+    return fixture.server("e1").Runs.size() + fixture.server("e2").Runs.size();
+  };
+  std::size_t before = runs();
+  // All slots are taken, and the other items wait.
+  REQUIRE(fixture.runUntil([&] { return runs() == before + 8; }));
+  table.Version = 3;
+  table.Routes.front().Services = {{other, 1}};
+  fixture.View.Routes = std::make_shared<const RouteTable>(table);
+  fixture.Dispatch->onFleetChange();
+  before = runs();
+  REQUIRE(fixture.finishes(second));
+  CHECK(runs() == before);
+  CHECK_FALSE(fixture.server("o1").Runs.empty());
+}
+
 } // namespace wasabi::batchtest
--- a/UnitTests/Platform/EndlessStreamTest.cpp
+++ b/UnitTests/Platform/EndlessStreamTest.cpp
@@ -9,8 +9,8 @@
 
 namespace asio = boost::asio;
 
-/// A server that answers each request with the pieces of `Body` in turn, without
-/// end.
+/// A server that answers each request with the pieces of `Body` in turn,
+/// without end.
 struct EndlessStreamFixture : http::HttpFixture {
   std::string ContentType = "text/event-stream";
   std::string First;
@@ -129,7 +129,8 @@
   }
 }
 
-// Guards against a report without end, and against a report that is late for it.
+// Guards against a report without end, and against a report that is late for
+// it.
 TEST_CASE("A report without end fails", "[platform]") {
   EndlessStreamFixture fixture;
   fixture.ContentType = "application/json";
--- a/Wasabi/Adapters/Http/ResponseMemory.cpp
+++ b/Wasabi/Adapters/Http/ResponseMemory.cpp
@@ -36,11 +36,10 @@
 /// Gives up the response that holds the most bytes. `Growing` is the one that
 /// has exceeded the limit; its receiver learns it from `hold`.
 void ResponseMemory::abortLargest(const Share &Growing) {
-  Share *largest =
-      *std::max_element(Shares.begin(), Shares.end(),
-                        [](const Share *Left, const Share *Right) {
-                          return Left->Bytes < Right->Bytes;
-                        });
+  Share *largest = *std::max_element(Shares.begin(), Shares.end(),
+                                     [](const Share *Left, const Share *Right) {
+                                       return Left->Bytes < Right->Bytes;
+                                     });
   ResponseAbort report{largest->Peer, largest->Bytes, HeldBytes};
   HeldBytes -= largest->Bytes;
   largest->Bytes = 0;
--- a/Wasabi/Adapters/Http/ResponseMemory.h
+++ b/Wasabi/Adapters/Http/ResponseMemory.h
@@ -1,7 +1,7 @@
 /// \file
-/// Bounds the memory that arriving responses hold in a process, in sum. A server
-/// may send a body without end; it must not end the process, nor take the memory
-/// that the responses of other servers need.
+/// Bounds the memory that arriving responses hold in a process, in sum. A
+/// server may send a body without end; it must not end the process, nor take
+/// the memory that the responses of other servers need.
 #ifndef WASABI_ADAPTERS_HTTP_RESPONSEMEMORY_H
 #define WASABI_ADAPTERS_HTTP_RESPONSEMEMORY_H
 
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -308,17 +308,35 @@
     return;
   const ModelName &model = Task.Job->Job.Model;
   WeightVersion version = Task.Text.Versions.front();
+  std::vector<ServiceName> services = servicesOf(Task);
   bool available = std::any_of(
       Pool.begin(), Pool.end(), [&](const std::shared_ptr<DispatchEngine> &It) {
-        return It->serves(model) && It->version(model) == version;
+        return It->serves(model) && It->version(model) == version &&
+               std::find(services.begin(), services.end(),
+                         It->Server->Entry.Service) != services.end();
       });
   if (!available || Task.Text.Versions.size() > 1)
     clearText(Task);
 }
 
+/// Returns the services at which an item may run; none if its route is not
+/// known. The shares of a route that is split don't matter: an item runs where
+/// there is room.
+std::vector<ServiceName> Dispatcher::servicesOf(const ItemTask &Task) const {
+  std::vector<ServiceName> services;
+  const UpstreamRoute *route = routeOf(Task);
+  if (route == nullptr)
+    return services;
+  services.reserve(route->Services.size());
+  for (const ServiceShare &it : route->Services)
+    services.push_back(it.Service);
+  return services;
+}
+
 EngineRequirements Dispatcher::requirementsOf(const ItemTask &Task) const {
   EngineRequirements requirements;
   requirements.Model = Task.Job->Job.Model;
+  requirements.Services = servicesOf(Task);
   requirements.MinVersion = Task.Job->Job.MinVersion;
   requirements.Avoid = Task.Avoid;
   auto prompt = PromptEngines.find(Task.Item.Group);
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -297,6 +297,7 @@
                                                 const PaceBaseline &Baseline,
                                                 TimePoint Now) const;
   std::map<ModelName, EngineList> enginesWithRoom(TimePoint Now) const;
+  std::vector<ServiceName> servicesOf(const ItemTask &Task) const;
   EngineRequirements requirementsOf(const ItemTask &Task) const;
   bool requiresSingleVersion(const ItemTask &Task) const;
   void discardMixedText(ItemTask &Task) const;
--- a/Wasabi/Dispatch/EnginePool.cpp
+++ b/Wasabi/Dispatch/EnginePool.cpp
@@ -398,6 +398,16 @@
   return paceTier(pace, Baseline.FastQuartileMs, Limits.Pace);
 }
 
+namespace {
+
+bool isAllowed(const EngineRequirements &Need, const ServiceName &Service) {
+  return !Need.Services ||
+         std::find(Need.Services->begin(), Need.Services->end(), Service) !=
+             Need.Services->end();
+}
+
+} // namespace
+
 std::shared_ptr<DispatchEngine> chooseEngine(const EngineList &Engines,
                                              const EngineRequirements &Need,
                                              const PaceBaseline &Baseline,
@@ -409,7 +419,9 @@
   for (const std::shared_ptr<DispatchEngine> &it : Engines) {
     const UpstreamServer &server = *it->Server;
     WeightVersion has = it->version(Need.Model);
-    bool isSuitable = it->serves(Need.Model) && has >= Need.MinVersion &&
+    bool isSuitable = it->serves(Need.Model) &&
+                      isAllowed(Need, server.Entry.Service) &&
+                      has >= Need.MinVersion &&
                       (!Need.ExactVersion || has == *Need.ExactVersion);
     if (!isSuitable || !hasRoom(*it, Now) ||
         !fitsMemory(*it, Need.Tokens, Limits))
--- a/Wasabi/Dispatch/EnginePool.h
+++ b/Wasabi/Dispatch/EnginePool.h
@@ -157,6 +157,8 @@
 /// Requirements and preferences of a sample.
 struct EngineRequirements {
   ModelName Model;
+  /// Services of the sample's route; empty to allow any.
+  std::optional<std::vector<ServiceName>> Services;
   WeightVersion MinVersion = 0;
   /// Set if the text must be continued with this version.
   std::optional<WeightVersion> ExactVersion;
