A repeated request is not sent on the connection of the first

Cause: the late second copy of a refusal bears the id of the request, and the request was sent once more with the same id on the same connection, so the copy was taken for the refusal of an attempt that ran. Ruled out: answers to other requests, which the echoed id tells apart.

Change: a connection that carried a request with an id is not used for one with the same id. It works because a copy then meets a request with another id.

--- a/Wasabi/Adapters/Http/HttpClient.cpp
+++ b/Wasabi/Adapters/Http/HttpClient.cpp
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <deque>
 #include <limits>
 #include <map>
 
@@ -39,6 +40,8 @@
 /// before the expected one. Beyond it, a new connection is cheaper.
 constexpr std::uint64_t MaxDiscardedBytes = 1u << 20;
 constexpr std::size_t ReadBytes = 16384;
+/// Number of requests after which a connection may carry the same one again.
+constexpr std::size_t MaxSentValues = 32;
 /// Minimum time between two scans for expired idle connections.
 constexpr Millis PruneInterval{1000};
 
@@ -129,6 +132,8 @@
   Tcp::socket Socket;
   const Address Peer;
   beast::flat_buffer Buffer;
+  /// Values of the echoed header of the latest requests, oldest first.
+  std::deque<std::string> SentValues;
   TimePoint IdleSince;
   /// Maximum time that the connection may stay idle.
   Millis MaxIdleTime{0};
@@ -243,7 +248,8 @@
            std::uint64_t MaxBody);
   asio::awaitable<bool> discardResponse(OpenResponse &Unmatched);
   bool isResponseTo(const Request &Req, const Response &Reply) const;
-  std::shared_ptr<ClientConnection> takeIdle(const Address &Peer);
+  std::shared_ptr<ClientConnection> takeIdle(const Address &Peer,
+                                             std::string_view Value);
   void prune();
 
   const asio::any_io_executor Executor;
@@ -274,17 +280,25 @@
 
 //===--- Connections ------------------------------------------------------===//
 
-std::shared_ptr<ClientConnection> ClientImpl::takeIdle(const Address &Peer) {
+/// Returns an idle connection on which no request with the echoed `Value` was
+/// sent lately; null if there is none.
+std::shared_ptr<ClientConnection> ClientImpl::takeIdle(const Address &Peer,
+                                                       std::string_view Value) {
   const std::map<Address,
                  std::vector<std::shared_ptr<ClientConnection>>>::iterator it =
       IdleConnections.find(Peer);
   if (it == IdleConnections.end())
     return nullptr;
   TimePoint now = monotonicNow();
+  std::vector<std::shared_ptr<ClientConnection>> &idle = it->second;
   // The most recently used connection is the least likely to be closed.
-  while (!it->second.empty()) {
-    std::shared_ptr<ClientConnection> connection = std::move(it->second.back());
-    it->second.pop_back();
+  for (std::size_t i = idle.size(); i-- > 0;) {
+    const std::deque<std::string> &sent = idle[i]->SentValues;
+    if (!Value.empty() &&
+        std::find(sent.begin(), sent.end(), Value) != sent.end())
+      continue;
+    std::shared_ptr<ClientConnection> connection = std::move(idle[i]);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
     if (now - connection->IdleSince <= connection->MaxIdleTime &&
         peek(connection->Socket) == PeerState::NoPendingData)
       return connection;
@@ -375,8 +389,10 @@
   std::string head = writeHead(Req, Peer);
   std::array<asio::const_buffer, 2> data{asio::buffer(head),
                                          asio::buffer(Req.Body)};
+  std::string value(Limits.EchoHeader.empty() ? std::string_view()
+                                              : Req.header(Limits.EchoHeader));
   for (;;) {
-    std::shared_ptr<ClientConnection> connection = takeIdle(Peer);
+    std::shared_ptr<ClientConnection> connection = takeIdle(Peer, value);
     bool reused = connection != nullptr;
     if (!reused) {
       Outcome<std::shared_ptr<ClientConnection>> fresh =
@@ -391,6 +407,10 @@
       co_return makeExpiredFailure(Peer);
     }
     connection->setDeadline(Deadline);
+    if (!value.empty())
+      connection->SentValues.push_back(value);
+    if (connection->SentValues.size() > MaxSentValues)
+      connection->SentValues.pop_front();
     auto [ec, n] =
         co_await asio::async_write(connection->Socket, data, Awaited);
     if (!ec && !connection->TimedOut)
--- a/Wasabi/Adapters/Http/HttpClient.h
+++ b/Wasabi/Adapters/Http/HttpClient.h
@@ -55,7 +55,9 @@
     std::shared_ptr<ResponseMemory> Memory = nullptr;
     /// Name of a request header that responses repeat; empty for none. A
     /// response with another value belongs to an earlier request on the
-    /// connection: it is read and discarded.
+    /// connection: it is read and discarded. A request whose value was sent on
+    /// a connection before goes to another one, where a late second response to
+    /// the earlier request can't be taken for its own.
     std::string EchoHeader;
     /// An idle connection is not reused during this last part of the time that
     /// the peer has announced in `Keep-Alive: timeout`.
