A job is split without a copy of it for each part

Cause: splitJob copied the whole job for each part and cleared the copies' items, whose room stayed reserved. Evidence: the capacities of the parts' items sum up to the square of the job's items.

Change: items are moved into their parts, and replaced by summaries once encoded.

--- a/UnitTests/Batch/BatchRecordTest.cpp
+++ b/UnitTests/Batch/BatchRecordTest.cpp
@@ -198,4 +198,24 @@
   CHECK(std::get<JobPart>(*before).Job.AdmittedUnder == 0);
 }
 
+// Guards against a step of the size that callers may send which takes memory
+// and time with the square of its items.
+TEST_CASE("The parts of a large job hold no room for the items of others",
+          "[batch]") {
+  constexpr std::size_t Items = 1024;
+  BatchJob job = makeJob("a", Items);
+  for (BatchItem &it : job.Items)
+    it.Body = std::string(2000, 'x');
+  std::vector<JobPart> parts = splitJob(job, 6000);
+  CHECK(parts.size() > Items / 4);
+  std::size_t room = 0;
+  std::size_t items = 0;
+  for (const JobPart &it : parts) {
+    room += it.Job.Items.capacity();
+    items += it.Job.Items.size();
+  }
+  CHECK(items == Items);
+  CHECK(room <= 2 * Items);
+}
+
 } // namespace wasabi::batchtest
--- a/Wasabi/Batch/BatchRecord.cpp
+++ b/Wasabi/Batch/BatchRecord.cpp
@@ -8,6 +8,8 @@
 #include <boost/json/value_from.hpp>
 #include <boost/json/value_to.hpp>
 
+#include <utility>
+
 namespace wasabi {
 
 namespace {
@@ -407,20 +409,20 @@
   }
 }
 
-std::vector<JobPart> splitJob(const BatchJob &Job, std::size_t MaxBytes) {
+std::vector<JobPart> splitJob(BatchJob Job, std::size_t MaxBytes) {
+  std::vector<BatchItem> items = std::exchange(Job.Items, {});
   std::vector<JobPart> parts;
   std::size_t bytes = MaxBytes;
-  for (const BatchItem &it : Job.Items) {
+  for (BatchItem &it : items) {
     std::size_t itemBytes = estimateItemBytes(it);
     if (bytes + itemBytes > MaxBytes) {
       JobPart part;
       part.Job = Job;
-      part.Job.Items.clear();
       parts.push_back(std::move(part));
       bytes = 0;
     }
     bytes += itemBytes;
-    parts.back().Job.Items.push_back(it);
+    parts.back().Job.Items.push_back(std::move(it));
   }
   for (std::size_t i = 0; i < parts.size(); ++i) {
     parts[i].PartIndex = static_cast<std::uint32_t>(i);
--- a/Wasabi/Batch/BatchRecord.h
+++ b/Wasabi/Batch/BatchRecord.h
@@ -109,8 +109,8 @@
 inline constexpr std::size_t MaxInlineBytes = 256;
 
 /// Splits a job into parts whose items take about `MaxBytes` each when encoded.
-/// Thread-safe.
-std::vector<JobPart> splitJob(const BatchJob &Job, std::size_t MaxBytes);
+/// Takes time and memory in proportion to the job. Thread-safe.
+std::vector<JobPart> splitJob(BatchJob Job, std::size_t MaxBytes);
 
 /// Encodes items as a payload. Thread-safe.
 std::string encodeItems(const std::vector<BatchItem> &Items);
--- a/Wasabi/Batch/BatchService.cpp
+++ b/Wasabi/Batch/BatchService.cpp
@@ -11,6 +11,15 @@
                  "there is no such job", Millis(0)};
 }
 
+/// Returns the fields of an item that every process needs.
+BatchItem summarize(const BatchItem &Item) {
+  BatchItem summary;
+  summary.Id = Item.Id;
+  summary.Group = Item.Group;
+  summary.ExpectedTokens = Item.ExpectedTokens;
+  return summary;
+}
+
 Failure makeUnavailable(const JobId &Id, const std::string &Reason) {
   constexpr Millis RetryAfter{200};
   return Failure{Verdict::NotRun, FailureCode::Unavailable, "job " + Id.Text,
@@ -76,13 +85,17 @@
 /// Stores the items of a job as payloads and returns the records that submit
 /// it. The job is accepted once all of the records are in the topic.
 asio::awaitable<Outcome<std::vector<std::string>>>
-BatchService::storeItems(const BatchJob &Job) {
+BatchService::storeItems(BatchJob Job) {
   std::vector<JobPart> parts =
-      splitJob(Job, Payloads->settings().MaxRecordBytes);
+      splitJob(std::move(Job), Payloads->settings().MaxRecordBytes);
   std::vector<std::string> items;
   items.reserve(parts.size());
-  for (const JobPart &it : parts)
+  for (JobPart &it : parts) {
     items.push_back(encodeItems(it.Job.Items));
+    // The records hold only a summary of the items.
+    for (BatchItem &item : it.Job.Items)
+      item = summarize(item);
+  }
   Outcome<std::vector<PayloadLocation>> locations =
       co_await Payloads->put(items);
   // Storing the items twice is harmless, so a failed append is retried once.
@@ -103,19 +116,23 @@
   std::shared_ptr<BatchService> self = shared_from_this();
   Log->demand();
   JobId id = Job.Id;
+  ModelName model = Job.Model;
+  std::uint64_t step = Job.Step;
+  std::size_t items = Job.Items.size();
   auto isVisible = [this, id] { return findJob(Log->fold(), id) != nullptr; };
   JobRequestStatus status = JobRequestStatus::Accepted;
   if (isStoreUnreachable() && !isVisible())
     status = JobRequestStatus::Refused;
   else if (!isVisible()) {
-    Outcome<std::vector<std::string>> records = co_await storeItems(Job);
+    Outcome<std::vector<std::string>> records =
+        co_await storeItems(std::move(Job));
     status = records ? co_await appendAndConfirm(std::move(*records), isVisible)
                      : JobRequestStatus::Refused;
   }
   Decisions->line("job.submitted", {{"job", id.Text},
-                                    {"model", Job.Model.Text},
-                                    {"step", std::to_string(Job.Step)},
-                                    {"items", std::to_string(Job.Items.size())},
+                                    {"model", model.Text},
+                                    {"step", std::to_string(step)},
+                                    {"items", std::to_string(items)},
                                     {"verdict", std::string(toText(status))}});
   co_return status;
 }
--- a/Wasabi/Batch/BatchService.h
+++ b/Wasabi/Batch/BatchService.h
@@ -95,7 +95,7 @@
 private:
   BatchService(Parts Components, Settings Limits);
   boost::asio::awaitable<Outcome<std::vector<std::string>>>
-  storeItems(const BatchJob &Job);
+  storeItems(BatchJob Job);
   TimePoint computeAnswerDeadline(const JobState &Job, std::size_t After,
                                   TimePoint ArrivedAt, Millis MaxWait) const;
   boost::asio::awaitable<void> awaitResults(std::shared_ptr<JobState> Job,
