--- a/UnitTests/Adapters/Http/RepeatedRequestTest.cpp
+++ b/UnitTests/Adapters/Http/RepeatedRequestTest.cpp
@@ -41,8 +41,8 @@
     CHECK(server.Connections == 2);
     // Other requests use the connections that are open.
     Request other = makeRequest("b");
-    Outcome<Response> third = co_await fixture.TestClient->call(
-        server.address(), other, Millis(200));
+    Outcome<Response> third =
+        co_await fixture.TestClient->call(server.address(), other, Millis(200));
     CHECK(server.Connections == 2);
   });
 }
--- a/UnitTests/Adapters/Http/WithdrawnRequestTest.cpp
+++ b/UnitTests/Adapters/Http/WithdrawnRequestTest.cpp
@@ -7,7 +7,8 @@
 
 namespace asio = boost::asio;
 
-// Guards against a request that the kernel still delivers after it was given up.
+// Guards against a request that the kernel still delivers after it was given
+// up.
 TEST_CASE("A request that is given up is withdrawn by a reset", "[http]") {
   HttpFixture fixture;
   RawServer server{fixture.Context};
