Soak: faults that may leave a lasting state, several models, owed items

Afterwards each model is served, and the items of jobs that were not done come again and are done; no item is terminated while no server fails one.

The client tests use one raw server, without coroutines. The work of a service's models is summed by job and route.

--- a/IntegrationTests/Cases/CrashingRequestTest.cpp
+++ b/IntegrationTests/Cases/CrashingRequestTest.cpp
@@ -21,7 +21,7 @@
 /// request was in flight on the server each time.
 constexpr int MaxCrashes = 4;
 constexpr std::size_t Processes = 3;
-constexpr PlatformFixtureSettings Shape{Processes, 3, 4, false};
+const PlatformFixtureSettings Shape{Processes, 3, 4, false};
 
 std::string collectOutput(PlatformFixture &Fixture) {
   std::string all;
--- a/IntegrationTests/Cases/SoakTest.cpp
+++ b/IntegrationTests/Cases/SoakTest.cpp
@@ -428,4 +428,17 @@
   CHECK(end.Output.find(" whole_jobs=0 ") == std::string::npos);
 }
 
+// Guards against states that nothing ends: a follower that lags alone, models
+// without an engine, sound items after crash loops, responses without end.
+TEST_CASE("A short soak of lasting states has no violations", "[soak]") {
+  std::string seed = GENERATE("3001", "3003");
+  SoakEnd end = runSoak({"--seed=" + seed, "--seconds=10", "--states",
+                         "--models=4", "--trainers=4"});
+  INFO(end.Output);
+  CHECK(end.Code == 0);
+  CHECK(end.Output.find("soak: seed=" + seed + " broken=0") !=
+        std::string::npos);
+  CHECK(end.Output.find(" whole_jobs=0 ") == std::string::npos);
+}
+
 } // namespace wasabi::soak
--- a/IntegrationTests/Platform/PlatformFixture.cpp
+++ b/IntegrationTests/Platform/PlatformFixture.cpp
@@ -22,7 +22,6 @@
 
 namespace {
 
-constexpr const char *Model = "model";
 constexpr Millis WaitTimeout{30000};
 constexpr unsigned Ok = 200;
 constexpr unsigned NotFound = 404;
@@ -90,7 +89,8 @@
   for (std::size_t i = 1; i <= Settings.Engines; ++i) {
     Engines.push_back(std::make_unique<PlatformServer>(
         Context, "i-engine-" + std::to_string(i)));
-    Engines.back()->Models[Model] = 1;
+    for (const std::string &model : Settings.Models)
+      Engines.back()->Models[model] = 1;
   }
   for (std::size_t i = 1; i <= Settings.Desks; ++i)
     PlainServers.push_back(std::make_unique<PlatformServer>(
@@ -253,8 +253,13 @@
       makeRoute("/desk/", "idempotent", "desk"),
       makeRoute("/once/", "non_idempotent", "desk"),
       makeRoute(fmt::format("/desk-{}/", Version), "idempotent", "desk")};
-  json::object engine{{"slots", 4},
-                      {"models", json::array{json::object{{"name", Model}}}}};
+  for (std::uint64_t i = 1; i <= Version; ++i)
+    routes.push_back(
+        makeRoute(fmt::format("/rollout-{}/", i), "rollout", "llm"));
+  json::array models;
+  for (const std::string &it : Settings.Models)
+    models.push_back(json::object{{"name", it}});
+  json::object engine{{"slots", 4}, {"models", models}};
   json::array services{json::object{{"name", "llm"}, {"engine", engine}},
                        json::object{{"name", "desk"}}};
   json::object config{
@@ -281,11 +286,12 @@
 }
 
 void PlatformFixture::nameVersion(std::uint64_t Version) {
-  std::string text =
-      json::serialize(json::object{{"model", Model}, {"version", Version}});
-  runOnPlatformThread([this, text] {
-    Store->write("keyed.op", std::string("version/") + Model, text);
-  });
+  for (const std::string &it : Settings.Models) {
+    std::string text =
+        json::serialize(json::object{{"model", it}, {"version", Version}});
+    runOnPlatformThread(
+        [&] { Store->write("keyed.op", "version/" + it, text); });
+  }
 }
 
 bool PlatformFixture::ready(std::size_t Index) {
@@ -364,7 +370,7 @@
 
 std::string makeJobBody(const std::string &Job,
                         const std::vector<std::string> &Items,
-                        std::uint64_t MinVersion) {
+                        std::uint64_t MinVersion, const std::string &Model) {
   json::array items;
   for (std::size_t i = 0; i < Items.size(); ++i) {
     const std::string &id = Items[i];
--- a/IntegrationTests/Platform/PlatformFixture.h
+++ b/IntegrationTests/Platform/PlatformFixture.h
@@ -24,10 +24,14 @@
 
 namespace wasabi::test {
 
+/// Model of all jobs, unless another one is given.
+inline constexpr const char *DefaultModel = "model";
+
 /// Builds a submission of scored items, two in a group, as a trainer sends it.
 std::string makeJobBody(const std::string &Job,
                         const std::vector<std::string> &Items,
-                        std::uint64_t MinVersion);
+                        std::uint64_t MinVersion,
+                        const std::string &Model = DefaultModel);
 
 /// A customer in a configuration.
 struct ConfiguredCustomer {
@@ -49,6 +53,8 @@
   unsigned ReportDueSeconds = 12;
   /// Customers of the first configuration.
   std::vector<ConfiguredCustomer> Customers = {};
+  /// Models that all engines hold.
+  std::vector<std::string> Models = {DefaultModel};
 };
 
 /// An edge process and its addresses.
@@ -128,7 +134,8 @@
   void registerServer(std::size_t Index, bool Draining);
   void unregisterServer(const std::string &Id);
   /// Publishes a configuration. The plain service is also routed at
-  /// `/desk-VERSION/`. If there are `Customers`, all routes but `/open/`
+  /// `/desk-VERSION/`, and jobs at `/rollout-V/` for each version up to this
+  /// one. If there are `Customers`, all routes but `/open/`
   /// require a key.
   void configure(std::uint64_t Version);
   /// Customers of the configurations published from now on.
--- a/IntegrationTests/Platform/PlatformStore.cpp
+++ b/IntegrationTests/Platform/PlatformStore.cpp
@@ -161,6 +161,13 @@
                     std::shared_ptr<http::Responder> Responder) {
   Topic &topic = Topics[Request.query("topic")];
   std::size_t from = queryNumber(Request, "from");
+  if (queryNumber(Request, "wait_ms") > 0 &&
+      LosesReadOf == Request.query("topic")) {
+    constexpr Millis HangTime{60000};
+    LosesReadOf.clear();
+    co_await pauseFor(Context.get_executor(), HangTime);
+    co_return;
+  }
   TimePoint until = monotonicNow() + Millis(queryNumber(Request, "wait_ms"));
   while (from >= topic.First && topic.Records.size() <= from &&
          monotonicNow() < until && !Responder->gone())
--- a/IntegrationTests/Platform/PlatformStore.h
+++ b/IntegrationTests/Platform/PlatformStore.h
@@ -49,6 +49,12 @@
   /// key stays readable.
   void compact(const std::string &TopicName);
 
+  /// Leaves the next read of a topic that waits for records without an answer,
+  /// as on a connection that has gone silent.
+  void loseNextWaitingRead(const std::string &TopicName) {
+    LosesReadOf = TopicName;
+  }
+
   /// Returns all records that the system has written, concatenated.
   std::string content() const;
 
@@ -80,6 +86,8 @@
   boost::asio::io_context &Context;
   std::map<std::string, Topic> Topics;
   StoreBehavior Behavior = StoreBehavior::Normal;
+  /// See `loseNextWaitingRead`; empty for none.
+  std::string LosesReadOf;
   AsyncSignal Appended;
   std::shared_ptr<http::Server> HttpServer;
 };
--- a/IntegrationTests/Soak/Main.cpp
+++ b/IntegrationTests/Soak/Main.cpp
@@ -22,6 +22,8 @@
 DEFINE_uint32(trainers, 2, "trainers at once");
 DEFINE_uint32(crashing, 0, "callers whose request crashes servers");
 DEFINE_uint32(customers, 0, "customers, whose usage is reported");
+DEFINE_uint32(models, 1, "models, trained in turn by the trainers");
+DEFINE_bool(states, false, "add faults that may leave a lasting state");
 DEFINE_bool(plan_only, false, "print the plan of the seed and exit");
 DEFINE_bool(keep, false, "keep the logs of a good run too");
 
@@ -55,6 +57,9 @@
   if (FLAGS_customers > 0)
     wasabi::soak::addCustomerFaults(plan, Seed,
                                     std::chrono::seconds(FLAGS_seconds));
+  if (FLAGS_states)
+    wasabi::soak::addStateFaults(plan, Seed,
+                                 std::chrono::seconds(FLAGS_seconds));
   if (FLAGS_plan_only) {
     std::cout << wasabi::soak::describe(plan);
     return true;
@@ -66,6 +71,7 @@
   size.Trainers = FLAGS_trainers;
   size.CrashingCallers = FLAGS_crashing;
   size.Customers = FLAGS_customers;
+  size.Models = FLAGS_models;
   wasabi::soak::SoakResult got =
       wasabi::soak::runSoakTest(size, Seed, plan, FLAGS_keep);
   if (!got.Violations.empty())
--- a/IntegrationTests/Soak/SoakClients.cpp
+++ b/IntegrationTests/Soak/SoakClients.cpp
@@ -4,6 +4,7 @@
 #include "IntegrationTests/Soak/SoakCustomers.h"
 #include "Wasabi/Core/AsyncSignal.h"
 
+#include <boost/algorithm/string/replace.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/json/parse.hpp>
@@ -308,7 +309,9 @@
     // Engines may still be loading the newest version.
     std::uint64_t named = LatestNamedVersion;
     job.MinVersion = named > 1 ? named - 1 : 1;
-    std::string body = test::makeJobBody(job.Id, job.Items, job.MinVersion);
+    job.Model = Setup.Models[Number % Setup.Models.size()];
+    std::string body =
+        test::makeJobBody(job.Id, job.Items, job.MinVersion, job.Model);
     std::size_t index = Record.Jobs.size();
     Record.Jobs.push_back(std::move(job));
     if (!co_await submitJob(index, std::move(body)))
@@ -323,10 +326,15 @@
                                                std::string Body) {
   constexpr Millis RetryDelay{150};
   TimePoint until = monotonicNow() + Setup.JobTimeout;
+  std::string prefix = "/rollout/";
+  if (Setup.UsesNewRoutes && randomBelow(2) == 0)
+    prefix = "/rollout-" + std::to_string(LatestConfigVersion) + "/";
+  // Items are run as requests to the route of their job.
+  boost::algorithm::replace_all(Body, "\"/rollout/", "\"" + prefix);
   while (monotonicNow() < until) {
     const std::string id = Record.Jobs[Job].Id;
     http::Request request =
-        makeJobRequest(Record.Jobs[Job], "POST", "/rollout/" + id);
+        makeJobRequest(Record.Jobs[Job], "POST", prefix + id);
     request.Body = Body;
     Outcome<http::Response> got =
         co_await Client->call(Edges[pickEdge()].Callers, std::move(request),
@@ -407,6 +415,8 @@
       job.Errors.push_back("position " + std::to_string(position) + " changed");
     if (fresh) {
       std::string error = findResultError(job, it);
+      if (it.at("state") == "terminated")
+        job.Terminated.push_back(json::value_to<std::string>(it.at("id")));
       if (!error.empty())
         job.Errors.push_back(error);
     }
--- a/IntegrationTests/Soak/SoakClients.h
+++ b/IntegrationTests/Soak/SoakClients.h
@@ -35,6 +35,10 @@
     /// Number of customers of the callers and trainers; 0 for none.
     std::size_t Customers = 0;
     std::size_t ItemsPerJob = 8;
+    /// Models that the trainers train in turn.
+    std::vector<std::string> Models = {"model"};
+    /// True if some jobs are submitted on the newest route.
+    bool UsesNewRoutes = false;
     /// Deadline that a caller sends and waits for.
     Millis Deadline{2000};
     /// Time limit for each phase of a job (submit, read, end).
--- a/IntegrationTests/Soak/SoakInjector.cpp
+++ b/IntegrationTests/Soak/SoakInjector.cpp
@@ -45,7 +45,8 @@
   recordStoreOutage(Step, now);
   if (injectPlannedWork(Step) || injectProcessFault(Step) ||
       injectStoreFault(Step) || injectLinkFault(Step) || injectKeyFault(Step) ||
-      injectReporterFault(Step) || injectReportFault(Step))
+      injectReporterFault(Step) || injectReportFault(Step) ||
+      injectStateFault(Step))
     return;
   injectServerFault(Step);
 }
@@ -487,6 +488,36 @@
   }
 }
 
+bool SoakInjector::injectStateFault(const ScheduledFault &Step) {
+  constexpr int CrashesPerLoop = 4;
+  constexpr Millis CrashInterval{600};
+  constexpr Millis CrashDownTime{200};
+  std::size_t index = Step.Target % World.servers();
+  switch (Step.Kind) {
+  case SoakFault::ConfigurationReadLost:
+    World.runOnPlatformThread(
+        [&] { World.store().loseNextWaitingRead("keyed.op"); });
+    return true;
+  case SoakFault::EngineCrashLoop:
+    for (int i = 0; i < CrashesPerLoop; ++i)
+      scheduleAction(i * CrashInterval, [this, CrashDownTime] {
+        for (std::size_t j = 0; j < World.size().Engines; ++j)
+          crashServer(j, CrashDownTime);
+      });
+    return true;
+  case SoakFault::ServerAnswersWithoutEnd:
+    World.runOnPlatformThread(
+        [&] { World.server(index).AnswersWithoutEnd = true; });
+    scheduleAction(Step.Duration, [this, index] {
+      World.runOnPlatformThread(
+          [&] { World.server(index).AnswersWithoutEnd = false; });
+    });
+    return true;
+  default:
+    return false;
+  }
+}
+
 void SoakInjector::crashServer(std::size_t Index, Millis Down) {
   if (!UnavailableServers.insert(Index).second)
     return;
--- a/IntegrationTests/Soak/SoakObservations.h
+++ b/IntegrationTests/Soak/SoakObservations.h
@@ -61,7 +61,10 @@
   std::string Customer;
   std::size_t CustomerNumber = 0;
   std::vector<std::string> Items;
+  std::string Model;
   std::uint64_t MinVersion = 0;
+  /// Items that were listed as terminated.
+  std::vector<std::string> Terminated;
   /// True if a submission was accepted, and the time of the acceptance.
   bool Accepted = false;
   TimePoint AcceptedAt;
--- a/IntegrationTests/Soak/SoakPlan.cpp
+++ b/IntegrationTests/Soak/SoakPlan.cpp
@@ -56,7 +56,10 @@
                                                     "reports-lose-answers",
                                                     "reports-silent",
                                                     "report-link-silent",
-                                                    "report-link-delays"};
+                                                    "report-link-delays",
+                                                    "config-read-lost",
+                                                    "engine-crash-loop",
+                                                    "server-endless"};
 
 /// Number of kinds in every plan. It must not change, so that a seed keeps its
 /// plan.
@@ -151,6 +154,34 @@
   return plan;
 }
 
+void addStateFaults(std::vector<ScheduledFault> &Plan, std::uint64_t Seed,
+                    Millis Length) {
+  constexpr std::uint64_t SeedOffset = 7919;
+  constexpr std::int64_t LongestMs = 2500;
+  RandomSource from{std::mt19937_64(Seed + SeedOffset)};
+  auto first = static_cast<std::int64_t>(SoakFault::ConfigurationReadLost);
+  auto last = static_cast<std::int64_t>(SoakFault::ServerAnswersWithoutEnd);
+  for (Millis at(from.between(500, 1500)); at + Millis(LongestMs) < Length;
+       at += Millis(from.between(700, 2500))) {
+    ScheduledFault step;
+    step.At = at;
+    step.Kind = static_cast<SoakFault>(from.between(first, last));
+    step.Target = static_cast<std::uint32_t>(from.between(0, 1000));
+    step.Duration = Millis(from.between(300, LongestMs));
+    Plan.push_back(step);
+    // A route that the follower has not read is used at once.
+    if (step.Kind != SoakFault::ConfigurationReadLost)
+      continue;
+    step.Kind = SoakFault::Configure;
+    step.At += Millis(from.between(50, 700));
+    Plan.push_back(step);
+  }
+  std::stable_sort(Plan.begin(), Plan.end(),
+                   [](const ScheduledFault &L, const ScheduledFault &R) {
+                     return L.At < R.At;
+                   });
+}
+
 std::string describe(const std::vector<ScheduledFault> &Plan) {
   std::string text;
   for (const ScheduledFault &it : Plan)
--- a/IntegrationTests/Soak/SoakPlan.h
+++ b/IntegrationTests/Soak/SoakPlan.h
@@ -67,6 +67,12 @@
   ReportsSilent,
   ReportLinkSilent,
   ReportLinkDelays,
+  // For soak tests of states that outlast their cause only.
+  /// One follower of the configuration lags alone.
+  ConfigurationReadLost,
+  /// All engines crash several times, whatever they run.
+  EngineCrashLoop,
+  ServerAnswersWithoutEnd,
   Count,
 };
 
@@ -93,6 +99,11 @@
 /// guarantees apply. Pure.
 std::vector<ScheduledFault> makeSoakPlan(std::uint64_t Seed, Millis Length);
 
+/// Adds faults after which a state may be left that nothing ends, drawn from
+/// the seed, to a plan.
+void addStateFaults(std::vector<ScheduledFault> &Plan, std::uint64_t Seed,
+                    Millis Length);
+
 /// Returns one line per step. Pure.
 std::string describe(const std::vector<ScheduledFault> &Plan);
 
--- a/IntegrationTests/Soak/SoakRun.cpp
+++ b/IntegrationTests/Soak/SoakRun.cpp
@@ -79,6 +79,53 @@
   return World.waitForResults(World.edges() - 1, Job, Items);
 }
 
+/// Checks that each model is served after the last fault, and the items of
+/// earlier jobs that were not done: they come again under the same ids.
+void checkOwedItems(test::PlatformFixture &World, const SoakObservations &Seen,
+                    std::vector<std::string> &Violations) {
+  constexpr std::size_t MaxItems = 16;
+  for (const std::string &model : World.size().Models) {
+    std::vector<std::string> items{"owed-" + model};
+    for (const JobRecord &job : Seen.Jobs) {
+      bool isDone = !job.Accepted || job.Model != model ||
+                    job.ReadResults.size() == job.Items.size();
+      if (!isDone && items.size() < MaxItems)
+        items.insert(items.end(), job.Items.begin(), job.Items.end());
+    }
+    std::string id = "again-" + model;
+    std::string body = test::makeJobBody(id, items, 1, model);
+    auto submitted = [&] {
+      http::Request request;
+      request.Method = "POST";
+      request.Target = "/rollout/" + id;
+      request.Headers = {{"Host", "host.example"},
+                         {"Wasabisail-Request-Id", id}};
+      request.Body = body;
+      return World.send(0, std::move(request)).Status == Accepted;
+    };
+    if (!harness::waitUntil(submitted, RecoveryTimeout) ||
+        !World.waitForResults(0, id, items.size()))
+      Violations.push_back(std::to_string(items.size()) + " items of " + model +
+                           " are not done after the last fault");
+  }
+}
+
+/// Checks that no item was terminated although no server failed any.
+void checkTerminated(const SoakObservations &Seen,
+                     const std::vector<ScheduledFault> &Plan,
+                     std::vector<std::string> &Violations) {
+  bool mayFail =
+      std::any_of(Plan.begin(), Plan.end(), [](const ScheduledFault &It) {
+        return It.Kind == SoakFault::ServerFails;
+      });
+  for (const JobRecord &job : Seen.Jobs) {
+    for (const std::string &it : job.Terminated) {
+      if (!mayFail)
+        Violations.push_back(it + " was terminated");
+    }
+  }
+}
+
 /// Checks that no edge process has ended by itself. Call it after the last
 /// fault, when all of them should run.
 void checkEdgesRun(test::PlatformFixture &World,
@@ -161,6 +208,8 @@
   settings.Reports = Size.Customers > 0;
   if (Size.Customers > 0)
     settings.Customers = makeSoakCustomers(Size.Customers, {});
+  for (std::size_t i = 1; i < Size.Models; ++i)
+    settings.Models.push_back("model-" + std::to_string(i));
   test::PlatformFixture world(settings);
   if (Size.Customers > 0)
     world.setCustomerKey(HarnessKey);
@@ -177,6 +226,11 @@
   setup.Trainers = Size.Trainers;
   setup.CrashingCallers = Size.CrashingCallers;
   setup.Customers = Size.Customers;
+  setup.Models = settings.Models;
+  setup.UsesNewRoutes =
+      std::any_of(Plan.begin(), Plan.end(), [](const ScheduledFault &It) {
+        return It.Kind == SoakFault::ConfigurationReadLost;
+      });
   if (Size.CrashingCallers > 0)
     world.setCrashMarker(CrashPathPrefix);
   setup.ExpectedEventCount = [&world](const std::string &Item) {
@@ -204,6 +258,9 @@
   result.Violations.insert(result.Violations.end(), violations.begin(),
                            violations.end());
   checkAcceptedJobs(world, seen, result.Violations);
+  checkTerminated(seen, Plan, result.Violations);
+  if (Size.Customers == 0)
+    checkOwedItems(world, seen, result.Violations);
   for (const ClientRequestRecord &it : seen.Requests) {
     bool innocent = it.Kind != ClientRequestKind::Crashing;
     result.Served += it.Status == Ok ? 1 : 0;
--- a/IntegrationTests/Soak/SoakRun.h
+++ b/IntegrationTests/Soak/SoakRun.h
@@ -29,6 +29,8 @@
   std::size_t CrashingCallers = 0;
   /// Number of customers whose usage is reported; 0 for none.
   std::size_t Customers = 0;
+  /// Number of models, trained in turn by the trainers.
+  std::size_t Models = 1;
 };
 
 /// Result of a soak test.
@@ -79,6 +81,7 @@
   bool injectStoreFault(const ScheduledFault &Step);
   bool injectLinkFault(const ScheduledFault &Step);
   void injectServerFault(const ScheduledFault &Step);
+  bool injectStateFault(const ScheduledFault &Step);
   bool injectKeyFault(const ScheduledFault &Step);
   bool injectReporterFault(const ScheduledFault &Step);
   bool injectReportFault(const ScheduledFault &Step);
--- a/UnitTests/Adapters/Http/EndlessResponseTest.cpp
+++ b/UnitTests/Adapters/Http/EndlessResponseTest.cpp
@@ -1,5 +1,5 @@
 /// Tests of a client whose server sends bytes without end.
-#include "UnitTests/Adapters/Http/HttpFixture.h"
+#include "UnitTests/Adapters/Http/RawServer.h"
 
 #include "Wasabi/Core/AsyncSignal.h"
 
@@ -12,55 +12,12 @@
 namespace {
 
 namespace asio = boost::asio;
-using Tcp = asio::ip::tcp;
 
 constexpr std::uint64_t MemoryLimit = 4u << 20;
 /// Bytes that a response may hold beyond what is counted: a read.
 constexpr std::uint64_t ReadSlack = 64u << 10;
 constexpr Millis LongTimeout{15000};
 
-/// A server that sends a head, and then the same bytes until the client closes.
-struct EndlessServer {
-  asio::io_context &Context;
-  std::string Head;
-  std::string Repeated;
-  /// Pause between two writes.
-  Millis Pause{0};
-  Tcp::acceptor Acceptor{Context, Tcp::endpoint(Tcp::v4(), 0)};
-  std::size_t Closed = 0;
-
-  Address address() const {
-    return Address{"127.0.0.1", Acceptor.local_endpoint().port()};
-  }
-
-  asio::awaitable<void> acceptAll() {
-    for (;;) {
-      auto [ec, socket] =
-          co_await Acceptor.async_accept(asio::as_tuple(asio::use_awaitable));
-      if (ec)
-        co_return;
-      asio::co_spawn(Context, serve(std::move(socket)), asio::detached);
-    }
-  }
-
-  asio::awaitable<void> serve(Tcp::socket Socket) {
-    std::array<char, 4096> buf{};
-    co_await Socket.async_read_some(asio::buffer(buf),
-                                    asio::as_tuple(asio::use_awaitable));
-    std::string text = Head;
-    for (;;) {
-      auto [ec, n] = co_await asio::async_write(
-          Socket, asio::buffer(text), asio::as_tuple(asio::use_awaitable));
-      if (ec)
-        break;
-      text = Repeated;
-      if (Pause > Millis(0))
-        co_await pauseFor(Context.get_executor(), Pause);
-    }
-    ++Closed;
-  }
-};
-
 /// Returns a chunk of the chunked transfer encoding.
 std::string makeChunk(std::size_t Bytes) {
   std::array<char, 16> size{};
@@ -72,21 +29,20 @@
   std::vector<ResponseAbort> Aborts;
   std::shared_ptr<ResponseMemory> Memory = ResponseMemory::create(
       {MemoryLimit, [this](const ResponseAbort &It) { Aborts.push_back(It); }});
-  EndlessServer Endless{Context, {}, {}};
+  RawServer Endless{Context};
+  /// The bytes that precede `Endless.Repeated`.
+  std::string Head;
 
   EndlessFixture() {
     Client::Settings settings;
     settings.Memory = Memory;
     settings.EchoHeader = "Request-Id";
     TestClient = Client::create(Context.get_executor(), settings);
-    asio::co_spawn(Context, Endless.acceptAll(), asio::detached);
+    Endless.OnRequest = [this](std::size_t) { return Head; };
   }
 
   asio::awaitable<Outcome<Response>> callEndless(Millis Timeout) {
-    Request request;
-    request.Method = "GET";
-    request.Target = "/";
-    request.Headers.push_back({"Request-Id", "own"});
+    Request request = makeRequest("own");
     co_return co_await TestClient->call(Endless.address(), std::move(request),
                                         Timeout);
   }
@@ -101,38 +57,38 @@
 // request until its time has passed, by bytes that have no end.
 TEST_CASE("A response without end fails before its time limit", "[http]") {
   EndlessFixture fixture;
-  EndlessServer &server = fixture.Endless;
+  RawServer &server = fixture.Endless;
   SECTION("A head") {
-    server.Head = "HTTP/1.1 200 OK\r\n";
+    fixture.Head = "HTTP/1.1 200 OK\r\n";
     server.Repeated = "Name: " + std::string(1000, 'x') + "\r\n";
   }
   SECTION("Interim responses") {
-    server.Head = "HTTP/1.1 100 Continue\r\n\r\n";
-    server.Repeated = server.Head;
+    fixture.Head = "HTTP/1.1 100 Continue\r\n\r\n";
+    server.Repeated = fixture.Head;
   }
   SECTION("A chunked body") {
-    server.Head = ChunkedHead;
+    fixture.Head = ChunkedHead;
     server.Repeated = makeChunk(10000);
   }
   SECTION("A body until the end of the connection") {
-    server.Head = "HTTP/1.1 200 OK\r\n\r\n";
+    fixture.Head = "HTTP/1.1 200 OK\r\n\r\n";
     server.Repeated = std::string(10000, 'x');
   }
   SECTION("A body whose length is beyond the limit") {
-    server.Head = "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n";
+    fixture.Head = "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n";
     server.Repeated = std::string(10000, 'x');
   }
   SECTION("A chunked response to another request") {
-    server.Head = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
-                  "Transfer-Encoding: chunked\r\n\r\n";
+    fixture.Head = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
+                   "Transfer-Encoding: chunked\r\n\r\n";
     server.Repeated = makeChunk(10000);
   }
   SECTION("A response to another request until the connection ends") {
-    server.Head = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n";
+    fixture.Head = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n";
     server.Repeated = std::string(10000, 'x');
   }
   SECTION("Bytes that are no response") {
-    server.Head = "x";
+    fixture.Head = "x";
     server.Repeated = std::string(10000, 'x');
   }
   fixture.run([&]() -> asio::awaitable<void> {
@@ -141,7 +97,7 @@
     CHECK(got.failure().Run == Verdict::MayHaveRun);
     CHECK(got.failure().Code != FailureCode::TimedOut);
     // The connection is closed.
-    while (server.Closed == 0)
+    while (server.Ends.empty())
       co_await pauseFor(fixture.Context.get_executor(), Millis(1));
     CHECK(fixture.Memory->heldBytes() == 0);
   });
@@ -151,14 +107,14 @@
 // limit.
 TEST_CASE("A slow response without end fails at its time limit", "[http]") {
   EndlessFixture fixture;
-  EndlessServer &server = fixture.Endless;
+  RawServer &server = fixture.Endless;
   server.Pause = Millis(20);
   SECTION("A head") {
-    server.Head = "HTTP/1.1 200 OK\r\n";
+    fixture.Head = "HTTP/1.1 200 OK\r\n";
     server.Repeated = "Name: x\r\n";
   }
   SECTION("A chunked body") {
-    server.Head = ChunkedHead;
+    fixture.Head = ChunkedHead;
     server.Repeated = makeChunk(10);
   }
   fixture.run([&]() -> asio::awaitable<void> {
@@ -167,7 +123,7 @@
     REQUIRE_FALSE(got);
     CHECK(got.failure().Code == FailureCode::TimedOut);
     CHECK(monotonicNow() - start < Millis(3000));
-    while (server.Closed == 0)
+    while (server.Ends.empty())
       co_await pauseFor(fixture.Context.get_executor(), Millis(1));
   });
 }
@@ -178,7 +134,7 @@
           "[http]") {
   constexpr int Calls = 20;
   EndlessFixture fixture;
-  fixture.Endless.Head = ChunkedHead;
+  fixture.Head = ChunkedHead;
   fixture.Endless.Repeated = makeChunk(50000);
   fixture.serve([](const Request &,
                    std::shared_ptr<Responder> Reply) -> asio::awaitable<void> {
--- a/UnitTests/Adapters/Http/RawServer.h
+++ b/UnitTests/Adapters/Http/RawServer.h
@@ -1,66 +1,105 @@
 /// \file
-/// A server on raw sockets, for tests of what a client sends on which
-/// connection.
+/// A server on raw sockets that sends given bytes, for tests of a client.
 #ifndef WASABI_UNITTESTS_ADAPTERS_HTTP_RAWSERVER_H
 #define WASABI_UNITTESTS_ADAPTERS_HTTP_RAWSERVER_H
 
 #include "UnitTests/Adapters/Http/HttpFixture.h"
 
-#include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
 
-#include <array>
+#include <vector>
 
 namespace wasabi::http {
 
-/// A server on raw sockets.
-struct RawServer {
-  boost::asio::io_context &Context;
-  boost::asio::ip::tcp::acceptor Acceptor{
-      Context, boost::asio::ip::tcp::endpoint(boost::asio::ip::tcp::v4(), 0)};
-  std::size_t Connections = 0;
+/// Accepts connections while it exists. Used on the context's thread only;
+/// outlives the run of the context.
+class RawServer {
+public:
+  explicit RawServer(boost::asio::io_context &Context)
+      : Context(Context),
+        Acceptor(Context, {boost::asio::ip::address_v4::loopback(), 0}) {
+    accept();
+  }
 
   Address address() const {
     return Address{"127.0.0.1", Acceptor.local_endpoint().port()};
   }
 
-  /// Calls `Serve` for each connection.
-  void start(std::function<boost::asio::awaitable<void>(RawSocket)> Serve) {
-    boost::asio::co_spawn(Context, acceptAll(std::move(Serve)),
-                          boost::asio::detached);
-  }
+  /// Returns the bytes to send when the given connection, counted from 1, has
+  /// received the head of a request.
+  std::function<std::string(std::size_t)> OnRequest;
+  /// Bytes that follow these without end; empty for none.
+  std::string Repeated;
+  /// Pause before each repetition.
+  Millis Pause{0};
+  std::size_t Connections = 0;
+  /// Errors that have ended connections.
+  std::vector<boost::system::error_code> Ends;
+
+private:
+  struct Session : std::enable_shared_from_this<Session> {
+    Session(RawServer &Owner, RawSocket Socket, std::size_t Number)
+        : Owner(Owner), Socket(std::move(Socket)), Number(Number),
+          Timer(Owner.Context) {}
 
-  boost::asio::awaitable<void>
-  acceptAll(std::function<boost::asio::awaitable<void>(RawSocket)> Serve) {
-    for (;;) {
-      auto [ec, socket] = co_await Acceptor.async_accept(
-          boost::asio::as_tuple(boost::asio::use_awaitable));
-      if (ec)
-        co_return;
-      ++Connections;
-      boost::asio::co_spawn(Context, Serve(std::move(socket)),
-                            boost::asio::detached);
+    void readRequest() {
+      boost::asio::async_read_until(
+          Socket, boost::asio::dynamic_buffer(Received), "\r\n\r\n",
+          [self = shared_from_this()](boost::system::error_code Failed,
+                                      std::size_t Size) {
+            if (Failed)
+              return self->Owner.Ends.push_back(Failed);
+            self->Received.erase(0, Size);
+            self->send(self->Owner.OnRequest(self->Number));
+          });
     }
-  }
 
-  /// Reads a request without a body; returns false at the end of the
-  /// connection.
-  static boost::asio::awaitable<bool>
-  readRequest(RawSocket &Socket, boost::system::error_code &Ended) {
-    std::string text;
-    while (text.find("\r\n\r\n") == std::string::npos) {
-      std::array<char, 4096> buf{};
-      auto [ec, n] = co_await Socket.async_read_some(
-          boost::asio::buffer(buf),
-          boost::asio::as_tuple(boost::asio::use_awaitable));
-      Ended = ec;
-      if (ec)
-        co_return false;
-      text.append(buf.data(), n);
+    void send(std::string Text) {
+      Sending = std::move(Text);
+      boost::asio::async_write(
+          Socket, boost::asio::buffer(Sending),
+          [self = shared_from_this()](boost::system::error_code Failed,
+                                      std::size_t) {
+            if (Failed)
+              self->Owner.Ends.push_back(Failed);
+            else if (self->Owner.Repeated.empty())
+              self->readRequest();
+            else
+              self->repeat();
+          });
     }
-    co_return true;
+
+    void repeat() {
+      Timer.expires_after(Owner.Pause);
+      Timer.async_wait([self = shared_from_this()](boost::system::error_code) {
+        self->send(self->Owner.Repeated);
+      });
+    }
+
+    RawServer &Owner;
+    RawSocket Socket;
+    const std::size_t Number;
+    BootTimer Timer;
+    std::string Received;
+    std::string Sending;
+  };
+
+  void accept() {
+    Acceptor.async_accept(
+        [this](boost::system::error_code Failed, RawSocket Accepted) {
+          if (Failed)
+            return;
+          std::make_shared<Session>(*this, std::move(Accepted), ++Connections)
+              ->readRequest();
+          accept();
+        });
   }
+
+  boost::asio::io_context &Context;
+  boost::asio::ip::tcp::acceptor Acceptor;
 };
 
+/// Returns a request with the id that responses repeat.
 inline Request makeRequest(const std::string &Id) {
   Request request;
   request.Method = "GET";
--- a/UnitTests/Adapters/Http/RepeatedRequestTest.cpp
+++ b/UnitTests/Adapters/Http/RepeatedRequestTest.cpp
@@ -3,8 +3,6 @@
 
 namespace wasabi::http {
 
-namespace asio = boost::asio;
-
 // Guards against a late second copy of a refusal that is taken for the response
 // to a repetition of the request, which then runs unnoticed.
 TEST_CASE("A repeated request is not sent on the connection of the first",
@@ -13,22 +11,16 @@
   Client::Settings settings;
   settings.EchoHeader = "Request-Id";
   fixture.TestClient = Client::create(fixture.Context.get_executor(), settings);
-  RawServer server{fixture.Context};
-  const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\n"
-                              "Request-Id: a\r\nContent-Length: 0\r\n\r\n";
-  const std::string answer = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n"
-                             "Content-Length: 0\r\n\r\n";
+  RawServer server(fixture.Context);
   // The first connection refuses, and sends the refusal again when the next
   // request arrives.
-  server.start([&](RawSocket Socket) -> asio::awaitable<void> {
-    bool isFirst = server.Connections == 1;
-    boost::system::error_code ended;
-    while (co_await RawServer::readRequest(Socket, ended)) {
-      std::string text = isFirst ? refusal : answer;
-      co_await HttpFixture::sendText(Socket, std::move(text));
-    }
-  });
-  fixture.run([&]() -> asio::awaitable<void> {
+  server.OnRequest = [](std::size_t Connection) -> std::string {
+    if (Connection == 1)
+      return "HTTP/1.1 503 Service Unavailable\r\n"
+             "Request-Id: a\r\nContent-Length: 0\r\n\r\n";
+    return "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 0\r\n\r\n";
+  };
+  fixture.run([&]() -> boost::asio::awaitable<void> {
     Request request = makeRequest("a");
     Outcome<Response> first = co_await fixture.TestClient->call(
         server.address(), request, Millis(5000));
@@ -41,8 +33,7 @@
     CHECK(server.Connections == 2);
     // Other requests use the connections that are open.
     Request other = makeRequest("b");
-    Outcome<Response> third =
-        co_await fixture.TestClient->call(server.address(), other, Millis(200));
+    co_await fixture.TestClient->call(server.address(), other, Millis(200));
     CHECK(server.Connections == 2);
   });
 }
--- a/Wasabi/Dispatch/DispatcherEngines.cpp
+++ b/Wasabi/Dispatch/DispatcherEngines.cpp
@@ -91,29 +91,24 @@
         work[it.Name][job->Job.Model];
     }
   }
-  // Consecutive items usually have the same job and route.
-  const JobState *lastJob = nullptr;
-  const UpstreamRoute *lastRoute = nullptr;
-  std::vector<ModelWork *> models;
+  std::map<std::pair<const JobState *, const UpstreamRoute *>, std::uint32_t>
+      waiting;
   for (const std::shared_ptr<ItemTask> &it : Tasks) {
     const UpstreamRoute *route = routeOf(*it);
     if (route == nullptr || it->Cancelled || it->Stage == ItemStage::Finished)
       continue;
-    const BatchJob &job = it->Job->Job;
-    if (it->Job.get() != lastJob || route != lastRoute) {
-      models.clear();
-      for (const ServiceShare &share : route->Services)
-        models.push_back(&work[share.Service][job.Model]);
-      lastJob = it->Job.get();
-      lastRoute = route;
-    }
-    if (it->Stage != ItemStage::Waiting || it->NotBefore > Now)
-      continue;
-    for (ModelWork *model : models) {
-      model->MinVersion = model->Waiting == 0
-                              ? job.MinVersion
-                              : std::min(model->MinVersion, job.MinVersion);
-      ++model->Waiting;
+    bool isDue = it->Stage == ItemStage::Waiting && it->NotBefore <= Now;
+    waiting[{it->Job.get(), route}] += isDue ? 1 : 0;
+  }
+  for (const auto &[origin, count] : waiting) {
+    const BatchJob &job = origin.first->Job;
+    for (const ServiceShare &share : origin.second->Services) {
+      ModelWork &model = work[share.Service][job.Model];
+      if (count > 0)
+        model.MinVersion = model.Waiting == 0
+                               ? job.MinVersion
+                               : std::min(model.MinVersion, job.MinVersion);
+      model.Waiting += count;
     }
   }
   return work;
