No engine is lent to a model that its service does not have

Found on reading the diff: an item whose model its service lacks had engines of the service lent to the model, which then were asked to load it. A loan also ends once the engine is assigned to the model.

--- a/UnitTests/Dispatch/EnginePoolTest.cpp
+++ b/UnitTests/Dispatch/EnginePoolTest.cpp
@@ -326,6 +326,11 @@
     CHECK(lend(engines, work));
     CHECK(engines[1]->Loans.empty());
   }
+  SECTION("A model that gets the engine for its own is served once") {
+    engines[1]->Model = green;
+    CHECK(lend(engines, work));
+    CHECK(engines[1]->servedModels() == std::vector<ModelName>{green});
+  }
   SECTION("A failing lender is replaced") {
     engines[1]->Server->Failures = 2;
     engines[1]->Server->SuspectUntil = LoanTime + Millis(100);
--- a/UnitTests/Dispatch/SharedEnginesTest.cpp
+++ b/UnitTests/Dispatch/SharedEnginesTest.cpp
@@ -151,4 +151,20 @@
   CHECK_FALSE(fixture.server("o1").Runs.empty());
 }
 
+// Guards against loads of weights that the engines of a service can't have.
+TEST_CASE("No engine is lent to a model that its service does not have",
+          "[dispatch]") {
+  DispatcherFixture fixture;
+  BatchJob foreign = makeJobOf(Models[1], 4);
+  fixture.submit(foreign);
+  fixture.View.NewestVersions[Models[1]] = 2;
+  fixture.Dispatch->onFleetChange();
+  fixture.Context.run_for(Millis(100));
+  for (const std::string &it : fixture.Store.Topics[WantedTopic])
+    CHECK(it.find(Models[1].Text) == std::string::npos);
+  BatchJob own = makeJobOf(Models[0], 4);
+  fixture.submit(own);
+  REQUIRE(fixture.finishes(own));
+}
+
 } // namespace wasabi::batchtest
--- a/Wasabi/Dispatch/DispatcherEngines.cpp
+++ b/Wasabi/Dispatch/DispatcherEngines.cpp
@@ -197,8 +197,12 @@
       continue;
     EngineList engines = syncServiceEngines(service, Pool, now);
     assignEngines(service, engines, now);
-    logLoans(
-        lendEngines(engines, work[service.Name], baseline, Limits.Pool, now));
+    // An engine can't load a model that its service doesn't have.
+    std::map<ModelName, ModelWork> &own = work[service.Name];
+    std::erase_if(own, [&models = service.Engine->Models](const auto &It) {
+      return std::find(models.begin(), models.end(), It.first) == models.end();
+    });
+    logLoans(lendEngines(engines, own, baseline, Limits.Pool, now));
     next.insert(next.end(), engines.begin(), engines.end());
   }
   Pool = std::move(next);
--- a/Wasabi/Dispatch/EnginePool.cpp
+++ b/Wasabi/Dispatch/EnginePool.cpp
@@ -283,7 +283,8 @@
                bool &MayLoad, const EngineList &Engines,
                const std::map<ModelName, ModelWork> &Work, TimePoint Now) {
   auto work = Work.find(Model);
-  if (work == Work.end())
+  // The engine may have been assigned to the model meanwhile.
+  if (work == Work.end() || Engine.Model == Model)
     return false;
   if (!hasAbleEngine(Engines, Model, Now)) {
     MayLoad = true;
