Simplify reads of the load topic and the tests of followers

ResponseMemory::maxBytes had no caller.

Quarantine::awaitsResolution had none since items are exempt. The test of two processes that used it makes the same condition from hasUnresolvedLosses, findSuspectedCrashes and the limit, so it is as strict.

The tests of followers share their callbacks, and the test of endless responses counts by name.

--- a/Ctl/UsageCommand.cpp
+++ b/Ctl/UsageCommand.cpp
@@ -36,12 +36,12 @@
       read.Next = expired->First;
       continue;
     }
-    const LogRange *range = std::get_if<LogRange>(&*got);
-    for (const LogEntry &it : range->Entries) {
+    const LogRange &range = std::get<LogRange>(*got);
+    for (const LogEntry &it : range.Entries) {
       read.Unreadable += Apply(it) ? 0 : 1;
       read.Next = it.At + 1;
     }
-    if (read.Next >= range->End)
+    if (read.Next >= range.End)
       co_return read;
   }
 }
--- a/IntegrationTests/Cases/EndlessResponseTest.cpp
+++ b/IntegrationTests/Cases/EndlessResponseTest.cpp
@@ -35,11 +35,18 @@
   return 0;
 }
 
-/// Sends requests one after the other until `Until`. Returns the numbers of
-/// answers, of refusals and of all others.
-std::array<int, 3> callUntil(PlatformFixture &Fixture, std::size_t Caller,
-                             TimePoint Until) {
-  std::array<int, 3> counts{};
+/// Numbers of requests by what became of them.
+struct CallCounts {
+  int Answered = 0;
+  int Refused = 0;
+  /// Late, wrong or without a response.
+  int Others = 0;
+};
+
+/// Sends requests one after the other until `Until`.
+CallCounts callUntil(PlatformFixture &Fixture, std::size_t Caller,
+                     TimePoint Until) {
+  CallCounts counts;
   for (int i = 0; monotonicNow() < Until; ++i) {
     std::string id = "c" + std::to_string(Caller) + "-" + std::to_string(i);
     TimePoint sent = monotonicNow();
@@ -47,7 +54,12 @@
         Fixture.postRequest(Caller % Fixture.edges(), "/desk/x", id);
     bool inTime = monotonicNow() - sent < MaxAnswerTime;
     bool isAnswer = got.Status == Ok && got.Body == "answer to " + id;
-    ++counts[!inTime ? 2 : isAnswer ? 0 : got.Status == Unavailable ? 1 : 2];
+    if (inTime && isAnswer)
+      ++counts.Answered;
+    else if (inTime && got.Status == Unavailable)
+      ++counts.Refused;
+    else
+      ++counts.Others;
   }
   return counts;
 }
@@ -64,22 +76,23 @@
   });
   REQUIRE(fixture.submit(0, "job", 6) == Accepted);
   TimePoint until = monotonicNow() + Millis(5000);
-  std::vector<std::future<std::array<int, 3>>> callers;
+  std::vector<std::future<CallCounts>> callers;
   for (std::size_t i = 0; i < Callers; ++i)
     callers.push_back(std::async(std::launch::async, [&fixture, i, until] {
       return callUntil(fixture, i, until);
     }));
-  std::array<int, 3> sum{};
-  for (std::future<std::array<int, 3>> &it : callers) {
-    std::array<int, 3> counts = it.get();
-    for (std::size_t i = 0; i < counts.size(); ++i)
-      sum[i] += counts[i];
+  CallCounts sum;
+  for (std::future<CallCounts> &it : callers) {
+    CallCounts counts = it.get();
+    sum.Answered += counts.Answered;
+    sum.Refused += counts.Refused;
+    sum.Others += counts.Others;
   }
-  INFO(sum[0] << " answered, " << sum[1] << " refused, " << sum[2]
-              << " others\n"
-              << fixture.output());
-  CHECK(sum[0] > 0);
-  CHECK(sum[2] == 0);
+  INFO(sum.Answered << " answered, " << sum.Refused << " refused, "
+                    << sum.Others << " others\n"
+                    << fixture.output());
+  CHECK(sum.Answered > 0);
+  CHECK(sum.Others == 0);
   // The items and their scoring calls are served by the other servers.
   CHECK(fixture.waitForResults(1, "job", 6));
   for (std::size_t i = 0; i < fixture.edges(); ++i) {
--- a/IntegrationTests/Platform/PlatformFixture.h
+++ b/IntegrationTests/Platform/PlatformFixture.h
@@ -135,8 +135,7 @@
   void unregisterServer(const std::string &Id);
   /// Publishes a configuration. The plain service is also routed at
   /// `/desk-VERSION/`, and jobs at `/rollout-V/` for each version up to this
-  /// one. If there are `Customers`, all routes but `/open/`
-  /// require a key.
+  /// one. If there are `Customers`, all routes but `/open/` require a key.
   void configure(std::uint64_t Version);
   /// Customers of the configurations published from now on.
   void setCustomers(std::vector<ConfiguredCustomer> NewCustomers) {
--- a/UnitTests/Batch/RolloutLogTest.cpp
+++ b/UnitTests/Batch/RolloutLogTest.cpp
@@ -127,9 +127,9 @@
   fixture.Store.append("rollout", encodeRecord(JobPart{open, 0, 1}));
   std::shared_ptr<RolloutLog> log = startLog(fixture, IdleTimeout);
   TimePoint before = log->lastCaughtUpTime();
-  bool sawOpenJobAsEnded = false;
+  bool caughtUpTooEarly = false;
   log->onChange([&](const BatchStateChange &) {
-    sawOpenJobAsEnded |= log->caughtUp() || log->lastCaughtUpTime() > before;
+    caughtUpTooEarly |= log->caughtUp() || log->lastCaughtUpTime() > before;
   });
   fixture.run([&]() -> boost::asio::awaitable<void> {
     Outcome<Done> done = co_await log->refresh();
@@ -137,7 +137,7 @@
     CHECK(log->fold().Next == 553);
     CHECK(log->caughtUp());
   });
-  CHECK_FALSE(sawOpenJobAsEnded);
+  CHECK_FALSE(caughtUpTooEarly);
   CHECK(log->fold().KnownFrom == 500);
   CHECK(findJob(log->fold(), ended.Id)->Ended);
   CHECK_FALSE(findJob(log->fold(), open.Id)->Ended);
--- a/UnitTests/Quarantine/IsolatedRunTest.cpp
+++ b/UnitTests/Quarantine/IsolatedRunTest.cpp
@@ -85,6 +85,14 @@
   }
   /// Makes both requests suspect: they ran on the same two servers, each sent
   /// by another process.
+  /// Returns true if a process knows of enough crashes for a quarantine, of
+  /// which one may be none.
+  static bool awaitsResolution(const QuarantineProcess &Process,
+                               const RequestDigest &Digest) {
+    return Process.Crashes->hasUnresolvedLosses(Digest) &&
+           Process.Crashes->findSuspectedCrashes(Digest).size() >=
+               CrashHistory::Settings().CrashLimit;
+  }
   void crashBoth() {
     for (const char *id : {"x", "y"})
       addServer(id);
@@ -313,7 +321,7 @@
   left.reset();
   if (knowsBefore)
     REQUIRE(fixture.runUntil(
-        [&] { return fixture.Right.Crashes->awaitsResolution(digest); }));
+        [&] { return fixture.awaitsResolution(fixture.Right, digest); }));
   // Otherwise, it writes its claim before it reads the other one.
   *fixture.RightDisconnected = false;
   std::optional<Outcome<IsolatedRunPtr>> right;
@@ -324,7 +332,7 @@
   CHECK(right->failure().RetryAfter > Millis(0));
   if (knowsBefore)
     CHECK(fixture.Right.Selections == 0);
-  CHECK(fixture.Right.Crashes->awaitsResolution(digest));
+  CHECK(fixture.awaitsResolution(fixture.Right, digest));
 }
 
 // Guards against requests that are refused, or wait for each other, because a
--- a/UnitTests/Upstream/KeyedFollowerTest.cpp
+++ b/UnitTests/Upstream/KeyedFollowerTest.cpp
@@ -28,6 +28,24 @@
   }
 };
 
+KeyedFollower::Callbacks
+makeCallbacks(std::function<void(const KeyedRecord &)> OnChange) {
+  KeyedFollower::Callbacks callbacks;
+  callbacks.OnChange = std::move(OnChange);
+  callbacks.OnBatch = [] {};
+  callbacks.OnAnswer = [] {};
+  callbacks.OnFailure = [](const Failure &) {};
+  return callbacks;
+}
+
+/// Returns callbacks that store the newest value of each key.
+KeyedFollower::Callbacks
+collectValues(std::map<std::string, std::string> &Values) {
+  return makeCallbacks([&Values](const KeyedRecord &Record) {
+    Values[Record.Key] = Record.Value.value_or("");
+  });
+}
+
 } // namespace
 
 TEST_CASE("All processes get their snapshots from a store that serves them one "
@@ -40,11 +58,8 @@
   store.Newest = [&busy](const std::string &, Millis Timeout) {
     return busy.newest(Timeout);
   };
-  KeyedFollower::Callbacks callbacks;
-  callbacks.OnChange = [](const KeyedRecord &) {};
-  callbacks.OnBatch = [] {};
-  callbacks.OnAnswer = [] {};
-  callbacks.OnFailure = [](const Failure &) {};
+  KeyedFollower::Callbacks callbacks =
+      makeCallbacks([](const KeyedRecord &) {});
   KeyedFollower::Settings settings;
   settings.Topic = "keyed.any";
   settings.PollTimeout = Millis(20);
@@ -70,11 +85,8 @@
   auto countReads = [](Millis Delay) {
     BatchTestFixture fixture;
     Offset last = 0;
-    KeyedFollower::Callbacks callbacks;
-    callbacks.OnChange = [&](const KeyedRecord &Record) { last = Record.At; };
-    callbacks.OnBatch = [] {};
-    callbacks.OnAnswer = [] {};
-    callbacks.OnFailure = [](const Failure &) {};
+    KeyedFollower::Callbacks callbacks =
+        makeCallbacks([&](const KeyedRecord &Record) { last = Record.At; });
     KeyedFollower::Settings settings;
     settings.Topic = "keyed.any";
     settings.PollDelay = Millis(1);
@@ -98,13 +110,7 @@
           "[upstream]") {
   BatchTestFixture fixture;
   std::map<std::string, std::string> values;
-  KeyedFollower::Callbacks callbacks;
-  callbacks.OnChange = [&](const KeyedRecord &Record) {
-    values[Record.Key] = Record.Value.value_or("");
-  };
-  callbacks.OnBatch = [] {};
-  callbacks.OnAnswer = [] {};
-  callbacks.OnFailure = [](const Failure &) {};
+  KeyedFollower::Callbacks callbacks = collectValues(values);
   KeyedFollower::Settings settings;
   settings.Topic = "keyed.any";
   settings.PollTimeout = Millis(20);
@@ -141,13 +147,7 @@
 TEST_CASE("A refresh reads beside a read that gets no answer", "[upstream]") {
   BatchTestFixture fixture;
   std::map<std::string, std::string> values;
-  KeyedFollower::Callbacks callbacks;
-  callbacks.OnChange = [&](const KeyedRecord &Record) {
-    values[Record.Key] = Record.Value.value_or("");
-  };
-  callbacks.OnBatch = [] {};
-  callbacks.OnAnswer = [] {};
-  callbacks.OnFailure = [](const Failure &) {};
+  KeyedFollower::Callbacks callbacks = collectValues(values);
   KeyedFollower::Settings settings;
   settings.Topic = "keyed.any";
   settings.PollTimeout = Millis(20);
--- a/Wasabi/Adapters/Http/ResponseMemory.h
+++ b/Wasabi/Adapters/Http/ResponseMemory.h
@@ -38,7 +38,6 @@
   static std::shared_ptr<ResponseMemory> create(Settings Limits);
 
   std::uint64_t heldBytes() const { return HeldBytes; }
-  std::uint64_t maxBytes() const { return Limits.MaxBytes; }
 
   /// The bytes of one response, for as long as the object lives.
   class Share {
--- a/Wasabi/LoadExchange/LoadExchange.cpp
+++ b/Wasabi/LoadExchange/LoadExchange.cpp
@@ -340,45 +340,42 @@
   IsFollowing = false;
 }
 
-/// Reads new records, or the newest record of each process. Returns false if
-/// the read failed.
+/// Reads new records, or the newest record of each process.
+asio::awaitable<Outcome<KeyedRead>> LoadExchange::read() {
+  if (!NeedsSnapshot)
+    co_return co_await Deps.Store.ReadKeyed(LoadTopic, Table.Next,
+                                            Limits.PollTimeout);
+  Outcome<KeyedRange> got =
+      co_await Deps.Store.Newest(LoadTopic, Limits.SnapshotTimeout);
+  if (!got)
+    co_return got.failure();
+  co_return KeyedRead(std::move(*got));
+}
+
+/// Reads once and applies what was read. Returns false if the read failed.
 asio::awaitable<bool> LoadExchange::readOnce() {
   bool isSnapshot = NeedsSnapshot;
-  KeyedRange range;
-  std::optional<Failure> failure;
-  if (isSnapshot) {
-    Outcome<KeyedRange> got =
-        co_await Deps.Store.Newest(LoadTopic, Limits.SnapshotTimeout);
-    if (got)
-      range = std::move(*got);
-    else
-      failure = got.failure();
-  } else {
-    Outcome<KeyedRead> got = co_await Deps.Store.ReadKeyed(
-        LoadTopic, Table.Next, Limits.PollTimeout);
-    NeedsSnapshot = got && std::holds_alternative<ExpiredOffset>(*got);
-    if (NeedsSnapshot)
-      co_return true;
-    if (got)
-      range = std::get<KeyedRange>(std::move(*got));
-    else
-      failure = got.failure();
-  }
+  Outcome<KeyedRead> got = co_await read();
   // A read that was cancelled because the store is reachable again is repeated
   // without a delay.
-  if (failure)
-    co_return failure->Code == FailureCode::Cancelled;
+  if (!got)
+    co_return got.failure().Code == FailureCode::Cancelled;
+  const KeyedRange *range = std::get_if<KeyedRange>(&*got);
+  if (range == nullptr) {
+    NeedsSnapshot = true;
+    co_return true;
+  }
   TimePoint now = monotonicNow();
   bool knownAge =
       !isSnapshot && LastReadAt && now - *LastReadAt <= Limits.MaxReadGap;
   LastReadAt = now;
   NeedsSnapshot = false;
   std::vector<KeyedRecord> changed =
-      isSnapshot ? applySnapshot(Table, range)
-                 : applyNewRecords(Table, range.Records);
+      isSnapshot ? applySnapshot(Table, *range)
+                 : applyNewRecords(Table, range->Records);
   for (const KeyedRecord &it : changed)
     applyRecord(it, knownAge, now);
-  if (!isSnapshot && !range.Records.empty())
+  if (!isSnapshot && !range->Records.empty())
     co_await pauseFor(Deps.Executor, Limits.ReadDelay);
   co_return true;
 }
--- a/Wasabi/LoadExchange/LoadExchange.h
+++ b/Wasabi/LoadExchange/LoadExchange.h
@@ -112,6 +112,7 @@
   boost::asio::awaitable<void> append(std::string Text);
   boost::asio::awaitable<void> retract();
   boost::asio::awaitable<void> followLoop();
+  boost::asio::awaitable<Outcome<KeyedRead>> read();
   boost::asio::awaitable<bool> readOnce();
   void applyRecord(const KeyedRecord &Record, bool KnownAge, TimePoint Now);
   void ignoreReport(const InstanceName &Instance, std::string_view Reason,
--- a/Wasabi/Quarantine/Quarantine.cpp
+++ b/Wasabi/Quarantine/Quarantine.cpp
@@ -257,8 +257,6 @@
   return !findUnresolved(Digest).empty();
 }
 
-/// Returns the servers that crashed under a request or may have. Those that
-/// another request explains count as well: both may crash servers.
 std::set<ServerIncarnation>
 Quarantine::findSuspectedCrashes(const RequestDigest &Digest) const {
   std::set<ServerIncarnation> found;
@@ -270,11 +268,6 @@
   return found;
 }
 
-bool Quarantine::awaitsResolution(const RequestDigest &Digest) const {
-  return hasUnresolvedLosses(Digest) &&
-         findSuspectedCrashes(Digest).size() >= Limits.History.CrashLimit;
-}
-
 /// Returns true if an incarnation of a server is no longer registered.
 bool Quarantine::isGone(const ServerIncarnation &Server) const {
   auto it = Feed.View.Servers.Servers.find(Server.Server);
--- a/Wasabi/Quarantine/Quarantine.h
+++ b/Wasabi/Quarantine/Quarantine.h
@@ -163,9 +163,10 @@
   /// Returns true if the next run of a request has to be isolated: several
   /// servers crashed under it, or may have.
   bool needsIsolation(const RequestDigest &Digest) const;
-  /// Returns true if one more crash could exceed the number of servers that a
-  /// request may crash, and a loss is unresolved.
-  bool awaitsResolution(const RequestDigest &Digest) const;
+  /// Returns the servers that crashed under a request or may have. Those that
+  /// another request explains count as well: both may crash servers.
+  std::set<ServerIncarnation>
+  findSuspectedCrashes(const RequestDigest &Digest) const;
   /// Claims a server for a run of a suspect. `Select` is called on the thread
   /// of the quarantine and should not return any of `suspectServers`. Waits
   /// while all servers run suspects, or while the request runs elsewhere, for
@@ -194,8 +195,6 @@
                   TimePoint Since) const;
   std::map<ServerIncarnation, bool>
   findUnresolved(const RequestDigest &Digest) const;
-  std::set<ServerIncarnation>
-  findSuspectedCrashes(const RequestDigest &Digest) const;
   void noteReportedLosses(const std::set<ServerIncarnation> &Lost);
   void recordCrash(const GuardedRequest &Request,
                    const ServerIncarnation &Crashed, bool Isolated);
