--- a/Wasabi/Dispatch/EnginePool.h
+++ b/Wasabi/Dispatch/EnginePool.h
@@ -142,9 +142,8 @@
 /// or failing. It then gets one more engine per call:
 /// - an idle one that has the weights, at no cost;
 /// - one that has been idle for `IdleLoanDelay`, which loads them;
-/// - if no engine of its own is able to serve it, the least busy one. The
-/// models
-///   of that engine share its slots from then on.
+/// - if no engine of its own is able to serve it, the least busy one, whose
+///   slots are then shared by its models.
 /// A loan ends when the model has no work, when the engine's own model needs an
 /// engine that the other model can do without, or when the engine's weights are
 /// too old for it and may not be updated. Returns the engines whose loans
