Heads of chunks and trailers are bounded in what they hold

Callers saw: an edge process ends by its memory, with all of its connections, while one of its servers sends the size line of a chunk, an extension or trailers without end.

Cause: the parser keeps what it can't use yet, and these bytes count neither as head nor as body, so none of the limits of a response applies. Requests of callers have the same hole.

Evidence: three new sections of "A response without end fails before its time limit" read at full speed until the limit of 15 s; the head and the body already failed at once.

A response fails with bad-input and its connection is closed, so that the server is suspect and the request goes elsewhere; a request gets 413. "The head of a chunk and the trailers of a request are bounded" failed in its three sections before.

--- a/UnitTests/Adapters/Http/EndlessResponseTest.cpp
+++ b/UnitTests/Adapters/Http/EndlessResponseTest.cpp
@@ -78,6 +78,18 @@
     fixture.Head = "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n";
     server.Repeated = std::string(10000, 'x');
   }
+  SECTION("The size of a chunk") {
+    fixture.Head = ChunkedHead;
+    server.Repeated = std::string(10000, '0');
+  }
+  SECTION("The extension of a chunk") {
+    fixture.Head = ChunkedHead + "1;name=";
+    server.Repeated = std::string(10000, 'x');
+  }
+  SECTION("Trailers") {
+    fixture.Head = ChunkedHead + "0\r\n";
+    server.Repeated = "Name: " + std::string(1000, 'x') + "\r\n";
+  }
   SECTION("A chunked response to another request") {
     fixture.Head = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
                    "Transfer-Encoding: chunked\r\n\r\n";
--- a/UnitTests/Adapters/Http/HttpServerTests.cpp
+++ b/UnitTests/Adapters/Http/HttpServerTests.cpp
@@ -48,6 +48,25 @@
   });
 }
 
+// Guards against a request that takes the memory of the process by bytes that
+// do not count as its body.
+TEST_CASE("The head of a chunk and the trailers of a request are bounded",
+          "[http]") {
+  constexpr std::size_t TooLong = 200000;
+  HttpFixture fixture;
+  fixture.serve(echo, Server::Settings());
+  std::string text = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  SECTION("The size of a chunk") { text += std::string(TooLong, '0'); }
+  SECTION("The extension of a chunk") {
+    text += "1;name=" + std::string(TooLong, 'x');
+  }
+  SECTION("Trailers") { text += "0\r\nName: " + std::string(TooLong, 'x'); }
+  fixture.run([&]() -> boost::asio::awaitable<void> {
+    std::string response = co_await exchange(fixture, text);
+    CHECK_THAT(response, StartsWith("HTTP/1.1 413 "));
+  });
+}
+
 TEST_CASE("Slow and idle connections are closed", "[http]") {
   HttpFixture fixture;
   Server::Settings limits;
--- a/Wasabi/Adapters/Http/HttpClient.cpp
+++ b/Wasabi/Adapters/Http/HttpClient.cpp
@@ -40,6 +40,8 @@
 /// before the expected one. Beyond it, a new connection is cheaper.
 constexpr std::uint64_t MaxDiscardedBytes = 1u << 20;
 constexpr std::size_t ReadBytes = 16384;
+/// Maximum size of the head of a chunk, or of the trailers, of a body.
+constexpr std::size_t MaxUnparsedBytes = MaxHeadBytes;
 /// Number of requests after which a connection may carry the same one again.
 constexpr std::size_t MaxSentValues = 32;
 /// Minimum time between two scans for expired idle connections.
@@ -118,7 +120,8 @@
   /// Returns the failure of an operation after which the request may have run.
   Failure makeFailure(const ErrorCode &Failed) const {
     bool tooLarge = Failed == beast::http::error::body_limit ||
-                    Failed == beast::http::error::header_limit;
+                    Failed == beast::http::error::header_limit ||
+                    Failed == beast::http::error::buffer_overflow;
     if (tooLarge && !TimedOut && !Cancelled)
       return makeOversizeFailure(Failed.message());
     FailureCode code = TimedOut    ? FailureCode::TimedOut
@@ -191,6 +194,8 @@
       co_return failed;
     if (Parse.is_done() || !Parse.get().body().empty())
       co_return ErrorCode();
+    if (Connection.Buffer.size() > MaxUnparsedBytes)
+      co_return beast::http::error::buffer_overflow;
 
     auto [ec, n] = co_await Connection.Socket.async_read_some(
         Connection.Buffer.prepare(ReadBytes), Awaited);
--- a/Wasabi/Adapters/Http/HttpConnection.cpp
+++ b/Wasabi/Adapters/Http/HttpConnection.cpp
@@ -398,6 +398,9 @@
       continue;
     if (failed != beast::http::error::need_more)
       co_return failed;
+    // The head of a chunk, or the trailers.
+    if (Buffer.size() > MaxHeadBytes)
+      co_return beast::http::error::buffer_overflow;
     // Each received piece extends the deadline.
     Deadline = monotonicNow() + Owner->Limits.IdleTimeout;
     auto [ec, n] =
