A text without end is given up and generated elsewhere

Callers saw: a step whose items never finish, and an edge process that grows by all that an engine sends, while the engine sends valid events without end.

Cause: an event is bounded, the text of an item wasn't: each event added to it until the job ended.

Fix: a text beyond 1 MiB, more than a page of results holds, is discarded, the run fails with bad-input, its engine counts as failing and the item avoids it.

--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -650,6 +650,21 @@
   }
 }
 
+// Guards against an engine whose events have no end: its texts take the memory
+// of the process.
+TEST_CASE("A text without end is discarded and generated elsewhere",
+          "[dispatch]") {
+  constexpr std::size_t EventBytes = 100000;
+  DispatcherFixture fixture;
+  fixture.server("e1").EndlessEventBytes = EventBytes;
+  BatchJob job = makeJob("a", 4);
+  fixture.submit(job);
+  REQUIRE(fixture.finishes(job));
+  CHECK_FALSE(fixture.server("e1").Runs.empty());
+  for (const ItemResult &it : fixture.results(job))
+    CHECK(it.Output == wholeText(it.Item.Text, 5));
+}
+
 TEST_CASE("An engine that loads no weights does not delay the others",
           "[dispatch]") {
   DispatcherFixture fixture;
--- a/UnitTests/Dispatch/FakeEngines.cpp
+++ b/UnitTests/Dispatch/FakeEngines.cpp
@@ -44,7 +44,8 @@
       co_return makeFailure(FailureCode::ConnectionLost);
     if (Cancelled || server.Unresponsive)
       co_return makeFailure(FailureCode::Cancelled);
-    if (LastEvent >= Engines.EventsPerText)
+    bool isEndless = server.EndlessEventBytes > 0;
+    if (!isEndless && LastEvent >= Engines.EventsPerText)
       co_return std::optional<EngineEvent>();
     if (server.BreakAfterEvents > 0 &&
         ++AttemptedEvents > server.BreakAfterEvents)
@@ -52,7 +53,8 @@
     EngineEvent event;
     event.Id = ++LastEvent;
     ++EventsSent;
-    event.Data = Item + ":" + std::to_string(LastEvent);
+    event.Data = isEndless ? std::string(server.EndlessEventBytes, 'x')
+                           : Item + ":" + std::to_string(LastEvent);
     if (Head.Version != server.Version) {
       event.Version = server.Version;
       Head.Version = server.Version;
--- a/UnitTests/Dispatch/FakeEngines.h
+++ b/UnitTests/Dispatch/FakeEngines.h
@@ -24,6 +24,8 @@
   Millis EventDelay{2};
   /// Number of events after which a stream loses its connection; 0 for never.
   std::uint64_t BreakAfterEvents = 0;
+  /// Sends texts without end, in events of this size; 0 for sound texts.
+  std::size_t EndlessEventBytes = 0;
   bool RefusesConnections = false;
   /// True once the process has crashed; it then refuses connections.
   bool Crashed = false;
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -146,6 +146,8 @@
     /// Time limit of opening a stream and of each read from it.
     /// `RunStallTimeout` normally ends a stalled run earlier.
     Millis EventTimeout{6000};
+    /// Maximum size of a text, in bytes.
+    std::size_t MaxTextBytes = 1u << 20;
     /// Delay before an item is tried again after a failure.
     Millis RetryDelay{60};
     /// Maximum delay before an item or a scoring call is tried again after
--- a/Wasabi/Dispatch/DispatcherRuns.cpp
+++ b/Wasabi/Dispatch/DispatcherRuns.cpp
@@ -220,6 +220,15 @@
     // An event of unknown version is rejected.
     if (!version)
       co_return false;
+    if (Task.Text.Output.size() + (*event)->Data.size() >=
+        Limits.MaxTextBytes) {
+      Task.RunFailure = Failure{Verdict::MayHaveRun, FailureCode::BadInput,
+                                toText(engine.Server->Entry.Endpoint),
+                                "the text has no end", Millis(0)};
+      wasabi::noteFailure(View.Servers, *engine.Server, monotonicNow());
+      clearText(Task);
+      co_return false;
+    }
     noteEvent(engine, Task);
     if (Task.Text.Events > 0)
       Task.Text.Output += '\n';
