A text doesn't wait for its version at an engine that fails

Callers saw: an item of a single-version route that is placed at no engine while others have room; its step runs out of time.

Cause: the text was kept as long as any registered engine had its version. An engine that fails every run, but stays registered, never continues it, and it isn't even a candidate while the model has a sound engine.

Fix: engines that fail repeatedly (`isFailing`, as for loans) don't count as having the version; the text is discarded when the item is placed, and is generated under another version. After a single failure the text still waits.

--- a/UnitTests/Dispatch/DispatcherTest.cpp
+++ b/UnitTests/Dispatch/DispatcherTest.cpp
@@ -650,6 +650,36 @@
   }
 }
 
+// Guards against an item that waits for the engine with the version of its text
+// while that engine fails and others have room.
+TEST_CASE("A text restarts if only an engine that fails has its version",
+          "[dispatch]") {
+  DispatcherFixture fixture;
+  RouteTable table = *fixture.View.Routes;
+  table.Routes[0].SingleVersion = true;
+  fixture.View.Routes = std::make_shared<const RouteTable>(table);
+  fixture.server("e2").RefusesConnections = true;
+  fixture.server("e1").BreakAfterEvents = 2;
+  BatchJob job = makeJob("a", 2);
+  fixture.submit(job);
+  REQUIRE(fixture.runUntil([&] { return !fixture.server("e1").Runs.empty(); }));
+  fixture.server("e1").RefusesConnections = true;
+  fixture.Context.run_for(Millis(50));
+  UpstreamRegistration entry;
+  entry.Id = ServerName("e3");
+  entry.Service = Llm;
+  entry.Slots = 4;
+  entry.Models = {{Model, 2}};
+  fixture.server("e3").Version = 2;
+  registerServer(fixture.View.Servers, entry);
+  fixture.Dispatch->onFleetChange();
+  REQUIRE(fixture.finishes(job));
+  for (const ItemResult &it : fixture.results(job)) {
+    CHECK(it.Versions == std::vector<WeightVersion>{2});
+    CHECK(it.Output == wholeText(it.Item.Text, 5));
+  }
+}
+
 // Guards against an engine whose events have no end: its texts take the memory
 // of the process.
 TEST_CASE("A text without end is discarded and generated elsewhere",
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -301,8 +301,9 @@
 }
 
 /// Discards an incomplete text that no engine can continue under the single
-/// version that its route requires.
-void Dispatcher::discardMixedText(ItemTask &Task) const {
+/// version that its route requires. An engine that fails repeatedly may never
+/// continue it, though it stays registered.
+void Dispatcher::discardMixedText(ItemTask &Task, TimePoint Now) const {
   if (Task.Text.Events == 0 || Task.Text.IsComplete ||
       !requiresSingleVersion(Task))
     return;
@@ -312,6 +313,7 @@
   bool available = std::any_of(
       Pool.begin(), Pool.end(), [&](const std::shared_ptr<DispatchEngine> &It) {
         return It->serves(model) && It->version(model) == version &&
+               !isFailing(*It, Now) &&
                std::find(services.begin(), services.end(),
                          It->Server->Entry.Service) != services.end();
       });
@@ -606,7 +608,7 @@
         EngineList &engines = candidates[model];
         if (engines.empty())
           return false;
-        discardMixedText(*task);
+        discardMixedText(*task, now);
         EngineRequirements need = requirementsOf(*task);
         need.LeaveLastFastSlot = LeaveLastFastSlot && unequal.contains(model);
         std::shared_ptr<DispatchEngine> engine =
--- a/Wasabi/Dispatch/Dispatcher.h
+++ b/Wasabi/Dispatch/Dispatcher.h
@@ -302,7 +302,7 @@
   std::vector<ServiceName> servicesOf(const ItemTask &Task) const;
   EngineRequirements requirementsOf(const ItemTask &Task) const;
   bool requiresSingleVersion(const ItemTask &Task) const;
-  void discardMixedText(ItemTask &Task) const;
+  void discardMixedText(ItemTask &Task, TimePoint Now) const;
   PartialTextRecord unsavedText(const ItemTask &Task) const;
   boost::asio::awaitable<void> saveLoop();
   boost::asio::awaitable<bool> saveTexts(std::vector<TextSave> Due);
--- a/Wasabi/Dispatch/EnginePool.cpp
+++ b/Wasabi/Dispatch/EnginePool.cpp
@@ -224,14 +224,12 @@
   return changed;
 }
 
-namespace {
-
-/// Returns true if the engine fails repeatedly, so that its samples should not
-/// depend on it. After a single failure it is tried again soon.
 bool isFailing(const DispatchEngine &Engine, TimePoint Now) {
   return Engine.Server->SuspectUntil > Now && Engine.Server->Failures > 1;
 }
 
+namespace {
+
 bool isAble(const DispatchEngine &Engine, TimePoint Now) {
   return !Engine.Server->Replaced && !isFailing(Engine, Now);
 }
--- a/Wasabi/Dispatch/EnginePool.h
+++ b/Wasabi/Dispatch/EnginePool.h
@@ -125,6 +125,10 @@
                   const std::map<ModelName, WeightVersion> &Named,
                   bool MayMove);
 
+/// Returns true if the engine fails repeatedly, so that no sample should depend
+/// on it. After a single failure it is tried again soon. Pure.
+bool isFailing(const DispatchEngine &Engine, TimePoint Now);
+
 /// The samples of one model that are waiting for an engine. A value.
 struct ModelWork {
   std::uint32_t Waiting = 0;
