An engine that failed is skipped only for others of its service

Callers saw: with two services of one model, items wait while the only engine of their service is suspect, although it would serve them.

Cause: an engine that failed recently is skipped while its model has a healthy engine, in whatever service; items may run only at the services of their route.

Evidence: "An engine that failed is tried if its service has no other" failed before: with an engine that is suspect for 60 s the job was not done in 10 s.

Fix: the healthy engines are told apart by service and model.

--- a/UnitTests/Dispatch/SharedEnginesTest.cpp
+++ b/UnitTests/Dispatch/SharedEnginesTest.cpp
@@ -151,6 +151,30 @@
   CHECK_FALSE(fixture.server("o1").Runs.empty());
 }
 
+// Guards against items that wait since the engine of their service has failed
+// once, while the model has sound engines in a service to which they can't go.
+TEST_CASE("An engine that failed is tried if its service has no other",
+          "[dispatch]") {
+  DispatcherFixture fixture;
+  const ServiceName other("other");
+  RouteTable table = *fixture.View.Routes;
+  table.Version = 2;
+  UpstreamService service = table.Services.front();
+  service.Name = other;
+  table.Services.push_back(service);
+  table.Routes.front().Services = {{other, 1}};
+  fixture.View.Routes = std::make_shared<const RouteTable>(table);
+  registerEngine(fixture, "o1", other, {Models[0]});
+  fixture.Dispatch->onFleetChange();
+  std::shared_ptr<UpstreamServer> server =
+      fixture.View.Servers.Servers.at(ServerName("o1"));
+  server->SuspectUntil = monotonicNow() + Millis(60000);
+  BatchJob job = makeJobOf(Models[0], 4);
+  job.AdmittedUnder = 2;
+  fixture.submit(job);
+  CHECK(fixture.finishes(job));
+}
+
 // Guards against loads of weights that the engines of a service can't have.
 TEST_CASE("No engine is lent to a model that its service does not have",
           "[dispatch]") {
--- a/Wasabi/Dispatch/Dispatcher.cpp
+++ b/Wasabi/Dispatch/Dispatcher.cpp
@@ -371,23 +371,25 @@
 }
 
 /// Returns the engines of each model that can take another sample. Skips
-/// engines that failed recently as long as the model has a healthy one, even a
-/// full one, because an engine that refuses all requests always has room.
+/// engines that failed recently as long as the model has a healthy one in the
+/// same service, even a full one, because an engine that refuses all requests
+/// always has room.
 std::map<ModelName, EngineList>
 Dispatcher::enginesWithRoom(TimePoint Now) const {
-  std::set<ModelName> healthy;
+  std::set<std::pair<ServiceName, ModelName>> healthy;
   for (const std::shared_ptr<DispatchEngine> &it : Pool) {
     if (it->Server->SuspectUntil > Now)
       continue;
     for (const ModelName &model : it->servedModels())
-      healthy.insert(model);
+      healthy.emplace(it->Server->Entry.Service, model);
   }
   std::map<ModelName, EngineList> found;
   for (const std::shared_ptr<DispatchEngine> &it : Pool) {
     if (!hasRoom(*it, Now))
       continue;
     for (const ModelName &model : it->servedModels()) {
-      if (it->Server->SuspectUntil <= Now || !healthy.contains(model))
+      if (it->Server->SuspectUntil <= Now ||
+          !healthy.contains({it->Server->Entry.Service, model}))
         found[model].push_back(it);
     }
   }
