A job is denied only if its submission can't have expired

Callers saw: 404, which is final, for an accepted job whose submission the store has dropped, while its later records are there or while the process knew the job before it lost records.

Cause: a job that isn't in the state was taken for one that doesn't exist. Where records have expired, the state is complete only from an offset on.

Fix: the state keeps which jobs it has records of but no submission, and since when it knows from where on it is complete. Such a job is answered with 503, as is any unknown job while one that the store no longer retains could be younger than the time for which jobs are promised. Ends are recorded, since other processes may know the job. With records retained for 300 s and jobs for 150 s, an unknown id gets 404 as before. `job.not_found` tells the two apart.

--- a/UnitTests/Batch/BatchServiceTest.cpp
+++ b/UnitTests/Batch/BatchServiceTest.cpp
@@ -515,4 +515,59 @@
   }
 }
 
+// Guards against a 404, which is final, for an accepted job whose submission
+// has expired.
+TEST_CASE("A job is denied only if its submission can't have expired",
+          "[batch]") {
+  BatchServiceFixture fixture;
+  BatchJob job = makeJob("a", 2);
+  RolloutLog::Settings limits;
+  limits.IdleTimeout = Millis(40);
+  auto startService = [&] {
+    return fixture.makeService(
+        RolloutLog::create(fixture.Context.get_executor(), fixture.Store.port(),
+                           fixture.Decisions, limits));
+  };
+  // Reads beyond the known results are answered from a state that is current.
+  auto failureOf = [&](const std::shared_ptr<BatchService> &Service,
+                       const BatchJob &Job) {
+    Outcome<ResultPage> page = fixture.read(*Service, Job, 1);
+    REQUIRE_FALSE(page);
+    return page.failure().Code;
+  };
+  SECTION("Later records of the job are retained") {
+    fixture.Store.expire("rollout", 400);
+    fixture.addResult(job, 1, "text");
+    std::shared_ptr<BatchService> service = startService();
+    CHECK(failureOf(service, job) == FailureCode::Unavailable);
+    CHECK(fixture.end(*service, job) == JobRequestStatus::Accepted);
+    CHECK(failureOf(service, makeJob("none", 1)) == FailureCode::Expired);
+  }
+  SECTION("A later part of the submission is retained") {
+    fixture.Store.expire("rollout", 400);
+    fixture.Store.append("rollout", encodeRecord(JobPart{job, 1, 2}));
+    CHECK(failureOf(startService(), job) == FailureCode::Unavailable);
+  }
+  SECTION("The process knew the job before") {
+    REQUIRE(fixture.submit(*fixture.Service, job) ==
+            JobRequestStatus::Accepted);
+    std::shared_ptr<BatchService> service = startService();
+    CHECK(fixture.read(*service, job, 0));
+    fixture.Context.run_for(3 * *limits.IdleTimeout);
+    fixture.Store.expire("rollout", 400);
+    fixture.Store.append("rollout", encodeRecord(JobEnd{makeJob("b", 1).Id}));
+    CHECK(failureOf(service, job) == FailureCode::Unavailable);
+    CHECK(failureOf(service, makeJob("none", 1)) == FailureCode::Expired);
+  }
+  SECTION("Records are retained for a shorter time than jobs") {
+    fixture.Store.expire("rollout", 400);
+    limits.State.JobRetention = Millis(400);
+    limits.State.RecordRetention = Millis(200);
+    std::shared_ptr<BatchService> service = startService();
+    CHECK(failureOf(service, job) == FailureCode::Unavailable);
+    fixture.Context.run_for(Millis(250));
+    CHECK(failureOf(service, job) == FailureCode::Expired);
+  }
+}
+
 } // namespace wasabi::batchtest
--- a/UnitTests/Platform/TranslationTest.cpp
+++ b/UnitTests/Platform/TranslationTest.cpp
@@ -18,7 +18,8 @@
   "node_name": "edge-1", "zone": "hall", "ip": "10.1.0.35", "new": [1],
   "listen": {"front": "10.1.0.35:8144", "ready_addr": "10.1.0.35:8140"},
   "bounds": {"grace_s": 6, "lease_ms": 3000},
-  "platform": {"address": "10.200.1.7:8142", "record_bytes": 4096}})";
+  "platform": {"address": "10.200.1.7:8142", "record_bytes": 4096,
+               "retention_s": 20.5}})";
 
 constexpr const char *Routes = R"({"version":7,"routes":[
   {"name":"r1","host":"h","path_prefix":"/a/","kind":"idempotent",
@@ -91,6 +92,7 @@
   CHECK(got->CallerEndpoint == Address{"10.1.0.35", 8144});
   CHECK(got->StoreEndpoint == Address{"10.200.1.7", 8142});
   CHECK(got->MaxRecordBytes == 4096);
+  CHECK(got->RecordRetention == Millis(20500));
   CHECK(got->StopGracePeriod == Millis(6000));
   CHECK_FALSE(got->EngineEndpoint.has_value());
 }
--- a/Wasabi/Batch/BatchService.cpp
+++ b/Wasabi/Batch/BatchService.cpp
@@ -169,10 +169,24 @@
   Outcome<Done> refreshed = co_await Log->refresh();
   if (!refreshed)
     co_return makeUnavailable(Id, refreshed.failure().Reason);
-  job = findJob(Log->fold(), Id);
+  co_return findCurrent(Id);
+}
+
+/// Returns the job as of the state that was read last. A job whose records may
+/// have expired is not denied.
+Outcome<std::shared_ptr<JobState>>
+BatchService::findCurrent(const JobId &Id) const {
+  std::shared_ptr<JobState> job = findJob(Log->fold(), Id);
   if (job)
-    co_return job;
-  co_return makeJobNotFound(Id);
+    return job;
+  bool isUncertain = mayHaveExpired(Log->fold(), Id, monotonicNow());
+  Decisions->line("job.not_found",
+                  {{"job", Id.Text},
+                   {"known_from", std::to_string(Log->fold().KnownFrom)},
+                   {"verdict", isUncertain ? "uncertain" : "absent"}});
+  if (isUncertain)
+    return makeUnavailable(Id, "its submission may have expired");
+  return makeJobNotFound(Id);
 }
 
 asio::awaitable<Outcome<ResultPage>>
@@ -181,17 +195,21 @@
   Outcome<std::shared_ptr<JobState>> found = co_await findOrRefresh(Id);
   if (!found)
     co_return found.failure();
-  const JobState &job = **found;
   TimePoint arrived = monotonicNow();
   co_await awaitResults(*found, After, arrived, MaxWait);
   // A position may be reported as empty only if the state is fresh: another
   // process may already have returned a result for it.
-  bool isBeyondEnd = After > job.Results.size();
+  std::size_t known = (*found)->Results.size();
+  bool isBeyondEnd = After > known;
   bool isStale = monotonicNow() - Log->lastCaughtUpTime() > Limits.MaxStateAge;
-  if (job.Results.size() <= After && (isBeyondEnd || isStale)) {
+  if (known <= After && (isBeyondEnd || isStale)) {
     Outcome<Done> refreshed = co_await Log->refresh();
     if (!refreshed)
       co_return makeUnavailable(Id, refreshed.failure().Reason);
+    // Its records may have expired since it was found.
+    found = findCurrent(Id);
+    if (!found)
+      co_return found.failure();
   }
 
   Outcome<ResultPage> page = co_await loadResultPage(*found, After);
@@ -199,7 +217,7 @@
       "job.read",
       {{"job", Id.Text},
        {"after", std::to_string(After)},
-       {"known", std::to_string(job.Results.size())},
+       {"known", std::to_string((*found)->Results.size())},
        {"given",
         page ? std::to_string(page->Results.size()) : describe(page.failure())},
        {"waited_ms", std::to_string(std::chrono::duration_cast<Millis>(
--- a/Wasabi/Batch/BatchService.h
+++ b/Wasabi/Batch/BatchService.h
@@ -106,6 +106,7 @@
   loadResultPage(std::shared_ptr<JobState> Job, std::size_t After);
   boost::asio::awaitable<Outcome<std::shared_ptr<JobState>>>
   findOrRefresh(JobId Id);
+  Outcome<std::shared_ptr<JobState>> findCurrent(const JobId &Id) const;
   bool isStoreUnreachable() const;
   template <typename Check>
   boost::asio::awaitable<JobRequestStatus>
--- a/Wasabi/Batch/BatchState.cpp
+++ b/Wasabi/Batch/BatchState.cpp
@@ -33,6 +33,13 @@
   return state;
 }
 
+/// Notes that a record refers to a job that is not known. If records before it
+/// have expired, the submission of the job was among them.
+void noteUnknownJob(BatchState &State, const JobId &Id, TimePoint Now) {
+  if (State.KnownFrom > 0)
+    State.PartlyExpired[Id] = Now;
+}
+
 /// The parts of a submission are adjacent in the topic, since they are appended
 /// together. A first part discards an incomplete submission; a part that does
 /// not continue the pending submission is ignored.
@@ -47,8 +54,11 @@
     std::vector<BatchItem> &items = State.PendingSubmission->Job.Items;
     items.insert(items.end(), Record.Job.Items.begin(), Record.Job.Items.end());
     State.PendingSubmission->PartIndex = Record.PartIndex;
-  } else
+  } else {
+    if (!State.Jobs.contains(Record.Job.Id))
+      noteUnknownJob(State, Record.Job.Id, Now);
     return {};
+  }
   appendItemLocations(State.PendingItemLocations, Record);
   if (Record.PartIndex + 1 < Record.PartCount)
     return {};
@@ -62,15 +72,18 @@
   std::shared_ptr<JobState> state =
       makeState(std::move(job), std::move(State.PendingItemLocations), At, Now);
   State.PendingItemLocations.clear();
+  State.PartlyExpired.erase(id);
   State.Jobs.emplace(std::move(id), state);
   return {BatchStateChange::Kind::Accepted, state};
 }
 
 BatchStateChange applyRecord(BatchState &State, Offset,
-                             const ResultRecord &Record, TimePoint) {
+                             const ResultRecord &Record, TimePoint Now) {
   std::shared_ptr<JobState> job = findJob(State, Record.Job);
-  if (!job)
+  if (!job) {
+    noteUnknownJob(State, Record.Job, Now);
     return {};
+  }
   auto it = job->Index.find(Record.Result.Item.Text);
   // Only the first result of an item counts.
   if (it == job->Index.end() || job->HasResult[it->second])
@@ -93,10 +106,12 @@
 }
 
 BatchStateChange applyRecord(BatchState &State, Offset,
-                             const PartialTextRecord &Record, TimePoint) {
+                             const PartialTextRecord &Record, TimePoint Now) {
   std::shared_ptr<JobState> job = findJob(State, Record.Job);
-  if (!job)
+  if (!job) {
+    noteUnknownJob(State, Record.Job, Now);
     return {};
+  }
   auto it = job->Index.find(Record.Item.Text);
   if (it == job->Index.end() || job->HasResult[it->second])
     return {};
@@ -170,10 +185,12 @@
     State.Next = At + 1;
 }
 
-std::vector<std::shared_ptr<JobState>> skipExpired(BatchState &State,
-                                                   Offset First) {
+std::vector<std::shared_ptr<JobState>>
+skipExpired(BatchState &State, Offset First, TimePoint Now) {
   std::vector<std::shared_ptr<JobState>> open;
   for (const auto &[id, job] : State.Jobs) {
+    // Read again if its submission is retained.
+    State.PartlyExpired[id] = job->Seen;
     if (job->Ended)
       continue;
     job->Ended = true;
@@ -184,6 +201,7 @@
   State.PendingSubmission.reset();
   State.PendingItemLocations.clear();
   State.KnownFrom = First;
+  State.KnownSince = Now;
   State.Next = First;
   return open;
 }
@@ -193,6 +211,9 @@
     bool isExpired = Now - it->second->Seen > State.Limits.JobRetention;
     it = isExpired ? State.Jobs.erase(it) : std::next(it);
   }
+  std::erase_if(State.PartlyExpired, [&](const auto &It) {
+    return Now - It.second > State.Limits.JobRetention;
+  });
 }
 
 bool isStepComplete(const JobState &Job) {
@@ -207,4 +228,15 @@
   return it == State.Jobs.end() ? nullptr : it->second;
 }
 
+bool mayHaveExpired(const BatchState &State, const JobId &Id, TimePoint Now) {
+  if (State.KnownFrom == 0 || State.Jobs.contains(Id))
+    return false;
+  auto partly = State.PartlyExpired.find(Id);
+  if (partly != State.PartlyExpired.end() &&
+      Now - partly->second <= State.Limits.JobRetention)
+    return true;
+  return Now - State.KnownSince + State.Limits.RecordRetention <
+         State.Limits.JobRetention;
+}
+
 } // namespace wasabi
--- a/Wasabi/Batch/BatchState.h
+++ b/Wasabi/Batch/BatchState.h
@@ -84,9 +84,10 @@
 struct BatchState {
   struct Settings {
     /// Time for which a job is kept after its submission was read. Results must
-    /// be readable for 120 s after the submission; records expire from the
-    /// topic at 300 s.
+    /// be readable for 120 s after the submission.
     Millis JobRetention{150000};
+    /// Minimum age of records that have expired.
+    Millis RecordRetention{300000};
     bool operator==(const Settings &) const = default;
   };
 
@@ -97,7 +98,12 @@
   /// earlier records had expired, and a missing holder of the lease is unknown
   /// rather than absent.
   Offset KnownFrom = 0;
+  /// Time at which `KnownFrom` was learned.
+  TimePoint KnownSince;
   std::unordered_map<JobId, std::shared_ptr<JobState>> Jobs;
+  /// Jobs that exist although their submission has expired, with the time at
+  /// which the newest record of each was read.
+  std::unordered_map<JobId, TimePoint> PartlyExpired;
   LeaseState Lease;
   /// Submission whose last part has not been read yet.
   std::optional<JobPart> PendingSubmission;
@@ -131,8 +137,8 @@
 /// on what is known are unknown: a job may have ended, a result may have been
 /// listed, another process may hold the lease. So the state starts anew.
 /// Returns the jobs that had not ended; they are marked as ended.
-std::vector<std::shared_ptr<JobState>> skipExpired(BatchState &State,
-                                                   Offset First);
+std::vector<std::shared_ptr<JobState>>
+skipExpired(BatchState &State, Offset First, TimePoint Now);
 
 /// Removes jobs older than `Settings::JobRetention`.
 void expireJobs(BatchState &State, TimePoint Now);
@@ -143,6 +149,10 @@
 /// Returns the job with this id, or null if it is not known.
 std::shared_ptr<JobState> findJob(const BatchState &State, const JobId &Id);
 
+/// Returns true if a job that is not known may nevertheless have been accepted
+/// within `Settings::JobRetention`: its submission may have expired. Pure.
+bool mayHaveExpired(const BatchState &State, const JobId &Id, TimePoint Now);
+
 } // namespace wasabi
 
 #endif // WASABI_BATCH_BATCHSTATE_H
--- a/Wasabi/Batch/RolloutLog.cpp
+++ b/Wasabi/Batch/RolloutLog.cpp
@@ -14,6 +14,7 @@
       Changed(this->Executor), Random(std::random_device()()),
       Demanded(this->Executor), Refreshed(this->Executor) {
   Backoff.Initial = this->Limits.RetryDelay;
+  State.Limits = this->Limits.State;
 }
 
 std::shared_ptr<RolloutLog>
@@ -137,7 +138,7 @@
   std::size_t known = State.Jobs.size();
   CaughtUp = false;
   std::vector<std::shared_ptr<JobState>> open =
-      wasabi::skipExpired(State, Expired.First);
+      wasabi::skipExpired(State, Expired.First, monotonicNow());
   Decisions->line("rollout_log.expired",
                   {{"topic", Limits.Topic},
                    {"expected", std::to_string(expected)},
--- a/Wasabi/Batch/RolloutLog.h
+++ b/Wasabi/Batch/RolloutLog.h
@@ -45,6 +45,8 @@
     std::optional<Millis> IdleTimeout;
     /// Time limit of an append, after which its outcome is unknown.
     Millis AppendTimeout{1200};
+    /// How long the state keeps jobs, and the store its records.
+    BatchState::Settings State;
   };
 
   static std::shared_ptr<RolloutLog>
