--- a/UnitTests/Dispatch/SharedEnginesTest.cpp
+++ b/UnitTests/Dispatch/SharedEnginesTest.cpp
@@ -9,6 +9,8 @@
 const std::vector<ModelName> Models{ModelName("model"), ModelName("second"),
                                     ModelName("third")};
 
+const ServiceName Other("other");
+
 /// Registers an engine that holds version 1 of `Held`.
 void registerEngine(DispatcherFixture &Fixture, const std::string &Id,
                     const ServiceName &Service,
@@ -34,6 +36,18 @@
   Fixture.Dispatch->onFleetChange();
 }
 
+/// Publishes version 2 of the configuration, with a second service of the same
+/// model to which no route leads, and returns it.
+RouteTable addOtherService(DispatcherFixture &Fixture) {
+  RouteTable table = *Fixture.View.Routes;
+  table.Version = 2;
+  UpstreamService service = table.Services.front();
+  service.Name = Other;
+  table.Services.push_back(service);
+  Fixture.View.Routes = std::make_shared<const RouteTable>(table);
+  return table;
+}
+
 BatchJob makeJobOf(const ModelName &Model, std::size_t Items) {
   BatchJob job = makeJob(Model.Text, Items);
   job.Model = Model;
@@ -82,19 +96,18 @@
 // have, while the model's items wait.
 TEST_CASE("An engine is assigned only models of its service", "[dispatch]") {
   DispatcherFixture fixture;
-  const ServiceName other("other");
   RouteTable table = *fixture.View.Routes;
   table.Version = 2;
   UpstreamService service;
-  service.Name = other;
+  service.Name = Other;
   service.Engine = EngineTraits{4, {Models[1]}};
   table.Services.push_back(service);
   UpstreamRoute route = table.Routes.front();
   route.Prefix = "/other/";
-  route.Services = {{other, 1}};
+  route.Services = {{Other, 1}};
   table.Routes.push_back(route);
   fixture.View.Routes = std::make_shared<const RouteTable>(std::move(table));
-  registerEngine(fixture, "o1", other, {Models[1]});
+  registerEngine(fixture, "o1", Other, {Models[1]});
   fixture.Dispatch->onFleetChange();
   BatchJob first = makeJobOf(Models[0], 12);
   BatchJob second = makeJobOf(Models[1], 6);
@@ -112,15 +125,9 @@
 // lead, since its engines have the model, too.
 TEST_CASE("Items run only at the services of their route", "[dispatch]") {
   DispatcherFixture fixture;
-  const ServiceName other("other");
-  RouteTable table = *fixture.View.Routes;
-  table.Version = 2;
-  UpstreamService service = table.Services.front();
-  service.Name = other;
-  table.Services.push_back(service);
-  fixture.View.Routes = std::make_shared<const RouteTable>(table);
-  registerEngine(fixture, "o1", other, {Models[0]});
-  registerEngine(fixture, "o2", other, {Models[0]});
+  RouteTable table = addOtherService(fixture);
+  registerEngine(fixture, "o1", Other, {Models[0]});
+  registerEngine(fixture, "o2", Other, {Models[0]});
   fixture.Dispatch->onFleetChange();
   fixture.Engines.EventsPerText = 20;
   BatchJob first = makeJobOf(Models[0], 30);
@@ -142,7 +149,7 @@
   // All slots are taken, and the other items wait.
   REQUIRE(fixture.runUntil([&] { return runs() == before + 8; }));
   table.Version = 3;
-  table.Routes.front().Services = {{other, 1}};
+  table.Routes.front().Services = {{Other, 1}};
   fixture.View.Routes = std::make_shared<const RouteTable>(table);
   fixture.Dispatch->onFleetChange();
   before = runs();
@@ -156,15 +163,10 @@
 TEST_CASE("An engine that failed is tried if its service has no other",
           "[dispatch]") {
   DispatcherFixture fixture;
-  const ServiceName other("other");
-  RouteTable table = *fixture.View.Routes;
-  table.Version = 2;
-  UpstreamService service = table.Services.front();
-  service.Name = other;
-  table.Services.push_back(service);
-  table.Routes.front().Services = {{other, 1}};
+  RouteTable table = addOtherService(fixture);
+  table.Routes.front().Services = {{Other, 1}};
   fixture.View.Routes = std::make_shared<const RouteTable>(table);
-  registerEngine(fixture, "o1", other, {Models[0]});
+  registerEngine(fixture, "o1", Other, {Models[0]});
   fixture.Dispatch->onFleetChange();
   std::shared_ptr<UpstreamServer> server =
       fixture.View.Servers.Servers.at(ServerName("o1"));
--- a/UnitTests/Platform/FrontendTest.cpp
+++ b/UnitTests/Platform/FrontendTest.cpp
@@ -53,6 +53,13 @@
     View.Routes = std::make_shared<const RouteTable>(std::move(table));
   }
 
+  /// Replaces the configuration by one that requires keys and has no customer.
+  void requireKeys() {
+    RouteTable table = *View.Routes;
+    table.Customers = CustomerTable::create({});
+    View.Routes = std::make_shared<const RouteTable>(std::move(table));
+  }
+
   /// `Key` is sent unless it is empty.
   http::Response get(const std::string &Path, const std::string &Key = "") {
     http::Response response;
@@ -127,9 +134,7 @@
   SECTION("The store has the route, which needs a key") {
     fixture.OnRead = [&fixture] {
       fixture.configure("/new/");
-      RouteTable table = *fixture.View.Routes;
-      table.Customers = CustomerTable::create({});
-      fixture.View.Routes = std::make_shared<const RouteTable>(table);
+      fixture.requireKeys();
       return true;
     };
     CHECK(fixture.get("/new/").Status == Unauthorized);
@@ -140,9 +145,7 @@
 TEST_CASE("A key is denied only by a current configuration", "[platform]") {
   FrontendFixture fixture;
   fixture.configure("/old/");
-  RouteTable table = *fixture.View.Routes;
-  table.Customers = CustomerTable::create({});
-  fixture.View.Routes = std::make_shared<const RouteTable>(table);
+  fixture.requireKeys();
   fixture.CurrentAsOf = monotonicNow();
   CHECK(fixture.get("/old/", "key").Status == Unauthorized);
   CHECK(fixture.Reads == 1);
@@ -159,9 +162,7 @@
   constexpr unsigned BadRequest = 400;
   FrontendFixture fixture;
   fixture.configure("/old/");
-  RouteTable table = *fixture.View.Routes;
-  table.Customers = CustomerTable::create({});
-  fixture.View.Routes = std::make_shared<const RouteTable>(table);
+  fixture.requireKeys();
   fixture.CurrentAsOf = monotonicNow();
   SECTION("The store has no newer configuration") {
     CHECK(fixture.get("/old/open/").Status == Unauthorized);
@@ -170,6 +171,7 @@
   }
   SECTION("The store has a public route") {
     fixture.OnRead = [&] {
+      RouteTable table = *fixture.View.Routes;
       UpstreamRoute route = table.Routes.front();
       route.Prefix = "/old/open/";
       route.Kind = RouteKind::Rollout;
