--- a/Wasabi/Batch/BatchState.h
+++ b/Wasabi/Batch/BatchState.h
@@ -137,8 +137,8 @@
 /// on what is known are unknown: a job may have ended, a result may have been
 /// listed, another process may hold the lease. So the state starts anew.
 /// Returns the jobs that had not ended; they are marked as ended.
-std::vector<std::shared_ptr<JobState>>
-skipExpired(BatchState &State, Offset First, TimePoint Now);
+std::vector<std::shared_ptr<JobState>> skipExpired(BatchState &State,
+                                                   Offset First, TimePoint Now);
 
 /// Removes jobs older than `Settings::JobRetention`.
 void expireJobs(BatchState &State, TimePoint Now);
