The simulated clock waits until the kernel's timer has fired

Cause: Asio looks for expired timers once the kernel's timer fires. It is set to fire at once, but on a busy machine that happens after the poll that should see it, so expired timers wait for the next step.

Fix: runReady polls until the timer that it sets has fired, and repeats this until no other handler has run. The checks of all tests are as before.

--- a/UnitTests/Core/SimulatedClock.h
+++ b/UnitTests/Core/SimulatedClock.h
@@ -31,11 +31,20 @@
   /// included. Precondition: its handlers wait for timers and for each other
   /// only.
   static void runReady(boost::asio::io_context &Context) {
-    // Asio looks for expired timers once the kernel's timer fires, and sets
-    // that again for a timer that comes before all others.
-    BootTimer first(Context, BootClock::time_point::min());
-    first.async_wait([](boost::system::error_code) {});
-    Context.restart();
+    std::size_t handlers = 0;
+    do {
+      // Asio looks for expired timers once the kernel's timer fires, and sets
+      // that again for a timer that comes before all others. On a busy machine
+      // it fires some time after it was set.
+      bool fired = false;
+      BootTimer first(Context, BootClock::time_point::min());
+      first.async_wait([&fired](boost::system::error_code) { fired = true; });
+      handlers = 0;
+      while (!fired) {
+        Context.restart();
+        handlers += Context.poll();
+      }
+    } while (handlers > 1);
     while (Context.poll() > 0)
       continue;
   }
