An open job is kept for as long as its records

Callers saw: from 150 s after its submission on, a job that its trainer had not ended was answered with 404, results that came later were dropped, and a successor did not run what was left of it. A step may take 5 minutes at the target size.

Cause: the state kept every job for JobRetention after its submission was read, whether it had ended or not. That time is meant for ended jobs.

"A job is not denied while it is open" and "An open job is kept as long as the store keeps its records" failed before: the read was denied, and the job was gone 1 ms after the time for ended ones.

Why this works: an open job is dropped no sooner than the store drops its submission, so every process that can still read the job knows it.

"A job is removed after its retention time" demanded the removal of a job that had not ended; it ends the job first now, and the new test checks open jobs as strictly.

--- a/UnitTests/Batch/BatchServiceTest.cpp
+++ b/UnitTests/Batch/BatchServiceTest.cpp
@@ -515,6 +515,33 @@
   }
 }
 
+// Guards against a 404, which is final, for a job that is older than ended ones
+// are kept, but open.
+TEST_CASE("A job is not denied while it is open", "[batch]") {
+  BatchServiceFixture fixture;
+  RolloutLog::Settings limits;
+  limits.State.JobRetention = Millis(100);
+  limits.State.RecordRetention = Millis(5000);
+  std::shared_ptr<RolloutLog> log =
+      RolloutLog::create(fixture.Context.get_executor(), fixture.Store.port(),
+                         fixture.Decisions, limits);
+  log->start();
+  std::shared_ptr<BatchService> service = fixture.makeService(log);
+  REQUIRE(fixture.runUntil([&] { return log->caughtUp(); }));
+  BatchJob open = makeJob("a", 2);
+  BatchJob ended = makeJob("b", 1);
+  REQUIRE(fixture.submit(*service, open) == JobRequestStatus::Accepted);
+  REQUIRE(fixture.submit(*service, ended) == JobRequestStatus::Accepted);
+  REQUIRE(fixture.end(*service, ended) == JobRequestStatus::Accepted);
+  fixture.Context.run_for(2 * limits.State.JobRetention);
+  fixture.addResult(open, 1, "text");
+  REQUIRE(fixture.runUntil(
+      [&] { return findJob(log->fold(), ended.Id) == nullptr; }));
+  Outcome<ResultPage> page = fixture.read(*service, open, 0);
+  REQUIRE(page);
+  CHECK(page->Results.size() == 1);
+}
+
 // Guards against a 404, which is final, for an accepted job whose submission
 // has expired.
 TEST_CASE("A job is denied only if its submission can't have expired",
--- a/UnitTests/Batch/BatchStateTest.cpp
+++ b/UnitTests/Batch/BatchStateTest.cpp
@@ -267,10 +267,37 @@
   BatchState fold;
   BatchJob job = makeJob("a", 1);
   apply(fold, 0, JobPart{job, 0, 1}, TimePoint());
+  apply(fold, 1, JobEnd{job.Id}, TimePoint() + Millis(100));
   expireJobs(fold, TimePoint() + fold.Limits.JobRetention);
   CHECK(findJob(fold, job.Id) != nullptr);
   expireJobs(fold, TimePoint() + fold.Limits.JobRetention + Millis(1));
   CHECK(findJob(fold, job.Id) == nullptr);
 }
 
+// Guards against a job that is forgotten, and denied, while its trainer still
+// waits for it.
+TEST_CASE("An open job is kept as long as the store keeps its records",
+          "[batch]") {
+  BatchState fold;
+  BatchJob job = makeJob("a", 1);
+  apply(fold, 0, JobPart{job, 0, 1}, TimePoint());
+  Millis kept = fold.Limits.RecordRetention;
+  SECTION("It is removed with its records") {
+    expireJobs(fold, TimePoint() + kept);
+    CHECK(findJob(fold, job.Id) != nullptr);
+    expireJobs(fold, TimePoint() + kept + Millis(1));
+    CHECK(findJob(fold, job.Id) == nullptr);
+  }
+  SECTION("It is removed once it has ended") {
+    apply(fold, 1, JobEnd{job.Id}, TimePoint() + kept);
+    expireJobs(fold, TimePoint() + kept);
+    CHECK(findJob(fold, job.Id) == nullptr);
+  }
+  SECTION("Records that the store drops early do not shorten the time") {
+    fold.Limits.RecordRetention = Millis(1000);
+    expireJobs(fold, TimePoint() + fold.Limits.JobRetention);
+    CHECK(findJob(fold, job.Id) != nullptr);
+  }
+}
+
 } // namespace wasabi::batchtest
--- a/Wasabi/Batch/BatchState.cpp
+++ b/Wasabi/Batch/BatchState.cpp
@@ -1,5 +1,6 @@
 #include "Wasabi/Batch/BatchState.h"
 
+#include <algorithm>
 #include <string_view>
 
 namespace wasabi {
@@ -207,10 +208,12 @@
 }
 
 void expireJobs(BatchState &State, TimePoint Now) {
-  for (auto it = State.Jobs.begin(); it != State.Jobs.end();) {
-    bool isExpired = Now - it->second->Seen > State.Limits.JobRetention;
-    it = isExpired ? State.Jobs.erase(it) : std::next(it);
-  }
+  Millis ended = State.Limits.JobRetention;
+  Millis open = std::max(ended, State.Limits.RecordRetention);
+  std::erase_if(State.Jobs, [&](const auto &It) {
+    const JobState &job = *It.second;
+    return Now - job.Seen > (job.Ended ? ended : open);
+  });
   std::erase_if(State.PartlyExpired, [&](const auto &It) {
     return Now - It.second > State.Limits.JobRetention;
   });
--- a/Wasabi/Batch/BatchState.h
+++ b/Wasabi/Batch/BatchState.h
@@ -83,10 +83,11 @@
 /// The state folded from the topic. Owned by one thread.
 struct BatchState {
   struct Settings {
-    /// Time for which a job is kept after its submission was read. Results must
-    /// be readable for 120 s after the submission.
+    /// Time for which a job is kept after its submission was read, if it has
+    /// ended. Results must be readable for 120 s after the submission.
     Millis JobRetention{150000};
-    /// Minimum age of records that have expired.
+    /// Minimum age of records that have expired. A job that has not ended is
+    /// kept for as long: its items are owed, and its results must be readable.
     Millis RecordRetention{300000};
     bool operator==(const Settings &) const = default;
   };
@@ -140,7 +141,7 @@
 std::vector<std::shared_ptr<JobState>> skipExpired(BatchState &State,
                                                    Offset First, TimePoint Now);
 
-/// Removes jobs older than `Settings::JobRetention`.
+/// Removes the jobs that have been kept for long enough, see `Settings`.
 void expireJobs(BatchState &State, TimePoint Now);
 
 /// True if as many groups are complete as the job's trainer waits for. Pure.
