The items of a job are held once while they are stored

Cause: while a job's items were stored, they were held four times: in the body of the request until its response, in the list that a second try needs, in a copy for the call, and in the records of all appends.

Why this works: what waits for the store is held once, and bodies that arrive are bounded in sum already.

The peak of a process, which two tests read now, is a method of the harness.

--- a/IntegrationTests/Cases/EndlessResponseTest.cpp
+++ b/IntegrationTests/Cases/EndlessResponseTest.cpp
@@ -7,7 +7,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <fstream>
 #include <future>
 
 namespace wasabi::test {
@@ -18,23 +17,9 @@
 constexpr unsigned Ok = 200;
 constexpr unsigned Accepted = 202;
 constexpr unsigned Unavailable = 503;
-/// Memory of an edge instance of the users, in KiB.
-constexpr std::size_t EdgeMemoryKib = 280u << 10;
 /// Time limit of the route, and a margin for the machine that runs the test.
 constexpr Millis MaxAnswerTime{2500};
 
-/// Returns the greatest memory that a process has used, in KiB.
-std::size_t findPeakMemoryKib(const harness::Process &Running) {
-  std::ifstream status("/proc/" + std::to_string(Running.pid()) + "/status");
-  std::string name;
-  std::size_t value = 0;
-  while (status >> name) {
-    if (name == "VmHWM:" && status >> value)
-      return value;
-  }
-  return 0;
-}
-
 /// Numbers of requests by what became of them.
 struct CallCounts {
   int Answered = 0;
@@ -97,7 +82,7 @@
   CHECK(fixture.waitForResults(1, "job", 6));
   for (std::size_t i = 0; i < fixture.edges(); ++i) {
     CHECK_FALSE(fixture.edge(i).Running->wait(Millis(0)));
-    CHECK(findPeakMemoryKib(*fixture.edge(i).Running) < EdgeMemoryKib);
+    CHECK(fixture.edge(i).Running->peakMemoryKib() < EdgeMemoryKib);
   }
   CHECK(fixture.output().find("response.given_up") != std::string::npos);
   // The server is tried again, and serves once it answers.
--- a/IntegrationTests/Harness/Process.cpp
+++ b/IntegrationTests/Harness/Process.cpp
@@ -151,6 +151,17 @@
     kill(Pid, Number);
 }
 
+std::size_t Process::peakMemoryKib() const {
+  std::ifstream status("/proc/" + std::to_string(Pid) + "/status");
+  std::string name;
+  std::size_t value = 0;
+  while (status >> name) {
+    if (name == "VmHWM:" && status >> value)
+      return value;
+  }
+  return 0;
+}
+
 bool Process::running() {
   std::lock_guard<std::mutex> lock(Guard);
   if (Exit)
--- a/IntegrationTests/Harness/Process.h
+++ b/IntegrationTests/Harness/Process.h
@@ -69,6 +69,9 @@
   std::optional<ProcessExit> waitAndRead(Millis Timeout);
   bool running();
   pid_t pid() const { return Pid; }
+  /// Returns the most memory that the process has used so far, in KiB; 0 if it
+  /// no longer runs.
+  std::size_t peakMemoryKib() const;
 
 private:
   Process(Settings Setup, pid_t Pid, int Descriptor);
--- a/IntegrationTests/Platform/PlatformFixture.h
+++ b/IntegrationTests/Platform/PlatformFixture.h
@@ -27,6 +27,9 @@
 /// Model of all jobs, unless another one is given.
 inline constexpr const char *DefaultModel = "model";
 
+/// Memory of an edge instance of the users, in KiB.
+inline constexpr std::size_t EdgeMemoryKib = 280u << 10;
+
 /// Builds a submission of scored items, two in a group, as a trainer sends it.
 std::string makeJobBody(const std::string &Job,
                         const std::vector<std::string> &Items,
--- a/UnitTests/Batch/PayloadStoreTest.cpp
+++ b/UnitTests/Batch/PayloadStoreTest.cpp
@@ -14,11 +14,11 @@
       Store.port(Disconnected),
       PayloadStore::Settings{"payload", Millis(100), 10, 30, 1000, 40});
 
-  std::vector<PayloadLocation> put(std::vector<std::string> Contents) {
+  std::vector<PayloadLocation> put(const std::vector<std::string> &Contents) {
     std::vector<PayloadLocation> locations;
     run([&]() -> asio::awaitable<void> {
       Outcome<std::vector<PayloadLocation>> stored =
-          co_await Payloads->put(std::move(Contents));
+          co_await Payloads->put(Contents);
       REQUIRE(stored);
       locations = *stored;
     });
@@ -73,7 +73,7 @@
   fixture.run([&]() -> asio::awaitable<void> {
     std::vector<std::string> one{"one"};
     Outcome<std::vector<PayloadLocation>> stored =
-        co_await fixture.Payloads->put(std::move(one));
+        co_await fixture.Payloads->put(one);
     REQUIRE_FALSE(stored);
     CHECK(stored.failure().Run == Verdict::NotRun);
   });
--- a/Wasabi/Batch/BatchService.cpp
+++ b/Wasabi/Batch/BatchService.cpp
@@ -100,7 +100,7 @@
       co_await Payloads->put(items);
   // Storing the items twice is harmless, so a failed append is retried once.
   if (!locations && !isStoreUnreachable())
-    locations = co_await Payloads->put(std::move(items));
+    locations = co_await Payloads->put(items);
   if (!locations)
     co_return locations.failure();
   std::vector<std::string> records;
--- a/Wasabi/Batch/PayloadStore.cpp
+++ b/Wasabi/Batch/PayloadStore.cpp
@@ -10,27 +10,31 @@
 
 namespace {
 
-/// Records of one append and the payloads that they belong to.
-struct PayloadAppend {
-  std::vector<std::string> Records;
-  /// By record: index of the payload that it is a part of.
-  std::vector<std::size_t> PayloadIndices;
-  std::size_t Bytes = 0;
+/// A record that is to be appended: a part of a payload.
+struct PayloadPart {
+  std::string_view Bytes;
+  /// Index of the payload.
+  std::size_t Payload = 0;
 };
 
-std::vector<PayloadAppend> planAppends(const std::vector<std::string> &Payloads,
-                                       const PayloadStore::Settings &Limits) {
-  std::vector<PayloadAppend> appends(1);
+/// Divides payloads into the records of each append. The parts refer to the
+/// payloads.
+std::vector<std::vector<PayloadPart>>
+planAppends(const std::vector<std::string> &Payloads,
+            const PayloadStore::Settings &Limits) {
+  std::vector<std::vector<PayloadPart>> appends;
+  std::size_t bytes = 0;
   for (std::size_t i = 0; i < Payloads.size(); ++i) {
     std::string_view remaining = Payloads[i];
     while (!remaining.empty()) {
       std::string_view part = remaining.substr(0, Limits.MaxRecordBytes);
       remaining.remove_prefix(part.size());
-      if (appends.back().Bytes + part.size() > Limits.MaxAppendBytes)
+      if (appends.empty() || bytes + part.size() > Limits.MaxAppendBytes) {
         appends.emplace_back();
-      appends.back().Records.emplace_back(part);
-      appends.back().PayloadIndices.push_back(i);
-      appends.back().Bytes += part.size();
+        bytes = 0;
+      }
+      appends.back().push_back({part, i});
+      bytes += part.size();
     }
   }
   return appends;
@@ -48,27 +52,24 @@
 }
 
 asio::awaitable<Outcome<std::vector<PayloadLocation>>>
-PayloadStore::put(std::vector<std::string> Payloads) {
+PayloadStore::put(const std::vector<std::string> &Payloads) {
   std::shared_ptr<PayloadStore> self = shared_from_this();
   std::vector<PayloadLocation> locations(Payloads.size());
-  for (PayloadAppend &it : planAppends(Payloads, Limits)) {
-    if (it.Records.empty())
-      continue;
-    std::vector<std::uint64_t> sizes;
-    sizes.reserve(it.Records.size());
-    for (const std::string &record : it.Records)
-      sizes.push_back(record.size());
-    Outcome<Offset> first =
-        co_await Store.Append(Limits.Topic, std::move(it.Records), std::nullopt,
-                              Limits.AppendTimeout);
+  for (const std::vector<PayloadPart> &it : planAppends(Payloads, Limits)) {
+    std::vector<std::string> records;
+    records.reserve(it.size());
+    for (const PayloadPart &part : it)
+      records.emplace_back(part.Bytes);
+    Outcome<Offset> first = co_await Store.Append(
+        Limits.Topic, std::move(records), std::nullopt, Limits.AppendTimeout);
     if (!first) {
       Failure failure = first.failure();
       failure.Run = Verdict::NotRun;
       co_return failure;
     }
-    for (std::size_t i = 0; i < sizes.size(); ++i)
-      locations[it.PayloadIndices[i]].push_back(
-          PayloadRecordRef{*first + i, sizes[i]});
+    for (std::size_t i = 0; i < it.size(); ++i)
+      locations[it[i].Payload].push_back(
+          PayloadRecordRef{*first + i, it[i].Bytes.size()});
   }
   co_return locations;
 }
--- a/Wasabi/Batch/PayloadStore.h
+++ b/Wasabi/Batch/PayloadStore.h
@@ -52,9 +52,11 @@
 
   /// Appends payloads in records of at most `MaxRecordBytes` and returns the
   /// location of each. A failed call may leave records that nothing refers to;
-  /// it can be repeated safely, so failures are always `NotRun`.
+  /// it can be repeated safely, so failures are always `NotRun`. Copies the
+  /// records of one append at a time. Precondition: `Payloads` outlives the
+  /// call.
   boost::asio::awaitable<Outcome<std::vector<PayloadLocation>>>
-  put(std::vector<std::string> Payloads);
+  put(const std::vector<std::string> &Payloads);
 
   /// Returns the bytes at a location. Failures: `Expired` if the store no
   /// longer has them, otherwise those of the store.
--- a/Wasabi/Dispatch/DispatcherRecords.cpp
+++ b/Wasabi/Dispatch/DispatcherRecords.cpp
@@ -248,7 +248,7 @@
   }
   if (!texts.empty()) {
     Outcome<std::vector<PayloadLocation>> locations =
-        co_await Payloads->put(std::move(texts));
+        co_await Payloads->put(texts);
     if (!locations)
       co_return locations.failure();
     for (std::size_t i = 0; i < indices.size(); ++i) {
@@ -291,7 +291,7 @@
       payloads[i].swap(Texts[i].Text.Output);
   }
   Outcome<std::vector<PayloadLocation>> locations =
-      co_await Payloads->put(std::move(payloads));
+      co_await Payloads->put(payloads);
   if (!locations)
     co_return locations.failure();
   std::vector<std::string> records;
