Test of each number of models against each number of engines

One to four models with one to five engines: each model's items are done, also those of a model that comes back after the others have finished. Without loans of engines the six combinations with more models than engines fail, so no particular number is what the fix is made for.

--- a/UnitTests/Dispatch/SharedEnginesTest.cpp
+++ b/UnitTests/Dispatch/SharedEnginesTest.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 const std::vector<ModelName> Models{ModelName("model"), ModelName("second"),
-                                    ModelName("third")};
+                                    ModelName("third"), ModelName("fourth")};
 
 const ServiceName Other("other");
 
@@ -25,14 +25,19 @@
   Fixture.Engines.Servers[entry.Id];
 }
 
-/// Lets the service of the fixture serve three models.
-void serveThreeModels(DispatcherFixture &Fixture) {
+/// Lets the service of the fixture serve the first `ModelCount` models with
+/// `EngineCount` engines, which hold all of them.
+void serveModels(DispatcherFixture &Fixture, std::size_t ModelCount,
+                 std::size_t EngineCount) {
+  auto count = static_cast<std::ptrdiff_t>(ModelCount);
+  std::vector<ModelName> models(Models.begin(), Models.begin() + count);
   RouteTable table = *Fixture.View.Routes;
   table.Version = 2;
-  table.Services.front().Engine->Models = Models;
+  table.Services.front().Engine->Models = models;
   Fixture.View.Routes = std::make_shared<const RouteTable>(std::move(table));
-  for (const char *id : {"e1", "e2"})
-    registerEngine(Fixture, id, Llm, Models);
+  unregisterServer(Fixture.View.Servers, ServerName("e2"), monotonicNow());
+  for (std::size_t i = 1; i <= EngineCount; ++i)
+    registerEngine(Fixture, "e" + std::to_string(i), Llm, models);
   Fixture.Dispatch->onFleetChange();
 }
 
@@ -59,10 +64,10 @@
 // Guards against models whose items reach no engine because others hold all.
 TEST_CASE("Each of three models is served by two engines", "[dispatch]") {
   DispatcherFixture fixture;
-  serveThreeModels(fixture);
+  serveModels(fixture, 3, 2);
   std::vector<BatchJob> jobs;
-  for (const ModelName &it : Models) {
-    jobs.push_back(makeJobOf(it, 10));
+  for (std::size_t i = 0; i < 3; ++i) {
+    jobs.push_back(makeJobOf(Models[i], 10));
     fixture.submit(jobs.back());
   }
   for (const BatchJob &it : jobs) {
@@ -72,15 +77,39 @@
   }
 }
 
+// Guards against a number of models and engines with which a model gets no
+// engine, at first or once the other models have finished.
+TEST_CASE("Each model is served, however many models and engines there are",
+          "[dispatch]") {
+  std::size_t models = GENERATE(1U, 2U, 3U, 4U);
+  std::size_t engines = GENERATE(1U, 2U, 3U, 4U, 5U);
+  INFO(models << " models, " << engines << " engines");
+  DispatcherFixture fixture;
+  serveModels(fixture, models, engines);
+  std::vector<BatchJob> jobs;
+  for (std::size_t i = 0; i < models; ++i) {
+    jobs.push_back(makeJobOf(Models[i], 6));
+    fixture.submit(jobs.back());
+  }
+  for (const BatchJob &it : jobs)
+    REQUIRE(fixture.finishes(it));
+  BatchJob last = makeJobOf(Models[models - 1], 6);
+  last.Id = JobId("last");
+  for (BatchItem &it : last.Items)
+    it.Id = ItemId("last-" + it.Id.Text);
+  fixture.submit(last);
+  CHECK(fixture.finishes(last));
+}
+
 // Guards against a model whose last engine is lost while it has work.
 TEST_CASE("The models of a lost engine are served by the one that is left",
           "[dispatch]") {
   DispatcherFixture fixture;
-  serveThreeModels(fixture);
+  serveModels(fixture, 3, 2);
   fixture.Engines.EventsPerText = 20;
   std::vector<BatchJob> jobs;
-  for (const ModelName &it : Models) {
-    jobs.push_back(makeJobOf(it, 6));
+  for (std::size_t i = 0; i < 3; ++i) {
+    jobs.push_back(makeJobOf(Models[i], 6));
     fixture.submit(jobs.back());
   }
   REQUIRE(fixture.runUntil([&] { return !fixture.server("e2").Runs.empty(); }));
