--- a/IntegrationTests/Cases/LargeJobTest.cpp
+++ b/IntegrationTests/Cases/LargeJobTest.cpp
@@ -58,6 +58,7 @@
   REQUIRE(fixture.waitUntilAllReady());
   const Address &edge = fixture.edge(0).CallerAddress;
   std::vector<std::future<bool>> trainers;
+  trainers.reserve(Trainers);
   for (int i = 0; i < Trainers; ++i)
     trainers.push_back(std::async(std::launch::async, [&edge, i] {
       bool accepted = true;
