An unknown key is looked up in a current configuration

Callers would see: on a host with a public rollout route, a job submitted with a key that the process does not know yet is stored without its customer, and answered with 404, which is final, at every process that knows the key; a job of that customer is answered with 404 at a process that is behind.

Cause: on a public path a key that the configuration in use lacks was taken for no customer, however old that configuration is. The customer is a part of a job's id.

Evidence: found by reading the decisions that rest on the configuration; not seen in a run of processes.

Why this works: a key without a customer is final only for a configuration that was read after the call came. Until then calls of jobs get 503; requests of public paths need no customer to be answered.

--- a/UnitTests/Platform/FrontendTest.cpp
+++ b/UnitTests/Platform/FrontendTest.cpp
@@ -197,4 +197,44 @@
   }
 }
 
+// Guards against a job that is submitted or looked up without its customer, as
+// its key is newer than the configuration in use and its route is public.
+TEST_CASE("An unknown key is looked up in a current configuration",
+          "[platform]") {
+  constexpr unsigned BadRequest = 400;
+  FrontendFixture fixture;
+  fixture.configure("/open/");
+  fixture.requireKeys();
+  RouteTable table = *fixture.View.Routes;
+  table.Routes.front().Public = true;
+  SECTION("For a job") {
+    table.Routes.front().Kind = RouteKind::Rollout;
+    fixture.View.Routes = std::make_shared<const RouteTable>(table);
+    fixture.CurrentAsOf = monotonicNow();
+    // A submission that is granted has no job.
+    CHECK(fixture.get("/open/", "key").Status == BadRequest);
+    CHECK(fixture.Reads == 1);
+    fixture.OnRead = [] { return false; };
+    CHECK(fixture.get("/open/", "key").Status == ServiceUnavailable);
+    CHECK(fixture.get("/api/lots/a", "key").Status == ServiceUnavailable);
+    CHECK(fixture.get("/open/").Status == BadRequest);
+    CHECK(fixture.Reads == 3);
+    fixture.View.Contact.Lost = true;
+    CHECK(fixture.get("/open/", "key").Status == ServiceUnavailable);
+    CHECK(fixture.Reads == 3);
+  }
+  SECTION("For a request") {
+    table.Routes.front().Kind = RouteKind::Idempotent;
+    fixture.View.Routes = std::make_shared<const RouteTable>(table);
+    fixture.CurrentAsOf = monotonicNow();
+    fixture.OnRead = [&] {
+      // The newest configuration no longer has the route.
+      fixture.configure("/other/");
+      return true;
+    };
+    CHECK(fixture.get("/open/", "key").Status == NotFound);
+    CHECK(fixture.Reads == 2);
+  }
+}
+
 } // namespace wasabi::platform
