--- a/Wasabi/Batch/BatchState.cpp
+++ b/Wasabi/Batch/BatchState.cpp
@@ -208,11 +208,11 @@
 }
 
 void expireJobs(BatchState &State, TimePoint Now) {
-  Millis ended = State.Limits.JobRetention;
-  Millis open = std::max(ended, State.Limits.RecordRetention);
+  Millis endedRetention = State.Limits.JobRetention;
+  Millis openRetention = std::max(endedRetention, State.Limits.RecordRetention);
   std::erase_if(State.Jobs, [&](const auto &It) {
     const JobState &job = *It.second;
-    return Now - job.Seen > (job.Ended ? ended : open);
+    return Now - job.Seen > (job.Ended ? endedRetention : openRetention);
   });
   std::erase_if(State.PartlyExpired, [&](const auto &It) {
     return Now - It.second > State.Limits.JobRetention;
