An end that comes late can be repeated

Callers would see: the end of a job that had been open for longer than JobRetention is acknowledged, and 404 when it is repeated after a lost answer, as the job is dropped at once.

Cause: the retention time of an ended job was counted from its submission.

Evidence: "An open job is kept as long as the store keeps its records", its section "A late end can be repeated", failed before. It takes the place of a section that demanded the removal at once.

Why this works: an ended job is kept for JobRetention from its end on; that is never sooner than before.

--- a/UnitTests/Batch/BatchStateTest.cpp
+++ b/UnitTests/Batch/BatchStateTest.cpp
@@ -267,7 +267,7 @@
   BatchState fold;
   BatchJob job = makeJob("a", 1);
   apply(fold, 0, JobPart{job, 0, 1}, TimePoint());
-  apply(fold, 1, JobEnd{job.Id}, TimePoint() + Millis(100));
+  apply(fold, 1, JobEnd{job.Id}, TimePoint());
   expireJobs(fold, TimePoint() + fold.Limits.JobRetention);
   CHECK(findJob(fold, job.Id) != nullptr);
   expireJobs(fold, TimePoint() + fold.Limits.JobRetention + Millis(1));
@@ -288,9 +288,12 @@
     expireJobs(fold, TimePoint() + kept + Millis(1));
     CHECK(findJob(fold, job.Id) == nullptr);
   }
-  SECTION("It is removed once it has ended") {
-    apply(fold, 1, JobEnd{job.Id}, TimePoint() + kept);
-    expireJobs(fold, TimePoint() + kept);
+  SECTION("A late end can be repeated") {
+    TimePoint end = TimePoint() + kept;
+    apply(fold, 1, JobEnd{job.Id}, end);
+    expireJobs(fold, end + fold.Limits.JobRetention);
+    CHECK(findJob(fold, job.Id) != nullptr);
+    expireJobs(fold, end + fold.Limits.JobRetention + Millis(1));
     CHECK(findJob(fold, job.Id) == nullptr);
   }
   SECTION("Records that the store drops early do not shorten the time") {
--- a/Wasabi/Batch/BatchState.cpp
+++ b/Wasabi/Batch/BatchState.cpp
@@ -98,11 +98,12 @@
 }
 
 BatchStateChange applyRecord(BatchState &State, Offset, const JobEnd &Record,
-                             TimePoint) {
+                             TimePoint Now) {
   std::shared_ptr<JobState> job = findJob(State, Record.Job);
   if (!job || job->Ended)
     return {};
   job->Ended = true;
+  job->EndedAt = Now;
   return {BatchStateChange::Kind::Ended, job};
 }
 
@@ -195,6 +196,7 @@
     if (job->Ended)
       continue;
     job->Ended = true;
+    job->EndedAt = Now;
     open.push_back(job);
   }
   State.Jobs.clear();
@@ -212,7 +214,8 @@
   Millis openRetention = std::max(endedRetention, State.Limits.RecordRetention);
   std::erase_if(State.Jobs, [&](const auto &It) {
     const JobState &job = *It.second;
-    return Now - job.Seen > (job.Ended ? endedRetention : openRetention);
+    return job.Ended ? Now - job.EndedAt > endedRetention
+                     : Now - job.Seen > openRetention;
   });
   std::erase_if(State.PartlyExpired, [&](const auto &It) {
     return Now - It.second > State.Limits.JobRetention;
--- a/Wasabi/Batch/BatchState.h
+++ b/Wasabi/Batch/BatchState.h
@@ -52,6 +52,8 @@
   /// Time at which this process read the last record of the submission.
   TimePoint Seen;
   bool Ended = false;
+  /// Time at which this process read the end; valid if `Ended`.
+  TimePoint EndedAt;
   /// Results by position.
   std::vector<ItemResult> Results;
   /// Index into `Job.Items`, by item id.
@@ -83,11 +85,12 @@
 /// The state folded from the topic. Owned by one thread.
 struct BatchState {
   struct Settings {
-    /// Time for which a job is kept after its submission was read, if it has
-    /// ended. Results must be readable for 120 s after the submission.
+    /// Time for which a job is kept after its end was read. Results must be
+    /// readable for 120 s after the submission, and an end may be repeated.
     Millis JobRetention{150000};
     /// Minimum age of records that have expired. A job that has not ended is
-    /// kept for as long: its items are owed, and its results must be readable.
+    /// kept for as long after its submission was read: its items are owed, and
+    /// its results must be readable.
     Millis RecordRetention{300000};
     bool operator==(const Settings &) const = default;
   };
