--- a/IntegrationTests/Harness/Process.cpp
+++ b/IntegrationTests/Harness/Process.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <csignal>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -74,6 +75,7 @@
   request.Environment = makeEnvironment(Setup.Environment);
   request.Output = ends[1];
   request.Errors = file;
+  request.MaxDescriptors = Setup.MaxDescriptors;
   pid_t child = spawn(request);
   close(ends[1]);
   close(file);
@@ -151,17 +153,28 @@
     kill(Pid, Number);
 }
 
-std::size_t Process::peakMemoryKib() const {
+std::size_t Process::readStatusKib(std::string_view Field) const {
   std::ifstream status("/proc/" + std::to_string(Pid) + "/status");
   std::string name;
   std::size_t value = 0;
   while (status >> name) {
-    if (name == "VmHWM:" && status >> value)
+    if (name == Field && status >> value)
       return value;
   }
   return 0;
 }
 
+std::size_t Process::peakMemoryKib() const { return readStatusKib("VmHWM:"); }
+
+std::size_t Process::memoryKib() const { return readStatusKib("VmRSS:"); }
+
+std::size_t Process::openDescriptors() const {
+  std::error_code ec;
+  std::filesystem::directory_iterator it("/proc/" + std::to_string(Pid) + "/fd",
+                                         ec);
+  return ec ? 0 : std::distance(begin(it), end(it));
+}
+
 bool Process::running() {
   std::lock_guard<std::mutex> lock(Guard);
   if (Exit)
--- a/IntegrationTests/Harness/Process.h
+++ b/IntegrationTests/Harness/Process.h
@@ -45,6 +45,8 @@
     std::vector<EnvironmentVariable> Environment;
     /// File that receives stderr; if empty, stderr is discarded.
     std::string ErrorFile;
+    /// Maximum number of open descriptors; 0 for that of the harness.
+    std::size_t MaxDescriptors = 0;
   };
 
   /// Starts the program. Errors: `Unavailable` if it does not exist or cannot
@@ -72,10 +74,16 @@
   /// Returns the most memory that the process has used so far, in KiB; 0 if it
   /// no longer runs.
   std::size_t peakMemoryKib() const;
+  /// Returns the memory that the process uses now, in KiB; 0 if it no longer
+  /// runs.
+  std::size_t memoryKib() const;
+  /// Returns the number of open descriptors; 0 if the process no longer runs.
+  std::size_t openDescriptors() const;
 
 private:
   Process(Settings Setup, pid_t Pid, int Descriptor);
   void readOutput(int Descriptor);
+  std::size_t readStatusKib(std::string_view Field) const;
   std::string lastErrors() const;
 
   const Settings Setup;
--- a/IntegrationTests/Harness/ProcessSpawner.cpp
+++ b/IntegrationTests/Harness/ProcessSpawner.cpp
@@ -8,6 +8,7 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 namespace wasabi::harness {
@@ -40,6 +41,10 @@
   // Close the sockets of the harness: a child that inherits one would keep its
   // port in use and its peer connected.
   close_range(STDERR_FILENO + 1, ~0U, 0);
+  if (Request.MaxDescriptors > 0) {
+    rlimit limit{Request.MaxDescriptors, Request.MaxDescriptors};
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
   // The harness ignores SIGPIPE; restore the default for the child.
   std::signal(SIGPIPE, SIG_DFL);
   // As a supervisor does that may signal a program before its `main`.
--- a/IntegrationTests/Harness/ProcessSpawner.h
+++ b/IntegrationTests/Harness/ProcessSpawner.h
@@ -23,6 +23,8 @@
   /// Open descriptors that become stdout and stderr of the child.
   int Output = -1;
   int Errors = -1;
+  /// Maximum number of open descriptors of the child; 0 to inherit it.
+  std::size_t MaxDescriptors = 0;
 };
 
 /// Starts a child that is killed when the harness dies. Returns its id, or -1
--- a/IntegrationTests/Platform/PlatformFixture.cpp
+++ b/IntegrationTests/Platform/PlatformFixture.cpp
@@ -230,12 +230,20 @@
   std::string listen =
       fmt::format(R"("listen":{{"front":"{}","ready_addr":"{}"}},)",
                   toText(edge.ListenAddress), toText(edge.ReadinessAddress));
+  json::object limits;
+  if (Settings.MemoryMb > 0)
+    limits["memory_mb"] = Settings.MemoryMb;
+  if (Settings.MaxDescriptors > 0)
+    limits["max_fds"] = Settings.MaxDescriptors;
+  if (!limits.empty())
+    listen += fmt::format(R"("limits":{},)", json::serialize(limits));
   harness::Process::Settings setup;
   setup.Program = "wasabi-edge";
   setup.Arguments = {"--metrics_port=0", "--drain_notice_ms=300"};
   setup.Environment = {
       {"WASABISAIL_BOOT",
        writeSettingsFile("edge-" + std::to_string(Index), listen, Index)}};
+  setup.MaxDescriptors = Settings.MaxDescriptors;
   edge.Running = harness::Process::start(std::move(setup)).value();
 }
 
@@ -264,6 +272,11 @@
                        json::object{{"name", "desk"}}};
   json::object config{
       {"version", Version}, {"routes", routes}, {"services", services}};
+  if (Settings.MaxBodyBytes > 0)
+    config["limits"] = json::object{{"max_header_bytes", 16384},
+                                    {"max_body_bytes", Settings.MaxBodyBytes},
+                                    {"header_timeout_ms", 3000},
+                                    {"idle_timeout_ms", 15000}};
   if (!Customers.empty())
     config["tenants"] = makeCustomerList(Customers);
   std::string text = json::serialize(config);
--- a/IntegrationTests/Platform/PlatformFixture.h
+++ b/IntegrationTests/Platform/PlatformFixture.h
@@ -58,6 +58,13 @@
   std::vector<ConfiguredCustomer> Customers = {};
   /// Models that all engines hold.
   std::vector<std::string> Models = {DefaultModel};
+  /// Memory in MiB and number of descriptors of an edge machine; 0 if its
+  /// settings name no limit.
+  std::size_t MemoryMb = 0;
+  std::size_t MaxDescriptors = 0;
+  /// Maximum size of a caller's request body, in bytes; 0 if the configuration
+  /// has none.
+  std::size_t MaxBodyBytes = 0;
 };
 
 /// An edge process and its addresses.
--- a/IntegrationTests/Platform/PlatformServers.cpp
+++ b/IntegrationTests/Platform/PlatformServers.cpp
@@ -59,8 +59,11 @@
 }
 
 void PlatformServer::listenAt(const Address &Where) {
+  // Servers take the largest body that edge processes forward.
+  constexpr std::uint64_t MaxBodyBytes = 64u << 20;
   http::Server::Settings limits;
   limits.Listen = Where;
+  limits.MaxBody = MaxBodyBytes;
   HttpServer = http::Server::create(
                    Context, limits,
                    [this](http::Request Request,
