Attempts to send a request share its body

Change: a body of 16 KB or more is moved into a shared one before the first attempt; copies of the request refer to it. The digest of a request and what is sent do not change.

--- a/Wasabi/Adapters/Http/HttpClient.cpp
+++ b/Wasabi/Adapters/Http/HttpClient.cpp
@@ -403,7 +403,7 @@
 ClientImpl::sendRequest(Address Peer, const Request &Req, TimePoint Deadline) {
   std::string head = writeHead(Req, Peer);
   std::array<asio::const_buffer, 2> data{asio::buffer(head),
-                                         asio::buffer(Req.Body)};
+                                         asio::buffer(Req.body())};
   std::string value(Limits.EchoHeader.empty() ? std::string_view()
                                               : Req.header(Limits.EchoHeader));
   for (;;) {
--- a/Wasabi/Adapters/Http/HttpMessage.cpp
+++ b/Wasabi/Adapters/Http/HttpMessage.cpp
@@ -39,6 +39,15 @@
 
 } // namespace
 
+void Request::shareBody() {
+  // A small body is cheaper to copy.
+  constexpr std::size_t MinSharedBytes = 16384;
+  if (Body.size() < MinSharedBytes)
+    return;
+  SharedBody = std::make_shared<const std::string>(std::move(Body));
+  Body.clear();
+}
+
 std::string_view Request::header(std::string_view Name) const {
   return findHeader(Headers, Name);
 }
--- a/Wasabi/Adapters/Http/HttpWire.cpp
+++ b/Wasabi/Adapters/Http/HttpWire.cpp
@@ -84,8 +84,8 @@
 
   bool expectsBody =
       Req.Method == "POST" || Req.Method == "PUT" || Req.Method == "PATCH";
-  if (expectsBody || !Req.Body.empty())
-    addHeader(head, "Content-Length", std::to_string(Req.Body.size()));
+  if (expectsBody || !Req.body().empty())
+    addHeader(head, "Content-Length", std::to_string(Req.body().size()));
   head += "\r\n";
   return head;
 }
--- a/Wasabi/Ports/HttpMessage.h
+++ b/Wasabi/Ports/HttpMessage.h
@@ -5,6 +5,7 @@
 
 #include "Wasabi/Core/Clock.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -30,7 +31,13 @@
   /// slow connect or a suspension, because the authority to send it has
   /// expired.
   std::optional<TimePoint> SendDeadline = {};
+  /// Set if copies of the request share their body; `Body` is empty then.
+  std::shared_ptr<const std::string> SharedBody = {};
 
+  /// Returns the body, whether it is shared or not.
+  std::string_view body() const { return SharedBody ? *SharedBody : Body; }
+  /// Makes copies of the request share a body that is large.
+  void shareBody();
   /// Returns the first value of a header; empty if absent. Case-insensitive.
   std::string_view header(std::string_view Name) const;
   /// Returns the target without its query.
--- a/Wasabi/Quarantine/RequestDigest.cpp
+++ b/Wasabi/Quarantine/RequestDigest.cpp
@@ -35,7 +35,7 @@
     addPart(*state, Request.header(it));
   if (!Customer.empty())
     addPart(*state, Customer.Text);
-  addPart(*state, Request.Body);
+  addPart(*state, Request.body());
   XXH128_hash_t hash = XXH3_128bits_digest(state.get());
   return RequestDigest(fmt::format("{:016x}{:016x}", hash.high64, hash.low64));
 }
--- a/Wasabi/Upstream/ForwardProgress.h
+++ b/Wasabi/Upstream/ForwardProgress.h
@@ -48,6 +48,8 @@
                std::min(timeout, this->Route.Timeout) - ResponseTimeMargin;
     Guard = std::make_shared<GuardedRequest>(GuardedRequest{
         digestOf(this->Request.HttpRequest, customer()), this->Request.Id});
+    // Each attempt sends a copy of the request.
+    this->Request.HttpRequest.shareBody();
   }
 
   /// The customer that sent the request; empty if it is anonymous.
