A body that lags gives its room to one that moves

Cause: room was taken by the bytes that had come. Bodies that did not fit together were admitted at their first byte; those that came first kept their room by a byte a minute, since each one extended the deadline.

Change: an announced body takes its room from its head on; one in chunks as it comes, in blocks instead of a growing string that is copied. If a body does not fit, bodies whose peers lag by a quarter of a second are given up for it, the one with most bytes times lag first, and answered 503: they have not run. A lag of the idle timeout ends a body without pressure, too. Large bodies leave a sixteenth of the room to smaller ones. Not taken: to give up the oldest body, which is the slow sound one; a deadline for the whole body, which needs a rate anyway.

Unit tests of the decisions and of a server.

--- a/IntegrationTests/Cases/CrowdTest.cpp
+++ b/IntegrationTests/Cases/CrowdTest.cpp
@@ -116,6 +116,45 @@
 
 } // namespace
 
+TEST_CASE("Crowd: bodies short of their end don't keep the room of others") {
+  CrowdFixture fixture;
+  std::string request;
+  SECTION("With a length") {
+    request = makeRequest("/desk/x", MaxBodyBytes, MissingBytes);
+  }
+  SECTION("In chunks") {
+    request = makeChunkedRequest("/desk/x", MaxBodyBytes - MissingBytes, 65536);
+  }
+  SECTION("To a path without a route") {
+    request = makeRequest("/nowhere/x", MaxBodyBytes, MissingBytes);
+  }
+  std::unique_ptr<Crowd> crowd = fixture.settle(fixture.crowd(40, request));
+  fixture.checkServes();
+}
+
+TEST_CASE("Crowd: many bodies of a middle size don't keep the room of others") {
+  CrowdFixture fixture;
+  std::unique_ptr<Crowd> crowd =
+      fixture.settle(fixture.crowd(200, makeRequest("/desk/x", 256u << 10, 1)));
+  fixture.checkServes();
+}
+
+TEST_CASE("Crowd: bodies that drip don't keep the room of others") {
+  CrowdFixture fixture;
+  Crowd::Settings setup =
+      fixture.crowd(40, makeRequest("/desk/x", MaxBodyBytes, MissingBytes));
+  setup.Drip = "x";
+  SECTION("With a length") {}
+  SECTION("In chunks of one byte") {
+    setup.Bytes =
+        makeChunkedRequest("/desk/x", MaxBodyBytes - MissingBytes, 65536);
+    setup.Drip = "1\r\nx\r\n";
+  }
+  SECTION("By clients that come back") { setup.Reconnects = true; }
+  std::unique_ptr<Crowd> crowd = fixture.settle(std::move(setup));
+  fixture.checkServes();
+}
+
 TEST_CASE("Crowd: the body of one job request stays within the memory") {
   CrowdFixture fixture;
   std::string body;
--- /dev/null
+++ b/UnitTests/Adapters/Http/ClientMemoryTest.cpp
@@ -0,0 +1,130 @@
+/// \file
+/// Guards against clients that make a server hold bodies, heads and
+/// connections, and against limits that ordinary clients meet.
+#include "UnitTests/Adapters/Http/HttpFixture.h"
+
+#include "Wasabi/Adapters/Http/SlowReaders.h"
+#include "Wasabi/Core/AsyncSignal.h"
+
+namespace wasabi::http {
+
+namespace {
+
+namespace asio = boost::asio;
+using Catch::Matchers::StartsWith;
+
+constexpr std::uint64_t MaxHeldBytes = 1u << 20;
+constexpr std::size_t LargeBytes = 600u << 10;
+/// Longer than the lag for which a body is given up.
+constexpr Millis StallTime{400};
+
+asio::awaitable<void> pause(HttpFixture &Fixture, Millis Time) {
+  co_await pauseFor(Fixture.Context.get_executor(), Time);
+}
+
+/// Sends a request whose body lacks its last byte.
+asio::awaitable<RawSocket> sendUnfinished(HttpFixture &Fixture,
+                                          std::size_t BodyBytes) {
+  RawSocket raw = co_await Fixture.connect();
+  std::string text =
+      "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(BodyBytes) +
+      "\r\n\r\n" + std::string(BodyBytes - 1, 'x');
+  co_await HttpFixture::sendText(raw, std::move(text));
+  co_return std::move(raw);
+}
+
+asio::awaitable<Response> post(HttpFixture &Fixture, std::size_t BodyBytes) {
+  Request request;
+  request.Method = "POST";
+  request.Target = "/";
+  request.Body = std::string(BodyBytes, 'x');
+  Address address = Fixture.Serving->address();
+  Outcome<Response> got = co_await Fixture.TestClient->call(
+      std::move(address), std::move(request), Millis(5000));
+  REQUIRE(got);
+  co_return *got;
+}
+
+asio::awaitable<void> answer(Request, std::shared_ptr<Responder> Reply) {
+  Response response = jsonResponse(200, "{}");
+  co_await Reply->send(std::move(response));
+}
+
+Server::Settings makeLimits() {
+  Server::Settings limits;
+  limits.MaxHeldBytes = MaxHeldBytes;
+  return limits;
+}
+
+} // namespace
+
+// together later.
+TEST_CASE("A body takes its announced room from its head on", "[http]") {
+  HttpFixture fixture;
+  fixture.serve(answer, makeLimits());
+  fixture.run([&]() -> asio::awaitable<void> {
+    RawSocket first = co_await fixture.connect();
+    co_await HttpFixture::sendText(
+        first, "POST / HTTP/1.1\r\nContent-Length: 614400\r\n\r\nx");
+    while (fixture.Serving->held().RequestBytes == 0)
+      co_await pause(fixture, Millis(1));
+    CHECK(fixture.Serving->held().RequestBytes == LargeBytes);
+    Response refused = co_await post(fixture, LargeBytes);
+    CHECK(refused.Status == 503);
+    CHECK(fixture.Serving->held().GivenUpBodies == 0);
+  });
+}
+
+// Guards against a body that only waits and keeps the room from one that moves.
+TEST_CASE("A body that lags is given up for one that needs its room",
+          "[http]") {
+  HttpFixture fixture;
+  fixture.serve(answer, makeLimits());
+  fixture.run([&]() -> asio::awaitable<void> {
+    RawSocket stalled = co_await sendUnfinished(fixture, LargeBytes);
+    co_await pause(fixture, StallTime);
+    Response got = co_await post(fixture, LargeBytes);
+    CHECK(got.Status == 200);
+    CHECK(fixture.Serving->held().GivenUpBodies == 1);
+    // It has not run and is told so.
+    stalled.shutdown(RawSocket::shutdown_send);
+    boost::system::error_code ended;
+    std::string text = co_await HttpFixture::readAll(stalled, ended);
+    CHECK_THAT(text, StartsWith("HTTP/1.1 503 "));
+    CHECK(fixture.Serving->held().RequestBytes == 0);
+  });
+}
+
+// Guards against a body that keeps its room by a byte now and then.
+TEST_CASE("A body that drips lags", "[http]") {
+  HttpFixture fixture;
+  fixture.serve(answer, makeLimits());
+  fixture.run([&]() -> asio::awaitable<void> {
+    RawSocket dripping = co_await fixture.connect();
+    co_await HttpFixture::sendText(
+        dripping, "POST / HTTP/1.1\r\nContent-Length: 614400\r\n\r\n");
+    for (int i = 0; i < 40; ++i) {
+      co_await HttpFixture::sendText(dripping, "x");
+      co_await pause(fixture, Millis(10));
+    }
+    Response got = co_await post(fixture, LargeBytes);
+    CHECK(got.Status == 200);
+  });
+}
+
+// middle size that keep a large one out.
+TEST_CASE("Large bodies leave room for others", "[http]") {
+  constexpr std::uint64_t Max = MaxHeldBytes;
+  HeldTotals one = addBody({0, 0, Max, 0}, Max / 2);
+  CHECK(one.LargeRequestBytes == Max / 2);
+  CHECK_FALSE(fitsRequestBody(one, Max / 2));
+  CHECK(fitsRequestBody(one, Max / 2 - Max / 16));
+  HeldTotals full = addBody(one, Max / 2 - Max / 16);
+  CHECK(fitsRequestBody(full, Max / 16));
+  HeldTotals alone = addBody({0, 0, Max, 0}, 8 * Max);
+  CHECK(fitsRequestBody(alone, Max / 16));
+  CHECK_FALSE(fitsRequestBody(addBody(alone, Max / 16), SmallBodyBytes + 1));
+  CHECK(removeBody(full, Max / 2 - Max / 16) == one);
+}
+
+} // namespace wasabi::http
--- a/Wasabi/Adapters/Http/HttpConnection.cpp
+++ b/Wasabi/Adapters/Http/HttpConnection.cpp
@@ -33,9 +33,18 @@
 /// further ones stay in the kernel.
 constexpr std::size_t MaxPipelinedBytes = 65536;
 constexpr std::uint32_t MaxHeadBytes = 65536;
+/// Size of the blocks in which a body of unknown size is collected: a growing
+/// string would be copied, and held twice meanwhile.
+constexpr std::size_t BodyBlockBytes = 512u << 10;
+/// Maximum size of the head of a chunk, and of the trailers.
+constexpr std::size_t MaxChunkHeadBytes = 65536;
 /// How long input is discarded after the last response before the connection is
-/// closed.
+/// closed: without further input, and in all.
 constexpr Millis LingerTimeout{1000};
+constexpr Millis MaxLingerTime{15000};
+/// A body is given up in favor of another one only if its peer lags by this
+/// much.
+constexpr Millis MinLag{250};
 constexpr TimePoint NoDeadline = TimePoint::max();
 /// `Retry-After` of requests that are shed, in seconds. A client that is told
 /// later than this would often have no time left for a second attempt.
@@ -52,6 +61,23 @@
   return failed;
 }
 
+/// Appends the blocks, in order, to an empty body, and releases each of them.
+void joinBlocks(std::vector<std::string> &Blocks, std::string &Body) {
+  if (Blocks.empty())
+    return;
+  std::string last = std::move(Body);
+  std::size_t bytes = last.size();
+  for (const std::string &it : Blocks)
+    bytes += it.size();
+  Body = std::string();
+  Body.reserve(bytes);
+  for (std::string &it : Blocks) {
+    Body += it;
+    std::string().swap(it);
+  }
+  Body += last;
+}
+
 /// Returns the buffers without their first `Count` bytes.
 std::vector<asio::const_buffer>
 skipBytes(const std::vector<asio::const_buffer> &Data, std::size_t Count) {
@@ -97,7 +123,7 @@
 // end.
 Connection::~Connection() {
   holdResponse(0);
-  holdRequest(0);
+  holdBody(0);
   Owner->Open.erase(this);
 }
 
@@ -144,18 +170,23 @@
   ResponseBytes = Bytes;
 }
 
-void Connection::holdRequest(std::uint64_t Bytes) {
-  // Many small bodies must not prevent a large one.
-  if (Bytes <= SmallBodyBytes)
-    Bytes = 0;
-  Owner->Held.RequestBytes += Bytes - RequestBytes;
-  RequestBytes = Bytes;
+/// Sets the size of the body that is received or handled.
+void Connection::holdBody(std::uint64_t Bytes) {
+  HeldTotals totals = addBody(removeBody(Owner->totals(), BodyBytes), Bytes);
+  Owner->Held.RequestBytes = totals.RequestBytes;
+  Owner->Held.LargeRequestBytes = totals.LargeRequestBytes;
+  BodyBytes = Bytes;
 }
 
-bool Connection::fitsBody(std::uint64_t Bytes) const {
-  HeldTotals others = Owner->totals();
-  others.RequestBytes -= RequestBytes;
-  return fitsRequestBody(others, Bytes);
+/// Holds a body if it fits, if need be in place of bodies that lag. Returns
+/// false if the request has to be refused.
+bool Connection::reserveBody(std::uint64_t Bytes) {
+  HeldTotals others = removeBody(Owner->totals(), BodyBytes);
+  if (!fitsRequestBody(others, Bytes) &&
+      !Owner->makeRoomForBody(Bytes, this, monotonicNow()))
+    return false;
+  holdBody(Bytes);
+  return true;
 }
 
 HeldResponse Connection::observeHeld(TimePoint Now) {
@@ -188,21 +219,82 @@
   resetSlowReader(Now);
 }
 
+void Connection::recordPeer() {
+  ErrorCode ec;
+  Tcp::endpoint peer = Socket.remote_endpoint(ec);
+  if (!ec)
+    Owner->Report.LastPeer =
+        toText(Address{peer.address().to_string(), peer.port()});
+}
+
 void Connection::resetSlowReader(TimePoint Now) {
   SlowReaderReport &report = Owner->Report;
   report.ResetBytes += ResponseBytes;
   report.LongestStall =
       std::max(report.LongestStall,
                std::chrono::duration_cast<Millis>(Now - Progress.LastProgress));
-  ErrorCode ec;
-  Tcp::endpoint peer = Socket.remote_endpoint(ec);
-  if (!ec)
-    report.LastPeer = toText(Address{peer.address().to_string(), peer.port()});
+  recordPeer();
   // The cancelled write releases its memory in the next turn of the event loop.
   holdResponse(0);
   abort();
 }
 
+//===--- Peers that give way ----------------------------------------------===//
+
+PeerLoad Connection::observeBody(TimePoint Now) {
+  PeerLoad load{PeerActivity::Pending, arrivingBodyBytes(),
+                std::chrono::duration_cast<Millis>(Now - PacedUntil)};
+  // What was sent and not yet read is not the peer's delay.
+  ErrorCode ec;
+  if (Socket.available(ec) > 0)
+    load.Lag = Millis(0);
+  return load;
+}
+
+std::uint64_t Connection::arrivingBodyBytes() const {
+  return ReadsBody && !BodyGivenUp && BodyBytes > SmallBodyBytes ? BodyBytes
+                                                                 : 0;
+}
+
+void Connection::giveUpBody() {
+  BodyGivenUp = true;
+  ++Owner->Held.GivenUpBodies;
+  ++Owner->Report.GivenUpBodies;
+  recordPeer();
+  holdBody(0);
+  ErrorCode ec;
+  Socket.cancel(ec);
+}
+
+bool ServerState::makeRoomForBody(std::uint64_t BodyBytes,
+                                  const Connection *Growing, TimePoint Now) {
+  HeldTotals left = totals();
+  std::vector<Connection *> connections;
+  std::vector<PeerLoad> loads;
+  for (Connection *it : Open) {
+    if (it == Growing) {
+      left = removeBody(left, it->arrivingBodyBytes());
+      continue;
+    }
+    if (it->arrivingBodyBytes() == 0)
+      continue;
+    connections.push_back(it);
+    loads.push_back(it->observeBody(Now));
+  }
+  std::vector<Connection *> yielding;
+  for (std::size_t it : orderToYield(loads, MinLag)) {
+    if (fitsRequestBody(left, BodyBytes))
+      break;
+    left = removeBody(left, loads[it].Bytes);
+    yielding.push_back(connections[it]);
+  }
+  if (!fitsRequestBody(left, BodyBytes))
+    return false;
+  for (Connection *it : yielding)
+    it->giveUpBody();
+  return true;
+}
+
 void ServerState::relieve(const Connection *Growing, TimePoint Now) {
   if (Limits.MaxHeldBytes > 0 && Held.ResponseBytes > Limits.MaxHeldBytes) {
     std::vector<std::shared_ptr<Connection>> connections;
@@ -296,7 +388,7 @@
     req.Body = std::move(parse.get().body());
     const Handler &handler = ShedsRequest ? shedHandler : Owner->Handle;
     more = co_await handle(std::move(req), version, keepAlive, handler);
-    holdRequest(0);
+    holdBody(0);
     if (!more && Socket.is_open())
       co_await linger();
   }
@@ -323,32 +415,39 @@
   co_return n > 0;
 }
 
+/// Reads bytes into the buffer and records the progress of the peer.
+asio::awaitable<ErrorCode> Connection::readSome(std::size_t MaxBytes) {
+  auto [ec, n] =
+      co_await Socket.async_read_some(Buffer.prepare(MaxBytes), Awaited);
+  Buffer.commit(n);
+  PacedUntil = advancePace(PacedUntil, n, monotonicNow());
+  co_return ec;
+}
+
+void Connection::countShed() {
+  ++Owner->Held.ShedRequests;
+  ++Owner->Report.ShedRequests;
+}
+
 asio::awaitable<bool> Connection::readRequest(Parser &Parse) {
   Parse.header_limit(MaxHeadBytes);
   Parse.body_limit(Owner->Limits.MaxBody);
+  ShedsRequest = false;
   ErrorCode ec = co_await readHead(Parse);
+  if (!ec)
+    ec = admitRequest(Parse);
   if (!ec) {
-    std::uint64_t announced = Parse.content_length().value_or(0);
-    ShedsRequest = shouldShed(Owner->totals(), announced);
-    if (ShedsRequest) {
-      ++Owner->Held.ShedRequests;
-      ++Owner->Report.ShedRequests;
-    }
-    // The body of a request that is shed is read only if it is small; otherwise
-    // the connection ends.
-    bool small = announced <= SmallBodyBytes && !Parse.chunked();
-    if (ShedsRequest && !small)
-      ec = asio::error::no_buffer_space;
-    else
-      ec = co_await readBody(Parse);
+    ReadsBody = true;
+    ec = co_await readBody(Parse);
+    ReadsBody = false;
   }
   Deadline = NoDeadline;
   if (!ec)
     co_return true;
   // Releases the memory before the connection lingers.
   std::string().swap(Parse.get().body());
-  holdRequest(0);
-  if (ec == asio::error::no_buffer_space) {
+  holdBody(0);
+  if (ec == asio::error::no_buffer_space || BodyGivenUp) {
     Response reply = makeShedResponse();
     co_await refuse(std::move(reply));
     co_return false;
@@ -373,6 +472,22 @@
   co_return ec;
 }
 
+/// Decides from its head whether a request is received. A request that is shed
+/// and has a small body is received all the same, so that its connection can
+/// be kept; a larger one fails.
+ErrorCode Connection::admitRequest(Parser &Parse) {
+  std::uint64_t announced = Parse.content_length().value_or(0);
+  PacedUntil = monotonicNow();
+  if (!shouldShed(Owner->totals(), 0) && reserveBody(announced))
+    return ErrorCode();
+  countShed();
+  bool small = announced <= SmallBodyBytes && !Parse.chunked();
+  if (!small)
+    return asio::error::no_buffer_space;
+  ShedsRequest = true;
+  return ErrorCode();
+}
+
 asio::awaitable<ErrorCode> Connection::readBody(Parser &Parse) {
   constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
   bool expectsContinue =
@@ -385,30 +500,34 @@
           beast::http::error::partial_message);
   }
   Parse.eager(true);
+  std::vector<std::string> blocks;
+  std::uint64_t blockBytes = 0;
   while (!Parse.is_done()) {
     ErrorCode failed = feed(Buffer, Parse);
-    std::uint64_t received = Parse.get().body().size();
-    if (received > RequestBytes && !fitsBody(received)) {
-      ++Owner->Held.ShedRequests;
-      ++Owner->Report.ShedRequests;
+    std::string &body = Parse.get().body();
+    std::uint64_t received = blockBytes + body.size();
+    if (Parse.chunked() && body.size() >= BodyBlockBytes) {
+      blockBytes += body.size();
+      blocks.push_back(std::move(body));
+      body.clear();
+    }
+    if (received > BodyBytes && !reserveBody(received)) {
+      countShed();
       co_return asio::error::no_buffer_space;
     }
-    holdRequest(received);
     if (!failed)
       continue;
     if (failed != beast::http::error::need_more)
       co_return failed;
     // The head of a chunk, or the trailers.
-    if (Buffer.size() > MaxHeadBytes)
+    if (Buffer.size() > MaxChunkHeadBytes)
       co_return beast::http::error::buffer_overflow;
-    // Each received piece extends the deadline.
-    Deadline = monotonicNow() + Owner->Limits.IdleTimeout;
-    auto [ec, n] =
-        co_await Socket.async_read_some(Buffer.prepare(BodyReadBytes), Awaited);
-    Buffer.commit(n);
-    if (ec)
-      co_return ec;
+    Deadline = PacedUntil + Owner->Limits.IdleTimeout;
+    ErrorCode ec = co_await readSome(BodyReadBytes);
+    if (ec || BodyGivenUp)
+      co_return ec ? ec : asio::error::no_buffer_space;
   }
+  joinBlocks(blocks, Parse.get().body());
   co_return ErrorCode();
 }
 
@@ -429,12 +548,13 @@
   // the peer closes.
   ErrorCode ec;
   Socket.shutdown(Tcp::socket::shutdown_send, ec);
-  Deadline = monotonicNow() + LingerTimeout;
+  PacedUntil = monotonicNow();
+  TimePoint end = PacedUntil + MaxLingerTime;
+  Buffer = beast::flat_buffer();
   while (!ec) {
     Buffer.clear();
-    auto [failed, n] =
-        co_await Socket.async_read_some(Buffer.prepare(ReadBytes), Awaited);
-    ec = failed;
+    Deadline = std::min(monotonicNow() + LingerTimeout, end);
+    ec = co_await readSome(ReadBytes);
   }
 }
 
--- a/Wasabi/Adapters/Http/HttpConnection.h
+++ b/Wasabi/Adapters/Http/HttpConnection.h
@@ -6,6 +6,7 @@
 
 #include "Wasabi/Adapters/Http/HttpServer.h"
 #include "Wasabi/Adapters/Http/SlowReaders.h"
+#include "Wasabi/Adapters/Peers/PeerLoad.h"
 #include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/buffer.hpp>
@@ -34,8 +35,13 @@
 
   /// Returns what is held, for the decisions in SlowReaders.h.
   HeldTotals totals() const {
-    return {Held.ResponseBytes, Held.RequestBytes, Limits.MaxHeldBytes};
+    return {Held.ResponseBytes, Held.RequestBytes, Limits.MaxHeldBytes,
+            Held.LargeRequestBytes};
   }
+  /// Gives up bodies whose peers lag, other than that of `Growing`, if
+  /// `BodyBytes` more fit then. Returns true if they do.
+  bool makeRoomForBody(std::uint64_t BodyBytes, const Connection *Growing,
+                       TimePoint Now);
   /// Resets connections while responses hold more than the maximum; not
   /// `Growing`, whose response has just begun to be held.
   void relieve(const Connection *Growing, TimePoint Now);
@@ -89,6 +95,13 @@
   /// True if the connection closes after its next response.
   bool closesAfterResponse() const;
 
+  /// The body that is being received, and how far its peer lags.
+  PeerLoad observeBody(TimePoint Now);
+  /// Bytes of a body that is being received and is not small.
+  std::uint64_t arrivingBodyBytes() const;
+  /// Ends the receiving of the body: the request is refused.
+  void giveUpBody();
+
   /// The response that is held for the peer, with its present progress.
   HeldResponse observeHeld(TimePoint Now);
   /// Resets the connection because its response holds too many bytes.
@@ -101,7 +114,10 @@
   boost::asio::awaitable<bool> awaitBytes();
   boost::asio::awaitable<bool> readRequest(Parser &Parse);
   boost::asio::awaitable<boost::system::error_code> readHead(Parser &Parse);
+  boost::system::error_code admitRequest(Parser &Parse);
   boost::asio::awaitable<boost::system::error_code> readBody(Parser &Parse);
+  boost::asio::awaitable<boost::system::error_code>
+  readSome(std::size_t MaxBytes);
   boost::asio::awaitable<void> refuse(Response Reply);
   boost::asio::awaitable<void> linger();
   boost::asio::awaitable<bool> handle(Request Req, unsigned Version,
@@ -109,8 +125,10 @@
   bool enforceProgress(TimePoint Now);
   void resetSlowReader(TimePoint Now);
   void holdResponse(std::uint64_t Bytes);
-  void holdRequest(std::uint64_t Bytes);
-  bool fitsBody(std::uint64_t Bytes) const;
+  void holdBody(std::uint64_t Bytes);
+  bool reserveBody(std::uint64_t Bytes);
+  void countShed();
+  void recordPeer();
   void watchForDisconnect();
   void onReadable();
   void notifyPeerGone();
@@ -134,11 +152,18 @@
   /// The time at which `enforceDeadline` takes effect.
   TimePoint Deadline = TimePoint::max();
   SendProgress Progress;
+  /// The time up to which the peer has kept the minimum rate.
+  TimePoint PacedUntil = monotonicNow();
   /// Bytes of the response that is being written, and of the body of the
-  /// current request; both are included in the totals of the server.
+  /// current request, announced or received; both are included in the totals
+  /// of the server.
   std::uint64_t ResponseBytes = 0;
-  std::uint64_t RequestBytes = 0;
+  std::uint64_t BodyBytes = 0;
   Phase CurrentPhase = Phase::Idle;
+  /// True while a body is received.
+  bool ReadsBody = false;
+  /// True once the body was given up in favor of another one.
+  bool BodyGivenUp = false;
   /// True if the current request is refused without running it.
   bool ShedsRequest = false;
   /// True while a wait for readability is pending.
--- a/Wasabi/Adapters/Http/HttpServer.h
+++ b/Wasabi/Adapters/Http/HttpServer.h
@@ -53,14 +53,18 @@
   std::uint64_t ResponseBytes = 0;
   std::uint64_t MaxResponseBytes = 0;
   /// Bytes of bodies above `SmallBodyBytes` of requests that are being received
-  /// or handled.
+  /// or handled; an announced body counts whole from its head on.
   std::uint64_t RequestBytes = 0;
+  /// Those of bodies that are large, see `isLargeBody`.
+  std::uint64_t LargeRequestBytes = 0;
   /// Connections reset because their client took no byte of a response.
   std::uint64_t StalledResets = 0;
   /// Connections reset because responses held too many bytes.
   std::uint64_t MemoryResets = 0;
   /// Requests answered with 503 without running them.
   std::uint64_t ShedRequests = 0;
+  /// Requests whose body lagged and was given up in favor of another one.
+  std::uint64_t GivenUpBodies = 0;
   bool operator==(const HeldCounts &) const = default;
 };
 
@@ -69,6 +73,7 @@
   std::uint64_t StalledResets = 0;
   std::uint64_t MemoryResets = 0;
   std::uint64_t ShedRequests = 0;
+  std::uint64_t GivenUpBodies = 0;
   /// Response bytes that the reset connections held.
   std::uint64_t ResetBytes = 0;
   /// The longest time that one of them had taken no byte.
@@ -95,11 +100,13 @@
     std::size_t MaxConnections = 20000;
     /// Maximum size of a request body, in bytes.
     std::uint64_t MaxBody = 8u << 20;
-    /// Connections that are idle, or that make no progress with a read or
-    /// write, are closed after this time.
+    /// Time limit for receiving a request head after its first bytes.
+    Millis HeadTimeout{10000};
+    /// Connections that are idle for this time, and bodies that lag by it
+    /// behind `MinBytesPerSecond`, are closed.
     Millis IdleTimeout{60000};
     /// A connection whose client takes no byte of a pending response for this
-    /// time is reset; `IdleTimeout` applies if it is shorter. Bytes count as
+    /// time is reset; the idle timeout applies if it is shorter. Bytes count as
     /// taken once acknowledged, so the granularity is a TCP segment.
     Millis ReadStallTimeout{5000};
     /// Maximum number of response bytes that are held for all clients; 0 for
@@ -107,14 +114,13 @@
     /// progress is reset first, and new requests are answered with 503 and
     /// `Retry-After`. A response that alone exceeds it may be sent for
     /// `ReadStallTimeout`. Bodies of requests that are received or handled are
-    /// bounded by the same number: a body that does not fit is refused with
-    /// 503, unless it is small or the only one.
+    /// bounded by the same number: bodies that lag are given up for one that
+    /// does not fit; if that is not enough, it is refused with 503, unless it
+    /// is small or the only one.
     std::uint64_t MaxHeldBytes = 0;
     /// Receives resets and shed requests, at most once per second and only if
     /// there are any. Must not stop the server.
     std::function<void(const SlowReaderReport &)> OnSlowReaders;
-    /// Time limit for receiving a request head after its first bytes.
-    Millis HeadTimeout{10000};
     /// How long a draining server keeps an idle connection open for a request
     /// that may be in transit.
     Millis DrainGracePeriod{200};
--- a/Wasabi/Adapters/Http/SlowReaders.cpp
+++ b/Wasabi/Adapters/Http/SlowReaders.cpp
@@ -59,10 +59,44 @@
   return resets;
 }
 
+namespace {
+
+/// Part of the maximum that large bodies leave to others.
+constexpr std::uint64_t ReservedDivisor = 16;
+
+} // namespace
+
+bool isLargeBody(const HeldTotals &Totals, std::uint64_t BodyBytes) {
+  return BodyBytes > SmallBodyBytes &&
+         BodyBytes > Totals.MaxBytes / ReservedDivisor;
+}
+
+HeldTotals addBody(HeldTotals Totals, std::uint64_t BodyBytes) {
+  if (BodyBytes > SmallBodyBytes)
+    Totals.RequestBytes += BodyBytes;
+  if (isLargeBody(Totals, BodyBytes))
+    Totals.LargeRequestBytes += BodyBytes;
+  return Totals;
+}
+
+HeldTotals removeBody(HeldTotals Totals, std::uint64_t BodyBytes) {
+  if (BodyBytes > SmallBodyBytes)
+    Totals.RequestBytes -= BodyBytes;
+  if (isLargeBody(Totals, BodyBytes))
+    Totals.LargeRequestBytes -= BodyBytes;
+  return Totals;
+}
+
 bool fitsRequestBody(const HeldTotals &Totals, std::uint64_t BodyBytes) {
-  return Totals.MaxBytes == 0 || BodyBytes <= SmallBodyBytes ||
-         Totals.RequestBytes == 0 ||
-         Totals.RequestBytes + BodyBytes <= Totals.MaxBytes;
+  if (Totals.MaxBytes == 0 || BodyBytes <= SmallBodyBytes ||
+      Totals.RequestBytes == 0)
+    return true;
+  std::uint64_t reserved = Totals.MaxBytes / ReservedDivisor;
+  std::uint64_t sum = Totals.RequestBytes + BodyBytes;
+  if (!isLargeBody(Totals, BodyBytes))
+    return sum <= Totals.MaxBytes || sum - Totals.LargeRequestBytes <= reserved;
+  bool isOnlyLarge = Totals.LargeRequestBytes == 0;
+  return sum <= Totals.MaxBytes - (isOnlyLarge ? 0 : reserved);
 }
 
 bool shouldShed(const HeldTotals &Totals, std::uint64_t BodyBytes) {
--- a/Wasabi/Adapters/Http/SlowReaders.h
+++ b/Wasabi/Adapters/Http/SlowReaders.h
@@ -1,6 +1,7 @@
 /// \file
-/// Decisions on clients that read slowly: which connections an HTTP server
-/// resets, and which requests it sheds. Plain functions without a network.
+/// Decisions on clients that read slowly or send large bodies: which
+/// connections an HTTP server resets, and which requests it sheds. Plain
+/// functions without a network.
 #ifndef WASABI_ADAPTERS_HTTP_SLOWREADERS_H
 #define WASABI_ADAPTERS_HTTP_SLOWREADERS_H
 
@@ -71,9 +72,19 @@
   std::uint64_t RequestBytes = 0;
   /// Maximum of each of the two; 0 if unlimited.
   std::uint64_t MaxBytes = 0;
+  /// The part of `RequestBytes` that belongs to large bodies.
+  std::uint64_t LargeRequestBytes = 0;
   bool operator==(const HeldTotals &) const = default;
 };
 
+/// Returns true if a body is large: several of them leave a sixteenth of the
+/// maximum to the others. Pure.
+bool isLargeBody(const HeldTotals &Totals, std::uint64_t BodyBytes);
+
+/// Adds a body, and removes one that was added. Pure.
+HeldTotals addBody(HeldTotals Totals, std::uint64_t BodyBytes);
+HeldTotals removeBody(HeldTotals Totals, std::uint64_t BodyBytes);
+
 /// Returns true if `BodyBytes` more bytes of a request's body may be held. One
 /// body is accepted whatever its size if no other is held. Pure.
 bool fitsRequestBody(const HeldTotals &Totals, std::uint64_t BodyBytes);
