One account of what clients make an edge process hold

What callers saw: an edge process ended by its memory, or 200 clients more than it has descriptors for and no connection for anybody else.

Cause: only bodies above 16 KB and unread responses were summed. Not in any sum: connections, heads, header fields once they are parsed (30 times their bytes), small bodies, pipelined bytes, requests that are handled, the listeners for readiness checks and metrics. MaxConnections was 20,000 where a machine has 8,200 descriptors. Freed memory stayed with the process: the allocator kept blocks up to the size of the largest one freed so far, and free blocks below others in use; no object lived on.

Beyond it, connections whose peers lag are closed, the one that holds most for its lag first, kept ones last and only if the pending ones don't cover the need; a request without room is refused with 503 before it runs. An eighth above the maximum, peers that move are closed, too. Large blocks return to the kernel when they are freed; the rest once clients have ceased to hold 4 MB. Not taken: a limit of each connection (the sum of the pages' own limits is the fault), a reset of the longest idle connection first (that is the kept one of an ordinary caller).

Tests, 64 MB or 800 descriptors, crowd and bounds fixed before. Large bodies for a slow server and connections that come back passed before and stay as guards. A kept connection was lost to a crowd before.

--- a/IntegrationTests/Cases/CrowdTest.cpp
+++ b/IntegrationTests/Cases/CrowdTest.cpp
@@ -155,6 +155,63 @@
   fixture.checkServes();
 }
 
+TEST_CASE("Crowd: small bodies in any number stay within the memory") {
+  CrowdFixture fixture;
+  std::unique_ptr<Crowd> crowd = fixture.settle(
+      fixture.crowd(2500, makeRequest("/desk/x", SmallBodyBytes, 1)));
+  fixture.checkServes();
+}
+
+TEST_CASE("Crowd: chunks of one byte stay within the memory") {
+  CrowdFixture fixture;
+  std::unique_ptr<Crowd> crowd = fixture.settle(
+      fixture.crowd(2500, makeChunkedRequest("/desk/x", SmallBodyBytes, 1)));
+  fixture.checkServes();
+}
+
+TEST_CASE("Crowd: heads of many fields stay within the memory") {
+  CrowdFixture fixture;
+  fixture.setAnswerDelay(Millis(1500));
+  std::string head = "GET /desk/x HTTP/1.1\r\nHost: host.example\r\n"
+                     "Wasabisail-Request-Id: crowd\r\n";
+  while (head.size() < AllowedHeadBytes)
+    head += "a:\r\n";
+  std::unique_ptr<Crowd> crowd =
+      fixture.settle(fixture.crowd(400, head + "\r\n"));
+  fixture.setAnswerDelay(Millis(5));
+  fixture.checkServes();
+}
+
+TEST_CASE("Crowd: whole bodies for a slow server stay within the memory") {
+  CrowdFixture fixture;
+  fixture.setAnswerDelay(Millis(1500));
+  std::size_t bytes = 0;
+  std::size_t clients = 0;
+  SECTION("Large ones") {
+    clients = 40;
+    bytes = MaxBodyBytes;
+  }
+  SECTION("Small ones") {
+    clients = 2000;
+    bytes = SmallBodyBytes;
+  }
+  std::unique_ptr<Crowd> crowd =
+      fixture.settle(fixture.crowd(clients, makeRequest("/desk/x", bytes, 0)));
+  fixture.setAnswerDelay(Millis(5));
+  fixture.checkServes();
+}
+
+TEST_CASE("Crowd: pipelined bytes stay within the memory") {
+  CrowdFixture fixture;
+  fixture.setAnswerDelay(Millis(1500));
+  std::string text = "GET /desk/x HTTP/1.1\r\nHost: host.example\r\n"
+                     "Wasabisail-Request-Id: crowd\r\n\r\n";
+  text += makeEndlessHead(60u << 10);
+  std::unique_ptr<Crowd> crowd = fixture.settle(fixture.crowd(1000, text));
+  fixture.setAnswerDelay(Millis(5));
+  fixture.checkServes();
+}
+
 TEST_CASE("Crowd: the body of one job request stays within the memory") {
   CrowdFixture fixture;
   std::string body;
@@ -179,4 +236,85 @@
   fixture.checkServes();
 }
 
+TEST_CASE("Crowd: connections leave descriptors for ordinary callers") {
+  constexpr std::size_t Descriptors = 800;
+  constexpr std::size_t Clients = 1200;
+  CrowdFixture fixture(Descriptors);
+  Crowd::Settings setup;
+  SECTION("That send nothing") { setup = fixture.crowd(Clients, ""); }
+  SECTION("That were answered before") {
+    setup = fixture.crowd(Clients, "GET /nowhere HTTP/1.1\r\n"
+                                   "Host: host.example\r\n\r\n");
+  }
+  SECTION("That come back") {
+    setup = fixture.crowd(Clients, "GET /desk");
+    setup.Reconnects = true;
+  }
+  SECTION("At the listener of the readiness checks") {
+    setup = fixture.crowd(Clients, "");
+    setup.Target = fixture.edge(0).ReadinessAddress;
+  }
+  std::unique_ptr<Crowd> crowd = fixture.settle(std::move(setup));
+  fixture.checkServes();
+  CHECK(harness::waitUntil([&] { return fixture.ready(0); }, WaitTimeout));
+}
+
+TEST_CASE("Crowd: the listener of the readiness checks is bounded, too") {
+  CrowdFixture fixture;
+  Crowd::Settings setup = fixture.crowd(
+      40, makeRequest("/api/readiness", MaxBodyBytes, MissingBytes));
+  setup.Target = fixture.edge(0).ReadinessAddress;
+  std::unique_ptr<Crowd> crowd = fixture.settle(std::move(setup));
+  fixture.checkServes();
+  CHECK(harness::waitUntil([&] { return fixture.ready(0); }, WaitTimeout));
+}
+
+TEST_CASE("Crowd: the kept connection of an ordinary caller stays open") {
+  CrowdFixture fixture(800);
+  asio::io_context context;
+  Tcp::socket kept(context);
+  const Address &target = fixture.edge(0).CallerAddress;
+  kept.connect(Tcp::endpoint(asio::ip::make_address(target.Host), target.Port));
+  std::string request = "GET /nowhere HTTP/1.1\r\nHost: host.example\r\n\r\n";
+  auto isAnswered = [&] {
+    boost::system::error_code ec;
+    asio::streambuf buf;
+    asio::write(kept, asio::buffer(request), ec);
+    if (!ec)
+      asio::read_until(kept, buf, "no route matches", ec);
+    return !ec;
+  };
+  REQUIRE(isAnswered());
+  std::unique_ptr<Crowd> heads =
+      fixture.settle(fixture.crowd(1200, makeEndlessHead(AllowedHeadBytes)));
+  CHECK(isAnswered());
+  std::unique_ptr<Crowd> bodies = fixture.settle(
+      fixture.crowd(40, makeRequest("/desk/x", MaxBodyBytes, MissingBytes)));
+  CHECK(isAnswered());
+  fixture.checkWithinLimits();
+}
+
+TEST_CASE("Crowd: the memory of a crowd is released before the next one") {
+  CrowdFixture fixture;
+  for (int i = 0; i < 2; ++i) {
+    std::unique_ptr<Crowd> heads =
+        fixture.settle(fixture.crowd(2000, makeEndlessHead(AllowedHeadBytes)));
+    heads.reset();
+    std::unique_ptr<Crowd> bodies = fixture.settle(
+        fixture.crowd(2000, makeRequest("/desk/x", SmallBodyBytes, 1)));
+    bodies.reset();
+    std::unique_ptr<Crowd> chunks = fixture.settle(fixture.crowd(
+        40, makeChunkedRequest("/desk/x", MaxBodyBytes - MissingBytes, 65536)));
+  }
+  CHECK(fixture.isServed(100));
+  CHECK(fixture.isServed(MaxBodyBytes));
+  CHECK(harness::waitUntil(
+      [&] {
+        std::size_t now = fixture.edge(0).Running->memoryKib();
+        return now > 0 && now < (MemoryMb << 10) / 2;
+      },
+      WaitTimeout));
+  fixture.checkWithinLimits();
+}
+
 } // namespace wasabi::test
--- /dev/null
+++ b/IntegrationTests/Cases/FullSizeCrowdTest.cpp
@@ -0,0 +1,129 @@
+/// \file
+/// Crowds against an edge process with the limits of a real machine. Started by
+/// hand, with the tag `[full-size]`: they take a gigabyte and minutes.
+#include "IntegrationTests/Cases/CrowdRequests.h"
+#include "IntegrationTests/Harness/Crowd.h"
+#include "IntegrationTests/Harness/Waiting.h"
+#include "IntegrationTests/Platform/PlatformFixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <iostream>
+
+namespace wasabi::test {
+
+namespace {
+
+using harness::Crowd;
+
+constexpr Millis WaitTimeout{20000};
+constexpr unsigned Ok = 200;
+constexpr std::size_t MemoryMb = EdgeMemoryKib >> 10;
+constexpr std::size_t MaxDescriptors = 8200;
+constexpr std::size_t MaxBodyBytes = 32u << 20;
+constexpr std::size_t LargeBytes = 1u << 20;
+
+std::string makeNumberJob(std::size_t Bytes) {
+  return makeRequest("/rollout/x", makeJobText(Bytes, "[", "1,", "]"));
+}
+
+PlatformFixtureSettings makeSettings() {
+  PlatformFixtureSettings settings{1, 2, 2, false};
+  settings.MemoryMb = MemoryMb;
+  settings.MaxDescriptors = MaxDescriptors;
+  settings.MaxBodyBytes = MaxBodyBytes;
+  return settings;
+}
+
+bool isServed(PlatformFixture &Fixture, std::size_t BodyBytes, int &Requests) {
+  std::string body(BodyBytes, 'b');
+  return harness::waitUntil(
+      [&] {
+        std::string id = "ordinary-" + std::to_string(++Requests);
+        return Fixture.sendWithBody(0, "/desk/x", id, body).Status == Ok;
+      },
+      WaitTimeout);
+}
+
+} // namespace
+
+TEST_CASE("Full size: each crowd, and a second one right after it",
+          "[.][full-size]") {
+  constexpr std::size_t MissingBytes = 65536;
+  constexpr std::size_t JobBytes = 30u << 20;
+  std::size_t clients = 0;
+  std::string bytes;
+  bool reconnects = false;
+  SECTION("small bodies") {
+    clients = 7500;
+    bytes = makeRequest("/desk/x", 16384, 1);
+  }
+  SECTION("long heads") {
+    clients = 7500;
+    bytes = makeEndlessHead(63u << 10);
+  }
+  SECTION("allowed heads") {
+    clients = 7500;
+    bytes = makeEndlessHead(14000);
+  }
+  SECTION("numbers as jobs") {
+    clients = 1;
+    bytes = makeNumberJob(JobBytes);
+    reconnects = true;
+  }
+  SECTION("many numbers as jobs") {
+    clients = 60;
+    bytes = makeNumberJob(JobBytes);
+  }
+  SECTION("nested arrays as jobs") {
+    clients = 60;
+    bytes = makeRequest("/rollout/x", std::string(JobBytes, '['));
+  }
+  SECTION("unfinished bodies") {
+    clients = 200;
+    bytes = makeRequest("/desk/x", MaxBodyBytes, MissingBytes);
+  }
+  SECTION("unfinished chunks") {
+    clients = 200;
+    bytes = makeChunkedRequest("/desk/x", MaxBodyBytes - MissingBytes, 65536);
+  }
+  SECTION("middle bodies") {
+    clients = 3000;
+    bytes = makeRequest("/desk/x", 256u << 10, 1);
+  }
+  SECTION("whole bodies") {
+    clients = 200;
+    bytes = makeRequest("/desk/x", MaxBodyBytes, 0);
+  }
+  SECTION("whole bodies without a route") {
+    clients = 200;
+    bytes = makeRequest("/nowhere/x", MaxBodyBytes, 0);
+  }
+  PlatformFixture fixture(makeSettings());
+  REQUIRE(fixture.waitUntilAllReady());
+  harness::Process &process = *fixture.edge(0).Running;
+  int requests = 0;
+  for (int i = 0; i < 2; ++i) {
+    Crowd::Settings setup;
+    setup.Target = fixture.edge(0).CallerAddress;
+    setup.Clients = clients;
+    setup.Bytes = bytes;
+    setup.Reconnects = reconnects;
+    Crowd crowd(std::move(setup));
+    crowd.waitUntilSettled();
+    CHECK(isServed(fixture, 100, requests));
+    CHECK(isServed(fixture, LargeBytes, requests));
+  }
+  std::size_t pressed = process.peakMemoryKib();
+  CHECK(isServed(fixture, 100, requests));
+  CHECK(isServed(fixture, MaxBodyBytes, requests));
+  std::cout << requests << " ordinary requests for 6 answers; " << pressed
+            << " KiB under pressure, " << process.peakMemoryKib()
+            << " KiB at most, " << process.memoryKib() << " KiB now"
+            << std::endl;
+  CHECK_FALSE(process.wait(Millis(0)));
+  CHECK(process.peakMemoryKib() > 0);
+  CHECK(process.peakMemoryKib() < EdgeMemoryKib);
+}
+
+} // namespace wasabi::test
--- a/UnitTests/Adapters/Http/ClientMemoryTest.cpp
+++ b/UnitTests/Adapters/Http/ClientMemoryTest.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::uint64_t MaxHeldBytes = 1u << 20;
 constexpr std::size_t LargeBytes = 600u << 10;
+constexpr std::size_t MediumBytes = 40000;
 /// Longer than the lag for which a body is given up.
 constexpr Millis StallTime{400};
 
@@ -58,6 +59,7 @@
 
 } // namespace
 
+// Guards against bodies that are admitted by their first bytes and do not fit
 // together later.
 TEST_CASE("A body takes its announced room from its head on", "[http]") {
   HttpFixture fixture;
@@ -112,6 +114,7 @@
   });
 }
 
+// Guards against large bodies that keep others out, and against many of a
 // middle size that keep a large one out.
 TEST_CASE("Large bodies leave room for others", "[http]") {
   constexpr std::uint64_t Max = MaxHeldBytes;
@@ -127,4 +130,59 @@
   CHECK(removeBody(full, Max / 2 - Max / 16) == one);
 }
 
+// Guards against small bodies, heads and connections that no other limit
+// counts.
+TEST_CASE("All that connections hold is counted", "[http]") {
+  HttpFixture fixture;
+  Server::Settings limits;
+  limits.Memory = PeerMemory::create({MaxHeldBytes, 0});
+  fixture.serve(answer, limits);
+  fixture.run([&]() -> asio::awaitable<void> {
+    std::vector<RawSocket> clients;
+    for (int i = 0; i < 100; ++i)
+      clients.push_back(co_await sendUnfinished(fixture, SmallBodyBytes));
+    co_await pause(fixture, StallTime);
+    Response got = co_await post(fixture, 100);
+    CHECK(got.Status == 200);
+    got = co_await post(fixture, MediumBytes);
+    CHECK(got.Status == 200);
+    CHECK(limits.Memory->heldBytes() <= MaxHeldBytes + MaxHeldBytes / 8);
+    CHECK(fixture.Serving->held().YieldedConnections > 0);
+    clients.clear();
+    // The connection of the ordinary client stays.
+    while (fixture.Serving->connections() > 1)
+      co_await pause(fixture, Millis(1));
+    CHECK(limits.Memory->connections() == 1);
+    CHECK(limits.Memory->heldBytes() < MaxHeldBytes / 16);
+  });
+}
+
+// Guards against connections that take the descriptors of the process.
+TEST_CASE("A connection that lags makes place for another one", "[http]") {
+  constexpr std::size_t MaxConnections = 40;
+  HttpFixture fixture;
+  Server::Settings limits;
+  limits.MaxConnections = MaxConnections;
+  fixture.serve(answer, limits);
+  fixture.run([&]() -> asio::awaitable<void> {
+    // The kept connection was answered and is the last to give way.
+    Response got = co_await post(fixture, 100);
+    CHECK(got.Status == 200);
+    std::vector<RawSocket> clients;
+    for (std::size_t i = 0; i < 2 * MaxConnections; ++i)
+      clients.push_back(co_await fixture.connect());
+    RawSocket late = co_await fixture.connect();
+    co_await HttpFixture::sendText(
+        late, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    boost::system::error_code ended;
+    std::string text = co_await HttpFixture::readAll(late, ended);
+    CHECK_THAT(text, StartsWith("HTTP/1.1 200 "));
+    CHECK(fixture.Serving->connections() <= MaxConnections);
+    std::uint64_t closed = fixture.Serving->held().YieldedConnections;
+    CHECK(closed > 0);
+    got = co_await post(fixture, 100);
+    CHECK(got.Status == 200);
+  });
+}
+
 } // namespace wasabi::http
--- a/UnitTests/Platform/BootLimitsTest.cpp
+++ b/UnitTests/Platform/BootLimitsTest.cpp
@@ -37,4 +37,22 @@
   CHECK(wrong.failure().Code == FailureCode::BadInput);
 }
 
+// Guards against connections beyond what the machine can open.
+TEST_CASE("The limit of descriptors is optional and must be positive",
+          "[platform]") {
+  Outcome<BootSettings> got = toOutcome<BootSettings>([] {
+    return parseBootSettings(makeSettings(R"({"max_fds":8200})"), "x.json");
+  });
+  REQUIRE(got);
+  CHECK(got->MaxDescriptors == 8200);
+  got = toOutcome<BootSettings>(
+      [] { return parseBootSettings(makeSettings("{}"), "x.json"); });
+  REQUIRE(got);
+  CHECK(got->MaxDescriptors == 0);
+  got = toOutcome<BootSettings>([] {
+    return parseBootSettings(makeSettings(R"({"max_fds":0})"), "x.json");
+  });
+  CHECK_FALSE(got);
+}
+
 } // namespace wasabi::platform
--- a/Wasabi/Adapters/Http/HttpConnection.cpp
+++ b/Wasabi/Adapters/Http/HttpConnection.cpp
@@ -27,24 +27,35 @@
 
 /// Read size while waiting for a request.
 constexpr std::size_t ReadBytes = 4096;
-/// Read size for request bodies.
-constexpr std::size_t BodyReadBytes = 16384;
+/// Minimum and maximum read size for request bodies.
+constexpr std::size_t MinBodyReadBytes = 1024;
+constexpr std::size_t MaxBodyReadBytes = 16384;
 /// Maximum number of pipelined bytes that are buffered while a handler runs;
 /// further ones stay in the kernel.
-constexpr std::size_t MaxPipelinedBytes = 65536;
-constexpr std::uint32_t MaxHeadBytes = 65536;
+constexpr std::size_t MaxPipelinedBytes = 16384;
 /// Size of the blocks in which a body of unknown size is collected: a growing
 /// string would be copied, and held twice meanwhile.
 constexpr std::size_t BodyBlockBytes = 512u << 10;
 /// Maximum size of the head of a chunk, and of the trailers.
 constexpr std::size_t MaxChunkHeadBytes = 65536;
+/// Memory of an open connection, without its buffer.
+constexpr std::uint64_t ConnectionBytes = 8192;
+/// Memory of a request that is handled, without its head and body: coroutines,
+/// and a connection to an upstream server.
+constexpr std::uint64_t HandledRequestBytes = 49152;
+/// Memory of a header field that is parsed and copied, without its text.
+constexpr std::uint64_t FieldBytes = 192;
 /// How long input is discarded after the last response before the connection is
 /// closed: without further input, and in all.
 constexpr Millis LingerTimeout{1000};
 constexpr Millis MaxLingerTime{15000};
 /// A body is given up in favor of another one only if its peer lags by this
-/// much.
+/// much, and a connection in favor of another one.
 constexpr Millis MinLag{250};
+/// Minimum time between two searches for lagging peers.
+constexpr Millis SearchInterval{20};
+/// Connections that are closed at once when there are too many.
+constexpr std::size_t ConnectionsPerSearch = 16;
 constexpr TimePoint NoDeadline = TimePoint::max();
 /// `Retry-After` of requests that are shed, in seconds. A client that is told
 /// later than this would often have no time left for a second attempt.
@@ -78,6 +89,44 @@
   Body += last;
 }
 
+/// Returns how many bytes of a body are read at once: as many as are missing,
+/// and no more than have arrived, so that slow bodies take small buffers.
+template <typename Parser>
+std::size_t chooseReadSize(const Parser &Parse, std::uint64_t Received) {
+  std::uint64_t bytes = Received;
+  if (Parse.content_length_remaining())
+    bytes = std::min<std::uint64_t>(bytes, *Parse.content_length_remaining());
+  return std::clamp<std::uint64_t>(bytes, MinBodyReadBytes, MaxBodyReadBytes);
+}
+
+/// Returns the request without its body, and without its fields if a response
+/// does not need them.
+template <typename Parser>
+Request makeHead(const Parser &Parse, bool HasFields) {
+  Request head;
+  beast::string_view method = Parse.get().method_string();
+  beast::string_view target = Parse.get().target();
+  head.Method.assign(method.data(), method.size());
+  head.Target.assign(target.data(), target.size());
+  if (!HasFields)
+    return head;
+  head.Headers.reserve(static_cast<std::size_t>(
+      std::distance(Parse.get().begin(), Parse.get().end())));
+  for (const beast::http::fields::value_type &it : Parse.get()) {
+    head.Headers.push_back(
+        Header{std::string(it.name_string()), std::string(it.value())});
+  }
+  return head;
+}
+
+/// Returns the memory of a head that is parsed and copied.
+template <typename Parser> std::uint64_t computeHeadBytes(const Parser &Parse) {
+  std::uint64_t bytes = Parse.get().target().size();
+  for (const beast::http::fields::value_type &it : Parse.get())
+    bytes += FieldBytes + 2 * (it.name_string().size() + it.value().size());
+  return bytes;
+}
+
 /// Returns the buffers without their first `Count` bytes.
 std::vector<asio::const_buffer>
 skipBytes(const std::vector<asio::const_buffer> &Data, std::size_t Count) {
@@ -146,6 +195,7 @@
   // Bytes are held only if the kernel does not accept them all immediately.
   if (!ec && done < size) {
     holdResponse(size);
+    updateHeld();
     Owner->relieve(this, now);
   }
   while (!ec && done < size) {
@@ -156,6 +206,7 @@
     Progress = recordSent(Progress, n, monotonicNow());
   }
   holdResponse(0);
+  updateHeld();
   if (!ec)
     co_return Done{};
   close();
@@ -189,6 +240,13 @@
   return true;
 }
 
+void Connection::updateHeld() {
+  std::uint64_t handled =
+      CurrentPhase == Phase::Answering ? HandledRequestBytes : 0;
+  hold(ConnectionBytes + Buffer.capacity() + HeadBytes + BodyBytes +
+       ResponseBytes + handled);
+}
+
 HeldResponse Connection::observeHeld(TimePoint Now) {
   if (ResponseBytes > 0)
     Progress = observeQueue(Progress, countUnacknowledged(Socket), true, Now);
@@ -241,9 +299,18 @@
 
 //===--- Peers that give way ----------------------------------------------===//
 
-PeerLoad Connection::observeBody(TimePoint Now) {
-  PeerLoad load{PeerActivity::Pending, arrivingBodyBytes(),
+PeerLoad Connection::observe(TimePoint Now) {
+  PeerLoad load{PeerActivity::Pending, heldBytes(),
                 std::chrono::duration_cast<Millis>(Now - PacedUntil)};
+  if (CurrentPhase == Phase::Answering && ResponseBytes == 0)
+    return {PeerActivity::Working, heldBytes(), Millis(0)};
+  if (CurrentPhase == Phase::Answering) {
+    load.Lag =
+        std::chrono::duration_cast<Millis>(Now - observeHeld(Now).LastProgress);
+    return load;
+  }
+  if (CurrentPhase == Phase::Idle && HasAnswered)
+    load.Activity = PeerActivity::Idle;
   // What was sent and not yet read is not the peer's delay.
   ErrorCode ec;
   if (Socket.available(ec) > 0)
@@ -251,6 +318,18 @@
   return load;
 }
 
+void Connection::yield(TimePoint Now) {
+  ++Owner->Held.YieldedConnections;
+  ++Owner->Report.YieldedConnections;
+  if (ResponseBytes > 0) {
+    resetSlowReader(Now);
+    return;
+  }
+  recordPeer();
+  holdBody(0);
+  abort();
+}
+
 std::uint64_t Connection::arrivingBodyBytes() const {
   return ReadsBody && !BodyGivenUp && BodyBytes > SmallBodyBytes ? BodyBytes
                                                                  : 0;
@@ -276,10 +355,12 @@
       left = removeBody(left, it->arrivingBodyBytes());
       continue;
     }
-    if (it->arrivingBodyBytes() == 0)
+    std::uint64_t bytes = it->arrivingBodyBytes();
+    if (bytes == 0)
       continue;
     connections.push_back(it);
-    loads.push_back(it->observeBody(Now));
+    loads.push_back(it->observe(Now));
+    loads.back().Bytes = bytes;
   }
   std::vector<Connection *> yielding;
   for (std::size_t it : orderToYield(loads, MinLag)) {
@@ -295,6 +376,29 @@
   return true;
 }
 
+bool ServerState::hasRoomForConnection(TimePoint Now) {
+  if (Open.size() >= Limits.MaxConnections) {
+    yieldConnections(Now);
+    return false;
+  }
+  return !Limits.Memory ||
+         Limits.Memory->hasRoomForConnection(Limits.ReservedConnections, Now);
+}
+
+void ServerState::yieldConnections(TimePoint Now) {
+  if (Now < NextSearch)
+    return;
+  NextSearch = Now + SearchInterval;
+  std::vector<std::shared_ptr<Connection>> connections;
+  std::vector<PeerLoad> loads;
+  for (Connection *it : Open) {
+    connections.push_back(it->shared_from_this());
+    loads.push_back(it->observe(Now));
+  }
+  for (std::size_t it : chooseToYield(loads, {0, ConnectionsPerSearch}, MinLag))
+    connections[it]->yield(Now);
+}
+
 void ServerState::relieve(const Connection *Growing, TimePoint Now) {
   if (Limits.MaxHeldBytes > 0 && Held.ResponseBytes > Limits.MaxHeldBytes) {
     std::vector<std::shared_ptr<Connection>> connections;
@@ -371,23 +475,19 @@
     more = false;
     if (!co_await awaitBytes())
       break;
-    Parser parse;
-    if (!co_await readRequest(parse))
+    std::optional<Parser> parse(std::in_place);
+    if (!co_await readRequest(*parse))
       break;
-    unsigned version = parse.get().version();
-    bool keepAlive = parse.get().keep_alive();
-    Request req;
-    beast::string_view method = parse.get().method_string();
-    beast::string_view target = parse.get().target();
-    req.Method.assign(method.data(), method.size());
-    req.Target.assign(target.data(), target.size());
-    for (const beast::http::fields::value_type &it : parse.get()) {
-      req.Headers.push_back(
-          Header{std::string(it.name_string()), std::string(it.value())});
-    }
-    req.Body = std::move(parse.get().body());
+    unsigned version = parse->get().version();
+    bool keepAlive = parse->get().keep_alive();
+    Request req = makeHead(*parse, /*HasFields=*/!ShedsRequest);
+    req.Body = std::move(parse->get().body());
+    // Its fields take several times the bytes of the head.
+    parse.reset();
     const Handler &handler = ShedsRequest ? shedHandler : Owner->Handle;
     more = co_await handle(std::move(req), version, keepAlive, handler);
+    HasAnswered = HasAnswered || more;
+    HeadBytes = 0;
     holdBody(0);
     if (!more && Socket.is_open())
       co_await linger();
@@ -399,18 +499,21 @@
 }
 
 asio::awaitable<bool> Connection::awaitBytes() {
+  PacedUntil = monotonicNow();
   CurrentPhase = Buffer.size() == 0 ? Phase::Idle : Phase::Reading;
-  if (CurrentPhase == Phase::Reading)
-    co_return true;
   // Releases large buffers of idle connections.
-  if (Buffer.capacity() > ReadBytes)
+  if (CurrentPhase == Phase::Idle && Buffer.capacity() > ReadBytes)
     Buffer.shrink_to_fit();
+  updateHeld();
+  if (CurrentPhase == Phase::Reading)
+    co_return true;
   Millis timeout = Owner->Draining ? Owner->Limits.DrainGracePeriod
                                    : Owner->Limits.IdleTimeout;
-  Deadline = monotonicNow() + timeout;
+  Deadline = PacedUntil + timeout;
   auto [ec, n] =
       co_await Socket.async_read_some(Buffer.prepare(ReadBytes), Awaited);
   Buffer.commit(n);
+  PacedUntil = monotonicNow();
   CurrentPhase = Phase::Reading;
   co_return n > 0;
 }
@@ -421,6 +524,7 @@
       co_await Socket.async_read_some(Buffer.prepare(MaxBytes), Awaited);
   Buffer.commit(n);
   PacedUntil = advancePace(PacedUntil, n, monotonicNow());
+  updateHeld();
   co_return ec;
 }
 
@@ -430,7 +534,7 @@
 }
 
 asio::awaitable<bool> Connection::readRequest(Parser &Parse) {
-  Parse.header_limit(MaxHeadBytes);
+  Parse.header_limit(Owner->Limits.MaxHead);
   Parse.body_limit(Owner->Limits.MaxBody);
   ShedsRequest = false;
   ErrorCode ec = co_await readHead(Parse);
@@ -446,6 +550,7 @@
     co_return true;
   // Releases the memory before the connection lingers.
   std::string().swap(Parse.get().body());
+  HeadBytes = 0;
   holdBody(0);
   if (ec == asio::error::no_buffer_space || BodyGivenUp) {
     Response reply = makeShedResponse();
@@ -467,9 +572,17 @@
 
 asio::awaitable<ErrorCode> Connection::readHead(Parser &Parse) {
   Deadline = monotonicNow() + Owner->Limits.HeadTimeout;
-  auto [ec, n] =
-      co_await beast::http::async_read_header(Socket, Buffer, Parse, Awaited);
-  co_return ec;
+  while (!Parse.is_header_done()) {
+    ErrorCode failed = feed(Buffer, Parse);
+    if (Parse.is_header_done())
+      break;
+    if (failed && failed != beast::http::error::need_more)
+      co_return failed;
+    ErrorCode ec = co_await readSome(ReadBytes);
+    if (ec)
+      co_return ec;
+  }
+  co_return ErrorCode();
 }
 
 /// Decides from its head whether a request is received. A request that is shed
@@ -477,8 +590,15 @@
 /// be kept; a larger one fails.
 ErrorCode Connection::admitRequest(Parser &Parse) {
   std::uint64_t announced = Parse.content_length().value_or(0);
-  PacedUntil = monotonicNow();
-  if (!shouldShed(Owner->totals(), 0) && reserveBody(announced))
+  TimePoint now = monotonicNow();
+  HeadBytes = computeHeadBytes(Parse);
+  bool fits = !Owner->Limits.Memory ||
+              Owner->Limits.Memory->hasRoomFor(
+                  HandledRequestBytes + HeadBytes + announced, now);
+  bool sheds =
+      !fits || shouldShed(Owner->totals(), 0) || !reserveBody(announced);
+  updateHeld();
+  if (!sheds)
     return ErrorCode();
   countShed();
   bool small = announced <= SmallBodyBytes && !Parse.chunked();
@@ -523,7 +643,7 @@
     if (Buffer.size() > MaxChunkHeadBytes)
       co_return beast::http::error::buffer_overflow;
     Deadline = PacedUntil + Owner->Limits.IdleTimeout;
-    ErrorCode ec = co_await readSome(BodyReadBytes);
+    ErrorCode ec = co_await readSome(chooseReadSize(Parse, received));
     if (ec || BodyGivenUp)
       co_return ec ? ec : asio::error::no_buffer_space;
   }
@@ -567,6 +687,7 @@
   CurrentPhase = Phase::Answering;
   Current = exchange;
   ++Owner->InFlight;
+  updateHeld();
   watchForDisconnect();
   bool failed = false;
   try {
@@ -613,11 +734,13 @@
   }
   // Buffers pipelined bytes so that a disconnect after them is detected too.
   if (state == PeerState::DataAvailable) {
-    if (Buffer.size() >= MaxPipelinedBytes)
+    bool isTight = Owner->Limits.Memory && Owner->Limits.Memory->isTight();
+    if (Buffer.size() >= (isTight ? ReadBytes : MaxPipelinedBytes))
       return;
     ErrorCode ec;
     std::size_t n = Socket.read_some(Buffer.prepare(ReadBytes), ec);
     Buffer.commit(n);
+    updateHeld();
   }
   watchForDisconnect();
 }
--- a/Wasabi/Adapters/Http/HttpConnection.h
+++ b/Wasabi/Adapters/Http/HttpConnection.h
@@ -6,7 +6,6 @@
 
 #include "Wasabi/Adapters/Http/HttpServer.h"
 #include "Wasabi/Adapters/Http/SlowReaders.h"
-#include "Wasabi/Adapters/Peers/PeerLoad.h"
 #include "Wasabi/Core/BootTimer.h"
 
 #include <boost/asio/buffer.hpp>
@@ -42,6 +41,10 @@
   /// `BodyBytes` more fit then. Returns true if they do.
   bool makeRoomForBody(std::uint64_t BodyBytes, const Connection *Growing,
                        TimePoint Now);
+  /// Returns true if one more connection may be opened.
+  bool hasRoomForConnection(TimePoint Now);
+  /// Closes some connections whose peers lag.
+  void yieldConnections(TimePoint Now);
   /// Resets connections while responses hold more than the maximum; not
   /// `Growing`, whose response has just begun to be held.
   void relieve(const Connection *Growing, TimePoint Now);
@@ -51,6 +54,8 @@
 
   const Server::Settings Limits;
   const Handler Handle;
+  /// The earliest time of the next search for lagging peers.
+  TimePoint NextSearch;
   bool Draining = false;
   /// True if each response closes its connection while new connections are
   /// still accepted.
@@ -69,14 +74,14 @@
 
 /// One connection: reads requests in sequence and runs the handler for each.
 /// Use on the thread of the server only.
-class Connection : public std::enable_shared_from_this<Connection> {
+class Connection : public PeerConnection,
+                   public std::enable_shared_from_this<Connection> {
 public:
   Connection(boost::asio::ip::tcp::socket Socket,
              std::shared_ptr<ServerState> Owner)
-      : Socket(std::move(Socket)), Owner(std::move(Owner)) {}
-  Connection(const Connection &) = delete;
-  Connection &operator=(const Connection &) = delete;
-  ~Connection();
+      : PeerConnection(Owner->Limits.Memory), Socket(std::move(Socket)),
+        Owner(std::move(Owner)) {}
+  ~Connection() override;
 
   boost::asio::awaitable<void> serve();
   /// Sends bytes. Closes the connection on failure.
@@ -95,8 +100,10 @@
   /// True if the connection closes after its next response.
   bool closesAfterResponse() const;
 
-  /// The body that is being received, and how far its peer lags.
-  PeerLoad observeBody(TimePoint Now);
+  /// Updates what the connection holds in the account of the process.
+  void updateHeld();
+  PeerLoad observe(TimePoint Now) override;
+  void yield(TimePoint Now) override;
   /// Bytes of a body that is being received and is not small.
   std::uint64_t arrivingBodyBytes() const;
   /// Ends the receiving of the body: the request is refused.
@@ -152,14 +159,19 @@
   /// The time at which `enforceDeadline` takes effect.
   TimePoint Deadline = TimePoint::max();
   SendProgress Progress;
-  /// The time up to which the peer has kept the minimum rate.
+  /// The time up to which the peer has kept the minimum rate, and since when an
+  /// idle connection is idle.
   TimePoint PacedUntil = monotonicNow();
   /// Bytes of the response that is being written, and of the body of the
   /// current request, announced or received; both are included in the totals
   /// of the server.
   std::uint64_t ResponseBytes = 0;
   std::uint64_t BodyBytes = 0;
+  /// Memory of the head of the current request.
+  std::uint64_t HeadBytes = 0;
   Phase CurrentPhase = Phase::Idle;
+  /// True once a request was answered.
+  bool HasAnswered = false;
   /// True while a body is received.
   bool ReadsBody = false;
   /// True once the body was given up in favor of another one.
--- a/Wasabi/Adapters/Http/HttpServer.cpp
+++ b/Wasabi/Adapters/Http/HttpServer.cpp
@@ -114,8 +114,9 @@
 
 asio::awaitable<void> ServerImpl::acceptLoop() {
   while (Acceptor.is_open()) {
-    if (Shared->Open.size() >= Shared->Limits.MaxConnections) {
-      Shared->CapacityTimer.expires_at(BootTimer::time_point::max());
+    // A closed connection ends the wait.
+    if (!Shared->hasRoomForConnection(monotonicNow())) {
+      Shared->CapacityTimer.expires_after(AcceptRetryDelay);
       co_await Shared->CapacityTimer.async_wait(Awaited);
       continue;
     }
@@ -126,6 +127,7 @@
     }
     if (!Acceptor.is_open())
       break;
+    Shared->yieldConnections(monotonicNow());
     Shared->CapacityTimer.expires_after(AcceptRetryDelay);
     co_await Shared->CapacityTimer.async_wait(Awaited);
   }
@@ -149,6 +151,8 @@
     for (const std::shared_ptr<Connection> &it : open)
       it->enforceDeadline(now);
     Shared->endLongOverload(now);
+    if (Shared->Limits.Memory)
+      Shared->Limits.Memory->releaseFreed(now);
     reportSlowReaders(now);
   }
 }
@@ -171,6 +175,7 @@
   std::shared_ptr<Connection> connection =
       std::make_shared<Connection>(std::move(Socket), Shared);
   Shared->Open.insert(connection.get());
+  connection->updateHeld();
   asio::co_spawn(
       Context, [connection] { return connection->serve(); }, asio::detached);
 }
--- a/Wasabi/Adapters/Http/HttpServer.h
+++ b/Wasabi/Adapters/Http/HttpServer.h
@@ -3,6 +3,7 @@
 #ifndef WASABI_ADAPTERS_HTTP_HTTPSERVER_H
 #define WASABI_ADAPTERS_HTTP_HTTPSERVER_H
 
+#include "Wasabi/Adapters/Peers/PeerMemory.h"
 #include "Wasabi/Core/Address.h"
 #include "Wasabi/Core/Clock.h"
 #include "Wasabi/Core/Verdict.h"
@@ -65,6 +66,8 @@
   std::uint64_t ShedRequests = 0;
   /// Requests whose body lagged and was given up in favor of another one.
   std::uint64_t GivenUpBodies = 0;
+  /// Connections closed in favor of others.
+  std::uint64_t YieldedConnections = 0;
   bool operator==(const HeldCounts &) const = default;
 };
 
@@ -74,6 +77,7 @@
   std::uint64_t MemoryResets = 0;
   std::uint64_t ShedRequests = 0;
   std::uint64_t GivenUpBodies = 0;
+  std::uint64_t YieldedConnections = 0;
   /// Response bytes that the reset connections held.
   std::uint64_t ResetBytes = 0;
   /// The longest time that one of them had taken no byte.
@@ -95,9 +99,12 @@
   struct Settings {
     /// Address to listen on; port 0 selects an ephemeral port.
     Address Listen{"127.0.0.1", 0};
-    /// Maximum number of open connections; further ones wait in the queue of
+    /// Maximum number of open connections. Beyond it, connections whose peers
+    /// lag are closed; while there are none, further ones wait in the queue of
     /// the kernel.
     std::size_t MaxConnections = 20000;
+    /// Maximum size of a request head, in bytes.
+    std::uint32_t MaxHead = 65536;
     /// Maximum size of a request body, in bytes.
     std::uint64_t MaxBody = 8u << 20;
     /// Time limit for receiving a request head after its first bytes.
@@ -105,6 +112,11 @@
     /// Connections that are idle for this time, and bodies that lag by it
     /// behind `MinBytesPerSecond`, are closed.
     Millis IdleTimeout{60000};
+    /// Counts what connections hold, together with other listeners; null for
+    /// no count.
+    std::shared_ptr<PeerMemory> Memory;
+    /// Number of connections of `Memory` that are left to other listeners.
+    std::size_t ReservedConnections = 0;
     /// A connection whose client takes no byte of a pending response for this
     /// time is reset; the idle timeout applies if it is shorter. Bytes count as
     /// taken once acknowledged, so the granularity is a TCP segment.
--- a/Wasabi/Core/Program.cpp
+++ b/Wasabi/Core/Program.cpp
@@ -11,6 +11,7 @@
 #include <iostream>
 #include <string_view>
 
+#include <malloc.h>
 #include <unistd.h>
 
 namespace wasabi {
@@ -160,6 +161,15 @@
   });
 }
 
+/// Makes the allocator return large blocks to the kernel when they are freed.
+/// By default it keeps blocks of the size of the largest one freed so far.
+void limitKeptMemory() {
+  constexpr int MinMappedBytes = 256 << 10;
+  constexpr int MaxKeptBytes = 4 << 20;
+  ::mallopt(M_MMAP_THRESHOLD, MinMappedBytes);
+  ::mallopt(M_TRIM_THRESHOLD, MaxKeptBytes);
+}
+
 } // namespace
 
 void holdHangups() { changeSignalMask(SIG_BLOCK, SIGHUP); }
@@ -170,6 +180,7 @@
                           const char *const *Values) {
   // Report a closed connection as a write error; SIGPIPE would end the process.
   std::signal(SIGPIPE, SIG_IGN);
+  limitKeptMemory();
   return boost::leaf::try_handle_all(
       [&]() -> Result<ProgramStart> {
         BOOST_LEAF_AUTO(line, readSettings(Description, Count, Values));
