Requests are denied from their head, before a large body

What callers saw: 200 bodies of 32 MB to a path without a route took the room of all others; each was read whole, then answered 404.

Cause: access and route are known at the end of the head, and were asked after the body.

Change: before a body above 16 KB is received, by its length or once its chunks exceed that, the frontend decides on the head as its handler does: a 404 or 401 only by a current configuration, else 503. The connection ends with the response; what follows is discarded and is no request. It is discarded for as long as it moves, 15 s at most, so that a client that sends first and reads later gets the response.

Tests: 'A request is checked by its head before a large body', 'A request is denied from its head as by the handler' (no such check before).

--- a/UnitTests/Adapters/Http/ClientMemoryTest.cpp
+++ b/UnitTests/Adapters/Http/ClientMemoryTest.cpp
@@ -130,6 +130,54 @@
   CHECK(removeBody(full, Max / 2 - Max / 16) == one);
 }
 
+// Guards against bodies that are received although their request is denied.
+TEST_CASE("A request is checked by its head before a large body", "[http]") {
+  HttpFixture fixture;
+  Server::Settings limits = makeLimits();
+  std::size_t checked = 0;
+  limits.CheckHead =
+      [&](const Request &Head) -> asio::awaitable<std::optional<Response>> {
+    ++checked;
+    CHECK(Head.Body.empty());
+    if (Head.path() == "/allowed")
+      co_return std::nullopt;
+    co_return jsonResponse(404, "{}");
+  };
+  std::size_t handled = 0;
+  fixture.serve(
+      [&](Request Req, std::shared_ptr<Responder> Reply) {
+        ++handled;
+        return answer(std::move(Req), std::move(Reply));
+      },
+      limits);
+  fixture.run([&]() -> asio::awaitable<void> {
+    std::string length = "Content-Length: 614400\r\n\r\n";
+    std::string chunks =
+        "Transfer-Encoding: chunked\r\n\r\n5000\r\n" + std::string(0x5000, 'x');
+    for (const std::string &it : {length, chunks}) {
+      RawSocket raw = co_await fixture.connect();
+      co_await HttpFixture::sendText(raw, "POST /denied HTTP/1.1\r\n" + it);
+      std::string text;
+      co_await asio::async_read(raw, asio::dynamic_buffer(text),
+                                asio::transfer_at_least(12),
+                                asio::use_awaitable);
+      CHECK_THAT(text, StartsWith("HTTP/1.1 404 "));
+      // What follows is no request.
+      co_await HttpFixture::sendText(raw, "GET /allowed HTTP/1.1\r\n\r\n");
+      raw.shutdown(RawSocket::shutdown_send);
+      boost::system::error_code ended;
+      text = co_await HttpFixture::readAll(raw, ended);
+      CHECK(text.find("HTTP/1.1") == std::string::npos);
+    }
+    CHECK(checked == 2);
+    CHECK(handled == 0);
+    Response small = co_await post(fixture, SmallBodyBytes);
+    CHECK(small.Status == 200);
+    CHECK(checked == 2);
+    CHECK(fixture.Serving->held().RequestBytes == 0);
+  });
+}
+
 // Guards against small bodies, heads and connections that no other limit
 // counts.
 TEST_CASE("All that connections hold is counted", "[http]") {
--- a/UnitTests/Platform/FrontendTest.cpp
+++ b/UnitTests/Platform/FrontendTest.cpp
@@ -237,4 +237,44 @@
   }
 }
 
+// Guards against large bodies that are received although no configuration
+// allows their request.
+TEST_CASE("A request is denied from its head as by the handler", "[platform]") {
+  FrontendFixture fixture;
+  fixture.configure("/old/");
+  fixture.CurrentAsOf = monotonicNow();
+  http::HeadCheck check = makeFrontendHeadCheck(
+      {fixture.View, nullptr, nullptr, [] { return false; },
+       KeyDigester::create().value(), fixture.Access, fixture.Decisions,
+       fixture.Counts,
+       ConfigurationReader{[&] { return fixture.CurrentAsOf; },
+                           [&] { return fixture.read(); }}});
+  auto statusOf = [&](const std::string &Path) {
+    unsigned status = 0;
+    fixture.run([&]() -> boost::asio::awaitable<void> {
+      http::Request head;
+      head.Method = "POST";
+      head.Target = Path;
+      head.Headers.push_back({"Host", "host.example"});
+      std::optional<http::Response> refusal = co_await check(head);
+      status = refusal ? refusal->Status : 0;
+    });
+    fixture.Context.restart();
+    return status;
+  };
+  CHECK(statusOf("/old/x") == 0);
+  CHECK(statusOf("/new/x") == NotFound);
+  CHECK(fixture.Reads == 1);
+  fixture.OnRead = [] { return false; };
+  CHECK(statusOf("/new/x") == ServiceUnavailable);
+  fixture.OnRead = [&fixture] {
+    fixture.configure("/new/");
+    return true;
+  };
+  CHECK(statusOf("/new/x") == 0);
+  fixture.OnRead = [] { return true; };
+  fixture.requireKeys();
+  CHECK(statusOf("/new/x") == Unauthorized);
+}
+
 } // namespace wasabi::platform
--- a/Wasabi/Adapters/Http/HttpConnection.cpp
+++ b/Wasabi/Adapters/Http/HttpConnection.cpp
@@ -302,7 +302,7 @@
 PeerLoad Connection::observe(TimePoint Now) {
   PeerLoad load{PeerActivity::Pending, heldBytes(),
                 std::chrono::duration_cast<Millis>(Now - PacedUntil)};
-  if (CurrentPhase == Phase::Answering && ResponseBytes == 0)
+  if (ChecksHead || (CurrentPhase == Phase::Answering && ResponseBytes == 0))
     return {PeerActivity::Working, heldBytes(), Millis(0)};
   if (CurrentPhase == Phase::Answering) {
     load.Lag =
@@ -536,13 +536,14 @@
 asio::awaitable<bool> Connection::readRequest(Parser &Parse) {
   Parse.header_limit(Owner->Limits.MaxHead);
   Parse.body_limit(Owner->Limits.MaxBody);
+  std::optional<Response> refusal;
   ShedsRequest = false;
   ErrorCode ec = co_await readHead(Parse);
   if (!ec)
-    ec = admitRequest(Parse);
+    ec = co_await admitRequest(Parse, refusal);
   if (!ec) {
     ReadsBody = true;
-    ec = co_await readBody(Parse);
+    ec = co_await readBody(Parse, refusal);
     ReadsBody = false;
   }
   Deadline = NoDeadline;
@@ -552,6 +553,10 @@
   std::string().swap(Parse.get().body());
   HeadBytes = 0;
   holdBody(0);
+  if (refusal) {
+    co_await refuse(std::move(*refusal));
+    co_return false;
+  }
   if (ec == asio::error::no_buffer_space || BodyGivenUp) {
     Response reply = makeShedResponse();
     co_await refuse(std::move(reply));
@@ -588,8 +593,14 @@
 /// Decides from its head whether a request is received. A request that is shed
 /// and has a small body is received all the same, so that its connection can
 /// be kept; a larger one fails.
-ErrorCode Connection::admitRequest(Parser &Parse) {
+asio::awaitable<ErrorCode>
+Connection::admitRequest(Parser &Parse, std::optional<Response> &Refusal) {
   std::uint64_t announced = Parse.content_length().value_or(0);
+  if (announced > SmallBodyBytes) {
+    Refusal = co_await checkHead(Parse);
+    if (Refusal)
+      co_return asio::error::access_denied;
+  }
   TimePoint now = monotonicNow();
   HeadBytes = computeHeadBytes(Parse);
   bool fits = !Owner->Limits.Memory ||
@@ -599,16 +610,30 @@
       !fits || shouldShed(Owner->totals(), 0) || !reserveBody(announced);
   updateHeld();
   if (!sheds)
-    return ErrorCode();
+    co_return ErrorCode();
   countShed();
   bool small = announced <= SmallBodyBytes && !Parse.chunked();
   if (!small)
-    return asio::error::no_buffer_space;
+    co_return asio::error::no_buffer_space;
   ShedsRequest = true;
-  return ErrorCode();
+  co_return ErrorCode();
 }
 
-asio::awaitable<ErrorCode> Connection::readBody(Parser &Parse) {
+asio::awaitable<std::optional<Response>> Connection::checkHead(Parser &Parse) {
+  if (!Owner->Limits.CheckHead)
+    co_return std::nullopt;
+  Request head = makeHead(Parse, /*HasFields=*/true);
+  // The check does not depend on the peer.
+  Deadline = NoDeadline;
+  ChecksHead = true;
+  std::optional<Response> refusal = co_await Owner->Limits.CheckHead(head);
+  ChecksHead = false;
+  PacedUntil = monotonicNow();
+  co_return refusal;
+}
+
+asio::awaitable<ErrorCode>
+Connection::readBody(Parser &Parse, std::optional<Response> &Refusal) {
   constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
   bool expectsContinue =
       beast::iequals(Parse.get()[beast::http::field::expect], "100-continue");
@@ -620,6 +645,7 @@
           beast::http::error::partial_message);
   }
   Parse.eager(true);
+  bool isChecked = BodyBytes > SmallBodyBytes;
   std::vector<std::string> blocks;
   std::uint64_t blockBytes = 0;
   while (!Parse.is_done()) {
@@ -631,6 +657,13 @@
       blocks.push_back(std::move(body));
       body.clear();
     }
+    // The size of a body in chunks is known only as it arrives.
+    if (received > SmallBodyBytes && !isChecked) {
+      isChecked = true;
+      Refusal = co_await checkHead(Parse);
+      if (Refusal)
+        co_return asio::error::access_denied;
+    }
     if (received > BodyBytes && !reserveBody(received)) {
       countShed();
       co_return asio::error::no_buffer_space;
--- a/Wasabi/Adapters/Http/HttpConnection.h
+++ b/Wasabi/Adapters/Http/HttpConnection.h
@@ -121,10 +121,13 @@
   boost::asio::awaitable<bool> awaitBytes();
   boost::asio::awaitable<bool> readRequest(Parser &Parse);
   boost::asio::awaitable<boost::system::error_code> readHead(Parser &Parse);
-  boost::system::error_code admitRequest(Parser &Parse);
-  boost::asio::awaitable<boost::system::error_code> readBody(Parser &Parse);
+  boost::asio::awaitable<boost::system::error_code>
+  admitRequest(Parser &Parse, std::optional<Response> &Refusal);
+  boost::asio::awaitable<boost::system::error_code>
+  readBody(Parser &Parse, std::optional<Response> &Refusal);
   boost::asio::awaitable<boost::system::error_code>
   readSome(std::size_t MaxBytes);
+  boost::asio::awaitable<std::optional<Response>> checkHead(Parser &Parse);
   boost::asio::awaitable<void> refuse(Response Reply);
   boost::asio::awaitable<void> linger();
   boost::asio::awaitable<bool> handle(Request Req, unsigned Version,
@@ -174,6 +177,8 @@
   bool HasAnswered = false;
   /// True while a body is received.
   bool ReadsBody = false;
+  /// True while a request waits for the decision on its head.
+  bool ChecksHead = false;
   /// True once the body was given up in favor of another one.
   bool BodyGivenUp = false;
   /// True if the current request is refused without running it.
--- a/Wasabi/Adapters/Http/HttpServer.h
+++ b/Wasabi/Adapters/Http/HttpServer.h
@@ -14,6 +14,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -90,6 +91,12 @@
 using Handler = std::function<boost::asio::awaitable<void>(
     Request, std::shared_ptr<Responder>)>;
 
+/// Decides on a request from its head, before a body that is not small is
+/// received: returns the response that refuses the request, or nothing. The
+/// request is alive until the end of the call.
+using HeadCheck = std::function<boost::asio::awaitable<std::optional<Response>>(
+    const Request &)>;
+
 /// Accepts connections and runs a handler per request. Responds to malformed
 /// requests with 400 and to oversized ones with 413, both with a JSON body
 /// `{"error":…}`. Resets clients that do not read. Not thread-safe: construct,
@@ -117,6 +124,8 @@
     std::shared_ptr<PeerMemory> Memory;
     /// Number of connections of `Memory` that are left to other listeners.
     std::size_t ReservedConnections = 0;
+    /// Decides on requests with large bodies; null to accept all of them.
+    HeadCheck CheckHead;
     /// A connection whose client takes no byte of a pending response for this
     /// time is reset; the idle timeout applies if it is shorter. Bytes count as
     /// taken once acknowledged, so the granularity is a TCP segment.
