The configured limits of requests are in force

What callers saw: 7,500 heads of 63 KB without end ended an edge process four times in 20 s. The configuration bounds a head by 16 KB and 3 s.

Cause: max_header_bytes, max_body_bytes, header_timeout_ms and idle_timeout_ms were decoded and read by nothing; the server had constants (64 KB, 34 MB, 10 s, 60 s).

Change: they are applied with each configuration. An idle connection keeps the longer one of the timeouts in force while it is idle, as clients reuse connections by the one that they know. Until a configuration is read, the constants hold.

--- a/IntegrationTests/Cases/CrowdTest.cpp
+++ b/IntegrationTests/Cases/CrowdTest.cpp
@@ -169,6 +169,19 @@
   fixture.checkServes();
 }
 
+TEST_CASE("Crowd: heads without end stay within the memory") {
+  CrowdFixture fixture;
+  std::string head;
+  SECTION("Longer than the configuration allows") {
+    head = makeEndlessHead(63u << 10);
+  }
+  SECTION("As long as the configuration allows") {
+    head = makeEndlessHead(AllowedHeadBytes);
+  }
+  std::unique_ptr<Crowd> crowd = fixture.settle(fixture.crowd(3000, head));
+  fixture.checkServes();
+}
+
 TEST_CASE("Crowd: heads of many fields stay within the memory") {
   CrowdFixture fixture;
   fixture.setAnswerDelay(Millis(1500));
--- a/UnitTests/Adapters/Http/ClientMemoryTest.cpp
+++ b/UnitTests/Adapters/Http/ClientMemoryTest.cpp
@@ -186,8 +186,10 @@
   limits.Memory = PeerMemory::create({MaxHeldBytes, 0});
   fixture.serve(answer, limits);
   fixture.run([&]() -> asio::awaitable<void> {
+    constexpr std::size_t Clients = 100;
     std::vector<RawSocket> clients;
-    for (int i = 0; i < 100; ++i)
+    clients.reserve(Clients);
+    for (std::size_t i = 0; i < Clients; ++i)
       clients.push_back(co_await sendUnfinished(fixture, SmallBodyBytes));
     co_await pause(fixture, StallTime);
     Response got = co_await post(fixture, 100);
@@ -217,6 +219,7 @@
     Response got = co_await post(fixture, 100);
     CHECK(got.Status == 200);
     std::vector<RawSocket> clients;
+    clients.reserve(2 * MaxConnections);
     for (std::size_t i = 0; i < 2 * MaxConnections; ++i)
       clients.push_back(co_await fixture.connect());
     RawSocket late = co_await fixture.connect();
@@ -233,4 +236,27 @@
   });
 }
 
+// Guards against a limit of an earlier configuration that stays in force.
+TEST_CASE("The bounds for clients can change while the server runs", "[http]") {
+  HttpFixture fixture;
+  fixture.serve(answer);
+  fixture.Serving->setLimits({1000, 100, Millis(10000), Millis(60000)});
+  fixture.run([&]() -> asio::awaitable<void> {
+    Response got = co_await post(fixture, 101);
+    CHECK(got.Status == 413);
+    got = co_await post(fixture, 100);
+    CHECK(got.Status == 200);
+    RawSocket raw = co_await fixture.connect();
+    co_await HttpFixture::sendText(raw, "GET / HTTP/1.1\r\nA: " +
+                                            std::string(1000, 'x'));
+    raw.shutdown(RawSocket::shutdown_send);
+    boost::system::error_code ended;
+    std::string text = co_await HttpFixture::readAll(raw, ended);
+    CHECK_THAT(text, StartsWith("HTTP/1.1 431 "));
+    fixture.Serving->setLimits({65536, 1000, Millis(10000), Millis(60000)});
+    got = co_await post(fixture, 1000);
+    CHECK(got.Status == 200);
+  });
+}
+
 } // namespace wasabi::http
--- a/Wasabi/Adapters/Http/HttpConnection.cpp
+++ b/Wasabi/Adapters/Http/HttpConnection.cpp
@@ -144,11 +144,14 @@
 Response makeMalformedResponse(ErrorCode Error) {
   constexpr unsigned BadRequest = 400;
   constexpr unsigned PayloadTooLarge = 413;
+  constexpr unsigned HeadTooLarge = 431;
   bool tooLarge = Error == beast::http::error::body_limit ||
-                  Error == beast::http::error::header_limit ||
                   Error == beast::http::error::buffer_overflow;
+  bool headTooLarge = Error == beast::http::error::header_limit;
   boost::json::value body = {{"error", "malformed HTTP: " + Error.message()}};
-  return jsonResponse(tooLarge ? PayloadTooLarge : BadRequest,
+  return jsonResponse(headTooLarge ? HeadTooLarge
+                      : tooLarge   ? PayloadTooLarge
+                                   : BadRequest,
                       boost::json::serialize(body));
 }
 
@@ -262,7 +265,7 @@
   Progress = observeQueue(Progress, countUnacknowledged(Socket),
                           ResponseBytes > 0, Now);
   Millis timeout =
-      std::min(Owner->Limits.ReadStallTimeout, Owner->Limits.IdleTimeout);
+      std::min(Owner->Limits.ReadStallTimeout, Owner->Client.IdleTimeout);
   if (!isStalled(Progress, timeout, Now))
     return false;
   ++Owner->Held.StalledResets;
@@ -467,6 +470,11 @@
     close();
 }
 
+void Connection::extendIdleTime(Millis More) {
+  if (CurrentPhase == Phase::Idle)
+    Deadline += More;
+}
+
 asio::awaitable<void> Connection::serve() {
   std::shared_ptr<Connection> self = shared_from_this();
   const Handler shedHandler = shed;
@@ -508,7 +516,7 @@
   if (CurrentPhase == Phase::Reading)
     co_return true;
   Millis timeout = Owner->Draining ? Owner->Limits.DrainGracePeriod
-                                   : Owner->Limits.IdleTimeout;
+                                   : Owner->Client.IdleTimeout;
   Deadline = PacedUntil + timeout;
   auto [ec, n] =
       co_await Socket.async_read_some(Buffer.prepare(ReadBytes), Awaited);
@@ -534,8 +542,8 @@
 }
 
 asio::awaitable<bool> Connection::readRequest(Parser &Parse) {
-  Parse.header_limit(Owner->Limits.MaxHead);
-  Parse.body_limit(Owner->Limits.MaxBody);
+  Parse.header_limit(Owner->Client.MaxHead);
+  Parse.body_limit(Owner->Client.MaxBody);
   std::optional<Response> refusal;
   ShedsRequest = false;
   ErrorCode ec = co_await readHead(Parse);
@@ -576,7 +584,7 @@
 }
 
 asio::awaitable<ErrorCode> Connection::readHead(Parser &Parse) {
-  Deadline = monotonicNow() + Owner->Limits.HeadTimeout;
+  Deadline = monotonicNow() + Owner->Client.HeadTimeout;
   while (!Parse.is_header_done()) {
     ErrorCode failed = feed(Buffer, Parse);
     if (Parse.is_header_done())
@@ -675,7 +683,7 @@
     // The head of a chunk, or the trailers.
     if (Buffer.size() > MaxChunkHeadBytes)
       co_return beast::http::error::buffer_overflow;
-    Deadline = PacedUntil + Owner->Limits.IdleTimeout;
+    Deadline = PacedUntil + Owner->Client.IdleTimeout;
     ErrorCode ec = co_await readSome(chooseReadSize(Parse, received));
     if (ec || BodyGivenUp)
       co_return ec ? ec : asio::error::no_buffer_space;
--- a/Wasabi/Adapters/Http/HttpConnection.h
+++ b/Wasabi/Adapters/Http/HttpConnection.h
@@ -30,6 +30,8 @@
   ServerState(boost::asio::io_context &Context, Server::Settings Limits,
               Handler Handle)
       : Limits(std::move(Limits)), Handle(std::move(Handle)),
+        Client{this->Limits.MaxHead, this->Limits.MaxBody,
+               this->Limits.HeadTimeout, this->Limits.IdleTimeout},
         CapacityTimer(Context) {}
 
   /// Returns what is held, for the decisions in SlowReaders.h.
@@ -54,6 +56,8 @@
 
   const Server::Settings Limits;
   const Handler Handle;
+  /// The bounds in force; those in `Limits` are the first ones.
+  ClientLimits Client;
   /// The earliest time of the next search for lagging peers.
   TimePoint NextSearch;
   bool Draining = false;
@@ -108,6 +112,8 @@
   std::uint64_t arrivingBodyBytes() const;
   /// Ends the receiving of the body: the request is refused.
   void giveUpBody();
+  /// Lets an idle connection stay open for longer.
+  void extendIdleTime(Millis More);
 
   /// The response that is held for the peer, with its present progress.
   HeldResponse observeHeld(TimePoint Now);
--- a/Wasabi/Adapters/Http/HttpServer.cpp
+++ b/Wasabi/Adapters/Http/HttpServer.cpp
@@ -48,6 +48,7 @@
   std::size_t inFlight() const override { return Shared->InFlight; }
   std::size_t connections() const override { return Shared->Open.size(); }
   HeldCounts held() const override { return Shared->Held; }
+  void setLimits(const ClientLimits &Limits) override;
   void closeAfterResponses() override { Shared->CloseAfterResponse = true; }
   void drain() override;
   void stop() override;
@@ -135,7 +136,7 @@
 
 asio::awaitable<void> ServerImpl::sweepLoop() {
   Millis shortest = std::min(
-      {Shared->Limits.IdleTimeout, Shared->Limits.HeadTimeout,
+      {Shared->Client.IdleTimeout, Shared->Client.HeadTimeout,
        Shared->Limits.DrainGracePeriod, Shared->Limits.ReadStallTimeout});
   Millis interval =
       std::clamp(shortest / 4, MinSweepInterval, MaxSweepInterval);
@@ -180,6 +181,15 @@
       Context, [connection] { return connection->serve(); }, asio::detached);
 }
 
+void ServerImpl::setLimits(const ClientLimits &Limits) {
+  Millis more = Limits.IdleTimeout - Shared->Client.IdleTimeout;
+  Shared->Client = Limits;
+  if (more <= Millis(0) || Shared->Draining)
+    return;
+  for (Connection *it : Shared->Open)
+    it->extendIdleTime(more);
+}
+
 void ServerImpl::acceptQueued() {
   // A client with an established connection may have sent its request; closing
   // the listener would reset connections that are still queued.
--- a/Wasabi/Adapters/Http/HttpServer.h
+++ b/Wasabi/Adapters/Http/HttpServer.h
@@ -97,6 +97,16 @@
 using HeadCheck = std::function<boost::asio::awaitable<std::optional<Response>>(
     const Request &)>;
 
+/// Bounds of what a client may send, and of the time that it may take. An
+/// immutable value. The members are those of `Server::Settings`.
+struct ClientLimits {
+  std::uint32_t MaxHead = 0;
+  std::uint64_t MaxBody = 0;
+  Millis HeadTimeout{0};
+  Millis IdleTimeout{0};
+  bool operator==(const ClientLimits &) const = default;
+};
+
 /// Accepts connections and runs a handler per request. Responds to malformed
 /// requests with 400 and to oversized ones with 413, both with a JSON body
 /// `{"error":…}`. Resets clients that do not read. Not thread-safe: construct,
@@ -161,6 +171,9 @@
   virtual std::size_t connections() const = 0;
   /// Bytes that are held for peers, and the actions that bound them.
   virtual HeldCounts held() const = 0;
+  /// Sets the bounds for clients from now on. Connections that are idle keep
+  /// the longer one of both idle timeouts.
+  virtual void setLimits(const ClientLimits &Limits) = 0;
   /// Closes each connection after its next response, but still accepts
   /// connections, for callers that have not yet noticed the shutdown.
   virtual void closeAfterResponses() = 0;
