Results and items are loaded for a bounded number of readers

What callers saw: 60 readers of one item of 2 MB took an edge process to 145 MB (150 where they did not read the answers).

Cause: a read holds the records of the store, what is decoded of them and the answer; nothing summed the reads in progress. A page of results was held as values while its text was sent.

--- a/IntegrationTests/Cases/CrowdTest.cpp
+++ b/IntegrationTests/Cases/CrowdTest.cpp
@@ -249,6 +249,31 @@
   fixture.checkServes();
 }
 
+TEST_CASE("Crowd: readers of a large item stay within the memory") {
+  constexpr std::size_t ItemBytes = 2u << 20;
+  CrowdFixture fixture;
+  // The item stays open, so that its body can be read.
+  fixture.runOnPlatformThread([&] {
+    fixture.engine(0).RefusesAsFull = true;
+    fixture.engine(1).RefusesAsFull = true;
+  });
+  std::string job =
+      R"({"items":[{"id":"item","path":"/rollout/item","body":")" +
+      std::string(ItemBytes, 'A') + "\"}]}";
+  std::string submission = "POST /rollout/x HTTP/1.1\r\nHost: host.example\r\n"
+                           "Wasabisail-Request-Id: large\r\nContent-Length: " +
+                           std::to_string(job.size()) + "\r\n\r\n" + job;
+  std::string answer = fixture.sendRaw(0, submission, WaitTimeout, "\r\n\r\n");
+  REQUIRE(answer.starts_with("HTTP/1.1 202 "));
+  Crowd::Settings setup =
+      fixture.crowd(60, "GET /api/items/large?id=item HTTP/1.1\r\n"
+                        "Host: host.example\r\n\r\n");
+  SECTION("That read it") {}
+  SECTION("That do not read it") { setup.Reads = false; }
+  std::unique_ptr<Crowd> crowd = fixture.settle(std::move(setup));
+  fixture.checkServes();
+}
+
 TEST_CASE("Crowd: connections leave descriptors for ordinary callers") {
   constexpr std::size_t Descriptors = 800;
   constexpr std::size_t Clients = 1200;
--- a/Wasabi/Batch/BatchService.cpp
+++ b/Wasabi/Batch/BatchService.cpp
@@ -1,5 +1,7 @@
 #include "Wasabi/Batch/BatchService.h"
 
+#include <boost/asio/this_coro.hpp>
+
 namespace wasabi {
 
 namespace asio = boost::asio;
@@ -264,10 +266,45 @@
     co_await Log->changes().wait(coalesceDeadline);
 }
 
+/// Counts a load for as long as it lives. The service must outlive it.
+class BatchService::LoadPermit {
+public:
+  LoadPermit(BatchService &Owner, std::uint64_t Bytes)
+      : Owner(Owner), Bytes(Bytes) {
+    Owner.LoadingBytes += Bytes;
+  }
+  LoadPermit(const LoadPermit &) = delete;
+  LoadPermit &operator=(const LoadPermit &) = delete;
+  ~LoadPermit() {
+    Owner.LoadingBytes -= Bytes;
+    if (Owner.LoadEnded)
+      Owner.LoadEnded->notify();
+  }
+
+private:
+  BatchService &Owner;
+  const std::uint64_t Bytes;
+};
+
+/// Waits until `Bytes` may be loaded beside the loads in progress.
+asio::awaitable<std::unique_ptr<BatchService::LoadPermit>>
+BatchService::awaitLoad(std::uint64_t Bytes) {
+  if (!LoadEnded)
+    LoadEnded.emplace(co_await asio::this_coro::executor);
+  while (LoadingBytes > 0 && LoadingBytes + Bytes > Limits.MaxLoadingBytes)
+    co_await LoadEnded->wait();
+  std::unique_ptr<LoadPermit> permit =
+      std::make_unique<LoadPermit>(*this, Bytes);
+  co_return std::move(permit);
+}
+
 /// Returns the results from `After` on with their texts, limited by the page
 /// size and by the texts that the store returns now.
 asio::awaitable<Outcome<ResultPage>>
 BatchService::loadResultPage(std::shared_ptr<JobState> Job, std::size_t After) {
+  // A page holds its texts and the records that contain them.
+  std::unique_ptr<LoadPermit> permit =
+      co_await awaitLoad(2 * Limits.MaxPageBytes);
   ResultPage page;
   page.Total = Job->Job.Items.size();
   std::size_t bytes = 0;
@@ -302,6 +339,11 @@
   ItemLocation location = job.ItemLocations[it->second];
   if (location.Items.empty())
     co_return job.Job.Items[it->second].Body;
+  std::uint64_t bytes = 0;
+  for (const PayloadRecordRef &record : location.Items)
+    bytes += record.Bytes;
+  // The payload is held as text and decoded.
+  std::unique_ptr<LoadPermit> permit = co_await awaitLoad(2 * bytes);
   Outcome<std::vector<BatchItem>> items =
       co_await getItems(*Payloads, location.Items, Id);
   if (!items)
--- a/Wasabi/Batch/BatchService.h
+++ b/Wasabi/Batch/BatchService.h
@@ -8,9 +8,11 @@
 #include "Wasabi/Batch/PayloadStore.h"
 #include "Wasabi/Batch/RolloutLog.h"
 #include "Wasabi/Batch/StepRead.h"
+#include "Wasabi/Core/AsyncSignal.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -57,6 +59,9 @@
     /// Maximum total size of the texts of one result page, in bytes, unless the
     /// first text alone is longer.
     std::size_t MaxPageBytes = 900000;
+    /// Maximum number of bytes that are loaded from the payload topic for
+    /// readers at the same time; one load may exceed it. Further readers wait.
+    std::uint64_t MaxLoadingBytes = 32u << 20;
   };
 
   /// Dependencies of the service.
@@ -108,6 +113,9 @@
   findOrRefresh(JobId Id);
   Outcome<std::shared_ptr<JobState>> findCurrent(const JobId &Id) const;
   bool isStoreUnreachable() const;
+  class LoadPermit;
+  boost::asio::awaitable<std::unique_ptr<LoadPermit>>
+  awaitLoad(std::uint64_t Bytes);
   template <typename Check>
   boost::asio::awaitable<JobRequestStatus>
   appendAndConfirm(std::vector<std::string> Records, Check IsVisible);
@@ -118,6 +126,9 @@
   const std::shared_ptr<DecisionLog> Decisions;
   const std::function<Millis(const BatchJob &)> ResultTimeout;
   const std::function<bool()> StoreUnreachable;
+  /// Bytes of the loads in progress, and the signal that one has ended.
+  std::uint64_t LoadingBytes = 0;
+  std::optional<AsyncSignal> LoadEnded;
 };
 
 /// Returns the text of a status for the decision log. Thread-safe.
