Jobs beyond the memory for jobs are refused

Cause, by reading: a job leaves its state in each process that follows the topic, and all its items in the dispatcher, while it is open. Nothing summed that over jobs: ten jobs with one item of 22 MB each are beyond the dispatcher's machine.

The job is not stored, so no part of it runs. All processes hold the same jobs and refuse alike. A repeated submission of a known job is accepted as before.

Test: 'A job without room is refused by each process and not appended' (does not compile before: there was no such bound).

--- a/UnitTests/Batch/BatchServiceTest.cpp
+++ b/UnitTests/Batch/BatchServiceTest.cpp
@@ -23,10 +23,11 @@
         runUntil([this] { return Log->caughtUp() && OtherLog->caughtUp(); }));
   }
 
-  std::shared_ptr<BatchService>
-  makeService(std::shared_ptr<RolloutLog> Source) {
+  std::shared_ptr<BatchService> makeService(std::shared_ptr<RolloutLog> Source,
+                                            std::uint64_t MaxStateBytes = 0) {
     BatchService::Settings limits;
     limits.MaxStateAge = Millis(30);
+    limits.MaxStateBytes = MaxStateBytes;
     return BatchService::create(
         {std::move(Source), PayloadStore::create(Store.port(Disconnected), {}),
          Decisions, [this](const BatchJob &) { return ResultTimeout; }},
@@ -168,6 +169,39 @@
   CHECK(fixture.Store.Topics["rollout"].empty());
 }
 
+// Guards against jobs that end every process that follows the topic, and the
+// dispatcher, which holds the items of all open jobs.
+TEST_CASE("A job without room is refused by each process and not appended",
+          "[batch]") {
+  constexpr std::size_t BodyBytes = 100000;
+  BatchServiceFixture fixture;
+  auto makeLargeJob = [](const std::string &Id) {
+    BatchJob job = makeJob(Id, 2);
+    for (BatchItem &it : job.Items)
+      it.Body = std::string(BodyBytes, 'x');
+    return job;
+  };
+  BatchJob first = makeLargeJob("a");
+  BatchJob second = makeLargeJob("b");
+  std::uint64_t max = 2 * estimateMemory(first) - 1;
+  std::shared_ptr<BatchService> service = fixture.makeService(fixture.Log, max);
+  std::shared_ptr<BatchService> other =
+      fixture.makeService(fixture.OtherLog, max);
+  CHECK(fixture.submit(*service, first) == JobRequestStatus::Accepted);
+  CHECK(fixture.submit(*service, first) == JobRequestStatus::Accepted);
+  REQUIRE(fixture.runUntil(
+      [&] { return findJob(fixture.OtherLog->fold(), first.Id) != nullptr; }));
+  CHECK(fixture.submit(*service, second) == JobRequestStatus::Refused);
+  CHECK(fixture.submit(*other, second) == JobRequestStatus::Refused);
+  // The items of a job that has ended are no longer needed.
+  CHECK(fixture.end(*service, first) == JobRequestStatus::Accepted);
+  REQUIRE(fixture.runUntil([&] {
+    std::shared_ptr<JobState> job = findJob(fixture.OtherLog->fold(), first.Id);
+    return job && job->Ended;
+  }));
+  CHECK(fixture.submit(*other, second) == JobRequestStatus::Accepted);
+}
+
 TEST_CASE("A submission whose response is lost is found in the topic",
           "[batch]") {
   BatchServiceFixture fixture;
--- a/Wasabi/Batch/BatchService.cpp
+++ b/Wasabi/Batch/BatchService.cpp
@@ -114,6 +114,23 @@
   co_return records;
 }
 
+/// Returns true if a job fits the memory for jobs. All processes hold the same
+/// jobs, so each of them refuses it.
+bool BatchService::hasRoomFor(const BatchJob &Job) const {
+  if (Limits.MaxStateBytes == 0)
+    return true;
+  std::uint64_t held = estimateMemory(Log->fold());
+  std::uint64_t added = estimateMemory(Job);
+  if (held == 0 || held + added <= Limits.MaxStateBytes)
+    return true;
+  Decisions->line("job.no_room",
+                  {{"job", Job.Id.Text},
+                   {"bytes", std::to_string(added)},
+                   {"held", std::to_string(held)},
+                   {"max", std::to_string(Limits.MaxStateBytes)}});
+  return false;
+}
+
 asio::awaitable<JobRequestStatus> BatchService::submit(BatchJob Job) {
   std::shared_ptr<BatchService> self = shared_from_this();
   Log->demand();
@@ -123,9 +140,10 @@
   std::size_t items = Job.Items.size();
   auto isVisible = [this, id] { return findJob(Log->fold(), id) != nullptr; };
   JobRequestStatus status = JobRequestStatus::Accepted;
-  if (isStoreUnreachable() && !isVisible())
+  bool isKnown = isVisible();
+  if (!isKnown && (isStoreUnreachable() || !hasRoomFor(Job)))
     status = JobRequestStatus::Refused;
-  else if (!isVisible()) {
+  else if (!isKnown) {
     Outcome<std::vector<std::string>> records =
         co_await storeItems(std::move(Job));
     status = records ? co_await appendAndConfirm(std::move(*records), isVisible)
--- a/Wasabi/Batch/BatchService.h
+++ b/Wasabi/Batch/BatchService.h
@@ -59,6 +59,9 @@
     /// Maximum total size of the texts of one result page, in bytes, unless the
     /// first text alone is longer.
     std::size_t MaxPageBytes = 900000;
+    /// Maximum memory of the known jobs, with the items of open ones, in bytes;
+    /// 0 for no maximum. Jobs beyond it are refused.
+    std::uint64_t MaxStateBytes = 0;
     /// Maximum number of bytes that are loaded from the payload topic for
     /// readers at the same time; one load may exceed it. Further readers wait.
     std::uint64_t MaxLoadingBytes = 32u << 20;
@@ -113,6 +116,7 @@
   findOrRefresh(JobId Id);
   Outcome<std::shared_ptr<JobState>> findCurrent(const JobId &Id) const;
   bool isStoreUnreachable() const;
+  bool hasRoomFor(const BatchJob &Job) const;
   class LoadPermit;
   boost::asio::awaitable<std::unique_ptr<LoadPermit>>
   awaitLoad(std::uint64_t Bytes);
--- a/Wasabi/Batch/BatchState.cpp
+++ b/Wasabi/Batch/BatchState.cpp
@@ -13,10 +13,36 @@
     Locations.push_back({Added.ItemsLocation, i});
 }
 
+/// Memory of a job and of each of its items, without texts.
+constexpr std::uint64_t JobStateBytes = 2048;
+constexpr std::uint64_t ItemStateBytes = 640;
+
+std::uint64_t countBodyBytes(const std::vector<BatchItem> &Items) {
+  std::uint64_t bytes = 0;
+  for (const BatchItem &it : Items)
+    bytes += it.Body.size() + (it.Score ? it.Score->Body.size() : 0);
+  return bytes;
+}
+
+/// Returns the size of the items, stored in the payload topic or inline.
+std::uint64_t countStoredBytes(const std::vector<BatchItem> &Items,
+                               const std::vector<ItemLocation> &Locations) {
+  std::uint64_t bytes = countBodyBytes(Items);
+  for (const ItemLocation &it : Locations) {
+    // Several items share a payload.
+    if (it.Index > 0)
+      continue;
+    for (const PayloadRecordRef &record : it.Items)
+      bytes += record.Bytes;
+  }
+  return bytes;
+}
+
 std::shared_ptr<JobState> makeState(BatchJob Job,
                                     std::vector<ItemLocation> Locations,
                                     Offset At, TimePoint Now) {
   std::shared_ptr<JobState> state = std::make_shared<JobState>();
+  state->ItemBytes = countStoredBytes(Job.Items, Locations);
   state->ItemLocations = std::move(Locations);
   state->At = At;
   state->Seen = Now;
@@ -209,6 +235,21 @@
   return open;
 }
 
+std::uint64_t estimateMemory(const BatchState &State) {
+  std::uint64_t bytes = 0;
+  for (const auto &[id, job] : State.Jobs) {
+    bytes += JobStateBytes + ItemStateBytes * job->Job.Items.size();
+    if (!job->Ended)
+      bytes += job->ItemBytes;
+  }
+  return bytes;
+}
+
+std::uint64_t estimateMemory(const BatchJob &Job) {
+  return JobStateBytes + ItemStateBytes * Job.Items.size() +
+         countBodyBytes(Job.Items);
+}
+
 void expireJobs(BatchState &State, TimePoint Now) {
   Millis endedRetention = State.Limits.JobRetention;
   Millis openRetention = std::max(endedRetention, State.Limits.RecordRetention);
--- a/Wasabi/Batch/BatchState.h
+++ b/Wasabi/Batch/BatchState.h
@@ -47,6 +47,9 @@
   BatchJob Job;
   /// By item: its location.
   std::vector<ItemLocation> ItemLocations;
+  /// Size of the items as they are stored. The dispatcher holds them while the
+  /// job is open.
+  std::uint64_t ItemBytes = 0;
   /// Offset of the last record of its submission; jobs are ordered by it.
   Offset At = 0;
   /// Time at which this process read the last record of the submission.
@@ -144,6 +147,13 @@
 std::vector<std::shared_ptr<JobState>> skipExpired(BatchState &State,
                                                    Offset First, TimePoint Now);
 
+/// Returns the memory, in bytes, that a process needs for the jobs, with the
+/// items of open ones. An estimate. Pure.
+std::uint64_t estimateMemory(const BatchState &State);
+
+/// Returns the memory that a job adds to it once it is accepted. Pure.
+std::uint64_t estimateMemory(const BatchJob &Job);
+
 /// Removes the jobs that have been kept for long enough, see `Settings`.
 void expireJobs(BatchState &State, TimePoint Now);
 
