One account of what peers make a daemon hold in frames

What was seen: 24 peers, each with a frame of 16 MB but for its last byte, take a daemon to 425 MB at its port for requests and to 404 MB at that for control; any number up to 4,096 and 2,048 may connect.

Cause: a frame and the queue of a connection are bounded, nothing summed them over connections; requests that are handled weren't counted at all.

Connections whose peers lag within a frame or take nothing of their queue give way, idle ones last; a request without room is refused with NotRun. A closed connection is logged with its bytes and lag.

--- a/Daemon/Main.cpp
+++ b/Daemon/Main.cpp
@@ -35,6 +35,9 @@
 DEFINE_string(instances, "", "IP:PORT of the platform's instance list");
 DEFINE_string(weights, "", "IP:PORT of the platform's weight store");
 DEFINE_string(scorer, "", "IP:PORT of the service that scores samples");
+DEFINE_uint32(memory_mb, 256,
+              "memory that the process may use, in MiB; bounds what its peers "
+              "make it hold");
 DEFINE_string(seeds, "",
               "control IP:PORT,IP:PORT of instances to contact first");
 DEFINE_bool(rollout_round_robin, false,
@@ -74,7 +77,8 @@
     ProcessFlags flags{FLAGS_instance,          FLAGS_failure_domain,
                        FLAGS_control,           FLAGS_admin,
                        FLAGS_advertise_control, FLAGS_log,
-                       FLAGS_instances,         FLAGS_seeds};
+                       FLAGS_instances,         FLAGS_seeds,
+                       FLAGS_memory_mb};
     BOOST_LEAF_ASSIGN(Settings, parseProcessSettings(flags, wallMicros()));
     BOOST_LEAF_AUTO(Upstreams, parseUpstreams(FLAGS_upstreams, "--upstreams"));
     BOOST_LEAF_AUTO(Listen, parseAddress(FLAGS_frames, "--frames"));
@@ -126,6 +130,7 @@
     limits.Instance = Settings.Instance;
     limits.Domain = Settings.Domain;
     limits.Life = Settings.Life;
+    limits.Memory = makePeerMemory(Settings);
     std::shared_ptr<DaemonProxy> proxy = Proxy;
     BOOST_LEAF_ASSIGN(
         Frontend,
--- a/IntegrationTests/Cases/CrowdTest.cpp
+++ b/IntegrationTests/Cases/CrowdTest.cpp
@@ -307,6 +307,7 @@
   CHECK(harness::waitUntil([&] { return fixture.ready(0); }, WaitTimeout));
 }
 
+// A connection that was answered and is idle is the last to be closed.
 TEST_CASE("Crowd: the kept connection of an ordinary caller stays open") {
   CrowdFixture fixture(800);
   asio::io_context context;
@@ -332,6 +333,8 @@
   fixture.checkWithinLimits();
 }
 
+// Guards against memory that stays with the process after a crowd has left, so
+// that the next one, or a large request, is one too many.
 TEST_CASE("Crowd: the memory of a crowd is released before the next one") {
   CrowdFixture fixture;
   for (int i = 0; i < 2; ++i) {
--- a/Wasabi/Adapters/Frames/FrameSocket.cpp
+++ b/Wasabi/Adapters/Frames/FrameSocket.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <spdlog/spdlog.h>
+
 #include <array>
 #include <cstring>
 #include <tuple>
@@ -25,6 +27,8 @@
 constexpr std::size_t MaxRetainedBytes = 1u << 20;
 /// Maximum number of frames written in one system call.
 constexpr std::size_t MaxFramesPerWrite = 64;
+/// Memory of an open connection, without its buffer and queue.
+constexpr std::uint64_t ConnectionBytes = 8192;
 constexpr asio::as_tuple_t<asio::use_awaitable_t<>> Awaited;
 
 std::uint32_t readPrefix(const std::uint8_t *Prefix) {
@@ -57,7 +61,8 @@
 } // namespace
 
 FrameSocket::FrameSocket(tcp::socket Socket, Settings Limits)
-    : Socket(std::move(Socket)), Limits(Limits) {
+    : PeerConnection(Limits.Memory), Socket(std::move(Socket)),
+      Limits(std::move(Limits)) {
   boost::system::error_code ec;
   this->Socket.set_option(tcp::no_delay(true), ec);
   Peer = formatPeer(this->Socket);
@@ -68,7 +73,38 @@
 std::shared_ptr<FrameSocket> FrameSocket::adopt(tcp::socket Socket,
                                                 Settings Limits) {
   return std::shared_ptr<FrameSocket>(
-      new FrameSocket(std::move(Socket), Limits));
+      new FrameSocket(std::move(Socket), std::move(Limits)));
+}
+
+void FrameSocket::updateHeld() {
+  hold(ConnectionBytes + ReceiveBuffer.size() + QueuedBytes + RequestBytes);
+}
+
+void FrameSocket::holdForRequests(std::uint64_t Bytes) {
+  RequestBytes = Bytes;
+  updateHeld();
+}
+
+PeerLoad FrameSocket::observe(TimePoint Now) {
+  auto since = [Now](TimePoint Time) {
+    return std::chrono::duration_cast<Millis>(Now - Time);
+  };
+  if (ReceivedBytes > ParsedBytes)
+    return {PeerActivity::Pending, heldBytes(), since(PacedUntil)};
+  if (QueuedBytes > 0)
+    return {PeerActivity::Pending, heldBytes(), since(LastTaken)};
+  if (RequestBytes > 0)
+    return {PeerActivity::Working, heldBytes(), Millis(0)};
+  return {HasReceived ? PeerActivity::Idle : PeerActivity::Pending, heldBytes(),
+          since(PacedUntil)};
+}
+
+void FrameSocket::yield(TimePoint Now) {
+  PeerLoad load = observe(Now);
+  spdlog::warn("closing the connection from {}, which holds {} bytes and lags "
+               "by {} ms, in favor of others",
+               Peer, ReceiveBuffer.size() + QueuedBytes, load.Lag.count());
+  close();
 }
 
 asio::awaitable<Outcome<std::shared_ptr<FrameSocket>>>
@@ -125,6 +161,7 @@
             ReceiveBuffer.data() + ParsedBytes + PrefixBytes;
         FrameBytes frame(begin, begin + size);
         ParsedBytes += needed;
+        HasReceived = true;
         if (!isValid(frame.data(), frame.size())) {
           close();
           co_return Failure{Verdict::MayHaveRun,
@@ -154,12 +191,17 @@
     }
     if (ReceiveBuffer.size() < old + ReadChunkBytes / 2)
       ReceiveBuffer.resize(old + ReadChunkBytes);
+    updateHeld();
     std::tuple<boost::system::error_code, std::size_t> result =
         co_await Socket.async_read_some(
             asio::buffer(ReceiveBuffer.data() + old,
                          ReceiveBuffer.size() - old),
             Awaited);
     ReceivedBytes += std::get<1>(result);
+    TimePoint now = monotonicNow();
+    // Between two frames, the peer owes nothing.
+    PacedUntil =
+        old > 0 ? advancePace(PacedUntil, std::get<1>(result), now) : now;
     if (std::get<0>(result)) {
       std::string reason = std::get<0>(result).message();
       if (old > 0)
@@ -189,7 +231,12 @@
     close();
     return false;
   }
+  if (QueuedBytes == 0)
+    LastTaken = monotonicNow();
   QueuedBytes += Frame.size();
+  updateHeld();
+  if (!Open)
+    return false;
   Queue.push_back(std::move(Frame));
   startWriting();
   return true;
@@ -230,6 +277,8 @@
     std::tuple<boost::system::error_code, std::size_t> sent =
         co_await asio::async_write(Socket, bufs, Awaited);
     QueuedBytes -= bytes;
+    LastTaken = monotonicNow();
+    updateHeld();
     if (std::get<0>(sent))
       close();
   }
--- a/Wasabi/Adapters/Frames/FrameSocket.h
+++ b/Wasabi/Adapters/Frames/FrameSocket.h
@@ -3,6 +3,7 @@
 #ifndef WASABI_ADAPTERS_FRAMES_FRAMESOCKET_H
 #define WASABI_ADAPTERS_FRAMES_FRAMESOCKET_H
 
+#include "Wasabi/Adapters/Peers/PeerMemory.h"
 #include "Wasabi/Core/Address.h"
 #include "Wasabi/Core/Clock.h"
 #include "Wasabi/Core/Verdict.h"
@@ -26,7 +27,8 @@
 /// A connection that carries whole frames. Reads return one frame at a time;
 /// writes are queued and sent in order, several frames per system call. Not
 /// thread-safe: use on the thread of its executor.
-class FrameSocket : public std::enable_shared_from_this<FrameSocket> {
+class FrameSocket : public PeerConnection,
+                    public std::enable_shared_from_this<FrameSocket> {
 public:
   struct Settings {
     /// Maximum size of a frame that is received or sent, in bytes.
@@ -35,6 +37,8 @@
     /// closes the connection.
     std::size_t MaxQueuedBytes = 64u << 20;
     Millis ConnectTimeout{2000};
+    /// Counts what the connection holds; null for no count.
+    std::shared_ptr<PeerMemory> Memory = nullptr;
   };
 
   /// Wraps a connected socket.
@@ -47,7 +51,7 @@
   connect(boost::asio::any_io_executor Executor, Address Remote,
           Settings Limits);
 
-  ~FrameSocket();
+  ~FrameSocket() override;
 
   /// Returns the next frame, verified against the schema. Failures:
   /// `ConnectionLost` if the peer has disconnected; `BadInput` naming the peer
@@ -68,9 +72,15 @@
   void closeAfterSending();
   /// The address of the peer as "IP:PORT".
   const std::string &peer() const { return Peer; }
+  /// Sets the memory of requests that came on this connection and are handled.
+  void holdForRequests(std::uint64_t Bytes);
+
+  PeerLoad observe(TimePoint Now) override;
+  void yield(TimePoint Now) override;
 
 private:
   FrameSocket(boost::asio::ip::tcp::socket Socket, Settings Limits);
+  void updateHeld();
   void startWriting();
   boost::asio::awaitable<void> writeQueued();
 
@@ -84,6 +94,13 @@
   std::vector<std::uint8_t> ReceiveBuffer;
   std::size_t ReceivedBytes = 0;
   std::size_t ParsedBytes = 0;
+  /// The time up to which the peer has kept the minimum rate within a frame,
+  /// and the last time at which it took bytes.
+  TimePoint PacedUntil = monotonicNow();
+  TimePoint LastTaken = PacedUntil;
+  std::uint64_t RequestBytes = 0;
+  /// True once a whole frame was received.
+  bool HasReceived = false;
   bool Writing = false;
   bool Closing = false;
   bool Open = true;
--- a/Wasabi/Adapters/Frames/RequestServer.cpp
+++ b/Wasabi/Adapters/Frames/RequestServer.cpp
@@ -26,6 +26,10 @@
 /// Interval at which a writer that waits for credit checks whether the client
 /// is gone.
 constexpr Millis CreditPollInterval{1000};
+/// Memory of a request that is handled, without its frame, and how often the
+/// bytes of the frame are held meanwhile.
+constexpr std::uint64_t HandledRequestBytes = 16384;
+constexpr std::uint64_t FrameCopies = 2;
 /// Delay after a failed accept, for example when file descriptors run out.
 constexpr Millis AcceptRetryDelay{50};
 
@@ -174,6 +178,13 @@
   TimePoint LastReadAt;
   /// Time when the last load report was sent.
   TimePoint LastLoadReportAt;
+  /// Memory of the requests that are handled.
+  std::uint64_t RequestBytes = 0;
+
+  void addRequestBytes(std::uint64_t Bytes) {
+    RequestBytes += Bytes;
+    Socket->holdForRequests(RequestBytes);
+  }
 };
 
 class FrameRequestServer final
@@ -288,10 +299,12 @@
         co_await delay.async_wait(Awaited);
         continue;
       }
-      if (Connections.size() >= Setup.MaxConnections) {
+      bool hasRoom = !Setup.Memory ||
+                     Setup.Memory->hasRoomForConnection(0, monotonicNow());
+      if (!hasRoom || Connections.size() >= Setup.MaxConnections) {
         spdlog::warn(
-            "limit of {} connections reached: closing a new connection",
-            Setup.MaxConnections);
+            "limit of connections reached with {}: closing a new connection",
+            Connections.size());
         continue;
       }
       serve(std::move(std::get<1>(accepted)));
@@ -300,8 +313,10 @@
 
   void serve(tcp::socket Socket) {
     std::shared_ptr<Connection> connection = std::make_shared<Connection>();
+    FrameSocket::Settings limits;
+    limits.Memory = Setup.Memory;
     connection->Socket =
-        FrameSocket::adopt(std::move(Socket), FrameSocket::Settings());
+        FrameSocket::adopt(std::move(Socket), std::move(limits));
     connection->LastReadAt = monotonicNow();
     Connections.insert(connection);
     connection->Socket->send(
@@ -325,7 +340,7 @@
         break;
       }
       Peer->LastReadAt = monotonicNow();
-      if (!handleFrame(Peer, *wire::GetFrame(frame->data())))
+      if (!handleFrame(Peer, *wire::GetFrame(frame->data()), frame->size()))
         break;
     }
     Peer->Socket->close();
@@ -339,10 +354,10 @@
   }
 
   bool handleFrame(const std::shared_ptr<Connection> &Peer,
-                   const wire::Frame &Frame) {
+                   const wire::Frame &Frame, std::size_t FrameSize) {
     switch (Frame.body_type()) {
     case wire::Body::Request:
-      return handleRequest(Peer, *Frame.body_as_Request());
+      return handleRequest(Peer, *Frame.body_as_Request(), FrameSize);
     case wire::Body::Cancel:
       handleCancel(*Peer, Frame.body_as_Cancel()->id());
       return true;
@@ -373,7 +388,7 @@
 
   /// Returns false if the connection must be closed.
   bool handleRequest(const std::shared_ptr<Connection> &Peer,
-                     const wire::Request &Frame) {
+                     const wire::Request &Frame, std::size_t FrameSize) {
     std::uint64_t id = Frame.id();
     // Ids increase strictly, so that a repeated frame never runs a request
     // twice.
@@ -393,7 +408,13 @@
              "too many requests on one connection");
       return true;
     }
-    startHandler(Peer, id, readRequest(Frame), Frame.credit());
+    std::uint64_t bytes = HandledRequestBytes + FrameCopies * FrameSize;
+    if (Setup.Memory && !Setup.Memory->hasRoomFor(bytes, monotonicNow())) {
+      refuse(*Peer, id, FailureCode::Overloaded,
+             "requests hold too much memory");
+      return true;
+    }
+    startHandler(Peer, id, readRequest(Frame), Frame.credit(), bytes);
     return true;
   }
 
@@ -405,7 +426,8 @@
   }
 
   void startHandler(const std::shared_ptr<Connection> &Peer, std::uint64_t Id,
-                    RequestAttempt Attempt, std::uint32_t Credit) {
+                    RequestAttempt Attempt, std::uint32_t Credit,
+                    std::uint64_t Bytes) {
     std::weak_ptr<Connection> weak = Peer;
     std::shared_ptr<FrameResponseSink> sink =
         std::make_shared<FrameResponseSink>(
@@ -415,12 +437,16 @@
             });
     Peer->OpenRequests.emplace(Id, sink);
     ++InFlight;
+    Peer->addRequestBytes(Bytes);
     std::shared_ptr<FrameRequestServer> self = shared_from_this();
     asio::co_spawn(Context, Handle(std::move(Attempt), sink),
-                   [self, sink, weak](const std::exception_ptr &Error) {
+                   [self, sink, weak, Bytes](const std::exception_ptr &Error) {
                      self->onHandlerDone(*sink, Error);
-                     if (std::shared_ptr<Connection> connection = weak.lock())
-                       self->sendLoadsWithResponse(*connection);
+                     std::shared_ptr<Connection> connection = weak.lock();
+                     if (!connection)
+                       return;
+                     connection->addRequestBytes(-Bytes);
+                     self->sendLoadsWithResponse(*connection);
                    });
   }
 
@@ -462,6 +488,8 @@
       ReportTimer.expires_after(Setup.LoadReportInterval);
       co_await ReportTimer.async_wait(Awaited);
       closeUnresponsive();
+      if (Setup.Memory)
+        Setup.Memory->releaseFreed(monotonicNow());
       pushLoads(Setup.LoadReportInterval / 2);
     }
   }
--- a/Wasabi/Adapters/Frames/RequestServer.h
+++ b/Wasabi/Adapters/Frames/RequestServer.h
@@ -4,6 +4,7 @@
 #define WASABI_ADAPTERS_FRAMES_REQUESTSERVER_H
 
 #include "Wasabi/Adapters/Frames/RequestClient.h"
+#include "Wasabi/Adapters/Peers/PeerMemory.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -58,6 +59,9 @@
     /// A connection is closed and its requests are cancelled if the client
     /// sends no frame for this long.
     Millis HeartbeatTimeout{10000};
+    /// Counts what connections hold; null for no count. A request for which it
+    /// has no room is refused with `NotRun`.
+    std::shared_ptr<PeerMemory> Memory = nullptr;
   };
 
   using Handler = std::function<boost::asio::awaitable<void>(
--- a/Wasabi/Adapters/Proxy/ProcessSettings.cpp
+++ b/Wasabi/Adapters/Proxy/ProcessSettings.cpp
@@ -1,15 +1,28 @@
 #include "Wasabi/Adapters/Proxy/ProcessSettings.h"
 
+#include "Wasabi/Core/SettingChecks.h"
+
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <sys/resource.h>
+
 #include <xxhash.h>
 
 #include <algorithm>
 
 namespace wasabi {
 
+namespace {
+
+/// Connections of callers may hold one part in this many of the memory of the
+/// process, and those of other processes of the system one in this many.
+constexpr std::uint64_t CallerMemoryDivisor = 3;
+constexpr std::uint64_t PeerMemoryDivisor = 8;
+
+} // namespace
+
 Result<Address> parseOptionalAddress(std::string_view Text,
                                      std::string_view Place) {
   if (Text.empty())
@@ -48,6 +61,12 @@
   BOOST_LEAF_ASSIGN(settings.Instances,
                     parseOptionalAddress(Flags.Instances, "--instances"));
   BOOST_LEAF_ASSIGN(settings.Seeds, parseAddresses(Flags.Seeds, "--seeds"));
+  constexpr std::int64_t MinMemoryMb = 64;
+  constexpr std::int64_t MaxMemoryMb = 1 << 20;
+  constexpr std::uint64_t BytesPerMb = 1u << 20;
+  BOOST_LEAF_AUTO(memoryMb, checkRange("memory_mb", Flags.MemoryMb, MinMemoryMb,
+                                       MaxMemoryMb));
+  settings.MemoryBytes = static_cast<std::uint64_t>(memoryMb) * BytesPerMb;
   settings.Seed =
       XXH64(Flags.Instance.data(), Flags.Instance.size(), settings.Life);
   return settings;
@@ -67,10 +86,21 @@
   settings.Log = Process.Log;
   settings.Instances = Process.Instances;
   settings.Seeds = Process.Seeds;
+  settings.MaxPeerBytes = Process.MemoryBytes / PeerMemoryDivisor;
   settings.Seed = Process.Seed;
   return settings;
 }
 
+std::shared_ptr<PeerMemory> makePeerMemory(const ProcessSettings &Process) {
+  PeerMemory::Settings settings;
+  settings.MaxBytes = Process.MemoryBytes / CallerMemoryDivisor;
+  rlimit descriptors{};
+  if (::getrlimit(RLIMIT_NOFILE, &descriptors) == 0 &&
+      descriptors.rlim_cur != RLIM_INFINITY)
+    settings.MaxConnections = descriptors.rlim_cur / 2;
+  return PeerMemory::create(settings);
+}
+
 std::string encodeProcessStatus(const ProcessStatus &Status) {
   boost::json::object status;
   status["instance"] = Status.Settings.Instance.Text;
--- a/Wasabi/Adapters/Proxy/ProcessSettings.h
+++ b/Wasabi/Adapters/Proxy/ProcessSettings.h
@@ -25,6 +25,8 @@
   std::string Log;
   std::string Instances;
   std::string Seeds;
+  /// Memory that the process may use, in MiB.
+  std::uint32_t MemoryMb = 256;
 };
 
 /// Parsed and checked values of the shared flags.
@@ -38,6 +40,8 @@
   Address Log;
   Address Instances;
   std::vector<Address> Seeds;
+  /// Memory that the process may use, in bytes.
+  std::uint64_t MemoryBytes = 0;
   /// Seed of the process's random choices, derived from its name and
   /// incarnation.
   std::uint64_t Seed = 1;
@@ -62,6 +66,10 @@
                                                 Role Kind, Address Requests,
                                                 Address Admin);
 
+/// Returns the account of what callers, or daemons that forward for them, make
+/// the process hold: a third of its memory and half of its descriptors.
+std::shared_ptr<PeerMemory> makePeerMemory(const ProcessSettings &Process);
+
 /// Status common to entries and daemons.
 struct ProcessStatus {
   ProcessSettings Settings;
--- a/Wasabi/Node/ControlPlane.cpp
+++ b/Wasabi/Node/ControlPlane.cpp
@@ -115,6 +115,8 @@
   asio::executor_work_guard<asio::io_context::executor_type> WorkGuard;
   BootTimer TickTimer;
   std::shared_ptr<http::Client> Client;
+  /// Bounds what peers make the process hold.
+  std::shared_ptr<PeerMemory> PeerAccount;
   std::shared_ptr<ControlServer> Server;
   std::shared_ptr<PeerLinks> Links;
   std::shared_ptr<MembershipManager> Membership;
@@ -151,6 +153,8 @@
 Result<Done> ControlThread::bind() {
   ControlServer::Settings limits;
   limits.Listen = Setup.Listen;
+  limits.Memory = PeerMemory::create({Setup.MaxPeerBytes, 0});
+  PeerAccount = limits.Memory;
   BOOST_LEAF_ASSIGN(Server, ControlServer::create(Context, limits, Counters));
   createComponents();
   return Done();
@@ -387,6 +391,7 @@
   while (!Stopped) {
     TickTimer.expires_after(TickInterval);
     co_await TickTimer.async_wait(Awaited);
+    PeerAccount->releaseFreed(monotonicNow());
     if (Stopped || !Follower->hasState())
       continue;
     TimePoint now = monotonicNow();
--- a/Wasabi/Node/ControlPlane.h
+++ b/Wasabi/Node/ControlPlane.h
@@ -82,6 +82,9 @@
     /// Minimum time between the request for a claim and its acquisition, which
     /// lets the membership view fill.
     Millis ClaimSettleDelay{1500};
+    /// Maximum number of bytes that connections of peers hold; 0 for no
+    /// maximum.
+    std::uint64_t MaxPeerBytes = 0;
     /// Seed of all random choices of the control plane.
     std::uint64_t Seed = 1;
   };
--- a/Wasabi/Node/ControlServer.cpp
+++ b/Wasabi/Node/ControlServer.cpp
@@ -90,9 +90,12 @@
       co_await pause.async_wait(Awaited);
       continue;
     }
-    if (OpenSockets.size() >= Limits.MaxConnections)
+    bool hasRoom = !Limits.Memory ||
+                   Limits.Memory->hasRoomForConnection(0, monotonicNow());
+    if (!hasRoom || OpenSockets.size() >= Limits.MaxConnections)
       continue;
     FrameSocket::Settings limits;
+    limits.Memory = Limits.Memory;
     std::shared_ptr<FrameSocket> socket =
         FrameSocket::adopt(std::move(std::get<1>(accepted)), limits);
     OpenSockets.insert(socket);
--- a/Wasabi/Node/ControlServer.h
+++ b/Wasabi/Node/ControlServer.h
@@ -3,6 +3,7 @@
 #ifndef WASABI_NODE_CONTROLSERVER_H
 #define WASABI_NODE_CONTROLSERVER_H
 
+#include "Wasabi/Adapters/Peers/PeerMemory.h"
 #include "Wasabi/Core/Address.h"
 #include "Wasabi/Core/Verdict.h"
 #include "Wasabi/Node/ControlCounters.h"
@@ -29,6 +30,8 @@
     Address Listen{"127.0.0.1", 0};
     /// Maximum number of open connections; further ones are closed immediately.
     std::size_t MaxConnections = 2048;
+    /// Counts what connections hold; null for no count.
+    std::shared_ptr<PeerMemory> Memory = nullptr;
   };
   /// Sends the answer on the connection of the request, if it is still open.
   using Reply = std::function<void(const ControlMessage &)>;
