The same account at the listeners of an entry and for operators

What was seen: 40 bodies of 8 MB but for their last byte take an entry to 336 MB, at its port for callers as at that for operators.

Cause: both had the server's limits for one client and none for all (MaxHeldBytes 0). The port for operators took bodies though it serves GET only.

The port for operators takes 4 KB of a body, 256 connections and 16 MB.

--- a/Entry/Main.cpp
+++ b/Entry/Main.cpp
@@ -29,6 +29,9 @@
               "control IP:PORT announced to others, if not the bound one");
 DEFINE_string(log, "", "IP:PORT of the platform's log service");
 DEFINE_string(instances, "", "IP:PORT of the platform's instance list");
+DEFINE_uint32(memory_mb, 256,
+              "memory that the process may use, in MiB; bounds what its peers "
+              "make it hold");
 DEFINE_string(seeds, "",
               "control IP:PORT,IP:PORT of instances to contact first");
 DEFINE_uint32(drain_grace_ms, 2000,
@@ -41,6 +44,9 @@
 namespace asio = boost::asio;
 
 constexpr std::size_t TimelineEvents = 65536;
+/// Responses that callers have not read may hold one part in this many of the
+/// memory of the process, and large bodies of requests as much.
+constexpr std::uint64_t HeldMemoryDivisor = 8;
 /// Maximum time that idle connections may stay open after draining.
 constexpr Millis CloseTimeout{2000};
 /// Interval between checks whether the last request has ended.
@@ -66,7 +72,8 @@
     ProcessFlags flags{FLAGS_instance,          FLAGS_failure_domain,
                        FLAGS_control,           FLAGS_admin,
                        FLAGS_advertise_control, FLAGS_log,
-                       FLAGS_instances,         FLAGS_seeds};
+                       FLAGS_instances,         FLAGS_seeds,
+                       FLAGS_memory_mb};
     BOOST_LEAF_ASSIGN(Settings, parseProcessSettings(flags, wallMicros()));
     BOOST_LEAF_AUTO(Listen, parseAddress(FLAGS_listen, "--listen"));
     Timeline::Settings ring;
@@ -115,6 +122,11 @@
   Result<Done> startFrontend(Address Listen) {
     http::Server::Settings limits;
     limits.Listen = std::move(Listen);
+    limits.MaxHeldBytes = Settings.MemoryBytes / HeldMemoryDivisor;
+    limits.Memory = makePeerMemory(Settings);
+    limits.OnSlowReaders = [this](const http::SlowReaderReport &Report) {
+      recordSlowCallers(Report);
+    };
     std::shared_ptr<EntryProxy> proxy = Proxy;
     BOOST_LEAF_ASSIGN(
         Frontend,
@@ -127,6 +139,24 @@
     return Done{};
   }
 
+  void recordSlowCallers(const http::SlowReaderReport &Report) {
+    Events->record(
+        "callers.slow",
+        {{"reset", std::to_string(Report.StalledResets + Report.MemoryResets)},
+         {"shed", std::to_string(Report.ShedRequests)},
+         {"bodies_given_up", std::to_string(Report.GivenUpBodies)},
+         {"closed", std::to_string(Report.YieldedConnections)},
+         {"last_peer", Report.LastPeer}});
+    Counts
+        .counter("wasabi_entry_connections_yielded_total",
+                 "Connections of lagging callers closed in favor of others")
+        .add(Report.YieldedConnections);
+    Counts
+        .counter("wasabi_entry_requests_shed_total",
+                 "Requests refused because too many bytes were held")
+        .add(Report.ShedRequests + Report.GivenUpBodies);
+  }
+
   /// Returns true once the servers are known and until the entry leaves. After
   /// `WarmUpTimeout`, a service without servers no longer delays readiness.
   bool ready() {
--- a/IntegrationTests/Cases/FrameCrowdTest.cpp
+++ b/IntegrationTests/Cases/FrameCrowdTest.cpp
@@ -16,8 +16,17 @@
 /// Memory of an entry and of a daemon in MiB, if their settings name none.
 constexpr std::size_t MemoryMb = 256;
 /// Maximum size of a body and of a frame.
+constexpr std::size_t MaxBodyBytes = 8u << 20;
 constexpr std::size_t MaxFrameBytes = 16u << 20;
 
+/// Returns a request without the last byte of its body.
+std::string makeUnfinishedRequest(const std::string &Path) {
+  return "POST " + Path +
+         " HTTP/1.1\r\nHost: n1\r\nX-Service: desk\r\nContent-Length: " +
+         std::to_string(MaxBodyBytes) + "\r\n\r\n" +
+         std::string(MaxBodyBytes - 1, 'x');
+}
+
 /// Returns a frame without its last byte.
 std::string makeUnfinishedFrame() {
   constexpr unsigned BitsPerByte = 8;
@@ -59,6 +68,23 @@
 
 } // namespace
 
+TEST_CASE("Crowd: unfinished bodies stay within the memory of an entry") {
+  ListenerFixture fixture;
+  Crowd::Settings setup;
+  setup.Clients = 40;
+  SECTION("At the listener for callers") {
+    setup.Target = fixture.member("n1").ListenAddress;
+    setup.Bytes = makeUnfinishedRequest("/sites");
+  }
+  SECTION("At the listener for operators") {
+    setup.Target = fixture.member("n1").Admin;
+    setup.Bytes = makeUnfinishedRequest("/status");
+  }
+  Crowd crowd(std::move(setup));
+  crowd.waitUntilSettled();
+  fixture.checkServes("n1");
+}
+
 TEST_CASE("Crowd: unfinished frames stay within the memory of a daemon") {
   ListenerFixture fixture;
   Crowd::Settings setup;
--- a/Wasabi/Adapters/Admin/AdminServer.cpp
+++ b/Wasabi/Adapters/Admin/AdminServer.cpp
@@ -19,6 +19,11 @@
 
 namespace asio = boost::asio;
 
+/// Bounds of the listener, whose requests have no body.
+constexpr std::uint64_t MaxBodyBytes = 4096;
+constexpr std::size_t MaxConnections = 256;
+constexpr std::uint64_t MaxHeldBytes = 16u << 20;
+
 http::Response textResponse(unsigned Status, std::string Body) {
   return http::Response{
       Status, {{"Content-Type", "text/plain; charset=utf-8"}}, std::move(Body)};
@@ -39,6 +44,10 @@
   Result<Done> start(Address Listen) {
     http::Server::Settings limits;
     limits.Listen = std::move(Listen);
+    limits.MaxBody = MaxBodyBytes;
+    limits.MaxConnections = MaxConnections;
+    limits.MaxHeldBytes = MaxHeldBytes;
+    limits.Memory = PeerMemory::create({MaxHeldBytes, MaxConnections});
     BOOST_LEAF_ASSIGN(
         Listener,
         http::Server::create(
