Peers that give way: one set of constants, a file and counters of their own

The lag, the pause between searches and the connections a search closes stood in two files. Daemons count the connections that were closed in favor of others: wasabi_daemon_connections_yielded_total, and connections_yielded in the status of the control plane. No other change of behaviour.

--- a/Daemon/Main.cpp
+++ b/Daemon/Main.cpp
@@ -130,7 +130,10 @@
     limits.Instance = Settings.Instance;
     limits.Domain = Settings.Domain;
     limits.Life = Settings.Life;
-    limits.Memory = makePeerMemory(Settings);
+    Counter &yielded = Counts.counter(
+        "wasabi_daemon_connections_yielded_total",
+        "Connections of lagging clients closed in favor of others");
+    limits.Memory = makePeerMemory(Settings, [&yielded] { yielded.add(); });
     std::shared_ptr<DaemonProxy> proxy = Proxy;
     BOOST_LEAF_ASSIGN(
         Frontend,
--- a/Entry/Main.cpp
+++ b/Entry/Main.cpp
@@ -123,7 +123,7 @@
     http::Server::Settings limits;
     limits.Listen = std::move(Listen);
     limits.MaxHeldBytes = Settings.MemoryBytes / HeldMemoryDivisor;
-    limits.Memory = makePeerMemory(Settings);
+    limits.Memory = makePeerMemory(Settings, nullptr);
     limits.OnSlowReaders = [this](const http::SlowReaderReport &Report) {
       recordSlowCallers(Report);
     };
--- a/Wasabi/Adapters/Http/HttpConnection.h
+++ b/Wasabi/Adapters/Http/HttpConnection.h
@@ -24,6 +24,10 @@
 class Connection;
 class Exchange;
 
+/// Memory of a request that is handled, without its head and body: coroutines,
+/// and a connection to an upstream server.
+inline constexpr std::uint64_t HandledRequestBytes = 49152;
+
 /// The state shared by a server and its connections. Use on the thread of the
 /// server.
 struct ServerState {
--- a/Wasabi/Adapters/Peers/PeerLoad.h
+++ b/Wasabi/Adapters/Peers/PeerLoad.h
@@ -35,6 +35,17 @@
 /// A peer that sends this many bytes per second, or more, never lags.
 inline constexpr std::uint64_t MinBytesPerSecond = 16384;
 
+/// A peer gives way to others only if it lags by this much.
+inline constexpr Millis MinPeerLag{250};
+
+/// Time until the next search for lagging peers, which looks at all
+/// connections, after one that did not find enough of them.
+inline constexpr Millis PeerSearchInterval{20};
+
+/// Connections beyond the need that give way at once, so that a crowd does not
+/// cause a search for each of its connections.
+inline constexpr std::size_t ConnectionsPerSearch = 16;
+
 /// Returns the time up to which a peer has kept the minimum rate, after it has
 /// sent `Bytes` more bytes. A peer that is faster saves up nothing. Pure.
 TimePoint advancePace(TimePoint PacedUntil, std::uint64_t Bytes, TimePoint Now);
--- a/Wasabi/Adapters/Peers/PeerMemory.cpp
+++ b/Wasabi/Adapters/Peers/PeerMemory.cpp
@@ -9,17 +9,11 @@
 
 namespace {
 
-/// Time until the next search for lagging peers, which looks at all
-/// connections, after one that did not find enough of them.
-constexpr Millis SearchInterval{20};
 /// Minimum time between two releases of memory to the kernel.
 constexpr Millis ReleaseInterval{1000};
 /// Memory is returned to the kernel once peers have ceased to hold this many
 /// bytes.
 constexpr std::uint64_t MinReleaseBytes = 4u << 20;
-/// Connections beyond the need that give way at once, so that a crowd does not
-/// cause a search for each of its connections.
-constexpr std::size_t ConnectionsPerSearch = 16;
 /// Part of the maximum by which bytes are freed beyond the need.
 constexpr std::uint64_t SlackDivisor = 32;
 
@@ -28,7 +22,7 @@
 //===--- PeerMemory -------------------------------------------------------===//
 
 std::shared_ptr<PeerMemory> PeerMemory::create(Settings Limits) {
-  return std::shared_ptr<PeerMemory>(new PeerMemory(Limits));
+  return std::shared_ptr<PeerMemory>(new PeerMemory(std::move(Limits)));
 }
 
 std::uint64_t PeerMemory::hardLimit() const {
@@ -48,7 +42,7 @@
     return;
   TimePoint now = monotonicNow();
   if (now >= NextSearch)
-    relieve({HeldBytes - Limits.MaxBytes, 0}, Limits.MinLag, &Peer, now);
+    relieve({HeldBytes - Limits.MaxBytes, 0}, MinPeerLag, &Peer, now);
   if (HeldBytes > hardLimit())
     relieve({HeldBytes - Limits.MaxBytes, 0}, Millis(0), nullptr, now);
 }
@@ -59,7 +53,7 @@
     return true;
   if (Now >= NextSearch) {
     std::size_t excess = needed - Limits.MaxConnections;
-    relieve({0, excess + ConnectionsPerSearch}, Limits.MinLag, nullptr, Now);
+    relieve({0, excess + ConnectionsPerSearch}, MinPeerLag, nullptr, Now);
   }
   // Closed connections are removed in a later turn of the event loop.
   return false;
@@ -69,8 +63,7 @@
   if (Limits.MaxBytes == 0 || HeldBytes + Bytes <= Limits.MaxBytes)
     return true;
   if (Now >= NextSearch)
-    relieve({HeldBytes + Bytes - Limits.MaxBytes, 0}, Limits.MinLag, nullptr,
-            Now);
+    relieve({HeldBytes + Bytes - Limits.MaxBytes, 0}, MinPeerLag, nullptr, Now);
   return HeldBytes + Bytes <= Limits.MaxBytes;
 }
 
@@ -94,7 +87,7 @@
   for (std::size_t it : yielding)
     freed += loads[it].Bytes;
   if (freed < Excess.Bytes || yielding.size() < Excess.Connections)
-    NextSearch = Now + SearchInterval;
+    NextSearch = Now + PeerSearchInterval;
   for (std::size_t it : yielding) {
     PeerConnection *peer = peers[it];
     // Closing one connection may have ended another.
@@ -104,6 +97,8 @@
     peer->hold(0);
     peer->Yielded = true;
     ++Yields;
+    if (Limits.OnYield)
+      Limits.OnYield();
     peer->yield(Now);
   }
 }
--- a/Wasabi/Adapters/Peers/PeerMemory.h
+++ b/Wasabi/Adapters/Peers/PeerMemory.h
@@ -17,7 +17,8 @@
 class PeerConnection;
 
 /// Sums what the connections of a process hold. Beyond its limits, it closes
-/// those whose peers lag; work that has no room is refused. Not thread-safe:
+/// those whose peers lag, and an eighth above the maximum of bytes also those
+/// that move; work that has no room is refused. Not thread-safe:
 /// use on the thread of its connections.
 class PeerMemory {
 public:
@@ -26,9 +27,8 @@
     std::uint64_t MaxBytes = 0;
     /// Maximum number of connections; 0 for unlimited.
     std::size_t MaxConnections = 0;
-    /// A connection gives way to others only if its peer lags by this much,
-    /// unless the bytes exceed the maximum by an eighth.
-    Millis MinLag{250};
+    /// Called for each connection that is closed in favor of others.
+    std::function<void()> OnYield = nullptr;
   };
 
   static std::shared_ptr<PeerMemory> create(Settings Limits);
@@ -54,7 +54,7 @@
 
 private:
   friend class PeerConnection;
-  explicit PeerMemory(Settings Limits) : Limits(Limits) {}
+  explicit PeerMemory(Settings Limits) : Limits(std::move(Limits)) {}
   void changeHeld(PeerConnection &Peer, std::uint64_t Before,
                   std::uint64_t After);
   void relieve(PeerExcess Excess, Millis MinLag, const PeerConnection *Except,
--- a/Wasabi/Adapters/Proxy/ProcessSettings.cpp
+++ b/Wasabi/Adapters/Proxy/ProcessSettings.cpp
@@ -91,14 +91,16 @@
   return settings;
 }
 
-std::shared_ptr<PeerMemory> makePeerMemory(const ProcessSettings &Process) {
+std::shared_ptr<PeerMemory> makePeerMemory(const ProcessSettings &Process,
+                                           std::function<void()> OnYield) {
   PeerMemory::Settings settings;
+  settings.OnYield = std::move(OnYield);
   settings.MaxBytes = Process.MemoryBytes / CallerMemoryDivisor;
   rlimit descriptors{};
   if (::getrlimit(RLIMIT_NOFILE, &descriptors) == 0 &&
       descriptors.rlim_cur != RLIM_INFINITY)
     settings.MaxConnections = descriptors.rlim_cur / 2;
-  return PeerMemory::create(settings);
+  return PeerMemory::create(std::move(settings));
 }
 
 std::string encodeProcessStatus(const ProcessStatus &Status) {
--- a/Wasabi/Adapters/Proxy/ProcessSettings.h
+++ b/Wasabi/Adapters/Proxy/ProcessSettings.h
@@ -68,7 +68,9 @@
 
 /// Returns the account of what callers, or daemons that forward for them, make
 /// the process hold: a third of its memory and half of its descriptors.
-std::shared_ptr<PeerMemory> makePeerMemory(const ProcessSettings &Process);
+/// `OnYield` is called for each connection that is closed in favor of others.
+std::shared_ptr<PeerMemory> makePeerMemory(const ProcessSettings &Process,
+                                           std::function<void()> OnYield);
 
 /// Status common to entries and daemons.
 struct ProcessStatus {
--- a/Wasabi/Node/ControlCounters.h
+++ b/Wasabi/Node/ControlCounters.h
@@ -20,6 +20,8 @@
   std::atomic<std::uint64_t> LogAppends{0};
   std::atomic<std::uint64_t> Probes{0};
   std::atomic<std::uint64_t> ProbesFailed{0};
+  /// Connections of lagging peers closed in favor of others.
+  std::atomic<std::uint64_t> ConnectionsYielded{0};
   /// Records received that were already applied.
   std::atomic<std::uint64_t> RepeatedRecords{0};
 };
--- a/Wasabi/Node/ControlPlane.cpp
+++ b/Wasabi/Node/ControlPlane.cpp
@@ -153,8 +153,11 @@
 Result<Done> ControlThread::bind() {
   ControlServer::Settings limits;
   limits.Listen = Setup.Listen;
-  limits.Memory = PeerMemory::create({Setup.MaxPeerBytes, 0});
-  PeerAccount = limits.Memory;
+  PeerMemory::Settings memory;
+  memory.MaxBytes = Setup.MaxPeerBytes;
+  memory.OnYield = [this] { Counters.ConnectionsYielded.fetch_add(1); };
+  PeerAccount = PeerMemory::create(std::move(memory));
+  limits.Memory = PeerAccount;
   BOOST_LEAF_ASSIGN(Server, ControlServer::create(Context, limits, Counters));
   createComponents();
   return Done();
--- a/Wasabi/Node/ControlStatus.cpp
+++ b/Wasabi/Node/ControlStatus.cpp
@@ -81,6 +81,7 @@
   status["control_bytes_out"] = Counters.BytesOut.load();
   status["frames_in"] = Counters.FramesIn.load();
   status["frames_out"] = Counters.FramesOut.load();
+  status["connections_yielded"] = Counters.ConnectionsYielded.load();
   status["probes"] = Counters.Probes.load();
   status["probes_failed"] = Counters.ProbesFailed.load();
   status["repeated_records"] = Counters.RepeatedRecords.load();
