The estimate of a job's memory counts its ids

By reading: ids of jobs and items come from the client, up to the size of a head or of a body, and each process holds them two or three times; the estimate that bounds the known jobs took them for short.

--- a/IntegrationTests/Cases/FullSizeCrowdTest.cpp
+++ b/IntegrationTests/Cases/FullSizeCrowdTest.cpp
@@ -18,8 +18,6 @@
 
 constexpr Millis WaitTimeout{20000};
 constexpr unsigned Ok = 200;
-constexpr std::size_t MemoryMb = EdgeMemoryKib >> 10;
-constexpr std::size_t MaxDescriptors = 8200;
 constexpr std::size_t MaxBodyBytes = 32u << 20;
 constexpr std::size_t LargeBytes = 1u << 20;
 
@@ -27,10 +25,20 @@
   return makeRequest("/rollout/x", makeJobText(Bytes, "[", "1,", "]"));
 }
 
-PlatformFixtureSettings makeSettings() {
+/// Memory in MiB and descriptors of an edge machine.
+struct MachineSize {
+  std::size_t MemoryMb = 0;
+  std::size_t MaxDescriptors = 0;
+};
+
+/// An ordinary machine of the users, and their smallest one.
+constexpr MachineSize Ordinary{280, 8200};
+constexpr MachineSize Smallest{120, 3075};
+
+PlatformFixtureSettings makeSettings(const MachineSize &Size) {
   PlatformFixtureSettings settings{1, 2, 2, false};
-  settings.MemoryMb = MemoryMb;
-  settings.MaxDescriptors = MaxDescriptors;
+  settings.MemoryMb = Size.MemoryMb;
+  settings.MaxDescriptors = Size.MaxDescriptors;
   settings.MaxBodyBytes = MaxBodyBytes;
   return settings;
 }
@@ -50,6 +58,7 @@
 TEST_CASE("Full size: each crowd, and a second one right after it",
           "[.][full-size]") {
   constexpr std::size_t MissingBytes = 65536;
+  const MachineSize size = GENERATE(Ordinary, Smallest);
   constexpr std::size_t JobBytes = 30u << 20;
   std::size_t clients = 0;
   std::string bytes;
@@ -99,7 +108,7 @@
     clients = 200;
     bytes = makeRequest("/nowhere/x", MaxBodyBytes, 0);
   }
-  PlatformFixture fixture(makeSettings());
+  PlatformFixture fixture(makeSettings(size));
   REQUIRE(fixture.waitUntilAllReady());
   harness::Process &process = *fixture.edge(0).Running;
   int requests = 0;
@@ -117,13 +126,55 @@
   std::size_t pressed = process.peakMemoryKib();
   CHECK(isServed(fixture, 100, requests));
   CHECK(isServed(fixture, MaxBodyBytes, requests));
-  std::cout << requests << " ordinary requests for 6 answers; " << pressed
+  std::cout << size.MemoryMb << " MiB: " << requests
+            << " ordinary requests for 6 answers; " << pressed
             << " KiB under pressure, " << process.peakMemoryKib()
             << " KiB at most, " << process.memoryKib() << " KiB now"
             << std::endl;
   CHECK_FALSE(process.wait(Millis(0)));
   CHECK(process.peakMemoryKib() > 0);
-  CHECK(process.peakMemoryKib() < EdgeMemoryKib);
+  CHECK(process.peakMemoryKib() < size.MemoryMb << 10);
+}
+
+// Guards against jobs that each fit and together end the dispatcher, which
+// holds the items of all open ones.
+TEST_CASE("Full size: jobs with one large item", "[.][full-size]") {
+  constexpr std::size_t Jobs = 8;
+  constexpr std::size_t ItemBytes = 30u << 20;
+  constexpr Millis RunTime{20000};
+  const MachineSize size = GENERATE(Ordinary, Smallest);
+  PlatformFixture fixture(makeSettings(size));
+  REQUIRE(fixture.waitUntilAllReady());
+  fixture.runOnPlatformThread([&] {
+    fixture.engine(0).EventDelay = Millis(1000);
+    fixture.engine(1).EventDelay = Millis(1000);
+  });
+  std::vector<std::unique_ptr<Crowd>> crowds;
+  for (std::size_t i = 0; i < Jobs; ++i) {
+    std::string id = "large-" + std::to_string(i);
+    std::string body = R"({"items":[{"id":")" + id +
+                       R"(","path":"/rollout/x","body":")" +
+                       std::string(ItemBytes, 'A') + "\"}]}";
+    Crowd::Settings setup;
+    setup.Target = fixture.edge(0).CallerAddress;
+    setup.Bytes = "POST /rollout/x HTTP/1.1\r\nHost: host.example\r\n"
+                  "Wasabisail-Request-Id: " +
+                  id + "\r\nConnection: close\r\nContent-Length: " +
+                  std::to_string(body.size()) + "\r\n\r\n" + body;
+    setup.Reconnects = true;
+    crowds.push_back(std::make_unique<Crowd>(std::move(setup)));
+  }
+  harness::Process &process = *fixture.edge(0).Running;
+  CHECK_FALSE(process.wait(RunTime));
+  crowds.clear();
+  int requests = 0;
+  CHECK(isServed(fixture, 100, requests));
+  CHECK(isServed(fixture, LargeBytes, requests));
+  std::cout << size.MemoryMb << " MiB: " << process.peakMemoryKib()
+            << " KiB at most, " << process.memoryKib() << " KiB now"
+            << std::endl;
+  CHECK(process.peakMemoryKib() > 0);
+  CHECK(process.peakMemoryKib() < size.MemoryMb << 10);
 }
 
 } // namespace wasabi::test
--- a/UnitTests/Batch/BatchServiceTest.cpp
+++ b/UnitTests/Batch/BatchServiceTest.cpp
@@ -193,6 +193,11 @@
       [&] { return findJob(fixture.OtherLog->fold(), first.Id) != nullptr; }));
   CHECK(fixture.submit(*service, second) == JobRequestStatus::Refused);
   CHECK(fixture.submit(*other, second) == JobRequestStatus::Refused);
+  // Ids are held by each process, too.
+  BatchJob named = makeJob("c", 1);
+  std::uint64_t bytes = estimateMemory(named);
+  named.Items[0].Id = ItemId(std::string(BodyBytes, 'i'));
+  CHECK(estimateMemory(named) > bytes + 2 * BodyBytes);
   // The items of a job that has ended are no longer needed.
   CHECK(fixture.end(*service, first) == JobRequestStatus::Accepted);
   REQUIRE(fixture.runUntil([&] {
--- a/Wasabi/Batch/BatchState.cpp
+++ b/Wasabi/Batch/BatchState.cpp
@@ -13,9 +13,20 @@
     Locations.push_back({Added.ItemsLocation, i});
 }
 
-/// Memory of a job and of each of its items, without texts.
-constexpr std::uint64_t JobStateBytes = 2048;
-constexpr std::uint64_t ItemStateBytes = 640;
+/// Estimates the memory of a job's state, without the items as they are stored.
+std::uint64_t estimateStateBytes(const BatchJob &Job) {
+  // Memory of a job and of each of its items, without texts.
+  constexpr std::uint64_t JobBytes = 2048;
+  constexpr std::uint64_t ItemBytes = 640;
+  // How often the id of a job, and that of an item, is held.
+  constexpr std::uint64_t JobIdCopies = 2;
+  constexpr std::uint64_t ItemIdCopies = 3;
+  std::uint64_t bytes = JobBytes + JobIdCopies * Job.Id.Text.size() +
+                        Job.Path.size() + Job.Host.size();
+  for (const BatchItem &it : Job.Items)
+    bytes += ItemBytes + ItemIdCopies * it.Id.Text.size() + it.Group.size();
+  return bytes;
+}
 
 std::uint64_t countBodyBytes(const std::vector<BatchItem> &Items) {
   std::uint64_t bytes = 0;
@@ -43,6 +54,7 @@
                                     Offset At, TimePoint Now) {
   std::shared_ptr<JobState> state = std::make_shared<JobState>();
   state->ItemBytes = countStoredBytes(Job.Items, Locations);
+  state->StateBytes = estimateStateBytes(Job);
   state->ItemLocations = std::move(Locations);
   state->At = At;
   state->Seen = Now;
@@ -238,7 +250,7 @@
 std::uint64_t estimateMemory(const BatchState &State) {
   std::uint64_t bytes = 0;
   for (const auto &[id, job] : State.Jobs) {
-    bytes += JobStateBytes + ItemStateBytes * job->Job.Items.size();
+    bytes += job->StateBytes;
     if (!job->Ended)
       bytes += job->ItemBytes;
   }
@@ -246,8 +258,7 @@
 }
 
 std::uint64_t estimateMemory(const BatchJob &Job) {
-  return JobStateBytes + ItemStateBytes * Job.Items.size() +
-         countBodyBytes(Job.Items);
+  return estimateStateBytes(Job) + countBodyBytes(Job.Items);
 }
 
 void expireJobs(BatchState &State, TimePoint Now) {
--- a/Wasabi/Batch/BatchState.h
+++ b/Wasabi/Batch/BatchState.h
@@ -50,6 +50,8 @@
   /// Size of the items as they are stored. The dispatcher holds them while the
   /// job is open.
   std::uint64_t ItemBytes = 0;
+  /// Estimated memory of the state itself.
+  std::uint64_t StateBytes = 0;
   /// Offset of the last record of its submission; jobs are ordered by it.
   Offset At = 0;
   /// Time at which this process read the last record of the submission.
