--- a/IntegrationTests/Cases/FullSizeCrowdTest.cpp
+++ b/IntegrationTests/Cases/FullSizeCrowdTest.cpp
@@ -35,6 +35,23 @@
 constexpr MachineSize Ordinary{280, 8200};
 constexpr MachineSize Smallest{120, 3075};
 
+/// Returns a job with one item of `ItemBytes` bytes.
+std::string makeItemRequest(const std::string &Id, std::size_t ItemBytes) {
+  std::string body = R"({"items":[{"id":")";
+  body += Id;
+  body += R"(","path":"/rollout/x","body":")";
+  body.append(ItemBytes, 'A');
+  body += R"("}]})";
+  std::string text = "POST /rollout/x HTTP/1.1\r\nHost: host.example\r\n"
+                     "Connection: close\r\nWasabisail-Request-Id: ";
+  text += Id;
+  text += "\r\nContent-Length: ";
+  text += std::to_string(body.size());
+  text += "\r\n\r\n";
+  text += body;
+  return text;
+}
+
 PlatformFixtureSettings makeSettings(const MachineSize &Size) {
   PlatformFixtureSettings settings{1, 2, 2, false};
   settings.MemoryMb = Size.MemoryMb;
@@ -152,15 +169,9 @@
   std::vector<std::unique_ptr<Crowd>> crowds;
   for (std::size_t i = 0; i < Jobs; ++i) {
     std::string id = "large-" + std::to_string(i);
-    std::string body = R"({"items":[{"id":")" + id +
-                       R"(","path":"/rollout/x","body":")" +
-                       std::string(ItemBytes, 'A') + "\"}]}";
     Crowd::Settings setup;
     setup.Target = fixture.edge(0).CallerAddress;
-    setup.Bytes = "POST /rollout/x HTTP/1.1\r\nHost: host.example\r\n"
-                  "Wasabisail-Request-Id: " +
-                  id + "\r\nConnection: close\r\nContent-Length: " +
-                  std::to_string(body.size()) + "\r\n\r\n" + body;
+    setup.Bytes = makeItemRequest(id, ItemBytes);
     setup.Reconnects = true;
     crowds.push_back(std::make_unique<Crowd>(std::move(setup)));
   }
--- a/UnitTests/Platform/JobReaderTest.cpp
+++ b/UnitTests/Platform/JobReaderTest.cpp
@@ -98,6 +98,17 @@
   CHECK(failure.Code == FailureCode::Overloaded);
 }
 
+// Guards against a job of a legal size that is denied on a small machine.
+TEST_CASE("The texts of a job do not count against its limits", "[platform]") {
+  JobLimits limits;
+  limits.MaxBytes = 1000;
+  std::string body(100000, 'A');
+  Outcome<BatchJob> got = read(
+      R"({"items":[{"id":"a","path":"p","body":")" + body + "\"}]}", limits);
+  REQUIRE(got);
+  CHECK(got->Items[0].Body.size() == body.size() / 4 * 3);
+}
+
 // Values that are not part of a job take no memory, whatever their number.
 TEST_CASE("Unknown members of a job are skipped", "[platform]") {
   JobLimits limits;
