--- a/UnitTests/Adapters/Frames/FrameSocketTest.cpp
+++ b/UnitTests/Adapters/Frames/FrameSocketTest.cpp
@@ -35,7 +35,7 @@
     tcp::acceptor acceptor(Context,
                            tcp::endpoint(asio::ip::address_v4::loopback(), 0));
     Raw.connect(acceptor.local_endpoint());
-    Framed = FrameSocket::adopt(acceptor.accept(), Limits);
+    Framed = FrameSocket::adopt(acceptor.accept(), std::move(Limits));
   }
 
   Outcome<FrameBytes> receive() {
